--- /dev/null
+++ b/adapter/mesh/mesh.go
@@ -0,0 +1,264 @@
+// Package mesh is what cores and sidecars ask a core.
+package mesh
+
+import (
+	"cottonarch.example/cottonarch/mesh/registry/index"
+	"encoding/json"
+	"github.com/gorilla/mux"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/number"
+	"cottonarch.example/cottonarch/control/coordination/share"
+	"cottonarch.example/cottonarch/control/core/node"
+	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/daemon/core"
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/mesh/registry/record"
+	"cottonarch.example/cottonarch/wire/reply"
+	"cottonarch.example/cottonarch/wire/server"
+)
+
+const (
+	bodyMax = 32 << 20
+	waitMax = 10 * time.Second
+	// PartBytes is the size of a part of a manifest.
+	PartBytes = 256 << 10
+)
+
+// Admit is the return to a sidecar that claims its membership.
+type Admit struct {
+	Claim    ident.Epoch  `json:"claim"`
+	Share    int          `json:"share"`
+	Cores    []ident.Addr `json:"cores"`
+	Manifest ident.Epoch  `json:"manifest"`
+}
+
+// Renewed is the return to a renewal.
+type Renewed struct {
+	Disk     ident.Disk   `json:"disk"`
+	Votes    bool         `json:"votes"`
+	Voters   int          `json:"voters"`
+	Cores    []ident.Addr `json:"cores"`
+	Manifest ident.Epoch  `json:"manifest"`
+}
+
+// News is the return to a sidecar that follows the registry and the manifest. Place
+// belongs to one run of one core, named by Mark.
+type News struct {
+	Mark     string       `json:"mark"`
+	Place    uint64       `json:"place"`
+	Sets     []record.Set `json:"sets"`
+	Manifest ident.Epoch  `json:"manifest"`
+	Leaving  bool         `json:"leaving,omitempty"`
+}
+
+// Part is a bounded part of a manifest.
+type Part struct {
+	Epoch ident.Epoch `json:"epoch"`
+	Size  int         `json:"size"`
+	At    int         `json:"at"`
+	Data  []byte      `json:"data"`
+}
+
+type surface struct {
+	c    *core.Core
+	mark string
+}
+
+// Paths is the surface.
+func Paths(c *core.Core, mark string) server.Paths {
+	s := surface{c, mark}
+	return server.Paths{
+		"/cottonarch/v1/messages": {"POST": s.messages},
+		"/cottonarch/v1/claim":    {"POST": s.claim},
+		"/cottonarch/v1/renew":    {"POST": s.renew},
+		"/cottonarch/v1/news":     {"GET": s.news},
+		"/cottonarch/v1/part":     {"GET": s.part},
+		"/address/{key:.+}":       {"GET": s.address},
+	}
+}
+
+func (s surface) messages(w http.ResponseWriter, r *http.Request) {
+	var b core.Batch
+	if d := reply.Decode(r, bodyMax, &b); d != nil {
+		reply.Defect(w, d)
+		return
+	}
+	s.c.Take(b)
+	reply.JSON(w, http.StatusOK, struct{}{})
+}
+
+// claim admits a sidecar: its claim epoch is a rising number on a majority of disks,
+// and so is its share.
+func (s surface) claim(w http.ResponseWriter, r *http.Request) {
+	var who struct {
+		Node ident.Node `json:"node"`
+	}
+	if d := reply.Decode(r, 1<<16, &who); d != nil {
+		reply.Defect(w, d)
+		return
+	}
+	if who.Node == "" {
+		reply.Defect(w, defect.New(defect.Invalid, "a claim needs a node"))
+		return
+	}
+	e := s.c.Deed(r.Context(), owner.Deed{Key: ident.Key("claim/" + string(who.Node)), Kind: "number/next"}, 3*time.Second)
+	if e.Defect != nil {
+		reply.Defect(w, e.Defect)
+		return
+	}
+	var num number.Number
+	if err := json.Unmarshal(e.Body, &num); err != nil {
+		reply.Defect(w, defect.New(defect.Damaged, "claim: %v", err))
+		return
+	}
+	claim := ident.Epoch(num.N)
+	e = s.c.Deed(r.Context(), owner.Deed{Key: "share", Kind: "share/take", Args: book.JSON(share.Args{Node: who.Node, Claim: claim})}, 3*time.Second)
+	if e.Defect != nil {
+		reply.Defect(w, e.Defect)
+		return
+	}
+	var g share.Grant
+	if err := json.Unmarshal(e.Body, &g); err != nil {
+		reply.Defect(w, defect.New(defect.Damaged, "share: %v", err))
+		return
+	}
+	m, d := s.c.Newest(r.Context(), 3*time.Second)
+	if d != nil {
+		reply.Defect(w, d)
+		return
+	}
+	s.c.Board.Add("claims", 1)
+	reply.JSON(w, http.StatusOK, Admit{Claim: claim, Share: g.N, Cores: s.c.View().Cores, Manifest: m.Epoch})
+}
+
+func (s surface) renew(w http.ResponseWriter, r *http.Request) {
+	var rep record.Report
+	if d := reply.Decode(r, bodyMax, &rep); d != nil {
+		reply.Defect(w, d)
+		return
+	}
+	done := make(chan *defect.Defect, 1)
+	if !s.c.Do(func(now moment.Moment) node.Effects {
+		fresh, d := s.c.Ledger().Renew(now, rep)
+		done <- d
+		return node.Effects{Changed: fresh}
+	}) {
+		reply.Defect(w, defect.New(defect.Busy, "the core's inbox is full").Later(1))
+		return
+	}
+	select {
+	case d := <-done:
+		if d != nil {
+			reply.Defect(w, d)
+			return
+		}
+	case <-s.c.Done():
+		reply.Defect(w, defect.New(defect.Stopping, "the core stops").Later(1))
+		return
+	}
+	v := s.c.View()
+	out := Renewed{Disk: v.Disk, Votes: v.Votes, Voters: v.Voters, Cores: v.Cores}
+	if m := s.c.Held(); m != nil {
+		out.Manifest = m.Epoch
+	}
+	reply.JSON(w, http.StatusOK, out)
+}
+
+// news waits until the registry or the manifest is ahead of what the asker has.
+func (s surface) news(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("place"), 10, 64)
+	have, _ := strconv.ParseUint(q.Get("manifest"), 10, 64)
+	if q.Get("mark") != s.mark {
+		after = 0
+	}
+	over := time.NewTimer(waitMax)
+	defer over.Stop()
+	for last := false; ; {
+		feed := s.c.Feed()
+		done := make(chan News, 1)
+		if !s.c.Do(func(moment.Moment) node.Effects {
+			l := s.c.Ledger()
+			done <- News{Mark: s.mark, Place: l.Change(), Sets: l.Feed(after)}
+			return node.Effects{}
+		}) {
+			reply.Defect(w, defect.New(defect.Busy, "the core's inbox is full").Later(1))
+			return
+		}
+		var out News
+		select {
+		case out = <-done:
+		case <-s.c.Done():
+			reply.Defect(w, defect.New(defect.Stopping, "the core stops").Later(1))
+			return
+		}
+		out.Leaving = s.c.Leaving()
+		if m := s.c.Held(); m != nil {
+			out.Manifest = m.Epoch
+		}
+		if last || out.Leaving || len(out.Sets) > 0 || uint64(out.Manifest) > have {
+			reply.JSON(w, http.StatusOK, out)
+			return
+		}
+		select {
+		case <-feed:
+		case <-over.C:
+			last = true
+		case <-s.c.Done():
+			last = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s surface) part(w http.ResponseWriter, r *http.Request) {
+	m := s.c.Held()
+	if m == nil {
+		reply.Defect(w, defect.New(defect.Missing, "no manifest is known here"))
+		return
+	}
+	GivePart(w, r, m.Epoch, m.Manifest)
+}
+
+// GivePart serves one part of a manifest.
+func GivePart(w http.ResponseWriter, r *http.Request, epoch ident.Epoch, raw []byte) {
+	at, err := strconv.Atoi(r.URL.Query().Get("at"))
+	if err != nil || at < 0 || at > len(raw) {
+		reply.Defect(w, defect.New(defect.Malformed, "at is no place in the manifest"))
+		return
+	}
+	reply.JSON(w, http.StatusOK, Part{Epoch: epoch, Size: len(raw), At: at, Data: raw[at:min(len(raw), at+PartBytes)]})
+}
+
+// address looks one universal record up: by serverId, namespace/hostname or
+// network/ip:port.
+func (s surface) address(w http.ResponseWriter, r *http.Request) {
+	want := mux.Vars(r)["key"]
+	done := make(chan []record.Set, 1)
+	if !s.c.Do(func(moment.Moment) node.Effects {
+		done <- s.c.Ledger().Feed(0)
+		return node.Effects{}
+	}) {
+		reply.Defect(w, defect.New(defect.Busy, "the core's inbox is full").Later(1))
+		return
+	}
+	select {
+	case sets := <-done:
+		x := index.New()
+		x.Merge(sets)
+		if a, ok := x.Look(want); ok {
+			reply.JSON(w, http.StatusOK, a)
+			return
+		}
+		reply.Defect(w, defect.New(defect.Missing, "no address %q", want))
+	case <-s.c.Done():
+		reply.Defect(w, defect.New(defect.Stopping, "the core stops").Later(1))
+	}
+}
--- /dev/null
+++ b/boot/boot.go
@@ -0,0 +1,156 @@
+// Package boot reads the settings of the daemons, strictly: every fault is named
+// with its path, all at once.
+package boot
+
+import (
+	"net/netip"
+	"os"
+	"slices"
+	"time"
+
+	"cottonarch.example/cottonarch/control/manifest/walk"
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
+)
+
+// Core is a core's boot.
+type Core struct {
+	Addr     ident.Addr
+	District ident.District
+	Seeds    []ident.Addr
+	Founders []ident.Addr
+	Data     string
+	Voters   int
+	RingFile int64
+	Rings    int
+}
+
+// Sidecar is a sidecar's boot.
+type Sidecar struct {
+	Node     ident.Node
+	Caller   ident.Addr
+	Addr     ident.Addr
+	District ident.District
+	Seeds    []ident.Addr
+	Senders  int
+	Queue    int
+	Hand     int
+	Stop     time.Duration
+}
+
+// Flags are what the command line may give; a flag goes before the file. Address is
+// the process's own address towards the mesh.
+type Flags struct {
+	Address  string   `help:"Own address towards the mesh, ip:port."`
+	Caller   string   `help:"Sidecar only: address that callers use, ip:port."`
+	Node     string   `help:"Sidecar only: name of the node; its address if not given."`
+	District string   `help:"District (failure zone) of this machine."`
+	Seeds    []string `help:"Addresses of up to three other processes, ip:port."`
+	Founders []string `help:"Core only: addresses of all cores that form the first roster; the seeds and this core if not given and this core is among the seeds."`
+	Data     string   `help:"Core only: the one data folder."`
+}
+
+// Load reads the file, if one is named, lays the flags over it and gives the tree.
+func (f Flags) Load(file string) (map[string]any, *defect.Defect) {
+	m := map[string]any{}
+	if file != "" {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			return nil, defect.New(defect.BadBoot, "%v", err)
+		}
+		var d *defect.Defect
+		if m, d = walk.Parse(raw); d != nil {
+			d.Kind, d.Note = defect.BadBoot, file+": "+d.Note
+			return nil, d
+		}
+	}
+	for name, v := range map[string]string{"address": f.Address, "caller": f.Caller, "node": f.Node, "district": f.District, "data": f.Data} {
+		if v != "" {
+			m[name] = v
+		}
+	}
+	for name, v := range map[string][]string{"seeds": f.Seeds, "founders": f.Founders} {
+		if len(v) > 0 {
+			list := make([]any, len(v))
+			for i, s := range v {
+				list[i] = s
+			}
+			m[name] = list
+		}
+	}
+	return m, nil
+}
+
+func addr(s walk.Step, name string, must bool) ident.Addr {
+	t := s.Text(name, "")
+	if t == "" {
+		if must {
+			s.Must(name)
+		}
+		return ""
+	}
+	return check(s, name, t)
+}
+
+func check(s walk.Step, name, t string) ident.Addr {
+	if ap, err := netip.ParseAddrPort(t); err != nil || ap.Port() == 0 || ap.Addr().IsUnspecified() {
+		s.Fault(name, "%q is no ip:port", t)
+	}
+	return ident.Addr(t)
+}
+
+func addrs(s walk.Step, name string, most int) []ident.Addr {
+	var out []ident.Addr
+	list := s.Texts(name)
+	if len(list) > most {
+		s.Fault(name, "at most %d addresses", most)
+	}
+	for _, t := range list {
+		a := check(s, name, t)
+		if slices.Contains(out, a) {
+			s.Fault(name, "%q stands twice", t)
+		}
+		out = append(out, a)
+	}
+	return out
+}
+
+// ReadCore checks a core's boot.
+func ReadCore(m map[string]any) (Core, *defect.Defect) {
+	f := &walk.Faults{}
+	s := walk.Top(m, f)
+	s.Only("address", "district", "seeds", "founders", "data", "voters", "ringFileMiB", "ringFiles")
+	c := Core{Addr: addr(s, "address", true), District: ident.District(s.Must("district")), Seeds: addrs(s, "seeds", 3), Founders: addrs(s, "founders", 9),
+		Data: s.Must("data"), Voters: int(s.Whole("voters", 5, 1, 9)), RingFile: s.Whole("ringFileMiB", 16, 12, 1024) << 20, Rings: int(s.Whole("ringFiles", 6, 4, 64))}
+	if len(c.Founders) > 0 && len(c.Founders)%2 == 0 {
+		s.Fault("founders", "an odd number of cores forms the first roster")
+	}
+	if len(c.Founders) == 0 && slices.Contains(c.Seeds, c.Addr) {
+		c.Founders = slices.Clone(c.Seeds)
+	}
+	if len(c.Founders) == 0 && len(c.Seeds) == 0 {
+		s.Fault("seeds", "a core needs seeds or founders")
+	}
+	return c, f.Defect(defect.BadBoot)
+}
+
+// ReadSidecar checks a sidecar's boot.
+func ReadSidecar(m map[string]any) (Sidecar, *defect.Defect) {
+	f := &walk.Faults{}
+	s := walk.Top(m, f)
+	s.Only("node", "address", "caller", "district", "seeds", "senders", "queue", "hand", "stopS")
+	c := Sidecar{Node: ident.Node(s.Text("node", "")), Addr: addr(s, "address", true), Caller: addr(s, "caller", true),
+		District: ident.District(s.Must("district")), Seeds: addrs(s, "seeds", 3), Senders: int(s.Whole("senders", 256, 1, 10000)),
+		Queue: int(s.Whole("queue", 512, 1, 100000)), Hand: int(s.Whole("hand", 512, 1, 100000)),
+		Stop: time.Duration(s.Real("stopS", 10, 0, 3600) * float64(time.Second))}
+	if c.Node == "" {
+		c.Node = ident.Node(c.Addr)
+	}
+	if c.Addr != "" && c.Addr == c.Caller {
+		s.Fault("caller", "must differ from address")
+	}
+	if len(c.Seeds) == 0 {
+		s.Fault("seeds", "a sidecar needs at least one seed")
+	}
+	return c, f.Defect(defect.BadBoot)
+}
--- /dev/null
+++ b/cmd/cottonarch/main.go
@@ -0,0 +1,213 @@
+// Command cottonarch is the one program of the mesh; the role is a subcommand.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/go-kratos/kratos/v2"
+	"github.com/go-kratos/kratos/v2/transport"
+	"go.uber.org/zap"
+
+	"cottonarch.example/cottonarch/adapter/coordination"
+	"cottonarch.example/cottonarch/adapter/mesh"
+	"cottonarch.example/cottonarch/adapter/operator"
+	"cottonarch.example/cottonarch/adapter/platform"
+	"cottonarch.example/cottonarch/boot"
+	"cottonarch.example/cottonarch/daemon/core"
+	"cottonarch.example/cottonarch/daemon/sidecar"
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/stand/caller"
+	"cottonarch.example/cottonarch/stand/endpoint"
+	"cottonarch.example/cottonarch/wire/server"
+)
+
+var app struct {
+	Core     coreCmd     `cmd:"" help:"Run a core: control state on disk, the registry, coordination."`
+	Sidecar  sidecarCmd  `cmd:"" help:"Run a sidecar: the node beside an application."`
+	Endpoint endpointCmd `cmd:"" help:"Run a stand-in endpoint."`
+	Caller   callerCmd   `cmd:"" help:"Run stand-in callers and print what they were told."`
+	operatorCmds
+}
+
+type bootFlags struct {
+	Boot       string `short:"b" help:"Boot file (JSON)." type:"path"`
+	boot.Flags `embed:""`
+	Check      bool `help:"Check the boot and end."`
+}
+
+func (b bootFlags) tree() (map[string]any, error) {
+	m, d := b.Load(b.Boot)
+	if d != nil {
+		return nil, d
+	}
+	return m, nil
+}
+
+type coreCmd struct{ bootFlags }
+
+type sidecarCmd struct{ bootFlags }
+
+func logger() (*zap.Logger, error) {
+	c := zap.NewProductionConfig()
+	c.DisableCaller, c.DisableStacktrace, c.Sampling = true, true, nil
+	return c.Build()
+}
+
+func (c coreCmd) Run() error {
+	m, err := c.tree()
+	if err != nil {
+		return err
+	}
+	b, d := boot.ReadCore(m)
+	if d != nil {
+		return d
+	}
+	if c.Check {
+		fmt.Println("the boot is good")
+		return nil
+	}
+	log, err := logger()
+	if err != nil {
+		return defect.Wrap(err, defect.Internal, "log")
+	}
+	defer func() { _ = log.Sync() }()
+	daemon, err := core.Open(b, log)
+	if err != nil {
+		return err
+	}
+	srv := server.New(b.Addr, nil)
+	for _, p := range []server.Paths{operator.Paths(daemon), coordination.Paths(daemon), mesh.Paths(daemon, string(daemon.View().Disk)+fmt.Sprint(time.Now().UnixNano())),
+		platform.Paths(daemon.Ready, daemon.Board, func() any { return daemon.View() })} {
+		p.Register(srv)
+	}
+	daemon.Start()
+	defer daemon.Close()
+	return run(log, "core", func() { daemon.Leave(10 * time.Second) }, srv)
+}
+
+func (c sidecarCmd) Run() error {
+	m, err := c.tree()
+	if err != nil {
+		return err
+	}
+	b, d := boot.ReadSidecar(m)
+	if d != nil {
+		return d
+	}
+	if c.Check {
+		fmt.Println("the boot is good")
+		return nil
+	}
+	log, err := logger()
+	if err != nil {
+		return defect.Wrap(err, defect.Internal, "log")
+	}
+	defer func() { _ = log.Sync() }()
+	daemon := sidecar.New(b, log)
+	srv := server.New(b.Addr, daemon.Gated)
+	daemon.Paths().Register(srv)
+	platform.Paths(daemon.Ready, daemon.Board, daemon.Status).Register(srv)
+	front := server.New(b.Caller, daemon.Front)
+	daemon.Start()
+	defer daemon.Close()
+	return run(log, "sidecar", daemon.Leave, srv, front)
+}
+
+// run runs the servers until the platform says stop; leave is done first.
+func run(log *zap.Logger, name string, leave func(), servers ...*server.Server) error {
+	opts := []kratos.Option{kratos.Name("cottonarch-" + name), kratos.Logger(server.Logger(log)), kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
+		kratos.StopTimeout(30 * time.Second), kratos.BeforeStop(func(context.Context) error {
+			leave()
+			for _, s := range servers {
+				s.SetKeepAlivesEnabled(false)
+			}
+			return nil
+		})}
+	all := make([]transport.Server, 0, len(servers))
+	for _, s := range servers {
+		all = append(all, s)
+	}
+	opts = append(opts, kratos.Server(all...))
+	if err := kratos.New(opts...).Run(); err != nil {
+		return defect.Wrap(err, defect.Internal, name)
+	}
+	log.Info("stopped")
+	return nil
+}
+
+type endpointCmd struct {
+	Server  string        `required:"" help:"serverId of this run."`
+	Service string        `required:"" help:"Service it serves."`
+	Address string        `required:"" help:"Own address, ip:port."`
+	Sidecar string        `required:"" help:"The sidecar's own address, which takes the beats."`
+	Work    time.Duration `default:"2ms" help:"How long a request takes."`
+	Lose    float64       `help:"Part of requests that are run and get no return."`
+	Garbage float64       `help:"Part that get garbage."`
+	Cut     float64       `help:"Part whose return breaks off."`
+}
+
+func (c endpointCmd) Run() error {
+	e, err := endpoint.Start(endpoint.Boot{Server: ident.Server(c.Server), Service: ident.Service(c.Service), Addr: ident.Addr(c.Address), Beat: ident.Addr(c.Sidecar),
+		Mood: endpoint.Mood{Work: c.Work, Lose: c.Lose, Garbage: c.Garbage, Cut: c.Cut}})
+	if err != nil {
+		return defect.Wrap(err, defect.Internal, "endpoint")
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	<-stop
+	e.Stop(5 * time.Second)
+	return nil
+}
+
+type callerCmd struct {
+	Address string        `required:"" help:"The sidecar's caller address."`
+	Host    string        `required:"" help:"Host of the requests."`
+	Path    string        `default:"/" help:"Path of the requests."`
+	Method  string        `default:"GET" help:"Method of the requests."`
+	Service string        `required:"" help:"Service whose returns are expected."`
+	Rate    float64       `default:"20" help:"Requests a second."`
+	For     time.Duration `default:"5s" help:"How long."`
+}
+
+func (c callerCmd) Run() error {
+	book := &caller.Book{}
+	ctx, stop := context.WithTimeout(context.Background(), c.For)
+	defer stop()
+	caller.Run(ctx, caller.Boot{Name: "caller", Addr: ident.Addr(c.Address), Rate: c.Rate, Book: book, Seed: 1, Limit: 10 * time.Second,
+		Kinds: []caller.Kind{{Name: "one", Method: c.Method, Host: c.Host, Path: c.Path, Service: ident.Service(c.Service), Weight: 1}}})
+	sums := map[caller.Fate]int{}
+	for _, t := range book.All() {
+		sums[t.Fate]++
+	}
+	fmt.Printf("served %d, not run %d, unknown %d, dropped %d, wrong %d\n", sums[caller.Served], sums[caller.NotRun], sums[caller.Unknown], sums[caller.Dropped], sums[caller.Wrong])
+	if sums[caller.Wrong]+sums[caller.Dropped] > 0 {
+		return defect.New(defect.BadReturn, "%d returns were wrong or dropped", sums[caller.Wrong]+sums[caller.Dropped])
+	}
+	return nil
+}
+
+func main() {
+	k := kong.Parse(&app, kong.Name("cottonarch"), kong.Description("A service mesh: cores hold the control state, sidecars carry the traffic."), kong.UsageOnError())
+	err := k.Run()
+	if err == nil {
+		return
+	}
+	d := defect.Of(err)
+	fmt.Fprintln(os.Stderr, "cottonarch:", d.Error())
+	os.Exit(exits(d))
+}
+
+// exits gives the exit code: 2 for bad input, 1 for the rest.
+func exits(d *defect.Defect) int {
+	if d.Kind == defect.BadBoot {
+		return 2
+	}
+	return 1
+}
--- /dev/null
+++ b/cmd/cottonarch/operator.go
@@ -0,0 +1,191 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"cottonarch.example/cottonarch/kernel/defect"
+)
+
+type operatorCmds struct {
+	Apply  applyCmd  `cmd:"" help:"Send a manifest, whole or partial, to a core."`
+	Show   showCmd   `cmd:"" help:"Show the newest confirmed manifest (core) or the one in force (sidecar)."`
+	Status statusCmd `cmd:"" help:"Show a daemon's status and counters."`
+	Lock   lockCmd   `cmd:"" help:"Claim, renew, release or read a lock."`
+	Number numberCmd `cmd:"" help:"Take the next of a rising number, or read it."`
+	Key    keyCmd    `cmd:"" help:"Read, write, delete or list small keys."`
+	Watch  watchCmd  `cmd:"" help:"Follow changes below a prefix."`
+}
+
+type target struct {
+	Core string `short:"c" required:"" env:"COTTONARCH_CORE" help:"Address of any core (or of a sidecar, where that fits), ip:port."`
+}
+
+// ask sends one request and prints the return; a defect ends the program with 1.
+func (t target) ask(method, path string, body []byte) (json.RawMessage, error) {
+	req, err := http.NewRequest(method, "http://"+t.Core+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, defect.Wrap(err, defect.Malformed, "request")
+	}
+	res, err := (&http.Client{Timeout: 70 * time.Second}).Do(req)
+	if err != nil {
+		return nil, defect.Wrap(err, defect.Unreached, t.Core)
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		return nil, defect.Wrap(err, defect.LostReturn, t.Core)
+	}
+	if res.StatusCode >= 300 {
+		d := &defect.Defect{}
+		if json.Unmarshal(data, d) != nil || d.Kind == "" {
+			return nil, defect.Unsure(defect.BadReturn, "status %d: %s", res.StatusCode, data)
+		}
+		d.Note = fmt.Sprintf("%s (changed: %s)", d.Note, d.Fate)
+		return nil, d
+	}
+	return data, nil
+}
+
+func (t target) show(method, path string, body []byte) error {
+	data, err := t.ask(method, path, body)
+	if err != nil {
+		return err
+	}
+	var out bytes.Buffer
+	if json.Indent(&out, data, "", "  ") != nil {
+		out.Write(data)
+	}
+	fmt.Println(out.String())
+	return nil
+}
+
+type applyCmd struct {
+	target
+	Part bool   `help:"The file is a part, laid over the newest manifest; null takes a field away."`
+	Base *int64 `help:"Epoch the change builds on; another epoch is a conflict."`
+	File string `arg:"" help:"Manifest file, - for standard input."`
+}
+
+func (c applyCmd) Run() error {
+	var raw []byte
+	var err error
+	if c.File == "-" {
+		raw, err = io.ReadAll(os.Stdin)
+	} else {
+		raw, err = os.ReadFile(c.File)
+	}
+	if err != nil {
+		return defect.Wrap(err, defect.Malformed, "manifest")
+	}
+	q := ""
+	if c.Base != nil {
+		q = fmt.Sprintf("?baseEpoch=%d", *c.Base)
+	}
+	method := "PUT"
+	if c.Part {
+		method = "PATCH"
+	}
+	return c.show(method, "/manifest"+q, raw)
+}
+
+type showCmd struct{ target }
+
+func (c showCmd) Run() error { return c.show("GET", "/manifest", nil) }
+
+type statusCmd struct{ target }
+
+func (c statusCmd) Run() error {
+	if err := c.show("GET", "/status", nil); err != nil {
+		return err
+	}
+	return c.show("GET", "/counters", nil)
+}
+
+type lockCmd struct {
+	target
+	Deed   string `arg:"" enum:"claim,renew,release,pass,read" help:"claim, renew, release, pass or read."`
+	Name   string `arg:""`
+	Holder string `help:"Who holds it."`
+	Fence  uint64 `help:"Fence number of the claim."`
+	TTL    int64  `default:"10000" help:"Milliseconds the claim lasts without renewal."`
+	To     string `help:"Successor, for pass."`
+}
+
+func (c lockCmd) Run() error {
+	if c.Deed == "read" {
+		return c.show("GET", "/locks/"+c.Name, nil)
+	}
+	raw, _ := json.Marshal(map[string]any{"holder": c.Holder, "fence": c.Fence, "ttlMs": c.TTL, "to": c.To})
+	return c.show("POST", "/locks/"+c.Name+"/"+c.Deed, raw)
+}
+
+type numberCmd struct {
+	target
+	Deed string `arg:"" enum:"next,read" help:"next or read."`
+	Name string `arg:""`
+}
+
+func (c numberCmd) Run() error {
+	if c.Deed == "read" {
+		return c.show("GET", "/numbers/"+c.Name, nil)
+	}
+	return c.show("POST", "/numbers/"+c.Name+"/next", nil)
+}
+
+type keyCmd struct {
+	target
+	Deed  string `arg:"" enum:"read,write,delete,list" help:"read, write, delete or list."`
+	Name  string `arg:"" optional:"" help:"Key, or prefix for list."`
+	Value string `arg:"" optional:"" help:"Value for write; JSON, or else a string."`
+	If    *int64 `help:"Revision the key must be at; 0 means it must not exist."`
+}
+
+func (c keyCmd) Run() error {
+	q := url.Values{}
+	if c.If != nil {
+		q.Set("ifRevision", fmt.Sprint(*c.If))
+	}
+	verbs := map[string]string{"read": "GET", "write": "PUT", "delete": "DELETE"}
+	if c.Deed == "list" {
+		return c.show("GET", "/keys?prefix="+url.QueryEscape(c.Name), nil)
+	}
+	body := []byte(c.Value)
+	if c.Deed == "write" && !json.Valid(body) {
+		body, _ = json.Marshal(c.Value)
+	}
+	return c.show(verbs[c.Deed], "/keys/"+c.Name+"?"+q.Encode(), body)
+}
+
+type watchCmd struct {
+	target
+	Prefix string `arg:"" optional:"" help:"Prefix of the keys."`
+	Place  string `help:"Place to go on from."`
+	Rounds int    `default:"0" help:"How many returns to print; 0 is without end."`
+}
+
+func (c watchCmd) Run() error {
+	place := c.Place
+	for n := 0; c.Rounds == 0 || n < c.Rounds; n++ {
+		data, err := c.ask("GET", "/watch?prefix="+url.QueryEscape(c.Prefix)+"&place="+url.QueryEscape(place), nil)
+		if err != nil {
+			return err
+		}
+		var got struct {
+			Place string `json:"place"`
+		}
+		if err := json.Unmarshal(data, &got); err != nil {
+			return defect.Wrap(err, defect.BadReturn, "watch")
+		}
+		place = got.Place
+		fmt.Println(strings.TrimSpace(string(data)))
+	}
+	return nil
+}
--- /dev/null
+++ b/control/coordination/book/book.go
@@ -0,0 +1,114 @@
+// Package book is the machine under every control key: it finds the handler of a
+// deed by its kind and makes repeats harmless.
+package book
+
+import (
+	"encoding/json"
+
+	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
+)
+
+// opsMax is how many past operations a key remembers.
+const opsMax = 64
+
+// Done is one past operation with its return.
+type Done struct {
+	Op   ident.Op        `json:"op"`
+	Body json.RawMessage `json:"body,omitempty"`
+}
+
+// Page is the value of every control key. Invariant: Ops holds only operations
+// whose effect is in State.
+type Page struct {
+	State json.RawMessage `json:"state,omitempty"`
+	Ops   []Done          `json:"ops,omitempty"`
+}
+
+// Entry is what a handler makes of a deed. Invariant: State is new if and only if
+// it is not nil.
+type Entry struct {
+	State  json.RawMessage
+	Body   json.RawMessage
+	Defect *defect.Defect
+}
+
+// Handler serves one kind of deed.
+type Handler func(turn owner.Turn, state, args json.RawMessage) Entry
+
+// Book is a table of handlers.
+type Book map[string]Handler
+
+// Apply serves a deed.
+func (b Book) Apply(turn owner.Turn, value json.RawMessage, deed owner.Deed) owner.Verdict {
+	serve, ok := b[deed.Kind]
+	if !ok {
+		return owner.Verdict{Defect: defect.New(defect.Malformed, "no deed %q", deed.Kind)}
+	}
+	var page Page
+	if len(value) > 0 {
+		if err := json.Unmarshal(value, &page); err != nil {
+			return owner.Verdict{Defect: defect.New(defect.Damaged, "page: %v", err)}
+		}
+	}
+	if deed.Op != "" {
+		for _, past := range page.Ops {
+			if past.Op == deed.Op {
+				return owner.Verdict{Body: past.Body}
+			}
+		}
+	}
+	e := serve(turn, page.State, deed.Args)
+	if e.Defect != nil || e.State == nil {
+		return owner.Verdict{Body: e.Body, Defect: e.Defect}
+	}
+	page.State = e.State
+	if deed.Op != "" {
+		page.Ops = append(page.Ops, Done{deed.Op, e.Body})
+		if len(page.Ops) > opsMax {
+			page.Ops = page.Ops[len(page.Ops)-opsMax:]
+		}
+	}
+	out, err := json.Marshal(page)
+	if err != nil {
+		return owner.Verdict{Defect: defect.New(defect.Malformed, "page: %v", err)}
+	}
+	return owner.Verdict{Value: out, Changed: true, Body: e.Body}
+}
+
+// State reads the state out of a value.
+func State(value json.RawMessage) json.RawMessage {
+	var page Page
+	if len(value) == 0 || json.Unmarshal(value, &page) != nil {
+		return nil
+	}
+	return page.State
+}
+
+// Read decodes state and args; a defect says which was wrong.
+func Read(state, args json.RawMessage, s, a any) *defect.Defect {
+	if len(state) > 0 {
+		if err := json.Unmarshal(state, s); err != nil {
+			return defect.New(defect.Damaged, "state: %v", err)
+		}
+	}
+	if len(args) > 0 {
+		if err := json.Unmarshal(args, a); err != nil {
+			return defect.New(defect.Malformed, "%v", err)
+		}
+	}
+	return nil
+}
+
+// JSON encodes what cannot fail to encode.
+func JSON(v any) json.RawMessage {
+	out, err := json.Marshal(v)
+	if err != nil {
+		return json.RawMessage("null")
+	}
+	return out
+}
+
+// Turned makes an entry of a defect.
+func Turned(d *defect.Defect) Entry { return Entry{Defect: d} }
--- /dev/null
+++ b/control/core/node/tick.go
@@ -0,0 +1,300 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/lock"
+	"cottonarch.example/cottonarch/control/coordination/share"
+	"cottonarch.example/cottonarch/control/core/message"
+	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/place"
+	"cottonarch.example/cottonarch/control/register/survey"
+	"cottonarch.example/cottonarch/control/roster/maker"
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+)
+
+// dutyKey is the claim on the sweeping duty. Its holder names a successor when it
+// leaves; when it cannot, the claim ends and a majority gives it to another.
+const dutyKey ident.Key = "lock/cottonarch.duty.sweep"
+
+// shareKey holds the shares of the further tries.
+const shareKey ident.Key = "share"
+
+// Tick is called many times a second.
+func (n *Node) Tick(now moment.Moment) (fx Effects) {
+	if n.said == 0 || now.Since(n.said) >= helloEvery {
+		n.said = now
+		n.hello(now, &fx)
+	}
+	n.owned(now, n.own.Tick(now), &fx)
+	n.rosterSends(n.make.Tick(now), &fx)
+	n.pendings(now, &fx)
+	n.readings(now, &fx)
+	if n.Ledger.Tick(now) {
+		fx.Changed = true
+	}
+	if !n.broken {
+		n.place(now, &fx)
+		n.duties(now, &fx)
+	}
+	return fx
+}
+
+func (n *Node) hello(now moment.Moment, fx *Effects) {
+	h := message.Hello{Disk: n.Disk, Mark: n.boot.Mark, District: n.boot.District, Leaving: n.leaving, Broken: n.broken,
+		UpMs: now.Since(n.began).Milliseconds(), Heard: n.Ledger.Heard(now), Manifest: n.Epoch, Cores: n.Cores()}
+	if n.acc.Now.Epoch > 0 {
+		r := n.acc.Now
+		h.Roster = &r
+	}
+	for _, a := range n.peerAddrs() {
+		if now.Since(n.peers[a].heard) > time.Minute {
+			delete(n.peers, a)
+		}
+	}
+	for _, a := range n.Cores() {
+		if a != n.boot.Addr {
+			fx.Sends = append(fx.Sends, Send{a, message.Message{Hello: &h}})
+		}
+	}
+}
+
+// pendings routes what waits and ends what is late.
+func (n *Node) pendings(now moment.Moment, fx *Effects) {
+	list := n.wait
+	n.wait = nil
+	for _, p := range list {
+		if now > p.until {
+			n.late(now, p, fx)
+			continue
+		}
+		n.route(now, p, fx)
+	}
+	for _, out := range n.outs() {
+		p, ok := n.pend[out]
+		if !ok {
+			continue
+		}
+		if now > p.until {
+			delete(n.pend, out)
+			p.risk = true
+			n.late(now, p, fx)
+			continue
+		}
+		if q := n.peers[p.at]; p.at != n.boot.Addr && (q == nil || now.Since(q.heard) > alive) {
+			// The owner is silent: give this copy up, it may still take effect.
+			delete(n.pend, out)
+			p.out, p.risk = 0, true
+			p.open++
+			n.wait = append(n.wait, p)
+		}
+	}
+}
+
+func (n *Node) late(now moment.Moment, p *pending, fx *Effects) {
+	d := defect.New(defect.NoMajority, "no majority of the core answered in time").Later(1)
+	if p.risk || p.open > 0 {
+		d = defect.Unsure(defect.Unknown, "the change was sent on and no return came in time")
+	}
+	n.finish(now, p, End{Defect: d}, fx)
+}
+
+func (n *Node) readings(now moment.Moment, fx *Effects) {
+	for _, turn := range n.turns() {
+		rd := n.reads[turn]
+		if now > rd.until {
+			delete(n.reads, turn)
+			if rd.done == nil {
+				fx.Ends = append(fx.Ends, End{Ticket: rd.ticket, Defect: defect.New(defect.NoMajority, "no majority of the core answered in time").Later(1)})
+			} else {
+				rd.done(now, nil, fx)
+			}
+			continue
+		}
+		n.scan(rd.Tick(now), fx)
+	}
+}
+
+// place works towards this disk being a counted voter.
+func (n *Node) place(now moment.Moment, fx *Effects) {
+	r := n.acc.Now
+	if r.Epoch == 0 {
+		if !slices.Contains(n.boot.Founders, n.boot.Addr) {
+			return
+		}
+		empty := map[ident.Addr]ident.Disk{}
+		for _, a := range n.peerAddrs() {
+			if p := n.peers[a]; p.hello.Roster == nil && now.Since(p.heard) <= alive {
+				empty[a] = p.hello.Disk
+			}
+		}
+		for _, s := range n.form.Tick(now, empty) {
+			ask := s.Ask
+			fx.Sends = append(fx.Sends, Send{s.To, message.Message{RosterAsk: &ask}})
+		}
+		return
+	}
+	me, in := r.Find(n.Disk)
+	switch {
+	case in && me.Counted && me.Addr != n.boot.Addr:
+		n.rosterSends(n.make.Begin(now, r, maker.Move(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr})), fx)
+	case in && me.Counted, n.leaving:
+	case in && n.copied == r.Epoch:
+		n.rosterSends(n.make.Begin(now, r, maker.Count(n.Disk)), fx)
+	case in && !n.copying:
+		n.copying = true
+		n.survey(now, &reading{until: now.Add(time.Minute), done: n.copiedAll(r.Epoch)}, "", true, n.Disk, fx)
+	case !in && now.Since(n.began) > deadAfter:
+		grow := now.Since(n.began) > growAfter
+		n.rosterSends(n.make.Begin(now, r, maker.Take(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr}, n.boot.Voters, grow)), fx)
+	}
+}
+
+// copiedAll takes every key that a majority of the counted voters held at the epoch.
+func (n *Node) copiedAll(at ident.Epoch) func(moment.Moment, *survey.Survey, *Effects) {
+	return func(_ moment.Moment, s *survey.Survey, fx *Effects) {
+		n.copying = false
+		if s == nil || n.acc.Now.Epoch != at {
+			return
+		}
+		all := s.Found()
+		for _, k := range sorted(all) {
+			fx.Records = append(fx.Records, n.rep.Learn(cell.Row{Key: k, Cell: all[k].Cell})...)
+		}
+		n.copied = at
+	}
+}
+
+func sorted(all map[ident.Key]survey.Found) []ident.Key {
+	out := make([]ident.Key, 0, len(all))
+	for k := range all {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// internal runs a deed of the core's own.
+func (n *Node) internal(now moment.Moment, d owner.Deed, fx *Effects, done func(moment.Moment, End, *Effects)) {
+	n.begindeed(now, &pending{deed: d, until: now.Add(2 * time.Second), done: done}, fx)
+}
+
+// duties claims the sweeping duty and does it while it is held.
+func (n *Node) duties(now moment.Moment, fx *Effects) {
+	if !n.Votes() || n.leaving || !n.Majority(now) {
+		n.holds = false
+		return
+	}
+	if now.Since(n.dutied) >= dutyEvery {
+		n.dutied = now
+		args := book.JSON(lock.Args{Holder: string(n.Disk), TTL: dutyTTL})
+		n.internal(now, owner.Deed{Key: dutyKey, Kind: "lock/claim", Args: args}, fx, func(_ moment.Moment, e End, _ *Effects) {
+			var g lock.Grant
+			n.holds = e.Defect == nil && book.Read(nil, e.Body, nil, &g) == nil && g.Holder == string(n.Disk)
+			n.fence = g.Fence
+		})
+	}
+	if n.holds && now.Since(n.swept) >= sweepEvery {
+		n.swept = now
+		n.Sweeps++
+		n.survey(now, &reading{until: now.Add(3 * time.Second), done: n.sweep}, "", false, "", fx)
+		n.reclaim(now, fx)
+	}
+}
+
+// sweep reads every key whose copies differ; the read mends them.
+func (n *Node) sweep(now moment.Moment, s *survey.Survey, fx *Effects) {
+	if s == nil {
+		return
+	}
+	all := s.Found()
+	for _, k := range sorted(all) {
+		if len(s.Lagging(all[k])) == 0 {
+			continue
+		}
+		n.Mended++
+		n.internal(now, owner.Deed{Key: k, Kind: "mend"}, fx, func(moment.Moment, End, *Effects) {})
+	}
+}
+
+// reclaim takes back the shares of nodes that a majority has long not heard.
+func (n *Node) reclaim(now moment.Moment, fx *Effects) {
+	n.internal(now, owner.Deed{Key: shareKey, Kind: "share/read"}, fx, func(now moment.Moment, e End, fx *Effects) {
+		var s share.Shares
+		if e.Defect != nil || book.Read(nil, e.Body, nil, &s) != nil {
+			return
+		}
+		for node, g := range s.Nodes {
+			if !n.quietEverywhere(now, node) {
+				continue
+			}
+			args := book.JSON(share.Args{Node: node, Claim: g.Claim})
+			n.internal(now, owner.Deed{Key: shareKey, Kind: "share/free", Args: args}, fx, func(moment.Moment, End, *Effects) {})
+		}
+	})
+}
+
+// quietEverywhere tells whether a majority of voters, each up for longer, has not
+// heard the node for ledger.Quiet.
+func (n *Node) quietEverywhere(now moment.Moment, node ident.Node) bool {
+	const quietMs = 30_000
+	got := 0
+	for _, v := range n.acc.Now.Voters {
+		if v.Disk == n.Disk {
+			if now.Since(n.began).Milliseconds() > quietMs && !slices.Contains(n.Ledger.Heard(now), node) {
+				got++
+			}
+			continue
+		}
+		for _, a := range n.peerAddrs() {
+			p := n.peers[a]
+			if p.hello.Disk == v.Disk && now.Since(p.heard) <= alive && p.hello.UpMs > quietMs && !slices.Contains(p.hello.Heard, node) {
+				got++
+			}
+		}
+	}
+	return got >= n.acc.Now.Majority()
+}
+
+// Leave begins a planned stop: no key is owned any more, successors are named. It is
+// done once Left says so.
+func (n *Node) Leave(now moment.Moment) (fx Effects) {
+	if n.leaving {
+		return fx
+	}
+	n.leaving = true
+	n.hello(now, &fx)
+	disks, at := n.live(now)
+	if n.holds {
+		if next, _ := place.Owner(dutyKey, disks); next != "" {
+			args := book.JSON(lock.Args{Holder: string(n.Disk), Fence: n.fence, To: string(next)})
+			n.internal(now, owner.Deed{Key: dutyKey, Kind: "lock/pass", Args: args}, &fx, func(moment.Moment, End, *Effects) {})
+		}
+		n.holds = false
+	}
+	keys := map[ident.Addr][]ident.Key{}
+	for _, k := range n.own.Keys() {
+		if next, _ := place.Owner(k, disks); next != "" {
+			keys[at[next]] = append(keys[at[next]], k)
+		}
+	}
+	for _, a := range n.peerAddrs() {
+		if len(keys[a]) > 0 {
+			fx.Sends = append(fx.Sends, Send{a, message.Message{Handover: &message.Handover{Keys: keys[a]}}})
+		}
+	}
+	return fx
+}
+
+// Left lets go of what has no round out; it is true when nothing is in hand.
+func (n *Node) Left(now moment.Moment) (bool, Effects) {
+	var fx Effects
+	done, o := n.own.Release()
+	n.owned(now, o, &fx)
+	return done && len(n.pend) == 0 && len(n.wait) == 0, fx
+}
--- /dev/null
+++ b/control/manifest/walk/walk.go
@@ -0,0 +1,206 @@
+// Package walk is the small path reader that all manifests and boot files are read
+// with: maps are walked, every fault is kept with its path.
+package walk
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+
+	"cottonarch.example/cottonarch/kernel/defect"
+)
+
+const faultsMax = 100
+
+// Faults gathers what is wrong. Invariant: at most faultsMax are kept, the count is
+// of all.
+type Faults struct {
+	All   []defect.Fault
+	Count int
+}
+
+// Add keeps one fault.
+func (f *Faults) Add(path, form string, args ...any) {
+	f.Count++
+	if len(f.All) < faultsMax {
+		f.All = append(f.All, defect.Fault{Path: path, Note: fmt.Sprintf(form, args...)})
+	}
+}
+
+// Defect is nil when nothing is wrong.
+func (f *Faults) Defect(kind defect.Kind) *defect.Defect {
+	if f.Count == 0 {
+		return nil
+	}
+	d := defect.New(kind, "%d faults", f.Count)
+	d.All = f.All
+	return d
+}
+
+// Parse reads one JSON object, refusing anything behind it.
+func Parse(raw []byte) (map[string]any, *defect.Defect) {
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.UseNumber()
+	var m map[string]any
+	if err := dec.Decode(&m); err != nil {
+		return nil, defect.New(defect.Malformed, "not a JSON object: %v", err)
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return nil, defect.New(defect.Malformed, "something stands behind the JSON object")
+	}
+	if m == nil {
+		return nil, defect.New(defect.Malformed, "not a JSON object")
+	}
+	return m, nil
+}
+
+// Step is one place in the tree.
+type Step struct {
+	path string
+	m    map[string]any
+	f    *Faults
+}
+
+// Top begins at the root.
+func Top(m map[string]any, f *Faults) Step { return Step{"", m, f} }
+
+// Path is where the step stands.
+func (s Step) Path() string { return s.path }
+
+// At is the path of a field.
+func (s Step) At(name string) string {
+	if s.path == "" {
+		return name
+	}
+	return s.path + "." + name
+}
+
+// Has tells whether the field is given.
+func (s Step) Has(name string) bool { _, ok := s.m[name]; return ok }
+
+// Fault adds a fault at a field.
+func (s Step) Fault(name, form string, args ...any) { s.f.Add(s.At(name), form, args...) }
+
+// Only faults every field that is not listed.
+func (s Step) Only(names ...string) {
+	for _, name := range s.Names() {
+		if !slices.Contains(names, name) {
+			s.Fault(name, "unknown field")
+		}
+	}
+}
+
+// Names lists the fields in order.
+func (s Step) Names() []string {
+	out := make([]string, 0, len(s.m))
+	for name := range s.m {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Down goes into an object; an absent one is empty.
+func (s Step) Down(name string) Step {
+	next := Step{s.At(name), nil, s.f}
+	v, ok := s.m[name]
+	if !ok {
+		return next
+	}
+	if next.m, ok = v.(map[string]any); !ok {
+		s.Fault(name, "must be an object")
+	}
+	return next
+}
+
+// Text reads a string.
+func (s Step) Text(name, fall string) string {
+	v, ok := s.m[name]
+	if !ok {
+		return fall
+	}
+	t, ok := v.(string)
+	if !ok {
+		s.Fault(name, "must be a string")
+	}
+	return t
+}
+
+// Must reads a string that has to be there.
+func (s Step) Must(name string) string {
+	t := s.Text(name, "")
+	if _, given := s.m[name]; !given {
+		s.Fault(name, "must be given")
+	} else if _, is := s.m[name].(string); is && t == "" {
+		s.Fault(name, "must not be empty")
+	}
+	return t
+}
+
+// Real reads a number within bounds.
+func (s Step) Real(name string, fall, low, high float64) float64 {
+	v, ok := s.m[name]
+	if !ok {
+		return fall
+	}
+	n, ok := v.(json.Number)
+	if !ok {
+		s.Fault(name, "must be a number")
+		return fall
+	}
+	x, err := n.Float64()
+	if err != nil || math.IsNaN(x) || x < low || x > high {
+		s.Fault(name, "must be from %v to %v", low, high)
+		return fall
+	}
+	return x
+}
+
+// Whole reads a whole number within bounds.
+func (s Step) Whole(name string, fall, low, high int64) int64 {
+	x := s.Real(name, float64(fall), float64(low), float64(high))
+	if x != math.Trunc(x) {
+		s.Fault(name, "must be a whole number")
+		return fall
+	}
+	return int64(x)
+}
+
+// Flag reads a truth value.
+func (s Step) Flag(name string, fall bool) bool {
+	v, ok := s.m[name]
+	if !ok {
+		return fall
+	}
+	b, ok := v.(bool)
+	if !ok {
+		s.Fault(name, "must be true or false")
+	}
+	return b
+}
+
+// Texts reads a list of strings.
+func (s Step) Texts(name string) []string {
+	v, ok := s.m[name]
+	if !ok {
+		return nil
+	}
+	list, ok := v.([]any)
+	if !ok {
+		s.Fault(name, "must be a list of strings")
+		return nil
+	}
+	var out []string
+	for i, e := range list {
+		t, ok := e.(string)
+		if !ok {
+			s.f.Add(fmt.Sprintf("%s[%d]", s.At(name), i), "must be a string")
+			continue
+		}
+		out = append(out, t)
+	}
+	return out
+}
--- /dev/null
+++ b/control/register/cell/cell.go
@@ -0,0 +1,121 @@
+// Package cell holds the state and the messages of the per-key register.
+package cell
+
+import (
+	"encoding/json"
+
+	"cottonarch.example/cottonarch/kernel/ident"
+)
+
+// Cell is what one disk holds of one key. Invariants: Accepted is never above
+// Promised; Revision and Value belong to Accepted.
+type Cell struct {
+	Promised ident.Ballot    `json:"p"`
+	Accepted ident.Ballot    `json:"a"`
+	Revision ident.Revision  `json:"r"`
+	Value    json.RawMessage `json:"v,omitempty"`
+}
+
+// Newer tells whether c's accepted state comes after d's.
+func (c Cell) Newer(d Cell) bool {
+	if c.Accepted != d.Accepted {
+		return d.Accepted.Less(c.Accepted)
+	}
+	return c.Revision > d.Revision
+}
+
+// Same tells whether both hold the same accepted state.
+func (c Cell) Same(d Cell) bool { return c.Accepted == d.Accepted && c.Revision == d.Revision }
+
+// Kind is the kind of a quorum message.
+type Kind string
+
+// The three quorum messages.
+const (
+	Prepare Kind = "prepare"
+	Accept  Kind = "accept"
+	Confirm Kind = "confirm"
+)
+
+// Ask goes from an owner to the replicas. Invariant: Turn is new for every round
+// of one owner process, except for repeats of the same round and for mending,
+// which uses turn 0 and expects nothing.
+type Ask struct {
+	Kind     Kind            `json:"kind"`
+	Turn     uint64          `json:"turn"`
+	Roster   ident.Epoch     `json:"roster"`
+	Key      ident.Key       `json:"key"`
+	Ballot   ident.Ballot    `json:"ballot"`
+	Revision ident.Revision  `json:"rev,omitempty"`
+	Value    json.RawMessage `json:"value,omitempty"`
+}
+
+// Return answers an Ask. Invariant: it leaves the replica only after everything
+// it speaks of is synced. Cell.Value is filled for prepare alone.
+type Return struct {
+	Kind   Kind        `json:"kind"`
+	Turn   uint64      `json:"turn"`
+	Disk   ident.Disk  `json:"disk"`
+	Roster ident.Epoch `json:"roster"`
+	Key    ident.Key   `json:"key"`
+	OK     bool        `json:"ok"`
+	Cell   Cell        `json:"cell"`
+}
+
+// Voter is one slot of the roster. Invariant: a voter that is still copying is
+// not Counted, yet its slot raises the majority.
+type Voter struct {
+	Disk    ident.Disk `json:"disk"`
+	Addr    ident.Addr `json:"addr"`
+	Counted bool       `json:"counted"`
+}
+
+// Roster is the set of voters at one epoch.
+type Roster struct {
+	Epoch  ident.Epoch `json:"epoch"`
+	Voters []Voter     `json:"voters"`
+}
+
+// Majority is the number of counted returns that a round needs.
+func (r Roster) Majority() int { return len(r.Voters)/2 + 1 }
+
+// Find looks a disk up.
+func (r Roster) Find(d ident.Disk) (Voter, bool) {
+	for _, v := range r.Voters {
+		if v.Disk == d {
+			return v, true
+		}
+	}
+	return Voter{}, false
+}
+
+// Counts tells whether a return of that disk counts.
+func (r Roster) Counts(d ident.Disk) bool {
+	v, ok := r.Find(d)
+	return ok && v.Counted
+}
+
+// Scan asks a replica for its cells below a prefix.
+type Scan struct {
+	Turn   uint64      `json:"turn"`
+	Roster ident.Epoch `json:"roster"`
+	Prefix string      `json:"prefix"`
+	After  ident.Key   `json:"after,omitempty"`
+	Values bool        `json:"values,omitempty"`
+}
+
+// Row is one cell in a Scan's return.
+type Row struct {
+	Key  ident.Key `json:"key"`
+	Cell Cell      `json:"cell"`
+}
+
+// ScanReturn answers a Scan with one page.
+type ScanReturn struct {
+	Turn   uint64      `json:"turn"`
+	Disk   ident.Disk  `json:"disk"`
+	Roster ident.Epoch `json:"roster"`
+	After  ident.Key   `json:"after,omitempty"`
+	Rows   []Row       `json:"rows"`
+	More   bool        `json:"more,omitempty"`
+}
--- /dev/null
+++ b/control/register/owner/owner.go
@@ -0,0 +1,423 @@
+// Package owner is the one holder of a key: it takes the key by a prepare at a
+// majority and then needs one accept round a change.
+package owner
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+)
+
+const (
+	resend   = 150 * time.Millisecond
+	giveUp   = 1200 * time.Millisecond
+	queueMax = 1024
+	batchMax = 256
+	tryMax   = 6
+)
+
+// Deed is one operation on one key. Invariant: Tag is the process's own and never
+// leaves it; Op is the same for every copy of the operation.
+type Deed struct {
+	Tag  uint64          `json:"-"`
+	Op   ident.Op        `json:"op"`
+	Key  ident.Key       `json:"key"`
+	Kind string          `json:"kind"`
+	Args json.RawMessage `json:"args,omitempty"`
+}
+
+// Turn is what a machine may know beyond the value.
+type Turn struct {
+	Now      moment.Moment
+	Since    moment.Moment            // when this tenure began
+	Revision ident.Revision           // of the value given
+	Memory   map[string]moment.Moment // of this tenure only
+	Touch    func(mark string)        // set Memory[mark] when the round is over
+}
+
+// Verdict is what a machine makes of a deed.
+type Verdict struct {
+	Value   json.RawMessage
+	Changed bool
+	Body    json.RawMessage
+	Defect  *defect.Defect
+}
+
+// Machine turns a value and a deed into a new value. Invariant: it depends on its
+// inputs alone.
+type Machine interface {
+	Apply(turn Turn, value json.RawMessage, deed Deed) Verdict
+}
+
+// Outcome is the end of one deed at this owner. Invariant: Lost means that this
+// owner can say no more; with Risk the deed may have taken effect, or may yet.
+type Outcome struct {
+	Deed     Deed
+	Body     json.RawMessage
+	Defect   *defect.Defect
+	Revision ident.Revision
+	Changed  bool
+	Value    json.RawMessage
+	Lost     bool
+	Risk     bool
+}
+
+// Send is an Ask for one voter.
+type Send struct {
+	To  cell.Voter
+	Ask cell.Ask
+}
+
+// Effects is what a step wants done.
+type Effects struct {
+	Sends    []Send
+	Outcomes []Outcome
+}
+
+type stage int
+
+const (
+	idle stage = iota
+	preparing
+	settling
+	held
+	writing
+	confirming
+)
+
+// tenure is this owner's hold on one key. Invariants: at most one round is out;
+// rev and value are chosen whenever stage is held or later; next is not, until its
+// round ends.
+type tenure struct {
+	key     ident.Key
+	stage   stage
+	ballot  ident.Ballot
+	roster  ident.Epoch
+	turn    uint64
+	ask     cell.Ask
+	returns map[ident.Disk]cell.Return
+	began   moment.Moment
+	sent    moment.Moment
+	since   moment.Moment
+	pause   moment.Moment
+	tries   int
+	seen    ident.Epoch
+	from    ident.Ballot // under which rev and value were accepted
+	rev     ident.Revision
+	value   json.RawMessage
+	next    cell.Cell
+	waiting []Deed
+	batch   []Outcome
+	memory  map[string]moment.Moment
+	touched []string
+}
+
+// Owner runs all tenures of one core process. Invariant: mark is unique to the
+// process, so no ballot is ever used by two.
+type Owner struct {
+	mark   string
+	mach   Machine
+	roster cell.Roster
+	held   map[ident.Key]*tenure
+	busy   map[ident.Key]*tenure
+	turn   uint64
+	// Counters.
+	Takes, Rounds, Mended, Losses uint64
+}
+
+// New makes an owner.
+func New(mark string, mach Machine) *Owner {
+	return &Owner{mark: mark, mach: mach, held: map[ident.Key]*tenure{}, busy: map[ident.Key]*tenure{}}
+}
+
+// Rostered moves to a newer roster; every hold begins anew under it.
+func (o *Owner) Rostered(now moment.Moment, r cell.Roster) (fx Effects) {
+	if r.Epoch <= o.roster.Epoch {
+		return fx
+	}
+	o.roster = r
+	for _, key := range o.keys(o.held) {
+		o.lose(o.held[key], &fx)
+	}
+	return fx
+}
+
+func (o *Owner) keys(m map[ident.Key]*tenure) []ident.Key {
+	out := make([]ident.Key, 0, len(m))
+	for key := range m {
+		out = append(out, key)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Submit takes one deed.
+func (o *Owner) Submit(now moment.Moment, d Deed) (fx Effects) {
+	t := o.tenure(d.Key)
+	if len(t.waiting) >= queueMax {
+		fx.Outcomes = append(fx.Outcomes, Outcome{Deed: d, Defect: defect.New(defect.Busy, "too many deeds wait for %s", d.Key).Later(1)})
+		return fx
+	}
+	t.waiting = append(t.waiting, d)
+	o.push(now, t, &fx)
+	return fx
+}
+
+// Take prepares a key ahead of need, as the named successor does.
+func (o *Owner) Take(now moment.Moment, key ident.Key) (fx Effects) {
+	if t := o.tenure(key); t.stage == idle {
+		o.prepare(now, t, &fx)
+	}
+	return fx
+}
+
+// Keys lists what is held.
+func (o *Owner) Keys() []ident.Key { return o.keys(o.held) }
+
+// Release lets every key go that no round is out for, and says whether all went.
+func (o *Owner) Release() (done bool, fx Effects) {
+	done = true
+	for _, key := range o.keys(o.held) {
+		t := o.held[key]
+		if t.stage == held && len(t.waiting) == 0 || t.stage == idle {
+			o.lose(t, &fx)
+			continue
+		}
+		done = false
+	}
+	return done, fx
+}
+
+func (o *Owner) tenure(key ident.Key) *tenure {
+	t := o.held[key]
+	if t == nil {
+		t = &tenure{key: key}
+		o.held[key] = t
+	}
+	return t
+}
+
+// push moves a tenure on when no round is out.
+func (o *Owner) push(now moment.Moment, t *tenure, fx *Effects) {
+	if len(t.waiting) == 0 || o.roster.Epoch == 0 {
+		if len(t.waiting) > 0 {
+			o.busy[t.key] = t
+		}
+		return
+	}
+	o.busy[t.key] = t
+	switch t.stage {
+	case idle:
+		if !t.pause.After(now) {
+			o.prepare(now, t, fx)
+		}
+	case held:
+		o.serve(now, t, fx)
+	}
+}
+
+func (o *Owner) prepare(now moment.Moment, t *tenure, fx *Effects) {
+	t.seen++
+	t.ballot = ident.Ballot{Epoch: t.seen, Owner: o.mark}
+	t.roster, t.stage = o.roster.Epoch, preparing
+	t.memory, t.touched = map[string]moment.Moment{}, nil
+	o.busy[t.key] = t
+	o.Takes++
+	o.round(now, t, cell.Ask{Kind: cell.Prepare, Ballot: t.ballot}, fx)
+}
+
+func (o *Owner) round(now moment.Moment, t *tenure, a cell.Ask, fx *Effects) {
+	o.turn++
+	o.Rounds++
+	a.Turn, a.Roster, a.Key = o.turn, t.roster, t.key
+	t.turn, t.ask, t.returns = o.turn, a, map[ident.Disk]cell.Return{}
+	t.began, t.sent = now, now
+	o.ask(t, fx)
+}
+
+func (o *Owner) ask(t *tenure, fx *Effects) {
+	for _, v := range o.roster.Voters {
+		if _, ok := t.returns[v.Disk]; !ok {
+			fx.Sends = append(fx.Sends, Send{v, t.ask})
+		}
+	}
+}
+
+// serve applies waiting deeds and starts the round that makes their results sure.
+func (o *Owner) serve(now moment.Moment, t *tenure, fx *Effects) {
+	n := min(len(t.waiting), batchMax)
+	value, rev := t.value, t.rev
+	t.touched = nil
+	turn := Turn{Now: now, Since: t.since, Memory: t.memory, Touch: func(m string) { t.touched = append(t.touched, m) }}
+	for _, d := range t.waiting[:n] {
+		turn.Revision = rev
+		v := o.mach.Apply(turn, value, d)
+		if v.Changed {
+			value = v.Value
+			rev++
+		}
+		t.batch = append(t.batch, Outcome{Deed: d, Body: v.Body, Defect: v.Defect, Changed: v.Changed, Revision: rev, Value: value})
+	}
+	t.waiting = slices.Clone(t.waiting[n:])
+	if rev == t.rev {
+		t.stage = confirming
+		o.round(now, t, cell.Ask{Kind: cell.Confirm, Ballot: t.ballot, Revision: t.rev}, fx)
+		return
+	}
+	t.stage, t.next = writing, cell.Cell{Revision: rev, Value: value}
+	o.round(now, t, cell.Ask{Kind: cell.Accept, Ballot: t.ballot, Revision: rev, Value: value}, fx)
+}
+
+// lose lets a tenure go; whatever was out is answered as lost.
+func (o *Owner) lose(t *tenure, fx *Effects) {
+	for _, out := range t.batch {
+		fx.Outcomes = append(fx.Outcomes, Outcome{Deed: out.Deed, Lost: true, Risk: out.Changed})
+	}
+	for _, d := range t.waiting {
+		fx.Outcomes = append(fx.Outcomes, Outcome{Deed: d, Lost: true})
+	}
+	if t.stage != idle {
+		o.Losses++
+	}
+	t.batch, t.waiting, t.stage, t.tries, t.value = nil, nil, idle, 0, nil
+	delete(o.busy, t.key)
+}
+
+// Step takes one return in.
+func (o *Owner) Step(now moment.Moment, r cell.Return) (fx Effects) {
+	t := o.held[r.Key]
+	if t == nil || r.Turn != t.turn || t.stage == idle {
+		return fx
+	}
+	if t.stage == held {
+		// Late to a confirm that is over: good for mending still.
+		if v, in := o.roster.Find(r.Disk); in && r.OK && t.ask.Kind == cell.Confirm && r.Roster == t.roster && t.roster == o.roster.Epoch {
+			o.mend(t, v, r, &fx)
+		}
+		return fx
+	}
+	if t.ballot.Less(r.Cell.Promised) && !r.OK {
+		t.seen = max(t.seen, r.Cell.Promised.Epoch)
+		if t.stage == preparing && t.tries < tryMax {
+			// Another tenure is above: come back higher, a little later.
+			t.tries++
+			t.stage = idle
+			t.pause = now.Add(time.Duration(t.tries*10+int(o.turn*7%23)) * time.Millisecond)
+			return fx
+		}
+		o.lose(t, &fx)
+		return fx
+	}
+	if !r.OK || r.Roster != t.roster || !o.roster.Counts(r.Disk) || t.roster != o.roster.Epoch {
+		return fx
+	}
+	t.returns[r.Disk] = r
+	if len(t.returns) < o.roster.Majority() {
+		return fx
+	}
+	ends[t.stage](o, now, t, &fx)
+	return fx
+}
+
+// ends says how each round ends once a majority has answered.
+var ends map[stage]func(*Owner, moment.Moment, *tenure, *Effects)
+
+func init() {
+	ends = map[stage]func(*Owner, moment.Moment, *tenure, *Effects){
+		preparing: (*Owner).prepared, settling: (*Owner).settled, writing: (*Owner).written, confirming: (*Owner).confirmed,
+	}
+}
+
+func (o *Owner) prepared(now moment.Moment, t *tenure, fx *Effects) {
+	var best cell.Cell
+	first, agreed := true, true
+	for _, r := range t.returns {
+		if !first && !r.Cell.Same(best) {
+			agreed = false
+		}
+		if first || r.Cell.Newer(best) {
+			best = r.Cell
+		}
+		first = false
+	}
+	t.from, t.rev, t.value = best.Accepted, best.Revision, best.Value
+	if agreed {
+		o.settled(now, t, fx)
+		return
+	}
+	t.from = t.ballot
+	t.stage = settling
+	o.round(now, t, cell.Ask{Kind: cell.Accept, Ballot: t.ballot, Revision: t.rev, Value: t.value}, fx)
+}
+
+func (o *Owner) settled(now moment.Moment, t *tenure, fx *Effects) {
+	t.stage, t.since, t.tries = held, now, 0
+	o.rest(now, t, fx)
+}
+
+func (o *Owner) written(now moment.Moment, t *tenure, fx *Effects) {
+	t.from, t.rev, t.value = t.ballot, t.next.Revision, t.next.Value
+	o.finish(now, t, fx)
+}
+
+func (o *Owner) confirmed(now moment.Moment, t *tenure, fx *Effects) {
+	for _, v := range o.roster.Voters {
+		if r, ok := t.returns[v.Disk]; ok {
+			o.mend(t, v, r, fx)
+		}
+	}
+	o.finish(now, t, fx)
+}
+
+// mend sends a disk whose copy is old the chosen one.
+func (o *Owner) mend(t *tenure, v cell.Voter, r cell.Return, fx *Effects) {
+	if sure := (cell.Cell{Accepted: t.from, Revision: t.rev}); sure.Newer(r.Cell) {
+		o.Mended++
+		fx.Sends = append(fx.Sends, Send{v, cell.Ask{Kind: cell.Accept, Roster: t.roster, Key: t.key, Ballot: t.ballot, Revision: t.rev, Value: t.value}})
+	}
+}
+
+func (o *Owner) finish(now moment.Moment, t *tenure, fx *Effects) {
+	for _, m := range t.touched {
+		t.memory[m] = now
+	}
+	fx.Outcomes = append(fx.Outcomes, t.batch...)
+	t.batch, t.stage = nil, held
+	o.rest(now, t, fx)
+}
+
+func (o *Owner) rest(now moment.Moment, t *tenure, fx *Effects) {
+	delete(o.busy, t.key)
+	o.push(now, t, fx)
+}
+
+// Tick sends again what is out and gives up what is out too long.
+func (o *Owner) Tick(now moment.Moment) (fx Effects) {
+	for _, key := range o.keys(o.busy) {
+		t := o.busy[key]
+		switch {
+		case t.stage == idle || t.stage == held:
+			o.push(now, t, &fx)
+		case now.Since(t.began) > giveUp:
+			o.lose(t, &fx)
+		case now.Since(t.sent) > resend:
+			t.sent = now
+			o.ask(t, &fx)
+		}
+	}
+	return fx
+}
+
+// Peek gives what this owner holds of a key as chosen; it proves nothing.
+func (o *Owner) Peek(key ident.Key) (cell.Cell, bool) {
+	t := o.held[key]
+	if t == nil || t.stage < held {
+		return cell.Cell{}, false
+	}
+	return cell.Cell{Accepted: t.ballot, Revision: t.rev, Value: t.value}, true
+}
--- /dev/null
+++ b/control/register/survey/survey.go
@@ -0,0 +1,150 @@
+// Package survey reads the cells below a prefix from a majority.
+package survey
+
+import (
+	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+)
+
+// resend is how long a page may stay out before it is asked for again.
+const resend = 200 * 1e6
+
+// Found is one key as a majority has it. Invariant: when Agreed, every return of
+// the majority held the same accepted state, so that state is chosen and was the
+// newest when the survey began or later.
+type Found struct {
+	Key    ident.Key
+	Cell   cell.Cell
+	Agreed bool
+}
+
+type strand struct {
+	rows map[ident.Key]cell.Cell
+	last ident.Key
+	done bool
+	sent moment.Moment
+}
+
+// Survey is one reading. Invariant: it belongs to one roster epoch; the caller
+// drops it when the roster changes.
+type Survey struct {
+	Turn    uint64
+	Prefix  string
+	Values  bool
+	Roster  cell.Roster
+	Skip    ident.Disk
+	strands map[ident.Disk]*strand
+}
+
+// Send is one scan to one disk.
+type Send struct {
+	To   cell.Voter
+	Scan cell.Scan
+}
+
+// Begin starts a survey; skip is a disk whose returns do not count.
+func Begin(turn uint64, roster cell.Roster, prefix string, values bool, skip ident.Disk) *Survey {
+	return &Survey{Turn: turn, Prefix: prefix, Values: values, Roster: roster, Skip: skip, strands: map[ident.Disk]*strand{}}
+}
+
+// Tick asks, and asks again, for what is out.
+func (s *Survey) Tick(now moment.Moment) []Send {
+	var out []Send
+	for _, v := range s.Roster.Voters {
+		if !v.Counted || v.Disk == s.Skip {
+			continue
+		}
+		st := s.strands[v.Disk]
+		if st == nil {
+			st = &strand{rows: map[ident.Key]cell.Cell{}}
+			s.strands[v.Disk] = st
+		}
+		if st.done || st.sent != 0 && now.Since(st.sent) < resend {
+			continue
+		}
+		out = append(out, s.ask(now, v, st))
+	}
+	return out
+}
+
+func (s *Survey) ask(now moment.Moment, v cell.Voter, st *strand) Send {
+	st.sent = now
+	return Send{v, cell.Scan{Turn: s.Turn, Roster: s.Roster.Epoch, Prefix: s.Prefix, After: st.last, Values: s.Values}}
+}
+
+// Step takes one page in; done is true once a majority has been read whole.
+func (s *Survey) Step(now moment.Moment, r cell.ScanReturn) (out []Send, done bool) {
+	v, ok := s.Roster.Find(r.Disk)
+	st := s.strands[r.Disk]
+	if r.Turn != s.Turn || r.Roster != s.Roster.Epoch || !ok || !v.Counted || st == nil || st.done || r.After != st.last {
+		return nil, s.Done()
+	}
+	for _, row := range r.Rows {
+		st.rows[row.Key] = row.Cell
+		st.last = row.Key
+	}
+	if r.More && len(r.Rows) > 0 {
+		return []Send{s.ask(now, v, st)}, false
+	}
+	st.done = true
+	return nil, s.Done()
+}
+
+// Done tells whether a majority has been read.
+func (s *Survey) Done() bool {
+	n := 0
+	for _, st := range s.strands {
+		if st.done {
+			n++
+		}
+	}
+	return n >= s.Roster.Majority()
+}
+
+// Found joins what was read, newest first for each key, promises included.
+func (s *Survey) Found() map[ident.Key]Found {
+	out := map[ident.Key]Found{}
+	for _, st := range s.strands {
+		if !st.done {
+			continue
+		}
+		for key := range st.rows {
+			out[key] = Found{Key: key, Agreed: true}
+		}
+	}
+	for key, f := range out {
+		first := true
+		for _, st := range s.strands {
+			if !st.done {
+				continue
+			}
+			c := st.rows[key]
+			if !first && !c.Same(f.Cell) {
+				f.Agreed = false
+			}
+			top := f.Cell.Promised
+			if top.Less(c.Promised) {
+				top = c.Promised
+			}
+			if first || c.Newer(f.Cell) {
+				f.Cell = c
+			}
+			f.Cell.Promised = top
+			first = false
+		}
+		out[key] = f
+	}
+	return out
+}
+
+// Lagging lists the disks whose copy of the key is behind the newest one read.
+func (s *Survey) Lagging(f Found) []ident.Disk {
+	var out []ident.Disk
+	for disk, st := range s.strands {
+		if st.done && f.Cell.Newer(st.rows[f.Key]) {
+			out = append(out, disk)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/daemon/core/core.go
@@ -0,0 +1,533 @@
+// Package core is the core daemon: it drives the node's step function with real
+// time, a real disk and real messages.
+package core
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cottonarch.example/cottonarch/boot"
+	"cottonarch.example/cottonarch/control/core/message"
+	"cottonarch.example/cottonarch/control/core/node"
+	"cottonarch.example/cottonarch/control/manifest/check"
+	"cottonarch.example/cottonarch/control/manifest/offer"
+	"cottonarch.example/cottonarch/control/manifest/walk"
+	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/kernel/count"
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/queue"
+	"cottonarch.example/cottonarch/mesh/claim/ledger"
+	"cottonarch.example/cottonarch/storage/ring"
+	"cottonarch.example/cottonarch/wire/client"
+)
+
+const (
+	tickEvery = 15 * time.Millisecond
+	inboxSize = 8192
+	diskSize  = 4096
+	peerSize  = 4096
+	batchMost = 256
+	bulkMost  = 4 << 20
+	// stallAfter is how long a batch may take before the disk counts as stalled.
+	stallAfter = 1500 * time.Millisecond
+)
+
+// Core is the running daemon. Invariants: only the loop touches node; only the disk
+// duty touches ring; what speaks of this disk's state leaves only behind the records
+// it rests on.
+type Core struct {
+	Boot    boot.Core
+	Log     *zap.Logger
+	Board   *count.Board
+	clock   moment.Clock
+	node    *node.Node
+	ring    *ring.Ring
+	dir     *ring.Dir
+	pool    *client.Pool
+	inbox   *queue.Ring[func(moment.Moment) node.Effects]
+	disk    *queue.Ring[node.Effects]
+	done    chan struct{}
+	ticket  atomic.Uint64
+	mu      sync.Mutex
+	waits   map[uint64]chan node.End
+	peers   map[ident.Addr]*queue.Ring[message.Message]
+	signal  chan struct{} // closed and made anew when something is learned
+	feed    chan struct{} // the same for the registry
+	held    atomic.Pointer[Manifest]
+	view    atomic.Pointer[View]
+	leaving atomic.Bool
+	failed  atomic.Bool
+	busy    atomic.Int64 // since when the disk is at a batch, 0 when it is not
+	wake    chan struct{}
+}
+
+// Manifest is a confirmed manifest. Invariant: Held only moves to higher epochs.
+type Manifest struct {
+	offer.Held
+	Parsed *check.Manifest
+}
+
+// View is a copy of what pages show.
+type View struct {
+	Disk     ident.Disk   `json:"disk"`
+	Roster   any          `json:"roster"`
+	Votes    bool         `json:"votes"`
+	Voters   int          `json:"voters"`
+	Majority bool         `json:"majority"`
+	Owned    int          `json:"owned"`
+	Cells    int          `json:"cells"`
+	Duty     bool         `json:"duty"`
+	Cores    []ident.Addr `json:"cores"`
+	Epoch    ident.Epoch  `json:"epoch"`
+	Members  any          `json:"members"`
+}
+
+// Open recovers the core from its data folder.
+func Open(b boot.Core, log *zap.Logger) (*Core, error) {
+	c := &Core{Boot: b, Log: log, Board: count.New(), clock: moment.Process(), pool: client.New(), done: make(chan struct{}),
+		inbox: queue.Make[func(moment.Moment) node.Effects](inboxSize), disk: queue.Make[node.Effects](diskSize),
+		waits: map[uint64]chan node.End{}, peers: map[ident.Addr]*queue.Ring[message.Message]{},
+		signal: make(chan struct{}), feed: make(chan struct{}), wake: make(chan struct{}, 1)}
+	var err error
+	if c.dir, err = ring.OpenDir(b.Data); err != nil {
+		return nil, err
+	}
+	if c.ring, err = ring.Open(c.dir, ring.Boot{Files: b.Rings, Size: b.RingFile}); err != nil {
+		return nil, err
+	}
+	recs := c.ring.Records()
+	var first []ring.Record
+	c.node, first, err = node.New(c.clock(), node.Boot{Addr: b.Addr, District: b.District, Seeds: b.Seeds, Founders: b.Founders, Voters: b.Voters,
+		Mark: name(), NewDisk: func() ident.Disk { return ident.Disk(name()) }}, recs)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.ring.Append(first); err != nil {
+		return nil, err
+	}
+	if err := c.ring.Sync(); err != nil {
+		return nil, err
+	}
+	c.look(c.clock())
+	log.Info("disk read", zap.String("disk", string(c.node.Disk)), zap.Int("records", len(recs)), zap.Uint64("roster", uint64(c.node.Roster().Epoch)))
+	return c, nil
+}
+
+func name() string {
+	var raw [8]byte
+	_, _ = rand.Read(raw[:])
+	return hex.EncodeToString(raw[:])
+}
+
+// Start starts the duties.
+func (c *Core) Start() {
+	go c.loop()
+	go c.journal()
+	go c.follow()
+}
+
+// Close ends the duties.
+func (c *Core) Close() {
+	close(c.done)
+	c.pool.Close()
+	_ = c.dir.Close()
+}
+
+// Do runs a step in the loop; it is turned away when the inbox is full.
+func (c *Core) Do(step func(moment.Moment) node.Effects) bool {
+	if c.inbox.Offer(step) {
+		return true
+	}
+	c.Board.Add("inbox_turned_away", 1)
+	return false
+}
+
+func (c *Core) loop() {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	last := c.clock()
+	for {
+		var fx node.Effects
+		select {
+		case step := <-c.inbox.Out():
+			fx = step(c.clock())
+		case <-tick.C:
+			now := c.clock()
+			// A disk that stalls is left out until it goes on; one that failed for good.
+			at := c.busy.Load()
+			stall := at != 0 && now.Since(moment.Moment(at)) > stallAfter
+			if c.node.Break(stall || c.failed.Load()) {
+				c.Log.Warn("disk", zap.Bool("stalled", stall), zap.Bool("failed", c.failed.Load()))
+			}
+			fx = c.node.Tick(now)
+			if now.Since(last) > 200*time.Millisecond {
+				last = now
+				c.look(now)
+			}
+		case <-c.done:
+			return
+		}
+		gated := fx.Gate()
+		c.letOut(fx)
+		if (len(gated.Records) > 0 || len(gated.Sends) > 0) && !c.disk.Put(gated, c.done) {
+			return
+		}
+	}
+}
+
+// look copies what pages show, and logs changes of state.
+func (c *Core) look(now moment.Moment) {
+	n := c.node
+	v := &View{Disk: n.Disk, Roster: n.Roster(), Votes: n.Votes(), Voters: len(n.Roster().Voters), Majority: n.Majority(now), Owned: len(n.Owned()), Cells: n.Cells(),
+		Duty: n.Duty(), Cores: n.Cores(), Epoch: n.Epoch, Members: n.Ledger.Members()}
+	old := c.view.Swap(v)
+	o := n.Owner()
+	for name, x := range map[string]uint64{"takes": o.Takes, "rounds": o.Rounds, "mended": o.Mended, "losses": o.Losses, "sweeps": n.Sweeps, "swept_keys": n.Mended} {
+		c.Board.Set(name, int64(x))
+	}
+	c.Board.Set("owned", int64(v.Owned))
+	c.Board.Set("cells", int64(v.Cells))
+	if old == nil {
+		return
+	}
+	if old.Votes != v.Votes || old.Majority != v.Majority || old.Duty != v.Duty || old.Disk != v.Disk {
+		c.Log.Info("state", zap.String("disk", string(v.Disk)), zap.Bool("votes", v.Votes), zap.Bool("majority", v.Majority), zap.Bool("duty", v.Duty),
+			zap.Uint64("roster", uint64(n.Roster().Epoch)))
+	}
+}
+
+// View is the newest copy.
+func (c *Core) View() *View { return c.view.Load() }
+
+// journal is the disk's duty: it writes the records of a batch of steps, syncs once
+// and only then lets out what rests on them.
+func (c *Core) journal() {
+	var batch []node.Effects
+	for {
+		batch = batch[:0]
+		select {
+		case fx := <-c.disk.Out():
+			batch = append(batch, fx)
+		case <-c.done:
+			return
+		}
+		batch = c.disk.Drain(batch, batchMost)
+		wrote := false
+		var err error
+		c.busy.Store(int64(c.clock()))
+		for _, fx := range batch {
+			if len(fx.Records) > 0 && err == nil {
+				wrote = true
+				err = c.ring.Append(fx.Records)
+			}
+		}
+		if wrote && err == nil {
+			err = c.ring.Sync()
+			c.Board.Add("syncs", 1)
+		}
+		if wrote && err != nil && !c.failed.Swap(true) {
+			c.Log.Error("the disk failed; this core votes no more", zap.Error(err))
+		}
+		c.busy.Store(0)
+		for _, fx := range batch {
+			if !c.failed.Load() {
+				c.letOut(fx)
+			}
+		}
+		c.Board.Set("ring_appends", int64(c.ring.Appends))
+		c.Board.Set("ring_moves", int64(c.ring.Moves))
+		c.Board.Set("ring_bytes", int64(c.ring.Bytes))
+	}
+}
+
+func (c *Core) letOut(fx node.Effects) {
+	for _, s := range fx.Sends {
+		s.Msg.From = c.Boot.Addr
+		if s.To == c.Boot.Addr {
+			m := s.Msg
+			c.Do(func(now moment.Moment) node.Effects { return c.node.Step(now, m) })
+			continue
+		}
+		if !c.peer(s.To).Offer(s.Msg) {
+			c.Board.Add("messages_dropped", 1)
+		}
+	}
+	for _, e := range fx.Ends {
+		c.mu.Lock()
+		ch := c.waits[e.Ticket]
+		delete(c.waits, e.Ticket)
+		c.mu.Unlock()
+		if ch != nil {
+			ch <- e
+		}
+	}
+	if len(fx.Learned) > 0 {
+		c.mu.Lock()
+		close(c.signal)
+		c.signal = make(chan struct{})
+		c.mu.Unlock()
+		for _, l := range fx.Learned {
+			if l.Key == offer.Key {
+				select {
+				case c.wake <- struct{}{}:
+				default:
+				}
+			}
+		}
+	}
+	if fx.Changed {
+		c.stir()
+	}
+}
+
+func (c *Core) stir() {
+	c.mu.Lock()
+	close(c.feed)
+	c.feed = make(chan struct{})
+	c.mu.Unlock()
+}
+
+// Signal closes when any key is learned to have changed; Feed when the registry or
+// the manifest has.
+func (c *Core) Signal() <-chan struct{} { c.mu.Lock(); defer c.mu.Unlock(); return c.signal }
+
+// Feed closes at the next change of the registry.
+func (c *Core) Feed() <-chan struct{} { c.mu.Lock(); defer c.mu.Unlock(); return c.feed }
+
+// Done closes when the daemon ends.
+func (c *Core) Done() <-chan struct{} { return c.done }
+
+func (c *Core) peer(addr ident.Addr) *queue.Ring[message.Message] {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	q := c.peers[addr]
+	if q == nil {
+		q = queue.Make[message.Message](peerSize)
+		c.peers[addr] = q
+		go c.post(addr, q)
+	}
+	return q
+}
+
+// Batch is what one core posts to another.
+type Batch struct {
+	Messages []message.Message `json:"messages"`
+}
+
+// post is the duty of sending to one peer. A batch whose fate is unknown is not sent
+// again: the steps repeat what they need.
+func (c *Core) post(addr ident.Addr, q *queue.Ring[message.Message]) {
+	var held []message.Message
+	for {
+		held = held[:0]
+		select {
+		case m := <-q.Out():
+			held = append(held, m)
+		case <-c.done:
+			return
+		}
+		held = q.Drain(held, batchMost)
+		for len(held) > 0 {
+			n, bulk := 0, 0
+			for n < len(held) && (n == 0 || bulk < bulkMost) {
+				bulk += weight(held[n])
+				n++
+			}
+			ctx, stop := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+			if err := c.pool.Ask(ctx, addr, "POST", "/cottonarch/v1/messages", Batch{held[:n]}, nil); err != nil {
+				c.Board.Add("posts_failed", 1)
+			}
+			stop()
+			c.Board.Add("posts", 1)
+			held = held[n:]
+		}
+	}
+}
+
+func weight(m message.Message) int {
+	switch {
+	case m.Ask != nil:
+		return len(m.Ask.Value) + 200
+	case m.Return != nil:
+		return len(m.Return.Cell.Value) + 200
+	case m.Carried != nil:
+		return len(m.Carried.Body) + 200
+	case m.Forward != nil:
+		return len(m.Forward.Deed.Args) + 200
+	case m.ScanReturn != nil:
+		return 1 << 20
+	}
+	return 400
+}
+
+// Take takes a batch of messages in.
+func (c *Core) Take(b Batch) {
+	for _, m := range b.Messages {
+		c.Do(func(now moment.Moment) node.Effects { return c.node.Step(now, m) })
+	}
+}
+
+// await runs a step that begins a request and waits for its end.
+func (c *Core) await(ctx context.Context, begin func(now moment.Moment, ticket uint64) node.Effects) node.End {
+	ticket := c.ticket.Add(1)
+	ch := make(chan node.End, 1)
+	c.mu.Lock()
+	c.waits[ticket] = ch
+	c.mu.Unlock()
+	drop := func() {
+		c.mu.Lock()
+		delete(c.waits, ticket)
+		c.mu.Unlock()
+	}
+	if !c.Do(func(now moment.Moment) node.Effects { return begin(now, ticket) }) {
+		drop()
+		return node.End{Defect: defect.New(defect.Busy, "the core's inbox is full").Later(1)}
+	}
+	select {
+	case e := <-ch:
+		return e
+	case <-ctx.Done():
+		drop()
+		return node.End{Defect: defect.Unsure(defect.Unknown, "the caller did not wait for the return")}
+	case <-c.done:
+		drop()
+		return node.End{Defect: defect.Unsure(defect.Stopping, "the core stops")}
+	}
+}
+
+// Deed runs one deed and waits for its end, at most budget.
+func (c *Core) Deed(ctx context.Context, d owner.Deed, budget time.Duration) node.End {
+	c.Board.Add("deeds", 1)
+	return c.await(ctx, func(now moment.Moment, t uint64) node.Effects { return c.node.Deed(now, t, d, budget) })
+}
+
+// Survey reads a prefix from a majority.
+func (c *Core) Survey(ctx context.Context, prefix string, values bool, budget time.Duration) node.End {
+	c.Board.Add("surveys", 1)
+	return c.await(ctx, func(now moment.Moment, t uint64) node.Effects {
+		return c.node.Survey(now, t, prefix, values, budget)
+	})
+}
+
+// Held is the newest manifest that this core knows to be confirmed, nil if none.
+func (c *Core) Held() *Manifest { return c.held.Load() }
+
+// Newest reads the manifest through its owner, so it is not older than any confirmed
+// before the call.
+func (c *Core) Newest(ctx context.Context, budget time.Duration) (*Manifest, *defect.Defect) {
+	e := c.Deed(ctx, owner.Deed{Key: offer.Key, Kind: "manifest/epoch"}, budget)
+	if e.Defect != nil {
+		return nil, e.Defect
+	}
+	var yes offer.Yes
+	if err := json.Unmarshal(e.Body, &yes); err != nil {
+		return nil, defect.New(defect.Damaged, "epoch: %v", err)
+	}
+	if have := c.held.Load(); have != nil && have.Epoch >= yes.Epoch {
+		return have, nil
+	}
+	if yes.Epoch == 0 {
+		return &Manifest{Parsed: &check.Manifest{}}, nil
+	}
+	e = c.Deed(ctx, owner.Deed{Key: offer.Key, Kind: "manifest/read"}, budget)
+	if e.Defect != nil {
+		return nil, e.Defect
+	}
+	var h offer.Held
+	if err := json.Unmarshal(e.Body, &h); err != nil {
+		return nil, defect.New(defect.Damaged, "manifest: %v", err)
+	}
+	tree, d := walk.Parse(h.Manifest)
+	if d != nil {
+		return nil, d
+	}
+	parsed, d := check.Read(tree)
+	if d != nil {
+		return nil, d
+	}
+	parsed.Epoch = h.Epoch
+	m := &Manifest{Held: h, Parsed: parsed}
+	for {
+		old := c.held.Load()
+		if old != nil && old.Epoch >= m.Epoch {
+			return old, nil
+		}
+		if c.held.CompareAndSwap(old, m) {
+			break
+		}
+	}
+	c.Log.Info("manifest", zap.Uint64("epoch", uint64(m.Epoch)), zap.Int("ways", len(parsed.Ways)), zap.Int("services", len(parsed.Services)))
+	c.Board.Set("manifest_epoch", int64(m.Epoch))
+	c.Do(func(moment.Moment) node.Effects {
+		return node.Effects{Changed: c.node.Ledger.Manifest(parsed)}
+	})
+	return m, nil
+}
+
+// follow is the duty of knowing the newest confirmed manifest: at once when told of
+// one, and every half second all the same.
+func (c *Core) follow() {
+	t := time.NewTicker(500 * time.Millisecond)
+	defer t.Stop()
+	for {
+		select {
+		case <-c.wake:
+		case <-t.C:
+		case <-c.done:
+			return
+		}
+		if v := c.View(); v == nil || !v.Majority {
+			continue
+		}
+		if _, d := c.Newest(context.Background(), time.Second); d != nil {
+			c.Board.Add("manifest_reads_failed", 1)
+		}
+	}
+}
+
+// Leave is the planned stop: successors are named, what is in hand is finished.
+func (c *Core) Leave(limit time.Duration) {
+	if c.leaving.Swap(true) {
+		return
+	}
+	c.Log.Info("stopping")
+	c.Do(func(now moment.Moment) node.Effects { return c.node.Leave(now) })
+	until := time.Now().Add(limit)
+	t := time.NewTicker(30 * time.Millisecond)
+	defer t.Stop()
+	for time.Now().Before(until) {
+		<-t.C
+		ok := make(chan bool, 1)
+		if !c.Do(func(now moment.Moment) node.Effects {
+			left, fx := c.node.Left(now)
+			ok <- left
+			return fx
+		}) {
+			continue
+		}
+		if <-ok {
+			return
+		}
+	}
+}
+
+// Leaving tells whether a planned stop has begun.
+func (c *Core) Leaving() bool { return c.leaving.Load() }
+
+// Ready tells whether the core serves.
+func (c *Core) Ready() bool {
+	v := c.View()
+	return v != nil && v.Majority && !c.leaving.Load()
+}
+
+// Ledger is the node's ledger; only steps run by Do may touch it.
+func (c *Core) Ledger() *ledger.Ledger { return c.node.Ledger }
--- /dev/null
+++ b/daemon/sidecar/intake.go
@@ -0,0 +1,355 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/mesh/path"
+	"cottonarch.example/cottonarch/wire/exchange"
+	"cottonarch.example/cottonarch/wire/reply"
+)
+
+const (
+	requestMax = 8 << 20
+	// TargetHeader names the endpoint that is meant.
+	TargetHeader = "X-Target-Server"
+	// ServiceHeader names the service it is meant as.
+	ServiceHeader = "X-Cottonarch-Service"
+	// LimitHeader carries what is left of the request's time.
+	LimitHeader = "X-Cottonarch-Limit-Ms"
+	// GateHeader says what a gate's return is: an endpoint's, or the gate's own.
+	GateHeader = "X-Cottonarch-Gate"
+	// CallerHeader names the caller in the tree of allowances.
+	CallerHeader = "X-Caller"
+	// DeadlineHeader is how long the caller waits, in milliseconds.
+	DeadlineHeader = "X-Deadline-Ms"
+
+	gateReturn = "return"
+	gateTurned = "turned-away"
+	gateUnsure = "unsure"
+)
+
+// own lists the headers that the mesh itself sets; none is taken from outside.
+var own = []string{TargetHeader, ServiceHeader, LimitHeader, GateHeader, reply.FateHeader}
+
+// hop lists the headers that belong to one connection.
+var hop = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length"}
+
+// job is one request between the stages. Invariant: done gets exactly one ending.
+type job struct {
+	call *path.Call
+	req  exchange.Call
+	done chan ending
+}
+
+type ending struct {
+	ret *exchange.Return
+	d   *defect.Defect
+}
+
+func clean(h http.Header) http.Header {
+	out := h.Clone()
+	for _, field := range h["Connection"] {
+		for name := range strings.SplitSeq(field, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hop {
+		out.Del(name)
+	}
+	for _, name := range own {
+		out.Del(name)
+	}
+	return out
+}
+
+// Intake is the first stage: it takes a caller's request whole, finds its way and
+// puts it in line, or turns it away at once.
+func (s *Sidecar) Intake(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.hand++
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.hand--
+		s.mu.Unlock()
+	}()
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	began := s.clock()
+	body, d := reply.Read(r, requestMax)
+	if d != nil {
+		reply.Defect(w, d)
+		return
+	}
+	from, _, _ := net.SplitHostPort(r.RemoteAddr)
+	who := r.Header.Get(CallerHeader)
+	if who == "" {
+		who = from
+	}
+	call := &path.Call{Host: r.Host, Path: r.URL.Path, Method: r.Method, Caller: who}
+	j := &job{call: call, done: make(chan ending, 1)}
+	j.req = exchange.Call{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: clean(r.Header), Body: body}
+	if !strings.HasPrefix(j.req.Target, "/") {
+		j.req.Target = r.URL.RequestURI()
+	}
+	j.req.Header.Add("X-Forwarded-For", from)
+	asked, _ := strconv.Atoi(r.Header.Get(DeadlineHeader))
+	s.mu.Lock()
+	d = s.path.Way(began, call, time.Duration(asked)*time.Millisecond)
+	pace := s.pace
+	s.mu.Unlock()
+	if d != nil {
+		reply.Defect(w, d)
+		return
+	}
+	line := s.normal
+	if call.Way.Urgent {
+		line = s.urgent
+	}
+	// Turn away early what would be late anyway.
+	wait := time.Duration(line.Len()/max(1, s.Boot.Senders)) * pace
+	if call.Until.Since(s.clock()) < wait || !line.Offer(j) {
+		s.Board.Add("turned_away", 1)
+		reply.Defect(w, defect.New(defect.Busy, "too many requests are in hand").Later(1))
+		return
+	}
+	end := <-j.done
+	if end.d != nil {
+		s.Board.Add("ended_"+string(end.d.Kind), 1)
+		reply.Defect(w, end.d)
+		return
+	}
+	s.Board.Add("returns", 1)
+	give(w, end.ret)
+}
+
+// give writes a return that is already whole.
+func give(w http.ResponseWriter, ret *exchange.Return) {
+	h := w.Header()
+	length := ret.Header.Get("Content-Length")
+	for name, v := range clean(ret.Header) {
+		h[name] = v
+	}
+	if ret.Status != http.StatusNoContent && ret.Status != http.StatusNotModified {
+		if len(ret.Body) > 0 || length == "" {
+			length = strconv.Itoa(len(ret.Body))
+		}
+		h.Set("Content-Length", length)
+	}
+	if _, ok := h["Date"]; !ok {
+		h["Date"] = nil
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+	w.WriteHeader(ret.Status)
+	if len(ret.Body) > 0 {
+		_, _ = w.Write(ret.Body)
+	}
+}
+
+// sender is the sending stage; one in four serves only urgent ways.
+func (s *Sidecar) sender(only bool) {
+	for {
+		var j *job
+		select {
+		case j = <-s.urgent.Out():
+		default:
+			if only {
+				select {
+				case j = <-s.urgent.Out():
+				case <-s.done:
+					return
+				}
+			} else {
+				select {
+				case j = <-s.urgent.Out():
+				case j = <-s.normal.Out():
+				case <-s.done:
+					return
+				}
+			}
+		}
+		began := s.clock()
+		j.done <- s.walk(j)
+		took := s.clock().Since(began)
+		s.mu.Lock()
+		s.pace += (took - s.pace) / 16
+		s.mu.Unlock()
+	}
+}
+
+// walk tries until there is a return, or nothing more may be tried.
+func (s *Sidecar) walk(j *job) ending {
+	for {
+		s.mu.Lock()
+		choice := s.path.Next(s.clock(), j.call)
+		s.mu.Unlock()
+		if choice.Defect != nil {
+			return ending{d: choice.Defect}
+		}
+		ret, end := s.try(j, choice)
+		s.mu.Lock()
+		again := s.path.Ended(s.clock(), j.call, end)
+		if end.Verdict != path.Ran && !again {
+			d := s.path.Final(j.call)
+			s.mu.Unlock()
+			return ending{d: d}
+		}
+		s.mu.Unlock()
+		if end.Verdict == path.Ran {
+			return ending{ret: ret}
+		}
+	}
+}
+
+// try sends once: to the gate here, or to that of the endpoint's machine.
+func (s *Sidecar) try(j *job, c path.Choice) (*exchange.Return, path.End) {
+	ctx, stop := context.WithTimeout(context.Background(), c.Limit)
+	defer stop()
+	if c.Entry.Gate == s.Boot.Addr {
+		ret, turned, d := s.pass(ctx, c.Entry.UID, c.Entry.Service, j.req)
+		return ret, verdict(d, turned)
+	}
+	req := j.req
+	req.Header = req.Header.Clone()
+	req.Header.Set(TargetHeader, string(c.Entry.UID))
+	req.Header.Set(ServiceHeader, string(c.Entry.Service))
+	// The gate gives up a little before this side does, so that its word is heard.
+	req.Header.Set(LimitHeader, strconv.FormatInt((c.Limit-min(c.Limit/10, 20*time.Millisecond)).Milliseconds(), 10))
+	ret, sent, d := s.peers.Do(ctx, c.Entry.Gate, req)
+	if d != nil {
+		if !sent {
+			return nil, path.End{Verdict: path.NotRun, Defect: d, Lost: true}
+		}
+		return nil, path.End{Verdict: path.Unsure, Defect: d, Lost: d.Kind == defect.LostReturn}
+	}
+	return read(ret)
+}
+
+// read tells a gate's own word from an endpoint's return that it passes on.
+func read(ret *exchange.Return) (*exchange.Return, path.End) {
+	word := ret.Header.Get(GateHeader)
+	if word == gateReturn {
+		return ret, path.End{Verdict: path.Ran}
+	}
+	d := &defect.Defect{}
+	if err := json.Unmarshal(ret.Body, d); err != nil || d.Kind == "" || word == "" {
+		return nil, path.End{Verdict: path.Unsure, Defect: defect.Unsure(defect.BadReturn, "the gate's return can't be read")}
+	}
+	return nil, verdict(d, word == gateTurned)
+}
+
+func verdict(d *defect.Defect, turned bool) path.End {
+	switch {
+	case d == nil:
+		return path.End{Verdict: path.Ran}
+	case turned:
+		return path.End{Verdict: path.NotRun, Defect: d, Turned: true}
+	}
+	return path.End{Verdict: path.Unsure, Defect: d}
+}
+
+// Gated serves another sidecar's request for an endpoint of this machine; it answers
+// false when the request is none.
+func (s *Sidecar) Gated(w http.ResponseWriter, r *http.Request) bool {
+	server, service := r.Header.Get(TargetHeader), r.Header.Get(ServiceHeader)
+	if server == "" || service == "" {
+		return false
+	}
+	turn := func(word string, d *defect.Defect) {
+		w.Header().Set(GateHeader, word)
+		reply.Defect(w, d)
+	}
+	s.mu.Lock()
+	full := s.hand >= s.Boot.Hand
+	if !full {
+		s.hand++
+	}
+	s.mu.Unlock()
+	if full {
+		turn(gateTurned, defect.New(defect.Busy, "too many requests are in hand at %s", s.Boot.Node))
+		return true
+	}
+	defer func() {
+		s.mu.Lock()
+		s.hand--
+		s.mu.Unlock()
+	}()
+	body, d := reply.Read(r, requestMax)
+	if d != nil {
+		turn(gateTurned, d)
+		return true
+	}
+	ms, err := strconv.Atoi(r.Header.Get(LimitHeader))
+	if err != nil || ms <= 0 {
+		turn(gateTurned, defect.New(defect.Late, "no time is left"))
+		return true
+	}
+	ctx, stop := context.WithTimeout(context.Background(), time.Duration(ms)*time.Millisecond)
+	defer stop()
+	req := exchange.Call{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: clean(r.Header), Body: body}
+	ret, turned, d := s.pass(ctx, ident.Server(server), ident.Service(service), req)
+	switch {
+	case d == nil:
+		w.Header().Set(GateHeader, gateReturn)
+		give(w, ret)
+	case turned:
+		turn(gateTurned, d)
+	default:
+		turn(gateUnsure, d)
+	}
+	return true
+}
+
+// pass is the gate: it asks whether the endpoint is still the one that is meant,
+// before the dial and again before the first byte. turned says that certainly
+// nothing of the request left for the endpoint.
+func (s *Sidecar) pass(ctx context.Context, server ident.Server, service ident.Service, req exchange.Call) (ret *exchange.Return, turned bool, d *defect.Defect) {
+	s.mu.Lock()
+	addr, _, d := s.gate.Pass(s.clock(), server, service)
+	if d == nil {
+		s.gate.Hand(server, 1)
+	}
+	s.mu.Unlock()
+	if d != nil {
+		return nil, true, d
+	}
+	defer func() {
+		s.mu.Lock()
+		s.gate.Hand(server, -1)
+		s.mu.Unlock()
+	}()
+	req.Header = req.Header.Clone()
+	req.Header.Set(TargetHeader, string(server))
+	// A kept connection may end just as it is used; for what must not run twice that
+	// would be an unknown fate, so it gets a connection of its own.
+	req.Fresh = !slices.Contains([]string{"GET", "HEAD", "OPTIONS", "TRACE"}, req.Method)
+	req.Last = func() *defect.Defect {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		again, _, d := s.gate.Pass(s.clock(), server, service)
+		if d == nil && again != addr {
+			d = defect.New(defect.Gate, "server %q has moved", server)
+		}
+		return d
+	}
+	ret, sent, d := s.ends.Do(ctx, addr, req)
+	if d != nil && d.Kind == defect.Unreached {
+		s.mu.Lock()
+		s.changed(s.gate.Failed(s.clock(), server))
+		s.mu.Unlock()
+	}
+	return ret, !sent, d
+}
--- /dev/null
+++ b/daemon/sidecar/paths.go
@@ -0,0 +1,85 @@
+package sidecar
+
+import (
+	"net/http"
+
+	"cottonarch.example/cottonarch/adapter/mesh"
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/mesh/gate"
+	"cottonarch.example/cottonarch/wire/reply"
+	"cottonarch.example/cottonarch/wire/server"
+
+	"github.com/gorilla/mux"
+)
+
+// Paths is what endpoints, peers and operators may ask a sidecar.
+func (s *Sidecar) Paths() server.Paths {
+	return server.Paths{
+		"/beat":               {"POST": s.onBeat},
+		"/manifest":           {"GET": s.onManifest},
+		"/address/{key:.+}":   {"GET": s.onAddress},
+		"/cottonarch/v1/peer": {"GET": s.onPeer},
+		"/cottonarch/v1/part": {"GET": s.onPart},
+	}
+}
+
+func (s *Sidecar) onBeat(w http.ResponseWriter, r *http.Request) {
+	var b gate.Beat
+	if d := reply.Decode(r, 1<<16, &b); d != nil {
+		reply.Defect(w, d)
+		return
+	}
+	if d := s.Beat(b); d != nil {
+		reply.Defect(w, d)
+		return
+	}
+	reply.JSON(w, http.StatusOK, map[string]any{"beatEveryMs": gate.BeatEvery.Milliseconds(), "silentAfterMs": gate.Silent.Milliseconds()})
+}
+
+// onManifest shows what is in force here.
+func (s *Sidecar) onManifest(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	epoch, raw := s.path.Epoch(), s.raw
+	s.mu.Unlock()
+	if epoch == 0 {
+		reply.Defect(w, defect.New(defect.Missing, "no manifest is in force yet"))
+		return
+	}
+	reply.JSON(w, http.StatusOK, map[string]any{"epoch": epoch, "manifest": raw})
+}
+
+func (s *Sidecar) onAddress(w http.ResponseWriter, r *http.Request) {
+	k := mux.Vars(r)["key"]
+	s.mu.Lock()
+	a, ok := s.path.Index.Look(k)
+	s.mu.Unlock()
+	if !ok {
+		reply.Defect(w, defect.New(defect.Missing, "no address %q", k))
+		return
+	}
+	reply.JSON(w, http.StatusOK, a)
+}
+
+func (s *Sidecar) onPeer(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	p := Peer{Manifest: s.path.Epoch(), Sets: s.path.Index.Sets()}
+	s.mu.Unlock()
+	reply.JSON(w, http.StatusOK, p)
+}
+
+func (s *Sidecar) onPart(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	epoch, raw := s.path.Epoch(), s.raw
+	s.mu.Unlock()
+	if epoch == 0 {
+		reply.Defect(w, defect.New(defect.Missing, "no manifest is in force yet"))
+		return
+	}
+	mesh.GivePart(w, r, epoch, raw)
+}
+
+// Front takes every request of the callers' address.
+func (s *Sidecar) Front(w http.ResponseWriter, r *http.Request) bool {
+	s.Intake(w, r)
+	return true
+}
--- /dev/null
+++ b/daemon/sidecar/sidecar.go
@@ -0,0 +1,513 @@
+// Package sidecar is the sidecar daemon: the node beside an application.
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net/url"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cottonarch.example/cottonarch/adapter/mesh"
+	"cottonarch.example/cottonarch/boot"
+	"cottonarch.example/cottonarch/control/manifest/check"
+	"cottonarch.example/cottonarch/control/manifest/walk"
+	"cottonarch.example/cottonarch/kernel/count"
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/queue"
+	"cottonarch.example/cottonarch/mesh/gate"
+	"cottonarch.example/cottonarch/mesh/path"
+	"cottonarch.example/cottonarch/mesh/registry/record"
+	"cottonarch.example/cottonarch/wire/client"
+	"cottonarch.example/cottonarch/wire/exchange"
+)
+
+const (
+	renewEvery = 250 * time.Millisecond
+	gateEvery  = 40 * time.Millisecond
+	// orphan is how long a sidecar that has never been admitted waits before it takes
+	// a manifest from a peer.
+	orphan = 3 * time.Second
+	// cutAfter is how long without any core before peers are asked.
+	cutAfter = time.Second
+)
+
+// Sidecar is the running daemon. Invariants: mu guards path, gate and claim; the
+// manifest in force only moves to higher, confirmed epochs; ready is never said
+// before a manifest is in force and the claim was admitted.
+type Sidecar struct {
+	Boot   boot.Sidecar
+	Log    *zap.Logger
+	Board  *count.Board
+	clock  moment.Clock
+	pool   *client.Pool
+	peers  *exchange.Pool // to other sidecars' gates
+	ends   *exchange.Pool // to the endpoints of this machine
+	done   chan struct{}
+	urgent *queue.Ring[*job]
+	normal *queue.Ring[*job]
+
+	mu       sync.Mutex
+	path     *path.Path
+	gate     *gate.Gate
+	raw      json.RawMessage // of the manifest in force
+	claim    ident.Epoch
+	seq      uint64
+	news     bool
+	cores    []ident.Addr
+	acks     map[ident.Disk]moment.Moment
+	voters   int
+	lastCore moment.Moment
+	began    moment.Moment
+	hand     int
+	pace     time.Duration // smoothed time of a send
+
+	admitted atomic.Bool
+	leaving  atomic.Bool
+	poke     chan struct{}
+	push     chan struct{}
+}
+
+// New makes a sidecar.
+func New(b boot.Sidecar, log *zap.Logger) *Sidecar {
+	clock := moment.Process()
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, b.Node, time.Now().UnixNano())
+	now := clock()
+	return &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, pool: client.New(), peers: exchange.New(), ends: exchange.New(),
+		done: make(chan struct{}), urgent: queue.Make[*job](b.Queue), normal: queue.Make[*job](b.Queue),
+		path: path.New(now, b.District, h.Sum64()), gate: gate.New(), cores: slices.Clone(b.Seeds), acks: map[ident.Disk]moment.Moment{},
+		began: now, lastCore: now, poke: make(chan struct{}, 1), push: make(chan struct{}, 1)}
+}
+
+// Start starts the duties.
+func (s *Sidecar) Start() {
+	go s.renewals()
+	go s.watchGate()
+	go s.follow()
+	for i := range s.Boot.Senders {
+		go s.sender(i%4 == 0)
+	}
+}
+
+// Close ends the duties.
+func (s *Sidecar) Close() {
+	close(s.done)
+	s.pool.Close()
+}
+
+func (s *Sidecar) cored() []ident.Addr {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.cores)
+}
+
+// renewals claims membership, then renews at every core.
+func (s *Sidecar) renewals() {
+	t := time.NewTicker(renewEvery)
+	defer t.Stop()
+	turn := 0
+	busy := map[ident.Addr]*atomic.Bool{}
+	for {
+		select {
+		case <-t.C:
+		case <-s.push:
+		case <-s.done:
+			return
+		}
+		if !s.admitted.Load() {
+			cores := s.cored()
+			s.admit(cores[turn%len(cores)])
+			turn++
+			continue
+		}
+		rep := s.report()
+		for _, a := range s.cored() {
+			if busy[a] == nil {
+				busy[a] = &atomic.Bool{}
+			}
+			flag := busy[a]
+			if flag.Swap(true) {
+				continue // the last one to this core is still out
+			}
+			go func() {
+				defer flag.Store(false)
+				s.renew(a, rep)
+			}()
+		}
+	}
+}
+
+func (s *Sidecar) admit(core ident.Addr) {
+	ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+	defer stop()
+	var got mesh.Admit
+	if err := s.pool.Ask(ctx, core, "POST", "/cottonarch/v1/claim", map[string]ident.Node{"node": s.Boot.Node}, &got); err != nil {
+		s.Board.Add("claims_failed", 1)
+		return
+	}
+	s.mu.Lock()
+	s.claim, s.seq = got.Claim, 1
+	s.path.Tree.Grant(got.Share)
+	s.join(got.Cores)
+	s.lastCore = s.clock()
+	s.mu.Unlock()
+	s.admitted.Store(true)
+	s.Log.Info("admitted", zap.Uint64("claim", uint64(got.Claim)), zap.Int("share", got.Share), zap.Uint64("manifest", uint64(got.Manifest)))
+	s.kick(s.poke)
+}
+
+// join takes the cores' addresses as a core knows them; seeds stay.
+func (s *Sidecar) join(cores []ident.Addr) {
+	for _, a := range cores {
+		if !slices.Contains(s.cores, a) && len(s.cores) < 32 {
+			s.cores = append(s.cores, a)
+		}
+	}
+}
+
+func (s *Sidecar) kick(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Sidecar) report() record.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.news {
+		s.news = false
+		s.seq++
+	}
+	return record.Report{Node: s.Boot.Node, Addr: s.Boot.Addr, District: s.Boot.District, Claim: s.claim, Seq: s.seq,
+		Manifest: s.path.Epoch(), Ready: s.Ready(), Leaving: s.leaving.Load(), Workloads: s.gate.Workloads()}
+}
+
+func (s *Sidecar) renew(core ident.Addr, rep record.Report) {
+	sent := s.clock()
+	ctx, stop := context.WithTimeout(context.Background(), 800*time.Millisecond)
+	defer stop()
+	var got mesh.Renewed
+	err := s.pool.Ask(ctx, core, "POST", "/cottonarch/v1/renew", rep, &got)
+	if err != nil {
+		s.Board.Add("renewals_failed", 1)
+		if d := (*defect.Defect)(nil); defect.Find(err, &d) && d.Kind == defect.Conflict {
+			s.Log.Warn("claim superseded", zap.Error(err))
+			s.admitted.Store(false)
+		}
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.join(got.Cores)
+	s.voters = got.Voters
+	s.lastCore = s.clock()
+	if got.Votes {
+		s.acks[got.Disk] = max(s.acks[got.Disk], sent)
+	}
+	// The share holds from the newest moment by which a majority had taken a renewal.
+	times := make([]moment.Moment, 0, len(s.acks))
+	for _, at := range s.acks {
+		times = append(times, at)
+	}
+	slices.Sort(times)
+	if need := s.voters/2 + 1; s.voters > 0 && len(times) >= need {
+		s.path.Tree.Renewed(times[len(times)-need])
+	}
+	if got.Manifest > s.path.Epoch() {
+		s.kick(s.poke)
+	}
+}
+
+// watchGate forgets silent endpoints.
+func (s *Sidecar) watchGate() {
+	t := time.NewTicker(gateEvery)
+	defer t.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-t.C:
+		case <-s.done:
+			return
+		}
+		now := s.clock()
+		s.mu.Lock()
+		s.changed(s.gate.Tick(now))
+		if n%100 == 0 {
+			s.path.Picker.Tidy(now, func(u ident.Server) bool { _, ok := s.path.Index.Look(string(u)); return ok })
+		}
+		s.gauges()
+		s.mu.Unlock()
+	}
+}
+
+// changed carries out a change of the gate; mu is held.
+func (s *Sidecar) changed(c gate.Change) {
+	for _, a := range c.Closed {
+		s.ends.Drop(a)
+	}
+	if c.News {
+		s.news = true
+		s.kick(s.push)
+	}
+}
+
+func (s *Sidecar) gauges() {
+	p := s.path
+	for name, v := range map[string]uint64{"calls": p.Calls, "further_tries": p.Further, "gave_up": p.GaveUp, "no_way": p.NoWays,
+		"gate_passed": s.gate.Passed, "gate_refused": s.gate.Refused, "gate_forgotten": s.gate.Forgotten,
+		"allowance_granted": p.Tree.Granted, "allowance_denied": p.Tree.Denied, "manifest_epoch": uint64(p.Epoch())} {
+		s.Board.Set(name, int64(v))
+	}
+	s.Board.Set("in_hand", int64(s.hand))
+	s.Board.Set("queued", int64(s.urgent.Len()+s.normal.Len()))
+}
+
+// follow keeps the copy of the registry and the manifest by long polls at one core;
+// it goes to the next core when one fails, and to peers when all do.
+func (s *Sidecar) follow() {
+	turn, mark, place := int(s.clock())%7, "", uint64(0)
+	for {
+		select {
+		case <-s.done:
+			return
+		default:
+		}
+		if !s.admitted.Load() {
+			s.pause(100 * time.Millisecond)
+			s.orphaned()
+			continue
+		}
+		cores := s.cored()
+		core := cores[turn%len(cores)]
+		s.mu.Lock()
+		have := s.path.Epoch()
+		s.mu.Unlock()
+		q := url.Values{"mark": {mark}, "place": {fmt.Sprint(place)}, "manifest": {fmt.Sprint(uint64(have))}}
+		var got mesh.News
+		ctx, stop := context.WithTimeout(context.Background(), 11*time.Second)
+		poked := make(chan struct{})
+		go func() { // a renewal that told of a newer manifest ends the wait
+			select {
+			case <-s.poke:
+				stop()
+			case <-poked:
+			case <-s.done:
+				stop()
+			}
+		}()
+		err := s.pool.Ask(ctx, core, "GET", "/cottonarch/v1/news?"+q.Encode(), nil, &got)
+		close(poked)
+		poke := ctx.Err() == context.Canceled
+		stop()
+		if err != nil {
+			if !poke {
+				s.Board.Add("news_failed", 1)
+			}
+			turn++
+			mark, place = "", 0
+			s.pause(20 * time.Millisecond)
+			s.cut()
+			continue
+		}
+		s.mu.Lock()
+		s.lastCore = s.clock()
+		if s.path.Index.Merge(got.Sets) {
+			s.Board.Add("registry_changes", 1)
+		}
+		s.mu.Unlock()
+		mark, place = got.Mark, got.Place
+		if got.Manifest > have {
+			if err := s.fetch(core); err != nil {
+				s.Board.Add("manifest_fetches_failed", 1)
+				s.pause(20 * time.Millisecond)
+			}
+		}
+		if got.Leaving {
+			turn++
+			mark, place = "", 0
+			s.pause(20 * time.Millisecond)
+		}
+	}
+}
+
+func (s *Sidecar) pause(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-s.done:
+	}
+}
+
+// fetch takes a manifest in bounded parts. A part of another epoch begins it anew.
+func (s *Sidecar) fetch(from ident.Addr) error {
+	var raw []byte
+	var epoch ident.Epoch
+	for epoch == 0 || len(raw) < cap(raw) {
+		ctx, stop := context.WithTimeout(context.Background(), 2*time.Second)
+		var p mesh.Part
+		err := s.pool.Ask(ctx, from, "GET", fmt.Sprintf("/cottonarch/v1/part?at=%d", len(raw)), nil, &p)
+		stop()
+		if err != nil {
+			return err
+		}
+		if p.Epoch != epoch {
+			if p.At != 0 {
+				raw, epoch = nil, 0
+				continue
+			}
+			if p.Size <= 0 || p.Size > 2*check.BytesMax {
+				return defect.New(defect.BadReturn, "a manifest of %d bytes", p.Size)
+			}
+			epoch, raw = p.Epoch, make([]byte, 0, p.Size)
+		}
+		if p.At != len(raw) || p.Size != cap(raw) || len(p.Data) == 0 || len(raw)+len(p.Data) > cap(raw) {
+			return defect.New(defect.BadReturn, "a part of the manifest does not fit")
+		}
+		raw = append(raw, p.Data...)
+	}
+	return s.enforce(epoch, raw)
+}
+
+func (s *Sidecar) enforce(epoch ident.Epoch, raw []byte) error {
+	tree, d := walk.Parse(raw)
+	if d != nil {
+		return d
+	}
+	m, d := check.Read(tree)
+	if d != nil {
+		return d
+	}
+	m.Epoch = epoch
+	s.mu.Lock()
+	ok := s.path.Enforce(m)
+	if ok {
+		s.raw = raw
+	}
+	s.mu.Unlock()
+	if ok {
+		s.Log.Info("manifest", zap.Uint64("epoch", uint64(epoch)), zap.Int("ways", len(m.Ways)))
+		s.kick(s.push)
+	}
+	return nil
+}
+
+// cut asks peers for a newer manifest and their registry when no core has been heard.
+func (s *Sidecar) cut() {
+	s.mu.Lock()
+	far := s.clock().Since(s.lastCore) > cutAfter
+	s.mu.Unlock()
+	if far {
+		s.askPeers()
+	}
+}
+
+// orphaned does the same for a sidecar that was never admitted, after a while: any
+// epoch that an earlier run showed is then in force at its peers.
+func (s *Sidecar) orphaned() {
+	if s.clock().Since(s.began) > orphan {
+		s.askPeers()
+	}
+}
+
+func (s *Sidecar) askPeers() {
+	s.mu.Lock()
+	gates := slices.Clone(s.Boot.Seeds)
+	for _, set := range s.path.Index.Sets() {
+		for _, a := range set.Records {
+			if a.Workload != nil && a.Workload.Gate != s.Boot.Addr && !slices.Contains(gates, a.Workload.Gate) {
+				gates = append(gates, a.Workload.Gate)
+			}
+		}
+	}
+	have := s.path.Epoch()
+	s.mu.Unlock()
+	best, from := have, ident.Addr("")
+	for _, g := range gates {
+		ctx, stop := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		var p Peer
+		err := s.pool.Ask(ctx, g, "GET", "/cottonarch/v1/peer", nil, &p)
+		stop()
+		if err != nil {
+			continue
+		}
+		s.mu.Lock()
+		s.path.Index.Merge(p.Sets)
+		s.mu.Unlock()
+		if p.Manifest > best {
+			best, from = p.Manifest, g
+		}
+	}
+	if from != "" && s.fetch(from) == nil {
+		s.Board.Add("manifests_from_peers", 1)
+	}
+}
+
+// Peer is what a sidecar tells a peer that is cut from the core.
+type Peer struct {
+	Manifest ident.Epoch  `json:"manifest"`
+	Sets     []record.Set `json:"sets"`
+}
+
+// Ready tells whether callers may come.
+func (s *Sidecar) Ready() bool {
+	return s.admitted.Load() && !s.leaving.Load() && s.Board.At("manifest_epoch").Load() > 0
+}
+
+// Status is what the status page shows.
+func (s *Sidecar) Status() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return map[string]any{"node": s.Boot.Node, "claim": s.claim, "manifest": s.path.Epoch(), "ready": s.Ready(), "cores": s.cores,
+		"workloads": s.gate.Workloads(), "share": s.path.Tree.Share(s.clock()), "sets": len(s.path.Index.Sets())}
+}
+
+// Beat takes an endpoint's report.
+func (s *Sidecar) Beat(b gate.Beat) *defect.Defect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, d := s.gate.Take(s.clock(), b)
+	s.changed(c)
+	if d == nil && s.leaving.Load() {
+		s.changed(s.gate.Leave(s.clock()))
+	}
+	s.Board.Add("beats", 1)
+	return d
+}
+
+// Leave is the planned stop: unready, endpoints marked as leaving, and nothing in
+// hand left behind.
+func (s *Sidecar) Leave() {
+	if s.leaving.Swap(true) {
+		return
+	}
+	s.Log.Info("stopping")
+	s.mu.Lock()
+	s.changed(s.gate.Leave(s.clock()))
+	s.mu.Unlock()
+	t := time.NewTicker(50 * time.Millisecond)
+	defer t.Stop()
+	quiet := 0
+	for until := time.Now().Add(s.Boot.Stop); time.Now().Before(until); {
+		<-t.C
+		s.mu.Lock()
+		hand := s.hand
+		s.mu.Unlock()
+		if quiet++; hand > 0 {
+			quiet = 0
+		}
+		// The copies elsewhere need a moment to learn that this machine leaves.
+		if quiet >= 20 {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/kernel/ident/ident.go
@@ -0,0 +1,58 @@
+// Package ident holds the small types that name things in the mesh.
+package ident
+
+import "strings"
+
+// Disk names one data folder for the whole of its life. Invariant: a folder that
+// comes back empty gets a new Disk; two folders never share one.
+type Disk string
+
+// Addr is a peer address, "ip:port". Invariant: never resolved by name.
+type Addr string
+
+// Node names a sidecar; it is stable over restarts of that sidecar.
+type Node string
+
+// Server is the DESIGN's serverId: the key of a Workload.
+type Server string
+
+// Service is a service hostname: the key of a Service.
+type Service string
+
+// District is a failure zone.
+type District string
+
+// Epoch counts ownership, roster, claim and manifest epochs. Invariant: each
+// series only rises.
+type Epoch uint64
+
+// Revision counts changes of one control key. Invariant: rises by one a change
+// and never restarts, not even when the key is deleted.
+type Revision uint64
+
+// Op names one operation of one caller; repeating it is harmless.
+type Op string
+
+// Key names one control key.
+type Key string
+
+// Under tells whether the key lies below a prefix.
+func (k Key) Under(pre string) bool { return strings.HasPrefix(string(k), pre) }
+
+// Ballot orders tenures of one key. Invariant: Owner carries the process's own
+// mark, so that a restarted owner never reuses a ballot.
+type Ballot struct {
+	Epoch Epoch  `json:"e"`
+	Owner string `json:"o,omitempty"`
+}
+
+// Zero tells whether no tenure ever was.
+func (b Ballot) Zero() bool { return b.Epoch == 0 }
+
+// Less is the total order of ballots.
+func (b Ballot) Less(c Ballot) bool {
+	if b.Epoch != c.Epoch {
+		return b.Epoch < c.Epoch
+	}
+	return b.Owner < c.Owner
+}
--- /dev/null
+++ b/mesh/gate/gate.go
@@ -0,0 +1,270 @@
+// Package gate is the destination's last word: it says, just before a request goes
+// to an endpoint, whether that endpoint still is the one that was meant.
+package gate
+
+import (
+	"slices"
+	"time"
+
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/mesh/registry/record"
+)
+
+const (
+	// Silent is how long an endpoint may go without a beat. Invariant: with the
+	// longest dial it stays well inside the shortest reuseAfterS.
+	Silent = 1100 * time.Millisecond
+	// BeatEvery is what endpoints are asked to keep to.
+	BeatEvery = 300 * time.Millisecond
+	forget    = 4 * time.Second
+	gone      = 3 * time.Second
+	sick      = 700 * time.Millisecond
+)
+
+// State is what a beat says.
+type State string
+
+// The states of a beat.
+const (
+	Alive   State = "alive"
+	Leaving State = "leaving"
+	Gone    State = "gone"
+)
+
+// Beat is an endpoint's report.
+type Beat struct {
+	Server  ident.Server  `json:"serverId"`
+	Service ident.Service `json:"service"`
+	Addr    ident.Addr    `json:"address"`
+	State   State         `json:"state"`
+	Burden  float64       `json:"burden"`
+	Weight  uint32        `json:"weight"`
+	// Seq, when given, orders the beats of one server.
+	Seq uint64 `json:"seq"`
+}
+
+type entry struct {
+	Beat
+	at      moment.Moment
+	sick    moment.Moment
+	status  record.Status
+	leaving bool
+	hand    int
+}
+
+// Gate knows the endpoints of one machine. Invariants: an address belongs to one
+// server at a time, the one that beat last; leaving is never taken back; a server
+// that signed off is not let in again by a late beat.
+type Gate struct {
+	all   map[ident.Server]*entry
+	spots map[ident.Addr]ident.Server
+	off   map[ident.Server]moment.Moment
+	seq   uint64
+	// Open, when set, switches the checks off; only tests of the checkers do that.
+	Open bool
+	// Counters.
+	Passed, Refused, Forgotten uint64
+}
+
+// New makes a gate without endpoints.
+func New() *Gate {
+	return &Gate{all: map[ident.Server]*entry{}, spots: map[ident.Addr]ident.Server{}, off: map[ident.Server]moment.Moment{}}
+}
+
+// Change tells what a step did. Closed lists addresses whose connections must go.
+type Change struct {
+	News   bool
+	Closed []ident.Addr
+}
+
+// states is the table of what each state of a beat does.
+var states = map[State]func(*Gate, moment.Moment, Beat) Change{Alive: (*Gate).alive, Leaving: (*Gate).leave, Gone: (*Gate).signOff}
+
+// Take takes a beat.
+func (g *Gate) Take(now moment.Moment, b Beat) (Change, *defect.Defect) {
+	take, ok := states[b.State]
+	if !ok {
+		return Change{}, defect.New(defect.Invalid, "state must be alive, leaving or gone")
+	}
+	if b.Server == "" || b.State != Gone && (b.Service == "" || b.Addr == "") {
+		return Change{}, defect.New(defect.Invalid, "a beat needs serverId, service and address")
+	}
+	if e := g.all[b.Server]; e != nil && b.Seq != 0 && b.Seq <= e.Seq {
+		return Change{}, nil
+	}
+	return take(g, now, b), nil
+}
+
+func (g *Gate) alive(now moment.Moment, b Beat) (c Change) {
+	if at, off := g.off[b.Server]; off && now.Since(at) < gone {
+		return c
+	}
+	if b.Weight == 0 {
+		b.Weight = 1
+	}
+	if old, ok := g.spots[b.Addr]; ok && old != b.Server {
+		c = g.drop(old)
+	}
+	e := g.all[b.Server]
+	if e == nil {
+		e = &entry{status: record.Unknown}
+		g.all[b.Server] = e
+	} else if e.Addr != b.Addr {
+		c.Closed = append(c.Closed, e.Addr)
+		if g.spots[e.Addr] == b.Server {
+			delete(g.spots, e.Addr)
+		}
+	}
+	g.spots[b.Addr] = b.Server
+	was := *e
+	e.Beat, e.at = b, now
+	e.status = e.well(now)
+	if was.status != e.status || was.Service != b.Service || was.Addr != b.Addr || was.Weight != b.Weight || far(was.Burden, b.Burden) {
+		c.News = true
+	}
+	return c
+}
+
+func far(a, b float64) bool { return a-b > 0.1 || b-a > 0.1 }
+
+func (g *Gate) leave(now moment.Moment, b Beat) Change {
+	c := g.alive(now, b)
+	e := g.all[b.Server]
+	if e == nil {
+		return c
+	}
+	if !e.leaving {
+		e.leaving, c.News = true, true
+	}
+	e.status = e.well(now)
+	return c
+}
+
+func (g *Gate) signOff(now moment.Moment, b Beat) Change {
+	g.off[b.Server] = now
+	if g.all[b.Server] == nil {
+		return Change{}
+	}
+	return g.drop(b.Server)
+}
+
+func (g *Gate) drop(s ident.Server) Change {
+	e := g.all[s]
+	if e == nil {
+		return Change{}
+	}
+	delete(g.all, s)
+	if g.spots[e.Addr] == s {
+		delete(g.spots, e.Addr)
+	}
+	return Change{News: true, Closed: []ident.Addr{e.Addr}}
+}
+
+func (e *entry) well(now moment.Moment) record.Status {
+	switch {
+	case now.Since(e.at) > Silent || e.sick.After(now):
+		return record.Unhealthy
+	case e.leaving:
+		return record.Draining
+	}
+	return record.Healthy
+}
+
+// Tick forgets the silent.
+func (g *Gate) Tick(now moment.Moment) (c Change) {
+	for _, s := range g.servers() {
+		e := g.all[s]
+		if now.Since(e.at) > forget {
+			d := g.drop(s)
+			c.Closed, c.News = append(c.Closed, d.Closed...), true
+			g.Forgotten++
+			continue
+		}
+		if st := e.well(now); st != e.status {
+			if st == record.Unhealthy {
+				c.Closed = append(c.Closed, e.Addr)
+			}
+			e.status, c.News = st, true
+		}
+	}
+	for s, at := range g.off {
+		if now.Since(at) > gone {
+			delete(g.off, s)
+		}
+	}
+	return c
+}
+
+func (g *Gate) servers() []ident.Server {
+	out := make([]ident.Server, 0, len(g.all))
+	for s := range g.all {
+		out = append(out, s)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Pass is asked just before a request goes to the endpoint, and again just before
+// its first byte. Fresh is until when the first byte may go.
+func (g *Gate) Pass(now moment.Moment, s ident.Server, svc ident.Service) (addr ident.Addr, fresh moment.Moment, d *defect.Defect) {
+	e := g.all[s]
+	if g.Open && e != nil {
+		return e.Addr, now.Add(Silent), nil
+	}
+	switch {
+	case e == nil:
+		d = defect.New(defect.Gate, "server %q is not here", s)
+	case e.Service != svc:
+		d = defect.New(defect.Gate, "server %q does not serve %q", s, svc)
+	case e.well(now) != record.Healthy:
+		d = defect.New(defect.Gate, "server %q is %s", s, e.well(now))
+	}
+	if d != nil {
+		g.Refused++
+		return "", 0, d
+	}
+	g.Passed++
+	return e.Addr, e.at.Add(Silent), nil
+}
+
+// Failed says that the endpoint took no connection.
+func (g *Gate) Failed(now moment.Moment, s ident.Server) Change {
+	e := g.all[s]
+	if e == nil {
+		return Change{}
+	}
+	e.sick = now.Add(sick)
+	if st := e.well(now); st != e.status {
+		e.status = st
+		return Change{News: true, Closed: []ident.Addr{e.Addr}}
+	}
+	return Change{}
+}
+
+// Leave marks every endpoint as leaving: the machine stops.
+func (g *Gate) Leave(now moment.Moment) Change {
+	for _, e := range g.all {
+		e.leaving = true
+		e.status = e.well(now)
+	}
+	return Change{News: true}
+}
+
+// Hand counts requests in hand at an endpoint.
+func (g *Gate) Hand(s ident.Server, by int) {
+	if e := g.all[s]; e != nil {
+		e.hand += by
+	}
+}
+
+// Workloads lists what the sidecar reports.
+func (g *Gate) Workloads() []record.Workload {
+	out := []record.Workload{}
+	for _, s := range g.servers() {
+		e := g.all[s]
+		out = append(out, record.Workload{UID: s, Service: e.Service, Addresses: []ident.Addr{e.Addr}, Weight: e.Weight, Status: e.status, Burden: e.Burden})
+	}
+	return out
+}
--- /dev/null
+++ b/mesh/path/path.go
@@ -0,0 +1,200 @@
+// Package path is a request's walk through the sidecar of its caller: way, pick,
+// send, return, and whether to try again.
+package path
+
+import (
+	"time"
+
+	"cottonarch.example/cottonarch/control/manifest/check"
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/mesh/allowance"
+	"cottonarch.example/cottonarch/mesh/pick"
+	"cottonarch.example/cottonarch/mesh/registry/index"
+	"cottonarch.example/cottonarch/mesh/way"
+)
+
+// Verdict is what became of one try.
+type Verdict string
+
+// The three verdicts. Invariant: NotRun is said only when it is proved, by the
+// gate's refusal or because no byte was sent, and never of something still queued.
+const (
+	Ran     Verdict = "ran"
+	NotRun  Verdict = "not-run"
+	Unsure  Verdict = "unknown"
+	leastMs         = 5 * time.Millisecond
+	tryMin          = 300 * time.Millisecond
+)
+
+// safe lists the methods that may be run twice.
+var safe = map[string]bool{"GET": true, "HEAD": true, "OPTIONS": true, "TRACE": true}
+
+// Call is one request of a caller. Invariant: risk is set once any try ended Unsure,
+// and from then on the fate is never said to be "no".
+type Call struct {
+	Host, Path, Method, Caller string
+	Until                      moment.Moment
+
+	Way     check.Way
+	Service check.Service
+	past    map[ident.Server]bool
+	tries   int
+	risk    bool
+	last    *defect.Defect
+	now     index.Entry
+}
+
+// Safe tells whether the call may be run twice.
+func (c *Call) Safe() bool { return safe[c.Method] }
+
+// Tries counts the tries so far.
+func (c *Call) Tries() int { return c.tries }
+
+// Choice is what to do next: send to Entry, or end with Defect.
+type Choice struct {
+	Entry  index.Entry
+	Limit  time.Duration
+	Defect *defect.Defect
+}
+
+// End is the end of one try. Turned says the gate refused; Lost that the machine
+// could not be reached or fell silent.
+type End struct {
+	Verdict Verdict
+	Defect  *defect.Defect
+	Turned  bool
+	Lost    bool
+}
+
+// Path holds what one sidecar knows. Invariant: the manifest only moves to higher
+// epochs.
+type Path struct {
+	Index    *index.Index
+	Picker   *pick.Picker
+	Tree     *allowance.Tree
+	manifest *check.Manifest
+	ways     *way.Table
+	// Reckless breaks the retry rule; only tests of the checkers set it.
+	Reckless bool
+	// Counters.
+	Calls, Further, GaveUp, NoWays uint64
+}
+
+// New makes a path without a manifest.
+func New(now moment.Moment, district ident.District, seed uint64) *Path {
+	return &Path{Index: index.New(), Picker: pick.New(district, seed), Tree: allowance.New(now), ways: way.Build(nil)}
+}
+
+// Epoch is the manifest epoch in force here.
+func (p *Path) Epoch() ident.Epoch {
+	if p.manifest == nil {
+		return 0
+	}
+	return p.manifest.Epoch
+}
+
+// Manifest is the one in force.
+func (p *Path) Manifest() *check.Manifest { return p.manifest }
+
+// Enforce puts a manifest in force unless it is older.
+func (p *Path) Enforce(m *check.Manifest) bool {
+	if m.Epoch <= p.Epoch() {
+		return false
+	}
+	p.manifest, p.ways = m, way.Build(m)
+	return true
+}
+
+// Way finds a call's way and sets its limit.
+func (p *Path) Way(now moment.Moment, c *Call, asked time.Duration) *defect.Defect {
+	if p.manifest == nil {
+		return defect.New(defect.NotReady, "no manifest is in force yet").Later(1)
+	}
+	w, d := p.ways.Find(c.Host, c.Path)
+	if d != nil {
+		p.NoWays++
+		return d
+	}
+	c.Way, c.Service, c.past = w, p.manifest.Services[w.Service], map[ident.Server]bool{}
+	limit := w.Limit
+	if asked > 0 && asked < limit {
+		limit = asked
+	}
+	c.Until = now.Add(limit)
+	p.Calls++
+	p.Tree.Call(now, w.Service, c.Caller)
+	return nil
+}
+
+// Next chooses the next try, or ends the call. Giving up is said at once.
+func (p *Path) Next(now moment.Moment, c *Call) Choice {
+	left := c.Until.Since(now)
+	if left < leastMs {
+		return p.give(c, defect.New(defect.Late, "the time for the request is over"))
+	}
+	if c.tries >= c.Way.Tries {
+		return p.give(c, c.last)
+	}
+	e, ok := p.Picker.Choose(now, p.Index.Workloads(c.Way.Service), c.past)
+	if !ok {
+		if c.last != nil {
+			return p.give(c, c.last)
+		}
+		return p.give(c, defect.New(defect.NoWorkload, "no well endpoint of %q", c.Way.Service).Later(1))
+	}
+	if c.tries > 0 {
+		if !p.Tree.Again(now, c.Service, c.Caller) {
+			return p.give(c, c.last)
+		}
+		p.Further++
+	}
+	c.tries++
+	c.past[e.UID] = true
+	c.now = e
+	p.Picker.Sent(e.UID)
+	if c.Safe() && c.tries < c.Way.Tries && left/2 > tryMin {
+		left /= 2
+	}
+	return Choice{Entry: e, Limit: left}
+}
+
+// Ended takes the end of the try that was out; again says whether another may follow.
+func (p *Path) Ended(now moment.Moment, c *Call, e End) (again bool) {
+	p.Picker.Back(now, c.now, e.Verdict == Unsure, e.Lost)
+	if e.Turned {
+		p.Picker.Refused(now, c.now.UID)
+	}
+	if e.Verdict == Ran {
+		return false
+	}
+	c.last = e.Defect
+	if e.Verdict == Unsure {
+		c.risk = true
+		return c.Safe() || p.Reckless
+	}
+	return true
+}
+
+// Final is the defect to end the call with, its fate as known.
+func (p *Path) Final(c *Call) *defect.Defect { return p.give(c, c.last).Defect }
+
+func (p *Path) give(c *Call, d *defect.Defect) Choice {
+	p.GaveUp++
+	if d == nil {
+		d = defect.New(defect.NoWorkload, "no try could be made")
+	}
+	end := *d
+	end.Fate = defect.FateNo
+	if c.risk {
+		end.Fate = defect.FateUnknown
+		if end.Code() == 503 {
+			end.Kind = defect.LostReturn
+		}
+	}
+	if end.Retry == 0 && (end.Fate == defect.FateNo || c.Safe()) && end.Kind != defect.NoWay {
+		end.Retry = 1
+	}
+	return Choice{Defect: &end}
+}
--- /dev/null
+++ b/stand/endpoint/endpoint.go
@@ -0,0 +1,231 @@
+// Package endpoint is a stand-in for an application's endpoint. It keeps a ledger of
+// every request that it ran.
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/mesh/gate"
+)
+
+// Mood is how an endpoint behaves.
+type Mood struct {
+	// Work is how long a request takes.
+	Work time.Duration
+	// Lose is the part of requests that are run and get no return.
+	Lose float64
+	// Garbage is the part that get a return that is none.
+	Garbage float64
+	// Cut is the part whose return breaks off in the middle.
+	Cut float64
+}
+
+// Ran is one line of the ledger.
+type Ran struct {
+	ID      string
+	Server  ident.Server
+	Service ident.Service
+	At      time.Time
+}
+
+// Ledger keeps what every endpoint of a run has run.
+type Ledger struct {
+	mu  sync.Mutex
+	all []Ran
+}
+
+// Add writes a line.
+func (l *Ledger) Add(r Ran) { l.mu.Lock(); l.all = append(l.all, r); l.mu.Unlock() }
+
+// All reads the ledger.
+func (l *Ledger) All() []Ran { l.mu.Lock(); defer l.mu.Unlock(); return append([]Ran(nil), l.all...) }
+
+// Boot describes one endpoint.
+type Boot struct {
+	Server  ident.Server
+	Service ident.Service
+	Addr    ident.Addr
+	Beat    ident.Addr // the sidecar's own address
+	Ledger  *Ledger
+	Mood    Mood
+	// Onward, when set, is the sidecar's caller address and a target for a call that
+	// each third request makes while it works.
+	Onward     ident.Addr
+	OnwardHost string
+	OnwardPath string
+}
+
+// Endpoint runs. Invariant: a request is in the ledger before its return is sent.
+type Endpoint struct {
+	Boot
+	srv     *http.Server
+	hand    atomic.Int64
+	count   atomic.Int64
+	state   atomic.Value
+	stop    chan struct{}
+	client  *http.Client
+	mood    atomic.Pointer[Mood]
+	mute    atomic.Bool
+	stopped sync.Once
+}
+
+// Echo is the return of every request: the caller checks it.
+type Echo struct {
+	ID      string        `json:"id"`
+	Server  ident.Server  `json:"serverId"`
+	Service ident.Service `json:"service"`
+	Path    string        `json:"path"`
+	Pad     string        `json:"pad"`
+}
+
+// Start listens and beats.
+func Start(b Boot) (*Endpoint, error) {
+	e := &Endpoint{Boot: b, stop: make(chan struct{}), client: &http.Client{Timeout: time.Second, Transport: &http.Transport{}}}
+	e.state.Store(gate.Alive)
+	e.mood.Store(&b.Mood)
+	lis, err := net.Listen("tcp", string(b.Addr))
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	e.srv = &http.Server{Handler: http.HandlerFunc(e.serve)}
+	go func() { _ = e.srv.Serve(lis) }()
+	go e.beats()
+	return e, nil
+}
+
+// Behave changes the mood.
+func (e *Endpoint) Behave(m Mood) { e.mood.Store(&m) }
+
+// Mute stops the beats while requests are still taken.
+func (e *Endpoint) Mute(on bool) { e.mute.Store(on) }
+
+func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	e.hand.Add(1)
+	defer e.hand.Add(-1)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	id := r.Header.Get("X-Request-Id")
+	if e.Ledger != nil {
+		e.Ledger.Add(Ran{ID: id, Server: e.Server, Service: e.Service, At: time.Now()})
+	}
+	n := e.count.Add(1)
+	m := e.mood.Load()
+	if m.Work > 0 {
+		t := time.NewTimer(m.Work)
+		<-t.C
+	}
+	if e.Onward != "" && n%3 == 0 && r.Header.Get("X-Onward") == "" {
+		e.onward(id)
+	}
+	x := rand.Float64()
+	echo, _ := json.Marshal(Echo{ID: id, Server: e.Server, Service: e.Service, Path: r.URL.Path, Pad: fmt.Sprintf("%0*d", 200+len(body)%100, 0)})
+	switch {
+	case x < m.Lose:
+		panic(http.ErrAbortHandler)
+	case x < m.Lose+m.Garbage:
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_, _ = c.Write([]byte("\x00\x17garbage that is no return\r\n\r\n"))
+			_ = c.Close()
+		}
+		return
+	case x < m.Lose+m.Garbage+m.Cut:
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Content-Length", fmt.Sprint(len(echo)))
+		_, _ = w.Write(echo[:len(echo)/2])
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(echo)
+}
+
+func (e *Endpoint) onward(id string) {
+	req, err := http.NewRequest("GET", "http://"+string(e.Onward)+e.OnwardPath, nil)
+	if err != nil {
+		return
+	}
+	req.Host = e.OnwardHost
+	req.Header.Set("X-Request-Id", id+"-on")
+	req.Header.Set("X-Onward", "1")
+	req.Header.Set("X-Caller", string(e.Service))
+	if res, err := e.client.Do(req); err == nil {
+		_, _ = io.Copy(io.Discard, res.Body)
+		_ = res.Body.Close()
+	}
+}
+
+func (e *Endpoint) beat(s gate.State) bool {
+	raw, _ := json.Marshal(gate.Beat{Server: e.Server, Service: e.Service, Addr: e.Addr, State: s, Burden: float64(e.hand.Load()) / 16})
+	ctx, done := context.WithTimeout(context.Background(), 400*time.Millisecond)
+	defer done()
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+string(e.Beat)+"/beat", bytes.NewReader(raw))
+	if err != nil {
+		return false
+	}
+	res, err := e.client.Do(req)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+	return res.StatusCode == 200
+}
+
+func (e *Endpoint) beats() {
+	t := time.NewTicker(gate.BeatEvery)
+	defer t.Stop()
+	for {
+		if !e.mute.Load() {
+			e.beat(e.state.Load().(gate.State))
+		}
+		select {
+		case <-t.C:
+		case <-e.stop:
+			return
+		}
+	}
+}
+
+// Leave says that the endpoint will leave; it answers when that is confirmed.
+func (e *Endpoint) Leave() bool {
+	e.state.Store(gate.Leaving)
+	return e.beat(gate.Leaving)
+}
+
+// Stop leaves, finishes what is in hand, signs off and ends.
+func (e *Endpoint) Stop(drain time.Duration) {
+	e.Leave()
+	ctx, done := context.WithTimeout(context.Background(), drain)
+	defer done()
+	t := time.NewTicker(20 * time.Millisecond)
+	defer t.Stop()
+	for quiet := 0; quiet < 5 && ctx.Err() == nil; {
+		<-t.C
+		if quiet++; e.hand.Load() > 0 {
+			quiet = 0
+		}
+	}
+	e.stopped.Do(func() { close(e.stop) })
+	e.beat(gate.Gone)
+	_ = e.srv.Shutdown(ctx)
+	e.client.CloseIdleConnections()
+}
+
+// Die ends at once, without a word.
+func (e *Endpoint) Die() {
+	e.stopped.Do(func() { close(e.stop) })
+	_ = e.srv.Close()
+	e.client.CloseIdleConnections()
+}
--- /dev/null
+++ b/storage/ring/folder.go
@@ -0,0 +1,171 @@
+package ring
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"cottonarch.example/cottonarch/kernel/defect"
+)
+
+// File is what the ring needs of a preallocated file.
+type File interface {
+	ReadAt(p []byte, off int64) (int, error)
+	WriteAt(p []byte, off int64) (int, error)
+	Sync() error
+}
+
+// Folder opens preallocated files; a file that was not there is all zeros.
+type Folder interface {
+	Open(name string, size int64) (File, error)
+}
+
+// Dir is a Folder on a real disk. Invariant: one process holds it at a time.
+type Dir struct {
+	path string
+	lock *os.File
+}
+
+// OpenDir makes and locks the data folder.
+func OpenDir(path string) (*Dir, error) {
+	if err := os.MkdirAll(path, 0o755); err != nil {
+		return nil, defect.Wrap(err, defect.DiskFailed, "make data folder")
+	}
+	lock, err := os.OpenFile(filepath.Join(path, "lock"), os.O_CREATE|os.O_RDWR, 0o644)
+	if err != nil {
+		return nil, defect.Wrap(err, defect.DiskFailed, "open lock")
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = lock.Close()
+		return nil, defect.Wrap(err, defect.DiskFailed, "another process holds the data folder")
+	}
+	return &Dir{path: path, lock: lock}, nil
+}
+
+// Close lets the folder go.
+func (d *Dir) Close() error { return defect.Wrap(d.lock.Close(), defect.DiskFailed, "close") }
+
+// Open opens one file, filling it with zeros up to its size.
+func (d *Dir) Open(name string, size int64) (File, error) {
+	f, err := os.OpenFile(filepath.Join(d.path, name), os.O_CREATE|os.O_RDWR, 0o644)
+	if err != nil {
+		return nil, defect.Wrap(err, defect.DiskFailed, "open "+name)
+	}
+	stat, err := f.Stat()
+	if err != nil {
+		return nil, defect.Wrap(err, defect.DiskFailed, "stat "+name)
+	}
+	if stat.Size() > size {
+		return nil, defect.New(defect.Damaged, "%s is longer than the ring's file size", name)
+	}
+	zero := make([]byte, 1<<20)
+	for at := stat.Size(); at < size; {
+		n := min(int64(len(zero)), size-at)
+		if _, err := f.WriteAt(zero[:n], at); err != nil {
+			return nil, defect.Wrap(err, defect.DiskFailed, "preallocate "+name)
+		}
+		at += n
+	}
+	if stat.Size() < size {
+		if err := f.Sync(); err != nil {
+			return nil, defect.Wrap(err, defect.DiskFailed, "sync "+name)
+		}
+		if dir, err := os.Open(d.path); err == nil {
+			err = dir.Sync()
+			_ = dir.Close()
+			if err != nil {
+				return nil, defect.Wrap(err, defect.DiskFailed, "sync folder")
+			}
+		}
+	}
+	return f, nil
+}
+
+// Mem is a Folder in memory that loses or tears what was not synced. Invariant:
+// solid holds only what a Sync covered, or what Crash chose to keep of the rest.
+type Mem struct {
+	Files map[string]*MemFile
+	// Fail, when set, is asked before each write or sync and may fail it.
+	Fail func(deed string) error
+}
+
+// MemFile is one file of a Mem.
+type MemFile struct {
+	owner *Mem
+	solid []byte
+	soft  []byte
+	late  []patch
+}
+
+type patch struct {
+	off  int64
+	data []byte
+}
+
+// NewMem makes an empty disk.
+func NewMem() *Mem { return &Mem{Files: map[string]*MemFile{}} }
+
+// Open opens a file.
+func (m *Mem) Open(name string, size int64) (File, error) {
+	if f, ok := m.Files[name]; ok {
+		return f, nil
+	}
+	f := &MemFile{owner: m, solid: make([]byte, size), soft: make([]byte, size)}
+	m.Files[name] = f
+	return f, nil
+}
+
+// ReadAt reads what the process sees.
+func (f *MemFile) ReadAt(p []byte, off int64) (int, error) {
+	if off >= int64(len(f.soft)) {
+		return 0, fmt.Errorf("read past end: %w", os.ErrInvalid)
+	}
+	return copy(p, f.soft[off:]), nil
+}
+
+// WriteAt writes softly.
+func (f *MemFile) WriteAt(p []byte, off int64) (int, error) {
+	if f.owner.Fail != nil {
+		if err := f.owner.Fail("write"); err != nil {
+			return 0, err
+		}
+	}
+	copy(f.soft[off:], p)
+	f.late = append(f.late, patch{off, append([]byte(nil), p...)})
+	return len(p), nil
+}
+
+// Sync makes the writes solid.
+func (f *MemFile) Sync() error {
+	if f.owner.Fail != nil {
+		if err := f.owner.Fail("sync"); err != nil {
+			return err
+		}
+	}
+	for _, p := range f.late {
+		copy(f.solid[p.off:], p.data)
+	}
+	f.late = nil
+	return nil
+}
+
+// Crash loses power: of every unsynced write, keep says how many bytes stayed.
+func (m *Mem) Crash(keep func(n int) int) {
+	for _, f := range m.Files {
+		for _, p := range f.late {
+			n := keep(len(p.data))
+			copy(f.solid[p.off:], p.data[:n])
+		}
+		f.late = nil
+		copy(f.soft, f.solid)
+	}
+	m.Fail = nil
+}
+
+// Flip damages one solid byte.
+func (m *Mem) Flip(name string, off int64) {
+	f := m.Files[name]
+	f.solid[off] ^= 0x5a
+	f.soft[off] = f.solid[off]
+}
--- /dev/null
+++ b/storage/ring/ring_test.go
@@ -0,0 +1,168 @@
+package ring
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"cottonarch.example/cottonarch/kernel/defect"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+)
+
+func see(r *Ring) map[string]string {
+	out := map[string]string{}
+	for _, rec := range r.Records() {
+		out[rec.Tag] = string(rec.Data)
+	}
+	return out
+}
+
+// Power is lost at every single write point of a long run; what a Sync covered is
+// always there afterwards, and nothing older ever comes back.
+func TestPowerLossAtEachWritePoint(t *testing.T) {
+	boot := Boot{Files: 4, Size: 2048}
+	cut := errors.New("power is gone")
+	for point := 1; point < 400; point++ {
+		box, left := NewMem(), point
+		rng := rand.New(rand.NewPCG(7, uint64(point)))
+		box.Fail = func(string) error {
+			if left--; left <= 0 {
+				return cut
+			}
+			return nil
+		}
+		sure, maybe := map[string]string{}, map[string]string{}
+		lap := func(r *Ring) error {
+			for i := range 200 {
+				tag, data := fmt.Sprintf("k%d", rng.IntN(12)), fmt.Sprintf("%d-%0*d", i, rng.IntN(90)+1, point)
+				maybe[tag] = data
+				if err := r.Append([]Record{{tag, []byte(data)}}); err != nil {
+					return err
+				}
+				if rng.IntN(3) == 0 {
+					if err := r.Sync(); err != nil {
+						return err
+					}
+					for k, v := range maybe {
+						sure[k] = v
+					}
+				}
+			}
+			return nil
+		}
+		r, err := Open(box, boot)
+		if err == nil {
+			err = lap(r)
+		}
+		if err == nil {
+			continue
+		}
+		for again := range 3 { // and again while recovering
+			box.Crash(func(n int) int { return rng.IntN(n + 1) })
+			if again < 2 {
+				left = rng.IntN(12) + 1
+				box.Fail = func(string) error {
+					if left--; left <= 0 {
+						return cut
+					}
+					return nil
+				}
+			}
+			r, err = Open(box, boot)
+			if err == nil {
+				break
+			}
+			must.True(t, errors.Is(err, cut) && again < 2, must.Sprintf("point %d: %v", point, err))
+		}
+		box.Fail = nil
+		got := see(r)
+		for tag, data := range sure {
+			// Only values written later, and never confirmed, may stand instead.
+			var old, now int
+			_, _ = fmt.Sscanf(data, "%d-", &old)
+			_, err := fmt.Sscanf(got[tag], "%d-", &now)
+			must.NoError(t, err, must.Sprintf("point %d tag %s lost", point, tag))
+			must.LessEq(t, now, old, must.Sprintf("point %d tag %s went back", point, tag))
+		}
+		must.NoError(t, r.Append([]Record{{"after", []byte("x")}}))
+		must.NoError(t, r.Sync())
+	}
+}
+
+// Any synced byte that is flipped is recognised, never read as good.
+func TestDamageIsRecognised(t *testing.T) {
+	boot := Boot{Files: 4, Size: 1024}
+	build := func() (*Mem, map[string]string) {
+		box := NewMem()
+		r, err := Open(box, boot)
+		must.NoError(t, err)
+		for i := range 40 {
+			must.NoError(t, r.Append([]Record{{fmt.Sprintf("k%d", i%5), []byte(fmt.Sprintf("value-%d", i))}}))
+			must.NoError(t, r.Sync())
+		}
+		return box, see(r)
+	}
+	box, want := build()
+	again, err := Open(box, boot)
+	must.NoError(t, err)
+	must.Eq(t, want, see(again))
+	caught := 0
+	for file := range boot.Files {
+		for off := int64(0); off < boot.Size; off += 3 {
+			box, _ := build()
+			box.Flip(fmt.Sprintf("ring-%03d", file), off)
+			r, err := Open(box, boot)
+			if err != nil {
+				test.Eq(t, defect.Damaged, defect.Of(err).Kind)
+				caught++
+				continue
+			}
+			// Harmless places are dead bytes; the last record of all cannot be told
+			// from a torn tail and is the single loss allowed.
+			got := see(r)
+			for tag, data := range want {
+				if got[tag] != data && data != "value-39" {
+					t.Fatalf("file %d byte %d: %s read as %q", file, off, tag, got[tag])
+				}
+			}
+		}
+	}
+	test.Greater(t, 100, caught)
+}
+
+// Records that are never rewritten outlive many laps.
+func TestLiveRecordsMoveForward(t *testing.T) {
+	box := NewMem()
+	r, err := Open(box, Boot{Files: 4, Size: 1024})
+	must.NoError(t, err)
+	must.NoError(t, r.Append([]Record{{"old", []byte("stays")}}))
+	for i := range 500 {
+		must.NoError(t, r.Append([]Record{{"hot", []byte(fmt.Sprint(i))}}))
+	}
+	must.NoError(t, r.Sync())
+	test.Greater(t, 5, r.Moves)
+	box.Crash(func(int) int { return 0 })
+	r, err = Open(box, Boot{Files: 4, Size: 1024})
+	must.NoError(t, err)
+	test.Eq(t, map[string]string{"old": "stays", "hot": "499"}, see(r))
+}
+
+// A failed sync ends the ring until it is opened anew.
+func TestSyncErrorBreaksTheRing(t *testing.T) {
+	box := NewMem()
+	r, err := Open(box, Boot{Files: 4, Size: 1024})
+	must.NoError(t, err)
+	must.NoError(t, r.Append([]Record{{"a", []byte("1")}}))
+	box.Fail = func(deed string) error {
+		if deed == "sync" {
+			return errors.New("bad disk")
+		}
+		return nil
+	}
+	must.Error(t, r.Sync())
+	box.Fail = nil
+	test.Eq(t, defect.DiskFailed, defect.Of(r.Sync()).Kind)
+	test.Error(t, r.Append([]Record{{"a", []byte("2")}}))
+}
--- /dev/null
+++ b/wire/client/client.go
@@ -0,0 +1,85 @@
+// Package client is how processes of the mesh ask each other, over kratos' client.
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
+)
+
+// Pool keeps one kratos client an address.
+type Pool struct {
+	mu   sync.Mutex
+	all  map[ident.Addr]*khttp.Client
+	trip *http.Transport
+}
+
+// New makes a pool. The time limit is each call's own, so kratos' is switched off.
+func New() *Pool {
+	return &Pool{all: map[ident.Addr]*khttp.Client{}, trip: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: 500 * time.Millisecond, KeepAlive: 10 * time.Second}).DialContext,
+		MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+	}}
+}
+
+func (p *Pool) at(addr ident.Addr) (*khttp.Client, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.all[addr]; ok {
+		return c, nil
+	}
+	c, err := khttp.NewClient(context.Background(), khttp.WithEndpoint(string(addr)), khttp.WithTimeout(0), khttp.WithTransport(p.trip),
+		khttp.WithErrorDecoder(decode))
+	if err != nil {
+		return nil, defect.Wrap(err, defect.Internal, "client")
+	}
+	p.all[addr] = c
+	return c, nil
+}
+
+// decode turns a return of the mesh back into its defect.
+func decode(_ context.Context, res *http.Response) error {
+	if res.StatusCode >= 200 && res.StatusCode < 300 {
+		return nil
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(res.Body, 1<<20))
+	if err != nil {
+		return defect.Wrap(err, defect.LostReturn, "read return")
+	}
+	d := &defect.Defect{}
+	if json.Unmarshal(data, d) != nil || d.Kind == "" {
+		return defect.Unsure(defect.BadReturn, "status %d", res.StatusCode)
+	}
+	return d
+}
+
+// Ask sends one JSON request and reads its JSON return.
+func (p *Pool) Ask(ctx context.Context, addr ident.Addr, method, path string, args, into any) error {
+	c, err := p.at(addr)
+	if err != nil {
+		return err
+	}
+	if into == nil {
+		into = &struct{}{}
+	}
+	if err := c.Invoke(ctx, method, path, args, into); err != nil {
+		if d := (*defect.Defect)(nil); defect.Find(err, &d) {
+			return d
+		}
+		return defect.Wrap(err, defect.LostReturn, "ask "+path)
+	}
+	return nil
+}
+
+// Close lets idle connections go.
+func (p *Pool) Close() { p.trip.CloseIdleConnections() }
--- /dev/null
+++ b/wire/server/server.go
@@ -0,0 +1,89 @@
+// Package server makes HTTP servers on kratos' transport.
+package server
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-kratos/kratos/v2/log"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"go.uber.org/zap"
+
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/wire/reply"
+)
+
+// Server is a kratos server.
+type Server = khttp.Server
+
+// New makes a server. kratos' own limit of one second is switched off: requests
+// carry their own. front, when given, sees every request before the table of paths
+// and before any path is cleaned, and answers true when it has served it.
+func New(addr ident.Addr, front func(http.ResponseWriter, *http.Request) bool) *Server {
+	opts := []khttp.ServerOption{
+		khttp.Address(string(addr)), khttp.Timeout(0), khttp.StrictSlash(false),
+		khttp.NotFoundHandler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			reply.Defect(w, defect.New(defect.Missing, "there is nothing at %s", r.URL.Path))
+		})),
+		khttp.MethodNotAllowedHandler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			reply.Defect(w, defect.New(defect.NotPermitted, "%s is not for %s", r.Method, r.URL.Path))
+		})),
+	}
+	if front != nil {
+		opts = append(opts, khttp.Filter(func(next http.Handler) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if !front(w, r) {
+					next.ServeHTTP(w, r)
+				}
+			})
+		}))
+	}
+	s := khttp.NewServer(opts...)
+	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = 10*time.Second, 90*time.Second, 64<<10
+	return s
+}
+
+// Paths is a table of paths, each with its methods.
+type Paths map[string]map[string]http.HandlerFunc
+
+// Register puts the table on a server.
+func (p Paths) Register(s *Server) {
+	// Longer paths first: a pattern may cover a shorter one's tail.
+	order := slices.SortedFunc(maps.Keys(p), func(a, b string) int {
+		if len(a) != len(b) {
+			return len(b) - len(a)
+		}
+		return strings.Compare(a, b)
+	})
+	for _, path := range order {
+		methods := p[path]
+		s.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+			serve, ok := methods[r.Method]
+			if !ok {
+				reply.Defect(w, defect.New(defect.NotPermitted, "%s is not for %s", r.Method, r.URL.Path))
+				return
+			}
+			serve(w, r)
+		})
+	}
+}
+
+type quiet struct{ log *zap.Logger }
+
+func (q quiet) Log(level log.Level, kv ...any) error {
+	if level >= log.LevelWarn {
+		q.log.Warn("kratos", zap.Any("said", kv))
+	}
+	return nil
+}
+
+// Logger gives kratos' lines, from warnings up, to zap.
+func Logger(l *zap.Logger) log.Logger {
+	out := quiet{l}
+	log.SetLogger(out)
+	return out
+}
