--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -753,3 +753,7 @@
 	}
 	return true
 }
+
+// Amnesia makes the replica forget everything, which no real disk may; the
+// simulator uses it to see its checkers catch that.
+func (n *Node) Amnesia() { n.rep = replica.New(n.Disk) }
--- a/control/core/node/tick.go
+++ b/control/core/node/tick.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -229,7 +230,8 @@
 		if e.Defect != nil || book.Read(nil, e.Body, nil, &s) != nil {
 			return
 		}
-		for node, g := range s.Nodes {
+		for _, node := range slices.Sorted(maps.Keys(s.Nodes)) {
+			g := s.Nodes[node]
 			if !n.quietEverywhere(now, node) {
 				continue
 			}
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -23,6 +23,7 @@
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/kernel/queue"
+	"cottonarch.example/cottonarch/mesh/claim/holder"
 	"cottonarch.example/cottonarch/mesh/gate"
 	"cottonarch.example/cottonarch/mesh/path"
 	"cottonarch.example/cottonarch/mesh/registry/record"
@@ -63,8 +64,7 @@
 	seq      uint64
 	news     bool
 	cores    []ident.Addr
-	acks     map[ident.Disk]moment.Moment
-	voters   int
+	held     *holder.Holder
 	lastCore moment.Moment
 	began    moment.Moment
 	hand     int
@@ -84,7 +84,7 @@
 	now := clock()
 	return &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, pool: client.New(), peers: exchange.New(), ends: exchange.New(),
 		done: make(chan struct{}), urgent: queue.Make[*job](b.Queue), normal: queue.Make[*job](b.Queue),
-		path: path.New(now, b.District, h.Sum64()), gate: gate.New(), cores: slices.Clone(b.Seeds), acks: map[ident.Disk]moment.Moment{},
+		path: path.New(now, b.District, h.Sum64()), gate: gate.New(), cores: slices.Clone(b.Seeds), held: holder.New(),
 		began: now, lastCore: now, poke: make(chan struct{}, 1), push: make(chan struct{}, 1)}
 }
 
@@ -209,19 +209,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.join(got.Cores)
-	s.voters = got.Voters
 	s.lastCore = s.clock()
-	if got.Votes {
-		s.acks[got.Disk] = max(s.acks[got.Disk], sent)
-	}
-	// The share holds from the newest moment by which a majority had taken a renewal.
-	times := make([]moment.Moment, 0, len(s.acks))
-	for _, at := range s.acks {
-		times = append(times, at)
-	}
-	slices.Sort(times)
-	if need := s.voters/2 + 1; s.voters > 0 && len(times) >= need {
-		s.path.Tree.Renewed(times[len(times)-need])
+	s.held.Renewed(sent, got.Disk, got.Votes, got.Voters)
+	if at := s.held.Majority(); at != 0 {
+		s.path.Tree.Renewed(at)
 	}
 	if got.Manifest > s.path.Epoch() {
 		s.kick(s.poke)
--- a/mesh/gate/gate.go
+++ b/mesh/gate/gate.go
@@ -18,9 +18,14 @@
 	Silent = 1100 * time.Millisecond
 	// BeatEvery is what endpoints are asked to keep to.
 	BeatEvery = 300 * time.Millisecond
-	forget    = 4 * time.Second
-	gone      = 3 * time.Second
-	sick      = 700 * time.Millisecond
+	// pause is how long without a Tick means that this process was held up.
+	pause = 400 * time.Millisecond
+	// shy is how long after being held up beats are not trusted: they may have lain
+	// in a socket since before the endpoint's end.
+	shy    = 500 * time.Millisecond
+	forget = 4 * time.Second
+	gone   = 3 * time.Second
+	sick   = 700 * time.Millisecond
 )
 
 // State is what a beat says.
@@ -61,11 +66,12 @@
 	all   map[ident.Server]*entry
 	spots map[ident.Addr]ident.Server
 	off   map[ident.Server]moment.Moment
-	seq   uint64
+	tick  moment.Moment
+	shy   moment.Moment
 	// Open, when set, switches the checks off; only tests of the checkers do that.
 	Open bool
 	// Counters.
-	Passed, Refused, Forgotten uint64
+	Passed, Refused, Forgotten, Stale uint64
 }
 
 // New makes a gate without endpoints.
@@ -82,9 +88,19 @@
 // states is the table of what each state of a beat does.
 var states = map[State]func(*Gate, moment.Moment, Beat) Change{Alive: (*Gate).alive, Leaving: (*Gate).leave, Gone: (*Gate).signOff}
 
+// held tells whether this process was held up just now, so that what it hears may
+// be old. Invariant: an old beat never makes a server well.
+func (g *Gate) held(now moment.Moment) bool {
+	return g.shy.After(now) || g.tick != 0 && now.Since(g.tick) > pause
+}
+
 // Take takes a beat.
 func (g *Gate) Take(now moment.Moment, b Beat) (Change, *defect.Defect) {
 	take, ok := states[b.State]
+	if g.held(now) && b.State == Alive {
+		g.Stale++
+		return Change{}, nil
+	}
 	if !ok {
 		return Change{}, defect.New(defect.Invalid, "state must be alive, leaving or gone")
 	}
@@ -130,7 +146,10 @@
 func far(a, b float64) bool { return a-b > 0.1 || b-a > 0.1 }
 
 func (g *Gate) leave(now moment.Moment, b Beat) Change {
-	c := g.alive(now, b)
+	var c Change
+	if !g.held(now) {
+		c = g.alive(now, b)
+	}
 	e := g.all[b.Server]
 	if e == nil {
 		return c
@@ -174,6 +193,10 @@
 
 // Tick forgets the silent.
 func (g *Gate) Tick(now moment.Moment) (c Change) {
+	if g.tick != 0 && now.Since(g.tick) > pause {
+		g.shy = now.Add(shy)
+	}
+	g.tick = now
 	for _, s := range g.servers() {
 		e := g.all[s]
 		if now.Since(e.at) > forget {
@@ -214,6 +237,8 @@
 		return e.Addr, now.Add(Silent), nil
 	}
 	switch {
+	case g.held(now):
+		d = defect.New(defect.Gate, "this machine was held up")
 	case e == nil:
 		d = defect.New(defect.Gate, "server %q is not here", s)
 	case e.Service != svc:
--- /dev/null
+++ b/sim/world/call.go
@@ -0,0 +1,170 @@
+package world
+
+import (
+	"fmt"
+	"time"
+
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/mesh/path"
+	"cottonarch.example/cottonarch/sim/check"
+)
+
+// Kind is one kind of request.
+type Kind struct {
+	Name, Method, Host, Path string
+	Service                  ident.Service
+	Weight                   int
+}
+
+// Call sends one request from the callers of a machine.
+func (w *World) Call(s *Side, k Kind) {
+	w.calls++
+	id := fmt.Sprintf("%s-%d", k.Name, w.calls)
+	rec := &check.Call{ID: id, Service: k.Service, Unsafe: k.Method != "GET", Began: w.now}
+	w.Check.Calls = append(w.Check.Calls, rec)
+	if !s.up {
+		rec.Fate = check.NoNode
+		return
+	}
+	gen := s.gen
+	w.After(50*time.Microsecond, func() {
+		s.run(gen, func() {
+			c := &path.Call{Host: k.Host, Path: k.Path, Method: k.Method, Caller: string(s.Node)}
+			if d := s.path.Way(s.clock(), c, 0); d != nil {
+				w.end(rec, d)
+				return
+			}
+			rec.Counted = true
+			s.next(gen, c, rec)
+		})
+	})
+}
+
+func (w *World) end(rec *check.Call, d *defect.Defect) {
+	rec.Ended = w.now
+	switch {
+	case d == nil:
+		rec.Fate = check.Served
+	case d.Fate == defect.FateNo:
+		rec.Fate, rec.Why = check.NotRun, string(d.Kind)
+	default:
+		rec.Fate, rec.Why = check.Unknown, string(d.Kind)
+	}
+}
+
+func (s *Side) next(gen int, c *path.Call, rec *check.Call) {
+	w := s.w
+	ch := s.path.Next(s.clock(), c)
+	if ch.Defect != nil {
+		w.end(rec, ch.Defect)
+		return
+	}
+	if c.Tries() > 1 {
+		w.Check.Try(w.now, c.Way.Service)
+	}
+	over := false
+	done := func(e path.End) {
+		if over {
+			return
+		}
+		over = true
+		s.run(gen, func() {
+			again := s.path.Ended(s.clock(), c, e)
+			switch {
+			case e.Verdict == path.Ran:
+				w.end(rec, nil)
+			case !again:
+				w.end(rec, s.path.Final(c))
+			default:
+				s.next(gen, c, rec)
+			}
+		})
+	}
+	unsure := func(kind defect.Kind) path.End {
+		return path.End{Verdict: path.Unsure, Defect: defect.Unsure(kind, "no return"), Lost: kind == defect.LostReturn}
+	}
+	w.After(ch.Limit, func() { done(unsure(defect.Late)) })
+	to := w.sideAt(ch.Entry.Gate)
+	if to == s {
+		s.pass(ch, c, rec, done)
+		return
+	}
+	if to == nil || !to.up {
+		w.After(time.Millisecond, func() { done(path.End{Verdict: path.NotRun, Defect: defect.New(defect.Unreached, "down"), Lost: true}) })
+		return
+	}
+	if !w.Links.Open(s.Addr, to.Addr) || !w.Links.Open(to.Addr, s.Addr) {
+		w.After(300*time.Millisecond, func() { done(path.End{Verdict: path.NotRun, Defect: defect.New(defect.Unreached, "cut"), Lost: true}) })
+		return
+	}
+	tg := to.gen
+	w.After(w.delay(), func() {
+		if !to.up || to.gen != tg {
+			done(unsure(defect.LostReturn))
+			return
+		}
+		to.run(tg, func() {
+			to.pass(ch, c, rec, func(e path.End) {
+				if w.Links.Open(to.Addr, s.Addr) && to.up && to.gen == tg {
+					w.After(w.delay(), func() { done(e) })
+				}
+			})
+		})
+	})
+}
+
+func (w *World) sideAt(a ident.Addr) *Side {
+	for _, s := range w.Sides {
+		if s.Addr == a {
+			return s
+		}
+	}
+	return nil
+}
+
+// pass is the gate and what lies behind it.
+func (s *Side) pass(ch path.Choice, c *path.Call, rec *check.Call, done func(path.End)) {
+	w, gen := s.w, s.gen
+	turned := func(d *defect.Defect) { done(path.End{Verdict: path.NotRun, Defect: d, Turned: true}) }
+	addr, _, d := s.gate.Pass(s.clock(), ch.Entry.UID, ch.Entry.Service)
+	if d != nil {
+		turned(d)
+		return
+	}
+	w.After(150*time.Microsecond, func() { // the dial
+		s.run(gen, func() {
+			e := w.spots[addr]
+			if e == nil {
+				if ch := s.gate.Failed(s.clock(), ch.Entry.UID); ch.News {
+					s.news = true
+				}
+				turned(defect.New(defect.Unreached, "no connection"))
+				return
+			}
+			if _, _, d := s.gate.Pass(s.clock(), ch.Entry.UID, ch.Entry.Service); d != nil {
+				turned(d)
+				return
+			}
+			w.Check.Ran(check.Run{ID: rec.ID, Server: e.Server, Service: e.Service, Asked: c.Way.Service, At: w.now, LeftAt: e.leftAt, Unsafe: rec.Unsafe})
+			e.hand++
+			x := w.Rng.Float64()
+			work := e.Mood.Work/2 + time.Duration(w.Rng.Int64N(int64(e.Mood.Work)+1))
+			w.After(work, func() {
+				e.hand--
+				lost := path.End{Verdict: path.Unsure, Defect: defect.Unsure(defect.LostReturn, "the endpoint ended")}
+				switch {
+				case !e.up:
+					s.run(gen, func() { done(lost) })
+				case x < e.Mood.Lose:
+				case x < e.Mood.Lose+e.Mood.Garbage:
+					s.run(gen, func() {
+						done(path.End{Verdict: path.Unsure, Defect: defect.Unsure(defect.BadReturn, "garbage")})
+					})
+				default:
+					s.run(gen, func() { done(path.End{Verdict: path.Ran}) })
+				}
+			})
+		})
+	})
+}
--- /dev/null
+++ b/sim/world/core.go
@@ -0,0 +1,327 @@
+package world
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"cottonarch.example/cottonarch/control/core/message"
+	"cottonarch.example/cottonarch/control/core/node"
+	"cottonarch.example/cottonarch/control/manifest/check"
+	"cottonarch.example/cottonarch/control/manifest/offer"
+	"cottonarch.example/cottonarch/control/manifest/walk"
+	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/storage/ring"
+)
+
+const coreTick = 20 * time.Millisecond
+
+// proc is what every simulated process has. Invariants: gen rises with each start,
+// and nothing meant for an older one runs; a frozen process runs nothing, what
+// arrives waits and is run at the thaw.
+type proc struct {
+	w       *World
+	Addr    ident.Addr
+	up      bool
+	frozen  bool
+	gen     int
+	born    moment.Moment
+	rate    float64
+	backlog []func()
+}
+
+func (p *proc) clock() moment.Moment {
+	return moment.Moment(float64(p.w.now-p.born)*p.rate) + moment.Moment(time.Second)
+}
+
+func (p *proc) start() {
+	p.up, p.frozen, p.backlog = true, false, nil
+	p.gen++
+	p.born = p.w.now
+	p.rate = 0.99 + 0.02*p.w.Rng.Float64()
+}
+
+// run runs something in the process if it is still the same run of it.
+func (p *proc) run(gen int, do func()) {
+	if !p.up || p.gen != gen {
+		return
+	}
+	if p.frozen {
+		if len(p.backlog) < 5000 {
+			p.backlog = append(p.backlog, func() { p.run(gen, do) })
+		}
+		return
+	}
+	do()
+}
+
+// Freeze stops the process for a while.
+func (p *proc) Freeze(d time.Duration) {
+	if !p.up || p.frozen {
+		return
+	}
+	p.frozen = true
+	gen := p.gen
+	p.w.After(d, func() {
+		if p.gen != gen || !p.up {
+			return
+		}
+		p.frozen = false
+		list := p.backlog
+		p.backlog = nil
+		// What waited runs in no order of its own.
+		p.w.Rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		for _, do := range list {
+			do()
+		}
+	})
+}
+
+// Core is a simulated core machine.
+type Core struct {
+	proc
+	District ident.District
+	mem      *ring.Mem
+	ring     *ring.Ring
+	node     *node.Node
+	jobs     []node.Effects
+	writing  bool
+	Slow     time.Duration
+	broken   bool
+	ends     map[uint64]func(node.End)
+	ticket   uint64
+	held     *check.Manifest
+	raw      json.RawMessage
+	reading  bool
+	busy     moment.Moment
+}
+
+// NewCore makes a core machine with an empty disk.
+func (w *World) NewCore(addr ident.Addr, d ident.District) *Core {
+	c := &Core{proc: proc{w: w, Addr: addr}, District: d, mem: ring.NewMem()}
+	w.Cores = append(w.Cores, c)
+	return c
+}
+
+// Start starts the process from whatever its disk holds.
+func (c *Core) Start() {
+	w := c.w
+	c.start()
+	c.jobs, c.writing, c.ends, c.held, c.raw, c.reading, c.busy = nil, false, map[uint64]func(node.End){}, nil, nil, false, 0
+	c.mem.Fail = nil
+	var err error
+	if c.ring, err = ring.Open(c.mem, w.Ring); err != nil {
+		// A damaged disk is never used: the machine comes back empty.
+		w.Say("core %s: %v", c.Addr, err)
+		c.mem = ring.NewMem()
+		c.ring, _ = ring.Open(c.mem, w.Ring)
+	}
+	mark := fmt.Sprintf("%s-%d", c.Addr, c.gen)
+	var first []ring.Record
+	c.node, first, err = node.New(c.clock(), node.Boot{Addr: c.Addr, District: c.District, Seeds: w.Seeds, Founders: w.Founders, Mark: mark, Machine: w.Machine,
+		NewDisk: func() ident.Disk { w.disks++; return ident.Disk(fmt.Sprintf("disk%d", w.disks)) }}, c.ring.Records())
+	if err != nil {
+		w.Breach("disk", "core %s can't read its own disk: %v", c.Addr, err)
+		return
+	}
+	_ = c.ring.Append(first)
+	_ = c.ring.Sync()
+	if c.broken {
+		c.mem.Fail = func(string) error { return fmt.Errorf("the disk failed") }
+	}
+	c.ticker(c.gen, 0)
+}
+
+func (c *Core) ticker(gen, n int) {
+	c.run(gen, func() {
+		now := c.clock()
+		c.node.Break(c.broken || c.busy != 0 && now.Since(c.busy) > 1500*time.Millisecond)
+		c.out(c.node.Tick(now))
+		if n%25 == 0 {
+			c.follow()
+		}
+		if c.w.Forget && n%50 == 49 { // a replica that forgets, to see it caught
+			c.node.Amnesia()
+		}
+	})
+	if c.up && c.gen == gen {
+		c.w.After(coreTick, func() { c.ticker(gen, n+1) })
+	}
+}
+
+// Kill ends the process at once; power says whether unsynced writes may be lost too.
+func (c *Core) Kill(power bool) {
+	if !c.up {
+		return
+	}
+	c.up = false
+	c.mem.Crash(func(n int) int {
+		if !power {
+			return n
+		}
+		return c.w.Rng.IntN(n + 1)
+	})
+}
+
+// Empty takes the disk away; addr, when given, is where the machine comes back.
+func (c *Core) Empty(addr ident.Addr) {
+	c.mem = ring.NewMem()
+	c.broken = false
+	if addr != "" {
+		c.Addr = addr
+	}
+}
+
+// Stop is a planned stop.
+func (c *Core) Stop(after func()) {
+	gen := c.gen
+	c.run(gen, func() { c.out(c.node.Leave(c.clock())) })
+	c.left(gen, 200, after)
+}
+
+func (c *Core) left(gen, tries int, after func()) {
+	if !c.up || c.gen != gen {
+		return
+	}
+	done := false
+	c.run(gen, func() {
+		var fx node.Effects
+		done, fx = c.node.Left(c.clock())
+		c.out(fx)
+	})
+	if done || tries == 0 {
+		c.Kill(false)
+		after()
+		return
+	}
+	c.w.After(30*time.Millisecond, func() { c.left(gen, tries-1, after) })
+}
+
+// out carries out effects as the daemon does.
+func (c *Core) out(fx node.Effects) {
+	gated := fx.Gate()
+	c.letOut(fx)
+	if len(gated.Records)+len(gated.Sends) > 0 {
+		c.jobs = append(c.jobs, gated)
+		c.write(c.gen)
+	}
+}
+
+// write is the disk's duty: one batch at a time.
+func (c *Core) write(gen int) {
+	if c.writing || len(c.jobs) == 0 || c.broken {
+		return
+	}
+	c.writing = true
+	batch := c.jobs
+	c.jobs = nil
+	wrote := false
+	var err error
+	for _, fx := range batch {
+		if len(fx.Records) > 0 && err == nil {
+			wrote = true
+			err = c.ring.Append(fx.Records)
+		}
+	}
+	took := time.Duration(0)
+	if wrote {
+		took = 500*time.Microsecond + time.Duration(c.w.Rng.Int64N(int64(1500*time.Microsecond))) + c.Slow
+	}
+	c.busy = c.clock()
+	c.w.After(took, func() {
+		c.run(gen, func() {
+			if wrote && err == nil {
+				err = c.ring.Sync()
+			}
+			c.writing, c.busy = false, 0
+			if err != nil {
+				c.broken = true
+				return
+			}
+			for _, fx := range batch {
+				c.letOut(fx)
+			}
+			c.write(gen)
+		})
+	})
+}
+
+func (c *Core) letOut(fx node.Effects) {
+	for _, s := range fx.Sends {
+		s.Msg.From = c.Addr
+		c.post(s.To, s.Msg)
+	}
+	for _, e := range fx.Ends {
+		if end := c.ends[e.Ticket]; end != nil {
+			delete(c.ends, e.Ticket)
+			end(e)
+		}
+	}
+	for _, l := range fx.Learned {
+		if l.Key == offer.Key {
+			c.follow()
+		}
+	}
+}
+
+func (c *Core) post(to ident.Addr, m message.Message) {
+	if to == c.Addr {
+		gen := c.gen
+		c.w.After(20*time.Microsecond, func() { c.run(gen, func() { c.out(c.node.Step(c.clock(), m)) }) })
+		return
+	}
+	c.w.carry(c.Addr, to, func() {
+		for _, d := range c.w.Cores {
+			if d.Addr == to {
+				d.run(d.gen, func() { d.out(d.node.Step(d.clock(), m)) })
+			}
+		}
+	})
+}
+
+// Deed runs a deed at this core.
+func (c *Core) Deed(d owner.Deed, budget time.Duration, end func(node.End)) {
+	c.ticket++
+	c.ends[c.ticket] = end
+	c.out(c.node.Deed(c.clock(), c.ticket, d, budget))
+}
+
+// follow keeps the newest confirmed manifest, as the daemon does.
+func (c *Core) follow() {
+	if c.reading || !c.node.Majority(c.clock()) {
+		return
+	}
+	c.reading = true
+	c.Newest(func(bool) { c.reading = false })
+}
+
+// Newest reads the manifest through its owner.
+func (c *Core) Newest(done func(ok bool)) {
+	c.Deed(owner.Deed{Key: offer.Key, Kind: "manifest/read"}, time.Second, func(e node.End) {
+		if e.Defect != nil {
+			done(false)
+			return
+		}
+		var h offer.Held
+		if json.Unmarshal(e.Body, &h) != nil {
+			c.w.Breach("damaged", "core %s read a manifest it can't decode", c.Addr)
+		}
+		if h.Epoch > 0 && (c.held == nil || h.Epoch > c.held.Epoch) {
+			tree, d := walk.Parse(h.Manifest)
+			var m *check.Manifest
+			if d == nil {
+				m, d = check.Read(tree)
+			}
+			if d != nil {
+				c.w.Breach("invalid", "epoch %d in force is invalid: %v", h.Epoch, d)
+				return
+			}
+			m.Epoch = h.Epoch
+			c.held, c.raw = m, h.Manifest
+			c.node.Ledger.Manifest(m)
+		}
+		done(true)
+	})
+}
--- /dev/null
+++ b/sim/world/side.go
@@ -0,0 +1,333 @@
+package world
+
+import (
+	"encoding/json"
+	"time"
+
+	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/number"
+	"cottonarch.example/cottonarch/control/coordination/share"
+	"cottonarch.example/cottonarch/control/core/node"
+	"cottonarch.example/cottonarch/control/manifest/check"
+	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/mesh/claim/holder"
+	"cottonarch.example/cottonarch/mesh/gate"
+	"cottonarch.example/cottonarch/mesh/path"
+	"cottonarch.example/cottonarch/mesh/registry/record"
+)
+
+// Side is a simulated application machine: its sidecar and its endpoints.
+type Side struct {
+	proc
+	Node     ident.Node
+	District ident.District
+	Ends     []*Endpoint
+	path     *path.Path
+	gate     *gate.Gate
+	held     *holder.Holder
+	admitted bool
+	asking   bool
+	claim    ident.Epoch
+	seq      uint64
+	news     bool
+	turn     int
+	mark     int // gen of the core that place belongs to
+	place    uint64
+	polling  bool
+	leaving  bool
+	trouble  moment.Moment // when this machine was last cut, frozen or down
+	shown    ident.Epoch
+}
+
+// NewSide makes an application machine.
+func (w *World) NewSide(addr ident.Addr, d ident.District) *Side {
+	s := &Side{proc: proc{w: w, Addr: addr}, Node: ident.Node("node-" + string(addr)), District: d}
+	w.Sides = append(w.Sides, s)
+	return s
+}
+
+// Start starts the sidecar.
+func (s *Side) Start() {
+	s.start()
+	s.path = path.New(s.clock(), s.District, s.w.Rng.Uint64())
+	s.path.Reckless = s.w.Reckless
+	s.gate, s.held = gate.New(), holder.New()
+	s.gate.Open = s.w.OpenGate
+	s.admitted, s.asking, s.claim, s.seq, s.news, s.polling, s.leaving = false, false, 0, 0, false, false, false
+	s.mark, s.place = 0, 0
+	s.trouble = s.w.now
+	s.ticker(s.gen, 0)
+}
+
+// Kill ends the sidecar at once.
+func (s *Side) Kill() { s.up = false; s.trouble = s.w.now }
+
+func (s *Side) ticker(gen, n int) {
+	s.run(gen, func() {
+		now := s.clock()
+		if c := s.gate.Tick(now); c.News {
+			s.news = true
+		}
+		switch {
+		case !s.admitted && !s.asking && n%6 == 0:
+			s.admit()
+		case s.admitted && (n%6 == 0 || s.news):
+			s.renew()
+		}
+		if s.admitted {
+			s.poll()
+		}
+	})
+	if s.up && s.gen == gen {
+		s.w.After(40*time.Millisecond, func() { s.ticker(gen, n+1) })
+	}
+}
+
+// ask asks a core: the request may be lost, and so may the return. serve runs in the
+// core and says its return once; done runs here, with nil when none came in time.
+func (s *Side) ask(c *Core, limit time.Duration, serve func(say func(any)), done func(any)) {
+	w, gen, over := s.w, s.gen, false
+	end := func(v any) {
+		if !over {
+			over = true
+			s.run(gen, func() { done(v) })
+		}
+	}
+	w.After(limit, func() { end(nil) })
+	if !c.up {
+		w.After(time.Millisecond, func() { end(nil) })
+		return
+	}
+	from, to, cg := s.Addr, c.Addr, c.gen
+	if !w.Links.Open(from, to) || !w.Links.Open(to, from) {
+		return
+	}
+	w.After(w.delay(), func() {
+		c.run(cg, func() {
+			serve(func(v any) {
+				if w.Links.Open(to, from) {
+					w.After(w.delay(), func() { end(v) })
+				}
+			})
+		})
+	})
+}
+
+func (s *Side) core() *Core { return s.w.Cores[s.turn%len(s.w.Cores)] }
+
+type admitted struct {
+	claim ident.Epoch
+	share int
+	m     *check.Manifest
+}
+
+// admit claims membership as the daemon does: claim epoch, share, newest manifest.
+func (s *Side) admit() {
+	s.asking = true
+	s.turn++
+	c := s.core()
+	s.ask(c, 5*time.Second, func(say func(any)) {
+		c.Deed(owner.Deed{Key: ident.Key("claim/" + string(s.Node)), Kind: "number/next"}, 3*time.Second, func(e node.End) {
+			var num number.Number
+			if e.Defect != nil || json.Unmarshal(e.Body, &num) != nil {
+				say(nil)
+				return
+			}
+			args := book.JSON(share.Args{Node: s.Node, Claim: ident.Epoch(num.N)})
+			c.Deed(owner.Deed{Key: "share", Kind: "share/take", Args: args}, 3*time.Second, func(e node.End) {
+				var g share.Grant
+				if e.Defect != nil || json.Unmarshal(e.Body, &g) != nil {
+					say(nil)
+					return
+				}
+				c.Newest(func(ok bool) {
+					if !ok {
+						say(nil)
+						return
+					}
+					say(admitted{ident.Epoch(num.N), g.N, c.held})
+				})
+			})
+		})
+	}, func(v any) {
+		s.asking = false
+		got, ok := v.(admitted)
+		if !ok {
+			return
+		}
+		s.admitted, s.claim, s.seq = true, got.claim, 1
+		s.path.Tree.Grant(got.share)
+		s.enforce(got.m)
+	})
+}
+
+func (s *Side) enforce(m *check.Manifest) {
+	if m == nil || !s.path.Enforce(m) {
+		return
+	}
+	s.w.Check.Shown(s.w.now, "sidecar "+string(s.Node), m, &s.shown)
+}
+
+type acked struct {
+	disk   ident.Disk
+	votes  bool
+	voters int
+	defect *defect.Defect
+}
+
+func (s *Side) renew() {
+	if s.news {
+		s.news = false
+		s.seq++
+	}
+	rep := record.Report{Node: s.Node, Addr: s.Addr, District: s.District, Claim: s.claim, Seq: s.seq, Manifest: s.path.Epoch(), Workloads: s.gate.Workloads()}
+	sent := s.clock()
+	for _, c := range s.w.Cores {
+		s.ask(c, 800*time.Millisecond, func(say func(any)) {
+			_, d := c.node.Ledger.Renew(c.clock(), rep)
+			say(acked{c.node.Disk, c.node.Votes(), len(c.node.Roster().Voters), d})
+		}, func(v any) {
+			got, ok := v.(acked)
+			if !ok {
+				return
+			}
+			if got.defect != nil {
+				s.admitted = false
+				return
+			}
+			s.held.Renewed(sent, got.disk, got.votes, got.voters)
+			if at := s.held.Majority(); at != 0 {
+				s.path.Tree.Renewed(at)
+			}
+		})
+	}
+}
+
+type told struct {
+	gen   int
+	place uint64
+	sets  []record.Set
+	m     *check.Manifest
+}
+
+// poll follows the registry and the manifest at one core; the daemon's long poll is
+// a poll each tick here.
+func (s *Side) poll() {
+	if s.polling {
+		return
+	}
+	s.polling = true
+	c := s.core()
+	after := s.place
+	if s.mark != c.gen*100+s.turn%len(s.w.Cores) {
+		after = 0
+	}
+	s.ask(c, time.Second, func(say func(any)) {
+		say(told{c.gen, c.node.Ledger.Change(), c.node.Ledger.Feed(after), c.held})
+	}, func(v any) {
+		s.polling = false
+		got, ok := v.(told)
+		if !ok {
+			s.turn++
+			s.mark = 0
+			return
+		}
+		s.mark, s.place = got.gen*100+s.turn%len(s.w.Cores), got.place
+		s.path.Index.Merge(got.sets)
+		s.enforce(got.m)
+		// A core that is behind the others is left for the next one.
+		if s.w.Rng.IntN(50) == 0 {
+			s.turn++
+			s.mark = 0
+		}
+	})
+}
+
+// Mood is how an endpoint behaves.
+type Mood struct {
+	Work          time.Duration
+	Lose, Garbage float64
+}
+
+// Endpoint is one run of one endpoint.
+type Endpoint struct {
+	w       *World
+	Side    *Side
+	Server  ident.Server
+	Service ident.Service
+	Addr    ident.Addr
+	Mood    Mood
+	up      bool
+	state   gate.State
+	hand    int
+	leftAt  moment.Moment // when its leaving was first confirmed on its machine
+}
+
+// NewEndpoint starts an endpoint on a machine.
+func (s *Side) NewEndpoint(server ident.Server, svc ident.Service, addr ident.Addr, mood Mood) *Endpoint {
+	e := &Endpoint{w: s.w, Side: s, Server: server, Service: svc, Addr: addr, Mood: mood, up: true, state: gate.Alive}
+	s.Ends = append(s.Ends, e)
+	s.w.spots[addr] = e
+	e.beats()
+	return e
+}
+
+func (e *Endpoint) beats() {
+	if !e.up {
+		return
+	}
+	e.beat(e.state)
+	e.w.After(290*time.Millisecond+time.Duration(e.w.Rng.Int64N(int64(20*time.Millisecond))), e.beats)
+}
+
+func (e *Endpoint) beat(st gate.State) {
+	s, gen := e.Side, e.Side.gen
+	b := gate.Beat{Server: e.Server, Service: e.Service, Addr: e.Addr, State: st, Burden: float64(e.hand) / 16}
+	e.w.After(200*time.Microsecond, func() {
+		s.run(gen, func() {
+			c, d := s.gate.Take(s.clock(), b)
+			if c.News {
+				s.news = true
+			}
+			if d == nil && st != gate.Alive && e.leftAt == 0 {
+				e.leftAt = e.w.now
+			}
+		})
+	})
+}
+
+// Leave drains: it says so, finishes, signs off and ends; then comes after.
+func (e *Endpoint) Leave(drain time.Duration, after func()) {
+	if !e.up {
+		return
+	}
+	e.state = gate.Leaving
+	e.beat(gate.Leaving)
+	e.w.After(drain, func() {
+		if !e.up {
+			return
+		}
+		e.beat(gate.Gone)
+		e.Die()
+		if after != nil {
+			after()
+		}
+	})
+}
+
+// Die ends the endpoint without a word.
+func (e *Endpoint) Die() {
+	e.up = false
+	if e.w.spots[e.Addr] == e {
+		delete(e.w.spots, e.Addr)
+	}
+	for i, o := range e.Side.Ends {
+		if o == e {
+			e.Side.Ends = append(e.Side.Ends[:i:i], e.Side.Ends[i+1:]...)
+			break
+		}
+	}
+}
--- /dev/null
+++ b/sim/world/world.go
@@ -0,0 +1,168 @@
+package world
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/sim/check"
+	"cottonarch.example/cottonarch/storage/ring"
+)
+
+// World is the whole simulated mesh.
+type World struct {
+	Clock
+	Links       Links
+	Cores       []*Core
+	Sides       []*Side
+	Seeds       []ident.Addr
+	Founders    []ident.Addr
+	Ring        ring.Boot
+	Machine     owner.Machine
+	Check       *check.Check
+	Trace       []string
+	spots       map[ident.Addr]*Endpoint
+	disks       int
+	calls       int
+	coreTrouble moment.Moment
+	told        int
+	// Broken on purpose, to see the checkers catch it.
+	OpenGate, Reckless, Forget bool
+	Served                     map[string]int
+}
+
+// New makes an empty world of a seed.
+func New(seed uint64) *World {
+	w := &World{Check: check.New(), spots: map[ident.Addr]*Endpoint{}, Ring: ring.Boot{Files: 6, Size: 256 << 10}, Served: map[string]int{}}
+	w.Rng = rand.New(rand.NewPCG(seed, 0x5eed))
+	w.Links = Links{Base: 200 * time.Microsecond, Jitter: 800 * time.Microsecond, cuts: map[[2]ident.Addr]bool{}}
+	return w
+}
+
+// Say writes a line of the trace.
+func (w *World) Say(form string, args ...any) {
+	w.Trace = append(w.Trace, fmt.Sprintf("%9.3fs ", time.Duration(w.now).Seconds())+fmt.Sprintf(form, args...))
+}
+
+// Breach notes a breach with what was going on.
+func (w *World) Breach(rule, form string, args ...any) { w.Check.Break(w.now, rule, form, args...) }
+
+// Now is virtual time.
+func (w *World) Now() moment.Moment { return w.now }
+
+// RunFor runs the world.
+func (w *World) RunFor(d time.Duration) { w.Run(w.now.Add(d)) }
+
+// addrs lists every machine.
+func (w *World) addrs() []ident.Addr {
+	var out []ident.Addr
+	for _, c := range w.Cores {
+		out = append(out, c.Addr)
+	}
+	for _, s := range w.Sides {
+		out = append(out, s.Addr)
+	}
+	return out
+}
+
+// Isolate cuts machines off from all others, for a while. way is "in", "out" or "both".
+func (w *World) Isolate(list []ident.Addr, way string, d time.Duration) {
+	in := map[ident.Addr]bool{}
+	for _, a := range list {
+		in[a] = true
+	}
+	var cut [][2]ident.Addr
+	for _, a := range list {
+		for _, b := range w.addrs() {
+			if in[b] {
+				continue
+			}
+			if way != "out" {
+				cut = append(cut, [2]ident.Addr{b, a})
+			}
+			if way != "in" {
+				cut = append(cut, [2]ident.Addr{a, b})
+			}
+		}
+	}
+	w.cutFor(cut, d)
+}
+
+// Sever cuts two groups from each other for a while.
+func (w *World) Sever(one, two []ident.Addr, d time.Duration) {
+	var cut [][2]ident.Addr
+	for _, a := range one {
+		for _, b := range two {
+			cut = append(cut, [2]ident.Addr{a, b}, [2]ident.Addr{b, a})
+		}
+	}
+	w.cutFor(cut, d)
+}
+
+func (w *World) cutFor(cut [][2]ident.Addr, d time.Duration) {
+	for _, c := range cut {
+		w.Links.cuts[c] = true
+		for _, s := range w.Sides {
+			if s.Addr == c[0] || s.Addr == c[1] {
+				s.troubled(d)
+			}
+		}
+	}
+	w.After(d, func() {
+		for _, c := range cut {
+			delete(w.Links.cuts, c)
+		}
+	})
+}
+
+// troubled notes until when this machine has an excuse.
+func (s *Side) troubled(d time.Duration) { s.trouble = max(s.trouble, s.w.now.Add(d)) }
+
+// Text is the report.
+func (w *World) Text() string {
+	var b strings.Builder
+	fates := map[check.Fate]int{}
+	for _, k := range w.Check.Calls {
+		fates[k.Fate]++
+	}
+	fmt.Fprintf(&b, "calls %d: served %d, not run %d, unknown %d, own node down %d, open %d; runs %d\n", len(w.Check.Calls), fates[check.Served],
+		fates[check.NotRun], fates[check.Unknown], fates[check.NoNode], fates[check.Open], len(w.Check.Runs))
+	fmt.Fprintf(&b, "messages %d, lost %d; manifests %d confirmed, %d refused, %d unknown; deeds %d ok, %d no, %d unknown; watches told %d\n",
+		w.Links.Sent, w.Links.Lost, w.Served["manifest-yes"], w.Served["manifest-no"], w.Served["manifest-unknown"],
+		w.Served["deed-yes"], w.Served["deed-no"], w.Served["deed-unknown"], w.told)
+	b.WriteString(w.Check.Text())
+	if len(w.Check.Breaches) > 0 {
+		first := w.Check.Breaches[0]
+		for _, x := range w.Check.Breaches {
+			if x.At < first.At {
+				first = x
+			}
+		}
+		fmt.Fprintf(&b, "first breach at %.3fs: %s: %s\n", time.Duration(first.At).Seconds(), first.Rule, first.Note)
+		for _, line := range w.Trace {
+			var at float64
+			if _, err := fmt.Sscanf(strings.TrimSpace(line), "%fs", &at); err == nil && at < time.Duration(first.At).Seconds()+0.001 && at > time.Duration(first.At).Seconds()-15 {
+				b.WriteString("  " + line + "\n")
+			}
+		}
+	}
+	return b.String()
+}
+
+// Troubled gives a machine an excuse for a while.
+func (s *Side) Troubled(d time.Duration) { s.troubled(d) }
+
+// CoreTroubled says that for a while no majority of cores can be there.
+func (w *World) CoreTroubled(d time.Duration) { w.coreTrouble = max(w.coreTrouble, w.now.Add(d)) }
+
+// Well tells whether the core is up, thawed, with a whole disk, and votes.
+func (c *Core) Well() bool {
+	return c.up && !c.frozen && !c.broken && c.node != nil && c.node.Votes()
+}
+
+// Fail makes the disk fail every write and sync from now on.
+func (c *Core) Fail() { c.mem.Fail = func(string) error { return fmt.Errorf("the disk failed") } }
