Forwarded deeds are repeated safely; sidecars turn to the core with the newer manifest

Change: the forwarding core repeats the same ticket to the same process, which takes repeats as one; a renewal's return names the core with the newer epoch.

--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -112,6 +112,7 @@
 	until  moment.Moment
 	pause  moment.Moment
 	out    uint64 // the forward ticket or local tag, 0 when none
+	sent   moment.Moment
 	at     ident.Addr
 	mark   string
 	open   int
@@ -123,8 +124,15 @@
 	from   ident.Addr
 	mark   string
 	ticket uint64
+	name   string
 }
 
+// replayMax is the largest return that is kept for a repeat.
+const replayMax = 4 << 10
+
+// harmless lists the deeds that change nothing, so that running them twice is harmless.
+var harmless = map[string]bool{"lock/read": true, "number/read": true, "key/read": true, "share/read": true, "manifest/read": true, "manifest/epoch": true, "mend": true}
+
 type reading struct {
 	ticket uint64
 	*survey.Survey
@@ -134,21 +142,23 @@
 
 // Node is one core.
 type Node struct {
-	boot     Boot
-	Disk     ident.Disk
-	began    moment.Moment
-	acc      *acceptor.Acceptor
-	rep      *replica.Replica
-	own      *owner.Owner
-	make     *maker.Maker
-	form     *former.Former
-	Ledger   *ledger.Ledger
-	peers    map[ident.Addr]*peer
-	known    []ident.Addr
-	pend     map[uint64]*pending // by out
-	wait     []*pending          // no copy out
-	guests   map[uint64]guest
-	seen     map[string]bool
+	boot   Boot
+	Disk   ident.Disk
+	began  moment.Moment
+	acc    *acceptor.Acceptor
+	rep    *replica.Replica
+	own    *owner.Owner
+	make   *maker.Maker
+	form   *former.Former
+	Ledger *ledger.Ledger
+	peers  map[ident.Addr]*peer
+	known  []ident.Addr
+	pend   map[uint64]*pending // by out
+	wait   []*pending          // no copy out
+	guests map[uint64]guest
+	// seen holds the changes that came from other cores, with their ends once there
+	// are any. Invariant: a doubled or repeated message is one message.
+	seen     map[string]*message.Carried
 	seenList []string
 	reads    map[uint64]*reading
 	count    uint64
@@ -189,7 +199,7 @@
 		boot.Voters = 5
 	}
 	n := &Node{boot: boot, began: now, peers: map[ident.Addr]*peer{}, pend: map[uint64]*pending{}, guests: map[uint64]guest{},
-		seen: map[string]bool{}, reads: map[uint64]*reading{}, Ledger: ledger.New()}
+		seen: map[string]*message.Carried{}, reads: map[uint64]*reading{}, Ledger: ledger.New()}
 	var write []ring.Record
 	for _, rec := range recs {
 		if rec.Tag == diskTag {
@@ -367,6 +377,13 @@
 	}
 	p.at = at[first]
 	p.mark = n.peers[p.at].hello.Mark
+	n.forward(now, p, fx)
+}
+
+// forward sends the copy that is out, or sends it again: the receiver, which is one
+// process named by its mark, takes repeats of one ticket as one.
+func (n *Node) forward(now moment.Moment, p *pending, fx *Effects) {
+	p.sent = now
 	fx.Sends = append(fx.Sends, Send{p.at, message.Message{To: p.mark, Forward: &message.Forward{Ticket: p.out, Deed: p.deed}}})
 }
 
@@ -415,6 +432,13 @@
 		if g, ok := n.guests[out.Deed.Tag]; ok {
 			delete(n.guests, out.Deed.Tag)
 			c.Ticket = g.ticket
+			if _, kept := n.seen[g.name]; kept {
+				n.seen[g.name] = &c
+				if len(c.Body) > replayMax {
+					// The book of the key remembers it; this end only says so.
+					n.seen[g.name] = &message.Carried{Ticket: g.ticket, Lost: true, Risk: true}
+				}
+			}
 			fx.Sends = append(fx.Sends, Send{g.from, message.Message{To: g.mark, Carried: &c}})
 			continue
 		}
@@ -621,28 +645,32 @@
 	if m.Forward == nil {
 		return false
 	}
-	// A doubled message is one message.
 	name := fmt.Sprintf("%s/%d/%s", m.From, m.Forward.Ticket, m.Forward.Deed.Op)
-	if n.seen[name] {
-		return true
-	}
-	n.seen[name] = true
-	n.seenList = append(n.seenList, name)
-	if len(n.seenList) > seenMax {
-		delete(n.seen, n.seenList[0])
-		n.seenList = n.seenList[1:]
-	}
 	mark := ""
 	if p := n.peers[m.From]; p != nil {
 		mark = p.hello.Mark
 	}
+	if c, again := n.seen[name]; again {
+		if c != nil {
+			fx.Sends = append(fx.Sends, Send{m.From, message.Message{To: mark, Carried: c}})
+		}
+		return true
+	}
 	if n.leaving || n.broken || !n.acc.Now.Counts(n.Disk) {
 		fx.Sends = append(fx.Sends, Send{m.From, message.Message{To: mark, Carried: &message.Carried{Ticket: m.Forward.Ticket, Lost: true}}})
 		return true
 	}
+	if !harmless[m.Forward.Deed.Kind] {
+		n.seen[name] = nil
+		n.seenList = append(n.seenList, name)
+		if len(n.seenList) > seenMax {
+			delete(n.seen, n.seenList[0])
+			n.seenList = n.seenList[1:]
+		}
+	}
 	d := m.Forward.Deed
 	d.Tag = n.next()
-	n.guests[d.Tag] = guest{m.From, mark, m.Forward.Ticket}
+	n.guests[d.Tag] = guest{m.From, mark, m.Forward.Ticket, name}
 	n.owned(now, n.own.Submit(now, d), fx)
 	return true
 }
--- a/control/core/node/tick.go
+++ b/control/core/node/tick.go
@@ -23,6 +23,9 @@
 // leaves; when it cannot, the claim ends and a majority gives it to another.
 const dutyKey ident.Key = "lock/cottonarch.duty.sweep"
 
+// forwardAgain is how long a forwarded deed may be out before it is sent again.
+const forwardAgain = 350 * time.Millisecond
+
 // shareKey holds the shares of the further tries.
 const shareKey ident.Key = "share"
 
@@ -93,6 +96,8 @@
 			p.out, p.risk = 0, true
 			p.open++
 			n.wait = append(n.wait, p)
+		} else if p.at != n.boot.Addr && now.Since(p.sent) > forwardAgain {
+			n.forward(now, p, fx)
 		}
 	}
 }
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -72,7 +72,7 @@
 
 	admitted atomic.Bool
 	leaving  atomic.Bool
-	poke     chan struct{}
+	poke     chan ident.Addr // a core that knows a newer manifest
 	push     chan struct{}
 }
 
@@ -85,7 +85,7 @@
 	return &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, pool: client.New(), peers: exchange.New(), ends: exchange.New(),
 		done: make(chan struct{}), urgent: queue.Make[*job](b.Queue), normal: queue.Make[*job](b.Queue),
 		path: path.New(now, b.District, h.Sum64()), gate: gate.New(), cores: slices.Clone(b.Seeds), held: holder.New(),
-		began: now, lastCore: now, poke: make(chan struct{}, 1), push: make(chan struct{}, 1)}
+		began: now, lastCore: now, poke: make(chan ident.Addr, 1), push: make(chan struct{}, 1)}
 }
 
 // Start starts the duties.
@@ -162,7 +162,15 @@
 	s.mu.Unlock()
 	s.admitted.Store(true)
 	s.Log.Info("admitted", zap.Uint64("claim", uint64(got.Claim)), zap.Int("share", got.Share), zap.Uint64("manifest", uint64(got.Manifest)))
-	s.kick(s.poke)
+	s.point(core)
+}
+
+// point tells the following duty which core to turn to.
+func (s *Sidecar) point(core ident.Addr) {
+	select {
+	case s.poke <- core:
+	default:
+	}
 }
 
 // join takes the cores' addresses as a core knows them; seeds stay.
@@ -215,7 +223,7 @@
 		s.path.Tree.Renewed(at)
 	}
 	if got.Manifest > s.path.Epoch() {
-		s.kick(s.poke)
+		s.point(core)
 	}
 }
 
@@ -285,20 +293,30 @@
 		q := url.Values{"mark": {mark}, "place": {fmt.Sprint(place)}, "manifest": {fmt.Sprint(uint64(have))}}
 		var got mesh.News
 		ctx, stop := context.WithTimeout(context.Background(), 11*time.Second)
-		poked := make(chan struct{})
+		over, turned := make(chan struct{}), make(chan ident.Addr, 1)
 		go func() { // a renewal that told of a newer manifest ends the wait
 			select {
-			case <-s.poke:
+			case a := <-s.poke:
+				turned <- a
 				stop()
-			case <-poked:
+			case <-over:
 			case <-s.done:
 				stop()
 			}
 		}()
 		err := s.pool.Ask(ctx, core, "GET", "/cottonarch/v1/news?"+q.Encode(), nil, &got)
-		close(poked)
-		poke := ctx.Err() == context.Canceled
+		close(over)
 		stop()
+		poke := false
+		select {
+		case a := <-turned:
+			poke = true
+			if i := slices.Index(s.cored(), a); err != nil && i >= 0 {
+				turn, mark, place = i, "", 0
+				continue
+			}
+		default:
+		}
 		if err != nil {
 			if !poke {
 				s.Board.Add("news_failed", 1)
--- a/sim/plan/plan.go
+++ b/sim/plan/plan.go
@@ -177,7 +177,7 @@
 		r.heavy()
 		w.RunFor(17 * time.Second)
 	}
-	r.load = 0
+	r.load, r.Closed = 0, true
 	w.Links.Heal()
 	w.RunFor(8 * time.Second)
 	r.ops.ReadBack()
--- a/sim/world/clients.go
+++ b/sim/world/clients.go
@@ -89,6 +89,9 @@
 
 func (l *Locker) round(gap time.Duration) {
 	w := l.w
+	if w.Closed {
+		return
+	}
 	name := fmt.Sprintf("l%d", w.Rng.IntN(l.locks))
 	ttl := time.Duration(500+w.Rng.IntN(2000)) * time.Millisecond
 	sent := w.now
@@ -162,6 +165,9 @@
 	given, floor := map[string]bool{}, map[string]uint64{}
 	var round func()
 	round = func() {
+		if w.Closed {
+			return
+		}
 		name := fmt.Sprintf("n%d", w.Rng.IntN(names))
 		low := floor[name]
 		w.ask(owner.Deed{Key: ident.Key("number/" + name), Kind: "number/next"}, func(e *node.End) {
@@ -240,6 +246,9 @@
 
 func (k *Keys) round(who int, gap time.Duration) {
 	w := k.w
+	if w.Closed {
+		return
+	}
 	name := fmt.Sprintf("k%d", w.Rng.IntN(k.names))
 	k.n++
 	in := keyIn{kind: []string{"read", "read", "write", "cas"}[w.Rng.IntN(4)], val: fmt.Sprintf("v%d", k.n)}
@@ -407,6 +416,9 @@
 	o := &Operators{w: w, base: base, bodies: map[ident.Epoch]string{}, shown: map[ident.Addr]*ident.Epoch{}}
 	var round func()
 	round = func() {
+		if w.Closed {
+			return
+		}
 		n := 1
 		if w.Rng.IntN(4) == 0 {
 			n = 2 + w.Rng.IntN(3) // a race
--- a/sim/world/world.go
+++ b/sim/world/world.go
@@ -30,6 +30,8 @@
 	calls       int
 	coreTrouble moment.Moment
 	told        int
+	// Closed says that clients begin nothing new.
+	Closed bool
 	// Broken on purpose, to see the checkers catch it.
 	OpenGate, Reckless, Forget bool
 	Served                     map[string]int
