--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -75,11 +75,14 @@
 	s := surface{c, mark}
 	return server.Paths{
 		"/cottonarch/v1/messages": {"POST": s.messages},
-		"/cottonarch/v1/claim":    {"POST": s.claim},
-		"/cottonarch/v1/renew":    {"POST": s.renew},
-		"/cottonarch/v1/news":     {"GET": s.news},
-		"/cottonarch/v1/part":     {"GET": s.part},
-		"/address/{key:.+}":       {"GET": s.address},
+		"/cottonarch/v1/cores": {"GET": func(w http.ResponseWriter, _ *http.Request) {
+			reply.JSON(w, http.StatusOK, core.Known{Cores: c.View().Cores})
+		}},
+		"/cottonarch/v1/claim": {"POST": s.claim},
+		"/cottonarch/v1/renew": {"POST": s.renew},
+		"/cottonarch/v1/news":  {"GET": s.news},
+		"/cottonarch/v1/part":  {"GET": s.part},
+		"/address/{key:.+}":    {"GET": s.address},
 	}
 }
 
--- a/boot/boot.go
+++ b/boot/boot.go
@@ -16,6 +16,7 @@
 // Core is a core's boot.
 type Core struct {
 	Addr     ident.Addr
+	Listen   ident.Addr // where it listens, when that is not Addr itself
 	District ident.District
 	Seeds    []ident.Addr
 	Founders []ident.Addr
@@ -30,6 +31,7 @@
 	Node     ident.Node
 	Caller   ident.Addr
 	Addr     ident.Addr
+	Listen   ident.Addr // where it listens towards the mesh, when that is not Addr itself
 	District ident.District
 	Seeds    []ident.Addr
 	Senders  int
@@ -41,7 +43,8 @@
 // Flags are what the command line may give; a flag goes before the file. Address is
 // the process's own address towards the mesh.
 type Flags struct {
-	Address  string   `help:"Own address towards the mesh, ip:port."`
+	Address  string   `help:"Own address towards the mesh, ip:port, as others reach it."`
+	Listen   string   `help:"Where to listen for it, when that differs from the address."`
 	Caller   string   `help:"Sidecar only: address that callers use, ip:port."`
 	Node     string   `help:"Sidecar only: name of the node; its address if not given."`
 	District string   `help:"District (failure zone) of this machine."`
@@ -64,7 +67,7 @@
 			return nil, d
 		}
 	}
-	for name, v := range map[string]string{"address": f.Address, "caller": f.Caller, "node": f.Node, "district": f.District, "data": f.Data} {
+	for name, v := range map[string]string{"address": f.Address, "listen": f.Listen, "caller": f.Caller, "node": f.Node, "district": f.District, "data": f.Data} {
 		if v != "" {
 			m[name] = v
 		}
@@ -119,9 +122,12 @@
 func ReadCore(m map[string]any) (Core, *defect.Defect) {
 	f := &walk.Faults{}
 	s := walk.Top(m, f)
-	s.Only("address", "district", "seeds", "founders", "data", "voters", "ringFileMiB", "ringFiles")
-	c := Core{Addr: addr(s, "address", true), District: ident.District(s.Must("district")), Seeds: addrs(s, "seeds", 3), Founders: addrs(s, "founders", 9),
+	s.Only("address", "listen", "district", "seeds", "founders", "data", "voters", "ringFileMiB", "ringFiles")
+	c := Core{Addr: addr(s, "address", true), Listen: addr(s, "listen", false), District: ident.District(s.Must("district")), Seeds: addrs(s, "seeds", 3), Founders: addrs(s, "founders", 9),
 		Data: s.Must("data"), Voters: int(s.Whole("voters", 5, 1, 9)), RingFile: s.Whole("ringFileMiB", 16, 12, 1024) << 20, Rings: int(s.Whole("ringFiles", 6, 4, 64))}
+	if c.Listen == "" {
+		c.Listen = c.Addr
+	}
 	if len(c.Founders) > 0 && len(c.Founders)%2 == 0 {
 		s.Fault("founders", "an odd number of cores forms the first roster")
 	}
@@ -138,14 +144,17 @@
 func ReadSidecar(m map[string]any) (Sidecar, *defect.Defect) {
 	f := &walk.Faults{}
 	s := walk.Top(m, f)
-	s.Only("node", "address", "caller", "district", "seeds", "senders", "queue", "hand", "stopS")
-	c := Sidecar{Node: ident.Node(s.Text("node", "")), Addr: addr(s, "address", true), Caller: addr(s, "caller", true),
+	s.Only("node", "address", "listen", "caller", "district", "seeds", "senders", "queue", "hand", "stopS")
+	c := Sidecar{Node: ident.Node(s.Text("node", "")), Addr: addr(s, "address", true), Listen: addr(s, "listen", false), Caller: addr(s, "caller", true),
 		District: ident.District(s.Must("district")), Seeds: addrs(s, "seeds", 3), Senders: int(s.Whole("senders", 256, 1, 10000)),
 		Queue: int(s.Whole("queue", 512, 1, 100000)), Hand: int(s.Whole("hand", 512, 1, 100000)),
 		Stop: time.Duration(s.Real("stopS", 10, 0, 3600) * float64(time.Second))}
 	if c.Node == "" {
 		c.Node = ident.Node(c.Addr)
 	}
+	if c.Listen == "" {
+		c.Listen = c.Addr
+	}
 	if c.Addr != "" && c.Addr == c.Caller {
 		s.Fault("caller", "must differ from address")
 	}
--- a/cmd/cottonarch/main.go
+++ b/cmd/cottonarch/main.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	srv := server.New(b.Addr, nil)
+	srv := server.New(b.Listen, nil)
 	for _, p := range []server.Paths{operator.Paths(daemon), coordination.Paths(daemon), mesh.Paths(daemon, string(daemon.View().Disk)+fmt.Sprint(time.Now().UnixNano())),
 		platform.Paths(daemon.Ready, daemon.Board, func() any { return daemon.View() })} {
 		p.Register(srv)
@@ -111,7 +111,7 @@
 	}
 	defer func() { _ = log.Sync() }()
 	daemon := sidecar.New(b, log)
-	srv := server.New(b.Addr, daemon.Gated)
+	srv := server.New(b.Listen, daemon.Gated)
 	daemon.Paths().Register(srv)
 	platform.Paths(daemon.Ready, daemon.Board, daemon.Status).Register(srv)
 	front := server.New(b.Caller, daemon.Front)
--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -54,6 +55,7 @@
 	Mark     string
 	NewDisk  func() ident.Disk
 	Machine  owner.Machine
+	Need     int // see cell.Roster
 }
 
 type peer struct {
@@ -152,9 +154,9 @@
 	form   *former.Former
 	Ledger *ledger.Ledger
 	peers  map[ident.Addr]*peer
-	known  []ident.Addr
-	pend   map[uint64]*pending // by out
-	wait   []*pending          // no copy out
+	known  map[ident.Addr]moment.Moment // told of by others, and when last
+	pend   map[uint64]*pending          // by out
+	wait   []*pending                   // no copy out
 	guests map[uint64]guest
 	// seen holds the changes that came from other cores, with their ends once there
 	// are any. Invariant: a doubled or repeated message is one message.
@@ -198,7 +200,7 @@
 	if boot.Voters == 0 {
 		boot.Voters = 5
 	}
-	n := &Node{boot: boot, began: now, peers: map[ident.Addr]*peer{}, pend: map[uint64]*pending{}, guests: map[uint64]guest{},
+	n := &Node{boot: boot, began: now, peers: map[ident.Addr]*peer{}, known: map[ident.Addr]moment.Moment{}, pend: map[uint64]*pending{}, guests: map[uint64]guest{},
 		seen: map[string]*message.Carried{}, reads: map[uint64]*reading{}, Ledger: ledger.New()}
 	var write []ring.Record
 	for _, rec := range recs {
@@ -225,6 +227,7 @@
 			return nil, nil, err
 		}
 	}
+	n.acc.Now.Need = boot.Need
 	n.begin(now)
 	return n, write, nil
 }
@@ -279,7 +282,7 @@
 	for _, a := range n.boot.Founders {
 		add(a)
 	}
-	for _, a := range n.known {
+	for _, a := range slices.Sorted(maps.Keys(n.known)) {
 		add(a)
 	}
 	for _, a := range n.peerAddrs() {
@@ -288,6 +291,33 @@
 	return out
 }
 
+// Know takes addresses of cores that others told of; they are forgotten when nobody
+// tells of them any more.
+func (n *Node) Know(now moment.Moment, cores []ident.Addr) {
+	for _, a := range cores {
+		if len(n.known) < 64 {
+			n.known[a] = now
+		}
+	}
+}
+
+// Fresh lists the cores that this one stands for: itself, the voters, and whom it
+// hears.
+func (n *Node) Fresh(now moment.Moment) []ident.Addr {
+	out := []ident.Addr{n.boot.Addr}
+	for _, v := range n.acc.Now.Voters {
+		if !slices.Contains(out, v.Addr) {
+			out = append(out, v.Addr)
+		}
+	}
+	for _, a := range n.peerAddrs() {
+		if now.Since(n.peers[a].heard) <= 5*time.Second && !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // live lists the disks of counted voters that are heard and stay, this one included.
 func (n *Node) live(now moment.Moment) (disks []ident.Disk, at map[ident.Disk]ident.Addr) {
 	at = map[ident.Disk]ident.Addr{}
@@ -532,11 +562,7 @@
 		}
 	}
 	p.hello, p.heard = *m.Hello, now
-	for _, a := range m.Hello.Cores {
-		if !slices.Contains(n.known, a) && len(n.known) < 64 {
-			n.known = append(n.known, a)
-		}
-	}
+	n.Know(now, m.Hello.Cores)
 	if m.Hello.Roster != nil {
 		n.adopt(now, *m.Hello.Roster, fx)
 	}
@@ -569,6 +595,7 @@
 
 func (n *Node) adopt(now moment.Moment, r cell.Roster, fx *Effects) {
 	_, was := n.acc.Now.Find(n.Disk)
+	r.Need = n.boot.Need
 	recs, newer := n.acc.Adopt(r)
 	if !newer {
 		return
--- a/control/core/node/tick.go
+++ b/control/core/node/tick.go
@@ -51,7 +51,7 @@
 
 func (n *Node) hello(now moment.Moment, fx *Effects) {
 	h := message.Hello{Disk: n.Disk, Mark: n.boot.Mark, District: n.boot.District, Leaving: n.leaving, Broken: n.broken,
-		UpMs: now.Since(n.began).Milliseconds(), Heard: n.Ledger.Heard(now), Manifest: n.Epoch, Cores: n.Cores()}
+		UpMs: now.Since(n.began).Milliseconds(), Heard: n.Ledger.Heard(now), Manifest: n.Epoch, Cores: n.Fresh(now)}
 	if n.acc.Now.Epoch > 0 {
 		r := n.acc.Now
 		h.Roster = &r
@@ -61,6 +61,11 @@
 			delete(n.peers, a)
 		}
 	}
+	for a, at := range n.known {
+		if now.Since(at) > time.Minute {
+			delete(n.known, a)
+		}
+	}
 	for _, a := range n.Cores() {
 		if a != n.boot.Addr {
 			fx.Sends = append(fx.Sends, Send{a, message.Message{Hello: &h}})
--- a/control/register/cell/cell.go
+++ b/control/register/cell/cell.go
@@ -74,10 +74,18 @@
 type Roster struct {
 	Epoch  ident.Epoch `json:"epoch"`
 	Voters []Voter     `json:"voters"`
+	// Need, when set, stands in for the majority; only the simulator sets it, to see
+	// its checkers catch a quorum that is none.
+	Need int `json:"-"`
 }
 
 // Majority is the number of counted returns that a round needs.
-func (r Roster) Majority() int { return len(r.Voters)/2 + 1 }
+func (r Roster) Majority() int {
+	if r.Need > 0 {
+		return r.Need
+	}
+	return len(r.Voters)/2 + 1
+}
 
 // Find looks a disk up.
 func (r Roster) Find(d ident.Disk) (Voter, bool) {
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -93,7 +93,7 @@
 
 // Open recovers the core from its data folder.
 func Open(b boot.Core, log *zap.Logger) (*Core, error) {
-	c := &Core{Boot: b, Log: log, Board: count.New(), clock: moment.Process(), pool: client.New(), done: make(chan struct{}),
+	c := &Core{Boot: b, Log: log, Board: count.New(), clock: moment.Process(), pool: client.New(b.Addr), done: make(chan struct{}),
 		inbox: queue.Make[func(moment.Moment) node.Effects](inboxSize), disk: queue.Make[node.Effects](diskSize),
 		waits: map[uint64]chan node.End{}, peers: map[ident.Addr]*queue.Ring[message.Message]{},
 		signal: make(chan struct{}), feed: make(chan struct{}), wake: make(chan struct{}, 1)}
@@ -133,6 +133,7 @@
 	go c.loop()
 	go c.journal()
 	go c.follow()
+	go c.discover()
 }
 
 // Close ends the duties.
@@ -188,7 +189,7 @@
 func (c *Core) look(now moment.Moment) {
 	n := c.node
 	v := &View{Disk: n.Disk, Roster: n.Roster(), Votes: n.Votes(), Voters: len(n.Roster().Voters), Majority: n.Majority(now), Owned: len(n.Owned()), Cells: n.Cells(),
-		Duty: n.Duty(), Cores: n.Cores(), Epoch: n.Epoch, Members: n.Ledger.Members()}
+		Duty: n.Duty(), Cores: n.Fresh(now), Epoch: n.Epoch, Members: n.Ledger.Members()}
 	old := c.view.Swap(v)
 	o := n.Owner()
 	for name, x := range map[string]uint64{"takes": o.Takes, "rounds": o.Rounds, "mended": o.Mended, "losses": o.Losses, "sweeps": n.Sweeps, "swept_keys": n.Mended} {
@@ -494,6 +495,39 @@
 	}
 }
 
+// discover asks the seeds, which may be cores or sidecars, for the cores they know
+// while this core has no majority.
+func (c *Core) discover() {
+	t := time.NewTicker(500 * time.Millisecond)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-c.done:
+			return
+		}
+		if v := c.View(); v == nil || v.Majority {
+			continue
+		}
+		for _, a := range c.Boot.Seeds {
+			if a == c.Boot.Addr {
+				continue
+			}
+			ctx, stop := context.WithTimeout(context.Background(), 500*time.Millisecond)
+			var got Known
+			if c.pool.Ask(ctx, a, "GET", "/cottonarch/v1/cores", nil, &got) == nil {
+				c.Do(func(now moment.Moment) node.Effects { c.node.Know(now, got.Cores); return node.Effects{} })
+			}
+			stop()
+		}
+	}
+}
+
+// Known is what any process tells of the cores it knows.
+type Known struct {
+	Cores []ident.Addr `json:"cores"`
+}
+
 // Leave is the planned stop: successors are named, what is in hand is finished.
 func (c *Core) Leave(limit time.Duration) {
 	if c.leaving.Swap(true) {
--- a/daemon/sidecar/paths.go
+++ b/daemon/sidecar/paths.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"cottonarch.example/cottonarch/adapter/mesh"
+	"cottonarch.example/cottonarch/daemon/core"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/mesh/gate"
 	"cottonarch.example/cottonarch/wire/reply"
@@ -19,6 +20,9 @@
 		"/manifest":           {"GET": s.onManifest},
 		"/address/{key:.+}":   {"GET": s.onAddress},
 		"/cottonarch/v1/peer": {"GET": s.onPeer},
+		"/cottonarch/v1/cores": {"GET": func(w http.ResponseWriter, _ *http.Request) {
+			reply.JSON(w, http.StatusOK, core.Known{Cores: s.cored()})
+		}},
 		"/cottonarch/v1/part": {"GET": s.onPart},
 	}
 }
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -18,6 +18,7 @@
 	"cottonarch.example/cottonarch/boot"
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/manifest/walk"
+	"cottonarch.example/cottonarch/daemon/core"
 	"cottonarch.example/cottonarch/kernel/count"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
@@ -64,6 +65,7 @@
 	seq      uint64
 	news     bool
 	cores    []ident.Addr
+	told     map[ident.Addr]moment.Moment
 	held     *holder.Holder
 	lastCore moment.Moment
 	began    moment.Moment
@@ -82,9 +84,9 @@
 	h := fnv.New64a()
 	_, _ = fmt.Fprint(h, b.Node, time.Now().UnixNano())
 	now := clock()
-	return &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, pool: client.New(), peers: exchange.New(), ends: exchange.New(),
+	return &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, pool: client.New(b.Addr), peers: exchange.New(b.Addr), ends: exchange.New(b.Addr),
 		done: make(chan struct{}), urgent: queue.Make[*job](b.Queue), normal: queue.Make[*job](b.Queue),
-		path: path.New(now, b.District, h.Sum64()), gate: gate.New(), cores: slices.Clone(b.Seeds), held: holder.New(),
+		path: path.New(now, b.District, h.Sum64()), gate: gate.New(), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, held: holder.New(),
 		began: now, lastCore: now, poke: make(chan ident.Addr, 1), push: make(chan struct{}, 1)}
 }
 
@@ -146,12 +148,19 @@
 	}
 }
 
-func (s *Sidecar) admit(core ident.Addr) {
+func (s *Sidecar) admit(from ident.Addr) {
 	ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
 	defer stop()
 	var got mesh.Admit
-	if err := s.pool.Ask(ctx, core, "POST", "/cottonarch/v1/claim", map[string]ident.Node{"node": s.Boot.Node}, &got); err != nil {
+	if err := s.pool.Ask(ctx, from, "POST", "/cottonarch/v1/claim", map[string]ident.Node{"node": s.Boot.Node}, &got); err != nil {
 		s.Board.Add("claims_failed", 1)
+		// The seed may be a sidecar: it knows cores.
+		var known core.Known
+		if s.pool.Ask(ctx, from, "GET", "/cottonarch/v1/cores", nil, &known) == nil {
+			s.mu.Lock()
+			s.join(known.Cores)
+			s.mu.Unlock()
+		}
 		return
 	}
 	s.mu.Lock()
@@ -162,7 +171,7 @@
 	s.mu.Unlock()
 	s.admitted.Store(true)
 	s.Log.Info("admitted", zap.Uint64("claim", uint64(got.Claim)), zap.Int("share", got.Share), zap.Uint64("manifest", uint64(got.Manifest)))
-	s.point(core)
+	s.point(from)
 }
 
 // point tells the following duty which core to turn to.
@@ -173,13 +182,23 @@
 	}
 }
 
-// join takes the cores' addresses as a core knows them; seeds stay.
+// join takes the cores' addresses as a core knows them; seeds stay, others go when no
+// core has told of them for a minute.
 func (s *Sidecar) join(cores []ident.Addr) {
+	now := s.clock()
 	for _, a := range cores {
+		s.told[a] = now
 		if !slices.Contains(s.cores, a) && len(s.cores) < 32 {
 			s.cores = append(s.cores, a)
 		}
 	}
+	s.cores = slices.DeleteFunc(s.cores, func(a ident.Addr) bool {
+		if slices.Contains(s.Boot.Seeds, a) || now.Since(s.told[a]) < time.Minute {
+			return false
+		}
+		delete(s.told, a)
+		return true
+	})
 }
 
 func (s *Sidecar) kick(ch chan struct{}) {
@@ -266,6 +285,10 @@
 		"allowance_granted": p.Tree.Granted, "allowance_denied": p.Tree.Denied, "manifest_epoch": uint64(p.Epoch())} {
 		s.Board.Set(name, int64(v))
 	}
+	for svc, n := range p.Tree.Totals() {
+		s.Board.Set("calls."+string(svc), n[0])
+		s.Board.Set("further_tries."+string(svc), n[1])
+	}
 	s.Board.Set("in_hand", int64(s.hand))
 	s.Board.Set("queued", int64(s.urgent.Len()+s.normal.Len()))
 }
--- /dev/null
+++ b/fleet/run/faults.go
@@ -0,0 +1,317 @@
+package run
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"cottonarch.example/cottonarch/fleet/machine"
+	"cottonarch.example/cottonarch/stand/endpoint"
+)
+
+// Faults are what the fleet can bring about in real processes.
+var Faults = map[string]func(*Fleet, context.Context){
+	"core-kill":        func(f *Fleet, ctx context.Context) { f.coreKill(ctx, false) },
+	"core-empty":       func(f *Fleet, ctx context.Context) { f.coreKill(ctx, true) },
+	"core-freeze":      (*Fleet).coreFreeze,
+	"core-cut":         (*Fleet).coreCut,
+	"core-stop":        (*Fleet).coreStop,
+	"side-kill":        (*Fleet).sideKill,
+	"side-freeze":      (*Fleet).sideFreeze,
+	"side-cut":         (*Fleet).sideCut,
+	"side-stop":        (*Fleet).sideStop,
+	"endpoint-replace": (*Fleet).endpointReplace,
+	"endpoint-reuse":   (*Fleet).endpointReuse,
+	"endpoint-bad":     (*Fleet).endpointBad,
+	"herd":             (*Fleet).herd,
+	"heavy":            (*Fleet).heavy,
+}
+
+// Names lists the faults.
+func Names() []string {
+	var out []string
+	for n := range Faults {
+		out = append(out, n)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// faults runs the named faults in turn, spread over the run.
+func (f *Fleet) faults(ctx context.Context) {
+	f.pause(ctx, 8*time.Second)
+	for i := 0; len(f.Boot.Faults) > 0 && ctx.Err() == nil; i++ {
+		if d, ok := ctx.Deadline(); ok && time.Until(d) < 9*time.Second {
+			return
+		}
+		name := f.Boot.Faults[i%len(f.Boot.Faults)]
+		f.Say("%6.1fs %s", time.Duration(f.now()).Seconds(), name)
+		f.count("fault " + name)
+		Faults[name](f, ctx)
+		f.pause(ctx, f.Every)
+	}
+}
+
+func (f *Fleet) pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// excused notes that a machine is out until a while after d.
+func (f *Fleet) excused(m *machine.Machine, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.excuse[m.Name] = time.Now().Add(d + 2500*time.Millisecond)
+}
+
+func (f *Fleet) pick(list []*machine.Machine) *machine.Machine {
+	return list[f.rng.IntN(len(list))]
+}
+
+func (f *Fleet) back(m *machine.Machine) {
+	if err := m.Start(); err != nil {
+		f.Say("%s does not start: %v", m.Name, err)
+	}
+	if !m.Ready(20 * time.Second) {
+		f.mu.Lock()
+		f.Check.Break(f.now(), "slow-recovery", "%s was not ready 20s after its start", m.Name)
+		f.mu.Unlock()
+	}
+}
+
+func (f *Fleet) coreKill(ctx context.Context, empty bool) {
+	m := f.pick(f.Cores)
+	m.Kill()
+	if empty {
+		if err := m.Empty(); err != nil {
+			f.Say("%v", err)
+		}
+	}
+	f.pause(ctx, time.Second)
+	f.back(m)
+	if empty {
+		f.votes(m, 20*time.Second)
+	}
+}
+
+// votes waits until a core's new disk votes.
+func (f *Fleet) votes(m *machine.Machine, limit time.Duration) {
+	t := time.NewTicker(100 * time.Millisecond)
+	defer t.Stop()
+	for until := time.Now().Add(limit); time.Now().Before(until); <-t.C {
+		var got struct {
+			Votes bool `json:"votes"`
+		}
+		if _, err := m.Ask(500*time.Millisecond, "GET", "/status", nil, &got); err == nil && got.Votes {
+			f.count("new disks that vote")
+			return
+		}
+	}
+	f.mu.Lock()
+	f.Check.Break(f.now(), "slow-recovery", "%s does not vote %v after it came back empty", m.Name, limit)
+	f.mu.Unlock()
+}
+
+func (f *Fleet) coreFreeze(ctx context.Context) {
+	m := f.pick(f.Cores)
+	m.Freeze()
+	f.pause(ctx, 3*time.Second)
+	m.Thaw()
+}
+
+func (f *Fleet) cutOff(m *machine.Machine, on bool) {
+	for _, o := range append(slices.Clone(f.Cores), f.Sides...) {
+		if o != m {
+			f.net.Cut(m.IP, o.IP, on)
+			f.net.Cut(o.IP, m.IP, on)
+		}
+	}
+}
+
+func (f *Fleet) coreCut(ctx context.Context) {
+	m := f.pick(f.Cores)
+	f.cutOff(m, true)
+	f.pause(ctx, 3*time.Second)
+	f.cutOff(m, false)
+}
+
+func (f *Fleet) coreStop(context.Context) {
+	m := f.pick(f.Cores)
+	if !m.Stop(20 * time.Second) {
+		f.mu.Lock()
+		f.Check.Break(f.now(), "dropped-in-stop", "%s did not stop in 20s", m.Name)
+		f.mu.Unlock()
+		m.Kill()
+	}
+	f.back(m)
+}
+
+func (f *Fleet) sideKill(ctx context.Context) {
+	m := f.pick(f.Sides)
+	f.excused(m, 25*time.Second)
+	m.Kill()
+	f.pause(ctx, time.Second)
+	f.back(m)
+	f.excused(m, 0)
+}
+
+func (f *Fleet) sideFreeze(ctx context.Context) {
+	m := f.pick(f.Sides)
+	f.excused(m, 3*time.Second)
+	m.Freeze()
+	f.pause(ctx, 2500*time.Millisecond)
+	m.Thaw()
+}
+
+func (f *Fleet) sideCut(ctx context.Context) {
+	m := f.pick(f.Sides)
+	f.excused(m, 3*time.Second)
+	f.cutOff(m, true)
+	f.pause(ctx, 3*time.Second)
+	f.cutOff(m, false)
+}
+
+// sideStop is a planned stop of a sidecar under traffic: what is in hand must end
+// well. Its callers stop coming once it says that it is not ready, as the platform
+// would see to; here they go on, so those that find no one there are excused, and
+// those that were taken are not.
+func (f *Fleet) sideStop(context.Context) {
+	m := f.pick(f.Sides)
+	f.excused(m, 25*time.Second)
+	if !m.Stop(25 * time.Second) {
+		f.mu.Lock()
+		f.Check.Break(f.now(), "dropped-in-stop", "%s did not stop in 25s", m.Name)
+		f.mu.Unlock()
+		m.Kill()
+	}
+	f.mu.Lock()
+	if m.Exit != 0 {
+		f.Check.Break(f.now(), "dropped-in-stop", "%s ended with %d", m.Name, m.Exit)
+	}
+	f.mu.Unlock()
+	f.back(m)
+	f.excused(m, 0)
+}
+
+func (f *Fleet) some() *end {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := map[string]int{}
+	var live []*end
+	for _, e := range f.ends {
+		if !e.gone {
+			count[string(e.Service)]++
+			live = append(live, e)
+		}
+	}
+	live = slices.DeleteFunc(live, func(e *end) bool { return count[string(e.Service)] < 2 })
+	if len(live) == 0 {
+		return nil
+	}
+	e := live[f.rng.IntN(len(live))]
+	e.gone = true
+	return e
+}
+
+func (f *Fleet) endpointReplace(context.Context) {
+	e := f.some()
+	if e == nil {
+		return
+	}
+	if e.Leave() {
+		f.mu.Lock()
+		f.left[e.Server] = time.Now()
+		f.mu.Unlock()
+	}
+	e.Stop(3 * time.Second)
+	if _, err := f.endpoint(e.side, e.svc, ""); err != nil {
+		f.Say("%v", err)
+	}
+}
+
+// endpointReuse kills an endpoint; two seconds later its address serves another.
+func (f *Fleet) endpointReuse(ctx context.Context) {
+	e := f.some()
+	if e == nil {
+		return
+	}
+	other := f.Deployment.Services[f.rng.IntN(len(f.Deployment.Services))]
+	e.Die()
+	f.pause(ctx, 2*time.Second)
+	if _, err := f.endpoint(e.side, other, string(e.Addr)); err != nil {
+		f.Say("%v", err)
+	}
+	if _, err := f.endpoint(e.side, e.svc, ""); err != nil {
+		f.Say("%v", err)
+	}
+}
+
+func (f *Fleet) endpointBad(ctx context.Context) {
+	f.mu.Lock()
+	var e *end
+	for _, x := range f.ends {
+		if !x.gone {
+			e = x
+		}
+	}
+	f.mu.Unlock()
+	if e == nil {
+		return
+	}
+	e.Behave(endpoint.Mood{Work: 4 * time.Millisecond, Lose: 0.3, Garbage: 0.2, Cut: 0.2})
+	f.pause(ctx, 4*time.Second)
+	e.Behave(endpoint.Mood{Work: 4 * time.Millisecond})
+}
+
+func (f *Fleet) loss() { f.mu.Lock(); f.Check.Losses = append(f.Check.Losses, f.now()); f.mu.Unlock() }
+
+// herd kills half the sidecars and a core at once.
+func (f *Fleet) herd(ctx context.Context) {
+	f.loss()
+	var hit []*machine.Machine
+	for i, m := range f.Sides {
+		if i%2 == 0 {
+			hit = append(hit, m)
+		}
+	}
+	hit = append(hit, f.pick(f.Cores))
+	f.all(ctx, hit)
+}
+
+// heavy kills every core and half the sidecars at once.
+func (f *Fleet) heavy(ctx context.Context) {
+	f.loss()
+	f.mu.Lock()
+	f.coreBad = time.Now().Add(6 * time.Second)
+	f.mu.Unlock()
+	hit := slices.Clone(f.Cores)
+	for i, m := range f.Sides {
+		if i%2 == 1 {
+			hit = append(hit, m)
+		}
+	}
+	f.all(ctx, hit)
+	f.pause(ctx, 9*time.Second)
+}
+
+func (f *Fleet) all(ctx context.Context, hit []*machine.Machine) {
+	done := make(chan bool, len(hit))
+	for _, m := range hit {
+		f.excused(m, 25*time.Second)
+		go func() { m.Kill(); done <- true }()
+	}
+	for range hit {
+		<-done
+	}
+	f.pause(ctx, 1500*time.Millisecond)
+	for _, m := range hit {
+		go func() { f.back(m); f.excused(m, 0); done <- true }()
+	}
+	for range hit {
+		<-done
+	}
+}
--- a/kernel/ident/ident.go
+++ b/kernel/ident/ident.go
@@ -1,7 +1,11 @@
 // Package ident holds the small types that name things in the mesh.
 package ident
 
-import "strings"
+import (
+	"net"
+	"net/netip"
+	"strings"
+)
 
 // Disk names one data folder for the whole of its life. Invariant: a folder that
 // comes back empty gets a new Disk; two folders never share one.
@@ -10,6 +14,15 @@
 // Addr is a peer address, "ip:port". Invariant: never resolved by name.
 type Addr string
 
+// From is the address to dial from: the same IP, any port.
+func (a Addr) From() net.Addr {
+	ap, err := netip.ParseAddrPort(string(a))
+	if err != nil {
+		return nil
+	}
+	return net.TCPAddrFromAddrPort(netip.AddrPortFrom(ap.Addr(), 0))
+}
+
 // Node names a sidecar; it is stable over restarts of that sidecar.
 type Node string
 
--- a/mesh/allowance/allowance.go
+++ b/mesh/allowance/allowance.go
@@ -50,6 +50,7 @@
 
 type branch struct {
 	window
+	total   [2]int64 // calls and further tries since the start
 	callers map[string]*window
 }
 
@@ -120,6 +121,7 @@
 // Call counts a first try.
 func (t *Tree) Call(now moment.Moment, s ident.Service, who string) {
 	b, w := t.at(now, s, who)
+	b.total[0]++
 	b.calls[b.at%int64(slots)]++
 	w.calls[w.at%int64(slots)]++
 }
@@ -151,6 +153,7 @@
 		return false
 	}
 	t.Granted++
+	b.total[1]++
 	b.tries[b.at%int64(slots)]++
 	w.tries[w.at%int64(slots)]++
 	return true
@@ -162,3 +165,12 @@
 	}
 	return 1
 }
+
+// Totals gives each service's calls and further tries since the start.
+func (t *Tree) Totals() map[ident.Service][2]int64 {
+	out := make(map[ident.Service][2]int64, len(t.all))
+	for svc, b := range t.all {
+		out[svc] = b.total
+	}
+	return out
+}
--- a/sim/plan/plan.go
+++ b/sim/plan/plan.go
@@ -122,6 +122,9 @@
 func Simulate(d Deployment, q What) *world.World {
 	w := world.New(q.Seed)
 	w.OpenGate, w.Reckless, w.Forget = q.OpenGate, q.Reckless, q.Forget
+	if q.QuorumOf1 {
+		w.Need = 1
+	}
 	r := &Run{World: w, d: d, what: q, load: d.Rate * q.Burden}
 	if q.Scale > 0 {
 		r.load *= q.Scale
--- a/sim/world/core.go
+++ b/sim/world/core.go
@@ -120,7 +120,7 @@
 	}
 	mark := fmt.Sprintf("%s-%d", c.Addr, c.gen)
 	var first []ring.Record
-	c.node, first, err = node.New(c.clock(), node.Boot{Addr: c.Addr, District: c.District, Seeds: w.Seeds, Founders: w.Founders, Mark: mark, Machine: w.Machine,
+	c.node, first, err = node.New(c.clock(), node.Boot{Addr: c.Addr, District: c.District, Seeds: w.seeds(c), Founders: w.Founders, Mark: mark, Machine: w.Machine, Need: w.Need,
 		NewDisk: func() ident.Disk { w.disks++; return ident.Disk(fmt.Sprintf("disk%d", w.disks)) }}, c.ring.Records())
 	if err != nil {
 		w.Breach("disk", "core %s can't read its own disk: %v", c.Addr, err)
@@ -151,6 +151,20 @@
 	}
 }
 
+// seeds gives a starting core three addresses of others as they are now.
+func (w *World) seeds(c *Core) []ident.Addr {
+	if c.gen == 1 {
+		return w.Seeds
+	}
+	var out []ident.Addr
+	for _, o := range w.Cores {
+		if o != c && len(out) < 3 {
+			out = append(out, o.Addr)
+		}
+	}
+	return out
+}
+
 // Kill ends the process at once; power says whether unsynced writes may be lost too.
 func (c *Core) Kill(power bool) {
 	if !c.up {
--- a/sim/world/world.go
+++ b/sim/world/world.go
@@ -34,6 +34,7 @@
 	Closed bool
 	// Broken on purpose, to see the checkers catch it.
 	OpenGate, Reckless, Forget bool
+	Need                       int
 	Served                     map[string]int
 }
 
--- a/wire/client/client.go
+++ b/wire/client/client.go
@@ -23,10 +23,11 @@
 	trip *http.Transport
 }
 
-// New makes a pool. The time limit is each call's own, so kratos' is switched off.
-func New() *Pool {
+// New makes a pool that dials from the machine's own IP. The time limit is each
+// call's own, so kratos' is switched off.
+func New(own ident.Addr) *Pool {
 	return &Pool{all: map[ident.Addr]*khttp.Client{}, trip: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: 500 * time.Millisecond, KeepAlive: 10 * time.Second}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: 500 * time.Millisecond, KeepAlive: 10 * time.Second, LocalAddr: own.From()}).DialContext,
 		MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 	}}
 }
--- a/wire/exchange/exchange.go
+++ b/wire/exchange/exchange.go
@@ -56,12 +56,15 @@
 // not closed by the other end when it is taken out.
 type Pool struct {
 	mu   sync.Mutex
+	from net.Addr
 	idle map[ident.Addr][]*conn
 	gen  map[ident.Addr]int
 }
 
-// New makes a pool.
-func New() *Pool { return &Pool{idle: map[ident.Addr][]*conn{}, gen: map[ident.Addr]int{}} }
+// New makes a pool that dials from the machine's own IP.
+func New(own ident.Addr) *Pool {
+	return &Pool{from: own.From(), idle: map[ident.Addr][]*conn{}, gen: map[ident.Addr]int{}}
+}
 
 // Drop closes the kept connections of an address and keeps none of those in use.
 func (p *Pool) Drop(addr ident.Addr) {
@@ -144,7 +147,7 @@
 		c, gen = p.take(addr)
 	}
 	if c == nil {
-		dial := net.Dialer{Timeout: dialMax}
+		dial := net.Dialer{Timeout: dialMax, LocalAddr: p.from}
 		raw, err := dial.DialContext(ctx, "tcp", string(addr))
 		if err != nil {
 			return nil, false, defect.New(defect.Unreached, "%s takes no connection", addr)
