Further tries are paid by calls of the last half second; every checker seen failing

A try was paid by any call of the ten seconds before it, so calls from before a window paid for tries within it. Change: calls save up 0.9 of the part for half a second only; the share has its own ten-second window.

--- a/cmd/cottonarch/main.go
+++ b/cmd/cottonarch/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -23,6 +24,7 @@
 	"cottonarch.example/cottonarch/daemon/sidecar"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/sim/plan"
 	"cottonarch.example/cottonarch/stand/caller"
 	"cottonarch.example/cottonarch/stand/endpoint"
 	"cottonarch.example/cottonarch/wire/server"
@@ -31,6 +33,7 @@
 var app struct {
 	Core     coreCmd     `cmd:"" help:"Run a core: control state on disk, the registry, coordination."`
 	Sidecar  sidecarCmd  `cmd:"" help:"Run a sidecar: the node beside an application."`
+	Simulate simulateCmd `cmd:"" help:"Ask what-if questions of a simulated deployment; ends with 1 when a rule breaks."`
 	Endpoint endpointCmd `cmd:"" help:"Run a stand-in endpoint."`
 	Caller   callerCmd   `cmd:"" help:"Run stand-in callers and print what they were told."`
 	operatorCmds
@@ -194,7 +197,14 @@
 }
 
 func main() {
-	k := kong.Parse(&app, kong.Name("cottonarch"), kong.Description("A service mesh: cores hold the control state, sidecars carry the traffic."), kong.UsageOnError())
+	k := kong.Parse(&app, kong.Name("cottonarch"), kong.Description("A service mesh: cores hold the control state, sidecars carry the traffic."), kong.UsageOnError(),
+		kong.Vars{"faults": strings.Join(plan.Names(), ", "), "breaks": strings.Join(plan.BreakNames(), ", ")},
+		kong.Exit(func(code int) {
+			if code != 0 && code != 1 {
+				code = 2 // a wrong command line is bad input too
+			}
+			os.Exit(code)
+		}))
 	err := k.Run()
 	if err == nil {
 		return
--- a/fleet/run/run.go
+++ b/fleet/run/run.go
@@ -461,7 +461,7 @@
 	defer f.mu.Unlock()
 	for _, t := range f.book.All() {
 		asked[t.ID], unsafe[t.ID] = t.Kind.Service, t.Kind.Method != "GET"
-		f.Check.Calls = append(f.Check.Calls, &check.Call{ID: t.ID, Service: t.Kind.Service, Unsafe: t.Kind.Method != "GET", Began: f.at(t.Began), Ended: f.at(t.Began.Add(t.Took)), Fate: fates[t.Fate], Why: t.Note})
+		f.Check.Calls = append(f.Check.Calls, &check.Call{ID: t.ID, Service: t.Kind.Service, Unsafe: t.Kind.Method != "GET", Began: f.at(t.Began), Ended: f.at(t.Began.Add(t.Took)), Fate: fates[t.Fate], Why: t.Note, Whole: true})
 		f.Counts["calls "+string(t.Fate)]++
 		var why struct {
 			Defect string `json:"defect"`
--- a/mesh/allowance/allowance.go
+++ b/mesh/allowance/allowance.go
@@ -14,54 +14,95 @@
 	// Window is the span in which further tries are reckoned.
 	Window = 10 * time.Second
 	slot   = 100 * time.Millisecond
-	slots  = int(Window/slot) + 1
+	slots  = int(Window/slot) + 4 // a few late: clocks run apart
+	// fresh is how many slots a call's part may be saved up.
+	fresh = 5
+	// keep is what is spent of the part, so that the saved-up slots, which may lie
+	// before a window, stay within the bound.
+	keep = 0.9
 	// Hold is how long a share may be spent after a majority of cores last took a
 	// renewal; it is far shorter than the time after which a share is taken back.
 	Hold       = 5 * time.Second
 	callersMax = 2000
 )
 
-// window counts within the last ten seconds. Invariant: calls are forgotten a slot
-// early and tries a slot late, so rounding never grants more.
-type window struct {
-	calls, tries [slots]int
-	at           int64
+// purse is what may be spent at one place of the tree. Invariants: saved is never
+// more than the part of the calls of the last half second; so within any window at
+// most the part of the calls of that window and half a second before it is spent
+// from saved, and from the share at most its size.
+type purse struct {
+	calls [fresh]int
+	spent [slots]int // from the share
+	saved float64
+	at    int64
+	total [2]int64
 }
 
-func (w *window) roll(now moment.Moment) {
+func (p *purse) roll(now moment.Moment) {
 	at := int64(now) / int64(slot)
-	for n := 0; w.at < at && n < slots; n++ {
-		w.at++
-		w.calls[w.at%int64(slots)], w.tries[w.at%int64(slots)] = 0, 0
+	for n := 0; p.at < at && n < slots; n++ {
+		p.at++
+		p.calls[p.at%fresh], p.spent[p.at%int64(slots)] = 0, 0
 	}
-	w.at = at
+	p.at = at
 }
 
-func (w *window) sums() (calls, tries int) {
-	oldest := (w.at + 1) % int64(slots)
-	for i := range slots {
-		tries += w.tries[i]
-		if int64(i) != oldest {
-			calls += w.calls[i]
+func (p *purse) call(part float64) {
+	p.calls[p.at%fresh]++
+	p.total[0]++
+	p.saved += part * keep
+}
+
+// room tells what may be spent: from what is saved, and from a share.
+func (p *purse) room(part float64, share float64) (saved, shared bool) {
+	near, gone := 0, 0
+	for _, n := range p.calls {
+		near += n
+	}
+	for _, n := range p.spent {
+		gone += n
+	}
+	p.saved = min(p.saved, part*keep*float64(near))
+	return p.saved >= 1, float64(gone+1) <= share
+}
+
+func (p *purse) spend(saved bool) {
+	p.total[1]++
+	if saved {
+		p.saved--
+		return
+	}
+	p.spent[p.at%int64(slots)]++
+}
+
+func (p *purse) idle() bool {
+	for _, n := range p.spent {
+		if n > 0 {
+			return false
+		}
+	}
+	for _, n := range p.calls {
+		if n > 0 {
+			return false
 		}
 	}
-	return
+	return true
 }
 
 type branch struct {
-	window
-	total   [2]int64 // calls and further tries since the start
-	callers map[string]*window
+	purse
+	callers map[string]*purse
 }
 
-// Tree is the tree. Invariant: within any window a service's further tries are at
-// most part of its calls plus the share, and a caller's at most part of its own
-// calls plus its portion of the share.
+// Tree is the tree. Invariant: a further try is granted only when the service's
+// purse and the caller's purse both have room, and is then spent from both.
 type Tree struct {
 	share   int
 	from    moment.Moment // the share may not be spent before
 	renewed moment.Moment
 	all     map[ident.Service]*branch
+	// Free grants everything; only tests of the checkers set it.
+	Free bool
 	// Counters.
 	Granted, Denied uint64
 }
@@ -69,7 +110,7 @@
 // New makes a tree whose share may be spent only one window after it was made, so
 // that a restart never spends a share twice.
 func New(now moment.Moment) *Tree {
-	return &Tree{from: now.Add(Window), all: map[ident.Service]*branch{}}
+	return &Tree{from: now.Add(Window + 500*time.Millisecond), all: map[ident.Service]*branch{}}
 }
 
 // Grant sets the share.
@@ -87,83 +128,73 @@
 	return t.share
 }
 
-func (t *Tree) at(now moment.Moment, s ident.Service, who string) (*branch, *window) {
+func (t *Tree) at(now moment.Moment, s ident.Service, who string) (*branch, *purse) {
 	b := t.all[s]
 	if b == nil {
-		b = &branch{callers: map[string]*window{}}
+		b = &branch{callers: map[string]*purse{}}
 		t.all[s] = b
 	}
 	b.roll(now)
-	w := b.callers[who]
-	if w == nil {
+	p := b.callers[who]
+	if p == nil {
 		if len(b.callers) >= callersMax {
 			for name, old := range b.callers {
-				if old.roll(now); sum(old) == 0 {
+				if old.roll(now); old.idle() {
 					delete(b.callers, name)
 				}
 			}
 		}
 		if len(b.callers) >= callersMax {
-			who = ""
-			w = b.callers[who]
+			who = "" // too many to tell apart: they share one purse
+			p = b.callers[who]
 		}
-		if w == nil {
-			w = &window{}
-			b.callers[who] = w
+		if p == nil {
+			p = &purse{}
+			b.callers[who] = p
 		}
 	}
-	w.roll(now)
-	return b, w
+	p.roll(now)
+	return b, p
 }
 
-func sum(w *window) int { c, n := w.sums(); return c + n }
-
 // Call counts a first try.
-func (t *Tree) Call(now moment.Moment, s ident.Service, who string) {
-	b, w := t.at(now, s, who)
-	b.total[0]++
-	b.calls[b.at%int64(slots)]++
-	w.calls[w.at%int64(slots)]++
+func (t *Tree) Call(now moment.Moment, svc check.Service, who string) {
+	b, p := t.at(now, svc.Hostname, who)
+	b.call(svc.Part)
+	p.call(svc.Part)
 }
 
 // Again asks for one further try and counts it when it is granted.
 func (t *Tree) Again(now moment.Moment, svc check.Service, who string) bool {
-	b, w := t.at(now, svc.Hostname, who)
-	share := t.Share(now)
-	calls, tries := b.sums()
-	if float64(tries+1) > svc.Part*float64(calls)+float64(share) {
-		t.Denied++
-		return false
-	}
-	weight, all := weigh(svc, who), 0.0
-	for _, x := range svc.Callers {
-		all += x
-	}
-	if all < weight {
-		all = weight
-	}
-	// A caller that is not named may use up to half of the share.
-	portion := float64(share) / 2
-	if _, named := svc.Callers[who]; named && all > 0 {
-		portion = max(float64(share)*weight/all, portion*weight/all)
-	}
-	own, past := w.sums()
-	if float64(past+1) > svc.Part*float64(own)+max(1, portion) {
+	b, p := t.at(now, svc.Hostname, who)
+	share := float64(t.Share(now))
+	saved, shared := b.room(svc.Part, share)
+	own, part := p.room(svc.Part, portion(svc, who, share))
+	if !t.Free && (!saved && !shared || !own && !part) {
 		t.Denied++
 		return false
 	}
 	t.Granted++
-	b.total[1]++
-	b.tries[b.at%int64(slots)]++
-	w.tries[w.at%int64(slots)]++
+	b.spend(saved)
+	p.spend(own)
 	return true
 }
 
-func weigh(svc check.Service, who string) float64 {
-	if x, ok := svc.Callers[who]; ok {
-		return x
+// portion is a caller's portion of the share: by weight when the manifest names it,
+// else up to half, and one at least.
+func portion(svc check.Service, who string, share float64) float64 {
+	weight, named := svc.Callers[who]
+	if !named {
+		return min(share, max(1, share/2))
+	}
+	all := 0.0
+	for _, x := range svc.Callers {
+		all += x
+	}
+	if all == 0 {
+		return 0
 	}
-	return 1
+	return share * weight / all
 }
 
 // Totals gives each service's calls and further tries since the start.
--- /dev/null
+++ b/mesh/allowance/allowance_test.go
@@ -0,0 +1,104 @@
+package allowance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cottonarch.example/cottonarch/control/manifest/check"
+	"cottonarch.example/cottonarch/kernel/moment"
+	"github.com/shoenig/test/must"
+)
+
+var svc = check.Service{Hostname: "s", Part: 0.2}
+
+// Nine sidecars whose traffic rises and falls never spend more together, in any ten
+// seconds, than a fifth of that traffic and sixty. Found by seeds 14 and 30: calls
+// from before the window had paid for tries within it.
+func TestBoundHoldsOverAllNodesWhileTrafficFalls(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		var trees []*Tree
+		for range 12 {
+			tr := New(0)
+			tr.Grant(5)
+			trees = append(trees, tr)
+		}
+		var calls, tries []moment.Moment
+		rate := 300.0
+		for now := moment.Moment(0); now < moment.Moment(60*time.Second); now = now.Add(5 * time.Millisecond) {
+			if rng.IntN(400) == 0 {
+				rate = []float64{10, 100, 300, 900}[rng.IntN(4)]
+			}
+			for _, tr := range trees {
+				tr.Renewed(now)
+				if rng.Float64() < rate/200/12 {
+					tr.Call(now, svc, "c")
+					calls = append(calls, now)
+					for range 3 { // everything fails
+						if tr.Again(now, svc, "c") {
+							tries = append(tries, now)
+						}
+					}
+				}
+			}
+		}
+		must.Greater(t, 200, len(tries))
+		for i, end := range tries {
+			from := end.Add(-Window)
+			n := 0
+			for _, x := range tries[:i+1] {
+				if x > from {
+					n++
+				}
+			}
+			m := 0
+			for _, x := range calls {
+				if x > from && x <= end {
+					m++
+				}
+			}
+			must.LessEq(t, 0.2*float64(m)+60, float64(n), must.Sprintf("seed %d: %d tries beside %d calls before %v", seed, n, m, time.Duration(end)))
+		}
+	}
+}
+
+// A share is not spent in the first window of a run, nor when no majority renews it.
+func TestShareNeedsTimeAndRenewal(t *testing.T) {
+	count := func(tr *Tree, now moment.Moment) (n int) {
+		for i := range 20 {
+			if tr.Again(now, svc, fmt.Sprint(i)) {
+				n++
+			}
+		}
+		return
+	}
+	tr := New(0)
+	tr.Grant(5)
+	tr.Renewed(moment.Moment(time.Second))
+	must.Eq(t, 0, count(tr, moment.Moment(2*time.Second)))
+	tr.Renewed(moment.Moment(11 * time.Second))
+	must.Eq(t, 5, count(tr, moment.Moment(12*time.Second)))
+	must.Eq(t, 0, count(tr, moment.Moment(13*time.Second)))
+	must.Eq(t, 0, count(tr, moment.Moment(40*time.Second)))
+}
+
+// One caller can't take the whole of the share; a named one gets its weight.
+func TestCallersHaveTheirPortion(t *testing.T) {
+	named := svc
+	named.Callers = map[string]float64{"big": 4, "small": 1}
+	for who, want := range map[string]int{"big": 4, "small": 1, "other": 2} {
+		tr := New(0)
+		tr.Grant(5)
+		now := moment.Moment(12 * time.Second)
+		tr.Renewed(now)
+		n := 0
+		for range 20 {
+			if tr.Again(now, named, who) {
+				n++
+			}
+		}
+		must.Eq(t, want, n, must.Sprint(who))
+	}
+}
--- a/mesh/gate/gate.go
+++ b/mesh/gate/gate.go
@@ -57,6 +57,7 @@
 	status  record.Status
 	leaving bool
 	hand    int
+	open    bool
 }
 
 // Gate knows the endpoints of one machine. Invariants: an address belongs to one
@@ -120,12 +121,12 @@
 	if b.Weight == 0 {
 		b.Weight = 1
 	}
-	if old, ok := g.spots[b.Addr]; ok && old != b.Server {
+	if old, ok := g.spots[b.Addr]; ok && old != b.Server && !g.Open {
 		c = g.drop(old)
 	}
 	e := g.all[b.Server]
 	if e == nil {
-		e = &entry{status: record.Unknown}
+		e = &entry{status: record.Unknown, open: g.Open}
 		g.all[b.Server] = e
 	} else if e.Addr != b.Addr {
 		c.Closed = append(c.Closed, e.Addr)
@@ -183,7 +184,7 @@
 
 func (e *entry) well(now moment.Moment) record.Status {
 	switch {
-	case now.Since(e.at) > Silent || e.sick.After(now):
+	case !e.open && (now.Since(e.at) > Silent || e.sick.After(now)):
 		return record.Unhealthy
 	case e.leaving:
 		return record.Draining
@@ -199,7 +200,7 @@
 	g.tick = now
 	for _, s := range g.servers() {
 		e := g.all[s]
-		if now.Since(e.at) > forget {
+		if now.Since(e.at) > forget && !g.Open {
 			d := g.drop(s)
 			c.Closed, c.News = append(c.Closed, d.Closed...), true
 			g.Forgotten++
--- a/mesh/path/path.go
+++ b/mesh/path/path.go
@@ -124,7 +124,7 @@
 	}
 	c.Until = now.Add(limit)
 	p.Calls++
-	p.Tree.Call(now, w.Service, c.Caller)
+	p.Tree.Call(now, c.Service, c.Caller)
 	return nil
 }
 
--- a/sim/check/check.go
+++ b/sim/check/check.go
@@ -33,6 +33,8 @@
 	Began, Ended moment.Moment
 	Fate         Fate
 	Why          string
+	Whole        bool // some endpoint gave its whole return
+	Done         func()
 }
 
 // Run is one line of an endpoint's ledger.
@@ -145,8 +147,8 @@
 		}
 		if k.Fate == Served {
 			c.Seen["wrong-return"]++
-			if count[k.ID] == 0 {
-				c.Break(k.Ended, "wrong-return", "%s was served and no endpoint ran it", k.ID)
+			if count[k.ID] == 0 || !k.Whole {
+				c.Break(k.Ended, "wrong-return", "%s was served and no endpoint gave a whole return", k.ID)
 			}
 		}
 	}
--- a/sim/plan/faults.go
+++ b/sim/plan/faults.go
@@ -28,6 +28,7 @@
 		"core-split":       (*Run).coreSplit,
 		"core-isolated":    (*Run).coreIsolated,
 		"core-roll":        (*Run).coreRoll,
+		"side-roll":        (*Run).sideRoll,
 		"side-kill":        (*Run).sideKill,
 		"side-freeze":      (*Run).sideFreeze,
 		"side-cut":         (*Run).sideCut,
@@ -37,6 +38,7 @@
 		"endpoint-reuse":   (*Run).endpointReuse,
 		"endpoint-freeze":  (*Run).endpointFrozenReuse,
 		"endpoint-bad":     (*Run).endpointBad,
+		"release-bad":      (*Run).releaseBad,
 		"crowd":            (*Run).crowd,
 		"herd":             (*Run).herd,
 		"burst":            (*Run).burst,
@@ -211,6 +213,19 @@
 	return d
 }
 
+// sideRoll restarts a few sidecars one by one, each by a planned stop.
+func (r *Run) sideRoll() time.Duration {
+	r.Say("sidecars are rolled")
+	for i := range 3 {
+		s := r.Sides[(i+r.Rng.IntN(len(r.Sides)))%len(r.Sides)]
+		r.After(time.Duration(i)*2500*time.Millisecond, func() {
+			s.Troubled(12 * time.Second)
+			s.Stop(func() { r.After(300*time.Millisecond, s.Start) })
+		})
+	}
+	return 8 * time.Second
+}
+
 func (r *Run) sideFreeze() time.Duration {
 	s, d := r.side(), r.span(300*time.Millisecond, 5*time.Second)
 	r.Say("sidecar %s frozen for %v", s.Node, d)
@@ -290,7 +305,7 @@
 	}
 	r.Say("endpoint %s leaves and is replaced", e.Server)
 	s, svc := e.Side, e.Service
-	e.Leave(2500*time.Millisecond, func() { r.endpoint(s, svc, "") })
+	e.Leave(r.span(2500*time.Millisecond, 6*time.Second), func() { r.endpoint(s, svc, "") })
 	return 3 * time.Second
 }
 
@@ -334,6 +349,23 @@
 	return d
 }
 
+// releaseBad: all endpoints of one service lose or garble most returns.
+func (r *Run) releaseBad() time.Duration {
+	d := r.span(2*time.Second, 8*time.Second)
+	svc := r.d.Services[r.Rng.IntN(len(r.d.Services))].Name
+	r.Say("every endpoint of %s loses and garbles returns for %v", svc, d)
+	for _, s := range r.Sides {
+		for _, e := range s.Ends {
+			if e.Service == svc {
+				old := e.Mood
+				e.Mood.Lose, e.Mood.Garbage = 0.1, 0.7
+				r.After(d, func() { e.Mood = old })
+			}
+		}
+	}
+	return d
+}
+
 func (r *Run) crowd() time.Duration {
 	d := r.span(2*time.Second, 5*time.Second)
 	r.Say("a crowd for %v", d)
@@ -373,7 +405,14 @@
 	for i, s := range r.Sides {
 		if i%2 == 0 {
 			s.Kill()
-			r.After(r.span(time.Second, 3*time.Second), s.Start)
+			if r.what.Break != "restart" {
+				r.After(r.span(time.Second, 3*time.Second), s.Start)
+			}
+		}
+	}
+	if r.what.Break == "restart" {
+		for _, s := range r.Sides {
+			s.Kill()
 		}
 	}
 }
--- a/sim/plan/plan.go
+++ b/sim/plan/plan.go
@@ -52,20 +52,24 @@
 			{Name: "table", Method: "GET", Host: "tables.rail", Path: "/old", Service: "tables.volta", Weight: 20}}},
 }
 
+// Timed is one fault of a schedule, reckoned from the start of the faults.
+type Timed struct {
+	Fault string
+	After time.Duration
+}
+
 // What changes a deployment or says what goes wrong.
 type What struct {
 	Seed       uint64
 	For        time.Duration
 	Faults     []string // empty means drawn from the seed; "none" means none
+	At         []Timed  // a schedule instead of drawn faults
 	AddCores   int
 	LoseDist   bool
 	Burden     float64 // times the rate
 	Scale      float64 // of the load, to run faster
 	LastHeavy  bool
-	OpenGate   bool
-	Reckless   bool
-	Forget     bool
-	QuorumOf1  bool
+	Break      world.Break
 	Links      bool // lossy, late, doubled messages throughout
 	FaultEvery time.Duration
 }
@@ -93,6 +97,17 @@
 			add("faults", "there is no fault %q; there are none, %s", f, strings.Join(Names(), ", "))
 		}
 	}
+	for _, t := range q.At {
+		if _, ok := Faults[t.Fault]; !ok {
+			add("at", "there is no fault %q; there are %s", t.Fault, strings.Join(Names(), ", "))
+		}
+		if t.After < 0 || t.After > q.For {
+			add("at", "%v is not within the run of %v", t.After, q.For)
+		}
+	}
+	if _, ok := world.Breaks[q.Break]; !ok && q.Break != "" {
+		add("break", "there is no break %q", q.Break)
+	}
 	if q.For < 5*time.Second || q.For > time.Hour {
 		add("for", "must be from 5s to 1h")
 	}
@@ -121,10 +136,7 @@
 // Simulate runs one day and judges it.
 func Simulate(d Deployment, q What) *world.World {
 	w := world.New(q.Seed)
-	w.OpenGate, w.Reckless, w.Forget = q.OpenGate, q.Reckless, q.Forget
-	if q.QuorumOf1 {
-		w.Need = 1
-	}
+	w.Break = q.Break
 	r := &Run{World: w, d: d, what: q, load: d.Rate * q.Burden}
 	if q.Scale > 0 {
 		r.load *= q.Scale
@@ -169,7 +181,10 @@
 	}
 	w.RunFor(5 * time.Second)
 	end := w.Now().Add(q.For)
-	if len(q.Faults) != 1 || q.Faults[0] != "none" {
+	for _, t := range q.At {
+		w.After(t.After, func() { Faults[t.Fault](r) })
+	}
+	if len(q.At) == 0 && (len(q.Faults) != 1 || q.Faults[0] != "none") {
 		r.faults(end)
 	}
 	if q.LoseDist {
@@ -245,3 +260,13 @@
 	}
 	r.After(time.Duration(n)*time.Millisecond, round)
 }
+
+// BreakNames lists what can be broken on purpose.
+func BreakNames() []string {
+	var out []string
+	for b := range world.Breaks {
+		out = append(out, string(b))
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/sim/plan/plan_test.go
@@ -0,0 +1,85 @@
+package plan
+
+import (
+	"testing"
+	"time"
+
+	"cottonarch.example/cottonarch/sim/world"
+	"github.com/shoenig/test/must"
+)
+
+func day(seed uint64, scale float64, faults ...string) What {
+	return What{Seed: seed, For: 25 * time.Second, Burden: 1, Scale: scale, LastHeavy: true, Links: true, Faults: faults}
+}
+
+// Fixed seeds of both deployments under all faults: every rule holds. Those with a
+// reason broke once.
+func TestSeedsHold(t *testing.T) {
+	for name, q := range map[string]struct {
+		dep  string
+		what What
+	}{
+		"prairie 1": {"prairie", day(1, 0.3)}, "prairie 2": {"prairie", day(2, 0.3)}, "prairie 3": {"prairie", day(3, 1)},
+		"prairie 6: stayed with a core that was behind":      {"prairie", day(6, 0.3)},
+		"prairie 12: stayed with a core that was behind":     {"prairie", day(12, 0.3)},
+		"prairie 13: a lost forward was not repeated":        {"prairie", day(13, 0.3)},
+		"prairie 14: tries paid by calls before the window":  {"prairie", day(14, 1, "release-bad", "endpoint-freeze", "endpoint-replace", "side-cut-core")},
+		"prairie 30: tries paid by calls before the window":  {"prairie", day(30, 1, "release-bad", "endpoint-freeze", "endpoint-replace", "side-cut-core")},
+		"prairie 1152: a deposed owner's grant was revived":  {"prairie", day(1152, 1)},
+		"prairie 1181: a deposed owner's grant was revived":  {"prairie", day(1181, 1)},
+		"prairie 1040: seeds that no core was at any longer": {"prairie", day(1040, 1, "core-empty", "core-fail-disk")},
+		"volta 1":                    {"volta", day(1, 0.3)},
+		"volta 2":                    {"volta", day(2, 1)},
+		"volta 3: rolled throughout": {"volta", day(3, 0.5, "core-roll", "side-roll", "endpoint-replace")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := Simulate(Deployments[q.dep], q.what)
+			must.SliceEmpty(t, w.Check.Breaches, must.Sprint(w.Text()))
+			must.Greater(t, 500, len(w.Check.Runs))
+		})
+	}
+}
+
+// Each rule broken on purpose is seen broken: no checker is blind.
+func TestEveryCheckerCanFail(t *testing.T) {
+	faults := map[world.Break][]string{
+		"gate":      {"endpoint-freeze", "endpoint-reuse", "endpoint-replace", "side-cut-core"},
+		"allowance": {"release-bad"},
+		"stop":      {"side-roll"},
+	}
+	for b, rules := range world.Breaks {
+		t.Run(string(b), func(t *testing.T) {
+			t.Parallel()
+			seen := map[string]bool{}
+			for seed := uint64(1); seed < 20 && len(seen) < len(rules); seed++ {
+				q := day(seed, 1, faults[b]...)
+				q.Break = b
+				for _, x := range Simulate(Deployments["prairie"], q).Check.Breaches {
+					for _, r := range rules {
+						if r == x.Rule {
+							seen[r] = true
+						}
+					}
+				}
+			}
+			for _, r := range rules {
+				must.True(t, seen[r], must.Sprintf("%s broken, %s not seen", b, r))
+			}
+		})
+	}
+}
+
+// The same seed gives the same bytes.
+func TestSameSeedSameBytes(t *testing.T) {
+	a, b := Simulate(Deployments["volta"], day(5, 0.3)), Simulate(Deployments["volta"], day(5, 0.3))
+	must.Eq(t, a.Text(), b.Text())
+	must.Eq(t, a.Trace, b.Trace)
+}
+
+// Bad input is named whole.
+func TestBadWhatIsNamedWhole(t *testing.T) {
+	d := What{For: time.Second, Burden: -1, Faults: []string{"nope"}, AddCores: 9, Break: "x"}.Check()
+	must.NotNil(t, d)
+	must.Eq(t, 5, len(d.All))
+}
--- a/sim/world/call.go
+++ b/sim/world/call.go
@@ -23,11 +23,13 @@
 	id := fmt.Sprintf("%s-%d", k.Name, w.calls)
 	rec := &check.Call{ID: id, Service: k.Service, Unsafe: k.Method != "GET", Began: w.now}
 	w.Check.Calls = append(w.Check.Calls, rec)
-	if !s.up {
+	if !s.up || s.leaving {
 		rec.Fate = check.NoNode
 		return
 	}
 	gen := s.gen
+	s.hand++
+	rec.Done = func() { s.lay(gen) }
 	w.After(50*time.Microsecond, func() {
 		s.run(gen, func() {
 			c := &path.Call{Host: k.Host, Path: k.Path, Method: k.Method, Caller: string(s.Node)}
@@ -43,6 +45,7 @@
 
 func (w *World) end(rec *check.Call, d *defect.Defect) {
 	rec.Ended = w.now
+	rec.Done()
 	switch {
 	case d == nil:
 		rec.Fate = check.Served
@@ -50,6 +53,9 @@
 		rec.Fate, rec.Why = check.NotRun, string(d.Kind)
 	default:
 		rec.Fate, rec.Why = check.Unknown, string(d.Kind)
+		if w.Break == "fate" {
+			rec.Fate = check.NotRun
+		}
 	}
 }
 
@@ -85,6 +91,9 @@
 		return path.End{Verdict: path.Unsure, Defect: defect.Unsure(kind, "no return"), Lost: kind == defect.LostReturn}
 	}
 	w.After(ch.Limit, func() { done(unsure(defect.Late)) })
+	if w.Break == "return" {
+		unsure = func(defect.Kind) path.End { return path.End{Verdict: path.Ran} }
+	}
 	to := w.sideAt(ch.Entry.Gate)
 	if to == s {
 		s.pass(ch, c, rec, done)
@@ -132,6 +141,10 @@
 		turned(d)
 		return
 	}
+	s.hand++
+	said := done
+	done = func(e path.End) { s.lay(gen); said(e) }
+	turned = func(d *defect.Defect) { done(path.End{Verdict: path.NotRun, Defect: d, Turned: true}) }
 	w.After(150*time.Microsecond, func() { // the dial
 		s.run(gen, func() {
 			e := w.spots[addr]
@@ -157,14 +170,27 @@
 				case !e.up:
 					s.run(gen, func() { done(lost) })
 				case x < e.Mood.Lose:
+					w.After(ch.Limit, func() { s.run(gen, func() { done(lost) }) })
 				case x < e.Mood.Lose+e.Mood.Garbage:
 					s.run(gen, func() {
-						done(path.End{Verdict: path.Unsure, Defect: defect.Unsure(defect.BadReturn, "garbage")})
+						end := path.End{Verdict: path.Unsure, Defect: defect.Unsure(defect.BadReturn, "garbage")}
+						if w.Break == "return" {
+							end.Verdict = path.Ran
+						}
+						done(end)
 					})
 				default:
+					rec.Whole = true
 					s.run(gen, func() { done(path.End{Verdict: path.Ran}) })
 				}
 			})
 		})
 	})
 }
+
+// lay counts one request out of hand, unless the sidecar has been started anew.
+func (s *Side) lay(gen int) {
+	if s.gen == gen {
+		s.hand--
+	}
+}
--- a/sim/world/core.go
+++ b/sim/world/core.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/key"
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/manifest/check"
@@ -120,7 +122,7 @@
 	}
 	mark := fmt.Sprintf("%s-%d", c.Addr, c.gen)
 	var first []ring.Record
-	c.node, first, err = node.New(c.clock(), node.Boot{Addr: c.Addr, District: c.District, Seeds: w.seeds(c), Founders: w.Founders, Mark: mark, Machine: w.Machine, Need: w.Need,
+	c.node, first, err = node.New(c.clock(), node.Boot{Addr: c.Addr, District: c.District, Seeds: w.seeds(c), Founders: w.Founders, Mark: mark, Machine: w.machine(), Need: w.need(),
 		NewDisk: func() ident.Disk { w.disks++; return ident.Disk(fmt.Sprintf("disk%d", w.disks)) }}, c.ring.Records())
 	if err != nil {
 		w.Breach("disk", "core %s can't read its own disk: %v", c.Addr, err)
@@ -142,7 +144,7 @@
 		if n%25 == 0 {
 			c.follow()
 		}
-		if c.w.Forget && n%50 == 49 { // a replica that forgets, to see it caught
+		if c.w.Break == "replica" && n%50 == 49 { // a replica that forgets, to see it caught
 			c.node.Amnesia()
 		}
 	})
@@ -151,6 +153,47 @@
 	}
 }
 
+func (w *World) need() int {
+	if w.Break == "quorum" {
+		return 1
+	}
+	return 0
+}
+
+// machine is the book of all deeds, with the one that is broken on purpose.
+func (w *World) machine() owner.Machine {
+	all := node.Kinds()
+	switch w.Break {
+	case "lock": // every claim is over at once
+		claim := all["lock/claim"]
+		all["lock/claim"] = func(t owner.Turn, state, args json.RawMessage) book.Entry {
+			t.Memory, t.Since = nil, 0
+			t.Now = t.Now.Add(time.Hour)
+			return claim(t, state, args)
+		}
+	case "offer": // the base epoch is not looked at
+		give := all["manifest/offer"]
+		all["manifest/offer"] = func(t owner.Turn, state, args json.RawMessage) book.Entry {
+			var a offer.Args
+			_ = json.Unmarshal(args, &a)
+			a.Base = nil
+			return give(t, state, book.JSON(a))
+		}
+	case "history": // only the newest change is kept
+		write := all["key/write"]
+		all["key/write"] = func(t owner.Turn, state, args json.RawMessage) book.Entry {
+			e := write(t, state, args)
+			var k key.Key
+			if e.State != nil && json.Unmarshal(e.State, &k) == nil && len(k.Past) > 1 {
+				k.Past = k.Past[len(k.Past)-1:]
+				e.State = book.JSON(k)
+			}
+			return e
+		}
+	}
+	return all
+}
+
 // seeds gives a starting core three addresses of others as they are now.
 func (w *World) seeds(c *Core) []ident.Addr {
 	if c.gen == 1 {
--- a/sim/world/side.go
+++ b/sim/world/side.go
@@ -8,7 +8,7 @@
 	"cottonarch.example/cottonarch/control/coordination/number"
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/core/node"
-	"cottonarch.example/cottonarch/control/manifest/check"
+	manifest "cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
@@ -40,6 +40,7 @@
 	leaving  bool
 	trouble  moment.Moment // when this machine was last cut, frozen or down
 	shown    ident.Epoch
+	hand     int
 }
 
 // NewSide makes an application machine.
@@ -53,11 +54,13 @@
 func (s *Side) Start() {
 	s.start()
 	s.path = path.New(s.clock(), s.District, s.w.Rng.Uint64())
-	s.path.Reckless = s.w.Reckless
+	s.path.Reckless = s.w.Break == "retry"
+	s.path.Tree.Free = s.w.Break == "allowance"
 	s.gate, s.held = gate.New(), holder.New()
-	s.gate.Open = s.w.OpenGate
+	s.gate.Open = s.w.Break == "gate"
 	s.admitted, s.asking, s.claim, s.seq, s.news, s.polling, s.leaving = false, false, 0, 0, false, false, false
 	s.mark, s.place = 0, 0
+	s.hand = 0
 	s.trouble = s.w.now
 	s.ticker(s.gen, 0)
 }
@@ -65,6 +68,34 @@
 // Kill ends the sidecar at once.
 func (s *Side) Kill() { s.up = false; s.trouble = s.w.now }
 
+// Stop is a planned stop: callers come no more, its endpoints are left alone, and it
+// ends once nothing is in hand for a second, or after ten.
+func (s *Side) Stop(after func()) {
+	gen := s.gen
+	s.leaving = true
+	s.run(gen, func() { s.gate.Leave(s.clock()); s.news = true })
+	s.drain(gen, 0, 0, after)
+}
+
+func (s *Side) drain(gen, quiet, n int, after func()) {
+	if !s.up || s.gen != gen {
+		return
+	}
+	if quiet++; s.hand > 0 {
+		quiet = 0
+	}
+	if quiet < 20 && n < 200 && s.w.Break != "stop" {
+		s.w.After(50*time.Millisecond, func() { s.drain(gen, quiet, n+1, after) })
+		return
+	}
+	s.w.Check.Seen["dropped-in-stop"]++
+	if s.hand > 0 {
+		s.w.Breach("dropped-in-stop", "%s stopped with %d requests in hand", s.Node, s.hand)
+	}
+	s.Kill()
+	after()
+}
+
 func (s *Side) ticker(gen, n int) {
 	s.run(gen, func() {
 		now := s.clock()
@@ -121,7 +152,7 @@
 type admitted struct {
 	claim ident.Epoch
 	share int
-	m     *check.Manifest
+	m     *manifest.Manifest
 }
 
 // admit claims membership as the daemon does: claim epoch, share, newest manifest.
@@ -164,7 +195,7 @@
 	})
 }
 
-func (s *Side) enforce(m *check.Manifest) {
+func (s *Side) enforce(m *manifest.Manifest) {
 	if m == nil || !s.path.Enforce(m) {
 		return
 	}
@@ -220,13 +251,13 @@
 	gen   int
 	place uint64
 	sets  []record.Set
-	m     *check.Manifest
+	m     *manifest.Manifest
 }
 
 // poll follows the registry and the manifest at one core; the daemon's long poll is
 // a poll each tick here.
 func (s *Side) poll() {
-	if s.polling {
+	if s.polling || s.w.Break == "deaf" && s.w.Rng.IntN(100) > 0 {
 		return
 	}
 	s.polling = true
--- a/sim/world/world.go
+++ b/sim/world/world.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/sim/check"
@@ -22,7 +21,6 @@
 	Seeds       []ident.Addr
 	Founders    []ident.Addr
 	Ring        ring.Boot
-	Machine     owner.Machine
 	Check       *check.Check
 	Trace       []string
 	spots       map[ident.Addr]*Endpoint
@@ -33,9 +31,29 @@
 	// Closed says that clients begin nothing new.
 	Closed bool
 	// Broken on purpose, to see the checkers catch it.
-	OpenGate, Reckless, Forget bool
-	Need                       int
-	Served                     map[string]int
+	Break  Break
+	Served map[string]int
+}
+
+// Break names the rule that is broken on purpose, none if empty.
+type Break string
+
+// Breaks lists what can be broken on purpose, and the rules that must then be seen
+// broken.
+var Breaks = map[Break][]string{
+	"gate":      {"wrong-service", "late-to-leaver"},
+	"retry":     {"double-run"},
+	"fate":      {"false-not-run"},
+	"return":    {"wrong-return"},
+	"deaf":      {"manifest-late"},
+	"replica":   {"manifest-back", "stale-read"},
+	"offer":     {"manifest-refused"},
+	"quorum":    {"number-repeated", "stale-read"},
+	"lock":      {"lock-shared"},
+	"stop":      {"dropped-in-stop"},
+	"allowance": {"further-tries"},
+	"history":   {"watch-forgotten"},
+	"restart":   {"slow-recovery"},
 }
 
 // New makes an empty world of a seed.
