--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -30,8 +30,8 @@
 	PartBytes = 256 << 10
 )
 
-// Admit is the return to a sidecar that claims its membership.
-type Admit struct {
+// Entry is the return to a sidecar that claims its membership.
+type Entry struct {
 	Claim    ident.Epoch  `json:"claim"`
 	Share    int          `json:"share"`
 	Cores    []ident.Addr `json:"cores"`
@@ -137,7 +137,7 @@
 		return
 	}
 	s.c.Board.Add("claims", 1)
-	reply.JSON(w, http.StatusOK, Admit{Claim: claim, Share: g.N, Cores: s.c.View().Cores, Manifest: m.Epoch})
+	reply.JSON(w, http.StatusOK, Entry{Claim: claim, Share: g.N, Cores: s.c.View().Cores, Manifest: m.Epoch})
 }
 
 func (s surface) renew(w http.ResponseWriter, r *http.Request) {
--- a/adapter/operator/operator.go
+++ b/adapter/operator/operator.go
@@ -65,7 +65,7 @@
 	a.Body = book.JSON(tree)
 	e := c.Deed(r.Context(), owner.Deed{Key: offer.Key, Kind: "manifest/offer", Op: ident.Op(r.Header.Get("Idempotency-Key")), Args: book.JSON(a)}, budget)
 	if e.Defect != nil {
-		c.Board.Add("manifests_refused", 1)
+		c.Board.Add("manifests_turned_away", 1)
 		reply.Defect(w, e.Defect)
 		return
 	}
--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -385,11 +385,11 @@
 	if p.deed.Op == "" {
 		p.deed.Op = ident.Op(fmt.Sprintf("%s.%s.%d", n.Disk, n.boot.Mark, n.next()))
 	}
-	n.route(now, p, fx)
+	n.steer(now, p, fx)
 }
 
-// route sends the one copy of a pending deed to the key's owner.
-func (n *Node) route(now moment.Moment, p *pending, fx *Effects) {
+// steer sends the one copy of a pending deed to the key's owner.
+func (n *Node) steer(now moment.Moment, p *pending, fx *Effects) {
 	disks, at := n.live(now)
 	first, _ := place.Owner(p.deed.Key, disks)
 	if first == "" || p.pause.After(now) || !n.Majority(now) {
--- a/control/core/node/tick.go
+++ b/control/core/node/tick.go
@@ -82,7 +82,7 @@
 			n.late(now, p, fx)
 			continue
 		}
-		n.route(now, p, fx)
+		n.steer(now, p, fx)
 	}
 	for _, out := range n.outs() {
 		p, ok := n.pend[out]
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -35,7 +35,7 @@
 const (
 	renewEvery = 250 * time.Millisecond
 	gateEvery  = 40 * time.Millisecond
-	// orphan is how long a sidecar that has never been admitted waits before it takes
+	// orphan is how long a sidecar that has never been entered waits before it takes
 	// a manifest from a peer.
 	orphan = 3 * time.Second
 	// cutAfter is how long without any core before peers are asked.
@@ -44,7 +44,7 @@
 
 // Sidecar is the running daemon. Invariants: mu guards path, gate and claim; the
 // manifest in force only moves to higher, confirmed epochs; ready is never said
-// before a manifest is in force and the claim was admitted.
+// before a manifest is in force and the claim was entered.
 type Sidecar struct {
 	Boot   boot.Sidecar
 	Log    *zap.Logger
@@ -72,10 +72,10 @@
 	hand     int
 	pace     time.Duration // smoothed time of a send
 
-	admitted atomic.Bool
-	leaving  atomic.Bool
-	poke     chan ident.Addr // a core that knows a newer manifest
-	push     chan struct{}
+	entered atomic.Bool
+	leaving atomic.Bool
+	poke    chan ident.Addr // a core that knows a newer manifest
+	push    chan struct{}
 }
 
 // New makes a sidecar.
@@ -125,9 +125,9 @@
 		case <-s.done:
 			return
 		}
-		if !s.admitted.Load() {
+		if !s.entered.Load() {
 			cores := s.cored()
-			s.admit(cores[turn%len(cores)])
+			s.grantEntry(cores[turn%len(cores)])
 			turn++
 			continue
 		}
@@ -148,10 +148,10 @@
 	}
 }
 
-func (s *Sidecar) admit(from ident.Addr) {
+func (s *Sidecar) grantEntry(from ident.Addr) {
 	ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
 	defer stop()
-	var got mesh.Admit
+	var got mesh.Entry
 	if err := s.pool.Ask(ctx, from, "POST", "/cottonarch/v1/claim", map[string]ident.Node{"node": s.Boot.Node}, &got); err != nil {
 		s.Board.Add("claims_failed", 1)
 		// The seed may be a sidecar: it knows cores.
@@ -169,8 +169,8 @@
 	s.join(got.Cores)
 	s.lastCore = s.clock()
 	s.mu.Unlock()
-	s.admitted.Store(true)
-	s.Log.Info("admitted", zap.Uint64("claim", uint64(got.Claim)), zap.Int("share", got.Share), zap.Uint64("manifest", uint64(got.Manifest)))
+	s.entered.Store(true)
+	s.Log.Info("entry granted", zap.Uint64("claim", uint64(got.Claim)), zap.Int("share", got.Share), zap.Uint64("manifest", uint64(got.Manifest)))
 	s.point(from)
 }
 
@@ -229,7 +229,7 @@
 		s.Board.Add("renewals_failed", 1)
 		if d := (*defect.Defect)(nil); defect.Find(err, &d) && d.Kind == defect.Conflict {
 			s.Log.Warn("claim superseded", zap.Error(err))
-			s.admitted.Store(false)
+			s.entered.Store(false)
 		}
 		return
 	}
@@ -281,7 +281,7 @@
 func (s *Sidecar) gauges() {
 	p := s.path
 	for name, v := range map[string]uint64{"calls": p.Calls, "further_tries": p.Further, "gave_up": p.GaveUp, "no_way": p.NoWays,
-		"gate_passed": s.gate.Passed, "gate_refused": s.gate.Refused, "gate_forgotten": s.gate.Forgotten,
+		"gate_passed": s.gate.Passed, "gate_turned_away": s.gate.TurnedAway, "gate_forgotten": s.gate.Forgotten,
 		"allowance_granted": p.Tree.Granted, "allowance_denied": p.Tree.Denied, "manifest_epoch": uint64(p.Epoch())} {
 		s.Board.Set(name, int64(v))
 	}
@@ -303,7 +303,7 @@
 			return
 		default:
 		}
-		if !s.admitted.Load() {
+		if !s.entered.Load() {
 			s.pause(100 * time.Millisecond)
 			s.orphaned()
 			continue
@@ -443,7 +443,7 @@
 	}
 }
 
-// orphaned does the same for a sidecar that was never admitted, after a while: any
+// orphaned does the same for a sidecar that was never entered, after a while: any
 // epoch that an earlier run showed is then in force at its peers.
 func (s *Sidecar) orphaned() {
 	if s.clock().Since(s.began) > orphan {
@@ -492,7 +492,7 @@
 
 // Ready tells whether callers may come.
 func (s *Sidecar) Ready() bool {
-	return s.admitted.Load() && !s.leaving.Load() && s.Board.At("manifest_epoch").Load() > 0
+	return s.entered.Load() && !s.leaving.Load() && s.Board.At("manifest_epoch").Load() > 0
 }
 
 // Status is what the status page shows.
--- a/fleet/run/run.go
+++ b/fleet/run/run.go
@@ -315,12 +315,12 @@
 	at := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.Check.Seen["manifest-refused"]++
+	f.Check.Seen["manifest-turned"]++
 	switch {
 	case err == nil:
 		f.Counts["manifests confirmed"]++
 		if bad {
-			f.Check.Break(f.at(at), "manifest-refused", "%s was confirmed as epoch %d", mark, epoch)
+			f.Check.Break(f.at(at), "manifest-turned", "%s was confirmed as epoch %d", mark, epoch)
 		}
 		if epoch <= f.top && f.Counts["epoch "+fmt.Sprint(epoch)] > 0 {
 			f.Check.Break(f.at(at), "number-repeated", "epoch %d was given twice", epoch)
@@ -330,7 +330,7 @@
 		go f.inForce(epoch, at)
 	case errors.Is(err, errNo):
 		f.Counts["manifests refused"]++
-		f.Check.Refused(mark, "no")
+		f.Check.TurnedAway(mark, "no")
 	default:
 		f.Counts["manifests unknown"]++
 	}
--- a/mesh/gate/gate.go
+++ b/mesh/gate/gate.go
@@ -72,7 +72,7 @@
 	// Open, when set, switches the checks off; only tests of the checkers do that.
 	Open bool
 	// Counters.
-	Passed, Refused, Forgotten, Stale uint64
+	Passed, TurnedAway, Forgotten, Stale uint64
 }
 
 // New makes a gate without endpoints.
@@ -250,7 +250,7 @@
 		d = defect.New(defect.Gate, "server %q is %s", s, e.well(now))
 	}
 	if d != nil {
-		g.Refused++
+		g.TurnedAway++
 		return "", 0, d
 	}
 	g.Passed++
--- a/mesh/path/path.go
+++ b/mesh/path/path.go
@@ -164,7 +164,7 @@
 func (p *Path) Ended(now moment.Moment, c *Call, e End) (again bool) {
 	p.Picker.Back(now, c.now, e.Verdict == Unsure, e.Lost)
 	if e.Turned {
-		p.Picker.Refused(now, c.now.UID)
+		p.Picker.TurnedAway(now, c.now.UID)
 	}
 	if e.Verdict == Ran {
 		return false
--- a/mesh/pick/pick.go
+++ b/mesh/pick/pick.go
@@ -116,8 +116,8 @@
 	}
 }
 
-// Refused notes that the gate turned a server away.
-func (p *Picker) Refused(now moment.Moment, s ident.Server) { p.at(s).suspect = now.Add(waver) }
+// TurnedAway notes that the gate turned a server away.
+func (p *Picker) TurnedAway(now moment.Moment, s ident.Server) { p.at(s).suspect = now.Add(waver) }
 
 // Tidy drops the scores of servers that are no more.
 func (p *Picker) Tidy(now moment.Moment, alive func(ident.Server) bool) {
--- a/sim/check/check.go
+++ b/sim/check/check.go
@@ -55,7 +55,7 @@
 
 // Rules names every rule, in the order of the brief.
 var Rules = []string{"double-run", "false-not-run", "late-to-leaver", "wrong-service", "wrong-return", "manifest-late", "manifest-back",
-	"manifest-refused", "dropped-in-stop", "further-tries", "lock-shared", "number-repeated", "stale-read", "watch-forgotten", "slow-recovery", "disk", "invalid", "damaged"}
+	"manifest-turned", "dropped-in-stop", "further-tries", "lock-shared", "number-repeated", "stale-read", "watch-forgotten", "slow-recovery", "disk", "invalid", "damaged"}
 
 // Bounds are the times of the brief, with what "about" leaves.
 const (
@@ -111,16 +111,16 @@
 		c.Break(at, "manifest-back", "%s showed epoch %d after %d", who, m.Epoch, *last)
 	}
 	*last = max(*last, m.Epoch)
-	c.Seen["manifest-refused"]++
+	c.Seen["manifest-turned"]++
 	for _, s := range m.Services {
 		if why, bad := c.marks[s.Namespace]; bad {
-			c.Break(at, "manifest-refused", "%s has epoch %d in force with %s, which was told %s", who, m.Epoch, s.Namespace, why)
+			c.Break(at, "manifest-turned", "%s has epoch %d in force with %s, which was told %s", who, m.Epoch, s.Namespace, why)
 		}
 	}
 }
 
-// Refused notes the mark of an offer that was told a sure no.
-func (c *Check) Refused(mark, why string) { c.marks[mark] = why }
+// TurnedAway notes the mark of an offer that was told a sure no.
+func (c *Check) TurnedAway(mark, why string) { c.marks[mark] = why }
 
 // Finish looks at what can be judged only at the end.
 func (c *Check) Finish(from, until moment.Moment) {
--- a/sim/world/clients.go
+++ b/sim/world/clients.go
@@ -469,11 +469,11 @@
 	a.Body = book.JSON(tree)
 	began := o.top
 	w.ask(owner.Deed{Key: offer.Key, Kind: "manifest/offer", Args: book.JSON(a)}, func(e *node.End) {
-		w.Check.Seen["manifest-refused"]++
+		w.Check.Seen["manifest-turned"]++
 		switch {
 		case sure(e):
 			w.Served["manifest-no"]++
-			w.Check.Refused(mark, string(e.Defect.Kind))
+			w.Check.TurnedAway(mark, string(e.Defect.Kind))
 		case e == nil || e.Defect != nil:
 			w.Served["manifest-unknown"]++
 		default:
@@ -484,7 +484,7 @@
 			}
 			w.Served["manifest-yes"]++
 			if bad {
-				w.Breach("manifest-refused", "a bad or stale manifest (%s) was confirmed as epoch %d", mark, y.Epoch)
+				w.Breach("manifest-turned", "a bad or stale manifest (%s) was confirmed as epoch %d", mark, y.Epoch)
 			}
 			if old, ok := o.bodies[y.Epoch]; ok {
 				w.Breach("number-repeated", "epoch %d was given to %s and %s", y.Epoch, old, mark)
@@ -506,7 +506,7 @@
 	w := o.w
 	w.After(2*time.Second, func() {
 		for _, s := range w.Sides {
-			if !s.up || s.frozen || !s.admitted || s.trouble.Add(time.Second) > at || w.coreTrouble.Add(2*time.Second) > at {
+			if !s.up || s.frozen || !s.entered || s.trouble.Add(time.Second) > at || w.coreTrouble.Add(2*time.Second) > at {
 				continue
 			}
 			w.Check.Seen["manifest-late"]++
@@ -531,9 +531,9 @@
 				w.Breach("slow-recovery", "core %s can't read the manifest at day's end: %v", c.Addr, e.Defect)
 				return
 			}
-			w.Check.Seen["manifest-refused"]++
+			w.Check.Seen["manifest-turned"]++
 			if h.Epoch < want {
-				w.Breach("manifest-refused", "core %s reads epoch %d at day's end, %d was confirmed", c.Addr, h.Epoch, want)
+				w.Breach("manifest-turned", "core %s reads epoch %d at day's end, %d was confirmed", c.Addr, h.Epoch, want)
 			}
 		})
 	}
--- a/sim/world/side.go
+++ b/sim/world/side.go
@@ -28,7 +28,7 @@
 	path     *path.Path
 	gate     *gate.Gate
 	held     *holder.Holder
-	admitted bool
+	entered  bool
 	asking   bool
 	claim    ident.Epoch
 	seq      uint64
@@ -58,7 +58,7 @@
 	s.path.Tree.Free = s.w.Break == "allowance"
 	s.gate, s.held = gate.New(), holder.New()
 	s.gate.Open = s.w.Break == "gate"
-	s.admitted, s.asking, s.claim, s.seq, s.news, s.polling, s.leaving = false, false, 0, 0, false, false, false
+	s.entered, s.asking, s.claim, s.seq, s.news, s.polling, s.leaving = false, false, 0, 0, false, false, false
 	s.mark, s.place = 0, 0
 	s.hand = 0
 	s.trouble = s.w.now
@@ -103,12 +103,12 @@
 			s.news = true
 		}
 		switch {
-		case !s.admitted && !s.asking && n%6 == 0:
-			s.admit()
-		case s.admitted && (n%6 == 0 || s.news):
+		case !s.entered && !s.asking && n%6 == 0:
+			s.grantEntry()
+		case s.entered && (n%6 == 0 || s.news):
 			s.renew()
 		}
-		if s.admitted {
+		if s.entered {
 			s.poll()
 		}
 	})
@@ -149,14 +149,14 @@
 
 func (s *Side) core() *Core { return s.w.Cores[s.turn%len(s.w.Cores)] }
 
-type admitted struct {
+type entered struct {
 	claim ident.Epoch
 	share int
 	m     *manifest.Manifest
 }
 
-// admit claims membership as the daemon does: claim epoch, share, newest manifest.
-func (s *Side) admit() {
+// grantEntry claims membership as the daemon does: claim epoch, share, newest manifest.
+func (s *Side) grantEntry() {
 	s.asking = true
 	s.turn++
 	c := s.core()
@@ -179,17 +179,17 @@
 						say(nil)
 						return
 					}
-					say(admitted{ident.Epoch(num.N), g.N, c.held})
+					say(entered{ident.Epoch(num.N), g.N, c.held})
 				})
 			})
 		})
 	}, func(v any) {
 		s.asking = false
-		got, ok := v.(admitted)
+		got, ok := v.(entered)
 		if !ok {
 			return
 		}
-		s.admitted, s.claim, s.seq = true, got.claim, 1
+		s.entered, s.claim, s.seq = true, got.claim, 1
 		s.path.Tree.Grant(got.share)
 		s.enforce(got.m)
 	})
@@ -231,7 +231,7 @@
 				return
 			}
 			if got.defect != nil {
-				s.admitted = false
+				s.entered = false
 				return
 			}
 			s.held.Renewed(sent, got.disk, got.votes, got.voters)
--- a/sim/world/world.go
+++ b/sim/world/world.go
@@ -47,7 +47,7 @@
 	"return":    {"wrong-return"},
 	"deaf":      {"manifest-late"},
 	"replica":   {"manifest-back", "stale-read"},
-	"offer":     {"manifest-refused"},
+	"offer":     {"manifest-turned"},
 	"quorum":    {"number-repeated", "stale-read"},
 	"lock":      {"lock-shared"},
 	"stop":      {"dropped-in-stop"},
