--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -33,7 +33,7 @@
 // Entry is the return to a sidecar that claims its membership.
 type Entry struct {
 	Claim    ident.Epoch  `json:"claim"`
-	Share    int          `json:"share"`
+	Share    share.Told   `json:"share"`
 	Cores    []ident.Addr `json:"cores"`
 	Manifest ident.Epoch  `json:"manifest"`
 }
@@ -44,6 +44,7 @@
 	Votes    bool         `json:"votes"`
 	Voters   int          `json:"voters"`
 	Cores    []ident.Addr `json:"cores"`
+	Members  int          `json:"members"`
 	Manifest ident.Epoch  `json:"manifest"`
 }
 
@@ -80,6 +81,7 @@
 		}},
 		"/cottonarch/v1/claim": {"POST": s.claim},
 		"/cottonarch/v1/renew": {"POST": s.renew},
+		"/cottonarch/v1/share": {"POST": s.share},
 		"/cottonarch/v1/news":  {"GET": s.news},
 		"/cottonarch/v1/part":  {"GET": s.part},
 		"/address/{key:.+}":    {"GET": s.address},
@@ -126,8 +128,8 @@
 		reply.Defect(w, e.Defect)
 		return
 	}
-	var g share.Grant
-	if err := json.Unmarshal(e.Body, &g); err != nil {
+	var told share.Told
+	if err := json.Unmarshal(e.Body, &told); err != nil {
 		reply.Defect(w, defect.New(defect.Damaged, "share: %v", err))
 		return
 	}
@@ -137,7 +139,22 @@
 		return
 	}
 	s.c.Board.Add("claims", 1)
-	reply.JSON(w, http.StatusOK, Entry{Claim: claim, Share: g.N, Cores: s.c.View().Cores, Manifest: m.Epoch})
+	reply.JSON(w, http.StatusOK, Entry{Claim: claim, Share: told, Cores: s.c.View().Cores, Manifest: m.Epoch})
+}
+
+// share takes a sidecar's promise to spend less, or its wish for more.
+func (s surface) share(w http.ResponseWriter, r *http.Request) {
+	var a share.Args
+	if d := reply.Decode(r, 1<<16, &a); d != nil {
+		reply.Defect(w, d)
+		return
+	}
+	e := s.c.Deed(r.Context(), owner.Deed{Key: "share", Kind: "share/take", Args: book.JSON(a)}, 3*time.Second)
+	if e.Defect != nil {
+		reply.Defect(w, e.Defect)
+		return
+	}
+	reply.JSON(w, http.StatusOK, json.RawMessage(e.Body))
 }
 
 func (s surface) renew(w http.ResponseWriter, r *http.Request) {
@@ -147,8 +164,10 @@
 		return
 	}
 	done := make(chan *defect.Defect, 1)
+	members := 0
 	if !s.c.Do(func(now moment.Moment) node.Effects {
 		fresh, d := s.c.Ledger().Renew(now, rep)
+		members = s.c.Ledger().Live()
 		done <- d
 		return node.Effects{Changed: fresh}
 	}) {
@@ -166,7 +185,7 @@
 		return
 	}
 	v := s.c.View()
-	out := Renewed{Disk: v.Disk, Votes: v.Votes, Voters: v.Voters, Cores: v.Cores}
+	out := Renewed{Disk: v.Disk, Votes: v.Votes, Voters: v.Voters, Cores: v.Cores, Members: members}
 	if m := s.c.Held(); m != nil {
 		out.Manifest = m.Epoch
 	}
--- a/control/coordination/share/share.go
+++ b/control/coordination/share/share.go
@@ -14,14 +14,25 @@
 const (
 	// Total is the extra tries in any ten seconds, for one service, over all nodes.
 	Total = 60
-	// Each is what one sidecar asks for.
-	Each = 5
+	// Most is the largest share, so that a small mesh leaves room for who joins.
+	Most = 6
 )
 
-// Grant is one node's share.
+// Fair is what each of n nodes should hold.
+func Fair(n int) int {
+	if n <= 0 {
+		return Most
+	}
+	return min(Most, Total/n)
+}
+
+// Grant is one node's share. Invariants: the node spends at most N; N is lowered only
+// by the node's own promise, or when the node has long been silent; Seq is the newest
+// promise or question taken, and older ones do nothing.
 type Grant struct {
 	Claim ident.Epoch `json:"claim"`
 	N     int         `json:"n"`
+	Seq   uint64      `json:"seq,omitempty"`
 }
 
 // Shares is the state. Invariant: the shares never sum over Total.
@@ -29,10 +40,20 @@
 	Nodes map[ident.Node]Grant `json:"nodes"`
 }
 
-// Args are those of both deeds.
+// Args are those of all deeds. Using, when given, promises that the node has spent at
+// most that much of its share in the last window and will until it is told more.
 type Args struct {
 	Node  ident.Node  `json:"node"`
 	Claim ident.Epoch `json:"claim"`
+	Using *int        `json:"using,omitempty"`
+	Seq   uint64      `json:"seq,omitempty"`
+}
+
+// Told is the return of a take.
+type Told struct {
+	N    int    `json:"n"`
+	Fair int    `json:"fair"`
+	Seq  uint64 `json:"seq,omitempty"`
 }
 
 // Deeds are the handlers.
@@ -53,19 +74,34 @@
 	if d != nil {
 		return book.Turned(d)
 	}
-	old, ok := s.Nodes[a.Node]
-	if ok && old.Claim > a.Claim {
-		return book.Turned(defect.New(defect.Conflict, "claim %d is newer", old.Claim))
+	g, known := s.Nodes[a.Node]
+	if known && g.Claim > a.Claim {
+		return book.Turned(defect.New(defect.Conflict, "claim %d is newer", g.Claim))
 	}
-	left := Total
-	for node, g := range s.Nodes {
+	was := g
+	if g.Claim != a.Claim {
+		g.Claim, g.Seq = a.Claim, 0
+	} else if a.Seq <= g.Seq && known {
+		return book.Entry{Body: book.JSON(Told{N: g.N, Fair: Fair(len(s.Nodes)), Seq: g.Seq})}
+	}
+	g.Seq = a.Seq
+	if a.Using != nil && *a.Using >= 0 && *a.Using < g.N {
+		g.N = *a.Using
+	}
+	s.Nodes[a.Node] = g
+	left, fair := Total, Fair(len(s.Nodes))
+	for node, o := range s.Nodes {
 		if node != a.Node {
-			left -= g.N
+			left -= o.N
 		}
 	}
-	g := Grant{Claim: a.Claim, N: min(Each, left)}
+	g.N = max(g.N, min(fair, left))
 	s.Nodes[a.Node] = g
-	return book.Entry{State: book.JSON(s), Body: book.JSON(g)}
+	body := book.JSON(Told{N: g.N, Fair: fair, Seq: g.Seq})
+	if known && was == g {
+		return book.Entry{Body: body}
+	}
+	return book.Entry{State: book.JSON(s), Body: body}
 }
 
 // free takes a share back. The caller must know from a majority that the node has
--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -42,7 +42,7 @@
 	sweepEvery = 5 * time.Second
 	dutyTTL    = 3000
 	dutyEvery  = time.Second
-	seenMax    = 1 << 14
+	seenMax    = 1 << 12
 )
 
 // Boot is what a core must know.
@@ -56,6 +56,8 @@
 	NewDisk  func() ident.Disk
 	Machine  owner.Machine
 	Need     int // see cell.Roster
+	// Full, when set, tells that the disk has little room left.
+	Full func() bool
 }
 
 type peer struct {
@@ -385,9 +387,23 @@
 	if p.deed.Op == "" {
 		p.deed.Op = ident.Op(fmt.Sprintf("%s.%s.%d", n.Disk, n.boot.Mark, n.next()))
 	}
+	if grows[p.deed.Kind] && n.boot.Full != nil && n.boot.Full() {
+		n.finish(now, p, End{Defect: defect.New(defect.Full, "the disk has no room for more control state")}, fx)
+		return
+	}
+	if len(n.pend)+len(n.wait) >= pendMax {
+		n.finish(now, p, End{Defect: defect.New(defect.Busy, "too many deeds are in hand").Later(1)}, fx)
+		return
+	}
 	n.steer(now, p, fx)
 }
 
+// pendMax bounds the deeds in hand at one core.
+const pendMax = 20000
+
+// grows lists the deeds that may need more room on the disks.
+var grows = map[string]bool{"key/write": true, "manifest/offer": true, "lock/claim": true, "number/next": true}
+
 // steer sends the one copy of a pending deed to the key's owner.
 func (n *Node) steer(now moment.Moment, p *pending, fx *Effects) {
 	disks, at := n.live(now)
@@ -812,3 +828,6 @@
 // Amnesia makes the replica forget everything, which no real disk may; the
 // simulator uses it to see its checkers catch that.
 func (n *Node) Amnesia() { n.rep = replica.New(n.Disk) }
+
+// Copies gives what this disk holds of every key, without values.
+func (n *Node) Copies() map[ident.Key]cell.Cell { return n.rep.Copies() }
--- a/control/register/replica/replica.go
+++ b/control/register/replica/replica.go
@@ -205,3 +205,13 @@
 	})
 	return out
 }
+
+// Copies gives the accepted state of every key, without values.
+func (r *Replica) Copies() map[ident.Key]cell.Cell {
+	out := map[ident.Key]cell.Cell{}
+	r.tree.Ascend(func(it *item) bool {
+		out[it.key] = cell.Cell{Accepted: it.Accepted, Revision: it.Revision}
+		return true
+	})
+	return out
+}
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -66,6 +66,7 @@
 	view    atomic.Pointer[View]
 	leaving atomic.Bool
 	failed  atomic.Bool
+	full    atomic.Bool
 	busy    atomic.Int64 // since when the disk is at a batch, 0 when it is not
 	wake    chan struct{}
 	stop    chan struct{} // closed when a planned stop begins
@@ -108,7 +109,7 @@
 	recs := c.ring.Records()
 	var first []ring.Record
 	c.node, first, err = node.New(c.clock(), node.Boot{Addr: b.Addr, District: b.District, Seeds: b.Seeds, Founders: b.Founders, Voters: b.Voters,
-		Mark: name(), NewDisk: func() ident.Disk { return ident.Disk(name()) }}, recs)
+		Full: c.full.Load, Mark: name(), NewDisk: func() ident.Disk { return ident.Disk(name()) }}, recs)
 	if err != nil {
 		return nil, err
 	}
@@ -245,6 +246,8 @@
 				c.letOut(fx)
 			}
 		}
+		c.full.Store(c.ring.Room() < 0.25)
+		c.Board.Set("ring_room_percent", int64(c.ring.Room()*100))
 		c.Board.Set("ring_appends", int64(c.ring.Appends))
 		c.Board.Set("ring_moves", int64(c.ring.Moves))
 		c.Board.Set("ring_bytes", int64(c.ring.Bytes))
@@ -402,7 +405,7 @@
 		return e
 	case <-ctx.Done():
 		drop()
-		return node.End{Defect: defect.Unsure(defect.Unknown, "the caller did not wait for the return")}
+		return node.End{Defect: defect.Unsure(defect.Unknown, "no return came in time")}
 	case <-c.done:
 		drop()
 		return node.End{Defect: defect.Unsure(defect.Stopping, "the core stops")}
@@ -412,12 +415,16 @@
 // Deed runs one deed and waits for its end, at most budget.
 func (c *Core) Deed(ctx context.Context, d owner.Deed, budget time.Duration) node.End {
 	c.Board.Add("deeds", 1)
+	ctx, stop := context.WithTimeout(ctx, budget+time.Second)
+	defer stop()
 	return c.await(ctx, func(now moment.Moment, t uint64) node.Effects { return c.node.Deed(now, t, d, budget) })
 }
 
 // Survey reads a prefix from a majority.
 func (c *Core) Survey(ctx context.Context, prefix string, values bool, budget time.Duration) node.End {
 	c.Board.Add("surveys", 1)
+	ctx, stop := context.WithTimeout(ctx, budget+time.Second)
+	defer stop()
 	return c.await(ctx, func(now moment.Moment, t uint64) node.Effects {
 		return c.node.Survey(now, t, prefix, values, budget)
 	})
--- a/daemon/sidecar/intake.go
+++ b/daemon/sidecar/intake.go
@@ -29,6 +29,8 @@
 	GateHeader = "X-Cottonarch-Gate"
 	// CallerHeader names the caller in the tree of allowances.
 	CallerHeader = "X-Caller"
+	// UrgentHeader marks a request of an urgent way between sidecars.
+	UrgentHeader = "X-Cottonarch-Urgent"
 	// DeadlineHeader is how long the caller waits, in milliseconds.
 	DeadlineHeader = "X-Deadline-Ms"
 
@@ -38,7 +40,7 @@
 )
 
 // own lists the headers that the mesh itself sets; none is taken from outside.
-var own = []string{TargetHeader, ServiceHeader, LimitHeader, GateHeader, reply.FateHeader}
+var own = []string{TargetHeader, ServiceHeader, LimitHeader, GateHeader, UrgentHeader, reply.FateHeader}
 
 // hop lists the headers that belong to one connection.
 var hop = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
@@ -226,6 +228,9 @@
 	req.Header = req.Header.Clone()
 	req.Header.Set(TargetHeader, string(c.Entry.UID))
 	req.Header.Set(ServiceHeader, string(c.Entry.Service))
+	if j.call.Way.Urgent {
+		req.Header.Set(UrgentHeader, "1")
+	}
 	// The gate gives up a little before this side does, so that its word is heard.
 	req.Header.Set(LimitHeader, strconv.FormatInt((c.Limit-min(c.Limit/10, 20*time.Millisecond)).Milliseconds(), 10))
 	ret, sent, d := s.peers.Do(ctx, c.Entry.Gate, req)
@@ -273,7 +278,11 @@
 		reply.Defect(w, d)
 	}
 	s.mu.Lock()
-	full := s.hand >= s.Boot.Hand
+	most := s.Boot.Hand
+	if r.Header.Get(UrgentHeader) == "" {
+		most -= most / 4 // a quarter is kept for urgent ways
+	}
+	full := s.hand >= most
 	if !full {
 		s.hand++
 	}
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -16,6 +16,7 @@
 
 	"cottonarch.example/cottonarch/adapter/mesh"
 	"cottonarch.example/cottonarch/boot"
+	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/manifest/walk"
 	"cottonarch.example/cottonarch/daemon/core"
@@ -67,6 +68,7 @@
 	cores    []ident.Addr
 	told     map[ident.Addr]moment.Moment
 	held     *holder.Holder
+	portion  holder.Portion
 	lastCore moment.Moment
 	began    moment.Moment
 	hand     int
@@ -132,6 +134,14 @@
 			continue
 		}
 		rep := s.report()
+		s.mu.Lock()
+		ask, due := s.portion.Ask(s.clock(), s.Boot.Node, s.claim)
+		s.mu.Unlock()
+		if due {
+			cores := s.cored()
+			turn++
+			go s.share(cores[turn%len(cores)], ask)
+		}
 		for _, a := range s.cored() {
 			if busy[a] == nil {
 				busy[a] = &atomic.Bool{}
@@ -165,12 +175,13 @@
 	}
 	s.mu.Lock()
 	s.claim, s.seq = got.Claim, 1
-	s.path.Tree.Grant(got.Share)
+	s.portion.Begin(s.clock(), got.Share)
+	s.path.Tree.Grant(s.portion.Use())
 	s.join(got.Cores)
 	s.lastCore = s.clock()
 	s.mu.Unlock()
 	s.entered.Store(true)
-	s.Log.Info("entry granted", zap.Uint64("claim", uint64(got.Claim)), zap.Int("share", got.Share), zap.Uint64("manifest", uint64(got.Manifest)))
+	s.Log.Info("entry granted", zap.Uint64("claim", uint64(got.Claim)), zap.Int("share", got.Share.N), zap.Uint64("manifest", uint64(got.Manifest)))
 	s.point(from)
 }
 
@@ -219,6 +230,23 @@
 		Manifest: s.path.Epoch(), Ready: s.Ready(), Leaving: s.leaving.Load(), Workloads: s.gate.Workloads()}
 }
 
+// share sends a promise or a wish about this sidecar's share.
+func (s *Sidecar) share(core ident.Addr, ask share.Args) {
+	ctx, stop := context.WithTimeout(context.Background(), 3500*time.Millisecond)
+	defer stop()
+	var told share.Told
+	if err := s.pool.Ask(ctx, core, "POST", "/cottonarch/v1/share", ask, &told); err != nil {
+		s.Board.Add("shares_failed", 1)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ask.Claim == s.claim {
+		s.portion.Told(s.clock(), told)
+		s.path.Tree.Grant(s.portion.Use())
+	}
+}
+
 func (s *Sidecar) renew(core ident.Addr, rep record.Report) {
 	sent := s.clock()
 	ctx, stop := context.WithTimeout(context.Background(), 800*time.Millisecond)
@@ -237,6 +265,8 @@
 	defer s.mu.Unlock()
 	s.join(got.Cores)
 	s.lastCore = s.clock()
+	s.portion.Members(s.clock(), got.Members)
+	s.path.Tree.Grant(s.portion.Use())
 	s.held.Renewed(sent, got.Disk, got.Votes, got.Voters)
 	if at := s.held.Majority(); at != 0 {
 		s.path.Tree.Renewed(at)
@@ -296,7 +326,9 @@
 // follow keeps the copy of the registry and the manifest by long polls at one core;
 // it goes to the next core when one fails, and to peers when all do.
 func (s *Sidecar) follow() {
-	turn, mark, place := int(s.clock())%7, "", uint64(0)
+	h := fnv.New32a()
+	_, _ = fmt.Fprint(h, s.Boot.Node)
+	turn, mark, place := int(h.Sum32()%1000), "", uint64(0)
 	for {
 		select {
 		case <-s.done:
@@ -500,7 +532,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return map[string]any{"node": s.Boot.Node, "claim": s.claim, "manifest": s.path.Epoch(), "ready": s.Ready(), "cores": s.cores,
-		"workloads": s.gate.Workloads(), "share": s.path.Tree.Share(s.clock()), "sets": len(s.path.Index.Sets())}
+		"workloads": s.gate.Workloads(), "share": s.path.Tree.Share(s.clock()), "shareGranted": s.portion.Use(), "sets": len(s.path.Index.Sets())}
 }
 
 // Beat takes an endpoint's report.
--- a/fleet/run/faults.go
+++ b/fleet/run/faults.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"cottonarch.example/cottonarch/fleet/machine"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/stand/caller"
 	"cottonarch.example/cottonarch/stand/endpoint"
 )
 
@@ -24,6 +28,7 @@
 	"endpoint-reuse":   (*Fleet).endpointReuse,
 	"endpoint-bad":     (*Fleet).endpointBad,
 	"herd":             (*Fleet).herd,
+	"crowd":            (*Fleet).crowd,
 	"heavy":            (*Fleet).heavy,
 }
 
@@ -276,6 +281,22 @@
 	e.Behave(endpoint.Mood{Work: 4 * time.Millisecond})
 }
 
+// crowd: many users arrive at once, on every machine.
+func (f *Fleet) crowd(ctx context.Context) {
+	short, stop := context.WithTimeout(ctx, 5*time.Second)
+	defer stop()
+	var out sync.WaitGroup
+	for i, s := range f.Sides {
+		out.Add(1)
+		go func() {
+			defer out.Done()
+			caller.Run(short, caller.Boot{Name: fmt.Sprintf("%s-crowd%d", s.Name, time.Now().UnixNano()), Addr: ident.Addr(s.Caller), Kinds: f.kinds(),
+				Rate: 3 * f.Deployment.Rate * f.Scale / float64(len(f.Sides)), Book: f.book, Seed: f.Seed + 100 + uint64(i), Limit: 8 * time.Second})
+		}()
+	}
+	out.Wait()
+}
+
 func (f *Fleet) loss() { f.mu.Lock(); f.Check.Losses = append(f.Check.Losses, f.now()); f.mu.Unlock() }
 
 // herd kills half the sidecars and a core at once.
--- a/kernel/defect/defect.go
+++ b/kernel/defect/defect.go
@@ -47,6 +47,7 @@
 	BadBoot      Kind = "bad-boot"
 	NotPermitted Kind = "not-permitted"
 	Internal     Kind = "internal"
+	Full         Kind = "full"
 )
 
 // codes maps each kind to its HTTP status.
@@ -55,7 +56,7 @@
 	Busy: 503, Late: 504, Gate: 503, Unreached: 503, BadReturn: 502, LostReturn: 502,
 	NoMajority: 503, Unknown: 504, Missing: 404, Held: 409, NotHolder: 409, Forgotten: 410,
 	Stopping: 503, NotReady: 503, Damaged: 500, DiskFailed: 503, BadBoot: 400, NotPermitted: 405,
-	Internal: 500,
+	Internal: 500, Full: 507,
 }
 
 // Defect is one failure. Invariant: Kind is one of the constants above.
--- a/mesh/claim/ledger/ledger.go
+++ b/mesh/claim/ledger/ledger.go
@@ -150,6 +150,16 @@
 	return out
 }
 
+// Live counts the sidecars whose claim holds.
+func (l *Ledger) Live() (n int) {
+	for _, s := range l.seats {
+		if !s.lapsed {
+			n++
+		}
+	}
+	return n
+}
+
 // Heard lists the nodes that renewed within Quiet.
 func (l *Ledger) Heard(now moment.Moment) []ident.Node {
 	var out []ident.Node
--- a/sim/plan/plan.go
+++ b/sim/plan/plan.go
@@ -200,6 +200,7 @@
 	w.RunFor(8 * time.Second)
 	r.ops.ReadBack()
 	w.RunFor(5 * time.Second)
+	w.Compare()
 	r.keys.Judge()
 	w.Check.Finish(from, w.Now())
 	return w
--- a/sim/world/core.go
+++ b/sim/world/core.go
@@ -324,6 +324,9 @@
 }
 
 func (c *Core) post(to ident.Addr, m message.Message) {
+	if c.w.Break == "mend" && m.Ask != nil && m.Ask.Turn == 0 {
+		return // no mending
+	}
 	if to == c.Addr {
 		gen := c.gen
 		c.w.After(20*time.Microsecond, func() { c.run(gen, func() { c.out(c.node.Step(c.clock(), m)) }) })
--- a/sim/world/side.go
+++ b/sim/world/side.go
@@ -28,6 +28,7 @@
 	path     *path.Path
 	gate     *gate.Gate
 	held     *holder.Holder
+	portion  holder.Portion
 	entered  bool
 	asking   bool
 	claim    ident.Epoch
@@ -110,6 +111,7 @@
 		}
 		if s.entered {
 			s.poll()
+			s.shares()
 		}
 	})
 	if s.up && s.gen == gen {
@@ -151,7 +153,7 @@
 
 type entered struct {
 	claim ident.Epoch
-	share int
+	share share.Told
 	m     *manifest.Manifest
 }
 
@@ -169,7 +171,7 @@
 			}
 			args := book.JSON(share.Args{Node: s.Node, Claim: ident.Epoch(num.N)})
 			c.Deed(owner.Deed{Key: "share", Kind: "share/take", Args: args}, 3*time.Second, func(e node.End) {
-				var g share.Grant
+				var g share.Told
 				if e.Defect != nil || json.Unmarshal(e.Body, &g) != nil {
 					say(nil)
 					return
@@ -179,7 +181,7 @@
 						say(nil)
 						return
 					}
-					say(entered{ident.Epoch(num.N), g.N, c.held})
+					say(entered{ident.Epoch(num.N), g, c.held})
 				})
 			})
 		})
@@ -190,7 +192,8 @@
 			return
 		}
 		s.entered, s.claim, s.seq = true, got.claim, 1
-		s.path.Tree.Grant(got.share)
+		s.portion.Begin(s.clock(), got.share)
+		s.path.Tree.Grant(s.portion.Use())
 		s.enforce(got.m)
 	})
 }
@@ -207,6 +210,7 @@
 	votes  bool
 	voters int
 	epoch  ident.Epoch
+	live   int
 	defect *defect.Defect
 }
 
@@ -224,7 +228,7 @@
 			if c.held != nil {
 				e = c.held.Epoch
 			}
-			say(acked{c.node.Disk, c.node.Votes(), len(c.node.Roster().Voters), e, d})
+			say(acked{c.node.Disk, c.node.Votes(), len(c.node.Roster().Voters), e, c.node.Ledger.Live(), d})
 		}, func(v any) {
 			got, ok := v.(acked)
 			if !ok {
@@ -234,6 +238,8 @@
 				s.entered = false
 				return
 			}
+			s.portion.Members(s.clock(), got.live)
+			s.path.Tree.Grant(s.portion.Use())
 			s.held.Renewed(sent, got.disk, got.votes, got.voters)
 			if at := s.held.Majority(); at != 0 {
 				s.path.Tree.Renewed(at)
@@ -247,6 +253,28 @@
 	}
 }
 
+// shares sends a promise or a wish about the share.
+func (s *Side) shares() {
+	a, due := s.portion.Ask(s.clock(), s.Node, s.claim)
+	if !due {
+		return
+	}
+	c := s.w.Cores[s.w.Rng.IntN(len(s.w.Cores))]
+	s.ask(c, 3500*time.Millisecond, func(say func(any)) {
+		c.Deed(owner.Deed{Key: "share", Kind: "share/take", Args: book.JSON(a)}, 3*time.Second, func(e node.End) {
+			var t share.Told
+			if e.Defect == nil && json.Unmarshal(e.Body, &t) == nil {
+				say(t)
+			}
+		})
+	}, func(v any) {
+		if t, ok := v.(share.Told); ok && a.Claim == s.claim {
+			s.portion.Told(s.clock(), t)
+			s.path.Tree.Grant(s.portion.Use())
+		}
+	})
+}
+
 type told struct {
 	gen   int
 	place uint64
--- a/sim/world/world.go
+++ b/sim/world/world.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
+	"cottonarch.example/cottonarch/control/register/cell"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/sim/check"
@@ -54,6 +57,7 @@
 	"allowance": {"further-tries"},
 	"history":   {"watch-forgotten"},
 	"restart":   {"slow-recovery"},
+	"mend":      {"not-mended"},
 }
 
 // New makes an empty world of a seed.
@@ -187,3 +191,33 @@
 
 // Fail makes the disk fail every write and sync from now on.
 func (c *Core) Fail() { c.mem.Fail = func(string) error { return fmt.Errorf("the disk failed") } }
+
+// Compare looks whether, after a calm time, every voter holds the same of every key:
+// reads and the sweep must have mended the rest.
+func (w *World) Compare() {
+	var first *Core
+	var want map[ident.Key]cell.Cell
+	for _, c := range w.Cores {
+		if !c.Well() {
+			continue
+		}
+		have := c.node.Copies()
+		if first == nil {
+			first, want = c, have
+			continue
+		}
+		keys := slices.Sorted(maps.Keys(want))
+		for k := range have {
+			if _, ok := want[k]; !ok {
+				keys = append(keys, k)
+			}
+		}
+		slices.Sort(keys)
+		for _, k := range keys {
+			w.Check.Seen["not-mended"]++
+			if a, b := want[k], have[k]; !a.Same(b) {
+				w.Breach("not-mended", "%s: %s holds revision %d of %v, %s holds %d of %v", k, first.Addr, a.Revision, a.Accepted, c.Addr, b.Revision, b.Accepted)
+			}
+		}
+	}
+}
--- a/storage/ring/ring.go
+++ b/storage/ring/ring.go
@@ -323,6 +323,11 @@
 	return r.Sync()
 }
 
+// Room is the part of the space for live records that is still free.
+func (r *Ring) Room() float64 { return 1 - float64(r.bulk)/float64(r.most()) }
+
+func (r *Ring) most() int64 { return r.boot.Size * int64(r.boot.Files-2) / 2 }
+
 // Most is the largest record that fits.
 func (r *Ring) Most() int64 { return r.boot.Size / 2 }
 
@@ -337,7 +342,7 @@
 		if need > r.Most() {
 			return defect.New(defect.Oversize, "record of %d bytes", need)
 		}
-		if r.bulk+need > r.boot.Size*int64(r.boot.Files-2)/2 {
+		if r.bulk+need > r.most() {
 			return defect.New(defect.DiskFailed, "the ring is full of live records")
 		}
 		for tries := 0; r.off+need > r.boot.Size; tries++ {
