--- a/cmd/cottonarch/main.go
+++ b/cmd/cottonarch/main.go
@@ -63,16 +63,17 @@
 	return c.Build()
 }
 
-func (c coreCmd) Run() error {
-	m, err := c.tree()
+// start reads and checks the boot, makes the log and runs the daemon.
+func start[T any](f bootFlags, read func(map[string]any) (T, *defect.Defect), daemon func(T, *zap.Logger) error) error {
+	m, err := f.tree()
 	if err != nil {
 		return err
 	}
-	b, d := boot.ReadCore(m)
+	b, d := read(m)
 	if d != nil {
 		return d
 	}
-	if c.Check {
+	if f.Check {
 		fmt.Println("the boot is good")
 		return nil
 	}
@@ -81,6 +82,12 @@
 		return defect.Wrap(err, defect.Internal, "log")
 	}
 	defer func() { _ = log.Sync() }()
+	return daemon(b, log)
+}
+
+func (c coreCmd) Run() error { return start(c.bootFlags, boot.ReadCore, runCore) }
+
+func runCore(b boot.Core, log *zap.Logger) error {
 	daemon, err := core.Open(b, log)
 	if err != nil {
 		return err
@@ -95,24 +102,9 @@
 	return run(log, "core", func() { daemon.Leave(10 * time.Second) }, srv)
 }
 
-func (c sidecarCmd) Run() error {
-	m, err := c.tree()
-	if err != nil {
-		return err
-	}
-	b, d := boot.ReadSidecar(m)
-	if d != nil {
-		return d
-	}
-	if c.Check {
-		fmt.Println("the boot is good")
-		return nil
-	}
-	log, err := logger()
-	if err != nil {
-		return defect.Wrap(err, defect.Internal, "log")
-	}
-	defer func() { _ = log.Sync() }()
+func (c sidecarCmd) Run() error { return start(c.bootFlags, boot.ReadSidecar, runSidecar) }
+
+func runSidecar(b boot.Sidecar, log *zap.Logger) error {
 	daemon := sidecar.New(b, log)
 	srv := server.New(b.Listen, daemon.Gated)
 	daemon.Paths().Register(srv)
--- a/daemon/sidecar/paths.go
+++ b/daemon/sidecar/paths.go
@@ -1,11 +1,13 @@
 package sidecar
 
 import (
+	"encoding/json"
 	"net/http"
 
 	"cottonarch.example/cottonarch/adapter/mesh"
 	"cottonarch.example/cottonarch/daemon/core"
 	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/mesh/gate"
 	"cottonarch.example/cottonarch/wire/reply"
 	"cottonarch.example/cottonarch/wire/server"
@@ -40,16 +42,22 @@
 	reply.JSON(w, http.StatusOK, map[string]any{"beatEveryMs": gate.BeatEvery.Milliseconds(), "silentAfterMs": gate.Silent.Milliseconds()})
 }
 
-// onManifest shows what is in force here.
-func (s *Sidecar) onManifest(w http.ResponseWriter, _ *http.Request) {
+// inForce gives the manifest in force, or says that there is none.
+func (s *Sidecar) inForce(w http.ResponseWriter) (epoch ident.Epoch, raw json.RawMessage) {
 	s.mu.Lock()
-	epoch, raw := s.path.Epoch(), s.raw
+	epoch, raw = s.path.Epoch(), s.raw
 	s.mu.Unlock()
 	if epoch == 0 {
 		reply.Defect(w, defect.New(defect.Missing, "no manifest is in force yet"))
-		return
 	}
-	reply.JSON(w, http.StatusOK, map[string]any{"epoch": epoch, "manifest": raw})
+	return
+}
+
+// onManifest shows what is in force here.
+func (s *Sidecar) onManifest(w http.ResponseWriter, _ *http.Request) {
+	if epoch, raw := s.inForce(w); epoch > 0 {
+		reply.JSON(w, http.StatusOK, map[string]any{"epoch": epoch, "manifest": raw})
+	}
 }
 
 func (s *Sidecar) onAddress(w http.ResponseWriter, r *http.Request) {
@@ -72,14 +80,9 @@
 }
 
 func (s *Sidecar) onPart(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	epoch, raw := s.path.Epoch(), s.raw
-	s.mu.Unlock()
-	if epoch == 0 {
-		reply.Defect(w, defect.New(defect.Missing, "no manifest is in force yet"))
-		return
+	if epoch, raw := s.inForce(w); epoch > 0 {
+		mesh.GivePart(w, r, epoch, raw)
 	}
-	mesh.GivePart(w, r, epoch, raw)
 }
 
 // Front takes every request of the callers' address.
--- a/fleet/run/faults.go
+++ b/fleet/run/faults.go
@@ -23,10 +23,12 @@
 	"side-kill":        (*Fleet).sideKill,
 	"side-freeze":      (*Fleet).sideFreeze,
 	"side-cut":         (*Fleet).sideCut,
+	"side-cut-core":    (*Fleet).sideCutCore,
 	"side-stop":        (*Fleet).sideStop,
 	"endpoint-replace": (*Fleet).endpointReplace,
 	"endpoint-reuse":   (*Fleet).endpointReuse,
 	"endpoint-bad":     (*Fleet).endpointBad,
+	"release-bad":      (*Fleet).releaseBad,
 	"herd":             (*Fleet).herd,
 	"crowd":            (*Fleet).crowd,
 	"heavy":            (*Fleet).heavy,
@@ -185,6 +187,21 @@
 	f.cutOff(m, false)
 }
 
+// sideCutCore cuts a sidecar from the cores alone; manifests must still reach it, by
+// its peers, so it has no excuse.
+func (f *Fleet) sideCutCore(ctx context.Context) {
+	m := f.pick(f.Sides)
+	cut := func(on bool) {
+		for _, o := range f.Cores {
+			f.net.Cut(m.IP, o.IP, on)
+			f.net.Cut(o.IP, m.IP, on)
+		}
+	}
+	cut(true)
+	f.pause(ctx, 6*time.Second)
+	cut(false)
+}
+
 // sideStop is a planned stop of a sidecar under traffic: what is in hand must end
 // well. Its callers stop coming once it says that it is not ready, as the platform
 // would see to; here they go on, so those that find no one there are excused, and
@@ -297,6 +314,21 @@
 	out.Wait()
 }
 
+// releaseBad: every endpoint of one service loses, garbles or cuts off most returns.
+func (f *Fleet) releaseBad(ctx context.Context) {
+	svc := f.Deployment.Services[f.rng.IntN(len(f.Deployment.Services))].Name
+	f.mu.Lock()
+	ends := slices.Clone(f.ends)
+	f.mu.Unlock()
+	for _, e := range ends {
+		if e.Service == svc {
+			e.Behave(endpoint.Mood{Work: 4 * time.Millisecond, Lose: 0.2, Garbage: 0.3, Cut: 0.3})
+			defer e.Behave(endpoint.Mood{Work: 4 * time.Millisecond})
+		}
+	}
+	f.pause(ctx, 6*time.Second)
+}
+
 func (f *Fleet) loss() { f.mu.Lock(); f.Check.Losses = append(f.Check.Losses, f.now()); f.mu.Unlock() }
 
 // herd kills half the sidecars and a core at once.
