--- a/adapter/operator/operator.go
+++ b/adapter/operator/operator.go
@@ -8,11 +8,14 @@
 	"strconv"
 	"time"
 
+	"github.com/gorilla/mux"
+
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/manifest/walk"
 	"cottonarch.example/cottonarch/control/register/owner"
+	rollout "cottonarch.example/cottonarch/control/rollout/state"
 	"cottonarch.example/cottonarch/daemon/core"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
@@ -27,7 +30,13 @@
 
 // Paths is the surface.
 func Paths(c *core.Core) server.Paths {
-	return server.Paths{"/manifest": {
+	return server.Paths{"/rollouts/{way}": {
+		"POST":   func(w http.ResponseWriter, r *http.Request) { roll(c, w, r) },
+		"DELETE": func(w http.ResponseWriter, r *http.Request) { unroll(c, w, r) },
+		"GET": func(w http.ResponseWriter, r *http.Request) {
+			deed(c, w, r, owner.Deed{Key: rollout.Key(mux.Vars(r)["way"]), Kind: "rollout/read"})
+		},
+	}, "/manifest": {
 		"PUT":   func(w http.ResponseWriter, r *http.Request) { give(c, w, r, false) },
 		"POST":  func(w http.ResponseWriter, r *http.Request) { give(c, w, r, false) },
 		"PATCH": func(w http.ResponseWriter, r *http.Request) { give(c, w, r, true) },
@@ -86,3 +95,55 @@
 	}
 	reply.JSON(w, http.StatusOK, m.Held)
 }
+
+func deed(c *core.Core, w http.ResponseWriter, r *http.Request, d owner.Deed) {
+	d.Op = ident.Op(r.Header.Get("Idempotency-Key"))
+	e := c.Deed(r.Context(), d, budget)
+	if e.Defect != nil {
+		reply.Defect(w, e.Defect)
+		return
+	}
+	reply.JSON(w, http.StatusOK, json.RawMessage(e.Body))
+}
+
+// roll begins a roll-out of a way to another service.
+func roll(c *core.Core, w http.ResponseWriter, r *http.Request) {
+	var a rollout.Rollout
+	if d := reply.Decode(r, 1<<16, &a); d != nil {
+		reply.Defect(w, d)
+		return
+	}
+	a.Way = mux.Vars(r)["way"]
+	m, d := c.Newest(r.Context(), budget)
+	if d != nil {
+		reply.Defect(w, d)
+		return
+	}
+	for _, way := range m.Parsed.Ways {
+		if way.Name == a.Way {
+			a.From = way.Service
+		}
+	}
+	if _, ok := m.Parsed.Services[a.To]; a.From == "" || !ok {
+		reply.Defect(w, defect.New(defect.Missing, "there is no way %q or no service %q", a.Way, a.To))
+		return
+	}
+	deed(c, w, r, owner.Deed{Key: rollout.Key(a.Way), Kind: "rollout/begin", Args: book.JSON(a)})
+}
+
+// unroll puts the way back.
+func unroll(c *core.Core, w http.ResponseWriter, r *http.Request) {
+	key := rollout.Key(mux.Vars(r)["way"])
+	e := c.Deed(r.Context(), owner.Deed{Key: key, Kind: "rollout/read"}, budget)
+	if e.Defect != nil {
+		reply.Defect(w, e.Defect)
+		return
+	}
+	var now rollout.Rollout
+	if err := json.Unmarshal(e.Body, &now); err != nil {
+		reply.Defect(w, defect.New(defect.Damaged, "roll-out: %v", err))
+		return
+	}
+	deed(c, w, r, owner.Deed{Key: key, Kind: "rollout/move", Args: book.JSON(rollout.Move{Round: now.Round, At: now.At, Phase: now.Phase,
+		NextAt: now.At, NextPhase: rollout.Backing, Why: "an operator took it back"})})
+}
--- a/cmd/cottonarch/operator.go
+++ b/cmd/cottonarch/operator.go
@@ -15,13 +15,14 @@
 )
 
 type operatorCmds struct {
-	Apply  applyCmd  `cmd:"" help:"Send a manifest, whole or partial, to a core."`
-	Show   showCmd   `cmd:"" help:"Show the newest confirmed manifest (core) or the one in force (sidecar)."`
-	Status statusCmd `cmd:"" help:"Show a daemon's status and counters."`
-	Lock   lockCmd   `cmd:"" help:"Claim, renew, release or read a lock."`
-	Number numberCmd `cmd:"" help:"Take the next of a rising number, or read it."`
-	Key    keyCmd    `cmd:"" help:"Read, write, delete or list small keys."`
-	Watch  watchCmd  `cmd:"" help:"Follow changes below a prefix."`
+	Apply   applyCmd   `cmd:"" help:"Send a manifest, whole or partial, to a core."`
+	Show    showCmd    `cmd:"" help:"Show the newest confirmed manifest (core) or the one in force (sidecar)."`
+	Status  statusCmd  `cmd:"" help:"Show a daemon's status and counters."`
+	Rollout rolloutCmd `cmd:"" help:"Roll a way out to another service by steps, or put it back."`
+	Lock    lockCmd    `cmd:"" help:"Claim, renew, release or read a lock."`
+	Number  numberCmd  `cmd:"" help:"Take the next of a rising number, or read it."`
+	Key     keyCmd     `cmd:"" help:"Read, write, delete or list small keys."`
+	Watch   watchCmd   `cmd:"" help:"Follow changes below a prefix."`
 }
 
 type target struct {
@@ -109,6 +110,22 @@
 	return c.show("GET", "/counters", nil)
 }
 
+type rolloutCmd struct {
+	target
+	Deed  string  `arg:"" enum:"begin,read,back" help:"begin, read or back."`
+	Way   string  `arg:"" help:"Name of the way."`
+	To    string  `help:"Service that the way is to go to."`
+	Steps []int   `help:"Hundredths of the way at each step, rising to 100 (5,25,50,100)."`
+	StepS float64 `default:"10" help:"Seconds a step is watched for."`
+	Most  float64 `default:"0.05" help:"Part of the calls that may end in a defect before the way is put back."`
+}
+
+func (c rolloutCmd) Run() error {
+	raw, _ := json.Marshal(map[string]any{"to": c.To, "steps": c.Steps, "stepS": c.StepS, "mostDefects": c.Most})
+	verbs := map[string]string{"begin": "POST", "read": "GET", "back": "DELETE"}
+	return c.show(verbs[c.Deed], "/rollouts/"+c.Way, raw)
+}
+
 type lockCmd struct {
 	target
 	Deed   string `arg:"" enum:"claim,renew,release,pass,read" help:"claim, renew, release, pass or read."`
--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -21,6 +21,8 @@
 	"cottonarch.example/cottonarch/control/register/place"
 	"cottonarch.example/cottonarch/control/register/replica"
 	"cottonarch.example/cottonarch/control/register/survey"
+	"cottonarch.example/cottonarch/control/rollout/drive"
+	rollout "cottonarch.example/cottonarch/control/rollout/state"
 	"cottonarch.example/cottonarch/control/roster/acceptor"
 	"cottonarch.example/cottonarch/control/roster/former"
 	"cottonarch.example/cottonarch/control/roster/maker"
@@ -135,7 +137,7 @@
 const replayMax = 4 << 10
 
 // harmless lists the deeds that change nothing, so that running them twice is harmless.
-var harmless = map[string]bool{"lock/read": true, "number/read": true, "key/read": true, "share/read": true, "manifest/read": true, "manifest/epoch": true, "mend": true}
+var harmless = map[string]bool{"lock/read": true, "number/read": true, "key/read": true, "share/read": true, "manifest/read": true, "manifest/epoch": true, "rollout/read": true, "mend": true}
 
 type reading struct {
 	ticket uint64
@@ -176,7 +178,8 @@
 	dutied   moment.Moment
 	fence    uint64
 	holds    bool
-	quiet    map[ident.Node]map[ident.Addr]bool
+	rolls    *drive.Drive
+	rolled   moment.Moment
 	Sweeps   uint64
 	Mended   uint64
 	Epoch    ident.Epoch // newest manifest epoch learned
@@ -186,7 +189,7 @@
 // Kinds is the book of every deed that the control state knows.
 func Kinds() book.Book {
 	all := book.Book{}
-	for _, b := range []book.Book{lock.Deeds(), number.Deeds(), key.Deeds(), share.Deeds(), offer.Deeds()} {
+	for _, b := range []book.Book{lock.Deeds(), number.Deeds(), key.Deeds(), share.Deeds(), offer.Deeds(), rollout.Deeds()} {
 		for kind, h := range b {
 			all[kind] = h
 		}
@@ -241,6 +244,7 @@
 	n.form = former.New(n.Disk, n.boot.Addr, n.boot.Founders)
 	n.own.Rostered(now, n.acc.Now)
 	n.in = inbox
+	n.rolls = drive.New()
 }
 
 // Roster is the roster in force here.
@@ -403,7 +407,7 @@
 const pendMax = 20000
 
 // grows lists the deeds that may need more room on the disks.
-var grows = map[string]bool{"key/write": true, "manifest/offer": true, "lock/claim": true, "number/next": true}
+var grows = map[string]bool{"key/write": true, "manifest/offer": true, "lock/claim": true, "number/next": true, "rollout/begin": true}
 
 // steer sends the one copy of a pending deed to the key's owner.
 func (n *Node) steer(now moment.Moment, p *pending, fx *Effects) {
--- a/control/core/node/tick.go
+++ b/control/core/node/tick.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"encoding/json"
 	"maps"
 	"slices"
 	"time"
@@ -13,6 +14,7 @@
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/control/register/place"
 	"cottonarch.example/cottonarch/control/register/survey"
+	rollout "cottonarch.example/cottonarch/control/rollout/state"
 	"cottonarch.example/cottonarch/control/roster/maker"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
@@ -23,6 +25,9 @@
 // leaves; when it cannot, the claim ends and a majority gives it to another.
 const dutyKey ident.Key = "lock/cottonarch.duty.sweep"
 
+// rollEvery is how often the duty's holder looks at the roll-outs.
+const rollEvery = 500 * time.Millisecond
+
 // forwardAgain is how long a forwarded deed may be out before it is sent again.
 const forwardAgain = 350 * time.Millisecond
 
@@ -214,6 +219,10 @@
 			n.fence = g.Fence
 		})
 	}
+	if n.holds && now.Since(n.rolled) >= rollEvery {
+		n.rolled = now
+		n.survey(now, &reading{until: now.Add(time.Second), done: n.roll}, rollout.Prefix, true, "", fx)
+	}
 	if n.holds && now.Since(n.swept) >= sweepEvery {
 		n.swept = now
 		n.Sweeps++
@@ -222,6 +231,23 @@
 	}
 }
 
+// roll carries every roll-out one deed further.
+func (n *Node) roll(now moment.Moment, s *survey.Survey, fx *Effects) {
+	if s == nil {
+		return
+	}
+	all := s.Found()
+	for _, k := range sorted(all) {
+		var r rollout.Rollout
+		if st := book.State(all[k].Cell.Value); !all[k].Agreed || len(st) == 0 || json.Unmarshal(st, &r) != nil {
+			continue
+		}
+		if d, due := n.rolls.Plan(now, r, n.Ledger.InForce(), n.Ledger.Ends); due {
+			n.internal(now, d, fx, func(moment.Moment, End, *Effects) {})
+		}
+	}
+}
+
 // sweep reads every key whose copies differ; the read mends them.
 func (n *Node) sweep(now moment.Moment, s *survey.Survey, fx *Effects) {
 	if s == nil {
--- a/control/manifest/check/check.go
+++ b/control/manifest/check/check.go
@@ -42,8 +42,17 @@
 	PathStart string        `json:"pathStart"`
 	Service   ident.Service `json:"service"`
 	Urgent    bool          `json:"urgent,omitempty"`
-	Limit     time.Duration `json:"limit"`
-	Tries     int           `json:"tries"`
+	// Split sends parts of the way to other services. Invariant: in order of service,
+	// at most 100 in sum, never Service itself.
+	Split []Split       `json:"split,omitempty"`
+	Limit time.Duration `json:"limit"`
+	Tries int           `json:"tries"`
+}
+
+// Split is a part of a way, in hundredths.
+type Split struct {
+	Service ident.Service `json:"service"`
+	Percent int           `json:"percent"`
 }
 
 // Manifest is what operators want in force. Invariants: every way's service is
@@ -111,7 +120,7 @@
 	taken := map[[2]string]string{}
 	for _, n := range ways.Names() {
 		w := ways.Down(n)
-		w.Only("host", "pathStart", "service", "urgent", "timeoutMs", "tries")
+		w.Only("host", "pathStart", "service", "urgent", "timeoutMs", "tries", "split")
 		if !name.MatchString(n) {
 			ways.Fault(n, "a way is named by letters, digits, dots and dashes")
 		}
@@ -130,6 +139,20 @@
 		if _, ok := out.Services[way.Service]; !ok && way.Service != "" {
 			w.Fault("service", "there is no service %q", way.Service)
 		}
+		split, sum := w.Down("split"), 0
+		for _, to := range split.Names() {
+			p := Split{ident.Service(to), int(split.Whole(to, 0, 0, 100))}
+			if _, ok := out.Services[p.Service]; !ok {
+				split.Fault(to, "there is no service %q", to)
+			}
+			if p.Service == way.Service {
+				split.Fault(to, "is the way's own service")
+			}
+			if sum += p.Percent; sum > 100 {
+				split.Fault(to, "the parts sum over 100")
+			}
+			way.Split = append(way.Split, p)
+		}
 		spot := [2]string{way.Host, way.PathStart}
 		if other, ok := taken[spot]; ok {
 			w.Fault("pathStart", "the same host and pathStart as way %q", other)
--- a/daemon/sidecar/intake.go
+++ b/daemon/sidecar/intake.go
@@ -29,6 +29,8 @@
 	GateHeader = "X-Cottonarch-Gate"
 	// CallerHeader names the caller in the tree of allowances.
 	CallerHeader = "X-Caller"
+	// SessionHeader names the session, which stays on one side of a split way.
+	SessionHeader = "X-Session"
 	// UrgentHeader marks a request of an urgent way between sidecars.
 	UrgentHeader = "X-Cottonarch-Urgent"
 	// DeadlineHeader is how long the caller waits, in milliseconds.
@@ -99,7 +101,7 @@
 	if who == "" {
 		who = from
 	}
-	call := &path.Call{Host: r.Host, Path: r.URL.Path, Method: r.Method, Caller: who}
+	call := &path.Call{Host: r.Host, Path: r.URL.Path, Method: r.Method, Caller: who, Session: r.Header.Get(SessionHeader)}
 	j := &job{call: call, done: make(chan ending, 1)}
 	j.req = exchange.Call{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: clean(r.Header), Body: body}
 	if !strings.HasPrefix(j.req.Target, "/") {
@@ -222,7 +224,9 @@
 	defer stop()
 	if c.Entry.Gate == s.Boot.Addr {
 		ret, turned, d := s.pass(ctx, c.Entry.UID, c.Entry.Service, j.req)
-		return ret, verdict(d, turned)
+		end := verdict(d, turned)
+		end.Bad = ret != nil && ret.Status >= 500
+		return ret, end
 	}
 	req := j.req
 	req.Header = req.Header.Clone()
@@ -247,7 +251,7 @@
 func read(ret *exchange.Return) (*exchange.Return, path.End) {
 	word := ret.Header.Get(GateHeader)
 	if word == gateReturn {
-		return ret, path.End{Verdict: path.Ran}
+		return ret, path.End{Verdict: path.Ran, Bad: ret.Status >= 500}
 	}
 	d := &defect.Defect{}
 	if err := json.Unmarshal(ret.Body, d); err != nil || d.Kind == "" || word == "" {
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -231,7 +231,7 @@
 		s.seq++
 	}
 	return record.Report{Node: s.Boot.Node, Addr: s.Boot.Addr, District: s.Boot.District, Claim: s.claim, Seq: s.seq,
-		Manifest: s.path.Epoch(), Ready: s.Ready(), Leaving: s.leaving.Load(), Workloads: s.gate.Workloads()}
+		Manifest: s.path.Epoch(), Ready: s.Ready(), Leaving: s.leaving.Load(), Workloads: s.gate.Workloads(), Ends: s.path.Ends()}
 }
 
 // share sends a promise or a wish about this sidecar's share.
--- a/mesh/claim/ledger/ledger.go
+++ b/mesh/claim/ledger/ledger.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/control/manifest/check"
+	"cottonarch.example/cottonarch/control/rollout/drive"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
@@ -38,10 +39,13 @@
 	services record.Set
 	sealed   uint64 // the change at which the manifest's set was last built
 	change   uint64
+	ends     map[ident.Service]drive.Ends
 }
 
 // New makes an empty ledger.
-func New() *Ledger { return &Ledger{seats: map[ident.Node]*seat{}} }
+func New() *Ledger {
+	return &Ledger{seats: map[ident.Node]*seat{}, ends: map[ident.Service]drive.Ends{}}
+}
 
 // Renew takes a report. It says whether anything changed that a feed must tell.
 func (l *Ledger) Renew(now moment.Moment, r record.Report) (bool, *defect.Defect) {
@@ -54,6 +58,7 @@
 	} else if r.Claim == s.report.Claim && r.Seq < s.report.Seq {
 		return false, nil // late: says nothing new and renews nothing
 	}
+	l.count(s, r)
 	fresh := s.heard == 0 || s.lapsed || r.Claim != s.report.Claim || r.Seq != s.report.Seq
 	s.report, s.heard, s.lapsed = r, now, false
 	if fresh {
@@ -62,6 +67,32 @@
 	return fresh, nil
 }
 
+// count adds what a node's sums grew by since its last report; a new claim begins at
+// nought, and the first report that this core hears of a node only sets the mark.
+func (l *Ledger) count(s *seat, r record.Report) {
+	old := s.report.Ends
+	if s.heard == 0 {
+		return
+	}
+	if r.Claim != s.report.Claim {
+		old = nil
+	}
+	for svc, n := range r.Ends {
+		was := old[svc]
+		if n.All < was.All || n.Bad < was.Bad {
+			continue
+		}
+		e := l.ends[svc]
+		l.ends[svc] = drive.Ends{All: e.All + n.All - was.All, Bad: e.Bad + n.Bad - was.Bad}
+	}
+}
+
+// Ends sums how the tries at a service ended, over all nodes, since this core began.
+func (l *Ledger) Ends(svc ident.Service) drive.Ends { return l.ends[svc] }
+
+// InForce is the newest manifest that this core knows.
+func (l *Ledger) InForce() *check.Manifest { return l.manifest }
+
 func (l *Ledger) build(s *seat) {
 	l.change++
 	s.change = l.change
--- a/mesh/path/path.go
+++ b/mesh/path/path.go
@@ -3,9 +3,12 @@
 package path
 
 import (
+	"hash/fnv"
+	"maps"
 	"time"
 
 	"cottonarch.example/cottonarch/control/manifest/check"
+	"cottonarch.example/cottonarch/control/rollout/drive"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
@@ -35,7 +38,9 @@
 // and from then on the fate is never said to be "no".
 type Call struct {
 	Host, Path, Method, Caller string
-	Until                      moment.Moment
+	// Session, when given, keeps the calls of one session on one side of a split.
+	Session string
+	Until   moment.Moment
 
 	Way     check.Way
 	Service check.Service
@@ -66,6 +71,7 @@
 	Defect  *defect.Defect
 	Turned  bool
 	Lost    bool
+	Bad     bool // a return that says the endpoint failed
 }
 
 // Path holds what one sidecar knows. Invariant: the manifest only moves to higher
@@ -76,6 +82,7 @@
 	Tree     *allowance.Tree
 	manifest *check.Manifest
 	ways     *way.Table
+	ends     map[ident.Service]drive.Ends
 	// Reckless breaks the retry rule; only tests of the checkers set it.
 	Reckless bool
 	// Counters.
@@ -84,7 +91,7 @@
 
 // New makes a path without a manifest.
 func New(now moment.Moment, district ident.District, seed uint64) *Path {
-	return &Path{Index: index.New(), Picker: pick.New(district, seed), Tree: allowance.New(now), ways: way.Build(nil)}
+	return &Path{Index: index.New(), Picker: pick.New(district, seed), Tree: allowance.New(now), ways: way.Build(nil), ends: map[ident.Service]drive.Ends{}}
 }
 
 // Epoch is the manifest epoch in force here.
@@ -95,6 +102,9 @@
 	return p.manifest.Epoch
 }
 
+// Ends counts, since the start, how the tries at each service ended.
+func (p *Path) Ends() map[ident.Service]drive.Ends { return maps.Clone(p.ends) }
+
 // Manifest is the one in force.
 func (p *Path) Manifest() *check.Manifest { return p.manifest }
 
@@ -117,6 +127,7 @@
 		p.NoWays++
 		return d
 	}
+	w.Service = p.side(now, c, w)
 	c.Way, c.Service, c.past = w, p.manifest.Services[w.Service], map[ident.Server]bool{}
 	limit := w.Limit
 	if asked > 0 && asked < limit {
@@ -128,6 +139,31 @@
 	return nil
 }
 
+// side chooses the service of a split way. The new services have the low hundredths,
+// so as their parts grow a session moves once and not back. A side without any well
+// workload is passed over.
+func (p *Path) side(now moment.Moment, c *Call, w check.Way) ident.Service {
+	if len(w.Split) == 0 {
+		return w.Service
+	}
+	x := p.Picker.Draw(100)
+	if c.Session != "" {
+		h := fnv.New32a()
+		_, _ = h.Write([]byte(w.Name + "\x00" + c.Session))
+		x = int(h.Sum32() % 100)
+	}
+	for _, s := range w.Split {
+		if x < s.Percent {
+			if _, ok := p.Picker.Choose(now, p.Index.Workloads(s.Service), nil); ok {
+				return s.Service
+			}
+			return w.Service
+		}
+		x -= s.Percent
+	}
+	return w.Service
+}
+
 // Next chooses the next try, or ends the call. Giving up is said at once.
 func (p *Path) Next(now moment.Moment, c *Call) Choice {
 	left := c.Until.Since(now)
@@ -162,6 +198,14 @@
 
 // Ended takes the end of the try that was out; again says whether another may follow.
 func (p *Path) Ended(now moment.Moment, c *Call, e End) (again bool) {
+	if e.Verdict != NotRun {
+		n := p.ends[c.Way.Service]
+		n.All++
+		if e.Verdict == Unsure || e.Bad {
+			n.Bad++
+		}
+		p.ends[c.Way.Service] = n
+	}
 	p.Picker.Back(now, c.now, e.Verdict == Unsure, e.Lost)
 	if e.Turned {
 		p.Picker.TurnedAway(now, c.now.UID)
--- /dev/null
+++ b/mesh/path/path_test.go
@@ -0,0 +1,102 @@
+package path
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cottonarch.example/cottonarch/control/manifest/check"
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/mesh/registry/record"
+	"github.com/shoenig/test/must"
+)
+
+const start = moment.Moment(time.Second)
+
+func ready(split ...check.Split) *Path {
+	p := New(start, "d", 1)
+	p.Tree.Free = true
+	p.Enforce(&check.Manifest{Epoch: 1, Services: map[ident.Service]check.Service{"a": {Hostname: "a", Part: 0.2}, "b": {Hostname: "b", Part: 0.2}},
+		Ways: []check.Way{{Name: "w", Host: "h", PathStart: "/", Service: "a", Limit: 4 * time.Second, Tries: 3, Split: split}}})
+	var recs []record.Address
+	for _, svc := range []ident.Service{"a", "b"} {
+		for i := range 3 {
+			recs = append(recs, record.Address{Workload: &record.Workload{UID: ident.Server(fmt.Sprint(svc, i)), Service: svc, Gate: ident.Addr(fmt.Sprint("g", i)), Weight: 1, Status: record.Healthy}})
+		}
+	}
+	p.Index.Merge([]record.Set{{Author: "n", Claim: 1, Records: recs}})
+	return p
+}
+
+// Every order of three verdicts, for a safe and an unsafe method: what may have run
+// is never tried again unless it is safe, "no" is never said after an unknown end,
+// and no server is tried twice.
+func TestAllOrdersOfVerdicts(t *testing.T) {
+	kinds := []Verdict{Ran, NotRun, Unsure}
+	for _, method := range []string{"GET", "POST"} {
+		for n := range 27 {
+			p, c := ready(), &Call{Host: "h", Path: "/x", Method: method, Caller: "c"}
+			must.Nil(t, p.Way(start, c, 0))
+			unsure, seen := false, map[ident.Server]bool{}
+			for i := 0; ; i++ {
+				ch := p.Next(start.Add(time.Duration(i)*time.Millisecond), c)
+				if ch.Defect != nil {
+					must.Eq(t, unsure, ch.Defect.Fate == defect.FateUnknown, must.Sprintf("%s %d: fate %s", method, n, ch.Defect.Fate))
+					break
+				}
+				must.False(t, unsure && method == "POST", must.Sprintf("%d: an unknown POST was tried again", n))
+				must.False(t, seen[ch.Entry.UID])
+				seen[ch.Entry.UID] = true
+				v := kinds[n/[]int{1, 3, 9}[i]%3]
+				unsure = unsure || v == Unsure
+				again := p.Ended(start.Add(time.Duration(i)*time.Millisecond), c, End{Verdict: v, Defect: &defect.Defect{Kind: defect.LostReturn, Fate: defect.FateUnknown}})
+				if v == Ran {
+					must.False(t, again)
+					break
+				}
+				must.Eq(t, v == NotRun || method == "GET", again)
+				if !again {
+					must.Eq(t, defect.FateUnknown, p.Final(c).Fate)
+					break
+				}
+			}
+		}
+	}
+}
+
+// A session moves to the new service at most once while its part grows, and the parts
+// are kept to.
+func TestSessionsMoveOnce(t *testing.T) {
+	side := map[string]ident.Service{}
+	for _, percent := range []int{0, 5, 25, 50, 100} {
+		p := ready(check.Split{Service: "b", Percent: percent})
+		moved := 0
+		for i := range 2000 {
+			s := fmt.Sprint("session", i)
+			c := &Call{Host: "h", Path: "/", Method: "GET", Session: s}
+			must.Nil(t, p.Way(start, c, 0))
+			must.False(t, side[s] == "b" && c.Way.Service == "a", must.Sprint("a session went back"))
+			side[s] = c.Way.Service
+			if side[s] == "b" {
+				moved++
+			}
+		}
+		must.Between(t, percent*20-60, moved, percent*20+60)
+	}
+}
+
+// Without a well workload the caller is told at once, and when to come back.
+func TestNoWorkloadIsSaidAtOnce(t *testing.T) {
+	p := ready()
+	p.Index.Merge([]record.Set{{Author: "n", Claim: 2}})
+	c := &Call{Host: "h", Path: "/", Method: "POST"}
+	must.Nil(t, p.Way(start, c, 0))
+	d := p.Next(start, c).Defect
+	must.NotNil(t, d)
+	must.Eq(t, 503, d.Code())
+	must.Eq(t, defect.FateNo, d.Fate)
+	must.Positive(t, d.Retry)
+	must.Eq(t, 404, p.Way(start, &Call{Host: "other", Path: "/"}, 0).Code())
+}
--- a/mesh/pick/pick.go
+++ b/mesh/pick/pick.go
@@ -77,6 +77,9 @@
 	return good[a], true
 }
 
+// Draw draws a number below n.
+func (p *Picker) Draw(n int) int { return p.rng.IntN(n) }
+
 func (p *Picker) draw(list []index.Entry) int {
 	sum := uint64(0)
 	for _, e := range list {
--- a/mesh/registry/record/record.go
+++ b/mesh/registry/record/record.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"cottonarch.example/cottonarch/control/manifest/check"
+	"cottonarch.example/cottonarch/control/rollout/drive"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -98,6 +99,8 @@
 	Ready     bool           `json:"ready"`
 	Leaving   bool           `json:"leaving,omitempty"`
 	Workloads []Workload     `json:"workloads"`
+	// Ends counts how this node's tries at each service ended, since its start.
+	Ends map[ident.Service]drive.Ends `json:"ends,omitempty"`
 }
 
 // Join builds the author's records from its report and the manifest in force: a
--- a/sim/world/side.go
+++ b/sim/world/side.go
@@ -224,7 +224,7 @@
 		s.news = false
 		s.seq++
 	}
-	rep := record.Report{Node: s.Node, Addr: s.Addr, District: s.District, Claim: s.claim, Seq: s.seq, Manifest: s.path.Epoch(), Workloads: s.gate.Workloads()}
+	rep := record.Report{Node: s.Node, Addr: s.Addr, District: s.District, Claim: s.claim, Seq: s.seq, Manifest: s.path.Epoch(), Workloads: s.gate.Workloads(), Ends: s.path.Ends()}
 	sent := s.clock()
 	for i, c := range s.w.Cores {
 		s.ask(&c.proc, 800*time.Millisecond, func(say func(any)) {
