--- a/mesh/gate/gate.go
+++ b/mesh/gate/gate.go
@@ -13,9 +13,11 @@
 )
 
 const (
-	// Silent is how long an endpoint may go without a beat. Invariant: with the
-	// longest dial it stays well inside the shortest reuseAfterS.
-	Silent = 1100 * time.Millisecond
+	// Silent is how long an endpoint may go without a beat, and SilentMost how long one
+	// may that beats more slowly than it is asked to. Invariant: with the longest dial
+	// it stays inside the shortest reuseAfterS.
+	Silent     = 1100 * time.Millisecond
+	SilentMost = 1600 * time.Millisecond
 	// BeatEvery is what endpoints are asked to keep to.
 	BeatEvery = 300 * time.Millisecond
 	// pause is how long without a Tick means that this process was held up.
@@ -53,6 +55,7 @@
 type entry struct {
 	Beat
 	at      moment.Moment
+	gap     time.Duration // between beats, smoothed
 	sick    moment.Moment
 	status  record.Status
 	leaving bool
@@ -138,6 +141,9 @@
 	}
 	g.spots[b.Addr] = b.Server
 	was := *e
+	if e.at != 0 {
+		e.gap += (min(now.Since(e.at), SilentMost) - e.gap) / 4
+	}
 	e.Beat, e.at = b, now
 	e.status = e.well(now)
 	if was.status != e.status || was.Service != b.Service || was.Addr != b.Addr || was.Weight != b.Weight || far(was.Burden, b.Burden) {
@@ -184,9 +190,12 @@
 	return Change{News: true, Closed: []ident.Addr{e.Addr}}
 }
 
+// silent is how long this endpoint may go without a beat.
+func (e *entry) silent() time.Duration { return min(SilentMost, max(Silent, e.gap*9/5)) }
+
 func (e *entry) well(now moment.Moment) record.Status {
 	switch {
-	case !e.open && (now.Since(e.at) > Silent || e.sick.After(now)):
+	case !e.open && (now.Since(e.at) > e.silent() || e.sick.After(now)):
 		return record.Unhealthy
 	case e.leaving:
 		return record.Draining
@@ -254,7 +263,7 @@
 		return "", 0, d
 	}
 	g.Passed++
-	return e.Addr, e.at.Add(Silent), nil
+	return e.Addr, e.at.Add(e.silent()), nil
 }
 
 // Failed says that the endpoint took no connection.
--- a/mesh/gate/gate_test.go
+++ b/mesh/gate/gate_test.go
@@ -125,3 +125,28 @@
 	_, _, d = g.Pass(at(901*time.Millisecond), "a", "one")
 	must.Nil(t, d)
 }
+
+// An endpoint that beats once a second stays well; when it falls silent it is still
+// forgotten inside reuseAfterS.
+func TestSlowBeatsAreBorne(t *testing.T) {
+	g := New()
+	last := time.Duration(0)
+	unwell := 0
+	for d := time.Duration(0); d < 20*time.Second; d += 40 * time.Millisecond {
+		g.Tick(at(d))
+		if d%time.Second == 0 || d%time.Second == 120*time.Millisecond && d/time.Second%2 == 1 {
+			if d < 15*time.Second {
+				_, _ = g.Take(at(d), beat("a", "one", "ip:1", Alive))
+				last = d
+			}
+		}
+		_, _, turned := g.Pass(at(d), "a", "one")
+		if turned != nil && d < 15*time.Second && d > 5*time.Second {
+			unwell++
+		}
+		if d > 15*time.Second {
+			must.False(t, turned == nil && d-last > SilentMost, must.Sprintf("passed %v after the last beat", d-last))
+		}
+	}
+	must.Eq(t, 0, unwell)
+}
