--- a/fleet/run/run.go
+++ b/fleet/run/run.go
@@ -519,15 +519,18 @@
 		slices.Sort(f.Spread)
 		fmt.Fprintf(&b, "in force after confirm   median %v, 99%% %v, most %v, of %d node epochs\n", f.Spread[n/2].Round(time.Millisecond), f.Spread[n*99/100].Round(time.Millisecond), f.Spread[n-1].Round(time.Millisecond), n)
 	}
-	var took []time.Duration
+	took := map[caller.Fate][]time.Duration{}
 	for _, t := range f.book.All() {
-		if t.Fate == caller.Served {
-			took = append(took, t.Took)
-		}
+		took[t.Fate] = append(took[t.Fate], t.Took)
 	}
-	if n := len(took); n > 0 {
+	for _, fate := range []caller.Fate{caller.Served, caller.NotRun, caller.Unknown} {
+		took := took[fate]
+		n := len(took)
+		if n == 0 {
+			continue
+		}
 		slices.Sort(took)
-		fmt.Fprintf(&b, "served in                median %v, 99%% %v, most %v\n", took[n/2].Round(100*time.Microsecond), took[n*99/100].Round(100*time.Microsecond), took[n-1].Round(time.Millisecond))
+		fmt.Fprintf(&b, "%-8s in              median %v, 99%% %v, most %v\n", fate, took[n/2].Round(100*time.Microsecond), took[n*99/100].Round(100*time.Microsecond), took[n-1].Round(time.Millisecond))
 	}
 	b.WriteString(f.Check.Text())
 	for i, x := range f.Check.Breaches {
