--- a/control/register/owner/owner_test.go
+++ b/control/register/owner/owner_test.go
@@ -32,7 +32,6 @@
 	own    map[string]*owner.Owner
 	ends   map[string][]owner.Outcome
 	asks   []mail
-	backs  []back
 	now    moment.Moment
 }
 
@@ -42,11 +41,6 @@
 	ask  cell.Ask
 }
 
-type back struct {
-	to  string
-	ret cell.Return
-}
-
 func newBench(t *testing.T, owners ...string) *bench {
 	b := &bench{t: t, reps: map[ident.Disk]*replica.Replica{}, own: map[string]*owner.Owner{}, ends: map[string][]owner.Outcome{}, now: moment.Moment(time.Second)}
 	b.roster.Epoch = 1
--- a/mesh/path/path.go
+++ b/mesh/path/path.go
@@ -24,11 +24,11 @@
 // The three verdicts. Invariant: NotRun is said only when it is proved, by the
 // gate's refusal or because no byte was sent, and never of something still queued.
 const (
-	Ran     Verdict = "ran"
-	NotRun  Verdict = "not-run"
-	Unsure  Verdict = "unknown"
-	leastMs         = 5 * time.Millisecond
-	tryMin          = 300 * time.Millisecond
+	Ran    Verdict = "ran"
+	NotRun Verdict = "not-run"
+	Unsure Verdict = "unknown"
+	least          = 5 * time.Millisecond
+	tryMin         = 300 * time.Millisecond
 )
 
 // safe lists the methods that may be run twice.
@@ -167,7 +167,7 @@
 // Next chooses the next try, or ends the call. Giving up is said at once.
 func (p *Path) Next(now moment.Moment, c *Call) Choice {
 	left := c.Until.Since(now)
-	if left < leastMs {
+	if left < least {
 		return p.give(c, defect.New(defect.Late, "the time for the request is over"))
 	}
 	if c.tries >= c.Way.Tries {
--- a/sim/plan/plan.go
+++ b/sim/plan/plan.go
@@ -83,7 +83,6 @@
 	keys   *world.Keys
 	load   float64
 	serial int
-	spares []ident.Addr
 }
 
 // Check names every fault of the input.
--- a/sim/world/clients.go
+++ b/sim/world/clients.go
@@ -402,13 +402,12 @@
 
 // Operators offers manifests: whole and partial, good and bad, in races.
 type Operators struct {
-	w       *World
-	base    func(mark string) map[string]any
-	n       int
-	top     ident.Epoch
-	bodies  map[ident.Epoch]string
-	shown   map[ident.Addr]*ident.Epoch
-	pending int
+	w      *World
+	base   func(mark string) map[string]any
+	n      int
+	top    ident.Epoch
+	bodies map[ident.Epoch]string
+	shown  map[ident.Addr]*ident.Epoch
 }
 
 // Operate starts the operators; base makes the whole manifest around a mark.
