--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -97,6 +97,7 @@
 
 // Start starts the duties.
 func (s *Sidecar) Start() {
+	s.kick(s.push)
 	go s.renewals()
 	go s.watchGate()
 	go s.follow()
@@ -163,7 +164,8 @@
 }
 
 func (s *Sidecar) grantEntry(from ident.Addr) {
-	ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+	// A core that is frozen must not hold this up: the next one is asked soon.
+	ctx, stop := context.WithTimeout(context.Background(), 1500*time.Millisecond)
 	defer stop()
 	var got mesh.Entry
 	if err := s.pool.Ask(ctx, from, "POST", "/cottonarch/v1/claim", map[string]ident.Node{"node": s.Boot.Node}, &got); err != nil {
@@ -340,7 +342,7 @@
 		default:
 		}
 		if !s.entered.Load() {
-			s.pause(100 * time.Millisecond)
+			s.pause(10 * time.Millisecond)
 			continue
 		}
 		cores := s.cored()
--- a/fleet/run/faults.go
+++ b/fleet/run/faults.go
@@ -31,6 +31,7 @@
 	"release-bad":      (*Fleet).releaseBad,
 	"herd":             (*Fleet).herd,
 	"crowd":            (*Fleet).crowd,
+	"district":         (*Fleet).district1,
 	"heavy":            (*Fleet).heavy,
 }
 
@@ -344,6 +345,44 @@
 	f.all(ctx, hit)
 }
 
+// district1 takes a whole district away, cores, sidecars and endpoints, and brings it
+// back some seconds later.
+func (f *Fleet) district1(ctx context.Context) {
+	f.loss()
+	n := f.rng.IntN(f.Deployment.Districts)
+	var hit []*machine.Machine
+	for i, m := range f.Cores {
+		if i%f.Deployment.Districts == n && (len(f.Cores) > 1) {
+			hit = append(hit, m)
+		}
+	}
+	gone := map[*machine.Machine]bool{}
+	for i, m := range f.Sides {
+		if i%f.Deployment.Districts == n {
+			hit = append(hit, m)
+			gone[m] = true
+		}
+	}
+	f.mu.Lock()
+	var dead []*end
+	for _, e := range f.ends {
+		if gone[e.side] && !e.gone {
+			e.gone = true
+			dead = append(dead, e)
+		}
+	}
+	f.mu.Unlock()
+	for _, e := range dead {
+		e.Die()
+	}
+	f.all(ctx, hit)
+	for _, e := range dead {
+		if _, err := f.endpoint(e.side, e.svc, ""); err != nil {
+			f.Say("%v", err)
+		}
+	}
+}
+
 // heavy kills every core and half the sidecars at once.
 func (f *Fleet) heavy(ctx context.Context) {
 	f.loss()
