A core that takes no connection is followed at once instead of after its hellos stop

Cause: after a core was killed its keys waited out 1.2 s of missing hellos, and deeds with them. Ruled out: the takeover itself (a prepare and a write, 8 ms in the trace) and the forwards' repeats. Change: a refused connection is a hint that moves keys and forwards, never a slot of the roster; a hello takes it back.

--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -62,11 +62,16 @@
 	Full func() bool
 }
 
+// peer is another core as last heard. Invariant: down is only a hint that it takes no
+// connection; it moves keys and forwards, never a slot of the roster.
 type peer struct {
 	hello message.Hello
 	heard moment.Moment
+	down  bool
 }
 
+func (p *peer) live(now moment.Moment) bool { return !p.down && now.Since(p.heard) <= alive }
+
 // Effects is what a step wants done. Invariant: what Gate takes out leaves only
 // after the Records of this and all earlier steps are synced; the rest rests on no
 // disk of this core's and may go at once.
@@ -340,7 +345,7 @@
 		}
 		for _, addr := range n.peerAddrs() {
 			p := n.peers[addr]
-			if p.hello.Disk == v.Disk && !p.hello.Leaving && !p.hello.Broken && now.Since(p.heard) <= alive {
+			if p.hello.Disk == v.Disk && !p.hello.Leaving && !p.hello.Broken && p.live(now) {
 				disks, at[v.Disk] = append(disks, v.Disk), addr
 			}
 		}
@@ -373,7 +378,12 @@
 // Majority tells whether enough voters are heard to serve.
 func (n *Node) Majority(now moment.Moment) bool {
 	got := 0
-	near := n.heard(now, alive)
+	near := []ident.Disk{n.Disk}
+	for _, p := range n.peers {
+		if p.live(now) {
+			near = append(near, p.hello.Disk)
+		}
+	}
 	for _, v := range n.acc.Now.Voters {
 		if v.Counted && slices.Contains(near, v.Disk) && (v.Disk != n.Disk || !n.broken) {
 			got++
@@ -583,7 +593,7 @@
 			delete(n.peers, a)
 		}
 	}
-	p.hello, p.heard = *m.Hello, now
+	p.hello, p.heard, p.down = *m.Hello, now, false
 	n.Know(now, m.Hello.Cores)
 	if m.Hello.Roster != nil {
 		n.adopt(now, *m.Hello.Roster, fx)
@@ -594,6 +604,20 @@
 	return true
 }
 
+// Down takes a hint that the process at an address is gone: it takes no connection.
+// A hint only: its keys are taken by others, which is safe if it lives after all; the
+// next hello brings it back.
+func (n *Node) Down(now moment.Moment, addr ident.Addr) (fx Effects) {
+	p := n.peers[addr]
+	if p == nil || p.down {
+		return fx
+	}
+	p.down = true
+	n.gone(now, addr, p.hello.Mark)
+	n.pendings(now, &fx)
+	return fx
+}
+
 // gone gives up the copies that are out at a process that is no more.
 func (n *Node) gone(now moment.Moment, addr ident.Addr, mark string) {
 	for _, out := range n.outs() {
--- /dev/null
+++ b/control/core/node/node_test.go
@@ -0,0 +1,182 @@
+package node_test
+
+import (
+	"testing"
+	"time"
+
+	"cottonarch.example/cottonarch/control/core/message"
+	"cottonarch.example/cottonarch/control/core/node"
+	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+	"github.com/shoenig/test/must"
+)
+
+// trio is three nodes without disks that are always up, but for those in dead.
+type trio struct {
+	nodes map[ident.Addr]*node.Node
+	now   moment.Moment
+	ends  []node.End
+	post  []mail
+	dead  map[ident.Addr]bool
+	lost  func(to ident.Addr, m message.Message) bool
+}
+
+type mail struct {
+	to ident.Addr
+	m  message.Message
+}
+
+var three = []ident.Addr{"a:1", "b:1", "c:1"}
+
+func newTrio(t *testing.T) *trio {
+	x := &trio{nodes: map[ident.Addr]*node.Node{}, now: moment.Moment(time.Second), dead: map[ident.Addr]bool{}}
+	for _, a := range three {
+		n, _, err := node.New(x.now, node.Boot{Addr: a, Founders: three, Mark: "m", NewDisk: func() ident.Disk { return ident.Disk("disk-" + a) }}, nil)
+		must.NoError(t, err)
+		x.nodes[a] = n
+	}
+	x.run(2 * time.Second)
+	must.True(t, x.nodes["a:1"].Votes())
+	return x
+}
+
+func (x *trio) out(at ident.Addr, fx node.Effects) {
+	x.ends = append(x.ends, fx.Ends...)
+	for _, s := range fx.Sends {
+		s.Msg.From = at
+		x.post = append(x.post, mail{s.To, s.Msg})
+	}
+}
+
+func (x *trio) run(d time.Duration) {
+	for end := x.now.Add(d); x.now < end; x.now = x.now.Add(10 * time.Millisecond) {
+		for _, a := range three {
+			if !x.dead[a] {
+				x.out(a, x.nodes[a].Tick(x.now))
+			}
+		}
+		for len(x.post) > 0 {
+			p := x.post[0]
+			x.post = x.post[1:]
+			switch {
+			case x.lost != nil && x.lost(p.to, p.m):
+			case x.dead[p.to]:
+				if !x.dead[p.m.From] {
+					x.out(p.m.From, x.nodes[p.m.From].Down(x.now, p.to))
+				}
+			default:
+				x.out(p.to, x.nodes[p.to].Step(x.now, p.m))
+			}
+		}
+	}
+}
+
+func (x *trio) deed(at ident.Addr, ticket uint64, kind string, key ident.Key) {
+	x.out(at, x.nodes[at].Deed(x.now, ticket, owner.Deed{Op: ident.Op(kind), Key: key, Kind: kind}, 4*time.Second))
+}
+
+func (x *trio) end(ticket uint64) *node.End {
+	for i := range x.ends {
+		if x.ends[i].Ticket == ticket {
+			return &x.ends[i]
+		}
+	}
+	return nil
+}
+
+// ownerOf finds who holds a key.
+func (x *trio) ownerOf(k ident.Key) ident.Addr {
+	for _, a := range three {
+		for _, have := range x.nodes[a].Owned() {
+			if have == k {
+				return a
+			}
+		}
+	}
+	return ""
+}
+
+// A killed owner's keys are taken over as soon as its address takes no connection,
+// not only when its hellos stop; and its slot of the roster is left alone.
+func TestKilledOwnerIsFollowedAtOnce(t *testing.T) {
+	x := newTrio(t)
+	x.deed("a:1", 1, "number/next", "number/n")
+	x.run(200 * time.Millisecond)
+	must.Nil(t, x.end(1).Defect)
+	own := x.ownerOf("number/n")
+	x.dead[own] = true
+	at := three[0]
+	if own == at {
+		at = three[1]
+	}
+	began := x.now
+	x.deed(at, 2, "number/read", "number/n")
+	for x.end(2) == nil && x.now.Since(began) < 3*time.Second {
+		x.run(10 * time.Millisecond)
+	}
+	must.NotNil(t, x.end(2))
+	must.Less(t, 400*time.Millisecond, x.now.Since(began))
+	must.Eq(t, `{"number":1}`, string(x.end(2).Body))
+	must.Eq(t, ident.Epoch(1), x.nodes[at].Roster().Epoch)
+}
+
+// A forward that is doubled or repeated acts once, and a lost return is given again.
+func TestForwardActsOnce(t *testing.T) {
+	for _, lose := range []string{"", "forward", "carried"} {
+		x := newTrio(t)
+		x.deed("a:1", 1, "number/next", "number/n")
+		x.run(200 * time.Millisecond)
+		at := three[0]
+		if x.ownerOf("number/n") == at {
+			at = three[1]
+		}
+		dropped := false
+		x.lost = func(to ident.Addr, m message.Message) bool {
+			if m.Forward != nil && lose == "" && !dropped {
+				dropped = true
+				x.post = append(x.post, mail{to, m}) // doubled
+				return false
+			}
+			if (m.Forward != nil && lose == "forward" || m.Carried != nil && lose == "carried") && !dropped {
+				dropped = true
+				return true
+			}
+			return false
+		}
+		x.out(at, x.nodes[at].Deed(x.now, 2, owner.Deed{Key: "number/n", Kind: "number/next"}, 4*time.Second))
+		x.run(time.Second)
+		must.True(t, dropped)
+		must.NotNil(t, x.end(2), must.Sprint(lose))
+		must.Eq(t, `{"number":2}`, string(x.end(2).Body), must.Sprint(lose))
+		x.deed("a:1", 3, "number/read", "number/n")
+		x.run(200 * time.Millisecond)
+		must.Eq(t, `{"number":2}`, string(x.end(3).Body), must.Sprint(lose))
+	}
+}
+
+// A planned stop hands keys over: the successor holds them before the owner is gone,
+// and nothing in hand is lost.
+func TestPlannedStopHandsOver(t *testing.T) {
+	x := newTrio(t)
+	x.deed("a:1", 1, "number/next", "number/n")
+	x.run(200 * time.Millisecond)
+	own := x.ownerOf("number/n")
+	x.out(own, x.nodes[own].Leave(x.now))
+	x.run(60 * time.Millisecond)
+	left := false
+	for i := 0; i < 50 && !left; i++ {
+		var fx node.Effects
+		left, fx = x.nodes[own].Left(x.now)
+		x.out(own, fx)
+		x.run(20 * time.Millisecond)
+	}
+	must.True(t, left)
+	heir := x.ownerOf("number/n")
+	must.NotEq(t, "", heir)
+	must.NotEq(t, own, heir)
+	x.dead[own] = true
+	x.deed(heir, 2, "number/read", "number/n")
+	x.run(200 * time.Millisecond)
+	must.Eq(t, `{"number":1}`, string(x.end(2).Body))
+}
--- a/control/core/node/tick.go
+++ b/control/core/node/tick.go
@@ -100,7 +100,7 @@
 			n.late(now, p, fx)
 			continue
 		}
-		if q := n.peers[p.at]; p.at != n.boot.Addr && (q == nil || now.Since(q.heard) > alive) {
+		if q := n.peers[p.at]; p.at != n.boot.Addr && (q == nil || !q.live(now)) {
 			// The owner is silent: give this copy up, it may still take effect.
 			delete(n.pend, out)
 			p.out, p.risk = 0, true
--- a/control/register/owner/owner.go
+++ b/control/register/owner/owner.go
@@ -177,7 +177,9 @@
 }
 
 // Keys lists what is held.
-func (o *Owner) Keys() []ident.Key { return o.keys(o.held) }
+func (o *Owner) Keys() []ident.Key {
+	return slices.DeleteFunc(o.keys(o.held), func(k ident.Key) bool { return o.held[k].stage == idle })
+}
 
 // Release lets every key go that no round is out for, and says whether all went.
 func (o *Owner) Release() (done bool, fx Effects) {
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -7,8 +7,10 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -353,6 +355,9 @@
 			ctx, stop := context.WithTimeout(context.Background(), 1500*time.Millisecond)
 			if err := c.pool.Ask(ctx, addr, "POST", "/cottonarch/v1/messages", Batch{held[:n]}, nil); err != nil {
 				c.Board.Add("posts_failed", 1)
+				if errors.Is(err, syscall.ECONNREFUSED) {
+					c.Do(func(now moment.Moment) node.Effects { return c.node.Down(now, addr) })
+				}
 			}
 			stop()
 			c.Board.Add("posts", 1)
--- a/sim/world/clients.go
+++ b/sim/world/clients.go
@@ -25,11 +25,15 @@
 func (w *World) ask(d owner.Deed, end func(*node.End)) {
 	c := w.Cores[w.Rng.IntN(len(w.Cores))]
 	over := false
+	began := w.now
 	say := func(e *node.End) {
 		if over {
 			return
 		}
 		over = true
+		if e != nil && e.Defect == nil {
+			w.Took = append(w.Took, w.now.Since(began))
+		}
 		switch {
 		case e == nil || e.Defect != nil && e.Defect.Fate == defect.FateUnknown:
 			w.Served["deed-unknown"]++
--- a/sim/world/core.go
+++ b/sim/world/core.go
@@ -332,8 +332,13 @@
 		c.w.After(20*time.Microsecond, func() { c.run(gen, func() { c.out(c.node.Step(c.clock(), m)) }) })
 		return
 	}
+	gen := c.gen
 	c.w.carry(c.Addr, to, func() {
 		for _, d := range c.w.Cores {
+			if d.Addr == to && !d.up {
+				// Nobody takes the connection, and the sender hears so.
+				c.w.carry(to, c.Addr, func() { c.run(gen, func() { c.out(c.node.Down(c.clock(), to)) }) })
+			}
 			if d.Addr == to {
 				d.run(d.gen, func() { d.out(d.node.Step(d.clock(), m)) })
 			}
--- a/sim/world/world.go
+++ b/sim/world/world.go
@@ -31,6 +31,7 @@
 	calls       int
 	coreTrouble moment.Moment
 	told        int
+	Took        []time.Duration // of deeds that were told a yes
 	// Closed says that clients begin nothing new.
 	Closed bool
 	// Broken on purpose, to see the checkers catch it.
@@ -161,6 +162,11 @@
 	fmt.Fprintf(&b, "messages %d, lost %d; manifests %d confirmed, %d refused, %d unknown; deeds %d ok, %d no, %d unknown; watches told %d\n",
 		w.Links.Sent, w.Links.Lost, w.Served["manifest-yes"], w.Served["manifest-no"], w.Served["manifest-unknown"],
 		w.Served["deed-yes"], w.Served["deed-no"], w.Served["deed-unknown"], w.told)
+	if n := len(w.Took); n > 0 {
+		slices.Sort(w.Took)
+		fmt.Fprintf(&b, "deeds took: median %v, 99%% %v, 99.9%% %v, most %v\n", w.Took[n/2].Round(time.Microsecond), w.Took[n*99/100].Round(time.Microsecond),
+			w.Took[n*999/1000].Round(time.Microsecond), w.Took[n-1].Round(time.Microsecond))
+	}
 	b.WriteString(w.Check.Text())
 	if len(w.Check.Breaches) > 0 {
 		first := w.Check.Breaches[0]
