--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -70,6 +70,7 @@
 	news     bool
 	cores    []ident.Addr
 	told     map[ident.Addr]moment.Moment
+	sides    map[ident.Addr]bool // seeds that are sidecars
 	held     *holder.Holder
 	portion  holder.Portion
 	lastCore moment.Moment
@@ -91,7 +92,7 @@
 	now := clock()
 	return &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, pool: client.New(b.Addr), peers: exchange.New(b.Addr), ends: exchange.New(b.Addr),
 		done: make(chan struct{}), urgent: queue.Make[*job](b.Queue), normal: queue.Make[*job](b.Queue),
-		path: path.New(now, b.District, h.Sum64()), gate: gate.New(), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, held: holder.New(),
+		path: path.New(now, b.District, h.Sum64()), gate: gate.New(), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, sides: map[ident.Addr]bool{}, held: holder.New(),
 		began: now, lastCore: now, poke: make(chan ident.Addr, 1), push: make(chan struct{}, 1)}
 }
 
@@ -113,10 +114,16 @@
 	s.pool.Close()
 }
 
+// cored lists the cores; seeds that turned out to be sidecars only while there is
+// nothing better.
 func (s *Sidecar) cored() []ident.Addr {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.cores)
+	real := slices.DeleteFunc(slices.Clone(s.cores), func(a ident.Addr) bool { return s.sides[a] })
+	if len(real) == 0 {
+		return slices.Clone(s.cores)
+	}
+	return real
 }
 
 // renewals claims membership, then renews at every core.
@@ -172,8 +179,11 @@
 		s.Board.Add("claims_failed", 1)
 		// The seed may be a sidecar: it knows cores.
 		var known core.Known
+		d := (*defect.Defect)(nil)
+		side := defect.Find(err, &d) && d.Kind == defect.Missing
 		if s.pool.Ask(ctx, from, "GET", "/cottonarch/v1/cores", nil, &known) == nil {
 			s.mu.Lock()
+			s.sides[from] = side
 			s.join(known.Cores)
 			s.mu.Unlock()
 		}
--- a/fleet/run/clients.go
+++ b/fleet/run/clients.go
@@ -43,10 +43,16 @@
 // core picks a core that runs.
 func (c *clients) core() *machine.Machine {
 	for range 20 {
-		if m := c.f.Cores[c.n(len(c.f.Cores))]; m.Up() {
+		n := c.n(len(c.f.Cores))
+		c.mu.Lock()
+		m := c.f.Cores[n]
+		c.mu.Unlock()
+		if m.Up() {
 			return m
 		}
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	return c.f.Cores[0]
 }
 
--- a/fleet/run/faults.go
+++ b/fleet/run/faults.go
@@ -17,6 +17,7 @@
 var Faults = map[string]func(*Fleet, context.Context){
 	"core-kill":        func(f *Fleet, ctx context.Context) { f.coreKill(ctx, false) },
 	"core-empty":       func(f *Fleet, ctx context.Context) { f.coreKill(ctx, true) },
+	"core-move":        (*Fleet).coreMove,
 	"core-freeze":      (*Fleet).coreFreeze,
 	"core-cut":         (*Fleet).coreCut,
 	"core-stop":        (*Fleet).coreStop,
@@ -111,6 +112,36 @@
 	}
 }
 
+// coreMove loses a core machine for good; an empty one at a new address, whose seeds
+// are one core and two sidecars, takes its slot.
+func (f *Fleet) coreMove(context.Context) {
+	i := f.rng.IntN(len(f.Cores))
+	f.serve.mu.Lock()
+	old := f.Cores[i]
+	f.serve.mu.Unlock()
+	old.Kill()
+	f.mu.Lock()
+	f.serial++
+	n := 20 + f.serial%200
+	f.mu.Unlock()
+	m, err := f.machine("core", n)
+	if err == nil {
+		err = m.Write(map[string]any{"address": m.Addr, "listen": m.Inner, "district": f.district(i), "data": m.Data, "ringFileMiB": 12, "ringFiles": 4,
+			"seeds": []string{f.Cores[(i+1)%len(f.Cores)].Addr, f.Sides[0].Addr, f.Sides[1].Addr}})
+	}
+	if err == nil {
+		err = m.Start()
+	}
+	if err != nil {
+		f.Say("%v", err)
+		return
+	}
+	f.votes(m, 25*time.Second)
+	f.serve.mu.Lock()
+	f.Cores[i] = m
+	f.serve.mu.Unlock()
+}
+
 // votes waits until a core's new disk votes.
 func (f *Fleet) votes(m *machine.Machine, limit time.Duration) {
 	t := time.NewTicker(100 * time.Millisecond)
--- a/fleet/run/run.go
+++ b/fleet/run/run.go
@@ -79,19 +79,8 @@
 	f := &Fleet{Boot: b, net: relay.New(), Check: check.New(), book: &caller.Book{}, ledger: &endpoint.Ledger{}, began: time.Now(),
 		rng: rand.New(rand.NewPCG(b.Seed, 5)), left: map[ident.Server]time.Time{}, excuse: map[string]time.Time{}, Counts: map[string]int{}, stopped: map[string]bool{}}
 	var seeds, founders []string
-	mk := func(role string, i int) (*machine.Machine, error) {
-		net := map[string]int{"core": 21, "sidecar": 22}[role]
-		m := machine.New(b.Bin, b.Dir, fmt.Sprintf("%s%d", role, i+1), role, fmt.Sprintf("127.0.%d.%d", net, i+1))
-		var err error
-		for _, p := range []*string{&m.Addr, &m.Inner, &m.Caller} {
-			if *p, err = machine.Free(m.IP); err != nil {
-				return nil, err
-			}
-		}
-		return m, f.net.Open(m.Addr, m.Inner)
-	}
 	for i := range b.Deployment.Cores {
-		m, err := mk("core", i)
+		m, err := f.machine("core", i)
 		if err != nil {
 			return nil, err
 		}
@@ -109,15 +98,19 @@
 			return nil, err
 		}
 	}
+	// Two cores and a sidecar of another district are a sidecar's seeds: when all cores
+	// have moved, the sidecar still knows where to.
+	last := seeds[len(seeds)-1]
 	for i := range b.Deployment.Sides {
-		m, err := mk("sidecar", i)
+		m, err := f.machine("sidecar", i)
 		if err != nil {
 			return nil, err
 		}
 		f.Sides = append(f.Sides, m)
-		if err := m.Write(map[string]any{"address": m.Addr, "listen": m.Inner, "caller": m.Caller, "node": m.Name, "district": f.district(i), "seeds": seeds, "stopS": 4}); err != nil {
+		if err := m.Write(map[string]any{"address": m.Addr, "listen": m.Inner, "caller": m.Caller, "node": m.Name, "district": f.district(i), "seeds": []string{seeds[i%len(seeds)], seeds[(i+1)%len(seeds)], last}, "stopS": 4}); err != nil {
 			return nil, err
 		}
+		last = m.Addr
 		if err := m.Start(); err != nil {
 			return nil, err
 		}
@@ -149,6 +142,19 @@
 	return f, nil
 }
 
+// machine prepares a machine with an IP of its own behind a relay.
+func (f *Fleet) machine(role string, i int) (*machine.Machine, error) {
+	net := map[string]int{"core": 21, "sidecar": 22}[role]
+	m := machine.New(f.Bin, f.Dir, fmt.Sprintf("%s%d", role, i+1), role, fmt.Sprintf("127.0.%d.%d", net, i+1))
+	var err error
+	for _, p := range []*string{&m.Addr, &m.Inner, &m.Caller} {
+		if *p, err = machine.Free(m.IP); err != nil {
+			return nil, err
+		}
+	}
+	return m, f.net.Open(m.Addr, m.Inner)
+}
+
 func (f *Fleet) district(i int) string { return fmt.Sprintf("d%d", i%f.Deployment.Districts) }
 
 // Down ends everything that Up started.
