--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -143,6 +143,10 @@
 			cores := s.cored()
 			s.grantEntry(cores[turn%len(cores)])
 			turn++
+			if !s.entered.Load() {
+				s.pause(30 * time.Millisecond)
+				s.kick(s.push) // ask the next one soon
+			}
 			continue
 		}
 		rep := s.report()
--- a/fleet/run/run.go
+++ b/fleet/run/run.go
@@ -98,19 +98,20 @@
 			return nil, err
 		}
 	}
-	// Two cores and a sidecar of another district are a sidecar's seeds: when all cores
-	// have moved, the sidecar still knows where to.
-	last := seeds[len(seeds)-1]
 	for i := range b.Deployment.Sides {
 		m, err := f.machine("sidecar", i)
 		if err != nil {
 			return nil, err
 		}
 		f.Sides = append(f.Sides, m)
-		if err := m.Write(map[string]any{"address": m.Addr, "listen": m.Inner, "caller": m.Caller, "node": m.Name, "district": f.district(i), "seeds": []string{seeds[i%len(seeds)], seeds[(i+1)%len(seeds)], last}, "stopS": 4}); err != nil {
+	}
+	// Two cores and a sidecar of another district are a sidecar's seeds: when all cores
+	// have moved, that sidecar still knows where to.
+	for i, m := range f.Sides {
+		near := []string{seeds[i%len(seeds)], seeds[(i+1)%len(seeds)], f.Sides[(i+1)%len(f.Sides)].Addr}
+		if err := m.Write(map[string]any{"address": m.Addr, "listen": m.Inner, "caller": m.Caller, "node": m.Name, "district": f.district(i), "seeds": slices.Compact(near), "stopS": 4}); err != nil {
 			return nil, err
 		}
-		last = m.Addr
 		if err := m.Start(); err != nil {
 			return nil, err
 		}
@@ -262,9 +263,13 @@
 	go func() { defer out.Done(); f.sample(ctx) }()
 	f.faults(ctx)
 	<-ctx.Done()
+	until := f.now()
+	if d, ok := ctx.Deadline(); ok {
+		until = f.at(d)
+	}
 	f.net.Heal()
 	out.Wait()
-	f.judge(from)
+	f.judge(from, until)
 }
 
 func (f *Fleet) kinds() []caller.Kind {
@@ -459,7 +464,7 @@
 }
 
 // judge fills the checkers from the books and the ledgers.
-func (f *Fleet) judge(from moment.Moment) {
+func (f *Fleet) judge(from, until moment.Moment) {
 	asked := map[string]ident.Service{}
 	unsafe := map[string]bool{}
 	fates := map[caller.Fate]check.Fate{caller.Served: check.Served, caller.NotRun: check.NotRun, caller.Unknown: check.Unknown, caller.Dropped: check.Unknown, caller.Wrong: check.Unknown}
@@ -503,7 +508,7 @@
 		f.Check.Ran(check.Run{ID: r.ID, Server: r.Server, Service: r.Service, Asked: want, At: f.at(r.At), LeftAt: left, Unsafe: unsafe[r.ID]})
 		f.Counts["runs"]++
 	}
-	f.Check.Finish(from.Add(2*time.Second), f.now())
+	f.Check.Finish(from.Add(2*time.Second), until)
 }
 
 // Text is the report.
