--- a/adapter/operator/operator.go
+++ b/adapter/operator/operator.go
@@ -10,7 +10,10 @@
 
 	"github.com/gorilla/mux"
 
+	"cottonarch.example/cottonarch/control/audit/chunk"
+	"cottonarch.example/cottonarch/control/audit/tree"
 	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/manifest/walk"
@@ -30,7 +33,7 @@
 
 // Paths is the surface.
 func Paths(c *core.Core) server.Paths {
-	return server.Paths{"/rollouts/{way}": {
+	return server.Paths{"/audit": {"GET": func(w http.ResponseWriter, r *http.Request) { audit(c, w, r) }}, "/rollouts/{way}": {
 		"POST":   func(w http.ResponseWriter, r *http.Request) { roll(c, w, r) },
 		"DELETE": func(w http.ResponseWriter, r *http.Request) { unroll(c, w, r) },
 		"GET": func(w http.ResponseWriter, r *http.Request) {
@@ -147,3 +150,24 @@
 	deed(c, w, r, owner.Deed{Key: key, Kind: "rollout/move", Args: book.JSON(rollout.Move{Round: now.Round, At: now.At, Phase: now.Phase,
 		NextAt: now.At, NextPhase: rollout.Backing, Why: "an operator took it back"})})
 }
+
+// audit gives the audit log with its checkpoint.
+func audit(c *core.Core, w http.ResponseWriter, r *http.Request) {
+	for range 5 {
+		e := c.Survey(r.Context(), chunk.Prefix, true, budget)
+		if e.Defect != nil {
+			reply.Defect(w, e.Defect)
+			return
+		}
+		if leaves, ok := node.Leaves(e.Found); ok {
+			log, err := tree.Build(leaves)
+			if err != nil {
+				reply.Defect(w, defect.Of(err))
+				return
+			}
+			reply.JSON(w, http.StatusOK, log)
+			return
+		}
+	}
+	reply.Defect(w, defect.New(defect.Busy, "the audit log is being added to").Later(1))
+}
--- a/cmd/cottonarch/operator.go
+++ b/cmd/cottonarch/operator.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"cottonarch.example/cottonarch/control/audit/tree"
 	"cottonarch.example/cottonarch/kernel/defect"
 )
 
@@ -19,6 +20,7 @@
 	Show    showCmd    `cmd:"" help:"Show the newest confirmed manifest (core) or the one in force (sidecar)."`
 	Status  statusCmd  `cmd:"" help:"Show a daemon's status and counters."`
 	Rollout rolloutCmd `cmd:"" help:"Roll a way out to another service by steps, or put it back."`
+	Audit   auditCmd   `cmd:"" help:"Fetch the audit log of manifests and check it."`
 	Lock    lockCmd    `cmd:"" help:"Claim, renew, release or read a lock."`
 	Number  numberCmd  `cmd:"" help:"Take the next of a rising number, or read it."`
 	Key     keyCmd     `cmd:"" help:"Read, write, delete or list small keys."`
@@ -126,6 +128,47 @@
 	return c.show(verbs[c.Deed], "/rollouts/"+c.Way, raw)
 }
 
+type auditCmd struct {
+	target
+	Old    string `help:"File with an older checkpoint that the log must continue." type:"existingfile"`
+	Save   string `help:"File to keep the new checkpoint in." type:"path"`
+	Leaves bool   `help:"Print the leaves too."`
+}
+
+func (c auditCmd) Run() error {
+	data, err := c.ask("GET", "/audit", nil)
+	if err != nil {
+		return err
+	}
+	var log tree.Log
+	if err := json.Unmarshal(data, &log); err != nil {
+		return defect.Wrap(err, defect.BadReturn, "audit")
+	}
+	old := ""
+	if c.Old != "" {
+		raw, err := os.ReadFile(c.Old)
+		if err != nil {
+			return defect.Wrap(err, defect.Malformed, "old checkpoint")
+		}
+		old = string(raw)
+	}
+	if err := tree.Check(log, old); err != nil {
+		return err
+	}
+	if c.Save != "" {
+		if err := os.WriteFile(c.Save, []byte(log.Checkpoint), 0o644); err != nil {
+			return defect.Wrap(err, defect.Internal, "save")
+		}
+	}
+	if c.Leaves {
+		for _, l := range log.Leaves {
+			fmt.Printf("%d %s\n", l.Epoch, l.Sum)
+		}
+	}
+	fmt.Print(log.Checkpoint)
+	return nil
+}
+
 type lockCmd struct {
 	target
 	Deed   string `arg:"" enum:"claim,renew,release,pass,read" help:"claim, renew, release, pass or read."`
--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"cottonarch.example/cottonarch/control/audit/chunk"
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/key"
 	"cottonarch.example/cottonarch/control/coordination/lock"
@@ -142,7 +143,7 @@
 const replayMax = 4 << 10
 
 // harmless lists the deeds that change nothing, so that running them twice is harmless.
-var harmless = map[string]bool{"lock/read": true, "number/read": true, "key/read": true, "share/read": true, "manifest/read": true, "manifest/epoch": true, "rollout/read": true, "mend": true}
+var harmless = map[string]bool{"lock/read": true, "number/read": true, "key/read": true, "share/read": true, "manifest/read": true, "manifest/epoch": true, "rollout/read": true, "manifest/lines": true, "mend": true}
 
 type reading struct {
 	ticket uint64
@@ -185,6 +186,8 @@
 	holds    bool
 	rolls    *drive.Drive
 	rolled   moment.Moment
+	audited  ident.Epoch // the newest epoch in the audit log, as this duty knows
+	auditAt  moment.Moment
 	Sweeps   uint64
 	Mended   uint64
 	Epoch    ident.Epoch // newest manifest epoch learned
@@ -194,7 +197,7 @@
 // Kinds is the book of every deed that the control state knows.
 func Kinds() book.Book {
 	all := book.Book{}
-	for _, b := range []book.Book{lock.Deeds(), number.Deeds(), key.Deeds(), share.Deeds(), offer.Deeds(), rollout.Deeds()} {
+	for _, b := range []book.Book{lock.Deeds(), number.Deeds(), key.Deeds(), share.Deeds(), offer.Deeds(), rollout.Deeds(), chunk.Deeds()} {
 		for kind, h := range b {
 			all[kind] = h
 		}
--- a/control/core/node/tick.go
+++ b/control/core/node/tick.go
@@ -6,10 +6,12 @@
 	"slices"
 	"time"
 
+	"cottonarch.example/cottonarch/control/audit/chunk"
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/lock"
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/core/message"
+	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/cell"
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/control/register/place"
@@ -223,6 +225,10 @@
 		n.rolled = now
 		n.survey(now, &reading{until: now.Add(time.Second), done: n.roll}, rollout.Prefix, true, "", fx)
 	}
+	if n.holds && n.Epoch > n.audited && now.Since(n.auditAt) >= time.Second {
+		n.auditAt = now
+		n.survey(now, &reading{until: now.Add(time.Second), done: n.audit}, chunk.Prefix, true, "", fx)
+	}
 	if n.holds && now.Since(n.swept) >= sweepEvery {
 		n.swept = now
 		n.Sweeps++
@@ -248,6 +254,63 @@
 	}
 }
 
+// audit adds to the audit log what the newest manifests brought.
+func (n *Node) audit(now moment.Moment, s *survey.Survey, fx *Effects) {
+	if s == nil {
+		return
+	}
+	leaves, ok := Leaves(s.Found())
+	if !ok {
+		return // an append is under way, or was left on a minority: look again
+	}
+	last := ident.Epoch(0)
+	if len(leaves) > 0 {
+		last = leaves[len(leaves)-1].Epoch
+	}
+	n.audited = last
+	n.internal(now, owner.Deed{Key: offer.Key, Kind: "manifest/lines"}, fx, func(now moment.Moment, e End, fx *Effects) {
+		var lines []offer.Line
+		if e.Defect != nil || json.Unmarshal(e.Body, &lines) != nil {
+			return
+		}
+		n.append(now, len(leaves), last, lines, fx)
+	})
+}
+
+// append adds the lines after an epoch, one after the other.
+func (n *Node) append(now moment.Moment, at int, last ident.Epoch, lines []offer.Line, fx *Effects) {
+	for len(lines) > 0 && lines[0].Epoch <= last {
+		lines = lines[1:]
+	}
+	if len(lines) == 0 {
+		return
+	}
+	args := book.JSON(chunk.Append{Index: at, Leaf: lines[0]})
+	n.internal(now, owner.Deed{Key: chunk.Key(at), Kind: "audit/append", Args: args}, fx, func(now moment.Moment, e End, fx *Effects) {
+		if e.Defect != nil {
+			return
+		}
+		n.audited = lines[0].Epoch
+		n.append(now, at+1, n.audited, lines[1:], fx)
+	})
+}
+
+// Leaves puts the audit log together; it is not ok unless a majority agrees on all of
+// it.
+func Leaves(all map[ident.Key]survey.Found) (leaves []offer.Line, ok bool) {
+	for _, k := range sorted(all) {
+		var c chunk.Chunk
+		if st := book.State(all[k].Cell.Value); len(st) > 0 && json.Unmarshal(st, &c) != nil {
+			return nil, false
+		}
+		if !all[k].Agreed {
+			return nil, false
+		}
+		leaves = append(leaves, c.Leaves...)
+	}
+	return leaves, true
+}
+
 // sweep reads every key whose copies differ; the read mends them.
 func (n *Node) sweep(now moment.Moment, s *survey.Survey, fx *Effects) {
 	if s == nil {
--- a/control/manifest/offer/offer.go
+++ b/control/manifest/offer/offer.go
@@ -2,6 +2,8 @@
 package offer
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 
 	"cottonarch.example/cottonarch/control/coordination/book"
@@ -28,8 +30,21 @@
 type Held struct {
 	Epoch    ident.Epoch     `json:"epoch"`
 	Manifest json.RawMessage `json:"manifest"`
+	// Lines are the newest lines for the audit log, in order of epoch.
+	Lines []Line `json:"lines,omitempty"`
 }
 
+// Line says what an epoch brought. Invariant: Sum is the SHA-256 of the whole manifest
+// as it is stored and read back.
+type Line struct {
+	Epoch   ident.Epoch `json:"epoch"`
+	Sum     string      `json:"sha256"`
+	Partial bool        `json:"partial,omitempty"`
+}
+
+// linesMax is how many lines wait for the audit log at most.
+const linesMax = 256
+
 // Yes is the return to a winning offer.
 type Yes struct {
 	Epoch ident.Epoch `json:"epoch"`
@@ -37,7 +52,7 @@
 
 // Deeds are the handlers.
 func Deeds() book.Book {
-	return book.Book{"manifest/offer": offer, "manifest/read": read, "manifest/epoch": epoch}
+	return book.Book{"manifest/offer": offer, "manifest/read": read, "manifest/epoch": epoch, "manifest/lines": lines}
 }
 
 func offer(turn owner.Turn, state, raw json.RawMessage) book.Entry {
@@ -69,7 +84,9 @@
 	if len(body) > check.BytesMax {
 		return book.Turned(defect.New(defect.Oversize, "a manifest is at most %d bytes", check.BytesMax))
 	}
-	h = Held{Epoch: ident.Epoch(turn.Revision) + 1, Manifest: body}
+	sum := sha256.Sum256(body)
+	past := append(h.Lines, Line{Epoch: ident.Epoch(turn.Revision) + 1, Sum: hex.EncodeToString(sum[:]), Partial: a.Partial})
+	h = Held{Epoch: ident.Epoch(turn.Revision) + 1, Manifest: body, Lines: past[max(0, len(past)-linesMax):]}
 	return book.Entry{State: book.JSON(h), Body: book.JSON(Yes{h.Epoch})}
 }
 
@@ -79,9 +96,19 @@
 	if d := book.Read(state, raw, &h, &a); d != nil {
 		return book.Turned(d)
 	}
+	h.Lines = nil
 	return book.Entry{Body: book.JSON(h)}
 }
 
+func lines(_ owner.Turn, state, raw json.RawMessage) book.Entry {
+	var h Held
+	var a Args
+	if d := book.Read(state, raw, &h, &a); d != nil {
+		return book.Turned(d)
+	}
+	return book.Entry{Body: book.JSON(h.Lines)}
+}
+
 func epoch(_ owner.Turn, state, raw json.RawMessage) book.Entry {
 	var h Yes
 	var a Args
--- a/sim/plan/plan.go
+++ b/sim/plan/plan.go
@@ -198,6 +198,7 @@
 	w.Links.Heal()
 	w.RunFor(8 * time.Second)
 	r.ops.ReadBack()
+	r.ops.Audit()
 	w.RunFor(5 * time.Second)
 	w.Compare()
 	r.keys.Judge()
--- a/sim/world/clients.go
+++ b/sim/world/clients.go
@@ -3,10 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/anishathalye/porcupine"
 
+	"cottonarch.example/cottonarch/control/audit/chunk"
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/key"
 	"cottonarch.example/cottonarch/control/coordination/lock"
@@ -520,6 +523,40 @@
 	})
 }
 
+// Audit looks whether the audit log has every confirmed epoch once, and in order.
+func (o *Operators) Audit() {
+	w := o.w
+	for _, c := range w.Cores {
+		if !c.Well() {
+			continue
+		}
+		c.ticket++
+		c.ends[c.ticket] = func(e node.End) {
+			leaves, ok := node.Leaves(e.Found)
+			if e.Defect != nil || !ok {
+				w.Breach("audit", "the audit log can't be read at day's end: %v", e.Defect)
+				return
+			}
+			have := map[ident.Epoch]bool{}
+			last := ident.Epoch(0)
+			for _, l := range leaves {
+				if l.Epoch <= last || len(l.Sum) != 64 {
+					w.Breach("audit", "epoch %d stands after %d", l.Epoch, last)
+				}
+				last, have[l.Epoch] = l.Epoch, true
+			}
+			for _, epoch := range slices.Sorted(maps.Keys(o.bodies)) {
+				w.Check.Seen["audit"]++
+				if !have[epoch] {
+					w.Breach("audit", "epoch %d was confirmed and is not in the log", epoch)
+				}
+			}
+		}
+		c.out(c.node.Survey(c.clock(), c.ticket, chunk.Prefix, true, 4*time.Second))
+		return
+	}
+}
+
 // ReadBack reads the manifest at every core at the end of the day.
 func (o *Operators) ReadBack() {
 	w := o.w
--- a/sim/world/core.go
+++ b/sim/world/core.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"cottonarch.example/cottonarch/control/audit/chunk"
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/key"
 	"cottonarch.example/cottonarch/control/core/message"
@@ -179,6 +180,15 @@
 			a.Base = nil
 			return give(t, state, book.JSON(a))
 		}
+	case "audit": // every fifth epoch is left out
+		add := all["audit/append"]
+		all["audit/append"] = func(t owner.Turn, state, args json.RawMessage) book.Entry {
+			var a chunk.Append
+			if json.Unmarshal(args, &a) == nil && a.Leaf.Epoch%5 == 0 {
+				return book.Entry{Body: args}
+			}
+			return add(t, state, args)
+		}
 	case "history": // only the newest change is kept
 		write := all["key/write"]
 		all["key/write"] = func(t owner.Turn, state, args json.RawMessage) book.Entry {
--- a/sim/world/world.go
+++ b/sim/world/world.go
@@ -59,6 +59,7 @@
 	"history":   {"watch-forgotten"},
 	"restart":   {"slow-recovery"},
 	"mend":      {"not-mended"},
+	"audit":     {"audit"},
 }
 
 // New makes an empty world of a seed.
