--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -79,6 +79,7 @@
 	pace     time.Duration // smoothed time of a send
 
 	entered atomic.Bool
+	inUse   atomic.Bool // a manifest is in force
 	leaving atomic.Bool
 	poke    chan ident.Addr // a core that knows a newer manifest
 	push    chan struct{}
@@ -90,10 +91,16 @@
 	h := fnv.New64a()
 	_, _ = fmt.Fprint(h, b.Node, time.Now().UnixNano())
 	now := clock()
-	return &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, pool: client.New(b.Addr), peers: exchange.New(b.Addr), ends: exchange.New(b.Addr),
+	s := &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, pool: client.New(b.Addr), peers: exchange.New(b.Addr), ends: exchange.New(b.Addr),
 		done: make(chan struct{}), urgent: queue.Make[*job](b.Queue), normal: queue.Make[*job](b.Queue),
 		path: path.New(now, b.District, h.Sum64()), gate: gate.New(), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, sides: map[ident.Addr]bool{}, held: holder.New(),
 		began: now, lastCore: now, poke: make(chan ident.Addr, 1), push: make(chan struct{}, 1)}
+	s.Board.Fresh = func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.gauges()
+	}
+	return s
 }
 
 // Start starts the duties.
@@ -312,7 +319,6 @@
 		if n%100 == 0 {
 			s.path.Picker.Tidy(now, func(u ident.Server) bool { _, ok := s.path.Index.Look(string(u)); return ok })
 		}
-		s.gauges()
 		s.mu.Unlock()
 	}
 }
@@ -474,6 +480,7 @@
 	ok := s.path.Enforce(m)
 	if ok {
 		s.raw = raw
+		s.inUse.Store(true)
 	}
 	s.mu.Unlock()
 	if ok {
@@ -547,7 +554,7 @@
 
 // Ready tells whether callers may come.
 func (s *Sidecar) Ready() bool {
-	return s.entered.Load() && !s.leaving.Load() && s.Board.At("manifest_epoch").Load() > 0
+	return s.entered.Load() && !s.leaving.Load() && s.inUse.Load()
 }
 
 // Status is what the status page shows.
--- a/kernel/count/count.go
+++ b/kernel/count/count.go
@@ -10,6 +10,8 @@
 type Board struct {
 	mu  sync.RWMutex
 	all map[string]*atomic.Int64
+	// Fresh, when set, brings the gauges up to date before they are read.
+	Fresh func()
 }
 
 // New makes a board.
@@ -40,6 +42,9 @@
 
 // All reads every counter.
 func (b *Board) All() map[string]int64 {
+	if b.Fresh != nil {
+		b.Fresh()
+	}
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	out := make(map[string]int64, len(b.all))
