--- a/daemon/sidecar/intake.go
+++ b/daemon/sidecar/intake.go
@@ -122,7 +122,7 @@
 		line = s.urgent
 	}
 	// Turn away early what would be late anyway.
-	wait := time.Duration(line.Len()/max(1, s.Boot.Senders)) * pace
+	wait := time.Duration(line.Len()) * pace / time.Duration(max(1, s.Boot.Senders))
 	if call.Until.Since(s.clock()) < wait || !line.Offer(j) {
 		s.Board.Add("turned_away", 1)
 		reply.Defect(w, defect.New(defect.Busy, "too many requests are in hand").Later(1))
