--- a/sim/plan/plan_test.go
+++ b/sim/plan/plan_test.go
@@ -18,6 +18,18 @@
 	return q
 }
 
+// splits is a day of core splits with bursts and killed sidecars in each.
+func splits(seed uint64) What {
+	q := day(seed, 0.2)
+	q.For, q.LastHeavy = 50*time.Second, false
+	for s := 3 * time.Second; s < 45*time.Second; s += 8 * time.Second {
+		for i, name := range []string{"core-split", "side-kill", "burst", "side-kill", "side-kill", "herd"} {
+			q.At = append(q.At, Timed{name, s + time.Duration(i)*100*time.Millisecond})
+		}
+	}
+	return q
+}
+
 // Fixed seeds of both deployments under all faults: every rule holds. Those with a
 // reason broke once.
 func TestSeedsHold(t *testing.T) {
@@ -36,6 +48,9 @@
 		"prairie 1040: seeds that no core was at any longer": {"prairie", day(1040, 1, "core-empty", "core-fail-disk")},
 		"prairie 517: the sweep asked only the fastest":      {"prairie", long(517)},
 		"volta 506: the sweep asked only the fastest":        {"volta", long(506)},
+		"splits 7: a restarted sidecar fell back":            {"prairie", splits(7)},
+		"splits 8: a restarted sidecar fell back":            {"prairie", splits(8)},
+		"splits 52: a restarted sidecar fell back":           {"prairie", splits(52)},
 		"volta 1":                    {"volta", day(1, 0.3)},
 		"volta 2":                    {"volta", day(2, 1)},
 		"volta 3: rolled throughout": {"volta", day(3, 0.5, "core-roll", "side-roll", "endpoint-replace")},
--- a/sim/world/side.go
+++ b/sim/world/side.go
@@ -197,6 +197,7 @@
 		}
 		s.entered, s.claim, s.seq = true, got.claim, 1
 		s.path.Floor = max(s.path.Floor, got.epoch)
+		s.trouble = max(s.trouble, s.w.now)   // not ready until now
 		s.turn = s.w.Rng.IntN(len(s.w.Cores)) // the daemon follows another core than it entered by
 		s.heard = s.clock()
 		s.portion.Begin(s.clock(), got.share)
