--- /dev/null
+++ b/control/coordination/key/key_test.go
@@ -0,0 +1,120 @@
+package key_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/key"
+	"cottonarch.example/cottonarch/control/coordination/watch"
+	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+	"github.com/shoenig/test/must"
+)
+
+type cell struct {
+	value  json.RawMessage
+	rev    ident.Revision
+	since  moment.Moment
+	memory map[string]moment.Moment
+}
+
+func (c *cell) do(now moment.Moment, kind string, a key.Args) (key.Reading, *defect.Defect) {
+	v := key.Deeds().Apply(owner.Turn{Now: now, Since: c.since, Revision: c.rev, Memory: c.memory, Touch: func(m string) { c.memory[m] = now }}, c.value, owner.Deed{Kind: kind, Args: book.JSON(a)})
+	if v.Changed {
+		c.value = v.Value
+		c.rev++
+	}
+	var r key.Reading
+	_ = json.Unmarshal(v.Body, &r)
+	return r, v.Defect
+}
+
+func at(s float64) moment.Moment { return moment.Moment(s * float64(time.Second)) }
+
+// A watcher that comes back within a minute is told every change, also when owners
+// changed meanwhile; later it is told that its place is forgotten, never a gap.
+func TestHistoryOutlivesOwners(t *testing.T) {
+	c := &cell{since: at(1), memory: map[string]moment.Moment{}}
+	place := watch.Place{"k": 0}
+	for i := range 300 {
+		now := 1 + float64(i)
+		if i%70 == 69 { // a new owner, which knows no times
+			c.since, c.memory = at(now), map[string]moment.Moment{}
+		}
+		_, d := c.do(at(now), "key/write", key.Args{Value: json.RawMessage(fmt.Sprint(i))})
+		must.Nil(t, d)
+		if i%50 == 49 {
+			since := place["k"]
+			r, d := c.do(at(now), "key/read", key.Args{Since: &since})
+			must.Nil(t, d)
+			events, d := place.Tell("k", r)
+			must.Nil(t, d)
+			must.Eq(t, 50, len(events))
+		}
+	}
+	old := watch.Place{"k": 3}
+	since := ident.Revision(3)
+	r, d := c.do(at(400), "key/read", key.Args{Since: &since})
+	must.Nil(t, d)
+	must.True(t, r.Cut)
+	_, d = old.Tell("k", r)
+	must.NotNil(t, d)
+	must.Eq(t, defect.Forgotten, d.Kind)
+}
+
+// When changes come faster than they may be forgotten, writes are turned away; the
+// history is not.
+func TestFullHistoryTurnsWritesAway(t *testing.T) {
+	c := &cell{since: at(1), memory: map[string]moment.Moment{}}
+	big, _ := json.Marshal(string(make([]byte, 5000)))
+	n := 0
+	for ; n < 1000; n++ {
+		if _, d := c.do(at(2), "key/write", key.Args{Value: big}); d != nil {
+			must.Eq(t, defect.Busy, d.Kind)
+			must.Positive(t, d.Retry)
+			break
+		}
+	}
+	must.Between(t, 10, n, 999)
+	since := ident.Revision(0)
+	r, _ := c.do(at(3), "key/read", key.Args{Since: &since})
+	must.Eq(t, n, len(r.Changes))
+	_, d := c.do(at(70), "key/write", key.Args{Value: big})
+	must.Nil(t, d)
+}
+
+// Revisions go on over a delete; ifRevision 0 means that the key must not exist.
+func TestRevisionsGoOnOverADelete(t *testing.T) {
+	c := &cell{since: at(1), memory: map[string]moment.Moment{}}
+	none, three := ident.Revision(0), ident.Revision(3)
+	v := json.RawMessage(`1`)
+	for i, x := range []struct {
+		kind string
+		a    key.Args
+		bad  defect.Kind
+		rev  ident.Revision
+	}{
+		{"key/delete", key.Args{}, defect.Missing, 0},
+		{"key/write", key.Args{Value: v, If: &none}, "", 1},
+		{"key/write", key.Args{Value: v, If: &none}, defect.Conflict, 0},
+		{"key/delete", key.Args{}, "", 2},
+		{"key/write", key.Args{Value: v, If: &three}, defect.Conflict, 0},
+		{"key/write", key.Args{Value: v, If: &none}, "", 3},
+		{"key/delete", key.Args{If: &three}, "", 4},
+		{"key/write", key.Args{}, defect.Invalid, 0},
+	} {
+		r, d := c.do(at(2), x.kind, x.a)
+		if x.bad != "" {
+			must.NotNil(t, d, must.Sprint(i))
+			must.Eq(t, x.bad, d.Kind, must.Sprint(i))
+			continue
+		}
+		must.Nil(t, d, must.Sprint(i))
+		must.Eq(t, x.rev, r.Revision, must.Sprint(i))
+	}
+}
--- /dev/null
+++ b/control/coordination/lock/lock_test.go
@@ -0,0 +1,82 @@
+package lock
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/moment"
+	"github.com/shoenig/test/must"
+)
+
+// tenure is one owner's hold on the lock's key.
+type tenure struct {
+	value  json.RawMessage
+	since  moment.Moment
+	memory map[string]moment.Moment
+}
+
+func (x *tenure) do(now moment.Moment, kind string, a Args) (Grant, *defect.Defect) {
+	v := Deeds().Apply(owner.Turn{Now: now, Since: x.since, Memory: x.memory, Touch: func(m string) { x.memory[m] = now }}, x.value, owner.Deed{Kind: kind, Args: book.JSON(a)})
+	if v.Changed {
+		x.value = v.Value
+	}
+	var g Grant
+	_ = json.Unmarshal(v.Body, &g)
+	return g, v.Defect
+}
+
+func sec(s float64) moment.Moment { return moment.Moment(s * float64(time.Second)) }
+
+// A new owner, which knows of no renewal, waits out the whole claim; then the next
+// holder has a higher fence, and the old one can do nothing any more.
+func TestNewOwnerWaitsOutTheWholeClaim(t *testing.T) {
+	x := &tenure{since: sec(1), memory: map[string]moment.Moment{}}
+	a, d := x.do(sec(1), "lock/claim", Args{Holder: "a", TTL: 5000})
+	must.Nil(t, d)
+	must.Eq(t, 1, a.Fence)
+	_, d = x.do(sec(5), "lock/renew", Args{Holder: "a", Fence: 1})
+	must.Nil(t, d)
+	// Taken over at 5.1: the renewal at 5 must still hold until 10.
+	x = &tenure{value: x.value, since: sec(5.1), memory: map[string]moment.Moment{}}
+	for _, at := range []float64{5.2, 6.5, 10, 10.1, 10.5} {
+		_, d = x.do(sec(at), "lock/claim", Args{Holder: "b", TTL: 5000})
+		must.NotNil(t, d, must.Sprint(at))
+		must.Eq(t, defect.Held, d.Kind)
+	}
+	b, d := x.do(sec(10.7), "lock/claim", Args{Holder: "b", TTL: 5000})
+	must.Nil(t, d)
+	must.Eq(t, 2, b.Fence)
+	for _, kind := range []string{"lock/renew", "lock/release", "lock/pass"} {
+		_, d = x.do(sec(10.8), kind, Args{Holder: "a", Fence: 1, To: "a"})
+		must.NotNil(t, d)
+		must.Eq(t, defect.NotHolder, d.Kind)
+	}
+}
+
+// Fences rise over release, pass and a holder's own second claim after its end.
+func TestFencesOnlyRise(t *testing.T) {
+	x := &tenure{since: sec(1), memory: map[string]moment.Moment{}}
+	last := uint64(0)
+	rise := func(g Grant, d *defect.Defect) {
+		must.Nil(t, d)
+		must.Greater(t, last, g.Fence)
+		last = g.Fence
+	}
+	rise(x.do(sec(1), "lock/claim", Args{Holder: "a", TTL: 1000}))
+	again, d := x.do(sec(1.5), "lock/claim", Args{Holder: "a", TTL: 1000})
+	must.Nil(t, d)
+	must.Eq(t, last, again.Fence) // still its own: the same claim
+	rise(x.do(sec(9), "lock/claim", Args{Holder: "a", TTL: 1000}))
+	rise(x.do(sec(9.1), "lock/pass", Args{Holder: "a", Fence: last, To: "b"}))
+	_, d = x.do(sec(9.2), "lock/release", Args{Holder: "b", Fence: last})
+	must.Nil(t, d)
+	rise(x.do(sec(9.3), "lock/claim", Args{Holder: "c", TTL: 1000}))
+	for _, bad := range []Args{{TTL: 1000}, {Holder: "x", TTL: 1}, {Holder: "x", TTL: 1 << 40}} {
+		_, d = x.do(sec(60), "lock/claim", bad)
+		must.NotNil(t, d)
+	}
+}
--- a/control/core/node/node_test.go
+++ b/control/core/node/node_test.go
@@ -180,3 +180,57 @@
 	x.run(200 * time.Millisecond)
 	must.Eq(t, `{"number":1}`, string(x.end(2).Body))
 }
+
+// A change forwarded to an owner that is just leaving, in every order of the first
+// messages: it acts once, and what its sender was told is true.
+func TestAllOrdersOfHandover(t *testing.T) {
+	told := 0
+	for seed := range 4 * 4 * 4 * 4 * 4 {
+		x := newTrio(t)
+		x.deed("a:1", 1, "number/next", "number/n")
+		x.run(100 * time.Millisecond)
+		own := x.ownerOf("number/n")
+		at := three[0]
+		if own == at {
+			at = three[1]
+		}
+		x.out(at, x.nodes[at].Deed(x.now, 2, owner.Deed{Op: "twice", Key: "number/n", Kind: "number/next"}, 2*time.Second))
+		x.out(own, x.nodes[own].Leave(x.now))
+		for pick, n := seed, 0; n < 60 && len(x.post) > 0; n++ {
+			i := 0
+			if n < 5 {
+				i, pick = pick%4%len(x.post), pick/4
+			}
+			p := x.post[i]
+			x.post = append(x.post[:i:i], x.post[i+1:]...)
+			x.out(p.to, x.nodes[p.to].Step(x.now, p.m))
+		}
+		for n := 0; n < 20; n++ {
+			left, fx := x.nodes[own].Left(x.now)
+			x.out(own, fx)
+			x.run(20 * time.Millisecond)
+			if left {
+				x.dead[own] = true
+			}
+		}
+		must.True(t, x.dead[own], must.Sprintf("seed %d: the owner could not leave", seed))
+		x.run(2 * time.Second)
+		end := x.end(2)
+		must.NotNil(t, end)
+		x.deed(at, 3, "number/read", "number/n")
+		x.run(500 * time.Millisecond)
+		must.Nil(t, x.end(3).Defect)
+		now := string(x.end(3).Body)
+		switch {
+		case end.Defect == nil:
+			told++
+			must.Eq(t, `{"number":2}`, string(end.Body), must.Sprintf("seed %d", seed))
+			must.Eq(t, `{"number":2}`, now, must.Sprintf("seed %d", seed))
+		case end.Defect.Fate == "no":
+			must.Eq(t, `{"number":1}`, now, must.Sprintf("seed %d", seed))
+		default:
+			must.True(t, now == `{"number":1}` || now == `{"number":2}`)
+		}
+	}
+	must.Greater(t, 900, told)
+}
