Whoever beats on a machine that stops leaves with the rest, by the gate itself

An endpoint that first beat after the stop had begun was well at the simulator's gate; the daemon looked after that outside the step. Change: the gate itself knows that its machine stops.

--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -577,9 +577,6 @@
 	defer s.mu.Unlock()
 	c, d := s.gate.Take(s.clock(), b)
 	s.changed(c)
-	if d == nil && s.leaving.Load() {
-		s.changed(s.gate.Leave(s.clock()))
-	}
 	s.Board.Add("beats", 1)
 	return d
 }
--- a/mesh/gate/gate.go
+++ b/mesh/gate/gate.go
@@ -72,6 +72,7 @@
 	off   map[ident.Server]moment.Moment
 	tick  moment.Moment
 	shy   moment.Moment
+	stops bool // the machine stops: whoever beats now leaves with the rest
 	// Open, when set, switches the checks off; only tests of the checkers do that.
 	Open bool
 	// Counters.
@@ -145,6 +146,7 @@
 		e.gap += (min(now.Since(e.at), SilentMost) - e.gap) / 4
 	}
 	e.Beat, e.at = b, now
+	e.leaving = e.leaving || g.stops
 	e.status = e.well(now)
 	if was.status != e.status || was.Service != b.Service || was.Addr != b.Addr || was.Weight != b.Weight || far(was.Burden, b.Burden) {
 		c.News = true
@@ -282,6 +284,7 @@
 
 // Leave marks every endpoint as leaving: the machine stops.
 func (g *Gate) Leave(now moment.Moment) Change {
+	g.stops = true
 	for _, e := range g.all {
 		e.leaving = true
 		e.status = e.well(now)
--- a/mesh/gate/gate_test.go
+++ b/mesh/gate/gate_test.go
@@ -150,3 +150,19 @@
 	}
 	must.Eq(t, 0, unwell)
 }
+
+// An endpoint that first beats while its machine stops gets nothing any more. Found by
+// seed 30185: a stop went on for ever, since requests went on coming.
+func TestNobodyIsWellOnAMachineThatStops(t *testing.T) {
+	g := New()
+	_, _ = g.Take(at(0), beat("a", "one", "ip:1", Alive))
+	must.True(t, g.Leave(at(time.Millisecond)).News)
+	_, _ = g.Take(at(2*time.Millisecond), beat("b", "one", "ip:2", Alive))
+	for _, s := range []ident.Server{"a", "b"} {
+		_, _, d := g.Pass(at(3*time.Millisecond), s, "one")
+		must.NotNil(t, d)
+	}
+	for _, w := range g.Workloads() {
+		must.Eq(t, record.Draining, w.Status)
+	}
+}
