Endpoints get a connection a request; marks and waits rest on no clock that jumps

A return that came before the request was whole, one with a length below its body's on a connection kept open, and a flood of 1xx were passed on or read until the limit. Marks of a core's feed came from the wall clock; the process clock stood still while the machine slept, and a clock that jumps made claims look older. Marks are random; waits count only time that was watched; the process clock runs on in suspend.

--- a/cmd/cottonarch/main.go
+++ b/cmd/cottonarch/main.go
@@ -93,7 +93,7 @@
 		return err
 	}
 	srv := server.New(b.Listen, nil)
-	for _, p := range []server.Paths{operator.Paths(daemon), coordination.Paths(daemon), mesh.Paths(daemon, string(daemon.View().Disk)+fmt.Sprint(time.Now().UnixNano())),
+	for _, p := range []server.Paths{operator.Paths(daemon), coordination.Paths(daemon), mesh.Paths(daemon, ident.Mark()),
 		platform.Paths(daemon.Ready, daemon.Board, func() any { return daemon.View() })} {
 		p.Register(srv)
 	}
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"sync"
@@ -45,7 +43,8 @@
 
 // Core is the running daemon. Invariants: only the loop touches node; only the disk
 // duty touches ring; what speaks of this disk's state leaves only behind the records
-// it rests on.
+// it rests on. clock shows the time that this process watched go by, so that neither a
+// clock that jumps nor a time of being held up makes a claim look older than it is.
 type Core struct {
 	Boot    boot.Core
 	Log     *zap.Logger
@@ -98,7 +97,7 @@
 
 // Open recovers the core from its data folder.
 func Open(b boot.Core, log *zap.Logger) (*Core, error) {
-	c := &Core{Boot: b, Log: log, Board: count.New(), clock: moment.Process(), pool: client.New(b.Addr), done: make(chan struct{}),
+	c := &Core{Boot: b, Log: log, Board: count.New(), clock: moment.Watched(moment.Process()), pool: client.New(b.Addr), done: make(chan struct{}),
 		inbox: queue.Make[func(moment.Moment) node.Effects](inboxSize), disk: queue.Make[node.Effects](diskSize),
 		waits: map[uint64]chan node.End{}, peers: map[ident.Addr]*queue.Ring[message.Message]{},
 		signal: make(chan struct{}), feed: make(chan struct{}), wake: make(chan struct{}, 1), fresh: make(chan json.RawMessage, 4), stop: make(chan struct{})}
@@ -112,7 +111,7 @@
 	recs := c.ring.Records()
 	var first []ring.Record
 	c.node, first, err = node.New(c.clock(), node.Boot{Addr: b.Addr, District: b.District, Seeds: b.Seeds, Founders: b.Founders, Voters: b.Voters,
-		Full: c.full.Load, Mark: name(), NewDisk: func() ident.Disk { return ident.Disk(name()) }}, recs)
+		Full: c.full.Load, Mark: ident.Mark(), NewDisk: func() ident.Disk { return ident.Disk(ident.Mark()) }}, recs)
 	if err != nil {
 		return nil, err
 	}
@@ -127,12 +126,6 @@
 	return c, nil
 }
 
-func name() string {
-	var raw [8]byte
-	_, _ = rand.Read(raw[:])
-	return hex.EncodeToString(raw[:])
-}
-
 // Start starts the duties.
 func (c *Core) Start() {
 	go c.loop()
--- a/daemon/sidecar/intake.go
+++ b/daemon/sidecar/intake.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -346,9 +345,10 @@
 	}()
 	req.Header = req.Header.Clone()
 	req.Header.Set(TargetHeader, string(server))
-	// A kept connection may end just as it is used; for what must not run twice that
-	// would be an unknown fate, so it gets a connection of its own.
-	req.Fresh = !slices.Contains([]string{"GET", "HEAD", "OPTIONS", "TRACE"}, req.Method)
+	// An endpoint may say anything at any time. On a kept connection that would be read
+	// as the return to whoever comes next, and a kept connection may end just as it is
+	// used: each request has a connection of its own.
+	req.Fresh = true
 	req.Last = func() *defect.Defect {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -89,7 +89,7 @@
 func New(b boot.Sidecar, log *zap.Logger) *Sidecar {
 	clock := moment.Process()
 	h := fnv.New64a()
-	_, _ = fmt.Fprint(h, b.Node, time.Now().UnixNano())
+	_, _ = fmt.Fprint(h, b.Node, ident.Mark())
 	now := clock()
 	s := &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, pool: client.New(b.Addr), peers: exchange.New(b.Addr), ends: exchange.New(b.Addr),
 		done: make(chan struct{}), urgent: queue.Make[*job](b.Queue), normal: queue.Make[*job](b.Queue),
--- a/kernel/ident/ident.go
+++ b/kernel/ident/ident.go
@@ -2,6 +2,8 @@
 package ident
 
 import (
+	"crypto/rand"
+	"encoding/hex"
 	"net"
 	"net/netip"
 	"strings"
@@ -69,3 +71,11 @@
 	}
 	return b.Owner < c.Owner
 }
+
+// Mark makes a name that no other process, disk or run has or will have. Invariant: it
+// rests on no clock, so it is new even when clocks jump back.
+func Mark() string {
+	var raw [16]byte
+	_, _ = rand.Read(raw[:])
+	return hex.EncodeToString(raw[:])
+}
--- a/wire/exchange/exchange.go
+++ b/wire/exchange/exchange.go
@@ -26,6 +26,13 @@
 	dialMax = 300 * time.Millisecond
 	idleMax = 20 * time.Second
 	keepMax = 64
+	// inform is how many 1xx returns may come before the real one.
+	inform = 8
+	// wholeMax is how long the end of a connection is waited for after its one return.
+	wholeMax = 10 * time.Millisecond
+	// oneWrite is up to where a request leaves in one write; the last byte of a longer
+	// one is held back until it is seen that no return came before it.
+	oneWrite = 32 << 10
 	// ReturnMax is the largest return that is passed on.
 	ReturnMax = 16 << 20
 )
@@ -38,6 +45,8 @@
 }
 
 // Call is one request. Last is asked just before the first byte, after any dial.
+// Invariant: a Fresh call has a connection of its own, which carries nothing before it
+// and nothing after it, so what the other end says there can be meant for no other call.
 type Call struct {
 	Method, Target, Host string
 	Header               http.Header
@@ -106,22 +115,32 @@
 
 // silent tells whether the connection is open with nothing to read.
 func (c *conn) silent() bool {
+	_, err, ok := c.peek()
+	return ok && c.r.Buffered() == 0 && (err == syscall.EAGAIN || err == syscall.EWOULDBLOCK)
+}
+
+// gone tells whether the other end has closed with nothing left to read.
+func (c *conn) gone() bool {
+	n, err, ok := c.peek()
+	return c.r.Buffered() == 0 && (!ok || n == 0 && err == nil || err == syscall.ECONNRESET)
+}
+
+// peek looks at what waits in the socket without taking it.
+func (c *conn) peek() (n int, said error, ok bool) {
 	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok || c.r.Buffered() > 0 {
-		return false
+	if !ok {
+		return 0, nil, false
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return false
+		return 0, nil, false
 	}
-	quiet := false
 	err = raw.Read(func(fd uintptr) bool {
 		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		n, _, said = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && quiet
+	return n, said, err == nil
 }
 
 type counter struct {
@@ -160,7 +179,7 @@
 			p.give(addr, c, gen)
 			return
 		}
-		_ = c.Close()
+		c.cut()
 	}()
 	if until, ok := ctx.Deadline(); ok {
 		_ = c.SetDeadline(until)
@@ -178,6 +197,7 @@
 	if req.Header == nil {
 		req.Header = http.Header{}
 	}
+	req.Close = call.Fresh
 	if _, ok := req.Header["User-Agent"]; !ok {
 		req.Header["User-Agent"] = nil
 	}
@@ -188,20 +208,23 @@
 		}
 	}
 	out := &counter{to: c}
-	buf := bufio.NewWriterSize(out, 32<<10)
-	if err = write(req, call, buf); err == nil {
-		err = buf.Flush()
+	d = c.send(req, call, out)
+	if d != nil && out.sent == 0 {
+		return nil, false, defect.New(defect.Unreached, "%s took no byte", addr)
 	}
-	if err != nil {
-		if out.sent == 0 {
-			return nil, false, defect.New(defect.Unreached, "%s took no byte", addr)
-		}
-		return nil, true, defect.Unsure(defect.LostReturn, "%s broke off the request", addr)
+	if d != nil {
+		return nil, true, d
 	}
 	ret, whole, d := c.read(req)
 	if d != nil {
 		return nil, true, d
 	}
+	if call.Fresh {
+		if d := c.over(); d != nil {
+			return nil, true, d
+		}
+		return ret, true, nil
+	}
 	keep = whole && c.r.Buffered() == 0 && stop()
 	if keep {
 		_ = c.SetDeadline(time.Time{})
@@ -209,6 +232,61 @@
 	return ret, true, nil
 }
 
+// send writes the request whole. What the other end says before the last byte left is
+// no return to this request.
+func (c *conn) send(req *http.Request, call Call, out *counter) *defect.Defect {
+	var whole bytes.Buffer
+	if err := write(req, call, &whole); err != nil {
+		return defect.New(defect.Malformed, "%v", err)
+	}
+	lost := func() *defect.Defect { return defect.Unsure(defect.LostReturn, "the request was broken off") }
+	early := func() *defect.Defect {
+		return defect.Unsure(defect.BadReturn, "a return came before the request was whole")
+	}
+	raw := whole.Bytes()
+	if !c.silent() {
+		if c.gone() {
+			return lost()
+		}
+		return early()
+	}
+	if len(raw) > oneWrite {
+		if _, err := out.Write(raw[:len(raw)-1]); err != nil {
+			return lost()
+		}
+		if !c.silent() {
+			if c.gone() {
+				return lost()
+			}
+			return early()
+		}
+		raw = raw[len(raw)-1:]
+	}
+	if _, err := out.Write(raw); err != nil {
+		return lost()
+	}
+	return nil
+}
+
+// over looks whether anything follows a return that is to be the last: then it is not
+// sure where the return ended, nor to which request it was. The other end was asked to
+// close after it; one that does not is waited for a moment only.
+func (c *conn) over() *defect.Defect {
+	_ = c.SetReadDeadline(time.Now().Add(wholeMax))
+	if _, err := c.r.Peek(1); err == nil {
+		return defect.Unsure(defect.BadReturn, "more came than the return")
+	}
+	return nil
+}
+
+// cut ends a connection at once, so that no port is kept for stray packets.
+func (c *conn) cut() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // write puts the target on the wire as it came.
 func write(req *http.Request, call Call, w io.Writer) error {
 	req.URL.Opaque = call.Target
@@ -220,7 +298,7 @@
 
 // read takes one return in whole.
 func (c *conn) read(req *http.Request) (*Return, bool, *defect.Defect) {
-	for {
+	for n := 0; ; n++ {
 		res, err := http.ReadResponse(c.r, req)
 		if err != nil {
 			if t, ok := err.(net.Error); ok && t.Timeout() {
@@ -235,6 +313,9 @@
 			if res.StatusCode == http.StatusSwitchingProtocols {
 				return nil, false, defect.Unsure(defect.BadReturn, "the return changes the protocol")
 			}
+			if n >= inform {
+				return nil, false, defect.Unsure(defect.BadReturn, "more than %d returns only inform", inform)
+			}
 			continue
 		}
 		body, err := io.ReadAll(io.LimitReader(res.Body, ReturnMax+1))
