--- a/cmd/cottonarch/simulate.go
+++ b/cmd/cottonarch/simulate.go
@@ -10,6 +10,7 @@
 	"cottonarch.example/cottonarch/control/manifest/walk"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/sim/check"
 	"cottonarch.example/cottonarch/sim/plan"
 	"cottonarch.example/cottonarch/sim/world"
 
@@ -34,29 +35,37 @@
 }
 
 func (c simulateCmd) Run() error {
-	d, err := describe(c.Deployment)
-	if err != nil {
-		return err
-	}
+	d, wrong := describe(c.Deployment)
 	q := plan.What{For: c.For, Faults: c.Faults, FaultEvery: c.Every, AddCores: c.AddCores, LoseDist: c.LoseDistrict, Burden: c.Burden, LastHeavy: c.Heavy, Links: !c.Calm, Break: world.Break(c.Break)}
+	bad := defect.New(defect.BadBoot, "the what-if can't be run")
 	for _, at := range c.At {
 		name, when, ok := strings.Cut(at, "@")
 		t, err := time.ParseDuration(when)
 		if !ok || err != nil {
-			return defect.New(defect.BadBoot, "--at %q is no fault@time", at)
+			bad.All = append(bad.All, defect.Fault{Path: "at", Note: fmt.Sprintf("%q is no fault@time", at)})
+			continue
 		}
 		q.At = append(q.At, plan.Timed{Fault: name, After: t})
 	}
-	if bad := q.Check(); bad != nil {
-		return bad
+	if more := q.Check(); more != nil {
+		bad.All = append(bad.All, more.All...)
 	}
 	if c.Seeds < 1 || c.Seeds > 100000 {
-		return defect.New(defect.BadBoot, "--seeds must be from 1 to 100000")
+		bad.All = append(bad.All, defect.Fault{Path: "seeds", Note: "must be from 1 to 100000"})
+	}
+	if found := (*defect.Defect)(nil); wrong != nil && defect.Find(wrong, &found) {
+		if len(found.All) == 0 {
+			found.All = []defect.Fault{{Path: "deployment", Note: found.Note}}
+		}
+		bad.All = append(bad.All, found.All...)
+	}
+	if len(bad.All) > 0 {
+		return bad
 	}
 	var mu sync.Mutex
 	var out sync.WaitGroup
 	slots := make(chan struct{}, 8)
-	texts, broken := make([]string, c.Seeds), map[string]int{}
+	texts, broken, sum := make([]string, c.Seeds), map[string]int{}, check.New()
 	for i := range c.Seeds {
 		out.Add(1)
 		slots <- struct{}{}
@@ -70,6 +79,7 @@
 			for _, b := range w.Check.Breaches {
 				broken[b.Rule]++
 			}
+			sum.Sum(w.Check)
 			if c.Seeds == 1 || len(w.Check.Breaches) > 0 {
 				texts[i] = fmt.Sprintf("seed %d of %s, %v under faults\n%s", one.Seed, d.Name, c.For, w.Text())
 				if c.Trace {
@@ -83,10 +93,10 @@
 		fmt.Print(t)
 	}
 	if c.Seeds > 1 {
-		fmt.Printf("%d seeds from %d\n", c.Seeds, c.Seed)
+		fmt.Printf("%d seeds from %d\n%s", c.Seeds, c.Seed, sum.Text())
 	}
 	if len(broken) == 0 {
-		fmt.Println("every rule held")
+		fmt.Println(sum.Verdict())
 		return nil
 	}
 	var names []string
--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -5,17 +5,19 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kong"
 
 	"cottonarch.example/cottonarch/fleet/run"
+	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/sim/plan"
 )
 
 var app struct {
 	Bin        string        `default:"bin/cottonarch" help:"The cottonarch program."`
-	Deployment string        `default:"prairie" enum:"prairie,volta" help:"prairie or volta."`
+	Deployment string        `default:"prairie" help:"prairie or volta."`
 	For        time.Duration `default:"120s" help:"How long the traffic runs."`
 	Faults     []string      `help:"Faults to bring about in turn; all for every one; none if not given."`
 	Every      time.Duration `default:"3s" help:"Pause between faults."`
@@ -24,16 +26,53 @@
 	Keep       bool          `help:"Keep boot files, logs and data."`
 }
 
+// check names every fault of the command line.
+func check(faults []string) *defect.Defect {
+	d := defect.New(defect.BadBoot, "the fleet can't be run")
+	add := func(path, form string, args ...any) {
+		d.All = append(d.All, defect.Fault{Path: path, Note: fmt.Sprintf(form, args...)})
+	}
+	if _, ok := plan.Deployments[app.Deployment]; !ok {
+		add("deployment", "there is no deployment %q; there are prairie, volta", app.Deployment)
+	}
+	for _, name := range faults {
+		if run.Faults[name] == nil {
+			add("faults", "there is no fault %q; there are all, %s", name, strings.Join(run.Names(), ", "))
+		}
+	}
+	if app.For < 20*time.Second || app.For > time.Hour {
+		add("for", "must be from 20s to 1h")
+	}
+	if app.Every < 0 || app.Every > app.For {
+		add("every", "must be from 0s to the length of the run")
+	}
+	if app.Scale < 0.01 || app.Scale > 100 {
+		add("scale", "must be from 0.01 to 100")
+	}
+	if _, err := os.Stat(app.Bin); err != nil {
+		add("bin", "%v", err)
+	}
+	if len(d.All) > 0 {
+		return d
+	}
+	return nil
+}
+
 func main() {
-	k := kong.Parse(&app, kong.Name("fleet"), kong.Description("Runs a deployment as real processes and counts against the never-list."))
+	k := kong.Parse(&app, kong.Name("fleet"), kong.Description("Runs a deployment as real processes and counts against the never-list."),
+		kong.Exit(func(code int) {
+			if code != 0 {
+				code = 2 // all that ends here is a wrong command line
+			}
+			os.Exit(code)
+		}))
 	faults := app.Faults
 	if len(faults) == 1 && faults[0] == "all" {
 		faults = run.Names()
 	}
-	for _, name := range faults {
-		if run.Faults[name] == nil {
-			k.Fatalf("there is no fault %q; there are %v", name, run.Names())
-		}
+	if d := check(faults); d != nil {
+		fmt.Fprintln(os.Stderr, "fleet:", d.Error())
+		os.Exit(2)
 	}
 	dir, err := os.MkdirTemp("", "fleet")
 	k.FatalIfErrorf(err)
--- a/daemon/sidecar/paths.go
+++ b/daemon/sidecar/paths.go
@@ -25,7 +25,8 @@
 		"/cottonarch/v1/cores": {"GET": func(w http.ResponseWriter, _ *http.Request) {
 			reply.JSON(w, http.StatusOK, core.Known{Cores: s.cored()})
 		}},
-		"/cottonarch/v1/part": {"GET": s.onPart},
+		"/cottonarch/v1/part":  {"GET": s.onPart},
+		"/cottonarch/v1/heard": {"POST": s.onHeard},
 	}
 }
 
@@ -74,15 +75,30 @@
 
 func (s *Sidecar) onPeer(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	p := Peer{Manifest: s.path.Epoch(), Sets: s.path.Index.Sets()}
+	epoch, _ := s.holds()
+	p := Peer{Manifest: epoch, Heard: s.wit.Heard(), Entered: s.entered.Load(), Sets: s.path.Index.Sets()}
 	s.mu.Unlock()
 	reply.JSON(w, http.StatusOK, p)
 }
 
 func (s *Sidecar) onPart(w http.ResponseWriter, r *http.Request) {
-	if epoch, raw := s.inForce(w); epoch > 0 {
-		mesh.GivePart(w, r, epoch, raw)
+	s.mu.Lock()
+	epoch, raw := s.holds()
+	s.mu.Unlock()
+	if epoch == 0 {
+		reply.Defect(w, defect.New(defect.Missing, "no manifest is here yet"))
+		return
+	}
+	mesh.GivePart(w, r, epoch, raw)
+}
+
+func (s *Sidecar) onHeard(w http.ResponseWriter, r *http.Request) {
+	var h Heard
+	if d := reply.Decode(r, 1<<16, &h); d != nil {
+		reply.Defect(w, d)
+		return
 	}
+	reply.JSON(w, http.StatusOK, s.Hear(h))
 }
 
 // Front takes every request of the callers' address.
--- /dev/null
+++ b/daemon/sidecar/peers.go
@@ -0,0 +1,139 @@
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/mesh/registry/record"
+	"cottonarch.example/cottonarch/mesh/witness"
+)
+
+// gates lists the peers that are known; mu is held.
+func (s *Sidecar) gates() []ident.Addr {
+	var out []ident.Addr
+	for _, set := range s.path.Index.Sets() {
+		for _, a := range set.Records {
+			if a.Workload != nil && a.Workload.Gate != s.Boot.Addr && !slices.Contains(out, a.Workload.Gate) {
+				out = append(out, a.Workload.Gate)
+			}
+		}
+	}
+	return out
+}
+
+// neighbours is the duty of asking peers, while no core is heard, for a newer manifest
+// and for their registry.
+func (s *Sidecar) neighbours() {
+	t := time.NewTicker(peersEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-s.done:
+			return
+		}
+		now := s.clock()
+		s.mu.Lock()
+		lonely := s.wit.Lonely(now, s.lastCore, s.path.Epoch())
+		gates := s.gates()
+		s.mu.Unlock()
+		if !lonely {
+			continue
+		}
+		for _, a := range s.Boot.Seeds {
+			if !slices.Contains(gates, a) {
+				gates = append(gates, a)
+			}
+		}
+		rand.Shuffle(len(gates), func(i, j int) { gates[i], gates[j] = gates[j], gates[i] })
+		var out sync.WaitGroup
+		for _, g := range gates[:min(len(gates), peersMost)] {
+			out.Add(1)
+			go func() {
+				defer out.Done()
+				s.askPeer(g)
+			}()
+		}
+		out.Wait()
+	}
+}
+
+func (s *Sidecar) askPeer(g ident.Addr) {
+	ctx, stop := context.WithTimeout(context.Background(), 400*time.Millisecond)
+	defer stop()
+	var p Peer
+	if s.pool.Ask(ctx, g, "GET", "/cottonarch/v1/peer", nil, &p) != nil {
+		return
+	}
+	s.mu.Lock()
+	s.path.Index.Merge(p.Sets)
+	now := s.clock()
+	s.wit.Prior(now, p.Heard, p.Entered)
+	newer := p.Manifest > s.wit.Holds(s.path.Epoch()) && s.wit.Believes(now)
+	s.mu.Unlock()
+	if newer && s.fetch(g) == nil {
+		s.Board.Add("manifests_from_peers", 1)
+	}
+}
+
+// Peer is what a sidecar tells a peer that is cut from the core. Manifest is the newest
+// epoch that it holds, Heard the newest that it knows some sidecar to hold.
+type Peer struct {
+	Manifest ident.Epoch  `json:"manifest"`
+	Heard    ident.Epoch  `json:"heard"`
+	Entered  bool         `json:"entered"`
+	Sets     []record.Set `json:"sets"`
+}
+
+// Heard is how a sidecar tells a peer of an epoch that it holds and is about to show.
+type Heard struct {
+	Epoch ident.Epoch `json:"epoch"`
+	From  ident.Addr  `json:"from"`
+}
+
+// Held is the return: whether the peer holds it too.
+type Held struct {
+	Held bool `json:"held"`
+}
+
+// tell tells one peer of an epoch.
+func (s *Sidecar) tell(g ident.Addr, e ident.Epoch) {
+	ctx, stop := context.WithTimeout(context.Background(), 250*time.Millisecond)
+	defer stop()
+	var got Held
+	err := s.pool.Ask(ctx, g, "POST", "/cottonarch/v1/heard", Heard{Epoch: e, From: s.Boot.Addr}, &got)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wit.Said(e, err == nil && got.Held)
+	s.show()
+}
+
+// Hear takes a peer's word of an epoch. The manifest is taken from that peer if it does
+// not come by itself; the return is true once it is here.
+func (s *Sidecar) Hear(h Heard) Held {
+	here := func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.wit.Holds(s.path.Epoch()) >= h.Epoch
+	}
+	s.mu.Lock()
+	low := h.Epoch < s.path.Floor // it may not be shown here, so it is not held either
+	if !low {
+		s.wit.Hear(s.clock(), h.Epoch)
+	}
+	s.mu.Unlock()
+	if low || here() {
+		return Held{!low}
+	}
+	s.pause(witness.Pull)
+	if !here() {
+		if err := s.fetch(h.From); err != nil {
+			s.Board.Add("manifest_fetches_failed", 1)
+		}
+	}
+	return Held{here()}
+}
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -2,12 +2,9 @@
 package sidecar
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
-	"math/rand/v2"
-	"net/url"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -15,12 +12,7 @@
 
 	"go.uber.org/zap"
 
-	"cottonarch.example/cottonarch/adapter/mesh"
 	"cottonarch.example/cottonarch/boot"
-	"cottonarch.example/cottonarch/control/coordination/share"
-	"cottonarch.example/cottonarch/control/manifest/check"
-	"cottonarch.example/cottonarch/control/manifest/walk"
-	"cottonarch.example/cottonarch/daemon/core"
 	"cottonarch.example/cottonarch/kernel/count"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
@@ -29,7 +21,7 @@
 	"cottonarch.example/cottonarch/mesh/claim/holder"
 	"cottonarch.example/cottonarch/mesh/gate"
 	"cottonarch.example/cottonarch/mesh/path"
-	"cottonarch.example/cottonarch/mesh/registry/record"
+	"cottonarch.example/cottonarch/mesh/witness"
 	"cottonarch.example/cottonarch/wire/client"
 	"cottonarch.example/cottonarch/wire/exchange"
 )
@@ -37,13 +29,9 @@
 const (
 	renewEvery = 250 * time.Millisecond
 	gateEvery  = 40 * time.Millisecond
-	// orphan is how long a sidecar that has never been entered waits before it takes
-	// a manifest from a peer.
-	orphan = 3 * time.Second
-	// cutAfter is how long without any core before peers are asked.
-	cutAfter = 900 * time.Millisecond
-	// peersMost is how many peers are asked at once.
-	peersMost = 5
+	// peersMost is how many peers are asked at once, and peersEvery how often.
+	peersMost  = 8
+	peersEvery = 250 * time.Millisecond
 )
 
 // Sidecar is the running daemon. Invariants: mu guards path, gate and claim; the
@@ -54,6 +42,7 @@
 	Log    *zap.Logger
 	Board  *count.Board
 	clock  moment.Clock
+	slow   moment.Clock // the same, counting only time that was watched
 	pool   *client.Pool
 	peers  *exchange.Pool // to other sidecars' gates
 	ends   *exchange.Pool // to the endpoints of this machine
@@ -64,7 +53,9 @@
 	mu       sync.Mutex
 	path     *path.Path
 	gate     *gate.Gate
+	wit      *witness.Witness
 	raw      json.RawMessage // of the manifest in force
+	next     json.RawMessage // of the one that is held and not shown yet
 	claim    ident.Epoch
 	seq      uint64
 	news     bool
@@ -91,9 +82,9 @@
 	h := fnv.New64a()
 	_, _ = fmt.Fprint(h, b.Node, ident.Mark())
 	now := clock()
-	s := &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, pool: client.New(b.Addr), peers: exchange.New(b.Addr), ends: exchange.New(b.Addr),
+	s := &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, slow: moment.Watched(clock), pool: client.New(b.Addr), peers: exchange.New(b.Addr), ends: exchange.New(b.Addr),
 		done: make(chan struct{}), urgent: queue.Make[*job](b.Queue), normal: queue.Make[*job](b.Queue),
-		path: path.New(now, b.District, h.Sum64()), gate: gate.New(), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, sides: map[ident.Addr]bool{}, held: holder.New(),
+		path: path.New(now, b.District, h.Sum64()), gate: gate.New(), wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, sides: map[ident.Addr]bool{}, held: holder.New(),
 		began: now, lastCore: now, poke: make(chan ident.Addr, 1), push: make(chan struct{}, 1)}
 	s.Board.Fresh = func() {
 		s.mu.Lock()
@@ -121,194 +112,6 @@
 	s.pool.Close()
 }
 
-// cored lists the cores; seeds that turned out to be sidecars only while there is
-// nothing better.
-func (s *Sidecar) cored() []ident.Addr {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	real := slices.DeleteFunc(slices.Clone(s.cores), func(a ident.Addr) bool { return s.sides[a] })
-	if len(real) == 0 {
-		return slices.Clone(s.cores)
-	}
-	return real
-}
-
-// renewals claims membership, then renews at every core.
-func (s *Sidecar) renewals() {
-	t := time.NewTicker(renewEvery)
-	defer t.Stop()
-	turn := 0
-	busy := map[ident.Addr]*atomic.Bool{}
-	for {
-		select {
-		case <-t.C:
-		case <-s.push:
-		case <-s.done:
-			return
-		}
-		if !s.entered.Load() {
-			cores := s.cored()
-			s.grantEntry(cores[turn%len(cores)])
-			turn++
-			if !s.entered.Load() {
-				s.pause(30 * time.Millisecond)
-				s.kick(s.push) // ask the next one soon
-			}
-			continue
-		}
-		rep := s.report()
-		s.mu.Lock()
-		ask, due := s.portion.Ask(s.clock(), s.Boot.Node, s.claim)
-		s.mu.Unlock()
-		if due {
-			cores := s.cored()
-			turn++
-			go s.share(cores[turn%len(cores)], ask)
-		}
-		for _, a := range s.cored() {
-			if busy[a] == nil {
-				busy[a] = &atomic.Bool{}
-			}
-			flag := busy[a]
-			if flag.Swap(true) {
-				continue // the last one to this core is still out
-			}
-			go func() {
-				defer flag.Store(false)
-				s.renew(a, rep)
-			}()
-		}
-	}
-}
-
-func (s *Sidecar) grantEntry(from ident.Addr) {
-	// A core that is frozen must not hold this up: the next one is asked soon.
-	ctx, stop := context.WithTimeout(context.Background(), 1500*time.Millisecond)
-	defer stop()
-	var got mesh.Entry
-	if err := s.pool.Ask(ctx, from, "POST", "/cottonarch/v1/claim", map[string]ident.Node{"node": s.Boot.Node}, &got); err != nil {
-		s.Board.Add("claims_failed", 1)
-		// The seed may be a sidecar: it knows cores.
-		var known core.Known
-		d := (*defect.Defect)(nil)
-		side := defect.Find(err, &d) && d.Kind == defect.Missing
-		if s.pool.Ask(ctx, from, "GET", "/cottonarch/v1/cores", nil, &known) == nil {
-			s.mu.Lock()
-			s.sides[from] = side
-			s.join(known.Cores)
-			s.mu.Unlock()
-		}
-		return
-	}
-	s.mu.Lock()
-	s.claim, s.seq = got.Claim, 1
-	s.path.Floor = max(s.path.Floor, got.Manifest)
-	s.portion.Begin(s.clock(), got.Share)
-	s.path.Tree.Grant(s.portion.Use())
-	s.join(got.Cores)
-	s.lastCore = s.clock()
-	s.mu.Unlock()
-	s.entered.Store(true)
-	if got.Manifest > 0 {
-		if err := s.fetch(from); err != nil {
-			s.Board.Add("manifest_fetches_failed", 1)
-		}
-	}
-	s.Log.Info("entry granted", zap.Uint64("claim", uint64(got.Claim)), zap.Int("share", got.Share.N), zap.Uint64("manifest", uint64(got.Manifest)))
-	s.point(from)
-}
-
-// point tells the following duty which core to turn to.
-func (s *Sidecar) point(core ident.Addr) {
-	select {
-	case s.poke <- core:
-	default:
-	}
-}
-
-// join takes the cores' addresses as a core knows them; seeds stay, others go when no
-// core has told of them for a minute.
-func (s *Sidecar) join(cores []ident.Addr) {
-	now := s.clock()
-	for _, a := range cores {
-		s.told[a] = now
-		if !slices.Contains(s.cores, a) && len(s.cores) < 32 {
-			s.cores = append(s.cores, a)
-		}
-	}
-	s.cores = slices.DeleteFunc(s.cores, func(a ident.Addr) bool {
-		if slices.Contains(s.Boot.Seeds, a) || now.Since(s.told[a]) < time.Minute {
-			return false
-		}
-		delete(s.told, a)
-		return true
-	})
-}
-
-func (s *Sidecar) kick(ch chan struct{}) {
-	select {
-	case ch <- struct{}{}:
-	default:
-	}
-}
-
-func (s *Sidecar) report() record.Report {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.news {
-		s.news = false
-		s.seq++
-	}
-	return record.Report{Node: s.Boot.Node, Addr: s.Boot.Addr, District: s.Boot.District, Claim: s.claim, Seq: s.seq,
-		Manifest: s.path.Epoch(), Ready: s.Ready(), Leaving: s.leaving.Load(), Workloads: s.gate.Workloads(), Ends: s.path.Ends()}
-}
-
-// share sends a promise or a wish about this sidecar's share.
-func (s *Sidecar) share(core ident.Addr, ask share.Args) {
-	ctx, stop := context.WithTimeout(context.Background(), 3500*time.Millisecond)
-	defer stop()
-	var told share.Told
-	if err := s.pool.Ask(ctx, core, "POST", "/cottonarch/v1/share", ask, &told); err != nil {
-		s.Board.Add("shares_failed", 1)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if ask.Claim == s.claim {
-		s.portion.Told(s.clock(), told)
-		s.path.Tree.Grant(s.portion.Use())
-	}
-}
-
-func (s *Sidecar) renew(core ident.Addr, rep record.Report) {
-	sent := s.clock()
-	ctx, stop := context.WithTimeout(context.Background(), 800*time.Millisecond)
-	defer stop()
-	var got mesh.Renewed
-	err := s.pool.Ask(ctx, core, "POST", "/cottonarch/v1/renew", rep, &got)
-	if err != nil {
-		s.Board.Add("renewals_failed", 1)
-		if d := (*defect.Defect)(nil); defect.Find(err, &d) && d.Kind == defect.Conflict {
-			s.Log.Warn("claim superseded", zap.Error(err))
-			s.entered.Store(false)
-		}
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.join(got.Cores)
-	s.lastCore = s.clock()
-	s.portion.Members(s.clock(), got.Members)
-	s.path.Tree.Grant(s.portion.Use())
-	s.held.Renewed(sent, got.Disk, got.Votes, got.Voters)
-	if at := s.held.Majority(); at != 0 {
-		s.path.Tree.Renewed(at)
-	}
-	if got.Manifest > s.path.Epoch() {
-		s.point(core)
-	}
-}
-
 // watchGate forgets silent endpoints.
 func (s *Sidecar) watchGate() {
 	t := time.NewTicker(gateEvery)
@@ -321,6 +124,9 @@
 		}
 		now := s.clock()
 		s.mu.Lock()
+		s.show()
+		s.path.Tree.Tick(now)
+		s.slow()
 		s.changed(s.gate.Tick(now))
 		if n%100 == 0 {
 			s.path.Picker.Tidy(now, func(u ident.Server) bool { _, ok := s.path.Index.Look(string(u)); return ok })
@@ -355,84 +161,6 @@
 	s.Board.Set("queued", int64(s.urgent.Len()+s.normal.Len()))
 }
 
-// follow keeps the copy of the registry and the manifest by long polls at one core;
-// it goes to the next core when one fails, and to peers when all do.
-func (s *Sidecar) follow() {
-	h := fnv.New32a()
-	_, _ = fmt.Fprint(h, s.Boot.Node)
-	turn, mark, place := int(h.Sum32()%1000), "", uint64(0)
-	for {
-		select {
-		case <-s.done:
-			return
-		default:
-		}
-		if !s.entered.Load() {
-			s.pause(10 * time.Millisecond)
-			continue
-		}
-		cores := s.cored()
-		core := cores[turn%len(cores)]
-		s.mu.Lock()
-		have := s.path.Epoch()
-		s.mu.Unlock()
-		q := url.Values{"mark": {mark}, "place": {fmt.Sprint(place)}, "manifest": {fmt.Sprint(uint64(have))}}
-		var got mesh.News
-		ctx, stop := context.WithTimeout(context.Background(), 2*time.Second)
-		over, turned := make(chan struct{}), make(chan ident.Addr, 1)
-		go func() { // a renewal that told of a newer manifest ends the wait
-			select {
-			case a := <-s.poke:
-				turned <- a
-				stop()
-			case <-over:
-			case <-s.done:
-				stop()
-			}
-		}()
-		err := s.pool.Ask(ctx, core, "GET", "/cottonarch/v1/news?"+q.Encode(), nil, &got)
-		close(over)
-		stop()
-		poke := false
-		select {
-		case a := <-turned:
-			poke = true
-			if i := slices.Index(s.cored(), a); err != nil && i >= 0 {
-				turn, mark, place = i, "", 0
-				continue
-			}
-		default:
-		}
-		if err != nil {
-			if !poke {
-				s.Board.Add("news_failed", 1)
-			}
-			turn++
-			mark, place = "", 0
-			s.pause(20 * time.Millisecond)
-			continue
-		}
-		s.mu.Lock()
-		s.lastCore = s.clock()
-		if s.path.Index.Merge(got.Sets) {
-			s.Board.Add("registry_changes", 1)
-		}
-		s.mu.Unlock()
-		mark, place = got.Mark, got.Place
-		if got.Manifest > have {
-			if err := s.fetch(core); err != nil {
-				s.Board.Add("manifest_fetches_failed", 1)
-				s.pause(20 * time.Millisecond)
-			}
-		}
-		if got.Leaving {
-			turn++
-			mark, place = "", 0
-			s.pause(20 * time.Millisecond)
-		}
-	}
-}
-
 func (s *Sidecar) pause(d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -442,122 +170,6 @@
 	}
 }
 
-// fetch takes a manifest in bounded parts. A part of another epoch begins it anew.
-func (s *Sidecar) fetch(from ident.Addr) error {
-	var raw []byte
-	var epoch ident.Epoch
-	for epoch == 0 || len(raw) < cap(raw) {
-		ctx, stop := context.WithTimeout(context.Background(), 2*time.Second)
-		var p mesh.Part
-		err := s.pool.Ask(ctx, from, "GET", fmt.Sprintf("/cottonarch/v1/part?at=%d", len(raw)), nil, &p)
-		stop()
-		if err != nil {
-			return err
-		}
-		if p.Epoch != epoch {
-			if p.At != 0 {
-				raw, epoch = nil, 0
-				continue
-			}
-			if p.Size <= 0 || p.Size > 2*check.BytesMax {
-				return defect.New(defect.BadReturn, "a manifest of %d bytes", p.Size)
-			}
-			epoch, raw = p.Epoch, make([]byte, 0, p.Size)
-		}
-		if p.At != len(raw) || p.Size != cap(raw) || len(p.Data) == 0 || len(raw)+len(p.Data) > cap(raw) {
-			return defect.New(defect.BadReturn, "a part of the manifest does not fit")
-		}
-		raw = append(raw, p.Data...)
-	}
-	return s.enforce(epoch, raw)
-}
-
-func (s *Sidecar) enforce(epoch ident.Epoch, raw []byte) error {
-	tree, d := walk.Parse(raw)
-	if d != nil {
-		return d
-	}
-	m, d := check.Read(tree)
-	if d != nil {
-		return d
-	}
-	m.Epoch = epoch
-	s.mu.Lock()
-	ok := s.path.Enforce(m)
-	if ok {
-		s.raw = raw
-		s.inUse.Store(true)
-	}
-	s.mu.Unlock()
-	if ok {
-		s.Log.Info("manifest", zap.Uint64("epoch", uint64(epoch)), zap.Int("ways", len(m.Ways)))
-		s.kick(s.push)
-	}
-	return nil
-}
-
-// neighbours is the duty of asking peers, while no core is heard, for a newer
-// manifest and for their registry. A sidecar that was never entered waits longer: any
-// epoch that an earlier run of it showed is then in force at its peers.
-func (s *Sidecar) neighbours() {
-	t := time.NewTicker(300 * time.Millisecond)
-	defer t.Stop()
-	for {
-		select {
-		case <-t.C:
-		case <-s.done:
-			return
-		}
-		now := s.clock()
-		s.mu.Lock()
-		far := now.Since(s.lastCore) > cutAfter && (s.entered.Load() || now.Since(s.began) > orphan)
-		gates := slices.Clone(s.Boot.Seeds)
-		for _, set := range s.path.Index.Sets() {
-			for _, a := range set.Records {
-				if a.Workload != nil && a.Workload.Gate != s.Boot.Addr && !slices.Contains(gates, a.Workload.Gate) {
-					gates = append(gates, a.Workload.Gate)
-				}
-			}
-		}
-		s.mu.Unlock()
-		if !far {
-			continue
-		}
-		rand.Shuffle(len(gates), func(i, j int) { gates[i], gates[j] = gates[j], gates[i] })
-		var out sync.WaitGroup
-		for _, g := range gates[:min(len(gates), peersMost)] {
-			out.Add(1)
-			go func() {
-				defer out.Done()
-				s.askPeer(g)
-			}()
-		}
-		out.Wait()
-	}
-}
-
-func (s *Sidecar) askPeer(g ident.Addr) {
-	ctx, stop := context.WithTimeout(context.Background(), 400*time.Millisecond)
-	defer stop()
-	var p Peer
-	if s.pool.Ask(ctx, g, "GET", "/cottonarch/v1/peer", nil, &p) != nil {
-		return
-	}
-	s.mu.Lock()
-	s.path.Index.Merge(p.Sets)
-	newer := p.Manifest > s.path.Epoch()
-	s.mu.Unlock()
-	if newer && s.fetch(g) == nil {
-		s.Board.Add("manifests_from_peers", 1)
-	}
-}
-
-// Peer is what a sidecar tells a peer that is cut from the core.
-type Peer struct {
-	Manifest ident.Epoch  `json:"manifest"`
-	Sets     []record.Set `json:"sets"`
-}
-
 // Ready tells whether callers may come.
 func (s *Sidecar) Ready() bool {
 	return s.entered.Load() && !s.leaving.Load() && s.inUse.Load()
--- a/fleet/machine/machine.go
+++ b/fleet/machine/machine.go
@@ -164,11 +164,16 @@
 }
 
 // Ready waits until the process says it is ready.
-func (m *Machine) Ready(limit time.Duration) bool {
-	t := time.NewTicker(50 * time.Millisecond)
+func (m *Machine) Ready(limit time.Duration) bool { return m.says("/ready", limit) }
+
+// Live waits until the process listens.
+func (m *Machine) Live(limit time.Duration) bool { return m.says("/live", limit) }
+
+func (m *Machine) says(page string, limit time.Duration) bool {
+	t := time.NewTicker(20 * time.Millisecond)
 	defer t.Stop()
 	for until := time.Now().Add(limit); time.Now().Before(until); <-t.C {
-		if code, err := m.Ask(300*time.Millisecond, "GET", "/ready", nil, nil); err == nil && code == 200 {
+		if code, err := m.Ask(300*time.Millisecond, "GET", page, nil, nil); err == nil && code == 200 {
 			return true
 		}
 	}
--- a/fleet/run/faults.go
+++ b/fleet/run/faults.go
@@ -9,6 +9,7 @@
 
 	"cottonarch.example/cottonarch/fleet/machine"
 	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/sim/check"
 	"cottonarch.example/cottonarch/stand/caller"
 	"cottonarch.example/cottonarch/stand/endpoint"
 )
@@ -18,6 +19,13 @@
 	"core-kill":        func(f *Fleet, ctx context.Context) { f.coreKill(ctx, false) },
 	"core-empty":       func(f *Fleet, ctx context.Context) { f.coreKill(ctx, true) },
 	"core-move":        (*Fleet).coreMove,
+	"core-split":       (*Fleet).coreSplit,
+	"core-isolated":    (*Fleet).coreIsolated,
+	"burst":            (*Fleet).burst,
+	"manifest-large":   (*Fleet).manifestLarge,
+	"service-empty":    (*Fleet).serviceEmpty,
+	"endpoint-gone":    (*Fleet).endpointGone,
+	"endpoint-hang":    (*Fleet).endpointHang,
 	"core-freeze":      (*Fleet).coreFreeze,
 	"core-cut":         (*Fleet).coreCut,
 	"core-stop":        (*Fleet).coreStop,
@@ -70,26 +78,24 @@
 	}
 }
 
-// excused notes that a machine is out until a while after d.
-func (f *Fleet) excused(m *machine.Machine, d time.Duration) { f.excuses(m, d, false) }
-
-func (f *Fleet) excuses(m *machine.Machine, d time.Duration, stop bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !stop {
-		f.stopped[m.Name] = false
-	}
-	f.excuse[m.Name] = time.Now().Add(d + 2500*time.Millisecond)
-}
-
 func (f *Fleet) pick(list []*machine.Machine) *machine.Machine {
 	return list[f.rng.IntN(len(list))]
 }
 
 func (f *Fleet) back(m *machine.Machine) {
+	f.start(m)
+	f.ready(m)
+}
+
+// start starts the process and waits until it listens, which ends its being out.
+func (f *Fleet) start(m *machine.Machine) {
 	if err := m.Start(); err != nil {
 		f.Say("%s does not start: %v", m.Name, err)
 	}
+	m.Live(10 * time.Second)
+}
+
+func (f *Fleet) ready(m *machine.Machine) {
 	if !m.Ready(20 * time.Second) {
 		f.mu.Lock()
 		f.Check.Break(f.now(), "slow-recovery", "%s was not ready 20s after its start", m.Name)
@@ -196,27 +202,30 @@
 
 func (f *Fleet) sideKill(ctx context.Context) {
 	m := f.pick(f.Sides)
-	f.excused(m, 25*time.Second)
+	up := f.out(m.Name, killed)
 	m.Kill()
 	f.pause(ctx, time.Second)
-	f.back(m)
-	f.excused(m, 0)
+	f.start(m)
+	up()
+	f.ready(m)
 }
 
 func (f *Fleet) sideFreeze(ctx context.Context) {
 	m := f.pick(f.Sides)
-	f.excused(m, 3*time.Second)
+	thaw := f.out(m.Name, frozen)
 	m.Freeze()
 	f.pause(ctx, 2500*time.Millisecond)
 	m.Thaw()
+	thaw()
 }
 
 func (f *Fleet) sideCut(ctx context.Context) {
 	m := f.pick(f.Sides)
-	f.excused(m, 3*time.Second)
+	heal := f.out(m.Name, cutOff)
 	f.cutOff(m, true)
 	f.pause(ctx, 3*time.Second)
 	f.cutOff(m, false)
+	heal()
 }
 
 // sideCutCore cuts a sidecar from the cores alone; manifests must still reach it, by
@@ -240,11 +249,7 @@
 // those that were taken are not.
 func (f *Fleet) sideStop(context.Context) {
 	m := f.pick(f.Sides)
-	f.mu.Lock()
-	_, hurt := f.excuse[m.Name]
-	f.stopped[m.Name] = !hurt
-	f.mu.Unlock()
-	f.excuses(m, 25*time.Second, true)
+	up := f.out(m.Name, stopped)
 	if !m.Stop(25 * time.Second) {
 		f.mu.Lock()
 		f.Check.Break(f.now(), "dropped-in-stop", "%s did not stop in 25s", m.Name)
@@ -256,11 +261,13 @@
 		f.Check.Break(f.now(), "dropped-in-stop", "%s ended with %d", m.Name, m.Exit)
 	}
 	f.mu.Unlock()
-	f.back(m)
-	f.excuses(m, 0, true)
+	f.start(m)
+	up()
+	f.ready(m)
 }
 
-func (f *Fleet) some() *end {
+// some picks an endpoint of a service that has so many at least.
+func (f *Fleet) some(least int) *end {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	count := map[string]int{}
@@ -271,7 +278,7 @@
 			live = append(live, e)
 		}
 	}
-	live = slices.DeleteFunc(live, func(e *end) bool { return count[string(e.Service)] < 2 })
+	live = slices.DeleteFunc(live, func(e *end) bool { return count[string(e.Service)] < least })
 	if len(live) == 0 {
 		return nil
 	}
@@ -281,16 +288,11 @@
 }
 
 func (f *Fleet) endpointReplace(context.Context) {
-	e := f.some()
+	e := f.some(2)
 	if e == nil {
 		return
 	}
-	if e.Leave() {
-		f.mu.Lock()
-		f.left[e.Server] = time.Now()
-		f.mu.Unlock()
-	}
-	e.Stop(3 * time.Second)
+	f.leave(e)
 	if _, err := f.endpoint(e.side, e.svc, ""); err != nil {
 		f.Say("%v", err)
 	}
@@ -298,7 +300,7 @@
 
 // endpointReuse kills an endpoint; two seconds later its address serves another.
 func (f *Fleet) endpointReuse(ctx context.Context) {
-	e := f.some()
+	e := f.some(2)
 	if e == nil {
 		return
 	}
@@ -361,11 +363,16 @@
 	f.pause(ctx, 6*time.Second)
 }
 
-func (f *Fleet) loss() { f.mu.Lock(); f.Check.Losses = append(f.Check.Losses, f.now()); f.mu.Unlock() }
+// loss notes a bad loss.
+func (f *Fleet) loss(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Check.Losses = append(f.Check.Losses, check.Loss{At: f.now(), Name: name})
+}
 
 // herd kills half the sidecars and a core at once.
 func (f *Fleet) herd(ctx context.Context) {
-	f.loss()
+	f.loss("herd")
 	var hit []*machine.Machine
 	for i, m := range f.Sides {
 		if i%2 == 0 {
@@ -379,7 +386,7 @@
 // district1 takes a whole district away, cores, sidecars and endpoints, and brings it
 // back some seconds later.
 func (f *Fleet) district1(ctx context.Context) {
-	f.loss()
+	f.loss("district")
 	n := f.rng.IntN(f.Deployment.Districts)
 	var hit []*machine.Machine
 	for i, m := range f.Cores {
@@ -416,10 +423,8 @@
 
 // heavy kills every core and half the sidecars at once.
 func (f *Fleet) heavy(ctx context.Context) {
-	f.loss()
-	f.mu.Lock()
-	f.coreBad = time.Now().Add(6 * time.Second)
-	f.mu.Unlock()
+	f.loss("everything at once")
+	back := f.out(coreMajority, coreMajority)
 	hit := slices.Clone(f.Cores)
 	for i, m := range f.Sides {
 		if i%2 == 1 {
@@ -427,13 +432,15 @@
 		}
 	}
 	f.all(ctx, hit)
+	back()
 	f.pause(ctx, 9*time.Second)
 }
 
 func (f *Fleet) all(ctx context.Context, hit []*machine.Machine) {
 	done := make(chan bool, len(hit))
+	up := map[string]func(){}
 	for _, m := range hit {
-		f.excused(m, 25*time.Second)
+		up[m.Name] = f.out(m.Name, killed)
 		go func() { m.Kill(); done <- true }()
 	}
 	for range hit {
@@ -441,7 +448,7 @@
 	}
 	f.pause(ctx, 1500*time.Millisecond)
 	for _, m := range hit {
-		go func() { f.back(m); f.excused(m, 0); done <- true }()
+		go func() { f.start(m); up[m.Name](); f.ready(m); done <- true }()
 	}
 	for range hit {
 		<-done
--- a/fleet/run/run.go
+++ b/fleet/run/run.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -49,17 +48,17 @@
 	began  time.Time
 	rng    *rand.Rand
 
-	mu      sync.Mutex
-	ends    []*end
-	serial  int
-	left    map[ident.Server]time.Time // leaving confirmed
-	excuse  map[string]time.Time       // machine: until when it is down, cut or frozen
-	coreBad time.Time
-	top     ident.Epoch
-	Spread  []time.Duration // time until a confirmed epoch was in force on a node
-	Counts  map[string]int
-	stopped map[string]bool // machines that were only ever stopped as planned
-	serve   *clients
+	open   sync.WaitGroup // epochs that sidecars are still awaited to have
+	mu     sync.Mutex
+	ends   []*end
+	serial int
+	left   map[ident.Server]time.Time // leaving confirmed
+	lost   map[ident.Server][]*outage // loss confirmed, until it is heard of again
+	outs   map[string][]*outage       // by machine, or coreMajority
+	top    ident.Epoch
+	Spread []time.Duration // time until a confirmed epoch was in force on a node
+	Counts map[string]int
+	serve  *clients
 }
 
 type end struct {
@@ -77,7 +76,7 @@
 // Up brings everything up.
 func Up(b Boot) (*Fleet, error) {
 	f := &Fleet{Boot: b, net: relay.New(), Check: check.New(), book: &caller.Book{}, ledger: &endpoint.Ledger{}, began: time.Now(),
-		rng: rand.New(rand.NewPCG(b.Seed, 5)), left: map[ident.Server]time.Time{}, excuse: map[string]time.Time{}, Counts: map[string]int{}, stopped: map[string]bool{}}
+		rng: rand.New(rand.NewPCG(b.Seed, 5)), left: map[ident.Server]time.Time{}, lost: map[ident.Server][]*outage{}, outs: map[string][]*outage{}, Counts: map[string]int{}}
 	var seeds, founders []string
 	for i := range b.Deployment.Cores {
 		m, err := f.machine("core", i)
@@ -269,6 +268,7 @@
 	}
 	f.net.Heal()
 	out.Wait()
+	f.open.Wait()
 	f.judge(from, until)
 }
 
@@ -280,278 +280,5 @@
 	return out
 }
 
-// operate offers a manifest every so often, sometimes two at once, sometimes wrong.
-func (f *Fleet) operate(ctx context.Context) {
-	t := time.NewTicker(f.Deployment.Manifests)
-	defer t.Stop()
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	for n := 1; ; n++ {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		mark := fmt.Sprintf("mark-%d", n)
-		tree, method, query, bad := f.manifest(mark), "PUT", "", false
-		f.mu.Lock()
-		top := f.top
-		f.mu.Unlock()
-		switch n % 6 {
-		case 1:
-			tree["ways"].(map[string]any)["bad"] = map[string]any{"host": "x", "service": "nobody"}
-			bad = true
-		case 2:
-			name := string(f.Deployment.Services[0].Name)
-			tree, method = map[string]any{"services": map[string]any{name: map[string]any{"namespace": mark}}}, "PATCH"
-		case 3: // two at once on one base: one winner
-			query = fmt.Sprintf("?baseEpoch=%d", top)
-			wg.Add(1)
-			go func() { defer wg.Done(); f.give(f.manifest(mark+"b"), "PUT", query, mark+"b", false) }()
-		case 4:
-			for i := range 3000 {
-				tree["ways"].(map[string]any)[fmt.Sprintf("bulk-%d", i)] = map[string]any{"host": fmt.Sprintf("h%d.bulk", i), "service": string(f.Deployment.Services[0].Name)}
-			}
-		case 5:
-			if top > 0 {
-				query, bad = fmt.Sprintf("?baseEpoch=%d", top-1), true
-			}
-		}
-		f.give(tree, method, query, mark, bad)
-	}
-}
-
-func (f *Fleet) give(tree map[string]any, method, query, mark string, bad bool) {
-	epoch, err := f.offer(tree, method, query)
-	at := time.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.Check.Seen["manifest-turned"]++
-	switch {
-	case err == nil:
-		f.Counts["manifests confirmed"]++
-		if bad {
-			f.Check.Break(f.at(at), "manifest-turned", "%s was confirmed as epoch %d", mark, epoch)
-		}
-		if epoch <= f.top && f.Counts["epoch "+fmt.Sprint(epoch)] > 0 {
-			f.Check.Break(f.at(at), "number-repeated", "epoch %d was given twice", epoch)
-		}
-		f.Counts["epoch "+fmt.Sprint(epoch)]++
-		f.top = max(f.top, epoch)
-		go f.inForce(epoch, at)
-	case errors.Is(err, errNo):
-		f.Counts["manifests refused"]++
-		f.Check.TurnedAway(mark, "no")
-	default:
-		f.Counts["manifests unknown"]++
-	}
-}
-
-// inForce measures when each sidecar has the epoch in force.
-func (f *Fleet) inForce(epoch ident.Epoch, at time.Time) {
-	for _, s := range f.Sides {
-		go func() {
-			for {
-				var got struct {
-					Epoch ident.Epoch `json:"manifest"`
-				}
-				_, err := s.Ask(500*time.Millisecond, "GET", "/status", nil, &got)
-				now := time.Now()
-				f.mu.Lock()
-				excused := f.excuse[s.Name].After(at) || f.coreBad.After(at)
-				if err == nil && got.Epoch >= epoch {
-					f.Check.Seen["manifest-late"]++
-					if !excused {
-						f.Spread = append(f.Spread, now.Sub(at))
-					}
-					if now.Sub(at) > check.ManifestMax+200*time.Millisecond && !excused {
-						f.Check.Break(f.at(now), "manifest-late", "%s had epoch %d only after %v", s.Name, epoch, now.Sub(at))
-					}
-					f.mu.Unlock()
-					return
-				}
-				f.mu.Unlock()
-				if now.Sub(at) > 20*time.Second {
-					if !excused {
-						f.mu.Lock()
-						f.Check.Break(f.at(now), "manifest-late", "%s never had epoch %d", s.Name, epoch)
-						f.mu.Unlock()
-					}
-					return
-				}
-				time.Sleep(15 * time.Millisecond)
-			}
-		}()
-	}
-}
-
-// sample looks at every sidecar twice a second: the epoch in force must not fall
-// back, and further tries are summed over all nodes.
-func (f *Fleet) sample(ctx context.Context) {
-	type sums struct{ calls, tries float64 }
-	var hist []struct {
-		at  time.Time
-		sum map[string]sums
-	}
-	last := map[string]ident.Epoch{}
-	seen, total := map[string]map[string]int64{}, map[string]sums{}
-	t := time.NewTicker(500 * time.Millisecond)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		for _, s := range f.Sides {
-			var c map[string]int64
-			if _, err := s.Ask(300*time.Millisecond, "GET", "/counters", nil, &c); err != nil {
-				continue
-			}
-			if e := ident.Epoch(c["manifest_epoch"]); e > 0 {
-				f.mu.Lock()
-				f.Check.Seen["manifest-back"]++
-				if e < last[s.Name] {
-					f.Check.Break(f.now(), "manifest-back", "%s shows epoch %d after %d", s.Name, e, last[s.Name])
-				}
-				f.mu.Unlock()
-				last[s.Name] = max(last[s.Name], e)
-			}
-			for name, n := range c {
-				kind, svc, ok := strings.Cut(name, ".")
-				if !ok || kind != "calls" && kind != "further_tries" {
-					continue
-				}
-				old := seen[s.Name][name]
-				if n < old {
-					old = 0 // a new run of the sidecar
-				}
-				x := total[svc]
-				if kind == "calls" {
-					x.calls += float64(n - old)
-				} else {
-					x.tries += float64(n - old)
-				}
-				total[svc] = x
-			}
-			seen[s.Name] = c
-		}
-		now := struct {
-			at  time.Time
-			sum map[string]sums
-		}{time.Now(), map[string]sums{}}
-		for k, v := range total {
-			now.sum[k] = v
-		}
-		hist = append(hist, now)
-		for i := len(hist) - 1; i >= 0; i-- {
-			if now.at.Sub(hist[i].at) < 10*time.Second {
-				continue
-			}
-			for svc, x := range now.sum {
-				old := hist[i].sum[svc]
-				f.mu.Lock()
-				f.Check.Seen["further-tries"]++
-				// The window seen is up to a second longer than ten.
-				if tries, calls := x.tries-old.tries, x.calls-old.calls; tries > 0.2*calls+60+6 {
-					f.Check.Break(f.now(), "further-tries", "%.0f further tries at %s beside %.0f calls", tries, svc, calls)
-				}
-				f.mu.Unlock()
-			}
-			break
-		}
-	}
-}
-
-// judge fills the checkers from the books and the ledgers.
-func (f *Fleet) judge(from, until moment.Moment) {
-	asked := map[string]ident.Service{}
-	unsafe := map[string]bool{}
-	fates := map[caller.Fate]check.Fate{caller.Served: check.Served, caller.NotRun: check.NotRun, caller.Unknown: check.Unknown, caller.Dropped: check.Unknown, caller.Wrong: check.Unknown}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, t := range f.book.All() {
-		asked[t.ID], unsafe[t.ID] = t.Kind.Service, t.Kind.Method != "GET"
-		f.Check.Calls = append(f.Check.Calls, &check.Call{ID: t.ID, Service: t.Kind.Service, Unsafe: t.Kind.Method != "GET", Began: f.at(t.Began), Ended: f.at(t.Began.Add(t.Took)), Fate: fates[t.Fate], Why: t.Note, Whole: true})
-		f.Counts["calls "+string(t.Fate)]++
-		var why struct {
-			Defect string `json:"defect"`
-		}
-		if (t.Fate == caller.NotRun || t.Fate == caller.Unknown) && json.Unmarshal([]byte(t.Note), &why) == nil {
-			f.Counts["  "+string(t.Fate)+" "+why.Defect]++
-		}
-		f.Check.Seen["dropped-in-stop"]++
-		node, _, _ := strings.Cut(t.ID, "-")
-		switch {
-		case t.Fate == caller.Wrong:
-			f.Check.Break(f.at(t.Began), "wrong-return", "%s got %d %.200s", t.ID, t.Code, t.Note)
-		case t.Fate == caller.Dropped && f.stopped[node] && strings.Contains(t.Note, "connection refused"):
-			f.Counts["came after the stop"]++ // never taken
-		case t.Fate == caller.Dropped && (f.stopped[node] || !f.excuse[node].After(t.Began.Add(-10*time.Second))):
-			f.Check.Break(f.at(t.Began), "dropped-in-stop", "%s was dropped: %s", t.ID, t.Note)
-		}
-	}
-	first := f.Deployment.Kinds[0].Service
-	for _, r := range f.ledger.All() {
-		want, ok := asked[r.ID]
-		if !ok && strings.HasSuffix(r.ID, "-on") {
-			want, ok = first, true
-			f.Counts["onward calls run"]++
-		}
-		if !ok {
-			continue
-		}
-		var left moment.Moment
-		if t, gone := f.left[r.Server]; gone {
-			left = f.at(t)
-		}
-		f.Check.Ran(check.Run{ID: r.ID, Server: r.Server, Service: r.Service, Asked: want, At: f.at(r.At), LeftAt: left, Unsafe: unsafe[r.ID]})
-		f.Counts["runs"]++
-	}
-	f.Check.Finish(from.Add(2*time.Second), until)
-}
-
-// Text is the report.
-func (f *Fleet) Text() string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var b strings.Builder
-	var names []string
-	for n := range f.Counts {
-		if !strings.HasPrefix(n, "epoch ") {
-			names = append(names, n)
-		}
-	}
-	slices.Sort(names)
-	for _, n := range names {
-		fmt.Fprintf(&b, "%-24s %d\n", n, f.Counts[n])
-	}
-	if n := len(f.Spread); n > 0 {
-		slices.Sort(f.Spread)
-		fmt.Fprintf(&b, "in force after confirm   median %v, 99%% %v, most %v, of %d node epochs\n", f.Spread[n/2].Round(time.Millisecond), f.Spread[n*99/100].Round(time.Millisecond), f.Spread[n-1].Round(time.Millisecond), n)
-	}
-	took := map[caller.Fate][]time.Duration{}
-	for _, t := range f.book.All() {
-		took[t.Fate] = append(took[t.Fate], t.Took)
-	}
-	for _, fate := range []caller.Fate{caller.Served, caller.NotRun, caller.Unknown} {
-		took := took[fate]
-		n := len(took)
-		if n == 0 {
-			continue
-		}
-		slices.Sort(took)
-		fmt.Fprintf(&b, "%-8s in              median %v, 99%% %v, most %v\n", fate, took[n/2].Round(100*time.Microsecond), took[n*99/100].Round(100*time.Microsecond), took[n-1].Round(time.Millisecond))
-	}
-	b.WriteString(f.Check.Text())
-	for i, x := range f.Check.Breaches {
-		if i >= 20 {
-			break
-		}
-		fmt.Fprintf(&b, "breach at %.1fs: %s: %s\n", time.Duration(x.At).Seconds(), x.Rule, x.Note)
-	}
-	return b.String()
-}
-
 // Logs names the folder of boot files and logs.
 func (f *Fleet) Logs() string { return f.Dir }
--- a/fleet/run/run_test.go
+++ b/fleet/run/run_test.go
@@ -9,8 +9,9 @@
 	"testing"
 	"time"
 
-	"cottonarch.example/cottonarch/sim/plan"
 	"github.com/shoenig/test/must"
+
+	"cottonarch.example/cottonarch/sim/plan"
 )
 
 func build(t *testing.T) string {
@@ -58,7 +59,7 @@
 		{[]string{"core", "--boot", "/does/not/exist.json"}, 2, []string{"exist.json"}},
 		{[]string{"simulate", "--faults", "nope", "--for", "1s"}, 2, []string{"faults", "for"}},
 		{[]string{"simulate", "--break", "retry", "--for", "20s"}, 1, []string{"double-run"}},
-		{[]string{"simulate", "--deployment", "../../samples/what-if.json", "--for", "10s"}, 0, []string{"every rule held"}},
+		{[]string{"simulate", "--deployment", "../../samples/what-if.json", "--for", "10s"}, 0, []string{"every rule that was looked at held", "seldom to judge"}},
 	} {
 		out, err := exec.Command(bin, c.args...).CombinedOutput()
 		code := 0
--- a/mesh/allowance/allowance.go
+++ b/mesh/allowance/allowance.go
@@ -29,22 +29,28 @@
 // purse is what may be spent at one place of the tree. Invariants: saved is never
 // more than the part of the calls of the last half second; so within any window at
 // most the part of the calls of that window and half a second before it is spent
-// from saved, and from the share at most its size.
+// from saved, and from the share at most its size. What was spent grows old only by time
+// that was watched, calls by any: a clock that jumps forward frees nothing.
 type purse struct {
 	calls [fresh]int
 	spent [slots]int // from the share
 	saved float64
-	at    int64
+	at    int64 // slot of calls
+	slow  int64 // slot of spent
 	total [2]int64
 }
 
-func (p *purse) roll(now moment.Moment) {
-	at := int64(now) / int64(slot)
-	for n := 0; p.at < at && n < slots; n++ {
+func (p *purse) roll(now, seen moment.Moment) {
+	at, slow := int64(now)/int64(slot), int64(seen)/int64(slot)
+	for n := 0; p.at < at && n < fresh; n++ {
 		p.at++
-		p.calls[p.at%fresh], p.spent[p.at%int64(slots)] = 0, 0
+		p.calls[p.at%fresh] = 0
 	}
-	p.at = at
+	for n := 0; p.slow < slow && n < slots; n++ {
+		p.slow++
+		p.spent[p.slow%int64(slots)] = 0
+	}
+	p.at, p.slow = at, slow
 }
 
 func (p *purse) call(part float64) {
@@ -72,7 +78,7 @@
 		p.saved--
 		return
 	}
-	p.spent[p.at%int64(slots)]++
+	p.spent[p.slow%int64(slots)]++
 }
 
 func (p *purse) idle() bool {
@@ -100,6 +106,7 @@
 	share   int
 	from    moment.Moment // the share may not be spent before
 	renewed moment.Moment
+	watch   moment.Watch
 	all     map[ident.Service]*branch
 	// Free grants everything; only tests of the checkers set it.
 	Free bool
@@ -110,9 +117,14 @@
 // New makes a tree whose share may be spent only one window after it was made, so
 // that a restart never spends a share twice.
 func New(now moment.Moment) *Tree {
-	return &Tree{from: now.Add(Window + 500*time.Millisecond), all: map[ident.Service]*branch{}}
+	t := &Tree{from: now.Add(Window + 500*time.Millisecond), all: map[ident.Service]*branch{}}
+	t.watch.Look(now)
+	return t
 }
 
+// Tick must be called many times a second: time that nobody watched does not count.
+func (t *Tree) Tick(now moment.Moment) { t.watch.Look(now) }
+
 // Grant sets the share.
 func (t *Tree) Grant(n int) { t.share = n }
 
@@ -122,7 +134,7 @@
 
 // Share is what may be spent beyond the fifth now.
 func (t *Tree) Share(now moment.Moment) int {
-	if now < t.from || t.renewed == 0 || now.Since(t.renewed) > Hold {
+	if t.watch.Look(now) < t.from || t.renewed == 0 || now.Since(t.renewed) > Hold {
 		return 0
 	}
 	return t.share
@@ -134,12 +146,13 @@
 		b = &branch{callers: map[string]*purse{}}
 		t.all[s] = b
 	}
-	b.roll(now)
+	seen := t.watch.Look(now)
+	b.roll(now, seen)
 	p := b.callers[who]
 	if p == nil {
 		if len(b.callers) >= callersMax {
 			for name, old := range b.callers {
-				if old.roll(now); old.idle() {
+				if old.roll(now, seen); old.idle() {
 					delete(b.callers, name)
 				}
 			}
@@ -153,7 +166,7 @@
 			b.callers[who] = p
 		}
 	}
-	p.roll(now)
+	p.roll(now, seen)
 	return b, p
 }
 
--- a/mesh/allowance/allowance_test.go
+++ b/mesh/allowance/allowance_test.go
@@ -6,9 +6,10 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
+
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/kernel/moment"
-	"github.com/shoenig/test/must"
 )
 
 var svc = check.Service{Hostname: "s", Part: 0.2}
@@ -64,6 +65,38 @@
 	}
 }
 
+// watch lets the tree see time go by.
+func watch(tr *Tree, from, to time.Duration) moment.Moment {
+	for d := from; d <= to; d += 40 * time.Millisecond {
+		tr.Tick(moment.Moment(d))
+	}
+	return moment.Moment(to)
+}
+
+// A clock that jumps forward frees no share: what was spent in a window stays spent until
+// the window was watched go by.
+func TestJumpsOfTheClockFreeNothing(t *testing.T) {
+	tr := New(moment.Moment(time.Second))
+	tr.Grant(6)
+	now := watch(tr, time.Second, 14*time.Second)
+	spend := func(now moment.Moment) (n int) {
+		tr.Renewed(now)
+		for i := range 20 {
+			if tr.Again(now, svc, fmt.Sprint(i)) {
+				n++
+			}
+		}
+		return n
+	}
+	must.Eq(t, 6, spend(now))
+	for jump := time.Duration(0); jump < 5*time.Minute; jump += time.Minute {
+		now = now.Add(time.Minute)
+		must.Eq(t, 0, spend(now))
+	}
+	now = watch(tr, time.Duration(now), time.Duration(now)+11*time.Second)
+	must.Eq(t, 6, spend(now))
+}
+
 // A share is not spent in the first window of a run, nor when no majority renews it.
 func TestShareNeedsTimeAndRenewal(t *testing.T) {
 	count := func(tr *Tree, now moment.Moment) (n int) {
@@ -74,12 +107,12 @@
 		}
 		return
 	}
-	tr := New(0)
+	tr := New(moment.Moment(time.Millisecond))
 	tr.Grant(5)
 	tr.Renewed(moment.Moment(time.Second))
-	must.Eq(t, 0, count(tr, moment.Moment(2*time.Second)))
+	must.Eq(t, 0, count(tr, watch(tr, 0, 2*time.Second)))
 	tr.Renewed(moment.Moment(11 * time.Second))
-	must.Eq(t, 5, count(tr, moment.Moment(12*time.Second)))
+	must.Eq(t, 5, count(tr, watch(tr, 2*time.Second, 12*time.Second)))
 	must.Eq(t, 0, count(tr, moment.Moment(13*time.Second)))
 	must.Eq(t, 0, count(tr, moment.Moment(40*time.Second)))
 }
@@ -89,9 +122,9 @@
 	named := svc
 	named.Callers = map[string]float64{"big": 4, "small": 1}
 	for who, want := range map[string]int{"big": 4, "small": 1, "other": 2} {
-		tr := New(0)
+		tr := New(moment.Moment(time.Millisecond))
 		tr.Grant(5)
-		now := moment.Moment(12 * time.Second)
+		now := watch(tr, 0, 12*time.Second)
 		tr.Renewed(now)
 		n := 0
 		for range 20 {
--- a/mesh/claim/holder/portion_test.go
+++ b/mesh/claim/holder/portion_test.go
@@ -7,12 +7,13 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
+
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
-	"github.com/shoenig/test/must"
 )
 
 // Forty sidecars join one after the other; questions and returns are lost, late,
--- a/mesh/gate/gate.go
+++ b/mesh/gate/gate.go
@@ -209,6 +209,9 @@
 func (g *Gate) Tick(now moment.Moment) (c Change) {
 	if g.tick != 0 && now.Since(g.tick) > pause {
 		g.shy = now.Add(shy)
+		for s, at := range g.off { // time that was not watched, or never was, does not count
+			g.off[s] = at.Add(now.Since(g.tick))
+		}
 	}
 	g.tick = now
 	for _, s := range g.servers() {
--- a/mesh/gate/gate_test.go
+++ b/mesh/gate/gate_test.go
@@ -4,10 +4,11 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
+
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/mesh/registry/record"
-	"github.com/shoenig/test/must"
 )
 
 func at(d time.Duration) moment.Moment { return moment.Moment(time.Second + d) }
--- a/mesh/path/path_test.go
+++ b/mesh/path/path_test.go
@@ -5,12 +5,13 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
+
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/mesh/registry/record"
-	"github.com/shoenig/test/must"
 )
 
 const start = moment.Moment(time.Second)
--- a/sim/check/check.go
+++ b/sim/check/check.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -42,7 +43,10 @@
 	ID             string
 	Server         ident.Server
 	Service, Asked ident.Service
-	At, LeftAt     moment.Moment
+	At             moment.Moment // when the request reached the endpoint
+	RanAt          moment.Moment // when it was run, 0 if at once
+	LeftAt         moment.Moment // when its leaving was confirmed on its machine, 0 if it was not
+	LostAt         moment.Moment // when its loss was
 	Unsafe         bool
 }
 
@@ -57,28 +61,92 @@
 var Rules = []string{"double-run", "false-not-run", "late-to-leaver", "wrong-service", "wrong-return", "manifest-late", "manifest-back",
 	"manifest-turned", "dropped-in-stop", "further-tries", "lock-shared", "number-repeated", "stale-read", "watch-forgotten", "slow-recovery", "not-mended", "audit", "disk", "invalid", "damaged"}
 
-// Bounds are the times of the brief, with what "about" leaves.
+// Bounds are the times of the brief.
 const (
 	leaverMax   = 2 * time.Second
 	ManifestMax = 2 * time.Second
-	fallBackMax = 250 * time.Millisecond
 	recoverMax  = 15 * time.Second
 )
 
-// Check gathers what happened. Invariant: nothing in it is read by what is checked.
+// few says how often a rule must have been looked at to be judged, where ten times
+// would be asked of a fault that comes once or twice.
+var few = map[string]int{"slow-recovery": 1, "dropped-in-stop": 1, "disk": 1, "late-to-leaver": 1}
+
+const enough = 10
+
+// Check gathers what happened. Invariants: nothing in it is read by what is checked;
+// each observation is counted once: as a look, which is judged, or as excused, with its
+// cause. A look that had to wait for a fault's end is counted in Waited as well.
 type Check struct {
 	Breaches []Breach
 	Calls    []*Call
 	Runs     []Run
 	tries    map[ident.Service][]moment.Moment
-	Seen     map[string]int // how often each rule was looked at
+	Seen     map[string]int            // how often each rule was looked at
+	Excused  map[string]map[string]int // rule, cause
+	Waited   map[string]map[string]int // rule, cause
 	marks    map[string]string
-	Losses   []moment.Moment
+	Losses   []Loss
+}
+
+// Loss is a bad loss. Invariant: At is when it struck, whether or not it lasts.
+type Loss struct {
+	At   moment.Moment
+	Name string
 }
 
 // New makes one.
 func New() *Check {
-	return &Check{tries: map[ident.Service][]moment.Moment{}, Seen: map[string]int{}, marks: map[string]string{}}
+	return &Check{tries: map[ident.Service][]moment.Moment{}, Seen: map[string]int{}, Excused: map[string]map[string]int{}, Waited: map[string]map[string]int{}, marks: map[string]string{}}
+}
+
+// Look counts an observation that is judged.
+func (c *Check) Look(rule string) { c.Seen[rule]++ }
+
+// Excuse counts an observation that can't be judged, and why.
+func (c *Check) Excuse(rule, cause string) { add(c.Excused, rule, cause, 1) }
+
+// Wait counts an observation whose bound ran from the end of a fault.
+func (c *Check) Wait(rule, cause string) { add(c.Waited, rule, cause, 1) }
+
+func add(m map[string]map[string]int, rule, cause string, n int) {
+	if m[rule] == nil {
+		m[rule] = map[string]int{}
+	}
+	m[rule][cause] += n
+}
+
+// Sum adds another run's counts to this one.
+func (c *Check) Sum(o *Check) {
+	for rule, n := range o.Seen {
+		c.Seen[rule] += n
+	}
+	for rule, m := range o.Excused {
+		for cause, n := range m {
+			add(c.Excused, rule, cause, n)
+		}
+	}
+	for rule, m := range o.Waited {
+		for cause, n := range m {
+			add(c.Waited, rule, cause, n)
+		}
+	}
+	c.Breaches = append(c.Breaches, o.Breaches...)
+}
+
+// Unjudged lists the rules that were looked at too seldom.
+func (c *Check) Unjudged() []string {
+	var out []string
+	for _, r := range Rules {
+		need, ok := few[r]
+		if !ok {
+			need = enough
+		}
+		if c.Seen[r] < need {
+			out = append(out, r)
+		}
+	}
+	return out
 }
 
 // Break notes a breach.
@@ -88,15 +156,20 @@
 
 // Ran takes a run of an endpoint.
 func (c *Check) Ran(r Run) {
+	if r.RanAt == 0 {
+		r.RanAt = r.At
+	}
 	c.Runs = append(c.Runs, r)
 	c.Seen["wrong-service"]++
 	if r.Service != r.Asked {
 		c.Break(r.At, "wrong-service", "%s meant for %s was run by %s of %s", r.ID, r.Asked, r.Server, r.Service)
 	}
-	if r.LeftAt != 0 {
-		c.Seen["late-to-leaver"]++
-		if r.At.Since(r.LeftAt) > leaverMax {
-			c.Break(r.At, "late-to-leaver", "%s reached %s %v after its leaving was confirmed", r.ID, r.Server, r.At.Since(r.LeftAt))
+	for what, at := range map[string]moment.Moment{"leaving": r.LeftAt, "loss": r.LostAt} {
+		if at == 0 || r.At < at {
+			continue
+		}
+		if r.At.Since(at) > leaverMax {
+			c.Break(r.At, "late-to-leaver", "%s reached %s %v after its %s was confirmed", r.ID, r.Server, r.At.Since(at), what)
 		}
 	}
 }
@@ -207,13 +280,14 @@
 		return float64(n) / hi.Since(lo).Seconds()
 	}
 	normal := rate(from, from.Add(5*time.Second))
-	for _, at := range c.Losses {
-		if at.Add(recoverMax) > until {
+	for _, l := range c.Losses {
+		if l.At.Add(recoverMax) > until {
+			c.Excuse("slow-recovery", "the day ended")
 			continue
 		}
-		c.Seen["slow-recovery"]++
-		if got := rate(at.Add(recoverMax-width), at.Add(recoverMax)); got < normal/4 {
-			c.Break(at.Add(recoverMax), "slow-recovery", "%.0f of %.0f a second after the loss at %v", got, normal, time.Duration(at))
+		c.Look("slow-recovery")
+		if got := rate(l.At.Add(recoverMax-width), l.At.Add(recoverMax)); got < normal/4 {
+			c.Break(l.At.Add(recoverMax), "slow-recovery", "%.0f of %.0f a second after the loss at %v (%s)", got, normal, time.Duration(l.At), l.Name)
 		}
 	}
 }
@@ -225,12 +299,43 @@
 	for _, x := range c.Breaches {
 		bad[x.Rule]++
 	}
+	unjudged := c.Unjudged()
 	for _, r := range Rules {
 		word := "held"
-		if bad[r] > 0 {
+		switch {
+		case bad[r] > 0:
 			word = "BROKEN"
+		case slices.Contains(unjudged, r):
+			word = "not judged"
 		}
-		fmt.Fprintf(&b, "%-18s %-7s looked at %d, broken %d\n", r, word, c.Seen[r], bad[r])
+		fmt.Fprintf(&b, "%-18s %-10s looked at %d, broken %d", r, word, c.Seen[r], bad[r])
+		list(&b, "excused", c.Excused[r])
+		list(&b, "of them after a wait for the end of", c.Waited[r])
+		b.WriteString("\n")
 	}
 	return b.String()
 }
+
+func list(b *strings.Builder, word string, causes map[string]int) {
+	if len(causes) == 0 {
+		return
+	}
+	sum := 0
+	var parts []string
+	for _, cause := range slices.Sorted(maps.Keys(causes)) {
+		sum += causes[cause]
+		parts = append(parts, fmt.Sprintf("%s %d", cause, causes[cause]))
+	}
+	fmt.Fprintf(b, ", %s %d (%s)", word, sum, strings.Join(parts, ", "))
+}
+
+// Verdict says in one line what became of the rules.
+func (c *Check) Verdict() string {
+	if u := c.Unjudged(); len(c.Breaches) == 0 && len(u) > 0 {
+		return "every rule that was looked at held; looked at too seldom to judge: " + strings.Join(u, ", ")
+	}
+	if len(c.Breaches) == 0 {
+		return "every rule held"
+	}
+	return "rules were broken"
+}
--- a/sim/plan/faults.go
+++ b/sim/plan/faults.go
@@ -6,6 +6,7 @@
 
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/sim/check"
 	"cottonarch.example/cottonarch/sim/world"
 )
 
@@ -38,6 +39,13 @@
 		"endpoint-reuse":   (*Run).endpointReuse,
 		"endpoint-freeze":  (*Run).endpointFrozenReuse,
 		"endpoint-bad":     (*Run).endpointBad,
+		"endpoint-hang":    (*Run).endpointHang,
+		"endpoint-gone":    (*Run).endpointGone,
+		"service-empty":    (*Run).serviceEmpty,
+		"machine-suspend":  (*Run).machineSuspend,
+		"clock-jump":       (*Run).clockJump,
+		"manifest-large":   (*Run).manifestLarge,
+		"isolated-restart": (*Run).isolatedRestart,
 		"release-bad":      (*Run).releaseBad,
 		"crowd":            (*Run).crowd,
 		"herd":             (*Run).herd,
@@ -70,6 +78,11 @@
 	r.After(time.Second, round)
 }
 
+// loss notes a bad loss.
+func (r *Run) loss(name string) {
+	r.Check.Losses = append(r.Check.Losses, check.Loss{At: r.Now(), Name: name})
+}
+
 func (r *Run) span(low, high time.Duration) time.Duration {
 	return low + time.Duration(r.Rng.Int64N(int64(high-low)))
 }
@@ -184,9 +197,7 @@
 		two = append(two, s.Addr)
 	}
 	r.Say("core cut from all sidecars for %v", d)
-	for _, s := range r.Sides {
-		s.Troubled(d) // nobody can tell anybody
-	}
+	r.loss("isolated core")
 	r.Sever(one, two, d)
 	return d
 }
@@ -222,7 +233,6 @@
 	for i := range 3 {
 		s := r.Sides[(i+r.Rng.IntN(len(r.Sides)))%len(r.Sides)]
 		r.After(time.Duration(i)*2500*time.Millisecond, func() {
-			s.Troubled(12 * time.Second)
 			s.Stop(func() { r.After(300*time.Millisecond, s.Start) })
 		})
 	}
@@ -233,7 +243,6 @@
 	s, d := r.side(), r.span(300*time.Millisecond, 5*time.Second)
 	r.Say("sidecar %s frozen for %v", s.Node, d)
 	s.Freeze(d)
-	s.Troubled(d)
 	return d
 }
 
@@ -259,6 +268,7 @@
 func (r *Run) districtCut() time.Duration {
 	d := r.span(time.Second, 5*time.Second)
 	r.Say("a district is cut off for %v", d)
+	r.loss("district")
 	r.loseDistrict(d)
 	return d
 }
@@ -280,7 +290,10 @@
 }
 
 // some picks an endpoint whose service has another one.
-func (r *Run) some() *world.Endpoint {
+func (r *Run) some() *world.Endpoint { return r.someOf(2) }
+
+// someOf picks an endpoint whose service has so many at least.
+func (r *Run) someOf(least int) *world.Endpoint {
 	count := map[ident.Service]int{}
 	var all []*world.Endpoint
 	for _, s := range r.Sides {
@@ -291,7 +304,7 @@
 	}
 	var good []*world.Endpoint
 	for _, e := range all {
-		if count[e.Service] > 1 {
+		if count[e.Service] >= least {
 			good = append(good, e)
 		}
 	}
@@ -335,7 +348,6 @@
 	}
 	d := r.span(1800*time.Millisecond, 3*time.Second)
 	e.Side.Freeze(d)
-	e.Side.Troubled(d)
 	return r.endpointReuse()
 }
 
@@ -380,7 +392,7 @@
 // herd kills many sidecars and one core at once.
 func (r *Run) herd() time.Duration {
 	r.Say("a herd of sidecars is killed")
-	r.Check.Losses = append(r.Check.Losses, r.Now())
+	r.loss("herd")
 	for i, s := range r.Sides {
 		if i%2 == 0 {
 			s.Kill()
@@ -399,8 +411,7 @@
 // sidecars are killed.
 func (r *Run) heavy() {
 	r.Say("the last heavy fault: all cores lose power, half the sidecars are killed")
-	r.Check.Losses = append(r.Check.Losses, r.Now())
-	r.CoreTroubled(4 * time.Second)
+	r.loss("everything at once")
 	for _, c := range r.Cores {
 		c.Kill(true)
 		r.After(r.span(time.Second, 3*time.Second), c.Start)
--- a/sim/plan/plan.go
+++ b/sim/plan/plan.go
@@ -83,6 +83,7 @@
 	keys   *world.Keys
 	load   float64
 	serial int
+	large  bool // the next manifest is very large
 }
 
 // Check names every fault of the input.
@@ -201,6 +202,7 @@
 	r.ops.ReadBack()
 	r.ops.Audit()
 	w.RunFor(5 * time.Second)
+	r.ops.Close()
 	w.Compare()
 	r.keys.Judge()
 	w.Check.Finish(from, over)
@@ -222,7 +224,7 @@
 		services[string(s.Name)] = map[string]any{"namespace": ns}
 		ways["w-"+string(s.Name)] = map[string]any{"host": s.Host, "pathStart": "/", "service": string(s.Name), "timeoutMs": 3000}
 	}
-	if r.Rng.IntN(15) == 0 { // suddenly very large
+	if r.large || r.Rng.IntN(15) == 0 { // suddenly very large
 		for i := range 1500 {
 			ways[fmt.Sprintf("bulk-%d", i)] = map[string]any{"host": fmt.Sprintf("h%d.bulk", i), "service": string(r.d.Services[0].Name)}
 		}
--- a/sim/plan/plan_test.go
+++ b/sim/plan/plan_test.go
@@ -1,11 +1,13 @@
 package plan
 
 import (
+	"slices"
 	"testing"
 	"time"
 
-	"cottonarch.example/cottonarch/sim/world"
 	"github.com/shoenig/test/must"
+
+	"cottonarch.example/cottonarch/sim/world"
 )
 
 func day(seed uint64, scale float64, faults ...string) What {
@@ -51,6 +53,13 @@
 		"splits 7: a restarted sidecar fell back":            {"prairie", splits(7)},
 		"splits 8: a restarted sidecar fell back":            {"prairie", splits(8)},
 		"splits 52: a restarted sidecar fell back":           {"prairie", splits(52)},
+		"isolated 1":                 {"prairie", isolated(1)},
+		"isolated 2":                 {"volta", isolated(2)},
+		"no majority 1":              {"prairie", killed(1)},
+		"no majority 2":              {"prairie", killed(2)},
+		"clocks":                     {"prairie", day(4, 0.5, "clock-jump", "machine-suspend", "core-kill", "release-bad")},
+		"endpoints":                  {"volta", day(5, 0.5, "endpoint-hang", "endpoint-gone", "service-empty", "machine-suspend")},
+		"isolated restarts":          {"volta", day(6, 0.5, "isolated-restart", "manifest-large", "burst")},
 		"volta 1":                    {"volta", day(1, 0.3)},
 		"volta 2":                    {"volta", day(2, 1)},
 		"volta 3: rolled throughout": {"volta", day(3, 0.5, "core-roll", "side-roll", "endpoint-replace")},
@@ -64,6 +73,34 @@
 	}
 }
 
+// isolated is a day of bursts in the middle of which the core is cut off, with sidecars
+// killed at once.
+func isolated(seed uint64) What {
+	q := day(seed, 0.2)
+	q.For, q.LastHeavy = 52*time.Second, false
+	for s := 3 * time.Second; s < 45*time.Second; s += 8 * time.Second {
+		q.At = append(q.At, Timed{"burst", s}, Timed{"core-isolated", s + 150*time.Millisecond})
+		for _, ms := range []time.Duration{170, 200, 250, 400, 900} {
+			q.At = append(q.At, Timed{"side-kill", s + ms*time.Millisecond})
+		}
+	}
+	return q
+}
+
+// killed is a day of split cores with a burst and a killed core in each: for a while
+// there is no majority.
+func killed(seed uint64) What {
+	q := day(seed, 0.2)
+	q.For, q.LastHeavy = 52*time.Second, false
+	for s := 3 * time.Second; s < 45*time.Second; s += 8 * time.Second {
+		for ms, name := range map[time.Duration]string{0: "core-split", 100: "side-kill", 200: "burst", 300: "side-kill", 600: "core-kill", 650: "side-kill"} {
+			q.At = append(q.At, Timed{name, s + ms*time.Millisecond})
+		}
+	}
+	slices.SortFunc(q.At, func(a, b Timed) int { return int(a.After - b.After) })
+	return q
+}
+
 // Each rule broken on purpose is seen broken: no checker is blind.
 func TestEveryCheckerCanFail(t *testing.T) {
 	faults := map[world.Break][]string{
@@ -71,6 +108,8 @@
 		"leaver":    {"endpoint-replace"},
 		"allowance": {"release-bad"},
 		"stop":      {"side-roll"},
+		"silence":   {"endpoint-hang"},
+		"clock":     {"clock-jump"},
 	}
 	for b, rules := range world.Breaks {
 		t.Run(string(b), func(t *testing.T) {
@@ -78,6 +117,9 @@
 			seen := map[string]bool{}
 			for seed := uint64(1); seed < 20 && len(seen) < len(rules); seed++ {
 				q := day(seed, 1, faults[b]...)
+				if b == "witness" {
+					q = isolated(seed)
+				}
 				q.Break = b
 				for _, x := range Simulate(Deployments["prairie"], q).Check.Breaches {
 					for _, r := range rules {
--- a/sim/plan/rollout_test.go
+++ b/sim/plan/rollout_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
+
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/manifest/offer"
@@ -13,7 +15,6 @@
 	rollout "cottonarch.example/cottonarch/control/rollout/state"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/sim/world"
-	"github.com/shoenig/test/must"
 )
 
 // stage is a small world with one way, an old service and a new one.
--- a/sim/world/call.go
+++ b/sim/world/call.go
@@ -159,35 +159,54 @@
 				turned(d)
 				return
 			}
-			w.Check.Ran(check.Run{ID: rec.ID, Server: e.Server, Service: e.Service, Asked: c.Way.Service, At: w.now, LeftAt: e.leftAt, Unsafe: rec.Unsafe})
-			e.hand++
-			x := w.Rng.Float64()
-			work := e.Mood.Work/2 + time.Duration(w.Rng.Int64N(int64(e.Mood.Work)+1))
-			w.After(work, func() {
-				e.hand--
-				lost := path.End{Verdict: path.Unsure, Defect: defect.Unsure(defect.LostReturn, "the endpoint ended")}
-				switch {
-				case !e.up:
-					s.run(gen, func() { done(lost) })
-				case x < e.Mood.Lose:
-					w.After(ch.Limit, func() { s.run(gen, func() { done(lost) }) })
-				case x < e.Mood.Lose+e.Mood.Garbage:
-					s.run(gen, func() {
-						end := path.End{Verdict: path.Unsure, Defect: defect.Unsure(defect.BadReturn, "garbage")}
-						if w.Break == "return" {
-							end.Verdict = path.Ran
-						}
-						done(end)
-					})
-				default:
-					rec.Whole = true
-					s.run(gen, func() { done(path.End{Verdict: path.Ran}) })
+			run := check.Run{ID: rec.ID, Server: e.Server, Service: e.Service, Asked: c.Way.Service, At: w.now, LeftAt: e.leftAt, LostAt: e.lostAt, Unsafe: rec.Unsafe}
+			over := false
+			end := func(v path.End) {
+				if !over {
+					over = true
+					s.run(gen, func() { done(v) })
 				}
+			}
+			w.After(ch.Limit, func() {
+				end(path.End{Verdict: path.Unsure, Defect: defect.Unsure(defect.LostReturn, "the endpoint gave no return"), Lost: true})
 			})
+			if e.hung {
+				// It lies in the socket; who gave up on it may be told so, and it runs all the same.
+				e.late = append(e.late, func() { e.serve(run, rec, end) })
+				return
+			}
+			e.serve(run, rec, end)
 		})
 	})
 }
 
+// serve runs a request and gives its return, or none.
+func (e *Endpoint) serve(run check.Run, rec *check.Call, done func(path.End)) {
+	w := e.w
+	run.RanAt = w.now
+	w.Check.Ran(run)
+	e.hand++
+	x := w.Rng.Float64()
+	work := e.Mood.Work/2 + time.Duration(w.Rng.Int64N(int64(e.Mood.Work)+1))
+	w.After(work, func() {
+		e.hand--
+		switch {
+		case !e.up:
+			done(path.End{Verdict: path.Unsure, Defect: defect.Unsure(defect.LostReturn, "the endpoint ended"), Lost: true})
+		case e.hung, x < e.Mood.Lose: // no return comes
+		case x < e.Mood.Lose+e.Mood.Garbage:
+			end := path.End{Verdict: path.Unsure, Defect: defect.Unsure(defect.BadReturn, "garbage")}
+			if w.Break == "return" {
+				end.Verdict = path.Ran
+			}
+			done(end)
+		default:
+			rec.Whole = true
+			done(path.End{Verdict: path.Ran})
+		}
+	})
+}
+
 // lay counts one request out of hand, unless the sidecar has been started anew.
 func (s *Side) lay(gen int) {
 	if s.gen == gen {
--- a/sim/world/clients.go
+++ b/sim/world/clients.go
@@ -21,6 +21,7 @@
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/sim/check"
 )
 
 // ask sends a deed to some core, as an application does; end gets a nil End when no
@@ -412,6 +413,7 @@
 	w      *World
 	base   func(mark string) map[string]any
 	n      int
+	open   int // epochs that sidecars are still awaited to have
 	top    ident.Epoch
 	bodies map[ident.Epoch]string
 	shown  map[ident.Addr]*ident.Epoch
@@ -505,22 +507,47 @@
 	})
 }
 
-// inForce looks, when the time is over, whether the epoch is in force everywhere. A
-// machine that was itself down, frozen or cut has an excuse, and so has everyone when
-// no majority of cores was there.
+// inForce follows the epoch to every sidecar. The bound runs from the confirmation, or
+// from the end of what kept everybody from making that sidecar know it.
 func (o *Operators) inForce(e ident.Epoch, at moment.Moment) {
+	for _, s := range o.w.Sides {
+		o.open++
+		o.follow(s, e, at, "")
+	}
+}
+
+func (o *Operators) follow(s *Side, e ident.Epoch, from moment.Moment, cause string) {
 	w := o.w
-	w.After(2*time.Second, func() {
-		for _, s := range w.Sides {
-			if !s.up || s.frozen || !s.entered || s.trouble.Add(time.Second) > at || w.coreTrouble.Add(2*time.Second) > at {
-				continue
-			}
-			w.Check.Seen["manifest-late"]++
-			if s.path.Epoch() < e {
-				w.Breach("manifest-late", "%s has epoch %d two seconds after %d was confirmed", s.Node, s.path.Epoch(), e)
-			}
+	const rule = "manifest-late"
+	have := ident.Epoch(0)
+	if s.up {
+		have = s.path.Epoch()
+	}
+	if have < e {
+		if why := w.out(s, e); why != "" {
+			from, cause = w.now, why
 		}
-	})
+	}
+	late := w.now.Since(from) > check.ManifestMax
+	if have < e && !late {
+		w.After(20*time.Millisecond, func() { o.follow(s, e, from, cause) })
+		return
+	}
+	o.open--
+	w.Check.Look(rule)
+	if cause != "" {
+		w.Check.Wait(rule, cause)
+	}
+	if late {
+		w.Breach(rule, "%s has epoch %d more than two seconds after %d was confirmed, waited for the end of %q; %s", s.Node, have, e, cause, s.wit.Text())
+	}
+}
+
+// Close counts what was still out at the day's end.
+func (o *Operators) Close() {
+	for range o.open {
+		o.w.Check.Excuse("manifest-late", causeDayEnd)
+	}
 }
 
 // Audit looks whether the audit log has every confirmed epoch once, and in order.
--- a/sim/world/clock.go
+++ b/sim/world/clock.go
@@ -69,23 +69,22 @@
 type Links struct {
 	Base, Jitter time.Duration
 	Lose, Double float64
-	Late         float64 // part of messages that are held up much longer
-	cuts         map[[2]ident.Addr]bool
+	Late         float64               // part of messages that are held up much longer
+	cuts         map[[2]ident.Addr]int // how many faults cut this direction now
+	heals        int
 	Lost         int
 	Sent         int
 }
 
-// Cut cuts one direction.
-func (l *Links) Cut(from, to ident.Addr) { l.cuts[[2]ident.Addr{from, to}] = true }
-
 // Heal heals every cut.
 func (l *Links) Heal() {
-	l.cuts = map[[2]ident.Addr]bool{}
+	l.cuts = map[[2]ident.Addr]int{}
+	l.heals++
 	l.Lose, l.Double, l.Late = 0, 0, 0
 }
 
 // Open tells whether the direction is open.
-func (l *Links) Open(from, to ident.Addr) bool { return !l.cuts[[2]ident.Addr{from, to}] }
+func (l *Links) Open(from, to ident.Addr) bool { return l.cuts[[2]ident.Addr{from, to}] == 0 }
 
 func (w *World) delay() time.Duration {
 	d := w.Links.Base + time.Duration(w.Rng.Int64N(int64(w.Links.Jitter)+1))
--- a/sim/world/core.go
+++ b/sim/world/core.go
@@ -32,17 +32,30 @@
 	gen     int
 	born    moment.Moment
 	rate    float64
+	jump    time.Duration // by which its clock has jumped
+	still   bool          // its clock stands while it is frozen
 	backlog []func()
 }
 
 func (p *proc) clock() moment.Moment {
-	return moment.Moment(float64(p.w.now-p.born)*p.rate) + moment.Moment(time.Second)
+	return moment.Moment(float64(p.w.now-p.born)*p.rate) + moment.Moment(time.Second+p.jump)
+}
+
+// Jump makes the process's clock jump forward.
+func (p *proc) Jump(d time.Duration) { p.jump += d }
+
+// Suspend is a freeze in which the clock stands still too.
+func (p *proc) Suspend(d time.Duration) {
+	if p.up && !p.frozen {
+		p.still = true
+		p.Freeze(d)
+	}
 }
 
 func (p *proc) start() {
 	p.up, p.frozen, p.backlog = true, false, nil
 	p.gen++
-	p.born = p.w.now
+	p.born, p.jump, p.still = p.w.now, 0, false
 	p.rate = 0.99 + 0.02*p.w.Rng.Float64()
 }
 
@@ -72,6 +85,9 @@
 			return
 		}
 		p.frozen = false
+		if p.still {
+			p.jump, p.still = p.jump-time.Duration(float64(d)*p.rate), false
+		}
 		list := p.backlog
 		p.backlog = nil
 		// What waited runs in no order of its own.
@@ -99,6 +115,15 @@
 	raw      json.RawMessage
 	reading  bool
 	busy     moment.Moment
+	watch    moment.Watch
+}
+
+// clock is the daemon's: it counts only time that was watched.
+func (c *Core) clock() moment.Moment {
+	if c.w.Break == "clock" {
+		return c.proc.clock()
+	}
+	return c.watch.Look(c.proc.clock())
 }
 
 // NewCore makes a core machine with an empty disk.
@@ -112,9 +137,11 @@
 func (c *Core) Start() {
 	w := c.w
 	c.start()
+	c.watch = moment.Watch{}
 	c.jobs, c.writing, c.ends, c.held, c.raw, c.reading, c.busy = nil, false, map[uint64]func(node.End){}, nil, nil, false, 0
 	c.mem.Fail = nil
 	var err error
+	w.Check.Look("disk")
 	if c.ring, err = ring.Open(c.mem, w.Ring); err != nil {
 		// A damaged disk is never used: the machine comes back empty.
 		w.Say("core %s: %v", c.Addr, err)
@@ -401,7 +428,9 @@
 	if json.Unmarshal(raw, &h) != nil {
 		c.w.Breach("damaged", "core %s read a manifest it can't decode", c.Addr)
 	}
+	c.w.Check.Look("damaged")
 	if h.Epoch > 0 && (c.held == nil || h.Epoch > c.held.Epoch) {
+		c.w.Check.Look("invalid")
 		tree, d := walk.Parse(h.Manifest)
 		var m *check.Manifest
 		if d == nil {
--- a/sim/world/side.go
+++ b/sim/world/side.go
@@ -17,6 +17,7 @@
 	"cottonarch.example/cottonarch/mesh/gate"
 	"cottonarch.example/cottonarch/mesh/path"
 	"cottonarch.example/cottonarch/mesh/registry/record"
+	"cottonarch.example/cottonarch/mesh/witness"
 )
 
 // Side is a simulated application machine: its sidecar and its endpoints.
@@ -27,6 +28,7 @@
 	Ends     []*Endpoint
 	path     *path.Path
 	gate     *gate.Gate
+	wit      *witness.Witness
 	held     *holder.Holder
 	portion  holder.Portion
 	entered  bool
@@ -39,10 +41,18 @@
 	place    uint64
 	polling  bool
 	leaving  bool
-	trouble  moment.Moment // when this machine was last cut, frozen or down
 	shown    ident.Epoch
 	heard    moment.Moment // a core, last
 	hand     int
+	watch    moment.Watch
+}
+
+// slow is the clock that counts only time that was watched.
+func (s *Side) slow() moment.Moment {
+	if s.w.Break == "clock" {
+		return s.clock()
+	}
+	return s.watch.Look(s.clock())
 }
 
 // NewSide makes an application machine.
@@ -55,20 +65,24 @@
 // Start starts the sidecar.
 func (s *Side) Start() {
 	s.start()
+	s.watch = moment.Watch{}
 	s.path = path.New(s.clock(), s.District, s.w.Rng.Uint64())
 	s.path.Reckless = s.w.Break == "retry"
 	s.path.Tree.Free = s.w.Break == "allowance"
-	s.gate, s.held = gate.New(), holder.New()
-	s.gate.Open = s.w.Break == "gate"
+	s.gate, s.held, s.wit = gate.New(), holder.New(), witness.New(s.clock())
+	s.wit.Deaf = s.w.Break == "witness"
+	s.gate.Open = s.w.Break == "gate" || s.w.Break == "silence"
 	s.entered, s.asking, s.claim, s.seq, s.news, s.polling, s.leaving = false, false, 0, 0, false, false, false
 	s.mark, s.place = 0, 0
-	s.hand = 0
-	s.trouble = s.w.now
+	s.hand, s.heard = 0, s.clock()
+	for _, e := range s.Ends { // this run has seen none of them yet
+		e.beatAt = 0
+	}
 	s.ticker(s.gen, 0)
 }
 
 // Kill ends the sidecar at once.
-func (s *Side) Kill() { s.up = false; s.trouble = s.w.now }
+func (s *Side) Kill() { s.up = false }
 
 // Stop is a planned stop: callers come no more, its endpoints are left alone, and it
 // ends once nothing is in hand for a second, or after ten.
@@ -101,6 +115,9 @@
 func (s *Side) ticker(gen, n int) {
 	s.run(gen, func() {
 		now := s.clock()
+		s.slow()
+		s.losses()
+		s.path.Tree.Tick(now)
 		if c := s.gate.Tick(now); c.News {
 			s.news = true
 		}
@@ -113,10 +130,11 @@
 		if s.entered {
 			s.poll()
 			s.shares()
-			if n%8 == 0 && now.Since(s.heard) > 900*time.Millisecond {
-				s.neighbours()
-			}
 		}
+		if n%6 == 0 && s.wit.Lonely(now, s.heard, s.path.Epoch()) {
+			s.neighbours()
+		}
+		s.show()
 	})
 	if s.up && s.gen == gen {
 		s.w.After(40*time.Millisecond, func() { s.ticker(gen, n+1) })
@@ -166,7 +184,7 @@
 	s.asking = true
 	s.turn++
 	c := s.core()
-	s.ask(&c.proc, 5*time.Second, func(say func(any)) {
+	s.ask(&c.proc, 1500*time.Millisecond, func(say func(any)) { // as the daemon
 		c.Deed(owner.Deed{Key: ident.Key("claim/" + string(s.Node)), Kind: "number/next"}, 3*time.Second, func(e node.End) {
 			var num number.Number
 			if e.Defect != nil || json.Unmarshal(e.Body, &num) != nil {
@@ -197,19 +215,70 @@
 		}
 		s.entered, s.claim, s.seq = true, got.claim, 1
 		s.path.Floor = max(s.path.Floor, got.epoch)
-		s.trouble = max(s.trouble, s.w.now)   // not ready until now
+		s.wit.Entered()
 		s.turn = s.w.Rng.IntN(len(s.w.Cores)) // the daemon follows another core than it entered by
 		s.heard = s.clock()
-		s.portion.Begin(s.clock(), got.share)
+		s.portion.Begin(s.slow(), got.share)
 		s.path.Tree.Grant(s.portion.Use())
 	})
 }
 
+// enforce takes a confirmed manifest in: it is shown once peers have heard of it.
 func (s *Side) enforce(m *manifest.Manifest) {
-	if m == nil || !s.path.Enforce(m) {
+	peers := s.peers()
+	if m == nil {
 		return
 	}
-	s.w.Check.Shown(s.w.now, "sidecar "+string(s.Node), m, &s.shown)
+	if !s.wit.Take(s.clock(), m, s.path.Epoch(), len(peers)) {
+		s.show()
+		return
+	}
+	for _, p := range peers[:min(len(peers), witness.Ask)] {
+		s.ask(&p.proc, 250*time.Millisecond, func(say func(any)) {
+			p.hear(m, func() { say(true) })
+		}, func(v any) {
+			s.wit.Said(m.Epoch, v != nil)
+			s.show()
+		})
+	}
+	s.show()
+}
+
+// hear takes a peer's word of an epoch; done is called once its manifest is here, which
+// is taken from that peer if it does not come by itself.
+func (s *Side) hear(m *manifest.Manifest, done func()) {
+	if m.Epoch < s.path.Floor {
+		return // it may not be shown here, so it is not held either
+	}
+	s.wit.Hear(s.clock(), m.Epoch)
+	if s.wit.Holds(s.path.Epoch()) >= m.Epoch {
+		done()
+		return
+	}
+	gen := s.gen
+	s.w.After(witness.Pull, func() {
+		s.run(gen, func() {
+			s.enforce(m)
+			done()
+		})
+	})
+}
+
+func (s *Side) show() {
+	if m := s.wit.Due(s.clock()); m != nil && s.path.Enforce(m) {
+		s.w.Check.Shown(s.w.now, "sidecar "+string(s.Node), m, &s.shown)
+	}
+}
+
+// peers lists the other sidecars in an order drawn anew.
+func (s *Side) peers() []*Side {
+	var out []*Side
+	for _, i := range s.w.Rng.Perm(len(s.w.Sides)) {
+		if s.w.Sides[i] != s {
+			out = append(out, s.w.Sides[i])
+		}
+	}
+	return out
 }
 
 type acked struct {
@@ -246,7 +315,7 @@
 				return
 			}
 			s.heard = s.clock()
-			s.portion.Members(s.clock(), got.live)
+			s.portion.Members(s.slow(), got.live)
 			s.path.Tree.Grant(s.portion.Use())
 			s.held.Renewed(sent, got.disk, got.votes, got.voters)
 			if at := s.held.Majority(); at != 0 {
@@ -263,25 +332,38 @@
 
 // neighbours asks peers while no core is heard.
 func (s *Side) neighbours() {
-	for range 5 {
-		p := s.w.Sides[s.w.Rng.IntN(len(s.w.Sides))]
-		if p == s {
-			continue
-		}
+	peers := s.peers()
+	for _, p := range peers[:min(len(peers), 8)] {
 		s.ask(&p.proc, 400*time.Millisecond, func(say func(any)) {
-			say(told{sets: p.path.Index.Sets(), m: p.path.Manifest()})
+			m := p.path.Manifest()
+			if n := p.wit.Next(); n != nil {
+				m = n
+			}
+			say(word{told{sets: p.path.Index.Sets(), m: m}, p.wit.Heard(), p.entered})
 		}, func(v any) {
-			if got, ok := v.(told); ok {
-				s.path.Index.Merge(got.sets)
+			got, ok := v.(word)
+			if !ok {
+				return
+			}
+			s.path.Index.Merge(got.sets)
+			s.wit.Prior(s.clock(), got.heard, got.entered)
+			if s.wit.Believes(s.clock()) {
 				s.enforce(got.m)
 			}
 		})
 	}
 }
 
+// word is what a peer tells.
+type word struct {
+	told
+	heard   ident.Epoch
+	entered bool
+}
+
 // shares sends a promise or a wish about the share.
 func (s *Side) shares() {
-	a, due := s.portion.Ask(s.clock(), s.Node, s.claim)
+	a, due := s.portion.Ask(s.slow(), s.Node, s.claim)
 	if !due {
 		return
 	}
@@ -295,7 +377,7 @@
 		})
 	}, func(v any) {
 		if t, ok := v.(share.Told); ok && a.Claim == s.claim {
-			s.portion.Told(s.clock(), t)
+			s.portion.Told(s.slow(), t)
 			s.path.Tree.Grant(s.portion.Use())
 		}
 	})
@@ -357,9 +439,44 @@
 	Addr    ident.Addr
 	Mood    Mood
 	up      bool
+	hung    bool
+	late    []func() // what came while it hung, run when it wakes
 	state   gate.State
 	hand    int
 	leftAt  moment.Moment // when its leaving was first confirmed on its machine
+	beatAt  moment.Moment // when its machine last took a beat of it, by the machine's clock
+	lostAt  moment.Moment // when its loss was confirmed on its machine, 0 if it is not
+}
+
+// losses notes, while the machine runs and by its own clock, whose loss is confirmed on
+// it: reckoned from what it was told, not by the gate that is judged by it.
+func (s *Side) losses() {
+	for _, e := range s.Ends {
+		if e.lostAt == 0 && e.beatAt != 0 && s.clock().Since(e.beatAt) > gate.SilentMost {
+			e.lostAt = s.w.now
+			s.w.Check.Look("late-to-leaver")
+		}
+	}
+}
+
+// Hang makes the endpoint hang for a while, connections still taken.
+func (e *Endpoint) Hang(d time.Duration) {
+	if !e.up || e.hung {
+		return
+	}
+	e.hung = true
+	e.w.After(d, func() {
+		e.hung = false
+		list := e.late
+		e.late = nil
+		if !e.up {
+			return
+		}
+		for _, do := range list {
+			do()
+		}
+		e.beat(e.state)
+	})
 }
 
 // NewEndpoint starts an endpoint on a machine.
@@ -375,7 +492,9 @@
 	if !e.up {
 		return
 	}
-	e.beat(e.state)
+	if !e.hung {
+		e.beat(e.state)
+	}
 	e.w.After(290*time.Millisecond+time.Duration(e.w.Rng.Int64N(int64(20*time.Millisecond))), e.beats)
 }
 
@@ -391,8 +510,13 @@
 			if c.News {
 				s.news = true
 			}
-			if d == nil && st != gate.Alive && e.leftAt == 0 {
+			if d != nil {
+				return
+			}
+			e.beatAt, e.lostAt = s.clock(), 0
+			if st != gate.Alive && e.leftAt == 0 {
 				e.leftAt = e.w.now
+				e.w.Check.Look("late-to-leaver")
 			}
 		})
 	})
--- a/sim/world/world.go
+++ b/sim/world/world.go
@@ -18,20 +18,19 @@
 // World is the whole simulated mesh.
 type World struct {
 	Clock
-	Links       Links
-	Cores       []*Core
-	Sides       []*Side
-	Seeds       []ident.Addr
-	Founders    []ident.Addr
-	Ring        ring.Boot
-	Check       *check.Check
-	Trace       []string
-	spots       map[ident.Addr]*Endpoint
-	disks       int
-	calls       int
-	coreTrouble moment.Moment
-	told        int
-	Took        []time.Duration // of deeds that were told a yes
+	Links    Links
+	Cores    []*Core
+	Sides    []*Side
+	Seeds    []ident.Addr
+	Founders []ident.Addr
+	Ring     ring.Boot
+	Check    *check.Check
+	Trace    []string
+	spots    map[ident.Addr]*Endpoint
+	disks    int
+	calls    int
+	told     int
+	Took     []time.Duration // of deeds that were told a yes
 	// Closed says that clients begin nothing new.
 	Closed bool
 	// Broken on purpose, to see the checkers catch it.
@@ -59,6 +58,9 @@
 	"allowance": {"further-tries"},
 	"history":   {"watch-forgotten"},
 	"restart":   {"slow-recovery"},
+	"witness":   {"manifest-back"},
+	"silence":   {"late-to-leaver"},
+	"clock":     {"lock-shared"},
 	"mend":      {"not-mended"},
 	"audit":     {"audit"},
 }
@@ -67,7 +69,7 @@
 func New(seed uint64) *World {
 	w := &World{Check: check.New(), spots: map[ident.Addr]*Endpoint{}, Ring: ring.Boot{Files: 6, Size: 256 << 10}, Served: map[string]int{}}
 	w.Rng = rand.New(rand.NewPCG(seed, 0x5eed))
-	w.Links = Links{Base: 200 * time.Microsecond, Jitter: 800 * time.Microsecond, cuts: map[[2]ident.Addr]bool{}}
+	w.Links = Links{Base: 200 * time.Microsecond, Jitter: 800 * time.Microsecond, cuts: map[[2]ident.Addr]int{}}
 	return w
 }
 
@@ -117,12 +119,10 @@
 			}
 		}
 	}
-	w.cutFor(cut, d, true)
+	w.cutFor(cut, d)
 }
 
 // Sever cuts two groups from each other for a while.
-//
-// A machine that is cut from the cores alone has no excuse: its peers can tell it.
 func (w *World) Sever(one, two []ident.Addr, d time.Duration) {
 	var cut [][2]ident.Addr
 	for _, a := range one {
@@ -130,28 +130,27 @@
 			cut = append(cut, [2]ident.Addr{a, b}, [2]ident.Addr{b, a})
 		}
 	}
-	w.cutFor(cut, d, false)
+	w.cutFor(cut, d)
 }
 
-func (w *World) cutFor(cut [][2]ident.Addr, d time.Duration, excuse bool) {
+// cutFor cuts directions for a while; cuts of one direction may overlap.
+func (w *World) cutFor(cut [][2]ident.Addr, d time.Duration) {
 	for _, c := range cut {
-		w.Links.cuts[c] = true
-		for _, s := range w.Sides {
-			if excuse && (s.Addr == c[0] || s.Addr == c[1]) {
-				s.troubled(d)
-			}
-		}
+		w.Links.cuts[c]++
 	}
+	heals := w.Links.heals
 	w.After(d, func() {
+		if w.Links.heals != heals {
+			return // everything was healed meanwhile
+		}
 		for _, c := range cut {
-			delete(w.Links.cuts, c)
+			if w.Links.cuts[c]--; w.Links.cuts[c] <= 0 {
+				delete(w.Links.cuts, c)
+			}
 		}
 	})
 }
 
-// troubled notes until when this machine has an excuse.
-func (s *Side) troubled(d time.Duration) { s.trouble = max(s.trouble, s.w.now.Add(d)) }
-
 // Text is the report.
 func (w *World) Text() string {
 	var b strings.Builder
@@ -188,12 +187,6 @@
 	return b.String()
 }
 
-// Troubled gives a machine an excuse for a while.
-func (s *Side) Troubled(d time.Duration) { s.troubled(d) }
-
-// CoreTroubled says that for a while no majority of cores can be there.
-func (w *World) CoreTroubled(d time.Duration) { w.coreTrouble = max(w.coreTrouble, w.now.Add(d)) }
-
 // Well tells whether the core is up, thawed, with a whole disk, and votes.
 func (c *Core) Well() bool {
 	return c.up && !c.frozen && !c.broken && c.node != nil && c.node.Votes()
@@ -224,7 +217,7 @@
 		}
 		slices.Sort(keys)
 		for _, k := range keys {
-			w.Check.Seen["not-mended"]++
+			w.Check.Look("not-mended")
 			if a, b := want[k], have[k]; !a.Same(b) {
 				w.Breach("not-mended", "%s: %s holds revision %d of %v, %s holds %d of %v", k, first.Addr, a.Revision, a.Accepted, c.Addr, b.Revision, b.Accepted)
 			}
--- a/stand/endpoint/endpoint.go
+++ b/stand/endpoint/endpoint.go
@@ -31,7 +31,7 @@
 	Cut float64
 }
 
-// Ran is one line of the ledger.
+// Ran is one line of the ledger; At is when the request reached the endpoint.
 type Ran struct {
 	ID      string
 	Server  ident.Server
@@ -77,6 +77,8 @@
 	client  *http.Client
 	mood    atomic.Pointer[Mood]
 	mute    atomic.Bool
+	hold    sync.Mutex
+	hung    chan struct{} // closed when the endpoint wakes, nil while it does not hang
 	stopped sync.Once
 }
 
@@ -98,8 +100,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	e.srv = &http.Server{Handler: http.HandlerFunc(e.serve)}
-	go func() { _ = e.srv.Serve(lis) }()
+	e.srv = &http.Server{Handler: http.HandlerFunc(e.serve), ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, reached{}, c) }}
+	go func() { _ = e.srv.Serve(hangs{lis, e}) }()
 	go e.beats()
 	return e, nil
 }
@@ -107,6 +109,73 @@
 // Behave changes the mood.
 func (e *Endpoint) Behave(m Mood) { e.mood.Store(&m) }
 
+// Hang makes the endpoint hang: connections are still taken, and what comes by them is
+// read when it wakes; it does not beat.
+func (e *Endpoint) Hang(on bool) {
+	e.Mute(on)
+	e.hold.Lock()
+	defer e.hold.Unlock()
+	switch {
+	case on && e.hung == nil:
+		e.hung = make(chan struct{})
+	case !on && e.hung != nil:
+		close(e.hung)
+		e.hung = nil
+	}
+}
+
+// wait waits while the endpoint hangs; it tells whether it had to.
+func (e *Endpoint) wait() bool {
+	e.hold.Lock()
+	hung := e.hung
+	e.hold.Unlock()
+	if hung == nil {
+		return false
+	}
+	select {
+	case <-hung:
+	case <-e.stop:
+	}
+	return true
+}
+
+// hangs and held are a listener and its connections while their endpoint may hang.
+type hangs struct {
+	net.Listener
+	e *Endpoint
+}
+
+type held struct {
+	net.Conn
+	e       *Endpoint
+	at      time.Time   // when it was taken
+	waiting atomic.Bool // what was read last had waited for the endpoint to wake
+}
+
+// reached is the key under which a request finds its connection.
+type reached struct{}
+
+// Accept takes a connection, hung or not.
+func (h hangs) Accept() (net.Conn, error) {
+	c, err := h.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &held{Conn: c, e: h.e, at: time.Now()}, nil
+}
+
+// Read waits while the endpoint hangs.
+func (c *held) Read(p []byte) (int, error) {
+	c.waiting.Store(c.e.wait())
+	return c.Conn.Read(p)
+}
+
+// Write waits while the endpoint hangs.
+func (c *held) Write(p []byte) (int, error) {
+	c.e.wait()
+	return c.Conn.Write(p)
+}
+
 // Mute stops the beats while requests are still taken.
 func (e *Endpoint) Mute(on bool) { e.mute.Store(on) }
 
@@ -118,8 +187,12 @@
 		return
 	}
 	id := r.Header.Get("X-Request-Id")
+	at := time.Now()
+	if c, ok := r.Context().Value(reached{}).(*held); ok && c.waiting.Load() {
+		at = c.at // it lay in the socket of an endpoint that hung
+	}
 	if e.Ledger != nil {
-		e.Ledger.Add(Ran{ID: id, Server: e.Server, Service: e.Service, At: time.Now()})
+		e.Ledger.Add(Ran{ID: id, Server: e.Server, Service: e.Service, At: at})
 	}
 	n := e.count.Add(1)
 	m := e.mood.Load()
