Real daemons over faulty disks and through planned stops, under the race detector

Cause: slow, stalled, failing and powerless disks were proved on the simulator's core only, and planned stops only with short requests; nothing ran the daemons under the race detector. Change: daemon/proof runs three real cores, or a core and two sidecars, in one process on loopback: a slow disk, one that stalls in a batch, one that fails a sync and is replaced, power lost by all four times in the middle of deeds; requests in hand longer than the stop's warning at either sidecar, a manifest that removes what is in hand, callers that keep sending, watches, long polls and deeds at a core that stops. daemon/assemble joins a daemon and its surfaces for program and tests.

--- a/cmd/cottonarch/main.go
+++ b/cmd/cottonarch/main.go
@@ -15,13 +15,8 @@
 	"github.com/go-kratos/kratos/v2/transport"
 	"go.uber.org/zap"
 
-	"cottonarch.example/cottonarch/adapter/coordination"
-	"cottonarch.example/cottonarch/adapter/mesh"
-	"cottonarch.example/cottonarch/adapter/operator"
-	"cottonarch.example/cottonarch/adapter/platform"
 	"cottonarch.example/cottonarch/boot"
-	"cottonarch.example/cottonarch/daemon/core"
-	"cottonarch.example/cottonarch/daemon/sidecar"
+	"cottonarch.example/cottonarch/daemon/assemble"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/sim/plan"
@@ -88,15 +83,10 @@
 func (c coreCmd) Run() error { return start(c.bootFlags, boot.ReadCore, runCore) }
 
 func runCore(b boot.Core, log *zap.Logger) error {
-	daemon, err := core.Open(b, log)
+	daemon, srv, err := assemble.Core(b, log)
 	if err != nil {
 		return err
 	}
-	srv := server.New(b.Listen, nil)
-	for _, p := range []server.Paths{operator.Paths(daemon), coordination.Paths(daemon), mesh.Paths(daemon, ident.Mark()),
-		platform.Paths(daemon.Ready, daemon.Board, func() any { return daemon.View() })} {
-		p.Register(srv)
-	}
 	daemon.Start()
 	defer daemon.Close()
 	return run(log, "core", func() { daemon.Leave(10 * time.Second) }, srv)
@@ -105,11 +95,7 @@
 func (c sidecarCmd) Run() error { return start(c.bootFlags, boot.ReadSidecar, runSidecar) }
 
 func runSidecar(b boot.Sidecar, log *zap.Logger) error {
-	daemon := sidecar.New(b, log)
-	srv := server.New(b.Listen, daemon.Gated)
-	daemon.Paths().Register(srv)
-	platform.Paths(daemon.Ready, daemon.Board, daemon.Status).Register(srv)
-	front := server.New(b.Caller, daemon.Front)
+	daemon, srv, front := assemble.Sidecar(b, log)
 	daemon.Start()
 	defer daemon.Close()
 	return run(log, "sidecar", daemon.Leave, srv, front)
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -52,7 +53,7 @@
 	clock   moment.Clock
 	node    *node.Node
 	ring    *ring.Ring
-	dir     *ring.Dir
+	dir     Folder
 	pool    *client.Pool
 	inbox   *queue.Ring[func(moment.Moment) node.Effects]
 	disk    *queue.Ring[node.Effects]
@@ -95,16 +96,20 @@
 	Members  any          `json:"members"`
 }
 
-// Open recovers the core from its data folder.
-func Open(b boot.Core, log *zap.Logger) (*Core, error) {
+// Folder is the data folder; closing it lets it go.
+type Folder interface {
+	ring.Folder
+	io.Closer
+}
+
+// Open recovers the core from its data folder, which it closes when it ends.
+func Open(b boot.Core, log *zap.Logger, dir Folder) (*Core, error) {
 	c := &Core{Boot: b, Log: log, Board: count.New(), clock: moment.Watched(moment.Process()), pool: client.New(b.Addr), done: make(chan struct{}),
 		inbox: queue.Make[func(moment.Moment) node.Effects](inboxSize), disk: queue.Make[node.Effects](diskSize),
 		waits: map[uint64]chan node.End{}, peers: map[ident.Addr]*queue.Ring[message.Message]{},
 		signal: make(chan struct{}), feed: make(chan struct{}), wake: make(chan struct{}, 1), fresh: make(chan json.RawMessage, 4), stop: make(chan struct{})}
 	var err error
-	if c.dir, err = ring.OpenDir(b.Data); err != nil {
-		return nil, err
-	}
+	c.dir = dir
 	if c.ring, err = ring.Open(c.dir, ring.Boot{Files: b.Rings, Size: b.RingFile}); err != nil {
 		return nil, err
 	}
--- a/stand/endpoint/endpoint.go
+++ b/stand/endpoint/endpoint.go
@@ -176,6 +176,9 @@
 	return c.Conn.Write(p)
 }
 
+// Hand is how many requests it works at.
+func (e *Endpoint) Hand() int64 { return e.hand.Load() }
+
 // Mute stops the beats while requests are still taken.
 func (e *Endpoint) Mute(on bool) { e.mute.Store(on) }
 
