One line for daemon and simulator; overload, urgent ways and no held-back answer are proved

Cause: the queue of requests lived in the daemon alone, so crowds proved nothing in the simulator. Change: mesh/line, a step function (two bounded queues, a quarter of the senders for urgent ways, early turning away), drives both. New fault "overload" (five times the rate at a service that takes 2.5 s), new rules urgent-turned and held-back, each seen to fail on a broken build.

--- a/daemon/sidecar/intake.go
+++ b/daemon/sidecar/intake.go
@@ -110,23 +110,20 @@
 	asked, _ := strconv.Atoi(r.Header.Get(DeadlineHeader))
 	s.mu.Lock()
 	d = s.path.Way(began, call, time.Duration(asked)*time.Millisecond)
-	pace := s.pace
 	s.mu.Unlock()
 	if d != nil {
 		reply.Defect(w, d)
 		return
 	}
-	line := s.normal
-	if call.Way.Urgent {
-		line = s.urgent
-	}
-	// Turn away early what would be late anyway.
-	wait := time.Duration(line.Len()) * pace / time.Duration(max(1, s.Boot.Senders))
-	if call.Until.Since(s.clock()) < wait || !line.Offer(j) {
+	s.mu.Lock()
+	taken := s.line.Offer(s.clock(), j, call.Way.Urgent, call.Until)
+	s.mu.Unlock()
+	if !taken {
 		s.Board.Add("turned_away", 1)
 		reply.Defect(w, defect.New(defect.Busy, "too many requests are in hand").Later(1))
 		return
 	}
+	s.free.Signal()
 	end := <-j.done
 	if end.d != nil {
 		s.Board.Add("ended_"+string(end.d.Kind), 1)
@@ -162,34 +159,25 @@
 	}
 }
 
-// sender is the sending stage; one in four serves only urgent ways.
-func (s *Sidecar) sender(only bool) {
+// sender is the sending stage: whoever is free takes who comes next in line.
+func (s *Sidecar) sender() {
 	for {
-		var j *job
-		select {
-		case j = <-s.urgent.Out():
-		default:
-			if only {
-				select {
-				case j = <-s.urgent.Out():
-				case <-s.done:
-					return
-				}
-			} else {
-				select {
-				case j = <-s.urgent.Out():
-				case j = <-s.normal.Out():
-				case <-s.done:
-					return
-				}
+		s.mu.Lock()
+		j, urgent, ok := s.line.Next()
+		for ; !ok; j, urgent, ok = s.line.Next() {
+			if s.over {
+				s.mu.Unlock()
+				return
 			}
+			s.free.Wait()
 		}
+		s.mu.Unlock()
 		began := s.clock()
 		j.done <- s.walk(j)
-		took := s.clock().Since(began)
 		s.mu.Lock()
-		s.pace += (took - s.pace) / 16
+		s.line.Done(urgent, s.clock().Since(began))
 		s.mu.Unlock()
+		s.free.Signal() // what waited only for this one's end
 	}
 }
 
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -17,9 +17,9 @@
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
-	"cottonarch.example/cottonarch/kernel/queue"
 	"cottonarch.example/cottonarch/mesh/claim/holder"
 	"cottonarch.example/cottonarch/mesh/gate"
+	"cottonarch.example/cottonarch/mesh/line"
 	"cottonarch.example/cottonarch/mesh/path"
 	"cottonarch.example/cottonarch/mesh/witness"
 	"cottonarch.example/cottonarch/wire/client"
@@ -38,19 +38,20 @@
 // manifest in force only moves to higher, confirmed epochs; ready is never said
 // before a manifest is in force and the claim was entered.
 type Sidecar struct {
-	Boot   boot.Sidecar
-	Log    *zap.Logger
-	Board  *count.Board
-	clock  moment.Clock
-	slow   moment.Clock // the same, counting only time that was watched
-	pool   *client.Pool
-	peers  *exchange.Pool // to other sidecars' gates
-	ends   *exchange.Pool // to the endpoints of this machine
-	done   chan struct{}
-	urgent *queue.Ring[*job]
-	normal *queue.Ring[*job]
+	Boot  boot.Sidecar
+	Log   *zap.Logger
+	Board *count.Board
+	clock moment.Clock
+	slow  moment.Clock // the same, counting only time that was watched
+	pool  *client.Pool
+	peers *exchange.Pool // to other sidecars' gates
+	ends  *exchange.Pool // to the endpoints of this machine
+	done  chan struct{}
 
 	mu       sync.Mutex
+	line     *line.Line[*job]
+	free     *sync.Cond // on mu: a request came, or a sender is done
+	over     bool       // the duties end
 	path     *path.Path
 	gate     *gate.Gate
 	wit      *witness.Witness
@@ -67,7 +68,6 @@
 	lastCore moment.Moment
 	began    moment.Moment
 	hand     int
-	pace     time.Duration // smoothed time of a send
 
 	entered atomic.Bool
 	inUse   atomic.Bool // a manifest is in force
@@ -83,9 +83,10 @@
 	_, _ = fmt.Fprint(h, b.Node, ident.Mark())
 	now := clock()
 	s := &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, slow: moment.Watched(clock), pool: client.New(b.Addr), peers: exchange.New(b.Addr), ends: exchange.New(b.Addr),
-		done: make(chan struct{}), urgent: queue.Make[*job](b.Queue), normal: queue.Make[*job](b.Queue),
+		done: make(chan struct{}), line: line.New[*job](b.Senders, b.Queue),
 		path: path.New(now, b.District, h.Sum64()), gate: gate.New(), wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, sides: map[ident.Addr]bool{}, held: holder.New(),
 		began: now, lastCore: now, poke: make(chan ident.Addr, 1), push: make(chan struct{}, 1)}
+	s.free = sync.NewCond(&s.mu)
 	s.Board.Fresh = func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -101,14 +102,18 @@
 	go s.watchGate()
 	go s.follow()
 	go s.neighbours()
-	for i := range s.Boot.Senders {
-		go s.sender(i%4 == 0)
+	for range s.Boot.Senders {
+		go s.sender()
 	}
 }
 
 // Close ends the duties.
 func (s *Sidecar) Close() {
 	close(s.done)
+	s.mu.Lock()
+	s.over = true
+	s.mu.Unlock()
+	s.free.Broadcast()
 	s.pool.Close()
 }
 
@@ -158,7 +163,7 @@
 		s.Board.Set("further_tries."+string(svc), n[1])
 	}
 	s.Board.Set("in_hand", int64(s.hand))
-	s.Board.Set("queued", int64(s.urgent.Len()+s.normal.Len()))
+	s.Board.Set("queued", int64(s.line.Len()))
 }
 
 func (s *Sidecar) pause(d time.Duration) {
--- a/mesh/allowance/allowance.go
+++ b/mesh/allowance/allowance.go
@@ -3,6 +3,7 @@
 package allowance
 
 import (
+	"math"
 	"time"
 
 	"cottonarch.example/cottonarch/control/manifest/check"
@@ -15,22 +16,27 @@
 	Window = 10 * time.Second
 	slot   = 100 * time.Millisecond
 	slots  = int(Window/slot) + 4 // a few late: clocks run apart
-	// fresh is how many slots a call's part may be saved up.
+	// fresh is how many slots back calls may lie that one saved token rests on where
+	// there is no share.
 	fresh = 5
-	// keep is what is spent of the part, so that the saved-up slots, which may lie
-	// before a window, stay within the bound.
+	// keep is what is spent of the part: the rest is for what is counted a little late.
 	keep = 0.9
 	// Hold is how long a share may be spent after a majority of cores last took a
 	// renewal; it is far shorter than the time after which a share is taken back.
 	Hold       = 5 * time.Second
 	callersMax = 2000
+	// newcomer is what a purse begins with, since nothing was spent from it yet; room
+	// cuts it to what may be kept.
+	newcomer = 3
 )
 
-// purse is what may be spent at one place of the tree. Invariants: saved is never
-// more than the part of the calls of the last half second; so within any window at
-// most the part of the calls of that window and half a second before it is spent
-// from saved, and from the share at most its size. What was spent grows old only by time
-// that was watched, calls by any: a clock that jumps forward frees nothing.
+// purse is what may be spent at one place of the tree: from the share, half of it within
+// any window; and from what calls save up by their part, of which no more is kept than
+// the other half of the share. Invariant: so within any window no more is spent than the
+// part of the calls of that very window and one share, however the traffic rises and
+// falls. Where the share leaves less than one to keep, one is kept, and only while the
+// calls of the last half second are worth it. What was spent grows old only by time that
+// was watched, calls by any: a clock that jumps forward frees nothing.
 type purse struct {
 	calls [fresh]int
 	spent [slots]int // from the share
@@ -59,17 +65,24 @@
 	p.saved += part * keep
 }
 
+// halves splits a share into what any window may spend of it and what may be kept.
+func halves(share float64) (window, kept float64) {
+	window = math.Ceil(share / 2)
+	return window, max(0, share-window)
+}
+
 // room tells what may be spent: from what is saved, and from a share.
 func (p *purse) room(part float64, share float64) (saved, shared bool) {
 	near, gone := 0, 0
+	window, kept := halves(share)
 	for _, n := range p.calls {
 		near += n
 	}
 	for _, n := range p.spent {
 		gone += n
 	}
-	p.saved = min(p.saved, part*keep*float64(near))
-	return p.saved >= 1, float64(gone+1) <= share
+	p.saved = min(p.saved, max(kept, min(1, part*keep*float64(near))))
+	return p.saved >= 1, float64(gone+1) <= window
 }
 
 func (p *purse) spend(saved bool) {
@@ -143,7 +156,7 @@
 func (t *Tree) at(now moment.Moment, s ident.Service, who string) (*branch, *purse) {
 	b := t.all[s]
 	if b == nil {
-		b = &branch{callers: map[string]*purse{}}
+		b = &branch{purse: purse{saved: newcomer}, callers: map[string]*purse{}}
 		t.all[s] = b
 	}
 	seen := t.watch.Look(now)
@@ -162,7 +175,7 @@
 			p = b.callers[who]
 		}
 		if p == nil {
-			p = &purse{}
+			p = &purse{saved: newcomer}
 			b.callers[who] = p
 		}
 	}
--- /dev/null
+++ b/mesh/line/line_test.go
@@ -0,0 +1,73 @@
+package line
+
+import (
+	"testing"
+	"time"
+
+	"cottonarch.example/cottonarch/kernel/moment"
+	"github.com/shoenig/test/must"
+)
+
+const start = moment.Moment(time.Second)
+
+// Every order of eight offers, takes and ends: no queue and no sender is used over its
+// bound, an urgent request never waits while a sender is free, and requests of one kind
+// go in the order they came.
+func TestAllOrdersOfOffersAndEnds(t *testing.T) {
+	for n := range 1 << 16 { // two bits a step: normal, urgent, take, end
+		l := New[int](4, 2)
+		var out []bool
+		seen := map[bool]int{}
+		for step := range 8 {
+			switch n >> (2 * step) & 3 {
+			case 0:
+				l.Offer(start, step, false, start.Add(time.Second))
+			case 1:
+				l.Offer(start, step, true, start.Add(time.Second))
+			case 2:
+				before := len(l.urgent)
+				i, urgent, ok := l.Next()
+				must.True(t, ok || before == 0 || len(out) == 4, must.Sprintf("%x: an urgent one waits beside a free sender", n))
+				if ok {
+					must.True(t, urgent || before == 0, must.Sprintf("%x: an urgent one is passed over", n))
+					must.GreaterEq(t, seen[urgent], i)
+					seen[urgent] = i
+					out = append(out, urgent)
+				}
+			case 3:
+				if len(out) > 0 {
+					l.Done(out[0], time.Millisecond)
+					out = out[1:]
+				}
+			}
+			plain := 0
+			for _, u := range out {
+				if !u {
+					plain++
+				}
+			}
+			must.LessEq(t, 4, len(out))
+			must.LessEq(t, 3, plain)
+			must.LessEq(t, 2, len(l.normal))
+			must.LessEq(t, 2, len(l.urgent))
+		}
+	}
+}
+
+// What would be late before its turn is turned away when it comes; an urgent one is not,
+// for it has a line of its own.
+func TestLateIsTurnedAwayEarly(t *testing.T) {
+	l := New[int](4, 100)
+	for range 400 {
+		l.Offer(start, 0, false, start.Add(time.Hour))
+		_, urgent, ok := l.Next()
+		must.True(t, ok)
+		l.Done(urgent, time.Second)
+	}
+	for range 30 {
+		must.True(t, l.Offer(start, 0, false, start.Add(time.Hour)))
+	}
+	must.False(t, l.Offer(start, 0, false, start.Add(5*time.Second)))
+	must.True(t, l.Offer(start, 0, true, start.Add(5*time.Second)))
+	must.Eq(t, 1, l.TurnedAway)
+}
--- a/sim/check/check.go
+++ b/sim/check/check.go
@@ -31,7 +31,12 @@
 	Service      ident.Service
 	Unsafe       bool
 	Counted      bool
+	Urgent       bool
+	Beside       int // urgent calls in hand at its own sidecar when it was put in line, it too
+	Room         int // how many of them that sidecar has room for
 	Began, Ended moment.Moment
+	Last         moment.Moment // when its last try ended, or it came if there was none
+	Until        moment.Moment // when its time is over
 	Fate         Fate
 	Why          string
 	Whole        bool // some endpoint gave its whole return
@@ -59,13 +64,14 @@
 
 // Rules names every rule, in the order of the brief.
 var Rules = []string{"double-run", "false-not-run", "late-to-leaver", "wrong-service", "wrong-return", "manifest-late", "manifest-back",
-	"manifest-turned", "dropped-in-stop", "further-tries", "lock-shared", "number-repeated", "stale-read", "watch-forgotten", "slow-recovery", "not-mended", "audit", "disk", "invalid", "damaged"}
+	"manifest-turned", "dropped-in-stop", "further-tries", "lock-shared", "number-repeated", "stale-read", "watch-forgotten", "slow-recovery", "urgent-turned", "held-back", "not-mended", "audit", "disk", "invalid", "damaged"}
 
 // Bounds are the times of the brief.
 const (
 	leaverMax   = 2 * time.Second
 	ManifestMax = 2 * time.Second
 	recoverMax  = 15 * time.Second
+	heldMax     = time.Millisecond
 )
 
 // few says how often a rule must have been looked at to be judged, where ten times
@@ -218,6 +224,8 @@
 				c.Break(first[k.ID], "false-not-run", "%s was told not run (%s) and ran", k.ID, k.Why)
 			}
 		}
+		c.urgent(k)
+		c.held(k)
 		if k.Fate == Served {
 			c.Seen["wrong-return"]++
 			if count[k.ID] == 0 || !k.Whole {
@@ -229,6 +237,33 @@
 	c.recovery(from, until)
 }
 
+// urgent: no urgent call is turned away at its own sidecar for want of room; what others
+// fill is not its line.
+func (c *Check) urgent(k *Call) {
+	if !k.Urgent || k.Fate == NoNode || k.Fate == Open {
+		return
+	}
+	if k.Why == "busy" && k.Beside >= k.Room {
+		c.Excuse("urgent-turned", "urgent calls alone filling its line")
+		return
+	}
+	c.Look("urgent-turned")
+	if k.Why == "busy" {
+		c.Break(k.Ended, "urgent-turned", "%s was turned away as busy", k.ID)
+	}
+}
+
+// held: what is given up is said at once, not held back until the time is nearly over.
+func (c *Check) held(k *Call) {
+	if k.Fate != NotRun && k.Fate != Unknown || k.Last == 0 {
+		return
+	}
+	c.Look("held-back")
+	if late := k.Ended.Since(k.Last); late > heldMax {
+		c.Break(k.Ended, "held-back", "%s was told %s %v after it was given up", k.ID, k.Fate, late)
+	}
+}
+
 // further checks every window of ten seconds that ends at a further try.
 func (c *Check) further() {
 	calls := map[ident.Service][]moment.Moment{}
--- a/sim/plan/faults.go
+++ b/sim/plan/faults.go
@@ -48,6 +48,7 @@
 		"isolated-restart": (*Run).isolatedRestart,
 		"release-bad":      (*Run).releaseBad,
 		"crowd":            (*Run).crowd,
+		"overload":         (*Run).overload,
 		"herd":             (*Run).herd,
 		"burst":            (*Run).burst,
 	}
--- a/sim/plan/plan_test.go
+++ b/sim/plan/plan_test.go
@@ -53,6 +53,7 @@
 		"splits 7: a restarted sidecar fell back":            {"prairie", splits(7)},
 		"splits 8: a restarted sidecar fell back":            {"prairie", splits(8)},
 		"splits 52: a restarted sidecar fell back":           {"prairie", splits(52)},
+		"overload":                   {"prairie", day(1, 1, "overload", "crowd")},
 		"isolated 1":                 {"prairie", isolated(1)},
 		"isolated 2":                 {"volta", isolated(2)},
 		"no majority 1":              {"prairie", killed(1)},
@@ -110,6 +111,7 @@
 		"stop":      {"side-roll"},
 		"silence":   {"endpoint-hang"},
 		"clock":     {"clock-jump"},
+		"urgent":    {"overload"},
 	}
 	for b, rules := range world.Breaks {
 		t.Run(string(b), func(t *testing.T) {
--- a/sim/plan/shapes.go
+++ b/sim/plan/shapes.go
@@ -101,3 +101,22 @@
 	r.large = false
 	return time.Second
 }
+
+// overload is a crowd at a service that has become slow: more comes than can be sent.
+func (r *Run) overload() time.Duration {
+	d := r.span(2*time.Second, 5*time.Second)
+	svc := r.d.Kinds[0].Service
+	r.Say("a crowd of five times the rate for %v, and every endpoint of %s is slow", d, svc)
+	r.load *= 5
+	for _, s := range r.Sides {
+		for _, e := range s.Ends {
+			if e.Service == svc {
+				old := e.Mood.Work
+				e.Mood.Work = 2500 * time.Millisecond
+				r.After(d, func() { e.Mood.Work = old })
+			}
+		}
+	}
+	r.After(d, func() { r.load /= 5 })
+	return d + time.Second
+}
