--- a/fleet/run/run.go
+++ b/fleet/run/run.go
@@ -73,10 +73,15 @@
 
 func (f *Fleet) count(name string) { f.mu.Lock(); f.Counts[name]++; f.mu.Unlock() }
 
+// empty is a fleet without any process.
+func empty(b Boot) *Fleet {
+	return &Fleet{Boot: b, net: relay.New(), Check: check.New(), book: &caller.Book{}, ledger: &endpoint.Ledger{}, began: time.Now(),
+		rng: rand.New(rand.NewPCG(b.Seed, 5)), left: map[ident.Server]time.Time{}, lost: map[ident.Server][]*outage{}, outs: map[string][]*outage{}, Counts: map[string]int{}}
+}
+
 // Up brings everything up.
 func Up(b Boot) (*Fleet, error) {
-	f := &Fleet{Boot: b, net: relay.New(), Check: check.New(), book: &caller.Book{}, ledger: &endpoint.Ledger{}, began: time.Now(),
-		rng: rand.New(rand.NewPCG(b.Seed, 5)), left: map[ident.Server]time.Time{}, lost: map[ident.Server][]*outage{}, outs: map[string][]*outage{}, Counts: map[string]int{}}
+	f := empty(b)
 	var seeds, founders []string
 	for i := range b.Deployment.Cores {
 		m, err := f.machine("core", i)
--- a/fleet/run/run_test.go
+++ b/fleet/run/run_test.go
@@ -43,6 +43,29 @@
 	must.Positive(t, f.Counts["new disks that vote"])
 }
 
+// Real processes again, with the faults that need more of the mesh than one machine: an
+// isolated core with a restart beside it, a split core, a burst, a hung endpoint, an
+// emptied service. Excuses are few and have a cause.
+func TestRealProcessesCutAndEmptied(t *testing.T) {
+	if testing.Short() {
+		t.Skip("real processes")
+	}
+	d := plan.Deployments["volta"]
+	d.Cores, d.Sides, d.Rate, d.Coord = 3, 4, 80, 30
+	f, err := Up(Boot{Bin: build(t), Dir: t.TempDir(), Deployment: d, For: 42 * time.Second, Every: 300 * time.Millisecond, Seed: 4, Scale: 1, Say: t.Logf,
+		Faults: []string{"core-isolated", "endpoint-hang", "core-split", "burst", "service-empty", "manifest-large"}})
+	if f != nil {
+		defer f.Down()
+	}
+	must.NoError(t, err)
+	f.Drive()
+	must.SliceEmpty(t, f.Check.Breaches, must.Sprint(f.Text()))
+	must.Greater(t, 1000, f.Counts["calls served"])
+	must.Greater(t, 50, f.Check.Seen["manifest-late"])
+	must.Positive(t, f.Check.Seen["late-to-leaver"])
+	must.MapNotEmpty(t, f.Check.Waited["manifest-late"])
+}
+
 // A bad boot ends the program with 2 and every fault named; a what-if that breaks a
 // rule ends with 1.
 func TestExitCodes(t *testing.T) {
--- a/fleet/run/watch.go
+++ b/fleet/run/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -139,16 +140,85 @@
 	return false
 }
 
-// sample looks at every sidecar twice a second: the epoch in force must not fall
-// back, and further tries are summed over all nodes.
-func (f *Fleet) sample(ctx context.Context) {
-	type sums struct{ calls, tries float64 }
-	var hist []struct {
-		at  time.Time
-		sum map[string]sums
+// sums are a service's calls and further tries over all nodes.
+type sums struct{ calls, tries float64 }
+
+// tally sums what the sidecars count, over all their runs.
+type tally struct {
+	f     *Fleet
+	last  map[string]ident.Epoch
+	seen  map[string]map[string]int64
+	total map[string]sums
+	hist  []past
+}
+
+type past struct {
+	at  time.Time
+	sum map[string]sums
+}
+
+func (f *Fleet) tally() *tally {
+	return &tally{f: f, last: map[string]ident.Epoch{}, seen: map[string]map[string]int64{}, total: map[string]sums{}}
+}
+
+// take takes one sidecar's counters: the epoch in force must not fall back.
+func (y *tally) take(name string, c map[string]int64) {
+	f := y.f
+	if e := ident.Epoch(c["manifest_epoch"]); e > 0 {
+		f.mu.Lock()
+		f.Check.Look("manifest-back")
+		if e < y.last[name] {
+			f.Check.Break(f.now(), "manifest-back", "%s shows epoch %d after %d", name, e, y.last[name])
+		}
+		f.mu.Unlock()
+		y.last[name] = max(y.last[name], e)
+	}
+	for count, n := range c {
+		kind, svc, ok := strings.Cut(count, ".")
+		if !ok || kind != "calls" && kind != "further_tries" {
+			continue
+		}
+		old := y.seen[name][count]
+		if n < old {
+			old = 0 // a new run of the sidecar
+		}
+		x := y.total[svc]
+		if kind == "calls" {
+			x.calls += float64(n - old)
+		} else {
+			x.tries += float64(n - old)
+		}
+		y.total[svc] = x
+	}
+	y.seen[name] = c
+}
+
+// judge looks at the window that ends now.
+func (y *tally) judge(at time.Time) {
+	f := y.f
+	now := past{at, maps.Clone(y.total)}
+	y.hist = append(y.hist, now)
+	for i := len(y.hist) - 1; i >= 0; i-- {
+		if now.at.Sub(y.hist[i].at) < 10*time.Second {
+			continue
+		}
+		for svc, x := range now.sum {
+			old := y.hist[i].sum[svc]
+			f.mu.Lock()
+			f.Check.Look("further-tries")
+			// The window seen is up to a second longer than ten.
+			if tries, calls := x.tries-old.tries, x.calls-old.calls; tries > 0.2*calls+60+6 {
+				f.Check.Break(f.now(), "further-tries", "%.0f further tries at %s beside %.0f calls", tries, svc, calls)
+			}
+			f.mu.Unlock()
+		}
+		break
 	}
-	last := map[string]ident.Epoch{}
-	seen, total := map[string]map[string]int64{}, map[string]sums{}
+}
+
+// sample looks at every sidecar twice a second.
+func (f *Fleet) sample(ctx context.Context) {
+	y := f.tally()
 	t := time.NewTicker(500 * time.Millisecond)
 	defer t.Stop()
 	for {
@@ -159,60 +229,10 @@
 		}
 		for _, s := range f.Sides {
 			var c map[string]int64
-			if _, err := s.Ask(300*time.Millisecond, "GET", "/counters", nil, &c); err != nil {
-				continue
-			}
-			if e := ident.Epoch(c["manifest_epoch"]); e > 0 {
-				f.mu.Lock()
-				f.Check.Seen["manifest-back"]++
-				if e < last[s.Name] {
-					f.Check.Break(f.now(), "manifest-back", "%s shows epoch %d after %d", s.Name, e, last[s.Name])
-				}
-				f.mu.Unlock()
-				last[s.Name] = max(last[s.Name], e)
-			}
-			for name, n := range c {
-				kind, svc, ok := strings.Cut(name, ".")
-				if !ok || kind != "calls" && kind != "further_tries" {
-					continue
-				}
-				old := seen[s.Name][name]
-				if n < old {
-					old = 0 // a new run of the sidecar
-				}
-				x := total[svc]
-				if kind == "calls" {
-					x.calls += float64(n - old)
-				} else {
-					x.tries += float64(n - old)
-				}
-				total[svc] = x
-			}
-			seen[s.Name] = c
-		}
-		now := struct {
-			at  time.Time
-			sum map[string]sums
-		}{time.Now(), map[string]sums{}}
-		for k, v := range total {
-			now.sum[k] = v
-		}
-		hist = append(hist, now)
-		for i := len(hist) - 1; i >= 0; i-- {
-			if now.at.Sub(hist[i].at) < 10*time.Second {
-				continue
-			}
-			for svc, x := range now.sum {
-				old := hist[i].sum[svc]
-				f.mu.Lock()
-				f.Check.Seen["further-tries"]++
-				// The window seen is up to a second longer than ten.
-				if tries, calls := x.tries-old.tries, x.calls-old.calls; tries > 0.2*calls+60+6 {
-					f.Check.Break(f.now(), "further-tries", "%.0f further tries at %s beside %.0f calls", tries, svc, calls)
-				}
-				f.mu.Unlock()
+			if _, err := s.Ask(300*time.Millisecond, "GET", "/counters", nil, &c); err == nil {
+				y.take(s.Name, c)
 			}
-			break
 		}
+		y.judge(time.Now())
 	}
 }
