--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -17,6 +17,7 @@
 
 var app struct {
 	Bin        string        `default:"bin/cottonarch" help:"The cottonarch program."`
+	Old        string        `help:"An older release of it that every process starts as; the fault release rolls the new one."`
 	Deployment string        `default:"prairie" help:"prairie or volta."`
 	For        time.Duration `default:"120s" help:"How long the traffic runs."`
 	Faults     []string      `help:"Faults to bring about in turn; all for every one; none if not given."`
@@ -52,6 +53,9 @@
 	if _, err := os.Stat(app.Bin); err != nil {
 		add("bin", "%v", err)
 	}
+	if _, err := os.Stat(app.Old); app.Old != "" && err != nil {
+		add("old", "%v", err)
+	}
 	if len(d.All) > 0 {
 		return d
 	}
@@ -76,7 +80,7 @@
 	}
 	dir, err := os.MkdirTemp("", "fleet")
 	k.FatalIfErrorf(err)
-	f, err := run.Up(run.Boot{Bin: app.Bin, Dir: dir, Deployment: plan.Deployments[app.Deployment], For: app.For, Faults: faults, Every: app.Every, Seed: app.Seed, Scale: app.Scale,
+	f, err := run.Up(run.Boot{Bin: app.Bin, Old: app.Old, Dir: dir, Deployment: plan.Deployments[app.Deployment], For: app.For, Faults: faults, Every: app.Every, Seed: app.Seed, Scale: app.Scale,
 		Say: func(form string, args ...any) { fmt.Printf(form+"\n", args...) }})
 	if f != nil {
 		defer f.Down()
--- a/fleet/machine/machine.go
+++ b/fleet/machine/machine.go
@@ -45,6 +45,9 @@
 	return &Machine{Name: name, Role: role, IP: ip, bin: bin, boot: filepath.Join(dir, name+".json"), log: filepath.Join(dir, name+".log"), Data: filepath.Join(dir, name+".data")}
 }
 
+// Release makes the next start that of another program.
+func (m *Machine) Release(bin string) { m.mu.Lock(); defer m.mu.Unlock(); m.bin = bin }
+
 // Write writes the boot file.
 func (m *Machine) Write(tree map[string]any) error {
 	raw, err := json.MarshalIndent(tree, "", "  ")
--- a/fleet/run/faults.go
+++ b/fleet/run/faults.go
@@ -27,6 +27,7 @@
 	"endpoint-gone":    (*Fleet).endpointGone,
 	"endpoint-hang":    (*Fleet).endpointHang,
 	"core-freeze":      (*Fleet).coreFreeze,
+	"release":          (*Fleet).release,
 	"core-cut":         (*Fleet).coreCut,
 	"core-stop":        (*Fleet).coreStop,
 	"side-kill":        (*Fleet).sideKill,
@@ -115,6 +116,7 @@
 	f.back(m)
 	if empty {
 		f.votes(m, 20*time.Second)
+		f.count("new disks that vote")
 	}
 }
 
@@ -143,12 +145,13 @@
 		return
 	}
 	f.votes(m, 25*time.Second)
+	f.count("new disks that vote")
 	f.serve.mu.Lock()
 	f.Cores[i] = m
 	f.serve.mu.Unlock()
 }
 
-// votes waits until a core's new disk votes.
+// votes waits until a core's disk votes.
 func (f *Fleet) votes(m *machine.Machine, limit time.Duration) {
 	t := time.NewTicker(100 * time.Millisecond)
 	defer t.Stop()
@@ -157,7 +160,6 @@
 			Votes bool `json:"votes"`
 		}
 		if _, err := m.Ask(500*time.Millisecond, "GET", "/status", nil, &got); err == nil && got.Votes {
-			f.count("new disks that vote")
 			return
 		}
 	}
@@ -189,8 +191,9 @@
 	f.cutOff(m, false)
 }
 
-func (f *Fleet) coreStop(context.Context) {
-	m := f.pick(f.Cores)
+func (f *Fleet) coreStop(context.Context) { f.stopCore(f.pick(f.cores())) }
+
+func (f *Fleet) stopCore(m *machine.Machine) {
 	if !m.Stop(20 * time.Second) {
 		f.mu.Lock()
 		f.Check.Break(f.now(), "dropped-in-stop", "%s did not stop in 20s", m.Name)
@@ -200,6 +203,21 @@
 	f.back(m)
 }
 
+// release rolls every process to the new release, cores first, one by one; until it is
+// over the fleet is of both.
+func (f *Fleet) release(ctx context.Context) {
+	for _, m := range f.cores() {
+		m.Release(f.Bin)
+		f.stopCore(m)
+		f.votes(m, 20*time.Second)
+	}
+	for _, m := range f.Sides {
+		m.Release(f.Bin)
+		f.stopSide(m)
+		f.pause(ctx, 200*time.Millisecond)
+	}
+}
+
 func (f *Fleet) sideKill(ctx context.Context) {
 	m := f.pick(f.Sides)
 	up := f.out(m.Name, killed)
@@ -247,8 +265,9 @@
 // well. Its callers stop coming once it says that it is not ready, as the platform
 // would see to; here they go on, so those that find no one there are excused, and
 // those that were taken are not.
-func (f *Fleet) sideStop(context.Context) {
-	m := f.pick(f.Sides)
+func (f *Fleet) sideStop(context.Context) { f.stopSide(f.pick(f.Sides)) }
+
+func (f *Fleet) stopSide(m *machine.Machine) {
 	up := f.out(m.Name, stopped)
 	if !m.Stop(25 * time.Second) {
 		f.mu.Lock()
--- a/fleet/run/run.go
+++ b/fleet/run/run.go
@@ -26,6 +26,7 @@
 // Boot describes a run.
 type Boot struct {
 	Bin        string
+	Old        string // the release that every process starts as, Bin if empty
 	Dir        string
 	Deployment plan.Deployment
 	For        time.Duration
@@ -150,7 +151,11 @@
 // machine prepares a machine with an IP of its own behind a relay.
 func (f *Fleet) machine(role string, i int) (*machine.Machine, error) {
 	net := map[string]int{"core": 21, "sidecar": 22}[role]
-	m := machine.New(f.Bin, f.Dir, fmt.Sprintf("%s%d", role, i+1), role, fmt.Sprintf("127.0.%d.%d", net, i+1))
+	bin := f.Bin
+	if f.Old != "" {
+		bin = f.Old
+	}
+	m := machine.New(bin, f.Dir, fmt.Sprintf("%s%d", role, i+1), role, fmt.Sprintf("127.0.%d.%d", net, i+1))
 	var err error
 	for _, p := range []*string{&m.Addr, &m.Inner, &m.Caller} {
 		if *p, err = machine.Free(m.IP); err != nil {
