Large files apart by duty; odd returns, long requests and core stops judged

Change: the files are split by duty, text unmoved within. A core that stops goes on until whoever waits at it has a return; dropped-in-stop looks at it.

--- a/control/audit/tree/tree_test.go
+++ b/control/audit/tree/tree_test.go
@@ -4,9 +4,10 @@
 	"fmt"
 	"testing"
 
+	"github.com/shoenig/test/must"
+
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"github.com/shoenig/test/must"
 )
 
 func leaves(n int) []offer.Line {
--- a/control/coordination/key/key_test.go
+++ b/control/coordination/key/key_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
+
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/key"
 	"cottonarch.example/cottonarch/control/coordination/watch"
@@ -13,7 +15,6 @@
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
-	"github.com/shoenig/test/must"
 )
 
 type cell struct {
--- a/control/coordination/lock/batch_test.go
+++ b/control/coordination/lock/batch_test.go
@@ -6,13 +6,14 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
+
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/register/cell"
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/control/register/replica"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
-	"github.com/shoenig/test/must"
 )
 
 // one is an owner with one disk; what it asks is answered when flush is called, so that
--- a/control/coordination/lock/lock_test.go
+++ b/control/coordination/lock/lock_test.go
@@ -5,11 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
+
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/moment"
-	"github.com/shoenig/test/must"
 )
 
 // tenure is one owner's hold on the lock's key.
--- /dev/null
+++ b/control/core/node/duties.go
@@ -0,0 +1,197 @@
+package node
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"cottonarch.example/cottonarch/control/audit/chunk"
+	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/lock"
+	"cottonarch.example/cottonarch/control/coordination/share"
+	"cottonarch.example/cottonarch/control/manifest/offer"
+	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/survey"
+	rollout "cottonarch.example/cottonarch/control/rollout/state"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+)
+
+// dutyKey is the claim on the sweeping duty. Its holder names a successor when it
+// leaves; when it cannot, the claim ends and a majority gives it to another.
+const dutyKey ident.Key = "lock/cottonarch.duty.sweep"
+
+// rollEvery is how often the duty's holder looks at the roll-outs.
+const rollEvery = 500 * time.Millisecond
+
+// shareKey holds the shares of the further tries.
+const shareKey ident.Key = "share"
+
+// internal runs a deed of the core's own.
+func (n *Node) internal(now moment.Moment, d owner.Deed, fx *Effects, done func(moment.Moment, End, *Effects)) {
+	n.begindeed(now, &pending{deed: d, until: now.Add(2 * time.Second), done: done}, fx)
+}
+
+// duties claims the sweeping duty and does it while it is held.
+func (n *Node) duties(now moment.Moment, fx *Effects) {
+	if !n.Votes() || n.leaving || !n.Majority(now) {
+		n.holds = false
+		return
+	}
+	if now.Since(n.dutied) >= dutyEvery {
+		n.dutied = now
+		d := owner.Deed{Key: dutyKey, Kind: "lock/claim", Args: book.JSON(lock.Args{Holder: string(n.Disk), TTL: dutyTTL})}
+		if n.holds { // costs no disk
+			d.Kind, d.Args = "lock/renew", book.JSON(lock.Args{Holder: string(n.Disk), Fence: n.fence})
+		}
+		n.internal(now, d, fx, func(_ moment.Moment, e End, _ *Effects) {
+			var g lock.Grant
+			n.holds = e.Defect == nil && book.Read(nil, e.Body, nil, &g) == nil && g.Holder == string(n.Disk)
+			n.fence = g.Fence
+		})
+	}
+	if n.holds && now.Since(n.rolled) >= rollEvery {
+		n.rolled = now
+		n.survey(now, &reading{until: now.Add(time.Second), done: n.roll}, rollout.Prefix, true, "", fx)
+	}
+	if n.holds && n.Epoch > n.audited && now.Since(n.auditAt) >= time.Second {
+		n.auditAt = now
+		n.survey(now, &reading{until: now.Add(time.Second), done: n.audit}, chunk.Prefix, true, "", fx)
+	}
+	if n.holds && now.Since(n.swept) >= sweepEvery {
+		n.swept = now
+		n.Sweeps++
+		n.survey(now, &reading{until: now.Add(time.Second), all: true, done: n.sweep}, "", false, "", fx)
+		n.reclaim(now, fx)
+	}
+}
+
+// roll carries every roll-out one deed further.
+func (n *Node) roll(now moment.Moment, s *survey.Survey, fx *Effects) {
+	if s == nil {
+		return
+	}
+	all := s.Found()
+	for _, k := range sorted(all) {
+		var r rollout.Rollout
+		if st := book.State(all[k].Cell.Value); !all[k].Agreed || len(st) == 0 || json.Unmarshal(st, &r) != nil {
+			continue
+		}
+		if d, due := n.rolls.Plan(now, r, n.Ledger.InForce(), n.Ledger.Ends); due {
+			n.internal(now, d, fx, func(moment.Moment, End, *Effects) {})
+		}
+	}
+}
+
+// audit adds to the audit log what the newest manifests brought.
+func (n *Node) audit(now moment.Moment, s *survey.Survey, fx *Effects) {
+	if s == nil {
+		return
+	}
+	leaves, ok := Leaves(s.Found())
+	if !ok {
+		return // an append is under way, or was left on a minority: look again
+	}
+	last := ident.Epoch(0)
+	if len(leaves) > 0 {
+		last = leaves[len(leaves)-1].Epoch
+	}
+	n.audited = last
+	n.internal(now, owner.Deed{Key: offer.Key, Kind: "manifest/lines"}, fx, func(now moment.Moment, e End, fx *Effects) {
+		var lines []offer.Line
+		if e.Defect != nil || json.Unmarshal(e.Body, &lines) != nil {
+			return
+		}
+		n.append(now, len(leaves), last, lines, fx)
+	})
+}
+
+// append adds the lines after an epoch, one after the other.
+func (n *Node) append(now moment.Moment, at int, last ident.Epoch, lines []offer.Line, fx *Effects) {
+	for len(lines) > 0 && lines[0].Epoch <= last {
+		lines = lines[1:]
+	}
+	if len(lines) == 0 {
+		return
+	}
+	args := book.JSON(chunk.Append{Index: at, Leaf: lines[0]})
+	n.internal(now, owner.Deed{Key: chunk.Key(at), Kind: "audit/append", Args: args}, fx, func(now moment.Moment, e End, fx *Effects) {
+		if e.Defect != nil {
+			return
+		}
+		n.audited = lines[0].Epoch
+		n.append(now, at+1, n.audited, lines[1:], fx)
+	})
+}
+
+// Leaves puts the audit log together; it is not ok unless a majority agrees on all of
+// it.
+func Leaves(all map[ident.Key]survey.Found) (leaves []offer.Line, ok bool) {
+	for _, k := range sorted(all) {
+		var c chunk.Chunk
+		if st := book.State(all[k].Cell.Value); len(st) > 0 && json.Unmarshal(st, &c) != nil {
+			return nil, false
+		}
+		if !all[k].Agreed {
+			return nil, false
+		}
+		leaves = append(leaves, c.Leaves...)
+	}
+	return leaves, true
+}
+
+// sweep reads every key whose copies differ; the read mends them.
+func (n *Node) sweep(now moment.Moment, s *survey.Survey, fx *Effects) {
+	if s == nil {
+		return
+	}
+	all := s.Found()
+	for _, k := range sorted(all) {
+		if len(s.Lagging(all[k])) == 0 {
+			continue
+		}
+		n.Mended++
+		n.internal(now, owner.Deed{Key: k, Kind: owner.Mend}, fx, func(moment.Moment, End, *Effects) {})
+	}
+}
+
+// reclaim takes back the shares of nodes that a majority has long not heard.
+func (n *Node) reclaim(now moment.Moment, fx *Effects) {
+	n.internal(now, owner.Deed{Key: shareKey, Kind: "share/read"}, fx, func(now moment.Moment, e End, fx *Effects) {
+		var s share.Shares
+		if e.Defect != nil || book.Read(nil, e.Body, nil, &s) != nil {
+			return
+		}
+		for _, node := range slices.Sorted(maps.Keys(s.Nodes)) {
+			g := s.Nodes[node]
+			if !n.quietEverywhere(now, node) {
+				continue
+			}
+			args := book.JSON(share.Args{Node: node, Claim: g.Claim})
+			n.internal(now, owner.Deed{Key: shareKey, Kind: "share/free", Args: args}, fx, func(moment.Moment, End, *Effects) {})
+		}
+	})
+}
+
+// quietEverywhere tells whether a majority of voters, each up for longer, has not
+// heard the node for ledger.Quiet.
+func (n *Node) quietEverywhere(now moment.Moment, node ident.Node) bool {
+	const quietMs = 30_000
+	got := 0
+	for _, v := range n.acc.Now.Voters {
+		if v.Disk == n.Disk {
+			if now.Since(n.began).Milliseconds() > quietMs && !slices.Contains(n.Ledger.Heard(now), node) {
+				got++
+			}
+			continue
+		}
+		for _, a := range n.peerAddrs() {
+			p := n.peers[a]
+			if p.hello.Disk == v.Disk && now.Since(p.heard) <= alive && p.hello.UpMs > quietMs && !slices.Contains(p.hello.Heard, node) {
+				got++
+			}
+		}
+	}
+	return got >= n.acc.Now.Majority()
+}
--- a/control/core/node/node_test.go
+++ b/control/core/node/node_test.go
@@ -4,12 +4,13 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
+
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
-	"github.com/shoenig/test/must"
 )
 
 // trio is three nodes without disks that are always up, but for those in dead.
--- /dev/null
+++ b/control/core/node/peers.go
@@ -0,0 +1,178 @@
+package node
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"cottonarch.example/cottonarch/control/core/message"
+	"cottonarch.example/cottonarch/control/manifest/offer"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+)
+
+// peer is another core as last heard. Invariant: down is only a hint that it takes no
+// connection; it moves keys and forwards, never a slot of the roster.
+type peer struct {
+	hello message.Hello
+	heard moment.Moment
+	down  bool
+}
+
+func (p *peer) live(now moment.Moment) bool { return !p.down && now.Since(p.heard) <= alive }
+
+// Cores lists the addresses of the cores known.
+func (n *Node) Cores() []ident.Addr {
+	out := []ident.Addr{n.boot.Addr}
+	add := func(a ident.Addr) {
+		if a != "" && !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	for _, v := range n.acc.Now.Voters {
+		add(v.Addr)
+	}
+	for _, a := range n.boot.Seeds {
+		add(a)
+	}
+	for _, a := range n.boot.Founders {
+		add(a)
+	}
+	for _, a := range slices.Sorted(maps.Keys(n.known)) {
+		add(a)
+	}
+	for _, a := range n.peerAddrs() {
+		add(a)
+	}
+	return out
+}
+
+// Know takes addresses of cores that others told of; they are forgotten when nobody
+// tells of them any more.
+func (n *Node) Know(now moment.Moment, cores []ident.Addr) {
+	for _, a := range cores {
+		if len(n.known) < 64 {
+			n.known[a] = now
+		}
+	}
+}
+
+// Fresh lists the cores that this one stands for: itself, the voters, and whom it
+// hears.
+func (n *Node) Fresh(now moment.Moment) []ident.Addr {
+	out := []ident.Addr{n.boot.Addr}
+	for _, v := range n.acc.Now.Voters {
+		if !slices.Contains(out, v.Addr) {
+			out = append(out, v.Addr)
+		}
+	}
+	for _, a := range n.peerAddrs() {
+		if now.Since(n.peers[a].heard) <= 5*time.Second && !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// live lists the disks of counted voters that are heard and stay, this one included.
+func (n *Node) live(now moment.Moment) (disks []ident.Disk, at map[ident.Disk]ident.Addr) {
+	at = map[ident.Disk]ident.Addr{}
+	for _, v := range n.acc.Now.Voters {
+		if !v.Counted {
+			continue
+		}
+		if v.Disk == n.Disk {
+			if !n.leaving && !n.broken {
+				disks, at[v.Disk] = append(disks, v.Disk), n.boot.Addr
+			}
+			continue
+		}
+		for _, addr := range n.peerAddrs() {
+			p := n.peers[addr]
+			if p.hello.Disk == v.Disk && !p.hello.Leaving && !p.hello.Broken && p.live(now) {
+				disks, at[v.Disk] = append(disks, v.Disk), addr
+			}
+		}
+	}
+	return
+}
+
+func (n *Node) peerAddrs() []ident.Addr {
+	out := make([]ident.Addr, 0, len(n.peers))
+	for a := range n.peers {
+		out = append(out, a)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// heard lists the disks heard within span, this one included.
+func (n *Node) heard(now moment.Moment, span time.Duration) []ident.Disk {
+	out := []ident.Disk{n.Disk}
+	for _, a := range n.peerAddrs() {
+		if p := n.peers[a]; now.Since(p.heard) <= span {
+			out = append(out, p.hello.Disk)
+		}
+	}
+	return out
+}
+
+// Majority tells whether enough voters are heard to serve.
+func (n *Node) Majority(now moment.Moment) bool {
+	got := 0
+	near := []ident.Disk{n.Disk}
+	for _, p := range n.peers {
+		if p.live(now) {
+			near = append(near, p.hello.Disk)
+		}
+	}
+	for _, v := range n.acc.Now.Voters {
+		if v.Counted && slices.Contains(near, v.Disk) && (v.Disk != n.Disk || !n.broken) {
+			got++
+		}
+	}
+	return n.acc.Now.Epoch > 0 && got >= n.acc.Now.Majority()
+}
+
+func (n *Node) onHello(now moment.Moment, m message.Message, fx *Effects) bool {
+	if m.Hello == nil {
+		return false
+	}
+	p := n.peers[m.From]
+	if p == nil {
+		p = &peer{}
+		n.peers[m.From] = p
+	}
+	if p.hello.Mark != m.Hello.Mark {
+		n.gone(now, m.From, p.hello.Mark)
+	}
+	// One disk is at one address: an older address of the same disk is stale.
+	for _, a := range n.peerAddrs() {
+		if a != m.From && n.peers[a].hello.Disk == m.Hello.Disk {
+			delete(n.peers, a)
+		}
+	}
+	p.hello, p.heard, p.down = *m.Hello, now, false
+	n.Know(now, m.Hello.Cores)
+	if m.Hello.Roster != nil {
+		n.adopt(now, *m.Hello.Roster, fx)
+	}
+	if m.Hello.Manifest > n.Epoch {
+		n.learn(message.Learned{Key: offer.Key, Revision: ident.Revision(m.Hello.Manifest)}, fx)
+	}
+	return true
+}
+
+// Down takes a hint that the process at an address is gone: it takes no connection.
+// A hint only: its keys are taken by others, which is safe if it lives after all; the
+// next hello brings it back.
+func (n *Node) Down(now moment.Moment, addr ident.Addr) (fx Effects) {
+	p := n.peers[addr]
+	if p == nil || p.down {
+		return fx
+	}
+	p.down = true
+	n.gone(now, addr, p.hello.Mark)
+	n.pendings(now, &fx)
+	return fx
+}
--- /dev/null
+++ b/control/core/node/place.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"cottonarch.example/cottonarch/control/core/message"
+	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/control/register/survey"
+	"cottonarch.example/cottonarch/control/roster/maker"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+)
+
+// place works towards this disk being a counted voter.
+func (n *Node) place(now moment.Moment, fx *Effects) {
+	r := n.acc.Now
+	if r.Epoch == 0 {
+		if !slices.Contains(n.boot.Founders, n.boot.Addr) {
+			return
+		}
+		empty := map[ident.Addr]ident.Disk{}
+		for _, a := range n.peerAddrs() {
+			if p := n.peers[a]; p.hello.Roster == nil && now.Since(p.heard) <= alive {
+				empty[a] = p.hello.Disk
+			}
+		}
+		for _, s := range n.form.Tick(now, empty) {
+			ask := s.Ask
+			fx.Sends = append(fx.Sends, Send{s.To, message.Message{RosterAsk: &ask}})
+		}
+		return
+	}
+	me, in := r.Find(n.Disk)
+	switch {
+	case in && me.Counted && me.Addr != n.boot.Addr:
+		n.rosterSends(n.make.Begin(now, r, maker.Move(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr})), fx)
+	case in && me.Counted, n.leaving:
+	case in && n.copied == r.Epoch:
+		n.rosterSends(n.make.Begin(now, r, maker.Count(n.Disk)), fx)
+	case in && !n.copying:
+		n.copying = true
+		n.survey(now, &reading{until: now.Add(time.Minute), done: n.copiedAll(r.Epoch)}, "", true, n.Disk, fx)
+	case !in && now.Since(n.began) > deadAfter:
+		grow := now.Since(n.began) > growAfter
+		n.rosterSends(n.make.Begin(now, r, maker.Take(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr}, n.boot.Voters, grow)), fx)
+	}
+}
+
+// copiedAll takes every key that a majority of the counted voters held at the epoch.
+func (n *Node) copiedAll(at ident.Epoch) func(moment.Moment, *survey.Survey, *Effects) {
+	return func(_ moment.Moment, s *survey.Survey, fx *Effects) {
+		n.copying = false
+		if s == nil || n.acc.Now.Epoch != at {
+			return
+		}
+		all := s.Found()
+		for _, k := range sorted(all) {
+			fx.Records = append(fx.Records, n.rep.Learn(cell.Row{Key: k, Cell: all[k].Cell})...)
+		}
+		n.copied = at
+	}
+}
+
+func sorted(all map[ident.Key]survey.Found) []ident.Key {
+	out := make([]ident.Key, 0, len(all))
+	for k := range all {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/control/core/node/reading.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"time"
+
+	"cottonarch.example/cottonarch/control/core/message"
+	"cottonarch.example/cottonarch/control/register/survey"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+)
+
+type reading struct {
+	ticket uint64
+	all    bool
+	*survey.Survey
+	until moment.Moment
+	done  func(moment.Moment, *survey.Survey, *Effects)
+}
+
+// Survey reads all cells below a prefix from a majority.
+func (n *Node) Survey(now moment.Moment, ticket uint64, prefix string, values bool, budget time.Duration) (fx Effects) {
+	n.survey(now, &reading{ticket: ticket, until: now.Add(budget)}, prefix, values, "", &fx)
+	return fx
+}
+
+func (n *Node) survey(now moment.Moment, r *reading, prefix string, values bool, skip ident.Disk, fx *Effects) {
+	turn := n.next()
+	r.Survey = survey.Begin(turn, n.acc.Now, prefix, values, skip)
+	r.Survey.All = r.all
+	n.reads[turn] = r
+	n.scan(r.Tick(now), fx)
+}
+
+func (n *Node) scan(sends []survey.Send, fx *Effects) {
+	for _, s := range sends {
+		scan := s.Scan
+		n.send(s.To, message.Message{Scan: &scan}, fx)
+	}
+}
+
+func (n *Node) onScan(_ moment.Moment, m message.Message, fx *Effects) bool {
+	if m.Scan == nil {
+		return false
+	}
+	if n.broken || !n.acc.Now.Counts(n.Disk) {
+		return true
+	}
+	if r, ok := n.rep.Scan(n.acc.Now.Epoch, *m.Scan); ok {
+		fx.Sends = append(fx.Sends, Send{m.From, message.Message{ScanReturn: &r}})
+	}
+	return true
+}
+
+func (n *Node) onScanReturn(now moment.Moment, m message.Message, fx *Effects) bool {
+	if m.ScanReturn == nil {
+		return false
+	}
+	rd := n.reads[m.ScanReturn.Turn]
+	if rd == nil {
+		return true
+	}
+	sends, done := rd.Step(now, *m.ScanReturn)
+	n.scan(sends, fx)
+	if !done {
+		return true
+	}
+	delete(n.reads, rd.Turn)
+	if rd.done != nil {
+		rd.done(now, rd.Survey, fx)
+		return true
+	}
+	fx.Ends = append(fx.Ends, End{Ticket: rd.ticket, Found: rd.Found()})
+	return true
+}
--- a/control/manifest/offer/offer_test.go
+++ b/control/manifest/offer/offer_test.go
@@ -6,12 +6,13 @@
 	"strings"
 	"testing"
 
+	"github.com/shoenig/test/must"
+
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"github.com/shoenig/test/must"
 )
 
 const good = `{"services":{"a.x":{"namespace":"n"}},"ways":{"w":{"host":"h.x","service":"a.x"}}}`
--- a/control/register/owner/owner_test.go
+++ b/control/register/owner/owner_test.go
@@ -6,12 +6,13 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
+
 	"cottonarch.example/cottonarch/control/register/cell"
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/control/register/replica"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
-	"github.com/shoenig/test/must"
 )
 
 // put is a machine that writes its args as the value; "read" changes nothing.
--- a/control/register/replica/replica.go
+++ b/control/register/replica/replica.go
@@ -5,11 +5,12 @@
 	"encoding/json"
 	"strings"
 
+	"github.com/google/btree"
+
 	"cottonarch.example/cottonarch/control/register/cell"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/storage/ring"
-	"github.com/google/btree"
 )
 
 const (
--- a/control/roster/maker/maker_test.go
+++ b/control/roster/maker/maker_test.go
@@ -4,13 +4,14 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
+
 	"cottonarch.example/cottonarch/control/register/cell"
 	"cottonarch.example/cottonarch/control/roster/acceptor"
 	"cottonarch.example/cottonarch/control/roster/former"
 	"cottonarch.example/cottonarch/control/roster/maker"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
-	"github.com/shoenig/test/must"
 )
 
 type mail struct {
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -5,11 +5,9 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,9 +15,6 @@
 	"cottonarch.example/cottonarch/boot"
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/core/node"
-	"cottonarch.example/cottonarch/control/manifest/check"
-	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/control/manifest/walk"
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/kernel/count"
 	"cottonarch.example/cottonarch/kernel/defect"
@@ -75,12 +70,6 @@
 	stop    chan struct{} // closed when a planned stop begins
 }
 
-// Manifest is a confirmed manifest. Invariant: Held only moves to higher epochs.
-type Manifest struct {
-	offer.Held
-	Parsed *check.Manifest
-}
-
 // View is a copy of what pages show.
 type View struct {
 	Disk     ident.Disk   `json:"disk"`
@@ -215,101 +204,6 @@
 // View is the newest copy.
 func (c *Core) View() *View { return c.view.Load() }
 
-// journal is the disk's duty: it writes the records of a batch of steps, syncs once
-// and only then lets out what rests on them.
-func (c *Core) journal() {
-	var batch []node.Effects
-	for {
-		batch = batch[:0]
-		select {
-		case fx := <-c.disk.Out():
-			batch = append(batch, fx)
-		case <-c.done:
-			return
-		}
-		batch = c.disk.Drain(batch, batchMost)
-		wrote := false
-		var err error
-		c.busy.Store(int64(c.clock()))
-		for _, fx := range batch {
-			if len(fx.Records) > 0 && err == nil {
-				wrote = true
-				err = c.ring.Append(fx.Records)
-			}
-		}
-		if wrote && err == nil {
-			err = c.ring.Sync()
-			c.Board.Add("syncs", 1)
-		}
-		if wrote && err != nil && !c.failed.Swap(true) {
-			c.Log.Error("the disk failed; this core votes no more", zap.Error(err))
-		}
-		c.busy.Store(0)
-		for _, fx := range batch {
-			if !c.failed.Load() {
-				c.letOut(fx)
-			}
-		}
-		c.full.Store(c.ring.Room() < 0.25)
-		c.Board.Set("ring_room_percent", int64(c.ring.Room()*100))
-		c.Board.Set("ring_appends", int64(c.ring.Appends))
-		c.Board.Set("ring_moves", int64(c.ring.Moves))
-		c.Board.Set("ring_bytes", int64(c.ring.Bytes))
-	}
-}
-
-func (c *Core) letOut(fx node.Effects) {
-	for _, s := range fx.Sends {
-		s.Msg.From = c.Boot.Addr
-		if s.To == c.Boot.Addr {
-			m := s.Msg
-			c.Do(func(now moment.Moment) node.Effects { return c.node.Step(now, m) })
-			continue
-		}
-		if !c.peer(s.To).Offer(s.Msg) {
-			c.Board.Add("messages_dropped", 1)
-		}
-	}
-	for _, e := range fx.Ends {
-		c.mu.Lock()
-		ch := c.waits[e.Ticket]
-		delete(c.waits, e.Ticket)
-		c.mu.Unlock()
-		if ch != nil {
-			ch <- e
-		}
-	}
-	if len(fx.Learned) > 0 {
-		c.mu.Lock()
-		close(c.signal)
-		c.signal = make(chan struct{})
-		c.mu.Unlock()
-		for _, l := range fx.Learned {
-			if l.Key == offer.Key {
-				c.kick()
-			}
-		}
-	}
-	if fx.Changed {
-		c.stir()
-	}
-	if fx.Confirmed != nil {
-		select {
-		case c.fresh <- fx.Confirmed:
-		default:
-			c.kick()
-		}
-	}
-}
-
-// kick wakes the duty that follows the manifest.
-func (c *Core) kick() {
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
-}
-
 func (c *Core) stir() {
 	c.mu.Lock()
 	close(c.feed)
@@ -330,79 +224,6 @@
 // Done closes when the daemon ends.
 func (c *Core) Done() <-chan struct{} { return c.done }
 
-func (c *Core) peer(addr ident.Addr) *queue.Ring[message.Message] {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	q := c.peers[addr]
-	if q == nil {
-		q = queue.Make[message.Message](peerSize)
-		c.peers[addr] = q
-		go c.post(addr, q)
-	}
-	return q
-}
-
-// Batch is what one core posts to another.
-type Batch struct {
-	Messages []message.Message `json:"messages"`
-}
-
-// post is the duty of sending to one peer. A batch whose fate is unknown is not sent
-// again: the steps repeat what they need.
-func (c *Core) post(addr ident.Addr, q *queue.Ring[message.Message]) {
-	var held []message.Message
-	for {
-		held = held[:0]
-		select {
-		case m := <-q.Out():
-			held = append(held, m)
-		case <-c.done:
-			return
-		}
-		held = q.Drain(held, batchMost)
-		for len(held) > 0 {
-			n, bulk := 0, 0
-			for n < len(held) && (n == 0 || bulk < bulkMost) {
-				bulk += weight(held[n])
-				n++
-			}
-			ctx, stop := context.WithTimeout(context.Background(), 1500*time.Millisecond)
-			if err := c.pool.Ask(ctx, addr, "POST", "/cottonarch/v1/messages", Batch{held[:n]}, nil); err != nil {
-				c.Board.Add("posts_failed", 1)
-				if errors.Is(err, syscall.ECONNREFUSED) {
-					c.Do(func(now moment.Moment) node.Effects { return c.node.Down(now, addr) })
-				}
-			}
-			stop()
-			c.Board.Add("posts", 1)
-			held = held[n:]
-		}
-	}
-}
-
-func weight(m message.Message) int {
-	switch {
-	case m.Ask != nil:
-		return len(m.Ask.Value) + 200
-	case m.Return != nil:
-		return len(m.Return.Cell.Value) + 200
-	case m.Carried != nil:
-		return len(m.Carried.Body) + 200
-	case m.Forward != nil:
-		return len(m.Forward.Deed.Args) + 200
-	case m.ScanReturn != nil:
-		return 1 << 20
-	}
-	return 400
-}
-
-// Take takes a batch of messages in.
-func (c *Core) Take(b Batch) {
-	for _, m := range b.Messages {
-		c.Do(func(now moment.Moment) node.Effects { return c.node.Step(now, m) })
-	}
-}
-
 // await runs a step that begins a request and waits for its end.
 func (c *Core) await(ctx context.Context, begin func(now moment.Moment, ticket uint64) node.Effects) node.End {
 	ticket := c.ticket.Add(1)
@@ -449,96 +270,6 @@
 	})
 }
 
-// Held is the newest manifest that this core knows to be confirmed, nil if none.
-func (c *Core) Held() *Manifest { return c.held.Load() }
-
-// Newest reads the manifest through its owner, so it is not older than any confirmed
-// before the call.
-func (c *Core) Newest(ctx context.Context, budget time.Duration) (*Manifest, *defect.Defect) {
-	e := c.Deed(ctx, owner.Deed{Key: offer.Key, Kind: "manifest/epoch"}, budget)
-	if e.Defect != nil {
-		return nil, e.Defect
-	}
-	var yes offer.Yes
-	if err := json.Unmarshal(e.Body, &yes); err != nil {
-		return nil, defect.New(defect.Damaged, "epoch: %v", err)
-	}
-	if have := c.held.Load(); have != nil && have.Epoch >= yes.Epoch {
-		return have, nil
-	}
-	if yes.Epoch == 0 {
-		return &Manifest{Parsed: &check.Manifest{}}, nil
-	}
-	e = c.Deed(ctx, owner.Deed{Key: offer.Key, Kind: "manifest/read"}, budget)
-	if e.Defect != nil {
-		return nil, e.Defect
-	}
-	return c.install(e.Body)
-}
-
-// install takes a confirmed manifest in, unless a newer one is known.
-func (c *Core) install(raw json.RawMessage) (*Manifest, *defect.Defect) {
-	var h offer.Held
-	if err := json.Unmarshal(raw, &h); err != nil {
-		return nil, defect.New(defect.Damaged, "manifest: %v", err)
-	}
-	h.Lines = nil
-	if have := c.held.Load(); have != nil && have.Epoch >= h.Epoch {
-		return have, nil
-	}
-	tree, d := walk.Parse(h.Manifest)
-	if d != nil {
-		return nil, d
-	}
-	parsed, d := check.Read(tree)
-	if d != nil {
-		return nil, d
-	}
-	parsed.Epoch = h.Epoch
-	m := &Manifest{Held: h, Parsed: parsed}
-	for {
-		old := c.held.Load()
-		if old != nil && old.Epoch >= m.Epoch {
-			return old, nil
-		}
-		if c.held.CompareAndSwap(old, m) {
-			break
-		}
-	}
-	c.Log.Info("manifest", zap.Uint64("epoch", uint64(m.Epoch)), zap.Int("ways", len(parsed.Ways)), zap.Int("services", len(parsed.Services)))
-	c.Board.Set("manifest_epoch", int64(m.Epoch))
-	c.Do(func(moment.Moment) node.Effects {
-		return node.Effects{Changed: c.node.Ledger.Manifest(parsed)}
-	})
-	return m, nil
-}
-
-// follow is the duty of knowing the newest confirmed manifest: at once when told of
-// one, and every half second all the same.
-func (c *Core) follow() {
-	t := time.NewTicker(500 * time.Millisecond)
-	defer t.Stop()
-	for {
-		select {
-		case raw := <-c.fresh:
-			if _, d := c.install(raw); d != nil {
-				c.Log.Error("a confirmed manifest can't be read", zap.Error(d))
-			}
-			continue
-		case <-c.wake:
-		case <-t.C:
-		case <-c.done:
-			return
-		}
-		if v := c.View(); v == nil || !v.Majority {
-			continue
-		}
-		if _, d := c.Newest(context.Background(), time.Second); d != nil {
-			c.Board.Add("manifest_reads_failed", 1)
-		}
-	}
-}
-
 // discover asks the seeds, which may be cores or sidecars, for the cores they know
 // while this core has no majority.
 func (c *Core) discover() {
--- /dev/null
+++ b/daemon/core/manifest.go
@@ -0,0 +1,121 @@
+package core
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cottonarch.example/cottonarch/control/core/node"
+	"cottonarch.example/cottonarch/control/manifest/check"
+	"cottonarch.example/cottonarch/control/manifest/offer"
+	"cottonarch.example/cottonarch/control/manifest/walk"
+	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/moment"
+)
+
+// Manifest is a confirmed manifest. Invariant: Held only moves to higher epochs.
+type Manifest struct {
+	offer.Held
+	Parsed *check.Manifest
+}
+
+// kick wakes the duty that follows the manifest.
+func (c *Core) kick() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Held is the newest manifest that this core knows to be confirmed, nil if none.
+func (c *Core) Held() *Manifest { return c.held.Load() }
+
+// Newest reads the manifest through its owner, so it is not older than any confirmed
+// before the call.
+func (c *Core) Newest(ctx context.Context, budget time.Duration) (*Manifest, *defect.Defect) {
+	e := c.Deed(ctx, owner.Deed{Key: offer.Key, Kind: "manifest/epoch"}, budget)
+	if e.Defect != nil {
+		return nil, e.Defect
+	}
+	var yes offer.Yes
+	if err := json.Unmarshal(e.Body, &yes); err != nil {
+		return nil, defect.New(defect.Damaged, "epoch: %v", err)
+	}
+	if have := c.held.Load(); have != nil && have.Epoch >= yes.Epoch {
+		return have, nil
+	}
+	if yes.Epoch == 0 {
+		return &Manifest{Parsed: &check.Manifest{}}, nil
+	}
+	e = c.Deed(ctx, owner.Deed{Key: offer.Key, Kind: "manifest/read"}, budget)
+	if e.Defect != nil {
+		return nil, e.Defect
+	}
+	return c.install(e.Body)
+}
+
+// install takes a confirmed manifest in, unless a newer one is known.
+func (c *Core) install(raw json.RawMessage) (*Manifest, *defect.Defect) {
+	var h offer.Held
+	if err := json.Unmarshal(raw, &h); err != nil {
+		return nil, defect.New(defect.Damaged, "manifest: %v", err)
+	}
+	h.Lines = nil
+	if have := c.held.Load(); have != nil && have.Epoch >= h.Epoch {
+		return have, nil
+	}
+	tree, d := walk.Parse(h.Manifest)
+	if d != nil {
+		return nil, d
+	}
+	parsed, d := check.Read(tree)
+	if d != nil {
+		return nil, d
+	}
+	parsed.Epoch = h.Epoch
+	m := &Manifest{Held: h, Parsed: parsed}
+	for {
+		old := c.held.Load()
+		if old != nil && old.Epoch >= m.Epoch {
+			return old, nil
+		}
+		if c.held.CompareAndSwap(old, m) {
+			break
+		}
+	}
+	c.Log.Info("manifest", zap.Uint64("epoch", uint64(m.Epoch)), zap.Int("ways", len(parsed.Ways)), zap.Int("services", len(parsed.Services)))
+	c.Board.Set("manifest_epoch", int64(m.Epoch))
+	c.Do(func(moment.Moment) node.Effects {
+		return node.Effects{Changed: c.node.Ledger.Manifest(parsed)}
+	})
+	return m, nil
+}
+
+// follow is the duty of knowing the newest confirmed manifest: at once when told of
+// one, and every half second all the same.
+func (c *Core) follow() {
+	t := time.NewTicker(500 * time.Millisecond)
+	defer t.Stop()
+	for {
+		select {
+		case raw := <-c.fresh:
+			if _, d := c.install(raw); d != nil {
+				c.Log.Error("a confirmed manifest can't be read", zap.Error(d))
+			}
+			continue
+		case <-c.wake:
+		case <-t.C:
+		case <-c.done:
+			return
+		}
+		if v := c.View(); v == nil || !v.Majority {
+			continue
+		}
+		if _, d := c.Newest(context.Background(), time.Second); d != nil {
+			c.Board.Add("manifest_reads_failed", 1)
+		}
+	}
+}
--- a/fleet/run/faults.go
+++ b/fleet/run/faults.go
@@ -346,7 +346,7 @@
 	if e == nil {
 		return
 	}
-	e.Behave(endpoint.Mood{Work: 4 * time.Millisecond, Lose: 0.3, Garbage: 0.2, Cut: 0.2})
+	e.Behave(endpoint.Mood{Work: 4 * time.Millisecond, Lose: 0.2, Garbage: 0.1, Cut: 0.1, Odd: 0.3})
 	f.pause(ctx, 4*time.Second)
 	e.Behave(endpoint.Mood{Work: 4 * time.Millisecond})
 }
@@ -375,7 +375,7 @@
 	f.mu.Unlock()
 	for _, e := range ends {
 		if e.Service == svc {
-			e.Behave(endpoint.Mood{Work: 4 * time.Millisecond, Lose: 0.2, Garbage: 0.3, Cut: 0.3})
+			e.Behave(endpoint.Mood{Work: 4 * time.Millisecond, Lose: 0.2, Garbage: 0.2, Cut: 0.2, Odd: 0.2})
 			defer e.Behave(endpoint.Mood{Work: 4 * time.Millisecond})
 		}
 	}
--- a/fleet/run/run.go
+++ b/fleet/run/run.go
@@ -195,7 +195,7 @@
 	f.mu.Unlock()
 	k := f.Deployment.Kinds[0]
 	e, err := endpoint.Start(endpoint.Boot{Server: name, Service: svc.Name, Addr: ident.Addr(addr), Beat: ident.Addr(side.Inner), Ledger: f.ledger,
-		Mood: endpoint.Mood{Work: 4 * time.Millisecond, Lose: 0.002, Garbage: 0.001, Cut: 0.001}, Onward: ident.Addr(side.Caller), OnwardHost: k.Host, OnwardPath: k.Path})
+		Mood: endpoint.Mood{Work: 4 * time.Millisecond, Lose: 0.002, Garbage: 0.001, Cut: 0.001, Odd: 0.001, Long: 0.002}, Onward: ident.Addr(side.Caller), OnwardHost: k.Host, OnwardPath: k.Path})
 	if err != nil {
 		return nil, err
 	}
--- a/sim/plan/plan.go
+++ b/sim/plan/plan.go
@@ -242,7 +242,7 @@
 	if addr == "" {
 		addr = ident.Addr(fmt.Sprintf("10.0.2.%d:%d", r.serial%250+1, 8000+r.serial))
 	}
-	return s.NewEndpoint(ident.Server(fmt.Sprintf("srv%d", r.serial)), svc, addr, world.Mood{Work: 6 * time.Millisecond, Lose: 0.002, Garbage: 0.002})
+	return s.NewEndpoint(ident.Server(fmt.Sprintf("srv%d", r.serial)), svc, addr, world.Mood{Work: 6 * time.Millisecond, Lose: 0.002, Garbage: 0.002, Long: 0.002})
 }
 
 // callers sends a machine's requests at its part of the rate.
--- a/sim/world/call.go
+++ b/sim/world/call.go
@@ -237,6 +237,9 @@
 	e.hand++
 	x := w.Rng.Float64()
 	work := e.Mood.Work/2 + time.Duration(w.Rng.Int64N(int64(e.Mood.Work)+1))
+	if e.Mood.Long > 0 && w.Rng.Float64() < e.Mood.Long {
+		work = longWork
+	}
 	w.After(work, func() {
 		e.hand--
 		switch {
--- a/sim/world/core.go
+++ b/sim/world/core.go
@@ -290,12 +290,17 @@
 		done, fx = c.node.Left(c.clock())
 		c.out(fx)
 	})
-	if done || tries == 0 {
-		c.Kill(false)
-		after()
+	// As the daemon does, it goes on until whoever waits here has a return.
+	if (!done || len(c.ends) > 0) && tries > 0 && c.w.Break != "stop" {
+		c.w.After(30*time.Millisecond, func() { c.left(gen, tries-1, after) })
 		return
 	}
-	c.w.After(30*time.Millisecond, func() { c.left(gen, tries-1, after) })
+	c.w.Check.Look("dropped-in-stop")
+	if n := len(c.ends); n > 0 {
+		c.w.Breach("dropped-in-stop", "core %s stopped with %d deeds and watches in hand", c.Addr, n)
+	}
+	c.Kill(false)
+	after()
 }
 
 // out carries out effects as the daemon does.
--- a/stand/endpoint/endpoint.go
+++ b/stand/endpoint/endpoint.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,27 @@
 	Garbage float64
 	// Cut is the part whose return breaks off in the middle.
 	Cut float64
+	// Odd is the part that get something that no endpoint should say: a second return, a
+	// wrong length, a flood of 1xx, a return that breaks off after its head.
+	Odd float64
+	// Long is the part that take LongWork.
+	Long float64
+}
+
+// LongWork is how long a long request takes.
+const LongWork = 1800 * time.Millisecond
+
+// odd is what the odd returns are made of: the whole return and its body go in.
+var odd = []func(whole, body string) string{
+	func(whole, _ string) string { return whole + strings.Replace(whole, `"id":"`, `"id":"other-`, 1) },
+	func(whole, body string) string {
+		return strings.Replace(whole, fmt.Sprint("Content-Length: ", len(body)), fmt.Sprint("Content-Length: ", len(body)-20), 1)
+	},
+	func(whole, body string) string {
+		return strings.Replace(whole, fmt.Sprint("Content-Length: ", len(body)), fmt.Sprint("Content-Length: ", len(body)+20), 1)
+	},
+	func(whole, _ string) string { return strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 40) + whole },
+	func(whole, body string) string { return strings.TrimSuffix(whole, body) },
 }
 
 // Ran is one line of the ledger; At is when the request reached the endpoint.
@@ -199,8 +221,12 @@
 	}
 	n := e.count.Add(1)
 	m := e.mood.Load()
-	if m.Work > 0 {
-		t := time.NewTimer(m.Work)
+	work := m.Work
+	if rand.Float64() < m.Long {
+		work = LongWork
+	}
+	if work > 0 {
+		t := time.NewTimer(work)
 		<-t.C
 	}
 	if e.Onward != "" && n%3 == 0 && r.Header.Get("X-Onward") == "" {
@@ -223,6 +249,14 @@
 		_, _ = w.Write(echo[:len(echo)/2])
 		panic(http.ErrAbortHandler)
 	}
+	if x < m.Lose+m.Garbage+m.Cut+m.Odd {
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(echo), echo)
+			_, _ = c.Write([]byte(odd[int(n)%len(odd)](whole, string(echo))))
+			_ = c.Close()
+		}
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(echo)
 }
