A repeated claim is a claim of now; a large manifest is not pulled twice

Cause: a claim repeated with its Idempotency-Key was told the grant of the first one from the key's book, without a look at who holds the lock by now, nor at how long: the caller counts its time from the repeat. TestRepeatedClaimHoldsFromTheRepeat failed first (a grant told while b holds). Ruled out: touching on a repeat alone (the lock may be another's). Claims are served anew. Beside it: a peer's word of a new epoch no longer begins a second fetch beside one under way; a gate's early no to a large request is read again as what it is; a core that is behind the floor is not asked without a pause.

--- a/control/coordination/book/book.go
+++ b/control/coordination/book/book.go
@@ -40,6 +40,10 @@
 // Book is a table of handlers.
 type Book map[string]Handler
 
+// timed lists the deeds whose return says how long from now on something holds. A repeat
+// of one is served anew: the old return would be counted from the repeat on.
+var timed = map[string]bool{"lock/claim": true}
+
 // Apply serves a deed.
 func (b Book) Apply(turn owner.Turn, value json.RawMessage, deed owner.Deed) owner.Verdict {
 	serve, ok := b[deed.Kind]
@@ -52,7 +56,7 @@
 			return owner.Verdict{Defect: defect.New(defect.Damaged, "page: %v", err)}
 		}
 	}
-	if deed.Op != "" {
+	if deed.Op != "" && !timed[deed.Kind] {
 		for _, past := range page.Ops {
 			if past.Op == deed.Op {
 				return owner.Verdict{Body: past.Body}
@@ -64,7 +68,7 @@
 		return owner.Verdict{Body: e.Body, Defect: e.Defect}
 	}
 	page.State = e.State
-	if deed.Op != "" {
+	if deed.Op != "" && !timed[deed.Kind] {
 		page.Ops = append(page.Ops, Done{deed.Op, e.Body})
 		if len(page.Ops) > opsMax {
 			page.Ops = page.Ops[len(page.Ops)-opsMax:]
--- a/control/coordination/lock/batch_test.go
+++ b/control/coordination/lock/batch_test.go
@@ -106,3 +106,24 @@
 		must.NotNil(t, d, must.Sprintf("late %v: b holds what a holds", late))
 	}
 }
+
+// A claim that is repeated under its old operation, as after an unknown fate, is a claim
+// of now: who counts its time from the repeat is not overtaken, in whatever round of its
+// time the repeat comes.
+func TestRepeatedClaimHoldsFromTheRepeat(t *testing.T) {
+	for _, after := range []time.Duration{0, time.Second, 3 * time.Second, 5 * time.Second, 8 * time.Second} {
+		x, now := newOne(sec(1)), sec(1)
+		claim := func(at moment.Moment, who, op string) bool {
+			x.ends = nil
+			x.take(x.o.Submit(at, owner.Deed{Key: "lock/l", Kind: "lock/claim", Op: ident.Op(op), Args: book.JSON(Args{Holder: who, TTL: 5000})}))
+			x.flush(at)
+			return x.ends[0].Defect == nil
+		}
+		must.True(t, claim(now, "a", "op1"))
+		again := now.Add(after)
+		must.True(t, claim(again, "a", "op1"))
+		must.False(t, claim(again.Add(4999*time.Millisecond), "b", "op2"), must.Sprintf("repeated after %v: b is granted while a counts on it", after))
+		must.True(t, claim(again.Add(6*time.Second), "b", "op3"))
+		must.False(t, claim(again.Add(7*time.Second), "a", "op1"), must.Sprint("an old grant is told again while b holds"))
+	}
+}
--- a/daemon/sidecar/follow.go
+++ b/daemon/sidecar/follow.go
@@ -79,6 +79,13 @@
 	}
 }
 
+// floor is the epoch below which nothing may be shown here.
+func (s *Sidecar) floor() ident.Epoch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.path.Floor
+}
+
 func (s *Sidecar) grantEntry(from ident.Addr) {
 	// A core that is frozen must not hold this up: the next one is asked soon.
 	ctx, stop := context.WithTimeout(context.Background(), 1500*time.Millisecond)
@@ -276,6 +283,8 @@
 			if err := s.fetch(core); err != nil {
 				s.Board.Add("manifest_fetches_failed", 1)
 				s.pause(20 * time.Millisecond)
+			} else if got.Manifest < s.floor() {
+				s.pause(20 * time.Millisecond) // this core is behind: it gives nothing to show
 			}
 		}
 		if got.Leaving {
--- a/daemon/sidecar/manifest.go
+++ b/daemon/sidecar/manifest.go
@@ -19,6 +19,8 @@
 
 // fetch takes a manifest in bounded parts. A part of another epoch begins it anew.
 func (s *Sidecar) fetch(from ident.Addr) error {
+	s.fetching.Add(1)
+	defer s.fetching.Add(-1)
 	var raw []byte
 	var epoch ident.Epoch
 	for epoch == 0 || len(raw) < cap(raw) {
--- a/daemon/sidecar/peers.go
+++ b/daemon/sidecar/peers.go
@@ -130,7 +130,11 @@
 		return Held{!low}
 	}
 	s.pause(witness.Pull)
-	if !here() {
+	// A fetch that is under way brings it, or something newer.
+	for n := 0; n < pullWaits && !here() && s.fetching.Load() > 0; n++ {
+		s.pause(10 * time.Millisecond)
+	}
+	if !here() && s.fetching.Load() == 0 {
 		if err := s.fetch(h.From); err != nil {
 			s.Board.Add("manifest_fetches_failed", 1)
 		}
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -32,6 +32,8 @@
 	// peersMost is how many peers are asked at once, and peersEvery how often.
 	peersMost  = 8
 	peersEvery = 250 * time.Millisecond
+	// pullWaits is how often a peer's word waits ten milliseconds for a fetch under way.
+	pullWaits = 15
 )
 
 // Sidecar is the running daemon. Invariants: mu guards path, gate and claim; the
@@ -69,11 +71,12 @@
 	began    moment.Moment
 	hand     int
 
-	entered atomic.Bool
-	inUse   atomic.Bool // a manifest is in force
-	leaving atomic.Bool
-	poke    chan ident.Addr // a core that knows a newer manifest
-	push    chan struct{}
+	entered  atomic.Bool
+	inUse    atomic.Bool // a manifest is in force
+	leaving  atomic.Bool
+	fetching atomic.Int64    // manifests on their way
+	poke     chan ident.Addr // a core that knows a newer manifest
+	push     chan struct{}
 }
 
 // New makes a sidecar.
--- a/wire/exchange/exchange.go
+++ b/wire/exchange/exchange.go
@@ -250,7 +250,9 @@
 		}
 		return early()
 	}
-	if len(raw) > oneWrite {
+	// A gate may turn a request away before it has read it whole, and is believed; an
+	// endpoint, to which every call is Fresh, is not.
+	if call.Fresh && len(raw) > oneWrite {
 		if _, err := out.Write(raw[:len(raw)-1]); err != nil {
 			return lost()
 		}
