--- a/fleet/run/judge_test.go
+++ b/fleet/run/judge_test.go
@@ -15,6 +15,7 @@
 
 	"cottonarch.example/cottonarch/fleet/machine"
 	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/sim/check"
 	"cottonarch.example/cottonarch/sim/plan"
 	"cottonarch.example/cottonarch/stand/caller"
 	"cottonarch.example/cottonarch/stand/endpoint"
@@ -204,3 +205,30 @@
 		must.Positive(t, got[rule], must.Sprint(rule, got))
 	}
 }
+
+// A loss after which less than a quarter of normal is served 15 s later is caught; one
+// after which more is, is not.
+func TestJudgeCatchesASlowRecovery(t *testing.T) {
+	kind := &caller.Kind{Name: "balance", Method: "GET", Service: "accounts.prairie"}
+	for _, after := range []int{1, 5} { // calls a second after the loss, of ten before
+		f := empty(Boot{Deployment: plan.Deployments["prairie"]})
+		n := 0
+		for s := range 60 {
+			rate := 10
+			if s >= 20 {
+				rate = after
+			}
+			for i := range rate {
+				n++
+				id := fmt.Sprint("sidecar1-", n)
+				at := f.began.Add(time.Duration(s)*time.Second + time.Duration(i)*time.Second/time.Duration(rate))
+				f.book.Add(caller.Told{ID: id, Kind: kind, Fate: caller.Served, Began: at, Took: time.Millisecond})
+				f.ledger.Add(endpoint.Ran{ID: id, Server: "e", Service: "accounts.prairie", At: at})
+			}
+		}
+		f.Check.Losses = []check.Loss{{At: f.at(f.began.Add(20 * time.Second)), Name: "herd"}, {At: f.at(f.began.Add(50 * time.Second)), Name: "late"}}
+		f.judge(0, f.at(f.began.Add(60*time.Second)))
+		must.Eq(t, after == 1, broken(f)["slow-recovery"] == 1, must.Sprint(f.Text()))
+		must.Eq(t, 1, f.Check.Excused["slow-recovery"]["the day ended"])
+	}
+}
