The fleet's judge tells a failed dial in a planned stop from a request that was dropped

Cause: one of 71,183 requests of a volta fleet under every fault for 200 s was judged dropped: a dial in the act of a planned stop, "connect: connection reset by peer". The judge excused such a caller by the word "refused" alone; the kernel resets what waits in a listener that closes. Ruled out: a request that was taken (its error would be a read's, not a connect's); the drain (all in hand had ended). Change: by "connect", not by "refused", and only beside that stop; a reset after the dial, and a refused dial without a stop, are breaches: each stands in the judge's table.

--- a/fleet/run/judge.go
+++ b/fleet/run/judge.go
@@ -77,7 +77,7 @@
 		f.Check.Excuse(rule, killed)
 	case out[frozen]:
 		f.Check.Excuse(rule, frozen)
-	case out[stopped] && strings.Contains(t.Note, "connection refused"):
+	case out[stopped] && strings.Contains(t.Note, ": connect: "): // no connection: nothing was taken
 		f.Check.Excuse(rule, "coming after a planned stop")
 	default:
 		f.Check.Look(rule)
--- a/fleet/run/judge_test.go
+++ b/fleet/run/judge_test.go
@@ -57,8 +57,17 @@
 		}},
 		{"came after a stop", "", func(f *Fleet) {
 			f.outs["sidecar1"] = []*outage{{sec(f, 4), sec(f, 6), stopped}}
-			told(f, post, caller.Dropped, 5, "connection refused")
+			told(f, post, caller.Dropped, 5, "dial tcp: connect: connection refused")
 		}},
+		{"found the listener closing", "", func(f *Fleet) {
+			f.outs["sidecar1"] = []*outage{{sec(f, 4), sec(f, 6), stopped}}
+			told(f, post, caller.Dropped, 5, "dial tcp: connect: connection reset by peer")
+		}},
+		{"reset once it was taken", "dropped-in-stop", func(f *Fleet) {
+			f.outs["sidecar1"] = []*outage{{sec(f, 4), sec(f, 6), stopped}}
+			told(f, post, caller.Dropped, 5, "read tcp: read: connection reset by peer")
+		}},
+		{"refused by nothing", "dropped-in-stop", func(f *Fleet) { told(f, post, caller.Dropped, 5, "dial tcp: connect: connection refused") }},
 		{"just after it left", "", func(f *Fleet) {
 			f.left["e"] = sec(f, 4)
 			told(f, get, caller.Served, 5, "")
