--- a/mesh/allowance/allowance_test.go
+++ b/mesh/allowance/allowance_test.go
@@ -16,8 +16,7 @@
 
 // Nine sidecars whose traffic rises and falls never spend more together, in any ten
 // seconds, than a fifth of that traffic and sixty. Found by seeds 14 and 30: calls
-// from before the window had paid for tries within it. Once more by a crowd of 25 times
-// the rate that ended: half a second of its calls was worth more than the bound's slack.
+// from before the window had paid for tries within it.
 func TestBoundHoldsOverAllNodesWhileTrafficFalls(t *testing.T) {
 	for seed := range uint64(20) {
 		rng := rand.New(rand.NewPCG(seed, 1))
@@ -140,3 +139,27 @@
 		must.Eq(t, want, n, must.Sprint(who))
 	}
 }
+
+// A crowd ends; in the ten seconds after it no call comes at all, and everybody spends
+// what it can: no more than sixty in sum.
+func TestACrowdThatEndedPaysForNothing(t *testing.T) {
+	spent := 0
+	for range 10 {
+		tr := New(moment.Moment(time.Millisecond))
+		tr.Grant(6)
+		now := watch(tr, 0, 20*time.Second)
+		for range 400 {
+			tr.Call(now, svc, "c")
+		}
+		for end := now.Add(Window); now < end; now = now.Add(40 * time.Millisecond) {
+			tr.Tick(now)
+			tr.Renewed(now)
+			for i := range 100 {
+				if tr.Again(now.Add(1), svc, fmt.Sprint("c", i)) {
+					spent++
+				}
+			}
+		}
+	}
+	must.Between(t, 30, spent, 60)
+}
