The platform's settings, beats and readiness become a role of the one program

Cause: the users' platform starts one program a machine with a settings file; the product knew only its own boot files. platform/ reads that file into the product's boots, takes the beats of the endpoint beside, and answers where the platform asks for readiness. The sidecar gains, under its own names: headers by boot (id, limit, calling service, seal, not run, burden), a fenced gate (endpoints refuse what names another, so a held-up process need not shut), a beat's pace, an endpoint's own word that it did not run a request.

Ruled out: a second sidecar for the platform; a translating hop before the sidecar (twice the processor time).

--- a/boot/boot.go
+++ b/boot/boot.go
@@ -38,8 +38,38 @@
 	Queue    int
 	Hand     int
 	Stop     time.Duration
+	// Own is the service that this machine's endpoint serves, where that is known.
+	Own ident.Service
+	// Beat is how often endpoints beat; 0 is the gate's own default.
+	Beat time.Duration
+	// Fenced says that endpoints turn away what names another in X-Target-Server, so
+	// that a beat that lay in a socket does no harm.
+	Fenced  bool
+	Headers Headers
 }
 
+// Headers are the names of the headers by which a sidecar speaks with callers and
+// endpoints. An empty one is not spoken.
+type Headers struct {
+	// Id names a request; an endpoint repeats it in its return.
+	Id string
+	// Limit is how long the caller waits, in milliseconds; endpoints are told what is left.
+	Limit string
+	// Calling tells an endpoint the service of the machine where the request began.
+	Calling string
+	// Seal must stand in every return of an endpoint that says success.
+	Seal string
+	// NotRun is an endpoint's word that it did not run the request.
+	NotRun string
+	// Burden is an endpoint's word of what it has: running, waiting, slots.
+	Burden string
+	// Fractions lets Retry-After be told in fractions of a second.
+	Fractions bool
+}
+
+// Plain are the product's own.
+var Plain = Headers{Limit: "X-Deadline-Ms"}
+
 // Flags are what the command line may give; a flag goes before the file. Address is
 // the process's own address towards the mesh.
 type Flags struct {
@@ -149,6 +179,7 @@
 		District: ident.District(s.Must("district")), Seeds: addrs(s, "seeds", 3), Senders: int(s.Whole("senders", 256, 1, 10000)),
 		Queue: int(s.Whole("queue", 512, 1, 100000)), Hand: int(s.Whole("hand", 512, 1, 100000)),
 		Stop: time.Duration(s.Real("stopS", 10, 0, 3600) * float64(time.Second))}
+	c.Headers = Plain
 	if c.Node == "" {
 		c.Node = ident.Node(c.Addr)
 	}
--- a/cmd/cottonarch/main.go
+++ b/cmd/cottonarch/main.go
@@ -19,6 +19,7 @@
 	"cottonarch.example/cottonarch/daemon/assemble"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/platform"
 	"cottonarch.example/cottonarch/sim/plan"
 	"cottonarch.example/cottonarch/stand/caller"
 	"cottonarch.example/cottonarch/stand/endpoint"
@@ -28,6 +29,7 @@
 var app struct {
 	Core     coreCmd     `cmd:"" help:"Run a core: control state on disk, the registry, coordination."`
 	Sidecar  sidecarCmd  `cmd:"" help:"Run a sidecar: the node beside an application."`
+	Platform platformCmd `cmd:"" help:"Run the role that the platform's settings file gives, speaking as the platform does."`
 	Simulate simulateCmd `cmd:"" help:"Ask what-if questions of a simulated deployment; ends with 1 when a rule breaks."`
 	Endpoint endpointCmd `cmd:"" help:"Run a stand-in endpoint."`
 	Caller   callerCmd   `cmd:"" help:"Run stand-in callers and print what they were told."`
@@ -101,6 +103,27 @@
 	return run(log, "sidecar", daemon.Leave, srv, front)
 }
 
+type platformCmd struct {
+	Check bool `help:"Check the settings file and end."`
+}
+
+func (c platformCmd) Run() error {
+	s, d := platform.Load()
+	if d != nil {
+		return d
+	}
+	if c.Check {
+		fmt.Println("the settings are good")
+		return nil
+	}
+	log, err := logger()
+	if err != nil {
+		return defect.Wrap(err, defect.Internal, "log")
+	}
+	defer func() { _ = log.Sync() }()
+	return platform.Run(s, log, run)
+}
+
 // run runs the servers until the platform says stop; leave is done first.
 func run(log *zap.Logger, name string, leave func(), servers ...*server.Server) error {
 	opts := []kratos.Option{kratos.Name("cottonarch-" + name), kratos.Logger(server.Logger(log)), kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
--- a/control/manifest/walk/walk.go
+++ b/control/manifest/walk/walk.go
@@ -204,3 +204,27 @@
 	}
 	return out
 }
+
+// Numbers reads a list of numbers.
+func (s Step) Numbers(name string) []float64 {
+	v, ok := s.m[name]
+	if !ok {
+		return nil
+	}
+	list, ok := v.([]any)
+	if !ok {
+		s.Fault(name, "must be a list of numbers")
+		return nil
+	}
+	var out []float64
+	for i, e := range list {
+		n, ok := e.(json.Number)
+		x, err := n.Float64()
+		if !ok || err != nil {
+			s.f.Add(fmt.Sprintf("%s[%d]", s.At(name), i), "must be a number")
+			continue
+		}
+		out = append(out, x)
+	}
+	return out
+}
--- a/daemon/sidecar/intake.go
+++ b/daemon/sidecar/intake.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"cottonarch.example/cottonarch/boot"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/mesh/path"
@@ -32,12 +33,19 @@
 	SessionHeader = "X-Session"
 	// UrgentHeader marks a request of an urgent way between sidecars.
 	UrgentHeader = "X-Cottonarch-Urgent"
-	// DeadlineHeader is how long the caller waits, in milliseconds.
-	DeadlineHeader = "X-Deadline-Ms"
 
 	gateReturn = "return"
 	gateTurned = "turned-away"
 	gateUnsure = "unsure"
+	// gateShed is a gate's word that the endpoint itself turned the request away.
+	gateShed = "shed"
+
+	// soon is when a caller that was turned away for want of room may come back, in
+	// seconds.
+	soon = 0.1
+	// endMargin is how many milliseconds sooner than the gate gives up an endpoint is told
+	// to end, so that its own word is heard.
+	endMargin = 10
 )
 
 // own lists the headers that the mesh itself sets; none is taken from outside.
@@ -92,9 +100,10 @@
 	began := s.clock()
 	body, d := reply.Read(r, requestMax)
 	if d != nil {
-		reply.Defect(w, d)
+		s.say(w, d)
 		return
 	}
+	heads := s.Boot.Headers
 	from, _, _ := net.SplitHostPort(r.RemoteAddr)
 	who := r.Header.Get(CallerHeader)
 	if who == "" {
@@ -106,13 +115,17 @@
 	if !strings.HasPrefix(j.req.Target, "/") {
 		j.req.Target = r.URL.RequestURI()
 	}
-	j.req.Header.Add("X-Forwarded-For", from)
-	asked, _ := strconv.Atoi(r.Header.Get(DeadlineHeader))
+	if heads.Calling == "" {
+		j.req.Header.Add("X-Forwarded-For", from)
+	} else {
+		j.req.Header[heads.Calling] = []string{string(s.Boot.Own)}
+	}
+	asked, _ := strconv.Atoi(r.Header.Get(heads.Limit))
 	s.mu.Lock()
 	d = s.path.Way(began, call, time.Duration(asked)*time.Millisecond)
 	s.mu.Unlock()
 	if d != nil {
-		reply.Defect(w, d)
+		s.say(w, d)
 		return
 	}
 	s.mu.Lock()
@@ -120,20 +133,29 @@
 	s.mu.Unlock()
 	if !taken {
 		s.Board.Add("turned_away", 1)
-		reply.Defect(w, defect.New(defect.Busy, "too many requests are in hand").Later(1))
+		s.say(w, defect.New(defect.Busy, "too many requests are in hand").Later(soon))
 		return
 	}
 	s.free.Signal()
 	end := <-j.done
 	if end.d != nil {
 		s.Board.Add("ended_"+string(end.d.Kind), 1)
-		reply.Defect(w, end.d)
+		s.say(w, end.d)
 		return
 	}
 	s.Board.Add("returns", 1)
 	give(w, end.ret)
 }
 
+// say tells a caller of a defect, as this surface speaks.
+func (s *Sidecar) say(w http.ResponseWriter, d *defect.Defect) {
+	if s.Boot.Headers.Fractions {
+		reply.Fine(w, d)
+		return
+	}
+	reply.Defect(w, d)
+}
+
 // give writes a return that is already whole.
 func give(w http.ResponseWriter, ret *exchange.Return) {
 	h := w.Header()
@@ -210,8 +232,8 @@
 	ctx, stop := context.WithTimeout(context.Background(), c.Limit)
 	defer stop()
 	if c.Entry.Gate == s.Boot.Addr {
-		ret, turned, d := s.pass(ctx, c.Entry.UID, c.Entry.Service, j.req)
-		end := verdict(d, turned)
+		ret, word, d := s.pass(ctx, c.Entry.UID, c.Entry.Service, j.req)
+		end := verdict(d, word)
 		end.Bad = ret != nil && ret.Status >= 500
 		return ret, end
 	}
@@ -244,17 +266,24 @@
 	if err := json.Unmarshal(ret.Body, d); err != nil || d.Kind == "" || word == "" {
 		return nil, path.End{Verdict: path.Unsure, Defect: defect.Unsure(defect.BadReturn, "the gate's return can't be read")}
 	}
-	return nil, verdict(d, word == gateTurned)
+	return nil, verdict(d, word)
 }
 
-func verdict(d *defect.Defect, turned bool) path.End {
-	switch {
-	case d == nil:
-		return path.End{Verdict: path.Ran}
-	case turned:
-		return path.End{Verdict: path.NotRun, Defect: d, Turned: true}
+// verdicts says what each word of a gate means.
+var verdicts = map[string]path.End{
+	gateReturn: {Verdict: path.Ran},
+	gateTurned: {Verdict: path.NotRun, Turned: true},
+	gateShed:   {Verdict: path.NotRun},
+	gateUnsure: {Verdict: path.Unsure},
+}
+
+func verdict(d *defect.Defect, word string) path.End {
+	end, ok := verdicts[word]
+	if !ok {
+		end = verdicts[gateUnsure]
 	}
-	return path.End{Verdict: path.Unsure, Defect: d}
+	end.Defect = d
+	return end
 }
 
 // Gated serves another sidecar's request for an endpoint of this machine; it answers
@@ -300,23 +329,21 @@
 	ctx, stop := context.WithTimeout(context.Background(), time.Duration(ms)*time.Millisecond)
 	defer stop()
 	req := exchange.Call{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: clean(r.Header), Body: body}
-	ret, turned, d := s.pass(ctx, ident.Server(server), ident.Service(service), req)
-	switch {
-	case d == nil:
-		w.Header().Set(GateHeader, gateReturn)
-		give(w, ret)
-	case turned:
-		turn(gateTurned, d)
-	default:
-		turn(gateUnsure, d)
+	ret, word, d := s.pass(ctx, ident.Server(server), ident.Service(service), req)
+	if d != nil {
+		turn(word, d)
+		return true
 	}
+	w.Header().Set(GateHeader, gateReturn)
+	give(w, ret)
 	return true
 }
 
 // pass is the gate: it asks whether the endpoint is still the one that is meant,
-// before the dial and again before the first byte. turned says that certainly
-// nothing of the request left for the endpoint.
-func (s *Sidecar) pass(ctx context.Context, server ident.Server, service ident.Service, req exchange.Call) (ret *exchange.Return, turned bool, d *defect.Defect) {
+// before the dial and again before the first byte. The word says what became of the
+// request: gateTurned that certainly nothing of it left for the endpoint, gateShed that
+// the endpoint said itself that it did not run it.
+func (s *Sidecar) pass(ctx context.Context, server ident.Server, service ident.Service, req exchange.Call) (ret *exchange.Return, word string, d *defect.Defect) {
 	s.mu.Lock()
 	addr, _, d := s.gate.Pass(s.clock(), server, service)
 	if d == nil {
@@ -324,15 +351,19 @@
 	}
 	s.mu.Unlock()
 	if d != nil {
-		return nil, true, d
+		return nil, gateTurned, d
 	}
 	defer func() {
 		s.mu.Lock()
 		s.gate.Hand(server, -1)
 		s.mu.Unlock()
 	}()
+	heads := s.Boot.Headers
 	req.Header = req.Header.Clone()
-	req.Header.Set(TargetHeader, string(server))
+	req.Header[TargetHeader] = []string{string(server)}
+	if until, ok := ctx.Deadline(); ok && heads.Id != "" {
+		req.Header[heads.Limit] = []string{strconv.FormatInt(max(1, time.Until(until).Milliseconds()-endMargin), 10)}
+	}
 	// An endpoint may say anything at any time. On a kept connection that would be read
 	// as the return to whoever comes next, and a kept connection may end just as it is
 	// used: each request has a connection of its own.
@@ -352,5 +383,26 @@
 		s.changed(s.gate.Failed(s.clock(), server))
 		s.mu.Unlock()
 	}
-	return ret, !sent, d
+	switch {
+	case d != nil && sent:
+		return nil, gateUnsure, d
+	case d != nil:
+		return nil, gateTurned, d
+	}
+	return judge(heads, req, ret)
+}
+
+// judge tells an endpoint's return from its word that it did not run the request, and
+// from what is no return to this request.
+func judge(heads boot.Headers, req exchange.Call, ret *exchange.Return) (*exchange.Return, string, *defect.Defect) {
+	if heads.Id != "" && ret.Header.Get(heads.Id) != req.Header.Get(heads.Id) {
+		return nil, gateUnsure, defect.Unsure(defect.BadReturn, "the return is not to this request")
+	}
+	if ret.Status == http.StatusMisdirectedRequest || heads.NotRun != "" && ret.Header.Get(heads.NotRun) != "" {
+		return nil, gateShed, defect.New(defect.Busy, "the endpoint turned it away").Later(soon)
+	}
+	if heads.Seal != "" && ret.Status < 300 && ret.Header.Get(heads.Seal) == "" {
+		return nil, gateUnsure, defect.Unsure(defect.BadReturn, "the return has no seal")
+	}
+	return ret, gateReturn, nil
 }
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -89,6 +89,7 @@
 		done: make(chan struct{}), line: line.New[*job](b.Senders, b.Queue),
 		path: path.New(now, b.District, h.Sum64()), gate: gate.New(), wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, sides: map[ident.Addr]bool{}, held: holder.New(),
 		began: now, lastCore: now, poke: make(chan ident.Addr, 1), push: make(chan struct{}, 1)}
+	s.gate.Every(b.Beat).Fenced = b.Fenced
 	s.free = sync.NewCond(&s.mu)
 	s.Board.Fresh = func() {
 		s.mu.Lock()
--- a/kernel/defect/defect.go
+++ b/kernel/defect/defect.go
@@ -65,7 +65,7 @@
 	Fate  Fate    `json:"fate"`
 	Note  string  `json:"note,omitempty"`
 	Path  string  `json:"path,omitempty"`
-	Retry int     `json:"retryAfterS,omitempty"`
+	Retry float64 `json:"retryAfterS,omitempty"` // seconds
 	All   []Fault `json:"faults,omitempty"`
 	cause error
 }
@@ -107,7 +107,7 @@
 }
 
 // Later adds a Retry-After.
-func (d *Defect) Later(s int) *Defect { d.Retry = s; return d }
+func (d *Defect) Later(s float64) *Defect { d.Retry = s; return d }
 
 // Of finds the defect within an error, or wraps it as internal with unknown fate.
 func Of(err error) *Defect {
--- a/mesh/gate/gate.go
+++ b/mesh/gate/gate.go
@@ -50,6 +50,10 @@
 	Weight  uint32        `json:"weight"`
 	// Seq, when given, orders the beats of one server.
 	Seq uint64 `json:"seq"`
+	// Slots is how many requests it works on at once, 0 when it does not say.
+	Slots int `json:"slots,omitempty"`
+	// Cold is how much longer it is slow from its start, in milliseconds.
+	Cold float64 `json:"coldMs,omitempty"`
 }
 
 type entry struct {
@@ -61,6 +65,7 @@
 	leaving bool
 	hand    int
 	open    bool
+	beat    time.Duration // the pace asked for, 0 when it is the gate's own
 }
 
 // Gate knows the endpoints of one machine. Invariants: an address belongs to one
@@ -73,6 +78,11 @@
 	tick  moment.Moment
 	shy   moment.Moment
 	stops bool // the machine stops: whoever beats now leaves with the rest
+	// Fenced says that an endpoint turns away what names another, so an old beat does no
+	// harm and a process that was held up may go on at once.
+	Fenced bool
+	// beat is how often endpoints beat.
+	beat time.Duration
 	// Open, when set, switches the checks off; only tests of the checkers do that.
 	Open bool
 	// Counters.
@@ -84,6 +94,12 @@
 	return &Gate{all: map[ident.Server]*entry{}, spots: map[ident.Addr]ident.Server{}, off: map[ident.Server]moment.Moment{}}
 }
 
+// Every sets how often endpoints beat, where they keep a pace of their own.
+func (g *Gate) Every(beat time.Duration) *Gate {
+	g.beat = beat
+	return g
+}
+
 // Change tells what a step did. Closed lists addresses whose connections must go.
 type Change struct {
 	News   bool
@@ -96,7 +112,7 @@
 // held tells whether this process was held up just now, so that what it hears may
 // be old. Invariant: an old beat never makes a server well.
 func (g *Gate) held(now moment.Moment) bool {
-	return g.shy.After(now) || g.tick != 0 && now.Since(g.tick) > pause
+	return !g.Fenced && (g.shy.After(now) || g.tick != 0 && now.Since(g.tick) > pause)
 }
 
 // Take takes a beat.
@@ -132,7 +148,7 @@
 	}
 	e := g.all[b.Server]
 	if e == nil {
-		e = &entry{status: record.Unknown, open: g.Open}
+		e = &entry{status: record.Unknown, open: g.Open, beat: g.beat}
 		g.all[b.Server] = e
 	} else if e.Addr != b.Addr {
 		c.Closed = append(c.Closed, e.Addr)
@@ -193,7 +209,12 @@
 }
 
 // silent is how long this endpoint may go without a beat.
-func (e *entry) silent() time.Duration { return min(SilentMost, max(Silent, e.gap*9/5)) }
+func (e *entry) silent() time.Duration {
+	if e.beat > 0 {
+		return e.beat * 5 / 2
+	}
+	return min(SilentMost, max(Silent, e.gap*9/5))
+}
 
 func (e *entry) well(now moment.Moment) record.Status {
 	switch {
@@ -216,7 +237,7 @@
 	g.tick = now
 	for _, s := range g.servers() {
 		e := g.all[s]
-		if now.Since(e.at) > forget && !g.Open {
+		if now.Since(e.at) > max(forget, 2*e.silent()) && !g.Open {
 			d := g.drop(s)
 			c.Closed, c.News = append(c.Closed, d.Closed...), true
 			g.Forgotten++
--- a/wire/reply/reply.go
+++ b/wire/reply/reply.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 
@@ -29,7 +30,16 @@
 // Defect writes a defect with its status, its fate and when to come back.
 func Defect(w http.ResponseWriter, d *defect.Defect) {
 	if d.Retry > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(d.Retry))
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(d.Retry))))
+	}
+	w.Header().Set(FateHeader, string(d.Fate))
+	JSON(w, d.Code(), d)
+}
+
+// Fine is Defect on a surface whose callers read fractions of a second in Retry-After.
+func Fine(w http.ResponseWriter, d *defect.Defect) {
+	if d.Retry > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(d.Retry, 'f', -1, 64))
 	}
 	w.Header().Set(FateHeader, string(d.Fate))
 	JSON(w, d.Code(), d)
