Who waits in line for its turn sends itself: no second goroutine a request

Cause: intake handed each request to a sender goroutine and waited for it: two switches and a condition variable more a request. The line (the step function) is as before and still decides who comes next and how many are out; the request's own goroutine walks.

--- a/daemon/sidecar/intake.go
+++ b/daemon/sidecar/intake.go
@@ -55,11 +55,13 @@
 var hop = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
 	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length"}
 
-// job is one request between the stages. Invariant: done gets exactly one ending.
+// job is one request between the stages. Invariant: turn is closed once, when the
+// request may be sent; who waits for it then walks with it.
 type job struct {
-	call *path.Call
-	req  exchange.Call
-	done chan ending
+	call   *path.Call
+	req    exchange.Call
+	urgent bool
+	turn   chan struct{}
 }
 
 type ending struct {
@@ -110,7 +112,7 @@
 		who = from
 	}
 	call := &path.Call{Host: r.Host, Path: r.URL.Path, Method: r.Method, Caller: who, Session: r.Header.Get(SessionHeader)}
-	j := &job{call: call, done: make(chan ending, 1)}
+	j := &job{call: call, turn: make(chan struct{})}
 	j.req = exchange.Call{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: clean(r.Header), Body: body}
 	if !strings.HasPrefix(j.req.Target, "/") {
 		j.req.Target = r.URL.RequestURI()
@@ -130,14 +132,20 @@
 	}
 	s.mu.Lock()
 	taken := s.line.Offer(s.clock(), j, call.Way.Urgent, call.Until)
+	s.turns()
 	s.mu.Unlock()
 	if !taken {
 		s.Board.Add("turned_away", 1)
 		s.say(w, defect.New(defect.Busy, "too many requests are in hand").Later(soon))
 		return
 	}
-	s.free.Signal()
-	end := <-j.done
+	<-j.turn
+	sent := s.clock()
+	end := s.walk(j)
+	s.mu.Lock()
+	s.line.Done(j.urgent, s.clock().Since(sent))
+	s.turns() // what waited only for this one's end
+	s.mu.Unlock()
 	if end.d != nil {
 		s.Board.Add("ended_"+string(end.d.Kind), 1)
 		s.say(w, end.d)
@@ -181,25 +189,17 @@
 	}
 }
 
-// sender is the sending stage: whoever is free takes who comes next in line.
-func (s *Sidecar) sender() {
+// turns is the sending stage: whoever comes next in line is sent while there is room. mu
+// is held. What is in line when the duties end is sent as well: a planned stop waits for
+// it.
+func (s *Sidecar) turns() {
 	for {
-		s.mu.Lock()
 		j, urgent, ok := s.line.Next()
-		for ; !ok; j, urgent, ok = s.line.Next() {
-			if s.over {
-				s.mu.Unlock()
-				return
-			}
-			s.free.Wait()
+		if !ok {
+			return
 		}
-		s.mu.Unlock()
-		began := s.clock()
-		j.done <- s.walk(j)
-		s.mu.Lock()
-		s.line.Done(urgent, s.clock().Since(began))
-		s.mu.Unlock()
-		s.free.Signal() // what waited only for this one's end
+		j.urgent = urgent
+		close(j.turn)
 	}
 }
 
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -52,8 +52,6 @@
 
 	mu       sync.Mutex
 	line     *line.Line[*job]
-	free     *sync.Cond // on mu: a request came, or a sender is done
-	over     bool       // the duties end
 	path     *path.Path
 	gate     *gate.Gate
 	wit      *witness.Witness
@@ -90,7 +88,6 @@
 		path: path.New(now, b.District, h.Sum64()), gate: gate.New(), wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, sides: map[ident.Addr]bool{}, held: holder.New(),
 		began: now, lastCore: now, poke: make(chan ident.Addr, 1), push: make(chan struct{}, 1)}
 	s.gate.Every(b.Beat).Fenced = b.Fenced
-	s.free = sync.NewCond(&s.mu)
 	s.Board.Fresh = func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -106,18 +103,11 @@
 	go s.watchGate()
 	go s.follow()
 	go s.neighbours()
-	for range s.Boot.Senders {
-		go s.sender()
-	}
 }
 
 // Close ends the duties.
 func (s *Sidecar) Close() {
 	close(s.done)
-	s.mu.Lock()
-	s.over = true
-	s.mu.Unlock()
-	s.free.Broadcast()
 	s.pool.Close()
 }
 
