A gate without room for a repeat says nothing of its endpoint

Cause: such a refusal made the endpoint suspect, so first tries went around it as well. Ruled out: a kind of defect of its own, since a repeat's Busy says all. Conclusion: a charged try that ends Busy at a gate leaves the pick alone.

--- a/mesh/path/path.go
+++ b/mesh/path/path.go
@@ -239,7 +239,8 @@
 		p.ends[c.Way.Service] = n
 	}
 	p.Picker.Back(now, c.now, e.Verdict == Unsure, e.Lost)
-	if e.Turned {
+	// A repeat that finds no room at a gate says nothing of the endpoint behind it.
+	if e.Turned && !(c.paid && e.Defect != nil && e.Defect.Kind == defect.Busy) {
 		p.Picker.TurnedAway(now, c.now.UID)
 	}
 	if e.Verdict == Ran {
