--- a/daemon/sidecar/intake.go
+++ b/daemon/sidecar/intake.go
@@ -27,6 +27,8 @@
 	LimitHeader = "X-Cottonarch-Limit-Ms"
 	// GateHeader says what a gate's return is: an endpoint's, or the gate's own.
 	GateHeader = "X-Cottonarch-Gate"
+	// RepeatHeader tells a gate how far a request repeats one that ran, from 0 to 1.
+	RepeatHeader = "X-Cottonarch-Repeat"
 	// CallerHeader names the caller in the tree of allowances.
 	CallerHeader = "X-Caller"
 	// SessionHeader names the session, which stays on one side of a split way.
@@ -49,7 +51,7 @@
 )
 
 // own lists the headers that the mesh itself sets; none is taken from outside.
-var own = []string{TargetHeader, ServiceHeader, LimitHeader, GateHeader, UrgentHeader, reply.FateHeader}
+var own = []string{TargetHeader, ServiceHeader, LimitHeader, GateHeader, UrgentHeader, RepeatHeader, reply.FateHeader}
 
 // hop lists the headers that belong to one connection.
 var hop = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
@@ -232,7 +234,7 @@
 	ctx, stop := context.WithTimeout(context.Background(), c.Limit)
 	defer stop()
 	if c.Entry.Gate == s.Boot.Addr {
-		ret, word, d := s.pass(ctx, c.Entry.UID, c.Entry.Service, j.req)
+		ret, word, d := s.pass(ctx, c.Entry.UID, c.Entry.Service, j.req, c.Repeat)
 		end := verdict(d, word)
 		end.Bad = ret != nil && ret.Status >= 500
 		return ret, end
@@ -244,6 +246,9 @@
 	if j.call.Way.Urgent {
 		req.Header.Set(UrgentHeader, "1")
 	}
+	if c.Repeat > 0 {
+		req.Header.Set(RepeatHeader, strconv.FormatFloat(c.Repeat, 'f', 3, 64))
+	}
 	// The gate gives up a little before this side does, so that its word is heard.
 	req.Header.Set(LimitHeader, strconv.FormatInt((c.Limit-min(c.Limit/10, 20*time.Millisecond)).Milliseconds(), 10))
 	ret, sent, d := s.peers.Do(ctx, c.Entry.Gate, req)
@@ -273,7 +278,7 @@
 var verdicts = map[string]path.End{
 	gateReturn: {Verdict: path.Ran},
 	gateTurned: {Verdict: path.NotRun, Turned: true},
-	gateShed:   {Verdict: path.NotRun},
+	gateShed:   {Verdict: path.NotRun, Arrived: true},
 	gateUnsure: {Verdict: path.Unsure},
 }
 
@@ -329,7 +334,8 @@
 	ctx, stop := context.WithTimeout(context.Background(), time.Duration(ms)*time.Millisecond)
 	defer stop()
 	req := exchange.Call{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: clean(r.Header), Body: body}
-	ret, word, d := s.pass(ctx, ident.Server(server), ident.Service(service), req)
+	again, _ := strconv.ParseFloat(r.Header.Get(RepeatHeader), 64)
+	ret, word, d := s.pass(ctx, ident.Server(server), ident.Service(service), req, min(1, max(0, again)))
 	if d != nil {
 		turn(word, d)
 		return true
@@ -343,9 +349,12 @@
 // before the dial and again before the first byte. The word says what became of the
 // request: gateTurned that certainly nothing of it left for the endpoint, gateShed that
 // the endpoint said itself that it did not run it.
-func (s *Sidecar) pass(ctx context.Context, server ident.Server, service ident.Service, req exchange.Call) (ret *exchange.Return, word string, d *defect.Defect) {
+func (s *Sidecar) pass(ctx context.Context, server ident.Server, service ident.Service, req exchange.Call, again float64) (ret *exchange.Return, word string, d *defect.Defect) {
 	s.mu.Lock()
 	addr, _, d := s.gate.Pass(s.clock(), server, service)
+	if d == nil && !s.path.Tree.Begin(s.clock(), again) {
+		d = defect.New(defect.Busy, "a repeat has no room below").Later(soon)
+	}
 	if d == nil {
 		s.gate.Hand(server, 1)
 	}
@@ -355,6 +364,7 @@
 	}
 	defer func() {
 		s.mu.Lock()
+		s.path.Tree.End(again)
 		s.gate.Hand(server, -1)
 		s.mu.Unlock()
 	}()
