--- a/control/coordination/book/book.go
+++ b/control/coordination/book/book.go
@@ -44,12 +44,20 @@
 // of one is served anew: the old return would be counted from the repeat on.
 var timed = map[string]bool{"lock/claim": true}
 
+// blind lists the deeds that need nothing of the page but its revision: it may be large,
+// and they come often.
+var blind = map[string]bool{"manifest/epoch": true}
+
 // Apply serves a deed.
 func (b Book) Apply(turn owner.Turn, value json.RawMessage, deed owner.Deed) owner.Verdict {
 	serve, ok := b[deed.Kind]
 	if !ok {
 		return owner.Verdict{Defect: defect.New(defect.Malformed, "no deed %q", deed.Kind)}
 	}
+	if blind[deed.Kind] {
+		e := serve(turn, nil, deed.Args)
+		return owner.Verdict{Body: e.Body, Defect: e.Defect}
+	}
 	var page Page
 	if len(value) > 0 {
 		if err := json.Unmarshal(value, &page); err != nil {
--- a/control/manifest/walk/walk.go
+++ b/control/manifest/walk/walk.go
@@ -9,6 +9,7 @@
 	"io"
 	"math"
 	"slices"
+	"unicode/utf8"
 
 	"cottonarch.example/cottonarch/kernel/defect"
 )
@@ -16,10 +17,11 @@
 const faultsMax = 100
 
 // Faults gathers what is wrong. Invariant: at most faultsMax are kept, the count is
-// of all.
+// of all; with Loose, unknown fields are no faults.
 type Faults struct {
 	All   []defect.Fault
 	Count int
+	Loose bool
 }
 
 // Add keeps one fault.
@@ -42,6 +44,10 @@
 
 // Parse reads one JSON object, refusing anything behind it.
 func Parse(raw []byte) (map[string]any, *defect.Defect) {
+	// A decoder would put something else in the place of bytes that are no text.
+	if !utf8.Valid(raw) {
+		return nil, defect.New(defect.Malformed, "not a JSON object: not in UTF-8")
+	}
 	dec := json.NewDecoder(bytes.NewReader(raw))
 	dec.UseNumber()
 	var m map[string]any
@@ -57,25 +63,37 @@
 	return m, nil
 }
 
-// Step is one place in the tree.
+// Step is one place in the tree: a field of the object at over, or, with nth above 0,
+// that element of the list which the field is. Paths are put together only when they are asked for.
 type Step struct {
-	path string
-	m    map[string]any
-	f    *Faults
+	over, name string
+	nth        int
+	m          map[string]any
+	f          *Faults
 }
 
 // Top begins at the root.
-func Top(m map[string]any, f *Faults) Step { return Step{"", m, f} }
+func Top(m map[string]any, f *Faults) Step { return Step{m: m, f: f} }
 
 // Path is where the step stands.
-func (s Step) Path() string { return s.path }
+func (s Step) Path() string {
+	path := s.name
+	if s.over != "" {
+		path = s.over + "." + s.name
+	}
+	if s.nth > 0 {
+		path = fmt.Sprintf("%s[%d]", path, s.nth-1)
+	}
+	return path
+}
 
 // At is the path of a field.
 func (s Step) At(name string) string {
-	if s.path == "" {
+	path := s.Path()
+	if path == "" {
 		return name
 	}
-	return s.path + "." + name
+	return path + "." + name
 }
 
 // Has tells whether the field is given.
@@ -84,8 +102,11 @@
 // Fault adds a fault at a field.
 func (s Step) Fault(name, form string, args ...any) { s.f.Add(s.At(name), form, args...) }
 
-// Only faults every field that is not listed.
+// Only faults every field that is not listed, unless the reader is loose.
 func (s Step) Only(names ...string) {
+	if s.f.Loose {
+		return
+	}
 	for _, name := range s.Names() {
 		if !slices.Contains(names, name) {
 			s.Fault(name, "unknown field")
@@ -103,9 +124,12 @@
 	return out
 }
 
+// All are the fields as they were given; they are not to be changed.
+func (s Step) All() map[string]any { return s.m }
+
 // Down goes into an object; an absent one is empty.
 func (s Step) Down(name string) Step {
-	next := Step{s.At(name), nil, s.f}
+	next := Step{over: s.Path(), name: name, f: s.f}
 	v, ok := s.m[name]
 	if !ok {
 		return next
@@ -182,6 +206,35 @@
 	return b
 }
 
+// Is tells whether the field is given as a list.
+func (s Step) Is(name string) (list bool) {
+	_, list = s.m[name].([]any)
+	return list
+}
+
+// Each goes into every object of a list; an absent list is empty.
+func (s Step) Each(name string) []Step {
+	v, ok := s.m[name]
+	if !ok {
+		return nil
+	}
+	list, ok := v.([]any)
+	if !ok {
+		s.Fault(name, "must be a list of objects")
+		return nil
+	}
+	out, over := make([]Step, 0, len(list)), s.Path()
+	for i, e := range list {
+		next := Step{over: over, name: name, nth: i + 1, f: s.f}
+		if next.m, ok = e.(map[string]any); !ok {
+			s.f.Add(next.Path(), "must be an object")
+			continue
+		}
+		out = append(out, next)
+	}
+	return out
+}
+
 // Texts reads a list of strings.
 func (s Step) Texts(name string) []string {
 	v, ok := s.m[name]
--- a/control/rollout/drive/drive.go
+++ b/control/rollout/drive/drive.go
@@ -60,7 +60,7 @@
 		return move(r, state.Backing, r.At, "the way or the service is no more in the manifest")
 	}
 	want := r.Steps[r.At]
-	if part(way, r) != want {
+	if part(way, r) != want*check.Hundredth {
 		delete(d.seats, r.Way)
 		return give(r, m, want)
 	}
@@ -87,14 +87,14 @@
 	return move(r, state.Running, r.At+1, "")
 }
 
-// part is the share of the way that goes to the new service now, in hundredths.
+// part is the share of the way that goes to the new service now, in millionths.
 func part(w *check.Way, r state.Rollout) int {
 	if w.Service == r.To {
-		return 100
+		return check.Whole
 	}
 	for _, s := range w.Split {
 		if s.Service == r.To {
-			return s.Percent
+			return s.Millionths()
 		}
 	}
 	return 0
--- a/daemon/core/manifest.go
+++ b/daemon/core/manifest.go
@@ -63,7 +63,7 @@
 	if err := json.Unmarshal(raw, &h); err != nil {
 		return nil, defect.New(defect.Damaged, "manifest: %v", err)
 	}
-	h.Lines = nil
+	h.Lines, h.Taken = nil, nil
 	if have := c.held.Load(); have != nil && have.Epoch >= h.Epoch {
 		return have, nil
 	}
@@ -71,7 +71,7 @@
 	if d != nil {
 		return nil, d
 	}
-	parsed, d := check.Read(tree)
+	parsed, d := check.Loose(tree)
 	if d != nil {
 		return nil, d
 	}
--- a/daemon/sidecar/manifest.go
+++ b/daemon/sidecar/manifest.go
@@ -54,7 +54,7 @@
 	if d != nil {
 		return d
 	}
-	m, d := check.Read(tree)
+	m, d := check.Loose(tree)
 	if d != nil {
 		return d
 	}
--- a/mesh/path/path.go
+++ b/mesh/path/path.go
@@ -31,9 +31,6 @@
 	tryMin         = 300 * time.Millisecond
 )
 
-// safe lists the methods that may be run twice.
-var safe = map[string]bool{"GET": true, "HEAD": true, "OPTIONS": true, "TRACE": true}
-
 // Call is one request of a caller. Invariant: risk is set once any try ended Unsure,
 // and from then on the fate is never said to be "no".
 type Call struct {
@@ -51,8 +48,8 @@
 	now     index.Entry
 }
 
-// Safe tells whether the call may be run twice.
-func (c *Call) Safe() bool { return safe[c.Method] }
+// Safe tells whether the call may be run twice: its way says so, or else its method.
+func (c *Call) Safe() bool { return c.Way.Repeat.Safe(c.Method) }
 
 // Tries counts the tries so far.
 func (c *Call) Tries() int { return c.tries }
@@ -141,27 +138,27 @@
 	return nil
 }
 
-// side chooses the service of a split way. The new services have the low hundredths,
+// side chooses the service of a split way. The new services have the low parts,
 // so as their parts grow a session moves once and not back. A side without any well
 // workload is passed over.
 func (p *Path) side(now moment.Moment, c *Call, w check.Way) ident.Service {
 	if len(w.Split) == 0 {
 		return w.Service
 	}
-	x := p.Picker.Draw(100)
+	x := p.Picker.Draw(check.Whole)
 	if c.Session != "" {
 		h := fnv.New32a()
 		_, _ = h.Write([]byte(w.Name + "\x00" + c.Session))
-		x = int(h.Sum32() % 100)
+		x = int(h.Sum32() % check.Whole)
 	}
 	for _, s := range w.Split {
-		if x < s.Percent {
+		if x < s.Millionths() {
 			if _, ok := p.Picker.Choose(now, p.Index.Workloads(s.Service), nil); ok {
 				return s.Service
 			}
 			return w.Service
 		}
-		x -= s.Percent
+		x -= s.Millionths()
 	}
 	return w.Service
 }
--- a/mesh/path/path_test.go
+++ b/mesh/path/path_test.go
@@ -67,6 +67,36 @@
 	}
 }
 
+// What the way says of repeats goes before the method, for a try with unknown end.
+func TestWaySaysWhatMayRepeat(t *testing.T) {
+	for repeat, may := range map[check.Repeat]map[string]bool{
+		check.ByMethod: {"GET": true, "POST": false}, check.Repeatable: {"GET": true, "POST": true}, check.Download: {"GET": true, "POST": true},
+		check.OneShot: {"GET": false, "POST": false}, check.Upload: {"GET": false, "PUT": false},
+	} {
+		for method, want := range may {
+			p, c := ready(), &Call{Host: "h", Path: "/x", Method: method, Caller: "c"}
+			p.manifest.Ways[0].Repeat = repeat
+			must.Nil(t, p.Way(start, c, 0))
+			must.Eq(t, want, c.Safe())
+			must.Nil(t, p.Next(start, c).Defect)
+			must.Eq(t, want, p.Ended(start, c, End{Verdict: Unsure, Defect: defect.Unsure(defect.LostReturn, "x")}), must.Sprint(repeat, method))
+		}
+	}
+}
+
+// Parts finer than a hundredth are kept to.
+func TestFineParts(t *testing.T) {
+	p, n := ready(check.Split{Service: "b", Percent: 33, Rest: 3333}), 0
+	for range 30000 {
+		c := &Call{Host: "h", Path: "/", Method: "GET"}
+		must.Nil(t, p.Way(start, c, 0))
+		if c.Way.Service == "b" {
+			n++
+		}
+	}
+	must.Between(t, 9700, n, 10300)
+}
+
 // A session moves to the new service at most once while its part grows, and the parts
 // are kept to.
 func TestSessionsMoveOnce(t *testing.T) {
--- a/sim/plan/plan.go
+++ b/sim/plan/plan.go
@@ -40,14 +40,14 @@
 	"prairie": {Name: "prairie", Cores: 3, Sides: 9, Districts: 3, Rate: 450, Locks: 80, Keys: 300, Coord: 50, Manifests: 1500 * time.Millisecond,
 		Services: []Service{{"accounts.prairie", "accounts.bank", 5}, {"payments.prairie", "payments.bank", 4}},
 		Kinds: []world.Kind{{Name: "balance", Method: "GET", Host: "accounts.bank", Path: "/balance", Service: "accounts.prairie", Weight: 50},
-			{Name: "statement", Method: "GET", Host: "accounts.bank", Path: "/statements/2026", Service: "accounts.prairie", Weight: 15},
+			{Name: "statement", Method: "GET", Host: "accounts.bank", Path: "/statements/2026", Service: "accounts.prairie", Weight: 15, Repeat: "one_shot"},
 			{Name: "move", Method: "POST", Host: "payments.bank", Path: "/moves", Service: "payments.prairie", Weight: 15},
 			{Name: "bill", Method: "POST", Host: "payments.bank", Path: "/bills", Service: "payments.prairie", Weight: 12},
 			{Name: "card", Method: "POST", Host: "payments.bank", Path: "/cards/check", Service: "payments.prairie", Weight: 8, Urgent: true}}},
 	"volta": {Name: "volta", Cores: 5, Sides: 10, Districts: 3, Rate: 335, Locks: 12, Keys: 300, Coord: 40, Manifests: 3 * time.Second,
 		Services: []Service{{"wagons.volta", "wagons.rail", 4}, {"paths.volta", "paths.rail", 3}, {"tables.volta", "tables.rail", 3}},
 		Kinds: []world.Kind{{Name: "wagon", Method: "GET", Host: "wagons.rail", Path: "/wagons", Service: "wagons.volta", Weight: 45},
-			{Name: "upload", Method: "PUT", Host: "wagons.rail", Path: "/manifests", Service: "wagons.volta", Weight: 10},
+			{Name: "upload", Method: "PUT", Host: "wagons.rail", Path: "/manifests", Service: "wagons.volta", Weight: 10, Repeat: "upload"},
 			{Name: "book", Method: "POST", Host: "paths.rail", Path: "/paths", Service: "paths.volta", Weight: 25},
 			{Name: "table", Method: "GET", Host: "tables.rail", Path: "/old", Service: "tables.volta", Weight: 20}}},
 }
@@ -225,6 +225,9 @@
 		ways["w-"+string(s.Name)] = map[string]any{"host": s.Host, "pathStart": "/", "service": string(s.Name), "timeoutMs": 3000}
 	}
 	for _, k := range r.d.Kinds {
+		if k.Repeat != "" {
+			ways["w-repeat-"+k.Name] = map[string]any{"host": k.Host, "pathStart": k.Path, "service": string(k.Service), "repeat": k.Repeat, "timeoutMs": 3000}
+		}
 		if k.Urgent {
 			ways["w-urgent-"+k.Name] = map[string]any{"host": k.Host, "pathStart": k.Path, "service": string(k.Service), "urgent": true, "timeoutMs": 1500}
 		}
