--- a/sim/check/check.go
+++ b/sim/check/check.go
@@ -64,7 +64,7 @@
 
 // Rules names every rule, in the order of the brief.
 var Rules = []string{"double-run", "false-not-run", "late-to-leaver", "wrong-service", "wrong-return", "manifest-late", "manifest-back",
-	"manifest-turned", "dropped-in-stop", "further-tries", "lock-shared", "number-repeated", "stale-read", "watch-forgotten", "slow-recovery", "urgent-turned", "held-back", "not-mended", "audit", "disk", "invalid", "damaged"}
+	"manifest-turned", "dropped-in-stop", "further-tries", "lock-shared", "number-repeated", "stale-read", "watch-forgotten", CellOrder, CellStale, CellWatch, CellTurned, "slow-recovery", "urgent-turned", "held-back", "not-mended", "audit", "disk", "invalid", "damaged"}
 
 // Bounds are the times of the brief.
 const (
--- a/sim/plan/plan.go
+++ b/sim/plan/plan.go
@@ -72,6 +72,9 @@
 	Break      world.Break
 	Links      bool // lossy, late, doubled messages throughout
 	FaultEvery time.Duration
+	// Cells says that applications use cells and kept claims too. It is apart because
+	// every user draws from the seed, and the schedules of known seeds are worth keeping.
+	Cells bool
 }
 
 // Run is one simulated day.
@@ -136,7 +139,7 @@
 // Simulate runs one day and judges it.
 func Simulate(d Deployment, q What) *world.World {
 	w := world.New(q.Seed)
-	w.Break = q.Break
+	w.Break, w.History = q.Break, 20*time.Second
 	r := &Run{World: w, d: d, what: q, load: d.Rate * q.Burden}
 	if q.Scale > 0 {
 		r.load *= q.Scale
@@ -174,6 +177,11 @@
 	w.Counters(max(2, int(d.Coord/12)), 4, 500*time.Millisecond)
 	r.keys = w.KeyUsers(max(3, int(d.Coord/4)), 12, 400*time.Millisecond)
 	w.Watcher(500 * time.Millisecond)
+	var cells *world.Cells
+	if q.Cells {
+		cells = w.CellUsers(max(3, int(d.Coord/8)), 3, 12, 300*time.Millisecond)
+		w.Keepers(max(3, int(d.Coord/8)), 4, 500*time.Millisecond)
+	}
 	w.RunFor(2 * time.Second)
 	from := w.Now()
 	for j, s := range w.Sides {
@@ -205,6 +213,9 @@
 	r.ops.Close()
 	w.Compare()
 	r.keys.Judge()
+	if cells != nil {
+		cells.Judge.Judge()
+	}
 	w.Check.Finish(from, over)
 	return w
 }
--- a/sim/plan/plan_test.go
+++ b/sim/plan/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -61,6 +62,10 @@
 		"clocks":                     {"prairie", day(4, 0.5, "clock-jump", "machine-suspend", "core-kill", "release-bad")},
 		"endpoints":                  {"volta", day(5, 0.5, "endpoint-hang", "endpoint-gone", "service-empty", "machine-suspend")},
 		"isolated restarts":          {"volta", day(6, 0.5, "isolated-restart", "manifest-large", "burst")},
+		"cells 1":                    {"prairie", cells(1)},
+		"cells 2":                    {"volta", cells(2)},
+		"cells 3":                    {"prairie", cells(3, "core-kill", "core-power", "core-freeze", "core-cut", "core-split")},
+		"cells 4":                    {"volta", cells(4, "core-roll", "clock-jump", "core-freeze")},
 		"volta 1":                    {"volta", day(1, 0.3)},
 		"volta 2":                    {"volta", day(2, 1)},
 		"volta 3: rolled throughout": {"volta", day(3, 0.5, "core-roll", "side-roll", "endpoint-replace")},
@@ -74,6 +79,13 @@
 	}
 }
 
+// cells is a day on which applications use cells and kept claims too.
+func cells(seed uint64, faults ...string) What {
+	q := day(seed, 0.2, faults...)
+	q.Cells = true
+	return q
+}
+
 // isolated is a day of bursts in the middle of which the core is cut off, with sidecars
 // killed at once.
 func isolated(seed uint64) What {
@@ -123,6 +135,7 @@
 					q = isolated(seed)
 				}
 				q.Break = b
+				q.Cells = strings.HasPrefix(string(b), "cell-")
 				for _, x := range Simulate(Deployments["prairie"], q).Check.Breaches {
 					for _, r := range rules {
 						if r == x.Rule {
--- a/sim/world/clients.go
+++ b/sim/world/clients.go
@@ -22,6 +22,11 @@
 // ask sends a deed to some core, as an application does; end gets a nil End when no
 // return came.
 func (w *World) ask(d owner.Deed, end func(*node.End)) {
+	w.asking(d, 4*time.Second, 6*time.Second, end)
+}
+
+// asking is ask with the core's budget and the silence after which the asker moves on.
+func (w *World) asking(d owner.Deed, budget, silence time.Duration, end func(*node.End)) {
 	c := w.Cores[w.Rng.IntN(len(w.Cores))]
 	over := false
 	began := w.now
@@ -48,7 +53,7 @@
 		return
 	}
 	gen := c.gen
-	w.After(6*time.Second, func() { say(nil) })
+	w.After(silence, func() { say(nil) })
 	// Who waits at a process that ends sees its connection end.
 	c.resets = append(c.resets, func() { say(nil) })
 	w.After(w.delay(), func() {
@@ -56,7 +61,7 @@
 			return
 		}
 		c.run(gen, func() {
-			c.Deed(d, 4*time.Second, func(e node.End) {
+			c.Deed(d, budget, func(e node.End) {
 				w.After(w.delay(), func() { say(&e) })
 			})
 		})
--- a/sim/world/world.go
+++ b/sim/world/world.go
@@ -69,6 +69,13 @@
 	"clock":     {"lock-shared"},
 	"mend":      {"not-mended"},
 	"audit":     {"audit"},
+	// Those of cells and kept claims.
+	"cell-twice":   {"cell-order"},
+	"cell-old":     {"cell-stale"},
+	"cell-skip":    {"cell-watch"},
+	"cell-history": {"cell-watch"},
+	"cell-fate":    {"cell-turned"},
+	"cell-keep":    {"lock-shared"},
 }
 
 // New makes an empty world of a seed.
