--- a/control/coordination/book/book.go
+++ b/control/coordination/book/book.go
@@ -74,7 +74,7 @@
 		}
 	}
 	page := have.page
-	remember := deed.Op != "" && !timed[deed.Kind] && !known[deed.Kind]
+	remember := deed.Op != "" && !deed.Loose && !timed[deed.Kind] && !known[deed.Kind]
 	if remember {
 		for _, past := range page.Ops {
 			if past.Op == deed.Op {
--- /dev/null
+++ b/control/coordination/book/book_test.go
@@ -0,0 +1,41 @@
+package book_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/number"
+	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/kernel/ident"
+)
+
+// A repeated operation acts once and a loose one again, of which nothing is stored; with
+// and without the form kept from the turn before, the same is stored and said.
+func TestRepeats(t *testing.T) {
+	for _, keep := range []bool{false, true} {
+		var value json.RawMessage
+		var kept any
+		for i, x := range []struct {
+			op    ident.Op
+			loose bool
+			want  string
+		}{{"a", false, "1"}, {"a", false, "1"}, {"b", true, "2"}, {"b", true, "3"}, {"a", false, "1"}, {"c", false, "4"}, {"c", false, "4"}} {
+			v := number.Deeds().Apply(owner.Turn{Kept: kept}, value, owner.Deed{Op: x.op, Kind: "number/next", Loose: x.loose})
+			must.Nil(t, v.Defect)
+			must.Eq(t, `{"number":`+x.want+`}`, string(v.Body), must.Sprint(i))
+			if v.Changed {
+				value = v.Value
+			}
+			if keep {
+				kept = v.Kept
+			}
+		}
+		must.Eq(t, `{"number":4}`, string(book.State(value)))
+		must.False(t, strings.Contains(string(value), `"b"`))
+		must.True(t, json.Valid(value))
+	}
+}
--- a/control/register/owner/owner.go
+++ b/control/register/owner/owner.go
@@ -35,6 +35,9 @@
 	Key   ident.Key       `json:"key"`
 	Kind  string          `json:"kind"`
 	Args  json.RawMessage `json:"args,omitempty"`
+	// Loose says that a second copy may act again as far as its asker is concerned, so
+	// nothing need be remembered of it: the page of a much used key stays small.
+	Loose bool `json:"loose,omitempty"`
 }
 
 // Turn is what a machine may know beyond the value.
--- a/daemon/proof/rig_test.go
+++ b/daemon/proof/rig_test.go
@@ -106,7 +106,8 @@
 // proc is one daemon with its servers.
 type proc struct {
 	addr ident.Addr
-	stop func() // the planned stop
+	core *core.Core // nil for a sidecar
+	stop func()     // the planned stop
 	kill func()
 }
 
@@ -178,7 +179,7 @@
 	must.NoError(c.t, err)
 	stop, kill := serve(srv)
 	d.Start()
-	c.procs[i] = &proc{addr: a, stop: func() { d.Leave(10 * time.Second); stop(); d.Close() }, kill: func() { kill(); d.Close() }}
+	c.procs[i] = &proc{addr: a, core: d, stop: func() { d.Leave(10 * time.Second); stop(); d.Close() }, kill: func() { kill(); d.Close() }}
 }
 
 // lose turns a core's power off; its disk is what is left.
