--- a/boot/boot_test.go
+++ b/boot/boot_test.go
@@ -1,9 +1,11 @@
 package boot
 
 import (
+	"encoding/json"
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"cottonarch.example/cottonarch/kernel/defect"
 	"github.com/shoenig/test/must"
@@ -56,4 +58,12 @@
 	must.Nil(t, d)
 	must.Eq(t, "b", string(c.District))
 	must.Eq(t, 1, len(c.Founders))
+	must.Eq(t, time.Minute, c.History)
+	m["historyS"] = json.Number("2.5")
+	c, d = ReadCore(m)
+	must.Nil(t, d)
+	must.Eq(t, 2500*time.Millisecond, c.History)
+	m["historyS"] = json.Number("0")
+	_, d = ReadCore(m)
+	must.NotNil(t, d)
 }
