--- a/boot/boot.go
+++ b/boot/boot.go
@@ -27,7 +27,8 @@
 	RingFile int64
 	Rings    int
 	// Extra is allowance.Terms.Extra, of which the sidecars have their shares.
-	Extra int
+	Extra   int
+	History time.Duration // how long at least a group's puts are kept for watches
 }
 
 // Sidecar is a sidecar's boot.
@@ -166,9 +167,10 @@
 func ReadCore(m map[string]any) (Core, *defect.Defect) {
 	f := &walk.Faults{}
 	s := walk.Top(m, f)
-	s.Only("address", "listen", "district", "seeds", "founders", "data", "voters", "ringFileMiB", "ringFiles", "allowanceExtra")
+	s.Only("address", "listen", "district", "seeds", "founders", "data", "voters", "ringFileMiB", "ringFiles", "historyS", "allowanceExtra")
 	c := Core{Addr: addr(s, "address", true), Listen: addr(s, "listen", false), District: ident.District(s.Must("district")), Seeds: addrs(s, "seeds", 3), Founders: addrs(s, "founders", 9),
-		Data: s.Must("data"), Voters: int(s.Whole("voters", 5, 1, 9)), RingFile: s.Whole("ringFileMiB", 16, 12, 1024) << 20, Rings: int(s.Whole("ringFiles", 6, 4, 64)), Extra: extra(s)}
+		Data: s.Must("data"), Voters: int(s.Whole("voters", 5, 1, 9)), RingFile: s.Whole("ringFileMiB", 16, 12, 1024) << 20, Rings: int(s.Whole("ringFiles", 6, 4, 64)),
+		Extra: extra(s), History: time.Duration(s.Real("historyS", 60, 1, 3600) * float64(time.Second))}
 	if c.Listen == "" {
 		c.Listen = c.Addr
 	}
--- a/boot/boot_test.go
+++ b/boot/boot_test.go
@@ -59,6 +59,14 @@
 	must.Nil(t, d)
 	must.Eq(t, "b", string(c.District))
 	must.Eq(t, 1, len(c.Founders))
+	must.Eq(t, time.Minute, c.History)
+	m["historyS"] = json.Number("2.5")
+	c, d = ReadCore(m)
+	must.Nil(t, d)
+	must.Eq(t, 2500*time.Millisecond, c.History)
+	m["historyS"] = json.Number("0")
+	_, d = ReadCore(m)
+	must.NotNil(t, d)
 }
 
 // The bound of further tries comes from the boot, and has defaults.
--- a/sim/world/world.go
+++ b/sim/world/world.go
@@ -33,6 +33,8 @@
 	Took     []time.Duration // of deeds that were told a yes
 	// Senders is how many requests a sidecar sends at once, and its queues' size.
 	Senders int
+	// History is how long a group keeps its puts, the default if 0.
+	History time.Duration
 	// Closed says that clients begin nothing new.
 	Closed bool
 	// Broken on purpose, to see the checkers catch it.
@@ -67,6 +69,13 @@
 	"clock":     {"lock-shared"},
 	"mend":      {"not-mended"},
 	"audit":     {"audit"},
+	// Those of cells and kept claims.
+	"cell-twice":   {"cell-order"},
+	"cell-old":     {"cell-stale"},
+	"cell-skip":    {"cell-watch"},
+	"cell-history": {"cell-watch"},
+	"cell-fate":    {"cell-turned"},
+	"cell-keep":    {"lock-shared"},
 }
 
 // New makes an empty world of a seed.
