A try has all the time that is left

Ruled out: the planned stop itself (it waited for all in hand). A machine that has gone is noticed by its connection, not by the time an endpoint takes. Test: TestTryHasAllTheTimeLeft failed before.

--- a/mesh/path/path.go
+++ b/mesh/path/path.go
@@ -28,7 +28,6 @@
 	NotRun Verdict = "not-run"
 	Unsure Verdict = "unknown"
 	least          = 5 * time.Millisecond
-	tryMin         = 300 * time.Millisecond
 	// freeMost is how many tries of a call may end before any endpoint without a charge,
 	// so that machines that can't be reached make no storm.
 	freeMost = 4
@@ -213,9 +212,6 @@
 	c.past[e.UID] = true
 	c.now = e
 	p.Picker.Sent(e.UID)
-	if c.Safe() && c.arrived+1 < c.Way.Tries && left/2 > tryMin {
-		left /= 2
-	}
 	return Choice{Entry: e, Limit: left, Further: further, Repeat: repeat}
 }
 
--- a/mesh/path/path_test.go
+++ b/mesh/path/path_test.go
@@ -195,3 +195,18 @@
 	must.Eq(t, freeMost+1, n)
 	must.Eq(t, uint64(0), p.Tree.Granted+p.Tree.Denied)
 }
+
+// A try has all the time that is left, however often the call may go again: an endpoint
+// that is silent may be at work, and to break it off is to drop the request.
+func TestTryHasAllTheTimeLeft(t *testing.T) {
+	p := ready()
+	for _, method := range []string{"GET", "POST"} {
+		for _, ask := range []time.Duration{0, time.Second} {
+			c := &Call{Host: "h", Path: "/", Method: method}
+			must.Nil(t, p.Way(start, c, ask))
+			got := p.Next(start, c)
+			must.Nil(t, got.Defect)
+			must.Eq(t, c.Until.Since(start), got.Limit, must.Sprint(method, ask))
+		}
+	}
+}
