--- a/mesh/path/path.go
+++ b/mesh/path/path.go
@@ -13,6 +13,7 @@
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/mesh/allowance"
+	"cottonarch.example/cottonarch/mesh/burden"
 	"cottonarch.example/cottonarch/mesh/pick"
 	"cottonarch.example/cottonarch/mesh/registry/index"
 	"cottonarch.example/cottonarch/mesh/way"
@@ -47,6 +48,7 @@
 	past    map[ident.Server]bool
 	tries   int
 	risk    bool
+	shed    bool
 	last    *defect.Defect
 	now     index.Entry
 }
@@ -62,6 +64,10 @@
 	Entry  index.Entry
 	Limit  time.Duration
 	Defect *defect.Defect
+	// Work, Peers and Must are for the bay at the destination; see bay.Ask.
+	Work  time.Duration
+	Peers float64
+	Must  bool
 }
 
 // End is the end of one try. Turned says the gate refused; Lost that the machine
@@ -72,6 +78,14 @@
 	Turned  bool
 	Lost    bool
 	Bad     bool // a return that says the endpoint failed
+	// Shed says that the bay turned it away: the endpoint is known, and not suspect.
+	Shed bool
+	// Told is what the gate told of its endpoint with this end, nil if it did not.
+	Told *burden.Burden
+	// Took is how long the endpoint had it, 0 if that is not known, and Size its return's
+	// bytes.
+	Took time.Duration
+	Size int64
 }
 
 // Path holds what one sidecar knows. Invariant: the manifest only moves to higher
@@ -175,7 +189,7 @@
 	if c.tries >= c.Way.Tries {
 		return p.give(c, c.last)
 	}
-	e, ok := p.Picker.Choose(now, p.Index.Workloads(c.Way.Service), c.past)
+	e, ok := p.Picker.ChooseFor(now, c.Way.Name, p.Index.Workloads(c.Way.Service), c.past)
 	if !ok {
 		if c.last != nil {
 			return p.give(c, c.last)
@@ -195,7 +209,8 @@
 	if c.Safe() && c.tries < c.Way.Tries && left/2 > tryMin {
 		left /= 2
 	}
-	return Choice{Entry: e, Limit: left}
+	return Choice{Entry: e, Limit: left, Work: p.Picker.Work(c.Way.Name), Peers: p.Picker.Peers(c.Way.Service),
+		Must: c.shed || p.Picker.Must(now, e.UID)}
 }
 
 // Ended takes the end of the try that was out; again says whether another may follow.
@@ -209,7 +224,14 @@
 		p.ends[c.Way.Service] = n
 	}
 	p.Picker.Back(now, c.now, e.Verdict == Unsure, e.Lost)
-	if e.Turned {
+	if e.Told != nil {
+		p.Picker.Heard(now, c.now.UID, *e.Told)
+	}
+	if e.Verdict == Ran && !e.Bad && e.Took > 0 {
+		p.Picker.Ran(now, c.Way.Name, e.Took, e.Size)
+	}
+	c.shed = c.shed || e.Shed
+	if e.Turned && !e.Shed {
 		p.Picker.TurnedAway(now, c.now.UID)
 	}
 	if e.Verdict == Ran {
