--- a/mesh/bay/bay.go
+++ b/mesh/bay/bay.go
@@ -19,6 +19,9 @@
 	Extra int
 	// Queue is how many may wait for each slot.
 	Queue int
+	// Yield is how many may wait for each slot while higher ranks let lower ones go first
+	// that have less time to spare; 0 is never.
+	Yield int
 	// Margin is how many times its expected work a request must have left for its aim
 	// when its turn is expected, or it is turned away.
 	Margin float64
@@ -36,7 +39,7 @@
 
 // Usual gives the settings that the model of bay_model_test.go was run with.
 func Usual() Settings {
-	return Settings{Extra: 1, Queue: 8, Margin: 1, Cold: 2, IllMost: 0.25, Trial: 200 * time.Millisecond,
+	return Settings{Extra: 1, Queue: 8, Yield: 1, Margin: 1.5, Cold: 2, IllMost: 0.25, Trial: 200 * time.Millisecond,
 		Unknown: 50 * time.Millisecond, RetryLeast: 10 * time.Millisecond, RetryMost: time.Second}
 }
 
--- a/mesh/bay/spot.go
+++ b/mesh/bay/spot.go
@@ -236,23 +236,51 @@
 	return min(max(w*time.Duration(192+part/2)/256, t.set.RetryLeast), t.set.RetryMost)
 }
 
-// next takes the first in line who can still be in time; the others of its rank go after.
+// next takes who goes now. While few wait it is, of those who can still be in time, the one
+// with the least time to spare, unless somebody of a higher rank would miss an aim for it.
+// Otherwise it is the first in line who can be in time, and if nobody can, the first.
 func (t *spot) next(now moment.Moment) Ask {
-	i := 0
-	for j, a := range t.line {
-		if a.Rank != t.line[0].Rank {
-			break
+	p := t.pace(now) * t.chill(now)
+	need := func(a *Ask) time.Duration { return time.Duration(float64(t.size(a.Work)) * p) }
+	first, at, least := -1, -1, time.Duration(0)
+	for i := range t.line {
+		spare := t.line[i].aim().Since(now) - need(&t.line[i])
+		if spare < 0 {
+			continue
 		}
-		if !t.misses(now, &a, t.need(now, a.Work)) {
-			i = j
-			break
+		if first < 0 {
+			first = i
 		}
+		if at < 0 || spare < least {
+			at, least = i, spare
+		}
+	}
+	if at > first && (len(t.line) > t.set.Yield*t.slots || !t.yields(now, at, need)) {
+		at = first
 	}
-	a := t.line[i]
-	t.line = slices.Delete(t.line, i, i+1)
+	at = max(at, 0)
+	a := t.line[at]
+	t.line = slices.Delete(t.line, at, at+1)
 	return a
 }
 
+// yields tells whether all of a higher rank than one in line can let it go first.
+func (t *spot) yields(now moment.Moment, at int, need func(*Ask) time.Duration) bool {
+	ahead := need(&t.line[at])
+	for i := range t.line[:at] {
+		a := &t.line[i]
+		if a.Rank == t.line[at].Rank {
+			break
+		}
+		own := need(a)
+		if t.misses(now, a, ahead/time.Duration(t.slots)+own*3/2) {
+			return false
+		}
+		ahead += own
+	}
+	return true
+}
+
 // verdicts is what each end tells of the endpoint's health; Over tells nothing.
 var verdicts = map[End]float64{Served: 0, Failed: 1}
 
--- a/mesh/pick/pick.go
+++ b/mesh/pick/pick.go
@@ -45,7 +45,7 @@
 
 // Usual gives the settings that the model was run with.
 func Usual() Settings {
-	return Settings{Draws: 0, Jitter: 0.3, Fresh: 250 * time.Millisecond, Firm: 2 * time.Second, Far: 2 * time.Millisecond,
+	return Settings{Draws: 0, Jitter: 0.1, Fresh: 2 * time.Second, Firm: 2 * time.Second, Far: 2 * time.Millisecond,
 		Slots: 6, IllMost: 0.25, Part: 0.34, Young: 3 * time.Second, Unknown: 50 * time.Millisecond}
 }
 
@@ -227,6 +227,16 @@
 	return float64(half) / float64(half+age)
 }
 
+// firm is the same of news that hold for longer and then are all but forgotten, so that a
+// workload that was left alone for them is tried again.
+func firm(age, half time.Duration) float64 {
+	if age <= 0 || half <= 0 {
+		return 1
+	}
+	x := float64(age) / float64(half)
+	return 1 / (1 + x*x)
+}
+
 // cost is what a return from a workload is expected to cost, in nanoseconds of waiting.
 func (p *Picker) cost(now moment.Moment, work, cross float64, e *index.Entry, s *score) float64 {
 	slots, load, pace, ill := float64(p.Slots), e.Burden, 1.0, 0.0
@@ -240,7 +250,7 @@
 		if s.told.Slots > 0 {
 			slots = float64(s.told.Slots)
 		}
-		x, y := part(age, p.Fresh), part(age, p.Firm)
+		x, y := part(age, p.Fresh), firm(age, p.Firm)
 		load = x*float64(s.told.Hand+s.told.Wait)/slots + (1-x)*load
 		if s.told.Pace > 0 {
 			pace += y * (s.told.Pace - 1)
@@ -272,7 +282,7 @@
 	if s.heard == 0 || s.service == nil || s.told.Ill <= p.IllMost {
 		return false
 	}
-	return s.told.Ill*part(now.Since(s.heard), p.Firm) > p.IllMost+1.5*s.service.ill
+	return s.told.Ill*firm(now.Since(s.heard), p.Firm) > p.IllMost+1.5*s.service.ill
 }
 
 // Heard takes what the gate of a server told with a return.
