Requests wait beside the gate, are picked by burden, and go again after an endpoint's failure

Now the destination's bay lets in as many as the endpoint works on, by rank and time left, and tells its burden with every return; the pick weighs that; what may run again goes elsewhere after a 5xx of the endpoint's own, once more than its allowance permits never.

A proved no is told as 503 on the platform's surface.

--- /dev/null
+++ b/daemon/sidecar/bay.go
@@ -0,0 +1,166 @@
+package sidecar
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/mesh/bay"
+	"cottonarch.example/cottonarch/mesh/burden"
+	"cottonarch.example/cottonarch/mesh/gate"
+	"cottonarch.example/cottonarch/mesh/path"
+	"cottonarch.example/cottonarch/mesh/registry/record"
+)
+
+// want is what a request's origin says of it to the bay beside its endpoint, as spans that
+// remain. Invariant: as text it is six whole numbers: rank, work, early and aim in
+// microseconds, failing peers in thousandths, must.
+type want struct {
+	rank             int
+	work, early, aim time.Duration
+	peers            float64
+	must             bool
+}
+
+// wanted tells what a call wants at its chosen endpoint.
+func wanted(now, began moment.Moment, call *path.Call, c path.Choice) want {
+	aim := call.Way.Aim
+	if aim <= 0 {
+		aim = call.Until.Since(began)
+	}
+	rank := call.Way.Rank
+	return want{rank: rank, work: c.Work, early: began.Add(aim / 4).Since(now), aim: began.Add(aim).Since(now), peers: c.Peers, must: c.Must}
+}
+
+func (w want) text() string {
+	b := make([]byte, 0, 48)
+	must := int64(0)
+	if w.must {
+		must = 1
+	}
+	for i, n := range []int64{int64(w.rank), w.work.Microseconds(), w.early.Microseconds(), w.aim.Microseconds(), int64(w.peers * 1000), must} {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = strconv.AppendInt(b, n, 10)
+	}
+	return string(b)
+}
+
+// wantOf reads the text; what can't be read wants nothing special.
+func wantOf(text string) (w want) {
+	var n [6]int64
+	for i := range n {
+		part, rest, _ := strings.Cut(text, ",")
+		n[i], _ = strconv.ParseInt(part, 10, 64)
+		text = rest
+	}
+	micro := func(x int64) time.Duration { return time.Duration(min(max(x, -1<<40), 1<<40)) * time.Microsecond }
+	return want{rank: int(min(max(n[0], 0), 1000)), work: max(0, micro(n[1])), early: micro(n[2]), aim: micro(n[3]), peers: float64(min(max(n[4], 0), 1000)) / 1000, must: n[5] == 1}
+}
+
+// ask makes the bay's question of it; a span of nought is never.
+func (w want) ask(now moment.Moment, id uint64, until moment.Moment) bay.Ask {
+	return bay.Ask{ID: id, Rank: w.rank, Work: w.work, Early: now.Add(w.early), Aim: now.Add(w.aim), Until: until, Peers: w.peers, Must: w.must}
+}
+
+// acts tells those who wait what becomes of them; mu is held.
+func (s *Sidecar) acts(list []bay.Act) {
+	for _, a := range list {
+		if ch := s.berths[a.ID]; ch != nil && a.Word != bay.Wait {
+			delete(s.berths, a.ID)
+			ch <- a
+		}
+	}
+}
+
+// berth waits until the endpoint has room for the request, or the bay turns it away. The
+// caller must call leave when it was let in.
+func (s *Sidecar) berth(ctx context.Context, server ident.Server, w want) (id uint64, d *defect.Defect) {
+	ch := make(chan bay.Act, 1)
+	until, _ := ctx.Deadline()
+	s.mu.Lock()
+	now := s.clock()
+	s.berthed++
+	id = s.berthed
+	s.berths[id] = ch
+	s.acts(s.bay.Offer(now, server, w.ask(now, id, now.Add(time.Until(until)))))
+	s.mu.Unlock()
+	var a bay.Act
+	select {
+	case a = <-ch:
+	case <-ctx.Done():
+		s.mu.Lock()
+		if delete(s.berths, id); len(ch) == 0 {
+			s.acts(s.bay.Quit(s.clock(), server, id))
+			s.mu.Unlock()
+			return 0, defect.New(defect.Late, "no room in time")
+		}
+		s.mu.Unlock()
+		a = <-ch
+	}
+	if a.Word == bay.Go {
+		return id, nil
+	}
+	s.Board.Add("bay_turned_away_"+string(a.Why), 1)
+	return 0, defect.New(defect.Busy, "server %q: %s", server, a.Why).Later(max(0.01, a.Retry.Seconds()))
+}
+
+// leave says that a request that was let in is over.
+func (s *Sidecar) leave(server ident.Server, id uint64, end bay.End, took time.Duration) {
+	s.mu.Lock()
+	s.acts(s.bay.Done(s.clock(), server, id, end, took))
+	s.mu.Unlock()
+}
+
+// moor keeps the bay to what the gate knows; mu is held.
+func (s *Sidecar) moor() {
+	here := map[ident.Server]bool{}
+	for _, w := range s.gate.Workloads() {
+		here[w.UID] = true
+		if w.Status != record.Healthy {
+			s.acts(s.bay.Empty(w.UID))
+		}
+	}
+	for id := range s.moored {
+		if !here[id] {
+			s.acts(s.bay.Drop(id))
+			delete(s.moored, id)
+		}
+	}
+}
+
+// beaten takes what a beat says of an endpoint's room; mu is held.
+func (s *Sidecar) beaten(now moment.Moment, b gate.Beat) {
+	if b.State == gate.Alive && b.Slots > 0 {
+		s.moored[b.Server] = true
+		s.acts(s.bay.Tell(now, b.Server, b.Slots, time.Duration(b.Cold*float64(time.Millisecond))))
+	}
+}
+
+// burden is what a gate tells of its endpoint with a return.
+func (s *Sidecar) burden(server ident.Server) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, ok := s.bay.Burden(s.clock(), server)
+	if !ok {
+		return ""
+	}
+	return b.Text()
+}
+
+// heard reads it.
+func heard(text string) *burden.Burden {
+	if text == "" {
+		return nil
+	}
+	b, d := burden.Parse(text)
+	if d != nil {
+		return nil
+	}
+	return &b
+}
--- a/daemon/sidecar/intake.go
+++ b/daemon/sidecar/intake.go
@@ -12,6 +12,8 @@
 	"cottonarch.example/cottonarch/boot"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/mesh/bay"
 	"cottonarch.example/cottonarch/mesh/path"
 	"cottonarch.example/cottonarch/wire/exchange"
 	"cottonarch.example/cottonarch/wire/reply"
@@ -29,6 +31,11 @@
 	GateHeader = "X-Cottonarch-Gate"
 	// RepeatHeader tells a gate how far a request repeats one that ran, from 0 to 1.
 	RepeatHeader = "X-Cottonarch-Repeat"
+	// WantHeader tells a bay what a request wants; BurdenHeader and TookHeader tell its
+	// origin what the endpoint has in hand, and how many microseconds this one took.
+	WantHeader   = "X-Cottonarch-Want"
+	BurdenHeader = "X-Cottonarch-Burden"
+	TookHeader   = "X-Cottonarch-Took"
 	// CallerHeader names the caller in the tree of allowances.
 	CallerHeader = "X-Caller"
 	// SessionHeader names the session, which stays on one side of a split way.
@@ -39,6 +46,8 @@
 	gateReturn = "return"
 	gateTurned = "turned-away"
 	gateUnsure = "unsure"
+	// gateBay is a gate's word that its endpoint has no room in time.
+	gateBay = "bay"
 	// gateShed is a gate's word that the endpoint itself turned the request away.
 	gateShed = "shed"
 
@@ -51,7 +60,7 @@
 )
 
 // own lists the headers that the mesh itself sets; none is taken from outside.
-var own = []string{TargetHeader, ServiceHeader, LimitHeader, GateHeader, UrgentHeader, RepeatHeader, reply.FateHeader}
+var own = []string{TargetHeader, ServiceHeader, LimitHeader, GateHeader, UrgentHeader, RepeatHeader, WantHeader, BurdenHeader, TookHeader, reply.FateHeader}
 
 // hop lists the headers that belong to one connection.
 var hop = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
@@ -61,11 +70,13 @@
 // request may be sent; who waits for it then walks with it.
 type job struct {
 	call   *path.Call
+	began  moment.Moment
 	req    exchange.Call
 	urgent bool
 	turn   chan struct{}
 }
 
+// ending is how a walk ended. Invariant: without ret there is d.
 type ending struct {
 	ret *exchange.Return
 	d   *defect.Defect
@@ -114,7 +125,7 @@
 		who = from
 	}
 	call := &path.Call{Host: r.Host, Path: r.URL.Path, Method: r.Method, Caller: who, Session: r.Header.Get(SessionHeader)}
-	j := &job{call: call, turn: make(chan struct{})}
+	j := &job{call: call, began: began, turn: make(chan struct{})}
 	j.req = exchange.Call{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: clean(r.Header), Body: body}
 	if !strings.HasPrefix(j.req.Target, "/") {
 		j.req.Target = r.URL.RequestURI()
@@ -148,7 +159,7 @@
 	s.line.Done(j.urgent, s.clock().Since(sent))
 	s.turns() // what waited only for this one's end
 	s.mu.Unlock()
-	if end.d != nil {
+	if end.ret == nil {
 		s.Board.Add("ended_"+string(end.d.Kind), 1)
 		s.say(w, end.d)
 		return
@@ -207,12 +218,13 @@
 
 // walk tries until there is a return, or nothing more may be tried.
 func (s *Sidecar) walk(j *job) ending {
+	var last *exchange.Return // an endpoint's own word that it failed, while others are tried
 	for {
 		s.mu.Lock()
 		choice := s.path.Next(s.clock(), j.call)
 		s.mu.Unlock()
 		if choice.Defect != nil {
-			return ending{d: choice.Defect}
+			return ending{ret: last, d: choice.Defect}
 		}
 		ret, end := s.try(j, choice)
 		s.mu.Lock()
@@ -220,11 +232,13 @@
 		if end.Verdict != path.Ran && !again {
 			d := s.path.Final(j.call)
 			s.mu.Unlock()
-			return ending{d: d}
+			return ending{ret: last, d: d}
 		}
 		s.mu.Unlock()
 		if end.Verdict == path.Ran {
-			return ending{ret: ret}
+			if last = ret; !again {
+				return ending{ret: ret}
+			}
 		}
 	}
 }
@@ -233,11 +247,12 @@
 func (s *Sidecar) try(j *job, c path.Choice) (*exchange.Return, path.End) {
 	ctx, stop := context.WithTimeout(context.Background(), c.Limit)
 	defer stop()
+	w := wanted(s.clock(), j.began, j.call, c)
 	if c.Entry.Gate == s.Boot.Addr {
-		ret, word, d := s.pass(ctx, c.Entry.UID, c.Entry.Service, j.req, c.Repeat)
-		end := verdict(d, word)
-		end.Bad = ret != nil && ret.Status >= 500
-		return ret, end
+		got := s.pass(ctx, c.Entry.UID, c.Entry.Service, j.req, c.Repeat, w)
+		end := verdict(got.d, got.word)
+		end.Told, end.Took = heard(got.told), got.took
+		return sized(got.ret, end)
 	}
 	req := j.req
 	req.Header = req.Header.Clone()
@@ -249,6 +264,7 @@
 	if c.Repeat > 0 {
 		req.Header.Set(RepeatHeader, strconv.FormatFloat(c.Repeat, 'f', 3, 64))
 	}
+	req.Header[WantHeader] = []string{w.text()}
 	// The gate gives up a little before this side does, so that its word is heard.
 	req.Header.Set(LimitHeader, strconv.FormatInt((c.Limit-min(c.Limit/10, 20*time.Millisecond)).Milliseconds(), 10))
 	ret, sent, d := s.peers.Do(ctx, c.Entry.Gate, req)
@@ -261,23 +277,36 @@
 	return read(ret)
 }
 
+// sized adds what a return itself tells of its end.
+func sized(ret *exchange.Return, end path.End) (*exchange.Return, path.End) {
+	if ret != nil {
+		end.Bad, end.Size = ret.Status >= 500, int64(len(ret.Body))
+	}
+	return ret, end
+}
+
 // read tells a gate's own word from an endpoint's return that it passes on.
 func read(ret *exchange.Return) (*exchange.Return, path.End) {
 	word := ret.Header.Get(GateHeader)
+	told := heard(ret.Header.Get(BurdenHeader))
 	if word == gateReturn {
-		return ret, path.End{Verdict: path.Ran, Bad: ret.Status >= 500}
+		micro, _ := strconv.ParseInt(ret.Header.Get(TookHeader), 10, 64)
+		return sized(ret, path.End{Verdict: path.Ran, Told: told, Took: time.Duration(max(0, micro)) * time.Microsecond})
 	}
 	d := &defect.Defect{}
 	if err := json.Unmarshal(ret.Body, d); err != nil || d.Kind == "" || word == "" {
 		return nil, path.End{Verdict: path.Unsure, Defect: defect.Unsure(defect.BadReturn, "the gate's return can't be read")}
 	}
-	return nil, verdict(d, word)
+	end := verdict(d, word)
+	end.Told = told
+	return nil, end
 }
 
 // verdicts says what each word of a gate means.
 var verdicts = map[string]path.End{
 	gateReturn: {Verdict: path.Ran},
 	gateTurned: {Verdict: path.NotRun, Turned: true},
+	gateBay:    {Verdict: path.NotRun, Turned: true, Shed: true},
 	gateShed:   {Verdict: path.NotRun, Arrived: true},
 	gateUnsure: {Verdict: path.Unsure},
 }
@@ -335,21 +364,53 @@
 	defer stop()
 	req := exchange.Call{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: clean(r.Header), Body: body}
 	again, _ := strconv.ParseFloat(r.Header.Get(RepeatHeader), 64)
-	ret, word, d := s.pass(ctx, ident.Server(server), ident.Service(service), req, min(1, max(0, again)))
-	if d != nil {
-		turn(word, d)
+	got := s.pass(ctx, ident.Server(server), ident.Service(service), req, min(1, max(0, again)), wantOf(r.Header.Get(WantHeader)))
+	if got.told != "" {
+		w.Header()[BurdenHeader] = []string{got.told}
+	}
+	if got.d != nil {
+		turn(got.word, got.d)
 		return true
 	}
-	w.Header().Set(GateHeader, gateReturn)
-	give(w, ret)
+	w.Header()[GateHeader] = []string{gateReturn}
+	w.Header()[TookHeader] = []string{strconv.FormatInt(got.took.Microseconds(), 10)}
+	give(w, got.ret)
 	return true
 }
 
-// pass is the gate: it asks whether the endpoint is still the one that is meant,
-// before the dial and again before the first byte. The word says what became of the
-// request: gateTurned that certainly nothing of it left for the endpoint, gateShed that
-// the endpoint said itself that it did not run it.
-func (s *Sidecar) pass(ctx context.Context, server ident.Server, service ident.Service, req exchange.Call, again float64) (ret *exchange.Return, word string, d *defect.Defect) {
+// passed is what became of a request at the gate. Invariant: ret is set if and only if
+// word is gateReturn, and d if and only if it is not.
+type passed struct {
+	ret  *exchange.Return
+	word string
+	d    *defect.Defect
+	told string        // the endpoint's burden, as text
+	took time.Duration // how long the endpoint had it
+}
+
+// pass is the gate: it asks whether the endpoint is still the one that is meant, waits
+// for its turn in the bay, and asks again before the first byte. The word says what became
+// of the request: gateTurned and gateBay that certainly nothing of it left for the
+// endpoint, gateShed that the endpoint said itself that it did not run it.
+func (s *Sidecar) pass(ctx context.Context, server ident.Server, service ident.Service, req exchange.Call, again float64, w want) (out passed) {
+	turn := func(word string, d *defect.Defect) passed {
+		return passed{word: word, d: d, told: s.burden(server)}
+	}
+	s.mu.Lock()
+	_, _, d := s.gate.Pass(s.clock(), server, service)
+	s.mu.Unlock()
+	if d != nil {
+		return passed{word: gateTurned, d: d}
+	}
+	id, d := s.berth(ctx, server, w)
+	if d != nil {
+		return turn(gateBay, d)
+	}
+	end, took := bay.Over, time.Duration(0)
+	defer func() {
+		s.leave(server, id, end, took)
+		out.told, out.took = s.burden(server), took
+	}()
 	s.mu.Lock()
 	addr, _, d := s.gate.Pass(s.clock(), server, service)
 	if d == nil && !s.path.Tree.Begin(s.clock(), again) {
@@ -360,7 +421,7 @@
 	}
 	s.mu.Unlock()
 	if d != nil {
-		return nil, gateTurned, d
+		return turn(gateTurned, d)
 	}
 	defer func() {
 		s.mu.Lock()
@@ -381,12 +442,13 @@
 	req.Last = func() *defect.Defect {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		again, _, d := s.gate.Pass(s.clock(), server, service)
-		if d == nil && again != addr {
+		now, _, d := s.gate.Pass(s.clock(), server, service)
+		if d == nil && now != addr {
 			d = defect.New(defect.Gate, "server %q has moved", server)
 		}
 		return d
 	}
+	began := s.clock()
 	ret, sent, d := s.ends.Do(ctx, addr, req)
 	if d != nil && d.Kind == defect.Unreached {
 		s.mu.Lock()
@@ -395,11 +457,24 @@
 	}
 	switch {
 	case d != nil && sent:
-		return nil, gateUnsure, d
+		if end = bay.Failed; d.Kind == defect.Late {
+			end, took = bay.Over, s.clock().Since(began)
+		}
+		return turn(gateUnsure, d)
 	case d != nil:
-		return nil, gateTurned, d
+		return turn(gateTurned, d)
 	}
-	return judge(heads, req, ret)
+	out.ret, out.word, out.d = judge(heads, req, ret)
+	switch {
+	case out.word == gateShed:
+	case out.word != gateReturn || ret.Status >= 500 && ret.Status != http.StatusGatewayTimeout:
+		end = bay.Failed
+	case ret.Status == http.StatusGatewayTimeout:
+		took = s.clock().Since(began)
+	default:
+		end, took = bay.Served, s.clock().Since(began)
+	}
+	return out
 }
 
 // judge tells an endpoint's return from its word that it did not run the request, and
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -17,6 +17,7 @@
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/mesh/bay"
 	"cottonarch.example/cottonarch/mesh/claim/holder"
 	"cottonarch.example/cottonarch/mesh/gate"
 	"cottonarch.example/cottonarch/mesh/line"
@@ -54,6 +55,10 @@
 	line     *line.Line[*job]
 	path     *path.Path
 	gate     *gate.Gate
+	bay      *bay.Bay
+	berths   map[uint64]chan bay.Act // who waits in the bay
+	berthed  uint64
+	moored   map[ident.Server]bool // endpoints that the bay knows
 	wit      *witness.Witness
 	raw      json.RawMessage // of the manifest in force
 	next     json.RawMessage // of the one that is held and not shown yet
@@ -85,7 +90,7 @@
 	now := clock()
 	s := &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, slow: moment.Watched(clock), pool: client.New(b.Addr), peers: exchange.New(b.Addr), ends: exchange.New(b.Addr),
 		done: make(chan struct{}), line: line.New[*job](b.Senders, b.Queue),
-		path: path.New(now, b.District, h.Sum64(), b.Terms), gate: gate.New(), wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, sides: map[ident.Addr]bool{}, held: holder.New(), portion: holder.Portion{Terms: b.Terms},
+		path: path.New(now, b.District, h.Sum64(), b.Terms), gate: gate.New(), bay: bay.New(bay.Usual()), berths: map[uint64]chan bay.Act{}, moored: map[ident.Server]bool{}, wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, sides: map[ident.Addr]bool{}, held: holder.New(), portion: holder.Portion{Terms: b.Terms},
 		began: now, lastCore: now, poke: make(chan ident.Addr, 1), push: make(chan struct{}, 1)}
 	s.gate.Every(b.Beat).Fenced = b.Fenced
 	s.Board.Fresh = func() {
@@ -127,6 +132,7 @@
 		s.path.Tree.Tick(now)
 		s.slow()
 		s.changed(s.gate.Tick(now))
+		s.acts(s.bay.Tick(now))
 		if n%100 == 0 {
 			s.path.Picker.Tidy(now, func(u ident.Server) bool { _, ok := s.path.Index.Look(string(u)); return ok })
 		}
@@ -140,6 +146,7 @@
 		s.ends.Drop(a)
 	}
 	if c.News {
+		s.moor()
 		s.news = true
 		s.kick(s.push)
 	}
@@ -186,8 +193,12 @@
 func (s *Sidecar) Beat(b gate.Beat) *defect.Defect {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c, d := s.gate.Take(s.clock(), b)
+	now := s.clock()
+	c, d := s.gate.Take(now, b)
 	s.changed(c)
+	if d == nil {
+		s.beaten(now, b)
+	}
 	s.Board.Add("beats", 1)
 	return d
 }
--- a/mesh/path/path.go
+++ b/mesh/path/path.go
@@ -29,6 +29,8 @@
 	NotRun Verdict = "not-run"
 	Unsure Verdict = "unknown"
 	least          = 5 * time.Millisecond
+	// soon is when a caller may come back that was turned away, in seconds.
+	soon = 0.1
 	// freeMost is how many tries of a call may end before any endpoint without a charge,
 	// so that machines that can't be reached make no storm.
 	freeMost = 4
@@ -148,7 +150,7 @@
 // Way finds a call's way and sets its limit.
 func (p *Path) Way(now moment.Moment, c *Call, asked time.Duration) *defect.Defect {
 	if p.manifest == nil {
-		return defect.New(defect.NotReady, "no manifest is in force yet").Later(1)
+		return defect.New(defect.NotReady, "no manifest is in force yet").Later(soon)
 	}
 	w, d := p.ways.Find(c.Host, c.Path)
 	if d != nil {
@@ -210,7 +212,7 @@
 		if c.last != nil {
 			return p.give(c, c.last)
 		}
-		return p.give(c, defect.New(defect.NoWorkload, "no well endpoint of %q", c.Way.Service).Later(1))
+		return p.give(c, defect.New(defect.NoWorkload, "no well endpoint of %q", c.Way.Service).Later(soon))
 	}
 	further, repeat := c.arrived > 0, c.repeat
 	if further {
@@ -259,7 +261,8 @@
 		p.Picker.TurnedAway(now, c.now.UID)
 	}
 	if e.Verdict == Ran {
-		return false
+		// A failure of the endpoint's own ran; only what may run again goes elsewhere.
+		return e.Bad && c.Safe()
 	}
 	c.last = e.Defect
 	if e.Verdict == Unsure {
@@ -286,7 +289,7 @@
 		}
 	}
 	if end.Retry == 0 && (end.Fate == defect.FateNo || c.Safe()) && end.Kind != defect.NoWay {
-		end.Retry = 1
+		end.Retry = soon
 	}
 	return Choice{Defect: &end}
 }
--- a/wire/reply/reply.go
+++ b/wire/reply/reply.go
@@ -42,7 +42,11 @@
 		w.Header().Set("Retry-After", strconv.FormatFloat(d.Retry, 'f', -1, 64))
 	}
 	w.Header().Set(FateHeader, string(d.Fate))
-	JSON(w, d.Code(), d)
+	code := d.Code()
+	if d.Fate == defect.FateNo && code > http.StatusInternalServerError {
+		code = http.StatusServiceUnavailable // which promises that it has not run
+	}
+	JSON(w, code, d)
 }
 
 // Read reads a whole body of at most most bytes.
