Near endpoints first, by what each KB between districts counts

Cause: the pick weighed 2 ms for another district whatever crossed; a statement of 90 KB went to all three.

--- a/daemon/sidecar/intake.go
+++ b/daemon/sidecar/intake.go
@@ -252,7 +252,7 @@
 		got := s.pass(ctx, c.Entry.UID, c.Entry.Service, j.req, c.Repeat, w)
 		end := verdict(got.d, got.word)
 		end.Told, end.Took = heard(got.told), got.took
-		return sized(got.ret, end)
+		return sized(j, got.ret, end)
 	}
 	req := j.req
 	req.Header = req.Header.Clone()
@@ -274,24 +274,27 @@
 		}
 		return nil, path.End{Verdict: path.Unsure, Defect: d, Lost: d.Kind == defect.LostReturn}
 	}
-	return read(ret)
+	return read(j, ret)
 }
 
+// headBytes is about what the heads of a request and its return take between sidecars.
+const headBytes = 800
+
 // sized adds what a return itself tells of its end.
-func sized(ret *exchange.Return, end path.End) (*exchange.Return, path.End) {
+func sized(j *job, ret *exchange.Return, end path.End) (*exchange.Return, path.End) {
 	if ret != nil {
-		end.Bad, end.Size = ret.Status >= 500, int64(len(ret.Body))
+		end.Bad, end.Size = ret.Status >= 500, int64(len(j.req.Body)+len(ret.Body)+headBytes)
 	}
 	return ret, end
 }
 
 // read tells a gate's own word from an endpoint's return that it passes on.
-func read(ret *exchange.Return) (*exchange.Return, path.End) {
+func read(j *job, ret *exchange.Return) (*exchange.Return, path.End) {
 	word := ret.Header.Get(GateHeader)
 	told := heard(ret.Header.Get(BurdenHeader))
 	if word == gateReturn {
 		micro, _ := strconv.ParseInt(ret.Header.Get(TookHeader), 10, 64)
-		return sized(ret, path.End{Verdict: path.Ran, Told: told, Took: time.Duration(max(0, micro)) * time.Microsecond})
+		return sized(j, ret, path.End{Verdict: path.Ran, Told: told, Took: time.Duration(max(0, micro)) * time.Microsecond})
 	}
 	d := &defect.Defect{}
 	if err := json.Unmarshal(ret.Body, d); err != nil || d.Kind == "" || word == "" {
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -92,6 +92,7 @@
 		done: make(chan struct{}), line: line.New[*job](b.Senders, b.Queue),
 		path: path.New(now, b.District, h.Sum64(), b.Terms), gate: gate.New(), bay: bay.New(bay.Usual()), berths: map[uint64]chan bay.Act{}, moored: map[ident.Server]bool{}, wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, sides: map[ident.Addr]bool{}, held: holder.New(), portion: holder.Portion{Terms: b.Terms},
 		began: now, lastCore: now, poke: make(chan ident.Addr, 1), push: make(chan struct{}, 1)}
+	s.path.Picker.Cross = b.Cross
 	s.gate.Every(b.Beat).Fenced = b.Fenced
 	s.Board.Fresh = func() {
 		s.mu.Lock()
