--- a/mesh/bay/compare_test.go
+++ b/mesh/bay/compare_test.go
@@ -179,9 +179,11 @@
 
 var tunes = []policy{
 	{name: "usual", pick: "told", bay: true},
-	{name: "m1.25", pick: "told", bay: true, bays: func(s *bay.Settings) { s.Margin = 1.25 }},
-	{name: "firm4", pick: "told", bay: true, set: func(s *pick.Settings) { s.Firm = 4 * time.Second }},
-	{name: "d3", pick: "told", bay: true, set: func(s *pick.Settings) { s.Draws = 3 }},
-	{name: "d5j0", pick: "told", bay: true, set: func(s *pick.Settings) { s.Draws, s.Jitter = 5, 0 }},
+	{name: "draws3", pick: "told", bay: true, set: func(s *pick.Settings) { s.Draws = 3 }},
 	{name: "cross1", pick: "told", bay: true, set: func(s *pick.Settings) { s.Cross = time.Millisecond }},
+	{name: "margin1", pick: "told", bay: true, bays: func(s *bay.Settings) { s.Margin = 1 }},
+	{name: "extra0", pick: "told", bay: true, bays: func(s *bay.Settings) { s.Extra = 0 }},
+	{name: "extra2", pick: "told", bay: true, bays: func(s *bay.Settings) { s.Extra = 2 }},
+	{name: "most3", pick: "told", bay: true, most: 3},
+	{name: "retry2", pick: "told", bay: true, bays: func(s *bay.Settings) { s.RetryLeast = 60 * ms }},
 }
--- a/mesh/bay/model_test.go
+++ b/mesh/bay/model_test.go
@@ -131,6 +131,7 @@
 	name string
 	pick string // blind, former, told
 	bay  bool
+	most int // tries a call; 0 is two
 	set  func(*pick.Settings)
 	bays func(*bay.Settings)
 }
@@ -529,7 +530,7 @@
 		m.settle(c, true)
 		return
 	case "full", "shed":
-		if c.tries < 2 && c.until().Since(m.now) > 5*ms {
+		if c.tries < max(m.pol.most, 2) && c.until().Since(m.now) > 5*ms {
 			m.send(c)
 			return
 		}
