A ring makes what a killed run left last before it builds on it

A killed run leaves writes that no sync covered. The next run read them, said in its own records that they were synced, but synced only the file it went on in; the loss of power took them, and that is damage. Ruled out: torn tails (told apart as before), the order of syncs within a run. Change: opening syncs all files before anything is written. Test: TestWhatAKilledRunLeftIsMadeToLast failed before (damaged: record 3).

--- a/storage/ring/ring.go
+++ b/storage/ring/ring.go
@@ -149,6 +149,14 @@
 		return nil, err
 	}
 	r.now, r.synced = top, r.seq
+	// A run that was killed may have left writes that no sync covered. They were read, so
+	// they must last before anything is built on them.
+	for i := range r.files {
+		r.dirty[i] = true
+	}
+	if err := r.Sync(); err != nil {
+		return nil, err
+	}
 	if !moved {
 		// The move was cut short. Whatever was appended after the head were only
 		// moved records, so starting that file anew loses nothing and has room.
--- a/storage/ring/ring_test.go
+++ b/storage/ring/ring_test.go
@@ -166,3 +166,32 @@
 	test.Eq(t, defect.DiskFailed, defect.Of(r.Sync()).Kind)
 	test.Error(t, r.Append([]Record{{"a", []byte("2")}}))
 }
+
+// A process that is killed leaves writes that no sync covered; the next run reads them as
+// they are. Power that is lost later must not take what that run built on: after each
+// number of unsynced records, however many of them the disk keeps.
+func TestWhatAKilledRunLeftIsMadeToLast(t *testing.T) {
+	for soft := range 4 {
+		for keep := range 3 {
+			box := NewMem()
+			boot := Boot{Files: 4, Size: 4096}
+			open := func() *Ring {
+				r, err := Open(box, boot)
+				must.NoError(t, err, must.Sprint(soft, " unsynced, keeps ", keep))
+				return r
+			}
+			r := open()
+			must.NoError(t, r.Append([]Record{{"a", []byte("solid")}}))
+			must.NoError(t, r.Sync())
+			for i := range soft {
+				must.NoError(t, r.Append([]Record{{fmt.Sprint("b", i), []byte("soft")}}))
+			}
+			r = open() // killed, and started again
+			must.Eq(t, 1+soft, len(r.Records()))
+			must.NoError(t, r.Append([]Record{{"c", []byte("later")}}))
+			must.NoError(t, r.Sync())
+			box.Crash(func(n int) int { return n * keep / 2 })
+			must.Eq(t, 2+soft, len(open().Records()))
+		}
+	}
+}
