Connections to endpoints are kept; the id tells whose a return is

Cause: each request had a connection of its own (1 ms of a slot and a price each). With an id that endpoints repeat, the exchange tells a late, doubled or foreign return from the one that is due, so connections are kept; without one (the own interface) each request still has its own. Header maps are laid over instead of cloned, spans are moments instead of contexts, net/http no longer listens for a caller's close.

--- a/daemon/assemble/assemble.go
+++ b/daemon/assemble/assemble.go
@@ -2,6 +2,8 @@
 package assemble
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"cottonarch.example/cottonarch/adapter/coordination"
@@ -16,6 +18,10 @@
 	"cottonarch.example/cottonarch/wire/server"
 )
 
+// silence is how long the other end of a connection may leave bytes unanswered before it
+// is given up.
+const silence = 3 * time.Second
+
 // Core opens a core on its data folder.
 func Core(b boot.Core, log *zap.Logger) (*core.Core, *server.Server, error) {
 	dir, err := ring.OpenDir(b.Data)
@@ -46,8 +52,8 @@
 // Sidecar makes a sidecar with its server towards the mesh and that for callers.
 func Sidecar(b boot.Sidecar, log *zap.Logger) (s *sidecar.Sidecar, near, front *server.Server) {
 	s = sidecar.New(b, log)
-	near = server.New(b.Listen, s.Gated)
+	near = server.New(b.Listen, s.Gated, server.Silence(silence), server.Deaf())
 	s.Paths().Register(near)
 	platform.Paths(s.Ready, s.Board, s.Status).Register(near)
-	return s, near, server.New(b.Caller, s.Front)
+	return s, near, server.New(b.Caller, s.Front, server.Silence(silence), server.Deaf())
 }
--- a/daemon/sidecar/bay.go
+++ b/daemon/sidecar/bay.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"context"
 	"strconv"
 	"strings"
 	"time"
@@ -80,9 +79,8 @@
 
 // berth waits until the endpoint has room for the request, or the bay turns it away. The
 // caller must call leave when it was let in.
-func (s *Sidecar) berth(ctx context.Context, server ident.Server, w want) (id uint64, d *defect.Defect) {
+func (s *Sidecar) berth(until time.Time, server ident.Server, w want) (id uint64, d *defect.Defect) {
 	ch := make(chan bay.Act, 1)
-	until, _ := ctx.Deadline()
 	s.mu.Lock()
 	now := s.clock()
 	s.berthed++
@@ -90,10 +88,8 @@
 	s.berths[id] = ch
 	s.acts(s.bay.Offer(now, server, w.ask(now, id, now.Add(time.Until(until)))))
 	s.mu.Unlock()
-	var a bay.Act
-	select {
-	case a = <-ch:
-	case <-ctx.Done():
+	a, ok := s.turn(ch, until)
+	if !ok {
 		s.mu.Lock()
 		if delete(s.berths, id); len(ch) == 0 {
 			s.acts(s.bay.Quit(s.clock(), server, id))
@@ -110,6 +106,23 @@
 	return 0, defect.New(defect.Busy, "server %q: %s", server, a.Why).Later(max(0.01, a.Retry.Seconds()))
 }
 
+// turn waits for the bay's word until the request's time is over.
+func (s *Sidecar) turn(ch chan bay.Act, until time.Time) (a bay.Act, ok bool) {
+	select {
+	case a = <-ch:
+		return a, true
+	default:
+	}
+	t := time.NewTimer(time.Until(until))
+	defer t.Stop()
+	select {
+	case a = <-ch:
+		return a, true
+	case <-t.C:
+		return a, false
+	}
+}
+
 // leave says that a request that was let in is over.
 func (s *Sidecar) leave(server ident.Server, id uint64, end bay.End, took time.Duration) {
 	s.mu.Lock()
--- a/daemon/sidecar/intake.go
+++ b/daemon/sidecar/intake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -57,15 +58,14 @@
 	// endMargin is how many milliseconds sooner than the gate gives up an endpoint is told
 	// to end, so that its own word is heard.
 	endMargin = 10
+	// sure is for how long a connection to an endpoint counts as alive without a look at
+	// what happened to it meanwhile: an endpoint may forget one that is idle.
+	sure = 2 * time.Second
 )
 
 // own lists the headers that the mesh itself sets; none is taken from outside.
 var own = []string{TargetHeader, ServiceHeader, LimitHeader, GateHeader, UrgentHeader, RepeatHeader, WantHeader, BurdenHeader, TookHeader, reply.FateHeader}
 
-// hop lists the headers that belong to one connection.
-var hop = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length"}
-
 // job is one request between the stages. Invariant: turn is closed once, when the
 // request may be sent; who waits for it then walks with it.
 type job struct {
@@ -82,20 +82,13 @@
 	d   *defect.Defect
 }
 
-func clean(h http.Header) http.Header {
-	out := h.Clone()
-	for _, field := range h["Connection"] {
-		for name := range strings.SplitSeq(field, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hop {
-		out.Del(name)
-	}
+// strip takes the mesh's own headers out; the exchange leaves out those that belong to one
+// connection.
+func strip(h http.Header) http.Header {
 	for _, name := range own {
-		out.Del(name)
+		delete(h, name)
 	}
-	return out
+	return h
 }
 
 // Intake is the first stage: it takes a caller's request whole, finds its way and
@@ -126,14 +119,14 @@
 	}
 	call := &path.Call{Host: r.Host, Path: r.URL.Path, Method: r.Method, Caller: who, Session: r.Header.Get(SessionHeader)}
 	j := &job{call: call, began: began, turn: make(chan struct{})}
-	j.req = exchange.Call{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: clean(r.Header), Body: body}
+	j.req = exchange.Call{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: strip(r.Header), Body: body}
 	if !strings.HasPrefix(j.req.Target, "/") {
 		j.req.Target = r.URL.RequestURI()
 	}
 	if heads.Calling == "" {
 		j.req.Header.Add("X-Forwarded-For", from)
 	} else {
-		j.req.Header[heads.Calling] = []string{string(s.Boot.Own)}
+		j.req.Set = []exchange.Field{{Name: heads.Calling, Value: string(s.Boot.Own)}}
 	}
 	asked, _ := strconv.Atoi(r.Header.Get(heads.Limit))
 	s.mu.Lock()
@@ -181,9 +174,7 @@
 func give(w http.ResponseWriter, ret *exchange.Return) {
 	h := w.Header()
 	length := ret.Header.Get("Content-Length")
-	for name, v := range clean(ret.Header) {
-		h[name] = v
-	}
+	maps.Copy(h, strip(ret.Header))
 	if ret.Status != http.StatusNoContent && ret.Status != http.StatusNotModified {
 		if len(ret.Body) > 0 || length == "" {
 			length = strconv.Itoa(len(ret.Body))
@@ -245,29 +236,28 @@
 
 // try sends once: to the gate here, or to that of the endpoint's machine.
 func (s *Sidecar) try(j *job, c path.Choice) (*exchange.Return, path.End) {
-	ctx, stop := context.WithTimeout(context.Background(), c.Limit)
-	defer stop()
+	until := time.Now().Add(c.Limit)
 	w := wanted(s.clock(), j.began, j.call, c)
 	if c.Entry.Gate == s.Boot.Addr {
-		got := s.pass(ctx, c.Entry.UID, c.Entry.Service, j.req, c.Repeat, w)
+		got := s.pass(until, c.Entry.UID, c.Entry.Service, j.req, c.Repeat, w)
 		end := verdict(got.d, got.word)
 		end.Told, end.Took = heard(got.told), got.took
 		return sized(j, got.ret, end)
 	}
 	req := j.req
-	req.Header = req.Header.Clone()
-	req.Header.Set(TargetHeader, string(c.Entry.UID))
-	req.Header.Set(ServiceHeader, string(c.Entry.Service))
+	req.Until = until
+	// The gate gives up a little before this side does, so that its word is heard.
+	limit := strconv.FormatInt((c.Limit - min(c.Limit/10, 20*time.Millisecond)).Milliseconds(), 10)
+	req.Set = append(make([]exchange.Field, 0, 8), j.req.Set...)
+	req.Set = append(req.Set, exchange.Field{Name: TargetHeader, Value: string(c.Entry.UID)}, exchange.Field{Name: ServiceHeader, Value: string(c.Entry.Service)},
+		exchange.Field{Name: LimitHeader, Value: limit}, exchange.Field{Name: WantHeader, Value: w.text()})
 	if j.call.Way.Urgent {
-		req.Header.Set(UrgentHeader, "1")
+		req.Set = append(req.Set, exchange.Field{Name: UrgentHeader, Value: "1"})
 	}
 	if c.Repeat > 0 {
-		req.Header.Set(RepeatHeader, strconv.FormatFloat(c.Repeat, 'f', 3, 64))
+		req.Set = append(req.Set, exchange.Field{Name: RepeatHeader, Value: strconv.FormatFloat(c.Repeat, 'f', 3, 64)})
 	}
-	req.Header[WantHeader] = []string{w.text()}
-	// The gate gives up a little before this side does, so that its word is heard.
-	req.Header.Set(LimitHeader, strconv.FormatInt((c.Limit-min(c.Limit/10, 20*time.Millisecond)).Milliseconds(), 10))
-	ret, sent, d := s.peers.Do(ctx, c.Entry.Gate, req)
+	ret, sent, d := s.peers.Do(context.Background(), c.Entry.Gate, req)
 	if d != nil {
 		if !sent {
 			return nil, path.End{Verdict: path.NotRun, Defect: d, Lost: true}
@@ -363,11 +353,13 @@
 		turn(gateTurned, defect.New(defect.Late, "no time is left"))
 		return true
 	}
-	ctx, stop := context.WithTimeout(context.Background(), time.Duration(ms)*time.Millisecond)
-	defer stop()
-	req := exchange.Call{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: clean(r.Header), Body: body}
-	again, _ := strconv.ParseFloat(r.Header.Get(RepeatHeader), 64)
-	got := s.pass(ctx, ident.Server(server), ident.Service(service), req, min(1, max(0, again)), wantOf(r.Header.Get(WantHeader)))
+	until := time.Now().Add(time.Duration(ms) * time.Millisecond)
+	want, again := wantOf(r.Header.Get(WantHeader)), 0.0
+	if x := r.Header.Get(RepeatHeader); x != "" {
+		again, _ = strconv.ParseFloat(x, 64)
+	}
+	req := exchange.Call{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: strip(r.Header), Body: body}
+	got := s.pass(until, ident.Server(server), ident.Service(service), req, min(1, max(0, again)), want)
 	if got.told != "" {
 		w.Header()[BurdenHeader] = []string{got.told}
 	}
@@ -395,7 +387,7 @@
 // for its turn in the bay, and asks again before the first byte. The word says what became
 // of the request: gateTurned and gateBay that certainly nothing of it left for the
 // endpoint, gateShed that the endpoint said itself that it did not run it.
-func (s *Sidecar) pass(ctx context.Context, server ident.Server, service ident.Service, req exchange.Call, again float64, w want) (out passed) {
+func (s *Sidecar) pass(until time.Time, server ident.Server, service ident.Service, req exchange.Call, again float64, w want) (out passed) {
 	turn := func(word string, d *defect.Defect) passed {
 		return passed{word: word, d: d, told: s.burden(server)}
 	}
@@ -405,7 +397,7 @@
 	if d != nil {
 		return passed{word: gateTurned, d: d}
 	}
-	id, d := s.berth(ctx, server, w)
+	id, d := s.berth(until, server, w)
 	if d != nil {
 		return turn(gateBay, d)
 	}
@@ -433,15 +425,17 @@
 		s.mu.Unlock()
 	}()
 	heads := s.Boot.Headers
-	req.Header = req.Header.Clone()
-	req.Header[TargetHeader] = []string{string(server)}
-	if until, ok := ctx.Deadline(); ok && heads.Id != "" {
-		req.Header[heads.Limit] = []string{strconv.FormatInt(max(1, time.Until(until).Milliseconds()-endMargin), 10)}
-	}
-	// An endpoint may say anything at any time. On a kept connection that would be read
-	// as the return to whoever comes next, and a kept connection may end just as it is
-	// used: each request has a connection of its own.
-	req.Fresh = true
+	req.Until = until
+	req.Set = append(make([]exchange.Field, 0, 4), req.Set...)
+	req.Set = append(req.Set, exchange.Field{Name: TargetHeader, Value: string(server)})
+	if heads.Id == "" {
+		// Without an id nothing tells an unasked return on a kept connection from the one
+		// that is due: each request has a connection of its own.
+		req.Fresh = true
+	} else {
+		req.Set = append(req.Set, exchange.Field{Name: heads.Limit, Value: strconv.FormatInt(max(1, time.Until(until).Milliseconds()-endMargin), 10)})
+		req.IdHeader, req.Id, req.Seal, req.Plain, req.Sure = heads.Id, first(req.Header, heads.Id), heads.Seal, true, sure
+	}
 	req.Last = func() *defect.Defect {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -452,7 +446,7 @@
 		return d
 	}
 	began := s.clock()
-	ret, sent, d := s.ends.Do(ctx, addr, req)
+	ret, sent, d := s.ends.Do(context.Background(), addr, req)
 	if d != nil && d.Kind == defect.Unreached {
 		s.mu.Lock()
 		s.changed(s.gate.Failed(s.clock(), server))
@@ -467,7 +461,7 @@
 	case d != nil:
 		return turn(gateTurned, d)
 	}
-	out.ret, out.word, out.d = judge(heads, req, ret)
+	out.ret, out.word, out.d = judge(heads, ret)
 	switch {
 	case out.word == gateShed:
 	case out.word != gateReturn || ret.Status >= 500 && ret.Status != http.StatusGatewayTimeout:
@@ -480,17 +474,19 @@
 	return out
 }
 
-// judge tells an endpoint's return from its word that it did not run the request, and
-// from what is no return to this request.
-func judge(heads boot.Headers, req exchange.Call, ret *exchange.Return) (*exchange.Return, string, *defect.Defect) {
-	if heads.Id != "" && ret.Header.Get(heads.Id) != req.Header.Get(heads.Id) {
-		return nil, gateUnsure, defect.Unsure(defect.BadReturn, "the return is not to this request")
-	}
-	if ret.Status == http.StatusMisdirectedRequest || heads.NotRun != "" && ret.Header.Get(heads.NotRun) != "" {
+// judge tells an endpoint's return from its word that it did not run the request. That it
+// is a return to this request, sealed and whole, the exchange has seen to.
+func judge(heads boot.Headers, ret *exchange.Return) (*exchange.Return, string, *defect.Defect) {
+	if ret.Status == http.StatusMisdirectedRequest || heads.NotRun != "" && first(ret.Header, heads.NotRun) != "" {
 		return nil, gateShed, defect.New(defect.Busy, "the endpoint turned it away").Later(soon)
 	}
-	if heads.Seal != "" && ret.Status < 300 && ret.Header.Get(heads.Seal) == "" {
-		return nil, gateUnsure, defect.Unsure(defect.BadReturn, "the return has no seal")
-	}
 	return ret, gateReturn, nil
 }
+
+// first is Header.Get for a name in canonical form.
+func first(h http.Header, name string) string {
+	if v := h[name]; len(v) > 0 {
+		return v[0]
+	}
+	return ""
+}
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -33,6 +33,9 @@
 	// peersMost is how many peers are asked at once, and peersEvery how often.
 	peersMost  = 8
 	peersEvery = 250 * time.Millisecond
+	// silence is how long the machine of a gate may leave bytes unanswered before its
+	// connections are given up: it has no power, or is cut off.
+	silence = 700 * time.Millisecond
 	// pullWaits is how often a peer's word waits ten milliseconds for a fetch under way.
 	pullWaits = 15
 )
@@ -88,7 +91,7 @@
 	h := fnv.New64a()
 	_, _ = fmt.Fprint(h, b.Node, ident.Mark())
 	now := clock()
-	s := &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, slow: moment.Watched(clock), pool: client.New(b.Addr), peers: exchange.New(b.Addr), ends: exchange.New(b.Addr),
+	s := &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, slow: moment.Watched(clock), pool: client.New(b.Addr), peers: exchange.New(b.Addr, exchange.Settings{Silence: silence}), ends: exchange.New(b.Addr, exchange.Settings{Silence: silence}),
 		done: make(chan struct{}), line: line.New[*job](b.Senders, b.Queue),
 		path: path.New(now, b.District, h.Sum64(), b.Terms), gate: gate.New(), bay: bay.New(bay.Usual()), berths: map[uint64]chan bay.Act{}, moored: map[ident.Server]bool{}, wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, sides: map[ident.Addr]bool{}, held: holder.New(), portion: holder.Portion{Terms: b.Terms},
 		began: now, lastCore: now, poke: make(chan ident.Addr, 1), push: make(chan struct{}, 1)}
@@ -135,6 +138,8 @@
 		s.changed(s.gate.Tick(now))
 		s.acts(s.bay.Tick(now))
 		if n%100 == 0 {
+			s.ends.Tidy()
+			s.peers.Tidy()
 			s.path.Picker.Tidy(now, func(u ident.Server) bool { _, ok := s.path.Index.Look(string(u)); return ok })
 		}
 		s.mu.Unlock()
