A start is quicker: rings read as far as written, the endpoint beside is asked at once

Now a ring is read in pieces as far as it was written, and a sidecar that starts asks the health of the endpoint beside it, which counts as a beat.

--- a/boot/boot.go
+++ b/boot/boot.go
@@ -45,6 +45,8 @@
 	Stop     time.Duration
 	// Own is the service that this machine's endpoint serves, where that is known.
 	Own ident.Service
+	// App is where that endpoint listens, where that is known.
+	App ident.Addr
 	// Beat is how often endpoints beat; 0 is the gate's own default.
 	Beat time.Duration
 	// Fenced says that endpoints turn away what names another in X-Target-Server, so
@@ -76,6 +78,8 @@
 	NotRun string
 	// Burden is an endpoint's word of what it has: running, waiting, slots.
 	Burden string
+	// Server is where an endpoint that is asked for its health says who it is.
+	Server string
 	// Fractions lets Retry-After be told in fractions of a second.
 	Fractions bool
 }
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -112,6 +112,7 @@
 	go s.watchGate()
 	go s.follow()
 	go s.neighbours()
+	go s.greet()
 }
 
 // Close ends the duties.
--- a/storage/ring/ring.go
+++ b/storage/ring/ring.go
@@ -3,6 +3,7 @@
 package ring
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
@@ -145,7 +146,7 @@
 	if r.lap >= uint64(boot.Files) && (!heads[next].ok || heads[next].lap != r.lap-uint64(boot.Files)+1) && !moved {
 		return nil, defect.New(defect.Damaged, "ring-%03d: head is damaged before its records were moved", next)
 	}
-	if err := r.behind(next, r.lap+1); err != nil {
+	if err := r.behind(next, r.lap+1, fileHead); err != nil {
 		return nil, err
 	}
 	r.now, r.synced = top, r.seq
@@ -168,16 +169,71 @@
 	return r, r.advance()
 }
 
+// view is a file as far as it was read. Invariant: raw is the file from its begin on.
+type view struct {
+	file File
+	size int64
+	raw  []byte
+}
+
+// chunk is how much of a file is read at once: a ring that holds little is opened without
+// reading all of its files.
+const chunk = 256 << 10
+
+// more reads on until at least n bytes are there, or the file ends.
+func (v *view) more(n int64) error {
+	for n = min(n, v.size); int64(len(v.raw)) < n; {
+		at := len(v.raw)
+		v.raw = append(v.raw, make([]byte, min(chunk, v.size-int64(at)))...)
+		if _, err := v.file.ReadAt(v.raw[at:], int64(at)); err != nil {
+			return defect.Wrap(err, defect.DiskFailed, "read records")
+		}
+	}
+	return nil
+}
+
+// blank is how much that was never written ends the look for lost records: more than any
+// loss of power leaves out between two syncs.
+const blank = 4 * chunk
+
+// rest reads on from an offset to the end of what was ever written.
+func (v *view) rest(from int64) error {
+	if err := v.more(from); err != nil {
+		return err
+	}
+	for none := 0; none < blank && int64(len(v.raw)) < v.size; {
+		at := len(v.raw)
+		if err := v.more(int64(at) + chunk); err != nil {
+			return err
+		}
+		if none += chunk; len(bytes.Trim(v.raw[at:], "\x00")) > 0 {
+			none = 0
+		}
+	}
+	return nil
+}
+
+// record reads the record at an offset.
+func (v *view) record(off int64, lap uint64) (tag string, data []byte, seq, synced uint64, ok bool, err error) {
+	if err = v.more(off + recordHead); err != nil || int64(len(v.raw)) < off+recordHead || binary.LittleEndian.Uint32(v.raw[off:]) != recordMagic {
+		return
+	}
+	if err = v.more(off + recordHead + int64(binary.LittleEndian.Uint32(v.raw[off+8:]))); err != nil {
+		return
+	}
+	tag, data, seq, synced, ok = parse(v.raw[off:], lap)
+	return
+}
+
+func (r *Ring) view(i int) *view { return &view{file: r.files[i], size: r.boot.Size} }
+
 // marked tells whether the newest file holds its moved mark.
 func (r *Ring) marked(i int, first uint64) (bool, error) {
-	raw := make([]byte, r.boot.Size)
-	if _, err := r.files[i].ReadAt(raw, 0); err != nil {
-		return false, defect.Wrap(err, defect.DiskFailed, "read records")
-	}
+	v := r.view(i)
 	for off, want := int64(fileHead), first; ; want++ {
-		tag, data, seq, _, ok := parse(raw[off:], r.lap)
-		if !ok || seq != want {
-			return false, nil
+		tag, data, seq, _, ok, err := v.record(off, r.lap)
+		if err != nil || !ok || seq != want {
+			return false, err
 		}
 		if tag == movedTag {
 			return true, nil
@@ -188,13 +244,13 @@
 
 // scan reads the records of one file up to limit, keeping the newest of each tag.
 func (r *Ring) scan(i int, lap, limit uint64) error {
-	raw := make([]byte, r.boot.Size)
-	if _, err := r.files[i].ReadAt(raw, 0); err != nil {
-		return defect.Wrap(err, defect.DiskFailed, "read records")
-	}
+	v := r.view(i)
 	off := int64(fileHead)
 	for r.seq+1 < limit {
-		tag, data, seq, _, ok := parse(raw[off:], lap)
+		tag, data, seq, _, ok, err := v.record(off, lap)
+		if err != nil {
+			return err
+		}
 		if !ok || seq != r.seq+1 {
 			break
 		}
@@ -207,23 +263,26 @@
 	}
 	r.tail = off
 	if limit == ^uint64(0) {
-		return r.behind(i, lap)
+		return r.behind(i, lap, off)
 	}
 	return nil
 }
 
 // behind looks for a record behind the stop that knew a lost one as synced: that
 // proves damage, where a torn tail leaves none.
-func (r *Ring) behind(i int, lap uint64) error {
-	raw := make([]byte, r.boot.Size)
-	if _, err := r.files[i].ReadAt(raw, 0); err != nil {
-		return defect.Wrap(err, defect.DiskFailed, "read records")
+func (r *Ring) behind(i int, lap uint64, from int64) error {
+	v := r.view(i)
+	if err := v.rest(from); err != nil {
+		return err
 	}
-	for at := int64(fileHead); at+recordHead <= r.boot.Size; at++ {
-		if binary.LittleEndian.Uint32(raw[at:]) != recordMagic {
-			continue
+	magic := binary.LittleEndian.AppendUint32(nil, recordMagic)
+	for at := from; at+recordHead <= int64(len(v.raw)); at++ {
+		n := bytes.Index(v.raw[at:], magic)
+		if n < 0 {
+			return nil
 		}
-		if _, _, seq, synced, ok := parse(raw[at:], lap); ok && seq > r.seq && synced > r.seq {
+		at += int64(n)
+		if _, _, seq, synced, ok := parse(v.raw[at:], lap); ok && seq > r.seq && synced > r.seq {
 			return defect.New(defect.Damaged, "ring-%03d: record %d is damaged", i, r.seq+1)
 		}
 	}
