Accepts travel by difference, and a put of a cell changes the end of its group alone

Cause: each accept carried the key's whole value to every remote disk. A group of 300 cells with 400 past puts is 15 KB, so a put took 31 KB between cores, and most of its processor time went into reading and writing that as JSON.

Now an owner sends a disk that has answered in this tenure a patch over the value it has: base, bytes kept in front and at the end, bytes between, sum of the result. A replica takes it only while it holds that very base; else it changes nothing and gets the whole value in the same round. Repeats are whole. A patch is a kind of ask of its own, so an earlier release says nothing to it rather than take it for an empty value; hellos say who knows them. A prepare names the state at hand, so its returns leave that value out, and a takeover tells those who hold what was found only to hold it under the new ballot.

A group's list stands in order with its count behind it, and what may be forgotten is let go a quarter at a time. What is over is still no put that a repeat finds: before, a group that was quiet for long took a return to an old value for a repeat of it.

Ruled out: values as texts in the messages (an earlier release would store the text); patches only from exact returns (the slower of two disks would get whole values under load); moving news of a change onto later messages (watches wait for it).

--- a/control/coordination/group/group.go
+++ b/control/coordination/group/group.go
@@ -118,7 +118,7 @@
 	}
 	// One form for one value, so that a repeat is known whichever way it came.
 	a.Value = book.JSON(a.Value)
-	if p := g.known[id{a.Name, string(a.Value)}]; p != nil {
+	if p := g.known[id{a.Name, string(a.Value)}]; p != nil && !p.over(turn.Now, time.Duration(k)) {
 		return book.Entry{Body: book.JSON(p.put()), Kept: g}
 	}
 	have := ident.Revision(0)
@@ -141,7 +141,7 @@
 		e.Defect.Later(1)
 		return e
 	}
-	if n > 0 {
+	if bulk > 0 && (bulk*forgetPart >= g.bytes || len(g.list) >= listMax || g.bytes+len(p.raw) > bytesMax) {
 		g.forget(turn.Now, time.Duration(k))
 	}
 	g.add(p)
--- a/control/coordination/group/group_test.go
+++ b/control/coordination/group/group_test.go
@@ -210,6 +210,80 @@
 	must.Eq(t, string(with.value), string(without.value))
 }
 
+// Between two forgettings, which are rare, a put changes the end of what is stored alone.
+func TestPutsChangeTheEnd(t *testing.T) {
+	c := newCell(20 * time.Second)
+	whole := 0
+	for i := range 3000 {
+		was := c.value
+		_, d := c.put(at(1+float64(i)/10), fmt.Sprint(i*7%300), fmt.Sprintf("%016d", i))
+		must.Nil(t, d)
+		head := 0
+		for head < min(len(was), len(c.value)) && was[head] == c.value[head] {
+			head++
+		}
+		if len(c.value)-head > 100 {
+			whole++
+		}
+	}
+	must.Between(t, 1, whole, 40)
+	must.Less(t, 800*40, len(c.value))
+}
+
+// What is over but not let go yet is no put that a repeat finds: a cell that goes back to
+// a value it had long ago is put anew, once, and stays so under another owner.
+func TestOldValueIsPutAnew(t *testing.T) {
+	c := newCell(time.Second)
+	for i := range 20 {
+		_, d := c.put(at(1), fmt.Sprint("other", i), "x")
+		must.Nil(t, d)
+	}
+	_, d := c.put(at(2), "a", "1")
+	must.Nil(t, d)
+	_, d = c.put(at(3), "a", "2")
+	must.Nil(t, d)
+	rev, d := c.put(at(100), "a", "1")
+	must.Nil(t, d)
+	must.Eq(t, ident.Revision(23), rev)
+	for range 2 {
+		p, d := c.read(at(101), "a")
+		must.Nil(t, d)
+		must.Eq(t, group.Put{Name: "a", Value: book.JSON("1"), Revision: 23}, p)
+		rev, d = c.put(at(101), "a", "1")
+		must.Nil(t, d)
+		must.Eq(t, ident.Revision(23), rev)
+		c.kept = nil
+	}
+	// The first is let go in the end, and the later one is still known.
+	for i := range 40 {
+		_, d := c.put(at(200+float64(i)), "b", fmt.Sprint(i))
+		must.Nil(t, d)
+	}
+	_, d = c.since(at(240), 20)
+	must.Eq(t, defect.Forgotten, d.Kind)
+	rev, d = c.put(at(240), "a", "1")
+	must.Nil(t, d)
+	must.Eq(t, ident.Revision(23), rev)
+}
+
+// The layout of the earlier release, with the count in front, is read.
+func TestEarlierLayoutIsRead(t *testing.T) {
+	c := newCell(0)
+	c.value = json.RawMessage(`{"state":{"n":7,"f":3,"l":[["a","x",2],["b",null,5],["a",{"k":[1]},7]]}}`)
+	p, d := c.read(at(1), "a")
+	must.Nil(t, d)
+	must.Eq(t, group.Put{Name: "a", Value: json.RawMessage(`{"k":[1]}`), Revision: 7}, p)
+	_, d = c.since(at(1), 2)
+	must.Eq(t, defect.Forgotten, d.Kind)
+	n, d := c.since(at(1), 3)
+	must.Nil(t, d)
+	must.Len(t, 2, n.Events)
+	rev, d := c.put(at(2), "b", "y", 5)
+	must.Nil(t, d)
+	must.Eq(t, ident.Revision(8), rev)
+	must.Eq(t, `{"state":{"f":3,"l":[["a","x",2],["b",null,5],["a",{"k":[1]},7],["b","y",8]],"n":8}}`, string(c.value))
+}
+
 // A put into a group of 300 cells with 400 past puts; bytes is what is stored.
 func BenchmarkPut(b *testing.B) {
 	c := newCell(40 * time.Second)
--- a/control/coordination/group/state.go
+++ b/control/coordination/group/state.go
@@ -17,21 +17,28 @@
 // holds, as [name, value, revision], each cell's newest put and every put above Gone, so
 // what is current is stored once. Gone is the highest revision that was forgotten; only
 // what another put of its cell has followed is forgotten, and only when this tenure has
-// seen it grow older than the history.
+// seen it grow older than the history. Between two forgettings a put changes the end of
+// what is stored alone, so that it travels as a short patch; Top stands behind the list
+// for that. The fields may come in any order.
 type stored struct {
-	Top  ident.Revision    `json:"n"`
 	Gone ident.Revision    `json:"f"`
 	List []json.RawMessage `json:"l"`
+	Top  ident.Revision    `json:"n"`
 }
 
-// past is one put. Invariant: it is not changed once made; seen is the moment at which
-// this tenure first knew of it, so it is never younger than it looks.
+// forgetPart is the part of the list that must be over before it is let go: a forgetting
+// writes the list anew, and so has to be rare, and what is over takes room.
+const forgetPart = 4
+
+// past is one put. Invariant: seen is the moment at which this tenure first knew of it, so
+// it is never younger than it looks; beaten says that another put of its cell followed.
 type past struct {
-	name  string
-	value json.RawMessage
-	rev   ident.Revision
-	raw   json.RawMessage // as stored
-	seen  moment.Moment
+	name   string
+	value  json.RawMessage
+	rev    ident.Revision
+	raw    json.RawMessage // as stored
+	seen   moment.Moment
+	beaten bool
 }
 
 type id struct{ name, value string }
@@ -39,14 +46,14 @@
 func newPast(name string, value json.RawMessage, rev ident.Revision, now moment.Moment) *past {
 	raw := append(append(json.RawMessage{'['}, book.JSON(name)...), ',')
 	raw = append(append(raw, value...), ',')
-	return &past{name, value, rev, append(strconv.AppendUint(raw, uint64(rev), 10), ']'), now}
+	return &past{name: name, value: value, rev: rev, raw: append(strconv.AppendUint(raw, uint64(rev), 10), ']'), seen: now}
 }
 
 func (p *past) put() Put { return Put{p.name, p.value, p.rev} }
 
 // decoded is the state as a tenure keeps it between deeds. Invariants: now holds the
-// newest put of each cell, known every put in list, bytes what the list takes when
-// stored; it changes only together with the value that it is the decoded form of.
+// newest put of each cell, known the newest put in list of each cell and value, bytes what
+// the list takes when stored; it changes only together with the value that it is the decoded form of.
 type decoded struct {
 	top, gone ident.Revision
 	list      []*past
@@ -82,6 +89,9 @@
 
 func (g *decoded) enter(p *past) {
 	g.list = append(g.list, p)
+	if was := g.now[p.name]; was != nil {
+		was.beaten = true
+	}
 	g.now[p.name], g.known[id{p.name, string(p.value)}] = p, p
 	g.bytes += len(p.raw) + 1
 }
@@ -91,9 +101,10 @@
 	g.enter(p)
 }
 
-// over tells whether a put may be forgotten.
-func (g *decoded) over(p *past, now moment.Moment, age time.Duration) bool {
-	return now.Since(p.seen) > age && g.now[p.name] != p
+// over tells whether a put may be forgotten; whether it has been yet is nobody's matter but
+// that of watches, which are told more while it has not.
+func (p *past) over(now moment.Moment, age time.Duration) bool {
+	return p.beaten && now.Since(p.seen) > age
 }
 
 // old counts what may be forgotten, with its bytes.
@@ -102,7 +113,7 @@
 		if now.Since(p.seen) <= age {
 			break
 		}
-		if g.over(p, now, age) {
+		if p.beaten {
 			n++
 			bulk += len(p.raw) + 1
 		}
@@ -110,15 +121,17 @@
 	return
 }
 
-// forget lets go of what may be forgotten.
+// forget lets go of all that may be forgotten.
 func (g *decoded) forget(now moment.Moment, age time.Duration) {
 	g.list = slices.DeleteFunc(g.list, func(p *past) bool {
-		if !g.over(p, now, age) {
+		if !p.over(now, age) {
 			return false
 		}
 		g.gone = max(g.gone, p.rev)
 		g.bytes -= len(p.raw) + 1
-		delete(g.known, id{p.name, string(p.value)})
+		if k := (id{p.name, string(p.value)}); g.known[k] == p {
+			delete(g.known, k)
+		}
 		return true
 	})
 }
@@ -136,8 +149,7 @@
 
 func (g *decoded) encode() json.RawMessage {
 	out := make(json.RawMessage, 0, g.bytes+64)
-	out = strconv.AppendUint(append(out, `{"n":`...), uint64(g.top), 10)
-	out = strconv.AppendUint(append(out, `,"f":`...), uint64(g.gone), 10)
+	out = strconv.AppendUint(append(out, `{"f":`...), uint64(g.gone), 10)
 	out = append(out, `,"l":[`...)
 	for i, p := range g.list {
 		if i > 0 {
@@ -145,5 +157,6 @@
 		}
 		out = append(out, p.raw...)
 	}
-	return append(out, `]}`...)
+	out = strconv.AppendUint(append(out, `],"n":`...), uint64(g.top), 10)
+	return append(out, '}')
 }
--- a/control/core/message/message.go
+++ b/control/core/message/message.go
@@ -40,6 +40,8 @@
 	Heard    []ident.Node   `json:"heard,omitempty"`
 	Manifest ident.Epoch    `json:"manifest"`
 	Cores    []ident.Addr   `json:"cores,omitempty"`
+	// Patches says that this process takes accepts that carry a cell.Patch.
+	Patches bool `json:"patches,omitempty"`
 }
 
 // Forward carries a deed to its key's owner. LeftMs is how much longer its asker waits, a
--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -199,8 +199,15 @@
 	return n, write, nil
 }
 
+// owning makes the owner of this disk's name.
+func (n *Node) owning() *owner.Owner {
+	own := owner.New(string(n.Disk)+"."+n.boot.Mark, n.boot.Machine)
+	own.Near = func(k ident.Key) cell.Cell { return n.rep.Peek(k) }
+	return own
+}
+
 func (n *Node) begin(now moment.Moment) {
-	n.own = owner.New(string(n.Disk)+"."+n.boot.Mark, n.boot.Machine)
+	n.own = n.owning()
 	n.make = maker.New(n.Disk, n.boot.Mark)
 	n.form = former.New(n.Disk, n.boot.Addr, n.boot.Founders)
 	n.own.Rostered(now, n.acc.Now)
--- a/control/core/node/peers.go
+++ b/control/core/node/peers.go
@@ -153,6 +153,7 @@
 		}
 	}
 	p.hello, p.heard, p.down = *m.Hello, now, false
+	n.own.Able(m.Hello.Disk, m.Hello.Patches)
 	n.Know(now, m.Hello.Cores)
 	if m.Hello.Roster != nil {
 		n.adopt(now, *m.Hello.Roster, fx)
--- a/control/core/node/tick.go
+++ b/control/core/node/tick.go
@@ -38,7 +38,7 @@
 
 func (n *Node) hello(now moment.Moment, fx *Effects) {
 	h := message.Hello{Disk: n.Disk, Mark: n.boot.Mark, District: n.boot.District, Leaving: n.leaving, Broken: n.broken,
-		UpMs: now.Since(n.began).Milliseconds(), Heard: n.Ledger.Heard(now), Manifest: n.Epoch, Cores: n.Fresh(now)}
+		UpMs: now.Since(n.began).Milliseconds(), Heard: n.Ledger.Heard(now), Manifest: n.Epoch, Cores: n.Fresh(now), Patches: true}
 	if n.acc.Now.Epoch > 0 {
 		r := n.acc.Now
 		h.Roster = &r
--- a/control/core/node/voting.go
+++ b/control/core/node/voting.go
@@ -5,7 +5,6 @@
 
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/control/register/replica"
 	"cottonarch.example/cottonarch/control/roster/acceptor"
 	"cottonarch.example/cottonarch/control/roster/former"
@@ -58,7 +57,7 @@
 	fx.Records = append(fx.Records, ring.Record{Tag: diskTag, Data: []byte(n.Disk)}, n.acc.Record())
 	n.make = maker.New(n.Disk, n.boot.Mark)
 	n.form = former.New(n.Disk, n.boot.Addr, nil)
-	n.own = owner.New(string(n.Disk)+"."+n.boot.Mark, n.boot.Machine)
+	n.own = n.owning()
 	n.own.Rostered(now, now2)
 	n.copied = 0
 }
--- a/control/register/cell/cell.go
+++ b/control/register/cell/cell.go
@@ -30,7 +30,7 @@
 // Kind is the kind of a quorum message.
 type Kind string
 
-// The three quorum messages.
+// The quorum messages; PatchAccept is a fourth.
 const (
 	Prepare Kind = "prepare"
 	Accept  Kind = "accept"
@@ -48,10 +48,28 @@
 	Ballot   ident.Ballot    `json:"ballot"`
 	Revision ident.Revision  `json:"rev,omitempty"`
 	Value    json.RawMessage `json:"value,omitempty"`
+	// Patch stands for Value in a PatchAccept.
+	Patch *Patch `json:"patch,omitempty"`
+	// Have names, in a prepare, an accepted state whose value the owner has: it need not
+	// travel. A replica that does not know the field sends the value all the same.
+	Have *Have `json:"have,omitempty"`
+}
+
+// Have names one accepted state. Invariant: an accepted ballot and revision have one
+// value, wherever and whenever they are met.
+type Have struct {
+	Accepted ident.Ballot   `json:"a"`
+	Revision ident.Revision `json:"r"`
+}
+
+// Same tells whether the cell holds that very state.
+func (h *Have) Same(c Cell) bool {
+	return h != nil && c.Accepted == h.Accepted && c.Revision == h.Revision
 }
 
 // Return answers an Ask. Invariant: it leaves the replica only after everything
-// it speaks of is synced. Cell.Value is filled for prepare alone.
+// it speaks of is synced. Cell is empty when a patch was taken; Cell.Value is filled for
+// prepare alone, and not for the state that the Ask said to be had.
 type Return struct {
 	Kind   Kind        `json:"kind"`
 	Turn   uint64      `json:"turn"`
--- a/control/register/owner/owner.go
+++ b/control/register/owner/owner.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -131,7 +132,13 @@
 	batch   []Outcome
 	memory  map[string]moment.Moment
 	touched []string
-	mending bool // the last round was asked for so that copies are mended
+	// based lists the disks known, by a return in this tenure, to hold the base of what is
+	// sent next, or to be about to: each was sent every round since. It is a guess that
+	// only spares bytes: the replica looks for itself.
+	based   map[ident.Disk]bool
+	took    uint64    // the turn of this tenure's prepare
+	near    cell.Cell // what Near gave then
+	mending bool      // the last round was asked for so that copies are mended
 }
 
 // Owner runs all tenures of one core process. Invariant: mark is unique to the
@@ -143,15 +150,22 @@
 	held   map[ident.Key]*tenure
 	busy   map[ident.Key]*tenure
 	turn   uint64
-	// Counters.
-	Takes, Rounds, Mended, Losses uint64
+	able   map[ident.Disk]bool
+	// Near, when set, gives what the process's own disk holds of a key. It need not be
+	// synced: only the value that belongs to a ballot and revision is taken from it.
+	Near func(ident.Key) cell.Cell
+	// Counters. Refused counts patches whose base a disk did not have.
+	Takes, Rounds, Mended, Losses, Patched, Refused uint64
 }
 
 // New makes an owner.
 func New(mark string, mach Machine) *Owner {
-	return &Owner{mark: mark, mach: mach, held: map[ident.Key]*tenure{}, busy: map[ident.Key]*tenure{}}
+	return &Owner{mark: mark, mach: mach, held: map[ident.Key]*tenure{}, busy: map[ident.Key]*tenure{}, able: map[ident.Disk]bool{}}
 }
 
+// Able says whether the process that has the disk knows patches.
+func (o *Owner) Able(disk ident.Disk, patches bool) { o.able[disk] = patches }
+
 // Rostered moves to a newer roster; every hold begins anew under it.
 func (o *Owner) Rostered(now moment.Moment, r cell.Roster) (fx Effects) {
 	if r.Epoch <= o.roster.Epoch {
@@ -244,10 +258,16 @@
 	t.seen++
 	t.ballot = ident.Ballot{Epoch: t.seen, Owner: o.mark}
 	t.roster, t.stage = o.roster.Epoch, preparing
-	t.memory, t.touched, t.kept = map[string]moment.Moment{}, nil, nil
+	t.memory, t.touched, t.kept, t.based = map[string]moment.Moment{}, nil, nil, map[ident.Disk]bool{}
 	o.busy[t.key] = t
 	o.Takes++
-	o.round(now, t, cell.Ask{Kind: cell.Prepare, Ballot: t.ballot}, fx)
+	a := cell.Ask{Kind: cell.Prepare, Ballot: t.ballot}
+	if o.Near != nil {
+		t.near = o.Near(t.key)
+		a.Have = &cell.Have{Accepted: t.near.Accepted, Revision: t.near.Revision}
+	}
+	o.round(now, t, a, fx)
+	t.took = t.turn
 }
 
 func (o *Owner) round(now moment.Moment, t *tenure, a cell.Ask, fx *Effects) {
@@ -259,11 +279,53 @@
 	o.ask(t, fx)
 }
 
+// accept begins the round that writes a value; base is an accepted state that the disks in
+// based hold.
+func (o *Owner) accept(now moment.Moment, t *tenure, base cell.Cell, rev ident.Revision, value json.RawMessage, fx *Effects) {
+	a := cell.Ask{Kind: cell.Accept, Ballot: t.ballot, Revision: rev, Value: value}
+	if slices.ContainsFunc(o.roster.Voters, func(v cell.Voter) bool { return t.based[v.Disk] && o.able[v.Disk] }) {
+		a.Patch = cell.Diff(base, t.ballot, value)
+	}
+	o.round(now, t, a, fx)
+}
+
+// ask sends the round to those who have not answered: the patch where the base is known,
+// the whole value elsewhere.
 func (o *Owner) ask(t *tenure, fx *Effects) {
 	for _, v := range o.roster.Voters {
-		if _, ok := t.returns[v.Disk]; !ok {
-			fx.Sends = append(fx.Sends, Send{v, t.ask})
+		if _, ok := t.returns[v.Disk]; ok {
+			continue
+		}
+		a := whole(t.ask)
+		if t.ask.Patch != nil && t.based[v.Disk] && o.able[v.Disk] {
+			a.Kind, a.Value, a.Patch = cell.PatchAccept, nil, t.ask.Patch
+			o.Patched++
+		}
+		fx.Sends = append(fx.Sends, Send{v, a})
+	}
+}
+
+func whole(a cell.Ask) cell.Ask { a.Patch = nil; return a }
+
+// learn notes from a return, also a late one, which disks hold this tenure's base; a disk
+// that turned a patch away gets the whole value at once, within the same round if one is
+// out.
+func (o *Owner) learn(t *tenure, r cell.Return, fx *Effects) {
+	v, in := o.roster.Find(r.Disk)
+	if !in || r.Turn <= t.took || r.Roster != t.roster || t.roster != o.roster.Epoch || t.stage < settling {
+		return
+	}
+	switch {
+	case r.OK && (r.Kind == cell.PatchAccept || r.Kind == cell.Accept && r.Cell.Accepted == t.ballot):
+		t.based[r.Disk] = true
+	case !r.OK && r.Kind == cell.PatchAccept && t.based[r.Disk] && !t.ballot.Less(r.Cell.Promised):
+		delete(t.based, r.Disk)
+		o.Refused++
+		if t.stage == held || t.stage == confirming {
+			o.mend(t, v, r, fx)
+			return
 		}
+		fx.Sends = append(fx.Sends, Send{v, whole(t.ask)})
 	}
 }
 
@@ -305,7 +367,7 @@
 		return
 	}
 	t.stage, t.next = writing, cell.Cell{Revision: rev, Value: value}
-	o.round(now, t, cell.Ask{Kind: cell.Accept, Ballot: t.ballot, Revision: rev, Value: value}, fx)
+	o.accept(now, t, cell.Cell{Accepted: t.from, Revision: t.rev, Value: t.value}, rev, value, fx)
 }
 
 // lose lets a tenure go; whatever was out is answered as lost.
@@ -326,6 +388,9 @@
 // Step takes one return in.
 func (o *Owner) Step(now moment.Moment, r cell.Return) (fx Effects) {
 	t := o.held[r.Key]
+	if t != nil {
+		o.learn(t, r, &fx)
+	}
 	if t == nil || r.Turn != t.turn || t.stage == idle {
 		return fx
 	}
@@ -385,6 +450,10 @@
 		}
 		first = false
 	}
+	if t.ask.Have.Same(best) {
+		best.Value = t.near.Value
+	}
+	t.near = cell.Cell{}
 	t.from, t.rev, t.value = best.Accepted, best.Revision, best.Value
 	// What was found is written again under this ballot even when all agree: else a
 	// change that an older owner left on a minority could come back over what this
@@ -393,9 +462,13 @@
 		o.settled(now, t, fx)
 		return
 	}
+	// Who was found to hold it already is only told to hold it under this ballot.
+	for d, r := range t.returns {
+		t.based[d] = r.Cell.Same(best)
+	}
 	t.from = t.ballot
 	t.stage = settling
-	o.round(now, t, cell.Ask{Kind: cell.Accept, Ballot: t.ballot, Revision: t.rev, Value: t.value}, fx)
+	o.accept(now, t, best, t.rev, t.value, fx)
 }
 
 func (o *Owner) settled(now moment.Moment, t *tenure, fx *Effects) {
@@ -453,6 +526,9 @@
 			o.lose(t, &fx)
 		case now.Since(t.sent) > resend:
 			t.sent = now
+			// Who is silent may have lost what went before, or know no patches: it gets the
+			// whole value from now on, until it answers.
+			maps.DeleteFunc(t.based, func(d ident.Disk, _ bool) bool { _, ok := t.returns[d]; return !ok })
 			o.ask(t, &fx)
 		}
 	}
--- a/control/register/replica/replica.go
+++ b/control/register/replica/replica.go
@@ -36,7 +36,7 @@
 func New(disk ident.Disk) *Replica {
 	r := &Replica{Disk: disk, tree: btree.NewG(16, func(a, b *item) bool { return a.key < b.key })}
 	r.deeds = map[cell.Kind]func(*item, cell.Ask) (bool, []ring.Record){
-		cell.Prepare: prepare, cell.Accept: accept, cell.Confirm: confirm,
+		cell.Prepare: prepare, cell.Accept: accept, cell.PatchAccept: patch, cell.Confirm: confirm,
 	}
 	return r
 }
@@ -85,7 +85,12 @@
 }
 
 func accepted(it *item) ring.Record {
-	data, _ := json.Marshal(cell.Cell{Promised: it.Accepted, Accepted: it.Accepted, Revision: it.Revision, Value: it.Value})
+	data, _ := json.Marshal(cell.Cell{Promised: it.Accepted, Accepted: it.Accepted, Revision: it.Revision})
+	if len(it.Value) > 0 {
+		// As json.Marshal of it all would, but without a pass over a value that is JSON.
+		whole := make([]byte, 0, len(data)+len(it.Value)+8)
+		data = append(append(append(append(whole, data[:len(data)-1]...), `,"v":`...), it.Value...), '}')
+	}
 	return ring.Record{Tag: acceptTag + string(it.key), Data: data}
 }
 
@@ -111,6 +116,23 @@
 	return true, []ring.Record{accepted(it)}
 }
 
+// patch is accept for a value that is told as a difference. It changes nothing, and is not
+// OK, unless this disk holds the very base; the owner then sends the whole value.
+func patch(it *item, a cell.Ask) (bool, []ring.Record) {
+	if a.Ballot.Less(it.Promised) {
+		return false, nil
+	}
+	if it.Accepted == a.Ballot && it.Revision >= a.Revision {
+		return true, nil
+	}
+	value, ok := a.Patch.Over(it.Cell, a.Ballot)
+	if !ok {
+		return false, nil
+	}
+	a.Value = value
+	return accept(it, a)
+}
+
 // confirm says that no later tenure had been promised here when it was asked.
 func confirm(it *item, a cell.Ask) (bool, []ring.Record) {
 	return !a.Ballot.Less(it.Promised), nil
@@ -133,9 +155,12 @@
 		r.tree.ReplaceOrInsert(it)
 	}
 	out := cell.Return{Kind: a.Kind, Turn: a.Turn, Disk: r.Disk, Roster: roster, Key: a.Key, OK: ok, Cell: it.Cell}
-	if a.Kind != cell.Prepare {
+	if a.Kind != cell.Prepare || a.Have.Same(it.Cell) {
 		out.Cell.Value = nil
 	}
+	if ok && a.Kind == cell.PatchAccept {
+		out.Cell = cell.Cell{} // it says no more than the asker knows
+	}
 	return out, recs, a.Turn != 0
 }
 
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -188,7 +188,7 @@
 	}
 	old := c.view.Swap(v)
 	o := n.Owner()
-	for name, x := range map[string]uint64{"takes": o.Takes, "rounds": o.Rounds, "mended": o.Mended, "losses": o.Losses, "sweeps": n.Sweeps, "swept_keys": n.Mended} {
+	for name, x := range map[string]uint64{"takes": o.Takes, "rounds": o.Rounds, "mended": o.Mended, "losses": o.Losses, "patches": o.Patched, "patches_refused": o.Refused, "sweeps": n.Sweeps, "swept_keys": n.Mended} {
 		c.Board.Set(name, int64(x))
 	}
 	c.Board.Set("owned", int64(v.Owned))
--- a/daemon/core/post.go
+++ b/daemon/core/post.go
@@ -66,6 +66,9 @@
 func weight(m message.Message) int {
 	switch {
 	case m.Ask != nil:
+		if m.Ask.Patch != nil {
+			return len(m.Ask.Patch.Mid) + 400
+		}
 		return len(m.Ask.Value) + 200
 	case m.Return != nil:
 		return len(m.Return.Cell.Value) + 200
