--- a/fleet/machine/machine.go
+++ b/fleet/machine/machine.go
@@ -120,6 +120,16 @@
 // Thaw lets a frozen process go on.
 func (m *Machine) Thaw() { m.signal(syscall.SIGCONT) }
 
+// PID is the process id of the newest run, 0 before the first.
+func (m *Machine) PID() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cmd == nil || m.cmd.Process == nil {
+		return 0
+	}
+	return m.cmd.Process.Pid
+}
+
 // Empty takes the data folder away.
 func (m *Machine) Empty() error { return os.RemoveAll(m.Data) }
 
