--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -25,28 +25,23 @@
 
 const (
 	bodyMax = 32 << 20
-	// waitMax bounds a long poll, so that a sidecar soon notices a core that is gone.
-	waitMax = time.Second
+	// waitMost bounds a long poll; one that asks for less gets that, one that asks for
+	// nothing waits waitElse.
+	waitMost = 30 * time.Second
+	waitElse = time.Second
+	// gather is how long a change waits for others, so that they go out as one.
+	gather = 20 * time.Millisecond
 	// PartBytes is the size of a part of a manifest.
 	PartBytes = 256 << 10
 )
 
 // Entry is the return to a sidecar that claims its membership.
 type Entry struct {
-	Claim    ident.Epoch  `json:"claim"`
-	Share    share.Told   `json:"share"`
-	Cores    []ident.Addr `json:"cores"`
-	Manifest ident.Epoch  `json:"manifest"`
-}
-
-// Renewed is the return to a renewal.
-type Renewed struct {
-	Disk     ident.Disk   `json:"disk"`
-	Votes    bool         `json:"votes"`
-	Voters   int          `json:"voters"`
-	Cores    []ident.Addr `json:"cores"`
-	Members  int          `json:"members"`
-	Manifest ident.Epoch  `json:"manifest"`
+	Claim    ident.Epoch    `json:"claim"`
+	Share    share.Told     `json:"share"`
+	Cores    []record.Place `json:"cores"`
+	View     string         `json:"view"` // of Cores
+	Manifest ident.Epoch    `json:"manifest"`
 }
 
 // News is the return to a sidecar that follows the registry and the manifest. Place
@@ -57,6 +52,8 @@
 	Sets     []record.Set `json:"sets"`
 	Manifest ident.Epoch  `json:"manifest"`
 	Leaving  bool         `json:"leaving,omitempty"`
+	// Stale says that this core has just become unsure of the newest manifest.
+	Stale bool `json:"stale,omitempty"`
 }
 
 // Part is a bounded part of a manifest.
@@ -95,8 +92,13 @@
 		reply.Defect(w, d)
 		return
 	}
-	s.c.Take(b)
-	reply.JSON(w, http.StatusOK, struct{}{})
+	lean(w, s.c.Take(r.Context(), b))
+}
+
+// lean writes a return without a date: it may well be smaller than its head.
+func lean(w http.ResponseWriter, v any) {
+	w.Header()["Date"] = nil
+	reply.JSON(w, http.StatusOK, v)
 }
 
 // claim admits a sidecar: its claim epoch is a rising number on a majority of disks,
@@ -140,7 +142,8 @@
 		return
 	}
 	s.c.Board.Add("claims", 1)
-	reply.JSON(w, http.StatusOK, Entry{Claim: claim, Share: told, Cores: s.c.View().Cores, Manifest: m.Epoch})
+	v := s.c.View()
+	reply.JSON(w, http.StatusOK, Entry{Claim: claim, Share: told, Cores: v.Places, View: v.Sight, Manifest: m.Epoch})
 }
 
 // share takes a sidecar's promise to spend less, or its wish for more.
@@ -159,26 +162,33 @@
 }
 
 func (s surface) renew(w http.ResponseWriter, r *http.Request) {
-	var rep record.Report
-	if d := reply.Decode(r, bodyMax, &rep); d != nil {
+	var ask record.Renewal
+	if d := reply.Decode(r, bodyMax, &ask); d != nil {
 		reply.Defect(w, d)
 		return
 	}
-	done := make(chan *defect.Defect, 1)
-	members := 0
+	if ask.Node == "" {
+		reply.Defect(w, defect.New(defect.Invalid, "a renewal needs a node"))
+		return
+	}
+	type end struct {
+		out record.Renewed
+		d   *defect.Defect
+	}
+	done := make(chan end, 1)
 	if !s.c.Do(func(now moment.Moment) node.Effects {
-		fresh, d := s.c.Ledger().Renew(now, rep)
-		members = s.c.Ledger().Live()
-		done <- d
-		return node.Effects{Changed: fresh}
+		out, fx, d := s.c.Node().Renew(now, ask)
+		done <- end{out, d}
+		return fx
 	}) {
 		reply.Defect(w, defect.New(defect.Busy, "the core's inbox is full").Later(1))
 		return
 	}
+	var got end
 	select {
-	case d := <-done:
-		if d != nil {
-			reply.Defect(w, d)
+	case got = <-done:
+		if got.d != nil {
+			reply.Defect(w, got.d)
 			return
 		}
 	case <-s.c.Done():
@@ -186,11 +196,13 @@
 		return
 	}
 	v := s.c.View()
-	out := Renewed{Disk: v.Disk, Votes: v.Votes, Voters: v.Voters, Cores: v.Cores, Members: members}
+	if got.out.View = v.Sight; ask.View != v.Sight {
+		got.out.Cores = v.Places
+	}
 	if m := s.c.Held(); m != nil {
-		out.Manifest = m.Epoch
+		got.out.Manifest = m.Epoch
 	}
-	reply.JSON(w, http.StatusOK, out)
+	lean(w, got.out)
 }
 
 // news waits until the registry or the manifest is ahead of what the asker has.
@@ -201,14 +213,18 @@
 	if q.Get("mark") != s.mark {
 		after = 0
 	}
-	over := time.NewTimer(waitMax)
+	wait := waitElse
+	if ms, err := strconv.Atoi(q.Get("waitMs")); err == nil && ms >= 0 {
+		wait = min(time.Duration(ms)*time.Millisecond, waitMost)
+	}
+	over := time.NewTimer(wait)
 	defer over.Stop()
-	for last := false; ; {
+	for last, first, was := false, true, false; ; first = false {
 		feed := s.c.Feed()
 		done := make(chan News, 1)
 		if !s.c.Do(func(moment.Moment) node.Effects {
 			l := s.c.Ledger()
-			done <- News{Mark: s.mark, Place: l.Change(), Sets: l.Feed(after)}
+			done <- News{Mark: s.mark, Place: l.Change(), Sets: l.Feed(after), Stale: s.c.Node().Stale()}
 			return node.Effects{}
 		}) {
 			reply.Defect(w, defect.New(defect.Busy, "the core's inbox is full").Later(1))
@@ -221,16 +237,18 @@
 			reply.Defect(w, defect.New(defect.Stopping, "the core stops").Later(1))
 			return
 		}
+		was, out.Stale = out.Stale, out.Stale && !was && !first
 		out.Leaving = s.c.Leaving()
 		if m := s.c.Held(); m != nil {
 			out.Manifest = m.Epoch
 		}
-		if last || out.Leaving || len(out.Sets) > 0 || uint64(out.Manifest) > have {
+		if last || out.Leaving || out.Stale || len(out.Sets) > 0 || uint64(out.Manifest) > have {
 			reply.JSON(w, http.StatusOK, out)
 			return
 		}
 		select {
 		case <-feed:
+			time.Sleep(gather)
 		case <-over.C:
 			last = true
 		case <-s.c.Stopping():
--- a/control/core/message/message.go
+++ b/control/core/message/message.go
@@ -2,18 +2,22 @@
 package message
 
 import (
+	"hash/fnv"
+
 	"cottonarch.example/cottonarch/control/register/cell"
 	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/rollout/drive"
 	"cottonarch.example/cottonarch/control/roster/acceptor"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/mesh/claim/ledger"
 )
 
 // Message is one message. Invariants: exactly one part is set; To is empty or the
 // mark of the very process it is meant for, and any other drops it; a message is
 // sent at most once by whoever sends it.
 type Message struct {
-	From       ident.Addr       `json:"from"`
+	From       ident.Addr       `json:"from,omitempty"`
 	To         string           `json:"to,omitempty"`
 	Hello      *Hello           `json:"hello,omitempty"`
 	Ask        *cell.Ask        `json:"ask,omitempty"`
@@ -26,22 +30,79 @@
 	Carried    *Carried         `json:"carried,omitempty"`
 	Learned    *Learned         `json:"learned,omitempty"`
 	Handover   *Handover        `json:"handover,omitempty"`
+	Kept       *ledger.Kept     `json:"kept,omitempty"`
+	Want       *Want            `json:"want,omitempty"`
+	Quiet      *Quiet           `json:"quiet,omitempty"`
 }
 
-// Hello is what cores tell each other several times a second.
+// Empty tells whether no part is set.
+func (m Message) Empty() bool { return m == Message{From: m.From, To: m.To} }
+
+// Hello is what cores tell each other several times a second. A brief one leaves out what
+// the last whole one of the same Run said. Invariants: Run stands for Mark; No rises with
+// every hello of one run; Ack is the newest No of the run Of whose Sum was that of the list held here, so
+// that this core has heard of every renewal that hello told of.
 type Hello struct {
-	Disk     ident.Disk     `json:"disk"`
-	Mark     string         `json:"mark"`
-	District ident.District `json:"district"`
+	Run      uint64      `json:"run"`
+	Brief    bool        `json:"brief,omitempty"`
+	No       uint64      `json:"no"`
+	Of       uint64      `json:"of,omitempty"`
+	Ack      uint64      `json:"ack,omitempty"`
+	Sum      uint64      `json:"sum,omitempty"` // of the sidecars kept at the sender
+	At       ident.Epoch `json:"at,omitempty"`  // of the roster
+	Manifest ident.Epoch `json:"manifest"`
+	// AgeMs is how long ago, plus one, the sender knew that nothing newer than Manifest
+	// was confirmed; 0 is never.
+	AgeMs   int64                        `json:"ageMs,omitempty"`
+	Duty    bool                         `json:"duty,omitempty"`    // the sender holds the sweeping duty
+	Rolling bool                         `json:"rolling,omitempty"` // a roll-out runs: say Ends
+	Ends    map[ident.Service]drive.Ends `json:"ends,omitempty"`
+	// What a brief one leaves out.
+	Mark     string         `json:"mark,omitempty"`
+	Disk     ident.Disk     `json:"disk,omitempty"`
+	District ident.District `json:"district,omitempty"`
 	Roster   *cell.Roster   `json:"roster,omitempty"`
 	Leaving  bool           `json:"leaving,omitempty"`
 	Broken   bool           `json:"broken,omitempty"`
-	UpMs     int64          `json:"upMs"`
-	Heard    []ident.Node   `json:"heard,omitempty"`
-	Manifest ident.Epoch    `json:"manifest"`
 	Cores    []ident.Addr   `json:"cores,omitempty"`
 }
 
+// Run stands for the mark of a run.
+func Run(mark string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(mark))
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	return x ^ x>>33
+}
+
+// Over lays a later hello of the same run over this one.
+func (h Hello) Over(later Hello) Hello {
+	if !later.Brief {
+		return later
+	}
+	later.Brief, later.Mark = h.Brief, h.Mark
+	later.Disk, later.District, later.Roster, later.Leaving, later.Broken, later.Cores = h.Disk, h.District, h.Roster, h.Leaving, h.Broken, h.Cores
+	if later.Ends == nil {
+		later.Ends = h.Ends
+	}
+	return later
+}
+
+// Want asks for a whole hello, or for all sidecars kept at the receiver.
+type Want struct {
+	Hello bool `json:"hello,omitempty"`
+	Kept  bool `json:"kept,omitempty"`
+}
+
+// Quiet asks a voter which of the nodes it has not heard for ledger.Quiet, or says so.
+type Quiet struct {
+	Turn  uint64       `json:"turn"`
+	Says  ident.Disk   `json:"says,omitempty"` // empty in the question
+	Nodes []ident.Node `json:"nodes,omitempty"`
+}
+
 // Forward carries a deed to its key's owner.
 type Forward struct {
 	Ticket uint64     `json:"ticket"`
--- a/control/core/node/deeds.go
+++ b/control/core/node/deeds.go
@@ -10,6 +10,7 @@
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/control/register/place"
+	rollout "cottonarch.example/cottonarch/control/rollout/state"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
@@ -139,7 +140,7 @@
 		c := message.Carried{Body: out.Body, Defect: out.Defect, Revision: out.Revision, Lost: out.Lost, Risk: out.Risk}
 		if out.Changed && !out.Lost {
 			l := message.Learned{Key: out.Deed.Key, Revision: out.Revision, Ballot: out.Ballot}
-			n.learn(l, fx)
+			n.learn(now, l, fx)
 			for _, a := range n.peerAddrs() {
 				fx.Sends = append(fx.Sends, Send{a, message.Message{Learned: &l}})
 			}
@@ -163,8 +164,11 @@
 	}
 }
 
-func (n *Node) learn(l message.Learned, fx *Effects) {
+func (n *Node) learn(now moment.Moment, l message.Learned, fx *Effects) {
 	fx.Learned = append(fx.Learned, l)
+	if l.Key.Under(rollout.Prefix) {
+		n.rolling = now
+	}
 	if l.Key == offer.Key {
 		n.Epoch = max(n.Epoch, ident.Epoch(l.Revision))
 		// The value itself lies here already when this disk took part in the round.
@@ -239,10 +243,10 @@
 	return true
 }
 
-func (n *Node) onLearned(_ moment.Moment, m message.Message, fx *Effects) bool {
+func (n *Node) onLearned(now moment.Moment, m message.Message, fx *Effects) bool {
 	if m.Learned == nil {
 		return false
 	}
-	n.learn(*m.Learned, fx)
+	n.learn(now, *m.Learned, fx)
 	return true
 }
--- a/control/core/node/duties.go
+++ b/control/core/node/duties.go
@@ -2,14 +2,11 @@
 
 import (
 	"encoding/json"
-	"maps"
-	"slices"
 	"time"
 
 	"cottonarch.example/cottonarch/control/audit/chunk"
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/lock"
-	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/control/register/survey"
@@ -22,11 +19,12 @@
 // leaves; when it cannot, the claim ends and a majority gives it to another.
 const dutyKey ident.Key = "lock/cottonarch.duty.sweep"
 
-// rollEvery is how often the duty's holder looks at the roll-outs.
-const rollEvery = 500 * time.Millisecond
-
-// shareKey holds the shares of the further tries.
-const shareKey ident.Key = "share"
+// rollEvery is how often the duty's holder looks at the roll-outs while one is known to
+// run, and idleRoll how often else: the word of a new one may be lost.
+const (
+	rollEvery = 500 * time.Millisecond
+	idleRoll  = 2500 * time.Millisecond
+)
 
 // internal runs a deed of the core's own.
 func (n *Node) internal(now moment.Moment, d owner.Deed, fx *Effects, done func(moment.Moment, End, *Effects)) {
@@ -39,7 +37,7 @@
 		n.holds = false
 		return
 	}
-	if now.Since(n.dutied) >= dutyEvery {
+	if now.Since(n.dutied) >= dutyEvery && (n.holds || !n.served(now)) {
 		n.dutied = now
 		d := owner.Deed{Key: dutyKey, Kind: "lock/claim", Args: book.JSON(lock.Args{Holder: string(n.Disk), TTL: dutyTTL})}
 		if n.holds { // costs no disk
@@ -51,7 +49,7 @@
 			n.fence = g.Fence
 		})
 	}
-	if n.holds && now.Since(n.rolled) >= rollEvery {
+	if n.holds && (now.Since(n.rolled) >= idleRoll || n.Rolling(now) && now.Since(n.rolled) >= rollEvery) {
 		n.rolled = now
 		n.survey(now, &reading{until: now.Add(time.Second), done: n.roll}, rollout.Prefix, true, "", fx)
 	}
@@ -62,11 +60,21 @@
 	if n.holds && now.Since(n.swept) >= sweepEvery {
 		n.swept = now
 		n.Sweeps++
-		n.survey(now, &reading{until: now.Add(time.Second), all: true, done: n.sweep}, "", false, "", fx)
+		n.survey(now, &reading{until: now.Add(time.Second), all: true, buckets: buckets(n.Cells()), done: n.sweep}, "", false, "", fx)
 		n.reclaim(now, fx)
 	}
 }
 
+// served tells whether another core that lives says that it holds the duty.
+func (n *Node) served(now moment.Moment) bool {
+	for _, p := range n.peers {
+		if p.hello.Duty && !p.hello.Leaving && p.live(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // roll carries every roll-out one deed further.
 func (n *Node) roll(now moment.Moment, s *survey.Survey, fx *Effects) {
 	if s == nil {
@@ -78,6 +86,9 @@
 		if st := book.State(all[k].Cell.Value); !all[k].Agreed || len(st) == 0 || json.Unmarshal(st, &r) != nil {
 			continue
 		}
+		if r.Phase == rollout.Running || r.Phase == rollout.Backing {
+			n.rolling = now
+		}
 		if d, due := n.rolls.Plan(now, r, n.Ledger.InForce(), n.Ledger.Ends); due {
 			n.internal(now, d, fx, func(moment.Moment, End, *Effects) {})
 		}
@@ -141,6 +152,15 @@
 	return leaves, true
 }
 
+// buckets is how many digests a sweep compares for so many keys.
+func buckets(keys int) int {
+	out := 16
+	for out < keys/2 && out < 1024 {
+		out *= 2
+	}
+	return out
+}
+
 // sweep reads every key whose copies differ; the read mends them.
 func (n *Node) sweep(now moment.Moment, s *survey.Survey, fx *Effects) {
 	if s == nil {
@@ -155,43 +175,3 @@
 		n.internal(now, owner.Deed{Key: k, Kind: owner.Mend}, fx, func(moment.Moment, End, *Effects) {})
 	}
 }
-
-// reclaim takes back the shares of nodes that a majority has long not heard.
-func (n *Node) reclaim(now moment.Moment, fx *Effects) {
-	n.internal(now, owner.Deed{Key: shareKey, Kind: "share/read"}, fx, func(now moment.Moment, e End, fx *Effects) {
-		var s share.Shares
-		if e.Defect != nil || book.Read(nil, e.Body, nil, &s) != nil {
-			return
-		}
-		for _, node := range slices.Sorted(maps.Keys(s.Nodes)) {
-			g := s.Nodes[node]
-			if !n.quietEverywhere(now, node) {
-				continue
-			}
-			args := book.JSON(share.Args{Node: node, Claim: g.Claim})
-			n.internal(now, owner.Deed{Key: shareKey, Kind: "share/free", Args: args}, fx, func(moment.Moment, End, *Effects) {})
-		}
-	})
-}
-
-// quietEverywhere tells whether a majority of voters, each up for longer, has not
-// heard the node for ledger.Quiet.
-func (n *Node) quietEverywhere(now moment.Moment, node ident.Node) bool {
-	const quietMs = 30_000
-	got := 0
-	for _, v := range n.acc.Now.Voters {
-		if v.Disk == n.Disk {
-			if now.Since(n.began).Milliseconds() > quietMs && !slices.Contains(n.Ledger.Heard(now), node) {
-				got++
-			}
-			continue
-		}
-		for _, a := range n.peerAddrs() {
-			p := n.peers[a]
-			if p.hello.Disk == v.Disk && now.Since(p.heard) <= alive && p.hello.UpMs > quietMs && !slices.Contains(p.hello.Heard, node) {
-				got++
-			}
-		}
-	}
-	return got >= n.acc.Now.Majority()
-}
--- /dev/null
+++ b/control/core/node/hello.go
@@ -0,0 +1,254 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"cottonarch.example/cottonarch/control/core/message"
+	"cottonarch.example/cottonarch/control/manifest/offer"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+)
+
+const (
+	// wholeEvery is how often a hello says all, changed or not.
+	wholeEvery = 10 * time.Second
+	// wantEvery is how often a peer is asked again for what did not come.
+	wantEvery = 200 * time.Millisecond
+	// rollingFor is how long after the last sign of a roll-out its ends are told.
+	rollingFor = 3 * time.Second
+)
+
+// hello tells the cores whose turn it is that this one lives: all of them when all is set.
+func (n *Node) hello(now moment.Moment, all bool, fx *Effects) {
+	for _, a := range n.peerAddrs() {
+		if now.Since(n.peers[a].heard) > time.Minute {
+			delete(n.peers, a)
+			n.Ledger.Gone(a)
+		}
+	}
+	for a, at := range n.known {
+		if now.Since(at) > time.Minute {
+			delete(n.known, a)
+		}
+	}
+	strange := now.Since(n.called) >= helloEvery
+	if strange {
+		n.called = now
+	}
+	var to []ident.Addr
+	for _, a := range n.Cores() {
+		switch p := n.peers[a]; {
+		case a == n.boot.Addr:
+		case all, p == nil && strange, p != nil && now.Since(p.saidAt) >= n.pace(a, p):
+			to = append(to, a)
+		}
+	}
+	if len(to) > 0 {
+		n.greet(now, to, fx)
+	}
+}
+
+// pace is how often a peer is told hello. Of two cores the one with the lower address
+// begins, and the other's hello travels in the return; it begins itself when none came.
+// Two that do not vote move no keys by their hellos: they need fewer.
+func (n *Node) pace(a ident.Addr, p *peer) time.Duration {
+	out := helloEvery
+	if !n.acc.Now.Counts(n.Disk) && !n.acc.Now.Counts(p.hello.Disk) {
+		out = helloSeldom
+	}
+	if n.boot.Addr > a {
+		out += helloLate
+	}
+	return out
+}
+
+// greet says hello to some cores.
+func (n *Node) greet(now moment.Moment, to []ident.Addr, fx *Effects) {
+	n.no++
+	n.Ledger.Stamp(n.no)
+	brief := message.Hello{Run: message.Run(n.boot.Mark), Brief: true, No: n.no, Sum: n.Ledger.Sum(), At: n.acc.Now.Epoch, Manifest: n.Epoch, Duty: n.holds, Rolling: n.holds && n.Rolling(now)}
+	if n.sure != 0 {
+		brief.AgeMs = now.Since(n.sure).Milliseconds() + 1
+	}
+	if n.Rolling(now) {
+		brief.Ends = n.Ledger.Here()
+	}
+	whole := brief
+	whole.Brief, whole.Mark, whole.Disk, whole.District, whole.Leaving, whole.Broken, whole.Cores = false, n.boot.Mark, n.Disk, n.boot.District, n.leaving, n.broken, n.Fresh(now)
+	if n.acc.Now.Epoch > 0 {
+		r := n.acc.Now
+		whole.Roster = &r
+	}
+	says := fmt.Sprint(whole.Disk, whole.Leaving, whole.Broken, whole.At, whole.Cores)
+	for _, a := range to {
+		h, p := whole, n.peers[a]
+		if p != nil {
+			if p.told == says && p.live(now) && now.Since(p.toldAt) < wholeEvery {
+				h = brief
+			} else {
+				p.told, p.toldAt = says, now
+			}
+			p.saidAt = now
+			h.Of, h.Ack = p.hello.Run, p.fits
+		}
+		fx.Sends = append(fx.Sends, Send{a, message.Message{Hello: &h}})
+	}
+}
+
+func (n *Node) onHello(now moment.Moment, m message.Message, fx *Effects) bool {
+	if m.Hello == nil {
+		return false
+	}
+	h, p := *m.Hello, n.peers[m.From]
+	if h.Brief && (p == nil || p.hello.Run != h.Run) {
+		fx.Sends = append(fx.Sends, Send{m.From, message.Message{Want: &message.Want{Hello: true}}})
+		return true
+	}
+	if p == nil {
+		p = &peer{}
+		n.peers[m.From] = p
+	}
+	if p.hello.Run != h.Run {
+		n.gone(now, m.From, p.hello.Mark)
+		n.Ledger.Gone(m.From)
+		*p = peer{}
+	}
+	p.heard, p.down = now, false
+	if h.No < p.hello.No {
+		return true // a late one says that it lives, and no more
+	}
+	p.hello = p.hello.Over(h)
+	h = p.hello
+	// One disk is at one address: an older address of the same disk is stale.
+	for _, a := range n.peerAddrs() {
+		if a != m.From && n.peers[a].hello.Disk == h.Disk {
+			delete(n.peers, a)
+			n.Ledger.Gone(a)
+		}
+	}
+	if !m.Hello.Brief {
+		n.Know(now, h.Cores)
+		if h.Roster != nil {
+			n.adopt(now, *h.Roster, fx)
+		}
+	}
+	if h.Of == message.Run(n.boot.Mark) {
+		p.acked = max(p.acked, h.Ack)
+	}
+	var want message.Want
+	want.Hello = m.Hello.Brief && h.At > n.acc.Now.Epoch
+	if n.Ledger.Hello(now, m.From, m.Hello.Sum) {
+		p.fits = max(p.fits, m.Hello.No)
+	} else {
+		want.Kept = true
+	}
+	if (want.Hello || want.Kept) && now.Since(p.wanted) >= wantEvery {
+		p.wanted = now
+		fx.Sends = append(fx.Sends, Send{m.From, message.Message{Want: &want}})
+	}
+	if h.Rolling {
+		n.rolling = now
+	}
+	n.Ledger.Grown(m.From, h.Mark, h.Ends)
+	n.heardOf(now, m.Hello, fx)
+	// Half due, it goes at once: it travels in the return to the hello that came.
+	if now.Since(p.saidAt) >= n.pace(m.From, p)/2 {
+		n.keep(now, fx)
+		n.greet(now, []ident.Addr{m.From}, fx)
+	}
+	return true
+}
+
+// heardOf takes what a hello says of the manifest.
+func (n *Node) heardOf(now moment.Moment, h *message.Hello, fx *Effects) {
+	if h.Manifest > n.Epoch {
+		n.learn(now, message.Learned{Key: offer.Key, Revision: ident.Revision(h.Manifest)}, fx)
+	}
+	if h.AgeMs > 0 {
+		n.sure = max(n.sure, now.Add(-time.Duration(h.AgeMs)*time.Millisecond))
+	}
+}
+
+// Rolling tells whether a roll-out is known to run.
+func (n *Node) Rolling(now moment.Moment) bool {
+	return n.rolling != 0 && now.Since(n.rolling) < rollingFor
+}
+
+// keep tells the other cores what changed among the sidecars kept here, and all of it to
+// those that asked.
+func (n *Node) keep(now moment.Moment, fx *Effects) {
+	if k, due := n.Ledger.Changes(); due {
+		for _, a := range n.peerAddrs() {
+			if n.peers[a].live(now) {
+				fx.Sends = append(fx.Sends, Send{a, message.Message{Kept: &k}})
+			}
+		}
+	}
+	if len(n.wants) == 0 {
+		return
+	}
+	if k, ok := n.Ledger.Whole(); ok {
+		for _, a := range n.wants {
+			fx.Sends = append(fx.Sends, Send{a, message.Message{Kept: &k}})
+		}
+		n.wants = nil
+	}
+}
+
+func (n *Node) onKept(now moment.Moment, m message.Message, fx *Effects) bool {
+	if m.Kept == nil {
+		return false
+	}
+	p := n.peers[m.From]
+	if p == nil {
+		return true // its hello comes first
+	}
+	changed, fits := n.Ledger.Take(now, m.From, *m.Kept)
+	fx.Changed = fx.Changed || changed
+	if !fits && now.Since(p.wanted) >= wantEvery {
+		p.wanted = now
+		fx.Sends = append(fx.Sends, Send{m.From, message.Message{Want: &message.Want{Kept: true}}})
+	}
+	return true
+}
+
+func (n *Node) onWant(now moment.Moment, m message.Message, fx *Effects) bool {
+	if m.Want == nil {
+		return false
+	}
+	if p := n.peers[m.From]; p != nil && m.Want.Hello {
+		p.told = ""
+	}
+	if m.Want.Kept && !slices.Contains(n.wants, m.From) {
+		n.wants = append(n.wants, m.From)
+	}
+	n.keep(now, fx)
+	return true
+}
+
+// Turn is the newest hello of this core that a majority of the voters, this one among
+// them, has taken with the list of sidecars it meant: they have heard of every renewal
+// that came in before it.
+func (n *Node) Turn() uint64 {
+	var got []uint64
+	for _, v := range n.acc.Now.Voters {
+		switch {
+		case v.Disk == n.Disk:
+			got = append(got, n.no+1) // what was taken here is known here
+		default:
+			for _, a := range n.peerAddrs() {
+				if p := n.peers[a]; p.hello.Disk == v.Disk {
+					got = append(got, p.acked)
+				}
+			}
+		}
+	}
+	need := n.acc.Now.Majority()
+	if n.acc.Now.Epoch == 0 || len(got) < need {
+		return 0
+	}
+	slices.Sort(got)
+	return got[len(got)-need]
+}
--- /dev/null
+++ b/control/core/node/lookout.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"encoding/json"
+	"time"
+
+	"cottonarch.example/cottonarch/control/core/message"
+	"cottonarch.example/cottonarch/control/manifest/offer"
+	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/place"
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/mesh/registry/record"
+)
+
+const (
+	// The manifest's owner reads it anew when what it knows is older than ownAge; another
+	// core does so only when no hello brought it word for elseAge.
+	ownAge  = 500 * time.Millisecond
+	elseAge = time.Second
+	// staleAge is from when on a core says that it can't tell what the newest manifest is.
+	staleAge = 1300 * time.Millisecond
+	// hushAge is the same for how long it may go without a hello from a majority.
+	hushAge = 800 * time.Millisecond
+)
+
+// lookOut keeps this core sure of the newest confirmed manifest. Invariant: nothing newer
+// than Epoch was confirmed before sure, for a read through the key's owner began then,
+// here or at the core whose hello told of it.
+func (n *Node) lookOut(now moment.Moment, fx *Effects) {
+	if n.looking != 0 || now.Since(n.sure) < ownAge && n.sure != 0 || n.leaving || !n.Majority(now) {
+		return
+	}
+	disks, _ := n.live(now)
+	if first, _ := place.Owner(offer.Key, disks); first != n.Disk && n.sure != 0 && now.Since(n.sure) < elseAge {
+		return
+	}
+	n.looking = now
+	n.begindeed(now, &pending{deed: owner.Deed{Key: offer.Key, Kind: "manifest/epoch"}, until: now.Add(time.Second), done: func(now moment.Moment, e End, fx *Effects) {
+		began := n.looking
+		n.looking = 0
+		var yes offer.Yes
+		if e.Defect != nil || json.Unmarshal(e.Body, &yes) != nil {
+			return
+		}
+		if yes.Epoch > n.Epoch {
+			n.learn(now, message.Learned{Key: offer.Key, Revision: ident.Revision(yes.Epoch)}, fx)
+		}
+		n.sure = max(n.sure, began)
+	}}, fx)
+}
+
+// stale tells whether this core can't tell what the newest manifest is.
+func (n *Node) stale(now moment.Moment) bool {
+	return n.sure == 0 || now.Since(n.sure) > staleAge || !n.majority(now, hushAge)
+}
+
+// Stale is the same as of the last tick; that it changed is news to those who follow.
+func (n *Node) Stale() bool { return n.old }
+
+// Renew takes a sidecar's renewal.
+func (n *Node) Renew(now moment.Moment, r record.Renewal) (record.Renewed, Effects, *defect.Defect) {
+	got, d := n.Ledger.Renew(now, r)
+	if d != nil {
+		return record.Renewed{}, Effects{}, d
+	}
+	return record.Renewed{Want: got.Want, Took: n.Ledger.Took(r.Node, n.Turn()), Members: n.Ledger.Live(), Leaving: n.leaving,
+		Stale: n.stale(now)}, Effects{Changed: got.Fresh}, nil
+}
+
+// Places lists the cores that this one stands for, with their districts.
+func (n *Node) Places(now moment.Moment) []record.Place {
+	var out []record.Place
+	for _, a := range n.Fresh(now) {
+		at := record.Place{Addr: a}
+		if p := n.peers[a]; p != nil {
+			at.District = p.hello.District
+		} else if a == n.boot.Addr {
+			at.District = n.boot.District
+		}
+		out = append(out, at)
+	}
+	return out
+}
--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -31,7 +31,12 @@
 )
 
 const (
-	helloEvery = 150 * time.Millisecond
+	helloEvery = 300 * time.Millisecond
+	// helloSeldom is the same between two cores that do not vote, helloLate how long the
+	// second of two waits for the first, helloLook how often their turns are looked at.
+	helloSeldom = 500 * time.Millisecond
+	helloLate   = 70 * time.Millisecond
+	helloLook   = 30 * time.Millisecond
 	// alive is how long a core counts as live after its last hello.
 	alive = 1200 * time.Millisecond
 	// deadAfter is how long a voter must be unheard before its slot may be taken.
@@ -140,7 +145,15 @@
 	auditAt  moment.Moment
 	Sweeps   uint64
 	Mended   uint64
-	Epoch    ident.Epoch // newest manifest epoch learned
+	Epoch    ident.Epoch   // newest manifest epoch learned
+	no       uint64        // of the last hello
+	called   moment.Moment // when those that were never heard were last told hello
+	wants    []ident.Addr
+	sure     moment.Moment // nothing newer than Epoch was confirmed before this
+	looking  moment.Moment // when the read that is out began, 0 if none is
+	old      bool          // see Stale
+	rolling  moment.Moment // when a roll-out was last known to run
+	quiet    quiet
 	in       []func(*Node, moment.Moment, message.Message, *Effects) bool
 }
 
@@ -267,6 +280,7 @@
 	inbox = []func(*Node, moment.Moment, message.Message, *Effects) bool{
 		(*Node).onHello, (*Node).onAsk, (*Node).onReturn, (*Node).onForward, (*Node).onCarried, (*Node).onScan,
 		(*Node).onScanReturn, (*Node).onLearned, (*Node).onRosterAsk, (*Node).onRosterSays, (*Node).onHandover,
+		(*Node).onKept, (*Node).onWant, (*Node).onQuiet,
 	}
 }
 
--- a/control/core/node/node_test.go
+++ b/control/core/node/node_test.go
@@ -21,6 +21,8 @@
 	post  []mail
 	dead  map[ident.Addr]bool
 	lost  func(to ident.Addr, m message.Message) bool
+	// tickets numbers the deeds of helpers.
+	tickets uint64
 }
 
 type mail struct {
@@ -31,7 +33,7 @@
 var three = []ident.Addr{"a:1", "b:1", "c:1"}
 
 func newTrio(t *testing.T) *trio {
-	x := &trio{nodes: map[ident.Addr]*node.Node{}, now: moment.Moment(time.Second), dead: map[ident.Addr]bool{}}
+	x := &trio{tickets: 1000, nodes: map[ident.Addr]*node.Node{}, now: moment.Moment(time.Second), dead: map[ident.Addr]bool{}}
 	for _, a := range three {
 		n, _, err := node.New(x.now, node.Boot{Addr: a, Founders: three, Mark: "m", NewDisk: func() ident.Disk { return ident.Disk("disk-" + a) }}, nil)
 		must.NoError(t, err)
--- a/control/core/node/peers.go
+++ b/control/core/node/peers.go
@@ -6,17 +6,25 @@
 	"time"
 
 	"cottonarch.example/cottonarch/control/core/message"
-	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
 
 // peer is another core as last heard. Invariant: down is only a hint that it takes no
 // connection; it moves keys and forwards, never a slot of the roster.
+// Invariants: fits is the newest of its hellos whose list of sidecars is the one held
+// here, acked the newest of ours that it said so of; told is what the last whole hello to
+// it said. All of them belong to one run of it.
 type peer struct {
-	hello message.Hello
-	heard moment.Moment
-	down  bool
+	hello  message.Hello
+	heard  moment.Moment
+	down   bool
+	fits   uint64
+	acked  uint64
+	told   string
+	toldAt moment.Moment
+	saidAt moment.Moment // when the last hello to it went out
+	wanted moment.Moment
 }
 
 func (p *peer) live(now moment.Moment) bool { return !p.down && now.Since(p.heard) <= alive }
@@ -118,11 +126,14 @@
 }
 
 // Majority tells whether enough voters are heard to serve.
-func (n *Node) Majority(now moment.Moment) bool {
+func (n *Node) Majority(now moment.Moment) bool { return n.majority(now, alive) }
+
+// majority tells whether enough voters were heard within a span.
+func (n *Node) majority(now moment.Moment, span time.Duration) bool {
 	got := 0
 	near := []ident.Disk{n.Disk}
 	for _, p := range n.peers {
-		if p.live(now) {
+		if !p.down && now.Since(p.heard) <= span {
 			near = append(near, p.hello.Disk)
 		}
 	}
@@ -134,35 +145,6 @@
 	return n.acc.Now.Epoch > 0 && got >= n.acc.Now.Majority()
 }
 
-func (n *Node) onHello(now moment.Moment, m message.Message, fx *Effects) bool {
-	if m.Hello == nil {
-		return false
-	}
-	p := n.peers[m.From]
-	if p == nil {
-		p = &peer{}
-		n.peers[m.From] = p
-	}
-	if p.hello.Mark != m.Hello.Mark {
-		n.gone(now, m.From, p.hello.Mark)
-	}
-	// One disk is at one address: an older address of the same disk is stale.
-	for _, a := range n.peerAddrs() {
-		if a != m.From && n.peers[a].hello.Disk == m.Hello.Disk {
-			delete(n.peers, a)
-		}
-	}
-	p.hello, p.heard, p.down = *m.Hello, now, false
-	n.Know(now, m.Hello.Cores)
-	if m.Hello.Roster != nil {
-		n.adopt(now, *m.Hello.Roster, fx)
-	}
-	if m.Hello.Manifest > n.Epoch {
-		n.learn(message.Learned{Key: offer.Key, Revision: ident.Revision(m.Hello.Manifest)}, fx)
-	}
-	return true
-}
-
 // Down takes a hint that the process at an address is gone: it takes no connection.
 // A hint only: its keys are taken by others, which is safe if it lives after all; the
 // next hello brings it back.
--- a/control/core/node/place.go
+++ b/control/core/node/place.go
@@ -41,12 +41,22 @@
 	case in && !n.copying:
 		n.copying = true
 		n.survey(now, &reading{until: now.Add(time.Minute), done: n.copiedAll(r.Epoch)}, "", true, n.Disk, fx)
-	case !in && now.Since(n.began) > deadAfter:
+	case !in && now.Since(n.began) > deadAfter && n.room(now, r):
 		grow := now.Since(n.began) > growAfter
 		n.rosterSends(n.make.Begin(now, r, maker.Take(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr}, n.boot.Voters, grow)), fx)
 	}
 }
 
+// room tells whether this disk may find a slot: there are fewer voters than there should
+// be, one is at this address, or one is not heard here. Only then is a majority asked.
+func (n *Node) room(now moment.Moment, r cell.Roster) bool {
+	if len(r.Voters) < n.boot.Voters {
+		return true
+	}
+	near := n.heard(now, deadAfter)
+	return slices.ContainsFunc(r.Voters, func(v cell.Voter) bool { return v.Addr == n.boot.Addr || !slices.Contains(near, v.Disk) })
+}
+
 // copiedAll takes every key that a majority of the counted voters held at the epoch.
 func (n *Node) copiedAll(at ident.Epoch) func(moment.Moment, *survey.Survey, *Effects) {
 	return func(_ moment.Moment, s *survey.Survey, fx *Effects) {
--- /dev/null
+++ b/control/core/node/quiet.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"maps"
+	"slices"
+
+	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/share"
+	"cottonarch.example/cottonarch/control/core/message"
+	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/mesh/claim/ledger"
+)
+
+// shareKey holds the shares of the further tries.
+const shareKey ident.Key = "share"
+
+// quiet is the question, to all voters, which nodes they have long not heard.
+type quiet struct {
+	turn   uint64
+	claims map[ident.Node]ident.Epoch
+	says   map[ident.Node]map[ident.Disk]bool
+}
+
+// reclaim takes back the shares of nodes that a majority has long not heard. The voters
+// are asked only of those that this core has not heard.
+func (n *Node) reclaim(now moment.Moment, fx *Effects) {
+	n.internal(now, owner.Deed{Key: shareKey, Kind: "share/read"}, fx, func(now moment.Moment, e End, fx *Effects) {
+		var s share.Shares
+		if e.Defect != nil || book.Read(nil, e.Body, nil, &s) != nil {
+			return
+		}
+		silent := n.Ledger.Silent(now, slices.Sorted(maps.Keys(s.Nodes)))
+		if len(silent) == 0 || now.Since(n.began) <= ledger.Quiet {
+			return
+		}
+		n.quiet = quiet{turn: n.next(), claims: map[ident.Node]ident.Epoch{}, says: map[ident.Node]map[ident.Disk]bool{}}
+		for _, node := range silent {
+			n.quiet.claims[node], n.quiet.says[node] = s.Nodes[node].Claim, map[ident.Disk]bool{}
+		}
+		for _, v := range n.acc.Now.Voters {
+			n.send(v, message.Message{Quiet: &message.Quiet{Turn: n.quiet.turn, Nodes: silent}}, fx)
+		}
+	})
+}
+
+// onQuiet answers the question, or takes a voter's answer. Invariant: a core says that a
+// node is silent only when it has itself been up for longer than ledger.Quiet; a share is
+// taken back only when a majority of the voters said so.
+func (n *Node) onQuiet(now moment.Moment, m message.Message, fx *Effects) bool {
+	q := m.Quiet
+	if q == nil {
+		return false
+	}
+	if q.Says == "" {
+		if now.Since(n.began) > ledger.Quiet {
+			fx.Sends = append(fx.Sends, Send{m.From, message.Message{Quiet: &message.Quiet{Turn: q.Turn, Says: n.Disk, Nodes: n.Ledger.Silent(now, q.Nodes)}}})
+		}
+		return true
+	}
+	if _, in := n.acc.Now.Find(q.Says); !in || q.Turn != n.quiet.turn {
+		return true
+	}
+	for _, node := range q.Nodes {
+		says := n.quiet.says[node]
+		if says == nil || says[q.Says] {
+			continue
+		}
+		says[q.Says] = true
+		if len(says) == n.acc.Now.Majority() {
+			args := book.JSON(share.Args{Node: node, Claim: n.quiet.claims[node]})
+			n.internal(now, owner.Deed{Key: shareKey, Kind: "share/free", Args: args}, fx, func(moment.Moment, End, *Effects) {})
+		}
+	}
+	return true
+}
--- a/control/core/node/reading.go
+++ b/control/core/node/reading.go
@@ -12,6 +12,8 @@
 type reading struct {
 	ticket uint64
 	all    bool
+	// buckets, when set, has digests compared first.
+	buckets int
 	*survey.Survey
 	until moment.Moment
 	done  func(moment.Moment, *survey.Survey, *Effects)
@@ -26,7 +28,7 @@
 func (n *Node) survey(now moment.Moment, r *reading, prefix string, values bool, skip ident.Disk, fx *Effects) {
 	turn := n.next()
 	r.Survey = survey.Begin(turn, n.acc.Now, prefix, values, skip)
-	r.Survey.All = r.all
+	r.Survey.All, r.Survey.Buckets = r.all, r.buckets
 	n.reads[turn] = r
 	n.scan(r.Tick(now), fx)
 }
--- a/control/core/node/tick.go
+++ b/control/core/node/tick.go
@@ -18,9 +18,10 @@
 
 // Tick is called many times a second.
 func (n *Node) Tick(now moment.Moment) (fx Effects) {
-	if n.said == 0 || now.Since(n.said) >= helloEvery {
+	n.keep(now, &fx)
+	if n.said == 0 || now.Since(n.said) >= helloLook {
 		n.said = now
-		n.hello(now, &fx)
+		n.hello(now, false, &fx)
 	}
 	n.owned(now, n.own.Tick(now), &fx)
 	n.rosterSends(n.make.Tick(now), &fx)
@@ -33,31 +34,11 @@
 		n.place(now, &fx)
 		n.duties(now, &fx)
 	}
-	return fx
-}
-
-func (n *Node) hello(now moment.Moment, fx *Effects) {
-	h := message.Hello{Disk: n.Disk, Mark: n.boot.Mark, District: n.boot.District, Leaving: n.leaving, Broken: n.broken,
-		UpMs: now.Since(n.began).Milliseconds(), Heard: n.Ledger.Heard(now), Manifest: n.Epoch, Cores: n.Fresh(now)}
-	if n.acc.Now.Epoch > 0 {
-		r := n.acc.Now
-		h.Roster = &r
-	}
-	for _, a := range n.peerAddrs() {
-		if now.Since(n.peers[a].heard) > time.Minute {
-			delete(n.peers, a)
-		}
-	}
-	for a, at := range n.known {
-		if now.Since(at) > time.Minute {
-			delete(n.known, a)
-		}
-	}
-	for _, a := range n.Cores() {
-		if a != n.boot.Addr {
-			fx.Sends = append(fx.Sends, Send{a, message.Message{Hello: &h}})
-		}
+	n.lookOut(now, &fx)
+	if old := n.stale(now); old != n.old {
+		n.old, fx.Changed = old, true
 	}
+	return fx
 }
 
 // pendings routes what waits and ends what is late.
@@ -129,7 +110,8 @@
 		return fx
 	}
 	n.leaving = true
-	n.hello(now, &fx)
+	n.keep(now, &fx)
+	n.hello(now, true, &fx)
 	disks, at := n.live(now)
 	if n.holds {
 		if next, _ := place.Owner(dutyKey, disks); next != "" {
--- a/control/register/cell/cell.go
+++ b/control/register/cell/cell.go
@@ -2,7 +2,10 @@
 package cell
 
 import (
+	"encoding/binary"
 	"encoding/json"
+	"fmt"
+	"hash/fnv"
 
 	"cottonarch.example/cottonarch/kernel/ident"
 )
@@ -103,13 +106,40 @@
 	return ok && v.Counted
 }
 
-// Scan asks a replica for its cells below a prefix.
+// Scan asks a replica for its cells below a prefix. With Buckets it asks for a digest of
+// each bucket of keys instead, or, with Only, for the cells of those buckets.
 type Scan struct {
 	Turn   uint64      `json:"turn"`
 	Roster ident.Epoch `json:"roster"`
 	Prefix string      `json:"prefix"`
 	After  ident.Key   `json:"after,omitempty"`
 	Values bool        `json:"values,omitempty"`
+
+	Buckets int   `json:"buckets,omitempty"`
+	Only    []int `json:"only,omitempty"`
+}
+
+// Bucket is the bucket that a key lies in, of so many.
+func Bucket(k ident.Key, of int) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(k))
+	return int(h.Sum32() % uint32(of))
+}
+
+// DigestBytes is the size of the digest of one bucket.
+const DigestBytes = 8
+
+// Digest lays a cell's accepted state into the digests of all buckets. Buckets that hold
+// the same accepted states have the same digest, in whatever order they were laid in.
+func Digest(all []byte, k ident.Key, c Cell) {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%s\x00%d\x00%s\x00%d", k, c.Accepted.Epoch, c.Accepted.Owner, c.Revision)
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	at := all[Bucket(k, len(all)/DigestBytes)*DigestBytes:]
+	binary.LittleEndian.PutUint64(at, binary.LittleEndian.Uint64(at)+x)
 }
 
 // Row is one cell in a Scan's return.
@@ -124,6 +154,7 @@
 	Disk   ident.Disk  `json:"disk"`
 	Roster ident.Epoch `json:"roster"`
 	After  ident.Key   `json:"after,omitempty"`
-	Rows   []Row       `json:"rows"`
+	Rows   []Row       `json:"rows,omitempty"`
 	More   bool        `json:"more,omitempty"`
+	Digest []byte      `json:"digest,omitempty"` // of all buckets, when that was asked for
 }
--- a/control/register/replica/replica.go
+++ b/control/register/replica/replica.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 
 	"github.com/google/btree"
@@ -17,6 +18,8 @@
 	promiseTag = "p/"
 	acceptTag  = "c/"
 	pageBytes  = 512 << 10
+	// bucketsMost bounds the digests that one scan may ask for.
+	bucketsMost = 1 << 12
 )
 
 type item struct {
@@ -145,6 +148,19 @@
 	if s.Roster != roster || roster == 0 {
 		return out, false
 	}
+	if s.Buckets < 0 || s.Buckets > bucketsMost {
+		return out, false
+	}
+	if s.Buckets > 0 && len(s.Only) == 0 {
+		out.Digest = make([]byte, s.Buckets*cell.DigestBytes)
+		r.tree.AscendGreaterOrEqual(&item{key: ident.Key(s.Prefix)}, func(it *item) bool {
+			if it.key.Under(s.Prefix) && !it.Accepted.Zero() {
+				cell.Digest(out.Digest, it.key, it.Cell)
+			}
+			return it.key.Under(s.Prefix)
+		})
+		return out, true
+	}
 	start, bulk := ident.Key(s.Prefix), 0
 	if start < s.After {
 		start = s.After
@@ -156,6 +172,9 @@
 		if !it.key.Under(s.Prefix) {
 			return false
 		}
+		if s.Buckets > 0 && !slices.Contains(s.Only, cell.Bucket(it.key, s.Buckets)) {
+			return true
+		}
 		if bulk > pageBytes {
 			out.More = true
 			return false
--- a/control/register/survey/survey.go
+++ b/control/register/survey/survey.go
@@ -2,6 +2,9 @@
 package survey
 
 import (
+	"bytes"
+	"time"
+
 	"cottonarch.example/cottonarch/control/register/cell"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
@@ -20,10 +23,11 @@
 }
 
 type strand struct {
-	rows map[ident.Key]cell.Cell
-	last ident.Key
-	done bool
-	sent moment.Moment
+	digest []byte
+	rows   map[ident.Key]cell.Cell
+	last   ident.Key
+	done   bool
+	sent   moment.Moment
 }
 
 // Survey is one reading. Invariant: it belongs to one roster epoch; the caller
@@ -36,10 +40,21 @@
 	Skip   ident.Disk
 	// All waits for every counted voter, as the sweep must: the copy that is behind
 	// may well be the slowest.
-	All     bool
+	All bool
+	// Buckets, when set, first compares digests of so many buckets of keys, and reads only
+	// those that differ. Invariant: only is set once that is known, and is empty when all
+	// that answered hold the same.
+	Buckets int
+	only    []int
+	known   bool
+	began   moment.Moment
 	strands map[ident.Disk]*strand
 }
 
+// digestWait is how long the digests of all disks are waited for; then those of a
+// majority do.
+const digestWait = 400 * time.Millisecond
+
 // Send is one scan to one disk.
 type Send struct {
 	To   cell.Voter
@@ -54,6 +69,12 @@
 // Tick asks, and asks again, for what is out.
 func (s *Survey) Tick(now moment.Moment) []Send {
 	var out []Send
+	if s.began == 0 {
+		s.began = now
+	}
+	if s.Buckets > 0 && !s.known && now.Since(s.began) >= digestWait {
+		s.compare(s.Roster.Majority())
+	}
 	for _, v := range s.Roster.Voters {
 		if !v.Counted || v.Disk == s.Skip {
 			continue
@@ -63,7 +84,7 @@
 			st = &strand{rows: map[ident.Key]cell.Cell{}}
 			s.strands[v.Disk] = st
 		}
-		if st.done || st.sent != 0 && now.Since(st.sent) < resend {
+		if st.done || s.Buckets > 0 && !s.known && st.digest != nil || st.sent != 0 && now.Since(st.sent) < resend {
 			continue
 		}
 		out = append(out, s.ask(now, v, st))
@@ -73,7 +94,48 @@
 
 func (s *Survey) ask(now moment.Moment, v cell.Voter, st *strand) Send {
 	st.sent = now
-	return Send{v, cell.Scan{Turn: s.Turn, Roster: s.Roster.Epoch, Prefix: s.Prefix, After: st.last, Values: s.Values}}
+	return Send{v, cell.Scan{Turn: s.Turn, Roster: s.Roster.Epoch, Prefix: s.Prefix, After: st.last, Values: s.Values, Buckets: s.Buckets, Only: s.only}}
+}
+
+// compare learns which buckets differ, once so many digests are there.
+func (s *Survey) compare(need int) {
+	got, differ := 0, make([]bool, s.Buckets)
+	var first []byte
+	for _, v := range s.Roster.Voters {
+		st := s.strands[v.Disk]
+		if st == nil || len(st.digest) != s.Buckets*cell.DigestBytes {
+			continue
+		}
+		got++
+		if first == nil {
+			first = st.digest
+		}
+		for i := range differ {
+			at := i * cell.DigestBytes
+			differ[i] = differ[i] || !bytes.Equal(first[at:at+cell.DigestBytes], st.digest[at:at+cell.DigestBytes])
+		}
+	}
+	if got < need {
+		return
+	}
+	s.known = true
+	for i, is := range differ {
+		if is {
+			s.only = append(s.only, i)
+		}
+	}
+	for _, st := range s.strands {
+		st.sent, st.done = 0, len(s.only) == 0 && st.digest != nil
+	}
+}
+
+func (s *Survey) counted() (n int) {
+	for _, v := range s.Roster.Voters {
+		if v.Counted && v.Disk != s.Skip {
+			n++
+		}
+	}
+	return n
 }
 
 // Step takes one page in; done is true once a majority has been read whole.
@@ -83,6 +145,18 @@
 	if r.Turn != s.Turn || r.Roster != s.Roster.Epoch || !ok || !v.Counted || st == nil || st.done || r.After != st.last {
 		return nil, s.Done()
 	}
+	if s.Buckets > 0 && !s.known {
+		if st.digest = r.Digest; st.digest == nil {
+			return nil, false
+		}
+		if s.compare(s.counted()); !s.known {
+			return nil, false
+		}
+		return s.Tick(now), s.Done()
+	}
+	if r.Digest != nil {
+		return nil, s.Done() // late
+	}
 	for _, row := range r.Rows {
 		st.rows[row.Key] = row.Cell
 		st.last = row.Key
@@ -96,6 +170,12 @@
 
 // Done tells whether a majority has been read.
 func (s *Survey) Done() bool {
+	if s.Buckets > 0 && !s.known {
+		return false
+	}
+	if s.known && len(s.only) == 0 {
+		return true
+	}
 	n := 0
 	for _, st := range s.strands {
 		if st.done {
--- /dev/null
+++ b/control/register/survey/survey_test.go
@@ -0,0 +1,103 @@
+package survey_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/control/register/replica"
+	"cottonarch.example/cottonarch/control/register/survey"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+)
+
+// Four disks with a few hundred keys, some of which differ: a survey that compares digests
+// first finds just the lagging copies that one without them finds, and reads few rows; one
+// that is slow to answer is waited for, one that is silent is not.
+func TestDigestsFindWhatDiffers(t *testing.T) {
+	voters := []ident.Disk{"a", "b", "c", "d"}
+	for seed := range uint64(60) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		roster := cell.Roster{Epoch: 4}
+		disks := map[ident.Disk]*replica.Replica{}
+		for _, d := range voters {
+			disks[d] = replica.New(d)
+			roster.Voters = append(roster.Voters, cell.Voter{Disk: d, Addr: ident.Addr(d), Counted: true})
+		}
+		for k := range 300 {
+			key := ident.Key(fmt.Sprintf("key/%d", k))
+			for _, d := range voters {
+				c := cell.Cell{Accepted: ident.Ballot{Epoch: 1, Owner: "o"}, Revision: 3, Value: []byte(`"v"`)}
+				if rng.IntN(300) == 0 {
+					c.Revision = ident.Revision(1 + rng.IntN(3))
+				}
+				if rng.IntN(300) != 0 {
+					disks[d].Learn(cell.Row{Key: key, Cell: c})
+				}
+			}
+		}
+		silent, slow := ident.Disk(""), ident.Disk("")
+		switch seed % 3 {
+		case 1:
+			silent = "c"
+		case 2:
+			slow = "b"
+		}
+		run := func(buckets int) (lags map[ident.Key]int, rows int) {
+			s := survey.Begin(1, roster, "", false, "")
+			s.All, s.Buckets = true, buckets
+			type late struct {
+				at moment.Moment
+				r  cell.ScanReturn
+			}
+			var post []late
+			done := false
+			send := func(now moment.Moment, list []survey.Send) {
+				for _, out := range list {
+					r, ok := disks[out.To.Disk].Scan(4, out.Scan)
+					must.True(t, ok)
+					if out.To.Disk == silent {
+						continue
+					}
+					wait := 5 * time.Millisecond
+					if out.To.Disk == slow {
+						wait = 250 * time.Millisecond
+					}
+					post = append(post, late{now.Add(wait), r})
+				}
+			}
+			for now := moment.Moment(time.Second); now < moment.Moment(2*time.Second) && !done; now = now.Add(5 * time.Millisecond) {
+				send(now, s.Tick(now))
+				list := post
+				post = nil
+				for _, l := range list {
+					if l.at > now {
+						post = append(post, l)
+						continue
+					}
+					rows += len(l.r.Rows)
+					out, over := s.Step(now, l.r)
+					done = done || over
+					send(now, out)
+				}
+			}
+			must.Eq(t, silent == "" || s.Done(), done)
+			must.True(t, s.Enough(), must.Sprintf("seed %d", seed))
+			lags = map[ident.Key]int{}
+			for k, f := range s.Found() {
+				if n := len(s.Lagging(f)); n > 0 {
+					lags[k] = n
+				}
+			}
+			return lags, rows
+		}
+		plain, all := run(0)
+		short, few := run(256)
+		must.Eq(t, plain, short, must.Sprintf("seed %d", seed))
+		must.Less(t, all/4, few, must.Sprintf("seed %d", seed))
+	}
+}
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -5,7 +5,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"hash/fnv"
 	"io"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,7 +16,6 @@
 	"go.uber.org/zap"
 
 	"cottonarch.example/cottonarch/boot"
-	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/kernel/count"
@@ -22,12 +24,13 @@
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/kernel/queue"
 	"cottonarch.example/cottonarch/mesh/claim/ledger"
+	"cottonarch.example/cottonarch/mesh/registry/record"
 	"cottonarch.example/cottonarch/storage/ring"
 	"cottonarch.example/cottonarch/wire/client"
 )
 
 const (
-	tickEvery = 15 * time.Millisecond
+	tickEvery = 25 * time.Millisecond
 	inboxSize = 8192
 	diskSize  = 4096
 	peerSize  = 4096
@@ -42,47 +45,51 @@
 // it rests on. clock shows the time that this process watched go by, so that neither a
 // clock that jumps nor a time of being held up makes a claim look older than it is.
 type Core struct {
-	Boot    boot.Core
-	Log     *zap.Logger
-	Board   *count.Board
-	clock   moment.Clock
-	node    *node.Node
-	ring    *ring.Ring
-	dir     Folder
-	pool    *client.Pool
-	inbox   *queue.Ring[func(moment.Moment) node.Effects]
-	disk    *queue.Ring[node.Effects]
-	done    chan struct{}
-	ticket  atomic.Uint64
-	mu      sync.Mutex
-	waits   map[uint64]chan node.End
-	peers   map[ident.Addr]*queue.Ring[message.Message]
-	signal  chan struct{} // closed and made anew when something is learned
-	feed    chan struct{} // the same for the registry
-	held    atomic.Pointer[Manifest]
-	view    atomic.Pointer[View]
-	leaving atomic.Bool
-	failed  atomic.Bool
-	full    atomic.Bool
-	busy    atomic.Int64 // since when the disk is at a batch, 0 when it is not
-	wake    chan struct{}
-	fresh   chan json.RawMessage
-	stop    chan struct{} // closed when a planned stop begins
+	Boot     boot.Core
+	Log      *zap.Logger
+	Board    *count.Board
+	clock    moment.Clock
+	node     *node.Node
+	ring     *ring.Ring
+	dir      Folder
+	pool     *client.Pool
+	inbox    *queue.Ring[func(moment.Moment) node.Effects]
+	disk     *queue.Ring[node.Effects]
+	done     chan struct{}
+	ticket   atomic.Uint64
+	mu       sync.Mutex
+	waits    map[uint64]chan node.End
+	peers    map[ident.Addr]*line
+	signal   chan struct{} // closed and made anew when something is learned
+	feed     chan struct{} // the same for the registry
+	held     atomic.Pointer[Manifest]
+	learned  atomic.Uint64 // the newest manifest epoch that the node knows of
+	view     atomic.Pointer[View]
+	leaving  atomic.Bool
+	failed   atomic.Bool
+	full     atomic.Bool
+	unsynced atomic.Int64 // effects on their way through the disk's duty
+	busy     atomic.Int64 // since when the disk is at a batch, 0 when it is not
+	wake     chan struct{}
+	fresh    chan json.RawMessage
+	stop     chan struct{} // closed when a planned stop begins
 }
 
 // View is a copy of what pages show.
 type View struct {
-	Disk     ident.Disk   `json:"disk"`
-	Roster   any          `json:"roster"`
-	Votes    bool         `json:"votes"`
-	Voters   int          `json:"voters"`
-	Majority bool         `json:"majority"`
-	Owned    int          `json:"owned"`
-	Cells    int          `json:"cells"`
-	Duty     bool         `json:"duty"`
-	Cores    []ident.Addr `json:"cores"`
-	Epoch    ident.Epoch  `json:"epoch,omitempty"`
-	Members  any          `json:"members"`
+	Disk     ident.Disk     `json:"disk"`
+	Roster   any            `json:"roster"`
+	Votes    bool           `json:"votes"`
+	Voters   int            `json:"voters"`
+	Majority bool           `json:"majority"`
+	Owned    int            `json:"owned"`
+	Cells    int            `json:"cells"`
+	Duty     bool           `json:"duty"`
+	Cores    []ident.Addr   `json:"cores"`
+	Places   []record.Place `json:"-"`
+	Sight    string         `json:"-"` // stands for Places
+	Epoch    ident.Epoch    `json:"epoch,omitempty"`
+	Members  any            `json:"members"`
 }
 
 // Folder is the data folder; closing it lets it go.
@@ -95,7 +102,7 @@
 func Open(b boot.Core, log *zap.Logger, dir Folder) (*Core, error) {
 	c := &Core{Boot: b, Log: log, Board: count.New(), clock: moment.Watched(moment.Process()), pool: client.New(b.Addr), done: make(chan struct{}),
 		inbox: queue.Make[func(moment.Moment) node.Effects](inboxSize), disk: queue.Make[node.Effects](diskSize),
-		waits: map[uint64]chan node.End{}, peers: map[ident.Addr]*queue.Ring[message.Message]{},
+		waits: map[uint64]chan node.End{}, peers: map[ident.Addr]*line{},
 		signal: make(chan struct{}), feed: make(chan struct{}), wake: make(chan struct{}, 1), fresh: make(chan json.RawMessage, 4), stop: make(chan struct{})}
 	var err error
 	c.dir = dir
@@ -162,6 +169,7 @@
 				c.Log.Warn("disk", zap.Bool("stalled", stall), zap.Bool("failed", c.failed.Load()))
 			}
 			fx = c.node.Tick(now)
+			c.learned.Store(uint64(c.node.Epoch))
 			if now.Since(last) > 200*time.Millisecond {
 				last = now
 				c.look(now)
@@ -171,17 +179,29 @@
 		}
 		gated := fx.Gate()
 		c.letOut(fx)
-		if (len(gated.Records) > 0 || len(gated.Sends) > 0) && !c.disk.Put(gated, c.done) {
-			return
+		switch {
+		case len(gated.Records) == 0 && len(gated.Sends) == 0:
+		case len(gated.Records) == 0 && c.synced():
+			c.letOut(gated)
+		default:
+			c.unsynced.Add(1)
+			if !c.disk.Put(gated, c.done) {
+				return
+			}
 		}
 	}
 }
 
+// synced tells whether the disk holds all that the steps wrote so far; only the loop may
+// ask.
+func (c *Core) synced() bool { return c.unsynced.Load() == 0 && !c.failed.Load() }
+
 // look copies what pages show, and logs changes of state.
 func (c *Core) look(now moment.Moment) {
 	n := c.node
 	v := &View{Disk: n.Disk, Roster: n.Roster(), Votes: n.Votes(), Voters: len(n.Roster().Voters), Majority: n.Majority(now), Owned: len(n.Owned()), Cells: n.Cells(),
-		Duty: n.Duty(), Cores: n.Fresh(now), Members: n.Ledger.Members()}
+		Duty: n.Duty(), Cores: n.Fresh(now), Places: n.Places(now), Members: n.Ledger.Members()}
+	v.Sight = sight(v.Places)
 	if m := c.held.Load(); m != nil {
 		v.Epoch = m.Epoch
 	}
@@ -201,6 +221,15 @@
 	}
 }
 
+// sight stands for a list of places: equal lists have equal ones.
+func sight(all []record.Place) string {
+	h := fnv.New64a()
+	for _, p := range all {
+		_, _ = fmt.Fprintf(h, "%s %s\n", p.Addr, p.District)
+	}
+	return strconv.FormatUint(h.Sum64(), 36)
+}
+
 // View is the newest copy.
 func (c *Core) View() *View { return c.view.Load() }
 
@@ -341,3 +370,6 @@
 
 // Ledger is the node's ledger; only steps run by Do may touch it.
 func (c *Core) Ledger() *ledger.Ledger { return c.node.Ledger }
+
+// Node is the node; only steps run by Do may touch it.
+func (c *Core) Node() *node.Node { return c.node }
--- a/daemon/core/journal.go
+++ b/daemon/core/journal.go
@@ -43,6 +43,7 @@
 				c.letOut(fx)
 			}
 		}
+		c.unsynced.Add(-int64(len(batch)))
 		c.full.Store(c.ring.Room() < 0.25)
 		c.Board.Set("ring_room_percent", int64(c.ring.Room()*100))
 		c.Board.Set("ring_appends", int64(c.ring.Appends))
@@ -59,7 +60,7 @@
 			c.Do(func(now moment.Moment) node.Effects { return c.node.Step(now, m) })
 			continue
 		}
-		if !c.peer(s.To).Offer(s.Msg) {
+		if !c.peer(s.To).offer(s.Msg) {
 			c.Board.Add("messages_dropped", 1)
 		}
 	}
--- a/daemon/core/manifest.go
+++ b/daemon/core/manifest.go
@@ -94,10 +94,10 @@
 	return m, nil
 }
 
-// follow is the duty of knowing the newest confirmed manifest: at once when told of
-// one, and every half second all the same.
+// follow is the duty of having the newest confirmed manifest that the node knows of: at
+// once when told of one, and every quarter second while it is not here.
 func (c *Core) follow() {
-	t := time.NewTicker(500 * time.Millisecond)
+	t := time.NewTicker(250 * time.Millisecond)
 	defer t.Stop()
 	for {
 		select {
@@ -108,6 +108,9 @@
 			continue
 		case <-c.wake:
 		case <-t.C:
+			if have := c.held.Load(); c.learned.Load() == 0 || have != nil && uint64(have.Epoch) >= c.learned.Load() {
+				continue
+			}
 		case <-c.done:
 			return
 		}
--- a/daemon/sidecar/follow.go
+++ b/daemon/sidecar/follow.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"hash/fnv"
 	"net/url"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,6 +14,7 @@
 	"cottonarch.example/cottonarch/daemon/core"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/mesh/claim/holder"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 )
 
@@ -24,6 +23,11 @@
 func (s *Sidecar) cored() []ident.Addr {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.real()
+}
+
+// real is cored for those who hold mu.
+func (s *Sidecar) real() []ident.Addr {
 	real := slices.DeleteFunc(slices.Clone(s.cores), func(a ident.Addr) bool { return s.sides[a] })
 	if len(real) == 0 {
 		return slices.Clone(s.cores)
@@ -31,12 +35,11 @@
 	return real
 }
 
-// renewals claims membership, then renews at every core.
+// renewals claims membership, then renews at the keeper.
 func (s *Sidecar) renewals() {
-	t := time.NewTicker(renewEvery)
+	t := time.NewTimer(0)
 	defer t.Stop()
 	turn := 0
-	busy := map[ident.Addr]*atomic.Bool{}
 	for {
 		select {
 		case <-t.C:
@@ -51,30 +54,35 @@
 			if !s.entered.Load() {
 				s.pause(30 * time.Millisecond)
 				s.kick(s.push) // ask the next one soon
+				continue
 			}
-			continue
 		}
-		rep := s.report()
+		cores := s.cored()
 		s.mu.Lock()
-		ask, due := s.portion.Ask(s.slow(), s.Boot.Node, s.claim)
+		now := s.clock()
+		ask, share := s.portion.Ask(s.slow(), s.Boot.Node, s.claim)
+		s.held.Keeper(now, s.Boot.Node, s.Boot.District, cores)
+		rep := s.report()
+		s.news = s.held.News(s.claim, rep)
+		var to []ident.Addr
+		var out record.Renewal
+		if s.held.Due(now, s.news) {
+			if s.news {
+				s.news = false
+				s.seq++
+				rep.Seq = s.seq
+			}
+			to = s.held.To()
+			out = s.held.Begin(now, rep, s.path.Ends())
+		}
+		t.Reset(max(s.held.Wait(now), 20*time.Millisecond))
 		s.mu.Unlock()
-		if due {
-			cores := s.cored()
+		if share {
 			turn++
 			go s.share(cores[turn%len(cores)], ask)
 		}
-		for _, a := range s.cored() {
-			if busy[a] == nil {
-				busy[a] = &atomic.Bool{}
-			}
-			flag := busy[a]
-			if flag.Swap(true) {
-				continue // the last one to this core is still out
-			}
-			go func() {
-				defer flag.Store(false)
-				s.renew(a, rep)
-			}()
+		for _, a := range to {
+			go s.renew(a, out)
 		}
 	}
 }
@@ -111,7 +119,8 @@
 	s.wit.Entered()
 	s.portion.Begin(s.slow(), got.Share)
 	s.path.Tree.Grant(s.portion.Use())
-	s.join(got.Cores)
+	s.held.Learn(got.View, got.Cores)
+	s.join(s.held.Told())
 	s.lastCore = s.clock()
 	s.mu.Unlock()
 	s.entered.Store(true)
@@ -158,15 +167,10 @@
 	}
 }
 
+// report is what this machine says of itself; mu is held.
 func (s *Sidecar) report() record.Report {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.news {
-		s.news = false
-		s.seq++
-	}
 	return record.Report{Node: s.Boot.Node, Addr: s.Boot.Addr, District: s.Boot.District, Claim: s.claim, Seq: s.seq,
-		Manifest: s.path.Epoch(), Ready: s.Ready(), Leaving: s.leaving.Load(), Workloads: s.gate.Workloads(), Ends: s.path.Ends()}
+		Manifest: s.path.Epoch(), Ready: s.Ready(), Leaving: s.leaving.Load(), Workloads: s.gate.Workloads()}
 }
 
 // share sends a promise or a wish about this sidecar's share.
@@ -186,89 +190,87 @@
 	}
 }
 
-func (s *Sidecar) renew(core ident.Addr, rep record.Report) {
-	sent := s.clock()
-	ctx, stop := context.WithTimeout(context.Background(), 800*time.Millisecond)
+func (s *Sidecar) renew(core ident.Addr, r record.Renewal) {
+	ctx, stop := context.WithTimeout(context.Background(), holder.Limit)
 	defer stop()
-	var got mesh.Renewed
-	err := s.pool.Ask(ctx, core, "POST", "/cottonarch/v1/renew", rep, &got)
+	var got record.Renewed
+	err := s.pool.Ask(ctx, core, "POST", "/cottonarch/v1/renew", r, &got)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer s.kick(s.push) // there may be more to say
 	if err != nil {
 		s.Board.Add("renewals_failed", 1)
 		if d := (*defect.Defect)(nil); defect.Find(err, &d) && d.Kind == defect.Conflict {
-			s.Log.Warn("claim superseded", zap.Error(err))
-			s.entered.Store(false)
+			s.held.Ended()
+			if r.Claim == s.claim {
+				s.Log.Warn("claim superseded", zap.Error(err))
+				s.entered.Store(false)
+			}
+			return
 		}
+		s.held.Failed(s.clock(), core)
+		s.turnTo()
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.join(got.Cores)
+	s.held.Renewed(s.clock(), core, got)
+	s.join(s.held.Told())
 	s.lastCore = s.clock()
 	s.portion.Members(s.slow(), got.Members)
 	s.path.Tree.Grant(s.portion.Use())
-	s.held.Renewed(sent, got.Disk, got.Votes, got.Voters)
 	if at := s.held.Majority(); at != 0 {
 		s.path.Tree.Renewed(at)
 	}
-	if got.Manifest > s.wit.Holds(s.path.Epoch()) {
+	was := s.held.At()
+	s.turnTo()
+	switch is := s.held.At(); {
+	case got.Manifest <= s.wit.Holds(s.path.Epoch()):
+	case core != is:
+		go func() {
+			if err := s.fetch(core); err != nil {
+				s.Board.Add("manifest_fetches_failed", 1)
+			}
+		}()
+	case was == is:
 		s.point(core)
 	}
 }
 
-// follow keeps the copy of the registry and the manifest by long polls at one core;
-// it goes to the next core when one fails, and to peers when all do.
+// turnTo tells the following duty when the keeper is another one; mu is held.
+func (s *Sidecar) turnTo() {
+	was := s.held.At()
+	if is := s.held.Keeper(s.clock(), s.Boot.Node, s.Boot.District, s.real()); is != was && is != "" {
+		s.point(is)
+	}
+}
+
+// follow keeps the copy of the registry and the manifest by long polls at the keeper.
 func (s *Sidecar) follow() {
-	h := fnv.New32a()
-	_, _ = fmt.Fprint(h, s.Boot.Node)
-	turn, mark, place := int(h.Sum32()%1000), "", uint64(0)
+	var last ident.Addr
+	mark, place := "", uint64(0)
 	for {
 		select {
 		case <-s.done:
 			return
 		default:
 		}
-		if !s.entered.Load() {
+		s.mu.Lock()
+		core, have := s.held.At(), s.wit.Holds(s.path.Epoch())
+		s.mu.Unlock()
+		if !s.entered.Load() || core == "" {
 			s.pause(10 * time.Millisecond)
 			continue
 		}
-		cores := s.cored()
-		core := cores[turn%len(cores)]
-		s.mu.Lock()
-		have := s.wit.Holds(s.path.Epoch())
-		s.mu.Unlock()
-		q := url.Values{"mark": {mark}, "place": {fmt.Sprint(place)}, "manifest": {fmt.Sprint(uint64(have))}}
-		var got mesh.News
-		ctx, stop := context.WithTimeout(context.Background(), 2*time.Second)
-		over, turned := make(chan struct{}), make(chan ident.Addr, 1)
-		go func() { // a renewal that told of a newer manifest ends the wait
-			select {
-			case a := <-s.poke:
-				turned <- a
-				stop()
-			case <-over:
-			case <-s.done:
-				stop()
-			}
-		}()
-		err := s.pool.Ask(ctx, core, "GET", "/cottonarch/v1/news?"+q.Encode(), nil, &got)
-		close(over)
-		stop()
-		poke := false
-		select {
-		case a := <-turned:
-			poke = true
-			if i := slices.Index(s.cored(), a); err != nil && i >= 0 {
-				turn, mark, place = i, "", 0
-				continue
-			}
-		default:
+		if again := s.refeed.Swap(false); again || core != last {
+			last, mark, place = core, "", 0
+		}
+		q := url.Values{"mark": {mark}, "place": {fmt.Sprint(place)}, "manifest": {fmt.Sprint(uint64(have))}, "waitMs": {fmt.Sprint(newsWait.Milliseconds())}}
+		got, turned, err := s.poll(core, q)
+		if turned {
+			continue
 		}
 		if err != nil {
-			if !poke {
-				s.Board.Add("news_failed", 1)
-			}
-			turn++
-			mark, place = "", 0
+			s.Board.Add("news_failed", 1)
+			s.hurry()
 			s.pause(20 * time.Millisecond)
 			continue
 		}
@@ -287,10 +289,45 @@
 				s.pause(20 * time.Millisecond) // this core is behind: it gives nothing to show
 			}
 		}
-		if got.Leaving {
-			turn++
-			mark, place = "", 0
+		if got.Leaving || got.Stale {
+			s.hurry()
 			s.pause(20 * time.Millisecond)
 		}
 	}
 }
+
+// newsWait is how long a core holds a long poll that has nothing to tell. That the core is
+// gone shows in the renewals.
+const newsWait = 10 * time.Second
+
+// poll asks for news; turned says that it was broken off to ask anew, because the keeper
+// is another one or a renewal told of a newer manifest.
+func (s *Sidecar) poll(core ident.Addr, q url.Values) (got mesh.News, turned bool, err error) {
+	ctx, stop := context.WithTimeout(context.Background(), newsWait+2*time.Second)
+	defer stop()
+	over, broke := make(chan struct{}), make(chan bool, 1)
+	go func() {
+		select {
+		case <-s.poke:
+			broke <- true
+			stop()
+			return
+		case <-over:
+		case <-s.done:
+			stop()
+		}
+		broke <- false
+	}()
+	err = s.pool.Ask(ctx, core, "GET", "/cottonarch/v1/news?"+q.Encode(), nil, &got)
+	close(over)
+	turned = <-broke && err != nil
+	return got, turned, err
+}
+
+// hurry makes the keeper be asked at once whether it is still there.
+func (s *Sidecar) hurry() {
+	s.mu.Lock()
+	s.held.Doubt()
+	s.mu.Unlock()
+	s.kick(s.push)
+}
--- a/daemon/sidecar/paths.go
+++ b/daemon/sidecar/paths.go
@@ -73,11 +73,14 @@
 	reply.JSON(w, http.StatusOK, a)
 }
 
-func (s *Sidecar) onPeer(w http.ResponseWriter, _ *http.Request) {
+func (s *Sidecar) onPeer(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	epoch, _ := s.holds()
 	p := Peer{Manifest: epoch, Heard: s.wit.Heard(), Entered: s.entered.Load(), Sets: s.path.Index.Sets()}
 	s.mu.Unlock()
+	if r.URL.Query().Get("have") == sum(p.Sets) {
+		p.Sets = nil
+	}
 	reply.JSON(w, http.StatusOK, p)
 }
 
--- a/daemon/sidecar/peers.go
+++ b/daemon/sidecar/peers.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -39,11 +42,12 @@
 		now := s.clock()
 		s.mu.Lock()
 		lonely := s.wit.Lonely(now, s.lastCore, s.path.Epoch())
-		gates := s.gates()
-		s.mu.Unlock()
 		if !lonely {
+			s.mu.Unlock()
 			continue
 		}
+		gates := s.gates()
+		s.mu.Unlock()
 		for _, a := range s.Boot.Seeds {
 			if !slices.Contains(gates, a) {
 				gates = append(gates, a)
@@ -66,11 +70,17 @@
 	ctx, stop := context.WithTimeout(context.Background(), 400*time.Millisecond)
 	defer stop()
 	var p Peer
-	if s.pool.Ask(ctx, g, "GET", "/cottonarch/v1/peer", nil, &p) != nil {
+	s.mu.Lock()
+	have := sum(s.path.Index.Sets())
+	s.mu.Unlock()
+	if s.pool.Ask(ctx, g, "GET", "/cottonarch/v1/peer?have="+have, nil, &p) != nil {
 		return
 	}
 	s.mu.Lock()
-	s.path.Index.Merge(p.Sets)
+	if s.path.Index.Merge(p.Sets) {
+		s.refeed.Store(true)
+		s.point(s.held.At())
+	}
 	now := s.clock()
 	s.wit.Prior(now, p.Heard, p.Entered)
 	newer := p.Manifest > s.wit.Holds(s.path.Epoch()) && s.wit.Believes(now)
@@ -80,13 +90,23 @@
 	}
 }
 
-// Peer is what a sidecar tells a peer that is cut from the core. Manifest is the newest
+// sum stands for a copy of the registry: equal copies have equal ones.
+func sum(sets []record.Set) string {
+	h := fnv.New64a()
+	for _, s := range sets {
+		_, _ = fmt.Fprintf(h, "%s %d %d %d %v\n", s.Author, s.Claim, s.Seq, s.Built, s.Lapsed)
+	}
+	return strconv.FormatUint(h.Sum64(), 36)
+}
+
+// Peer is what a sidecar tells a peer that is cut from the core. Sets is left out when
+// the asker has the same. Manifest is the newest
 // epoch that it holds, Heard the newest that it knows some sidecar to hold.
 type Peer struct {
 	Manifest ident.Epoch  `json:"manifest"`
 	Heard    ident.Epoch  `json:"heard"`
 	Entered  bool         `json:"entered"`
-	Sets     []record.Set `json:"sets"`
+	Sets     []record.Set `json:"sets,omitempty"`
 }
 
 // Heard is how a sidecar tells a peer of an epoch that it holds and is about to show.
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -27,8 +27,7 @@
 )
 
 const (
-	renewEvery = 250 * time.Millisecond
-	gateEvery  = 40 * time.Millisecond
+	gateEvery = 80 * time.Millisecond
 	// peersMost is how many peers are asked at once, and peersEvery how often.
 	peersMost  = 8
 	peersEvery = 250 * time.Millisecond
@@ -75,6 +74,7 @@
 	inUse    atomic.Bool // a manifest is in force
 	leaving  atomic.Bool
 	fetching atomic.Int64    // manifests on their way
+	refeed   atomic.Bool     // peers changed the copy: ask a core for all of it
 	poke     chan ident.Addr // a core that knows a newer manifest
 	push     chan struct{}
 }
--- a/fleet/standing/main.go
+++ b/fleet/standing/main.go
@@ -120,7 +120,9 @@
 	defer func() { _ = os.RemoveAll(dir) }()
 	var cores, sides []*machine.Machine
 	var seeds, founders []string
-	ip := func(role, n int) string { return fmt.Sprintf("127.%d.%d.%d", 10+role, n%app.Districts, 1+n/app.Districts) }
+	ip := func(role, n int) string {
+		return fmt.Sprintf("127.%d.%d.%d", 10+role, n%app.Districts, 1+n/app.Districts)
+	}
 	district := func(n int) string { return fmt.Sprintf("d%d", n%app.Districts) }
 	for n := range app.Cores {
 		a := ip(0, n) + ":7380"
--- /dev/null
+++ b/mesh/claim/holder/holder_test.go
@@ -0,0 +1,140 @@
+package holder
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/mesh/claim/ledger"
+	"cottonarch.example/cottonarch/mesh/registry/record"
+)
+
+// rig drives a holder against cores that answer, refuse, say nothing or are stale.
+type rig struct {
+	h     *Holder
+	now   moment.Moment
+	cores []ident.Addr
+	does  map[ident.Addr]string
+	sent  []ident.Addr
+	took  moment.Moment // last renewal that a core took
+	gap   time.Duration // the longest without one
+	out   []end
+}
+
+type end struct {
+	at moment.Moment
+	do func()
+}
+
+func newRig() *rig {
+	r := &rig{h: New(), now: moment.Moment(time.Second), cores: []ident.Addr{"a:1", "b:1", "c:1", "d:1"}, does: map[ident.Addr]string{}}
+	r.took = r.now
+	return r
+}
+
+var places = []record.Place{{Addr: "a:1", District: "x"}, {Addr: "b:1", District: "x"}, {Addr: "c:1", District: "y"}, {Addr: "d:1", District: "y"}}
+
+func (r *rig) run(d time.Duration) {
+	for end := r.now.Add(d); r.now < end; r.now = r.now.Add(10 * time.Millisecond) {
+		list := r.out
+		r.out = nil
+		for _, e := range list {
+			if e.at > r.now {
+				r.out = append(r.out, e)
+				continue
+			}
+			e.do()
+		}
+		r.h.Keeper(r.now, "n", "y", r.cores)
+		if !r.h.Due(r.now, false) {
+			continue
+		}
+		to := r.h.To()
+		b := r.h.Begin(r.now, record.Report{Node: "n", Claim: 1, Seq: 1}, nil)
+		for _, a := range to {
+			r.send(a, b)
+		}
+	}
+}
+
+func (r *rig) send(to ident.Addr, b record.Renewal) {
+	r.sent = append(r.sent, to)
+	switch r.does[to] {
+	case "refuse":
+		r.out = append(r.out, end{r.now.Add(10 * time.Millisecond), func() { r.h.Failed(r.now, to) }})
+	case "silent":
+		r.out = append(r.out, end{r.now.Add(Limit), func() { r.h.Failed(r.now, to) }})
+	default:
+		r.gap, r.took = max(r.gap, r.now.Since(r.took)), r.now
+		stale := r.does[to] == "stale"
+		r.out = append(r.out, end{r.now.Add(10 * time.Millisecond), func() {
+			r.h.Renewed(r.now, to, record.Renewed{Took: b.Beat, Stale: stale, View: "v", Cores: places})
+		}})
+	}
+}
+
+// However a keeper ends, another takes the next renewals before the claim lapses; the one
+// of the own district comes back when it is well again.
+func TestKeeperIsReplacedInTime(t *testing.T) {
+	for _, how := range []string{"refuse", "silent", "stale"} {
+		r := newRig()
+		r.run(5 * time.Second)
+		home := r.h.At()
+		must.SliceContains(t, []ident.Addr{"c:1", "d:1"}, home)
+		r.does[home], r.gap = how, 0
+		r.run(20 * time.Second)
+		must.Less(t, ledger.Lapse, r.gap, must.Sprint(how))
+		must.NotEq(t, home, r.sent[len(r.sent)-1])
+		must.SliceContains(t, []ident.Addr{"c:1", "d:1"}, r.h.At(), must.Sprint("the other of the district"))
+		r.does[home] = ""
+		r.run(20 * time.Second)
+		must.Eq(t, home, r.h.At(), must.Sprint(how))
+		must.Less(t, ledger.Lapse, r.gap, must.Sprint(how))
+	}
+}
+
+// When nobody is well, renewals do not come faster than the usual, to three cores each, and
+// the first core that is well again is found within a second and a half.
+func TestNobodyIsWell(t *testing.T) {
+	for _, how := range []string{"refuse", "silent", "stale"} {
+		r := newRig()
+		r.run(5 * time.Second)
+		for _, c := range r.cores {
+			r.does[c] = how
+		}
+		r.run(60 * time.Second)
+		before := len(r.sent)
+		r.run(20 * time.Second)
+		must.LessEq(t, 3*51, len(r.sent)-before, must.Sprint(how))
+		r.does["b:1"], r.took = "", r.now
+		r.gap = 0
+		r.run(5 * time.Second)
+		must.Less(t, 1500*time.Millisecond, r.gap, must.Sprint(how))
+	}
+}
+
+// What a majority has taken is reckoned from when that renewal was sent, whatever order
+// the words of it come in.
+func TestMajorityNeverGoesBack(t *testing.T) {
+	sent := []moment.Moment{}
+	h := New()
+	for n := range 4 {
+		now := moment.Moment(time.Second) * moment.Moment(n+1)
+		h.Keeper(now, "n", "y", []ident.Addr{"a:1"})
+		h.Begin(now, record.Report{Node: "n", Claim: 1, Seq: 1}, nil)
+		sent = append(sent, now)
+		h.Renewed(now, "a:1", record.Renewed{})
+	}
+	must.Eq(t, moment.Moment(0), h.Majority())
+	for n := range 256 {
+		x, top := *h, moment.Moment(0)
+		for _, i := range []int{n % 4, n / 4 % 4, n / 16 % 4, n / 64} {
+			x.Renewed(moment.Moment(time.Minute), "a:1", record.Renewed{Took: uint64(i + 1)})
+			top = max(top, sent[i])
+			must.Eq(t, top, x.Majority())
+		}
+	}
+}
--- a/mesh/registry/record/record.go
+++ b/mesh/registry/record/record.go
@@ -88,7 +88,41 @@
 	return s.Built < t.Built
 }
 
-// Report is what a sidecar says of its machine with each renewal.
+// Renewal keeps a claim fresh at one core. Report is there when that core may not have
+// the one of (Claim, Seq) yet, Ends when they changed. Invariants: Beat rises with every
+// renewal of one run of a sidecar; a renewal without a Report says that nothing changed.
+type Renewal struct {
+	Node     ident.Node                   `json:"node"`
+	Claim    ident.Epoch                  `json:"claim"`
+	Seq      uint64                       `json:"seq"`
+	Beat     uint64                       `json:"beat"`
+	Manifest ident.Epoch                  `json:"manifest"`
+	View     string                       `json:"view,omitempty"` // of the cores, as last told
+	Report   *Report                      `json:"report,omitempty"`
+	Ends     map[ident.Service]drive.Ends `json:"ends,omitempty"`
+}
+
+// Renewed is the return to a renewal. Took is the newest beat of this claim that a
+// majority of the voters has heard of. Stale says that this core can't tell whether it
+// knows the newest manifest, Want that it needs the report.
+type Renewed struct {
+	Want     bool        `json:"want,omitempty"`
+	Took     uint64      `json:"took,omitempty"`
+	Members  int         `json:"members"`
+	Manifest ident.Epoch `json:"manifest"`
+	Stale    bool        `json:"stale,omitempty"`
+	Leaving  bool        `json:"leaving,omitempty"`
+	View     string      `json:"view,omitempty"`
+	Cores    []Place     `json:"cores,omitempty"` // unless the view is as asked
+}
+
+// Place is where a core stands; District is empty when it is not known.
+type Place struct {
+	Addr     ident.Addr     `json:"addr"`
+	District ident.District `json:"district,omitempty"`
+}
+
+// Report is what a sidecar says of its machine, whenever that changed.
 type Report struct {
 	Node      ident.Node     `json:"node"`
 	Addr      ident.Addr     `json:"addr"`
@@ -99,8 +133,15 @@
 	Ready     bool           `json:"ready"`
 	Leaving   bool           `json:"leaving,omitempty"`
 	Workloads []Workload     `json:"workloads"`
-	// Ends counts how this node's tries at each service ended, since its start.
-	Ends map[ident.Service]drive.Ends `json:"ends,omitempty"`
+}
+
+// Same tells whether two reports say the same, but for the workloads' burdens: those
+// travel with the returns of requests.
+func (r Report) Same(o Report) bool {
+	return r.Addr == o.Addr && r.District == o.District && r.Ready == o.Ready && r.Leaving == o.Leaving &&
+		slices.EqualFunc(r.Workloads, o.Workloads, func(a, b Workload) bool {
+			return a.UID == b.UID && a.Service == b.Service && a.Weight == b.Weight && a.Status == b.Status && slices.Equal(a.Addresses, b.Addresses)
+		})
 }
 
 // Join builds the author's records from its report and the manifest in force: a
--- a/sim/world/call.go
+++ b/sim/world/call.go
@@ -198,9 +198,7 @@
 		s.run(gen, func() {
 			e := w.spots[addr]
 			if e == nil {
-				if ch := s.gate.Failed(s.clock(), ch.Entry.UID); ch.News {
-					s.news = true
-				}
+				s.gate.Failed(s.clock(), ch.Entry.UID)
 				turned(defect.New(defect.Unreached, "no connection"))
 				return
 			}
--- a/sim/world/core.go
+++ b/sim/world/core.go
@@ -170,7 +170,7 @@
 		now := c.clock()
 		c.node.Break(c.broken || c.busy != 0 && now.Since(c.busy) > 1500*time.Millisecond)
 		c.out(c.node.Tick(now))
-		if n%25 == 0 {
+		if n%12 == 0 && c.node.Epoch > c.epoch() {
 			c.follow()
 		}
 		if c.w.Break == "replica" && n%50 == 49 { // a replica that forgets, to see it caught
--- a/sim/world/endpoint.go
+++ b/sim/world/endpoint.go
@@ -94,11 +94,7 @@
 	}
 	e.w.After(200*time.Microsecond, func() {
 		s.run(gen, func() {
-			c, d := s.gate.Take(s.clock(), b)
-			if c.News {
-				s.news = true
-			}
-			if d != nil {
+			if _, d := s.gate.Take(s.clock(), b); d != nil {
 				return
 			}
 			e.beatAt, e.lostAt = s.clock(), 0
--- a/sim/world/peers.go
+++ b/sim/world/peers.go
@@ -84,7 +84,10 @@
 			if !ok {
 				return
 			}
-			s.path.Index.Merge(got.sets)
+			if s.path.Index.Merge(got.sets) {
+				s.mark, s.polling = 0, false
+				s.polls++
+			}
 			s.wit.Prior(s.clock(), got.heard, got.entered)
 			if s.wit.Believes(s.clock()) {
 				s.enforce(got.m)
--- a/sim/world/side.go
+++ b/sim/world/side.go
@@ -37,11 +37,13 @@
 	asking   bool
 	claim    ident.Epoch
 	seq      uint64
-	news     bool
 	turn     int
-	mark     int // gen of the core that place belongs to
+	follow   ident.Addr // the core that is polled
+	mark     int        // gen of it that place belongs to
 	place    uint64
 	polling  bool
+	polls    int
+	stale    bool // as the polled core last said
 	leaving  bool
 	shown    ident.Epoch
 	heard    moment.Moment // a core, last
@@ -77,8 +79,8 @@
 	s.line.Level = s.w.Break == "urgent"
 	s.wit.Deaf = s.w.Break == "witness"
 	s.gate.Open = s.w.Break == "gate" || s.w.Break == "silence"
-	s.entered, s.asking, s.claim, s.seq, s.news, s.polling, s.leaving = false, false, 0, 0, false, false, false
-	s.mark, s.place = 0, 0
+	s.entered, s.asking, s.claim, s.seq, s.polling, s.leaving = false, false, 0, 0, false, false
+	s.follow, s.mark, s.place = "", 0, 0
 	s.hand, s.urgent, s.heard = 0, 0, s.clock()
 	for _, e := range s.Ends { // this run has seen none of them yet
 		e.beatAt = 0
@@ -94,7 +96,7 @@
 func (s *Side) Stop(after func()) {
 	gen := s.gen
 	s.leaving = true
-	s.run(gen, func() { s.gate.Leave(s.clock()); s.news = true })
+	s.run(gen, func() { s.gate.Leave(s.clock()) })
 	s.drain(gen, 0, 0, after)
 }
 
@@ -123,13 +125,11 @@
 		s.slow()
 		s.losses()
 		s.path.Tree.Tick(now)
-		if c := s.gate.Tick(now); c.News {
-			s.news = true
-		}
+		s.gate.Tick(now)
 		switch {
 		case !s.entered && !s.asking && n%6 == 0:
 			s.grantEntry()
-		case s.entered && (n%6 == 0 || s.news):
+		case s.entered:
 			s.renew()
 		}
 		if s.entered {
@@ -221,60 +221,99 @@
 		s.entered, s.claim, s.seq = true, got.claim, 1
 		s.path.Floor = max(s.path.Floor, got.epoch)
 		s.wit.Entered()
-		s.turn = s.w.Rng.IntN(len(s.w.Cores)) // the daemon follows another core than it entered by
 		s.heard = s.clock()
 		s.portion.Begin(s.slow(), got.share)
 		s.path.Tree.Grant(s.portion.Use())
 	})
 }
 
-type acked struct {
-	disk   ident.Disk
-	votes  bool
-	voters int
-	epoch  ident.Epoch
-	live   int
-	defect *defect.Defect
-}
-
+// renew renews the claim at the keeper, as the daemon does.
 func (s *Side) renew() {
-	if s.news {
-		s.news = false
+	now := s.clock()
+	s.held.Keeper(now, s.Node, s.District, s.w.coreAddrs())
+	rep := record.Report{Node: s.Node, Addr: s.Addr, District: s.District, Claim: s.claim, Seq: s.seq, Manifest: s.path.Epoch(), Leaving: s.leaving, Workloads: s.gate.Workloads()}
+	news := s.held.News(s.claim, rep)
+	if !s.held.Due(now, news) {
+		return
+	}
+	if news {
 		s.seq++
+		rep.Seq = s.seq
 	}
-	rep := record.Report{Node: s.Node, Addr: s.Addr, District: s.District, Claim: s.claim, Seq: s.seq, Manifest: s.path.Epoch(), Workloads: s.gate.Workloads(), Ends: s.path.Ends()}
-	sent := s.clock()
-	for i, c := range s.w.Cores {
-		s.ask(&c.proc, 800*time.Millisecond, func(say func(any)) {
-			_, d := c.node.Ledger.Renew(c.clock(), rep)
-			e := ident.Epoch(0)
-			if c.held != nil {
-				e = c.held.Epoch
-			}
-			say(acked{c.node.Disk, c.node.Votes(), len(c.node.Roster().Voters), e, c.node.Ledger.Live(), d})
-		}, func(v any) {
-			got, ok := v.(acked)
-			if !ok {
-				return
-			}
-			if got.defect != nil {
+	to := s.held.To()
+	ask := s.held.Begin(now, rep, s.path.Ends())
+	for _, at := range to {
+		s.renewAt(at, ask)
+	}
+}
+
+func (s *Side) renewAt(at ident.Addr, ask record.Renewal) {
+	c := s.coreAt(at)
+	if c == nil {
+		s.held.Failed(s.clock(), at)
+		return
+	}
+	s.ask(&c.proc, holder.Limit, func(say func(any)) {
+		got, fx, d := c.node.Renew(c.clock(), ask)
+		c.out(fx)
+		if d != nil {
+			say(d)
+			return
+		}
+		got.View, got.Cores = "all", c.node.Places(c.clock())
+		got.Manifest = c.epoch()
+		say(got)
+	}, func(v any) {
+		switch got := v.(type) {
+		case *defect.Defect:
+			if ask.Claim == s.claim {
 				s.entered = false
-				return
 			}
+			s.held.Ended()
+		case record.Renewed:
+			s.held.Renewed(s.clock(), at, got)
 			s.heard = s.clock()
-			s.portion.Members(s.slow(), got.live)
+			s.portion.Members(s.slow(), got.Members)
 			s.path.Tree.Grant(s.portion.Use())
-			s.held.Renewed(sent, got.disk, got.votes, got.voters)
-			if at := s.held.Majority(); at != 0 {
-				s.path.Tree.Renewed(at)
+			if m := s.held.Majority(); m != 0 {
+				s.path.Tree.Renewed(m)
 			}
-			if got.epoch > s.path.Epoch() {
-				// This core knows a newer manifest: follow it from now on.
-				s.turn, s.mark, s.polling = i, 0, false
-				s.poll()
+			s.renew()
+			switch {
+			case got.Manifest <= s.path.Epoch():
+			case at != s.held.At():
+				s.ask(&c.proc, time.Second, func(say func(any)) { say(c.held) }, func(v any) {
+					if m, ok := v.(*manifest.Manifest); ok {
+						s.enforce(m)
+					}
+				})
+			default:
+				s.polling = false // ask anew: this core knows a newer manifest
 			}
-		})
+			s.poll()
+		default:
+			s.held.Failed(s.clock(), at)
+			s.renew()
+			s.poll()
+		}
+	})
+}
+
+func (w *World) coreAddrs() []ident.Addr {
+	out := make([]ident.Addr, len(w.Cores))
+	for i, c := range w.Cores {
+		out[i] = c.Addr
 	}
+	return out
+}
+
+func (s *Side) coreAt(a ident.Addr) *Core {
+	for _, c := range s.w.Cores {
+		if c.Addr == a {
+			return c
+		}
+	}
+	return nil
 }
 
 // shares sends a promise or a wish about the share.
@@ -304,38 +343,49 @@
 	place uint64
 	sets  []record.Set
 	m     *manifest.Manifest
+	stale bool
 }
 
-// poll follows the registry and the manifest at one core; the daemon's long poll is
-// a poll each tick here.
+// poll follows the registry and the manifest at the keeper; the daemon's long poll is a
+// poll each tick here.
 func (s *Side) poll() {
+	if at := s.held.At(); at != s.follow {
+		s.follow, s.mark, s.polling, s.stale = at, 0, false, false
+	}
 	if s.polling || s.w.Break == "deaf" && s.w.Rng.IntN(100) > 0 {
 		return
 	}
+	c := s.coreAt(s.follow)
+	if c == nil {
+		return
+	}
 	s.polling = true
-	c := s.core()
-	after := s.place
-	if s.mark != c.gen*100+s.turn%len(s.w.Cores) {
+	s.polls++
+	after, poll := s.place, s.polls
+	if s.mark != c.gen {
 		after = 0
 	}
 	s.ask(&c.proc, time.Second, func(say func(any)) {
-		say(told{c.gen, c.node.Ledger.Change(), c.node.Ledger.Feed(after), c.held})
+		say(told{c.gen, c.node.Ledger.Change(), c.node.Ledger.Feed(after), c.held, c.node.Stale()})
 	}, func(v any) {
+		if poll != s.polls {
+			return // broken off
+		}
 		s.polling = false
 		got, ok := v.(told)
 		if !ok {
-			s.turn++
 			s.mark = 0
+			s.held.Doubt()
 			return
 		}
-		s.mark, s.place = got.gen*100+s.turn%len(s.w.Cores), got.place
+		s.mark, s.place = got.gen, got.place
 		s.heard = s.clock()
 		s.path.Index.Merge(got.sets)
 		s.enforce(got.m)
-		// A core that is behind the others is left for the next one.
-		if s.w.Rng.IntN(50) == 0 {
-			s.turn++
-			s.mark = 0
+		if was := s.stale; got.stale && !was {
+			s.held.Doubt()
+			s.renew()
 		}
+		s.stale = got.stale
 	})
 }
--- a/wire/client/client.go
+++ b/wire/client/client.go
@@ -8,8 +8,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"cottonarch.example/cottonarch/kernel/defect"
@@ -20,16 +23,47 @@
 type Pool struct {
 	mu   sync.Mutex
 	all  map[ident.Addr]*khttp.Client
-	trip *http.Transport
+	trip lean
+}
+
+// lean leaves out what no process of the mesh reads: many requests are smaller than their
+// heads.
+type lean struct{ *http.Transport }
+
+// RoundTrip sends one request.
+func (l lean) RoundTrip(r *http.Request) (*http.Response, error) {
+	r.Header["User-Agent"] = []string{""}
+	return l.Transport.RoundTrip(r)
+}
+
+const (
+	dialMost = 500 * time.Millisecond
+	// ackMost is how long bytes may go without an acknowledgement: behind a cut, or without
+	// power, a machine is silent and would hold a connection for minutes.
+	ackMost = 3 * time.Second
+)
+
+// probes find out that a machine is gone while nothing is to be sent to it.
+var probes = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3}
+
+// watch bounds how long the kernel waits for a silent machine.
+func watch(_, _ string, c syscall.RawConn) error {
+	var err error
+	if e := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackMost.Milliseconds()))
+	}); e != nil {
+		return e
+	}
+	return err
 }
 
 // New makes a pool that dials from the machine's own IP. The time limit is each
 // call's own, so kratos' is switched off.
 func New(own ident.Addr) *Pool {
-	return &Pool{all: map[ident.Addr]*khttp.Client{}, trip: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: 500 * time.Millisecond, KeepAlive: 10 * time.Second, LocalAddr: own.From()}).DialContext,
+	return &Pool{all: map[ident.Addr]*khttp.Client{}, trip: lean{&http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialMost, KeepAliveConfig: probes, Control: watch, LocalAddr: own.From()}).DialContext,
 		MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
-	}}
+	}}}
 }
 
 func (p *Pool) at(addr ident.Addr) (*khttp.Client, error) {
--- a/wire/client/client_test.go
+++ b/wire/client/client_test.go
@@ -11,6 +11,7 @@
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"github.com/shoenig/test/must"
+	"golang.org/x/sys/unix"
 )
 
 // A refused connection can be told from other ends through every layer: cores take
@@ -26,3 +27,24 @@
 	must.True(t, errors.Is(err, syscall.ECONNREFUSED), must.Sprint(err))
 	must.Eq(t, defect.FateUnknown, defect.Of(err).Fate)
 }
+
+// The kernel gives a silent machine up soon: what was sent and is not acknowledged, and a
+// connection on which nothing is sent.
+func TestSilentMachinesAreGivenUp(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	c, err := New("").trip.DialContext(context.Background(), "tcp", l.Addr().String())
+	must.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	must.NoError(t, err)
+	must.NoError(t, raw.Control(func(fd uintptr) {
+		for opt, most := range map[int]int{unix.TCP_USER_TIMEOUT: 5000, unix.TCP_KEEPIDLE: 10, unix.TCP_KEEPINTVL: 3, unix.TCP_KEEPCNT: 5} {
+			v, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, opt)
+			must.NoError(t, err)
+			must.Positive(t, v)
+			must.LessEq(t, most, v)
+		}
+	}))
+}
