The simulator has bays, endpoints with slots, slow beats, and kills before a loss of power

Change: a world of the platform's kind behind a flag, on in cottonarch simulate. New rules bay-turned, bay-told, bay-stop; a damaged disk is a breach of disk. New breaks bay, bay-act, bay-stop, fence, shed, failed, soft; each is seen broken. New faults core-kill-power, endpoint-slow, endpoint-fails, drawn by such worlds alone. Ruled out as faults of the mesh: urgent-turned counted room at an endpoint as room in its own line; late-to-leaver counted when a hung endpoint ran a request, not when it came. Mem.Crash goes through its files by name, since keep may draw.

--- a/cmd/cottonarch/simulate.go
+++ b/cmd/cottonarch/simulate.go
@@ -31,13 +31,14 @@
 	Calm         bool          `help:"No lost, late or doubled messages."`
 	Heavy        bool          `default:"true" negatable:"" help:"End with one heavy fault."`
 	Cells        bool          `default:"true" negatable:"" help:"Applications use cells and kept claims too."`
+	Platform     bool          `default:"true" negatable:"" help:"Endpoints with slots, words and a pace of their own, bays beside the gates, and kills that leave writes unsynced."`
 	Trace        bool          `help:"Print the whole trace of faults."`
 	Break        string        `default:"" help:"Break a rule on purpose, to see it caught. Known: ${breaks}."`
 }
 
 func (c simulateCmd) Run() error {
 	d, wrong := describe(c.Deployment)
-	q := plan.What{For: c.For, Faults: c.Faults, FaultEvery: c.Every, AddCores: c.AddCores, LoseDist: c.LoseDistrict, Burden: c.Burden, LastHeavy: c.Heavy, Cells: c.Cells, Links: !c.Calm, Break: world.Break(c.Break)}
+	q := plan.What{For: c.For, Faults: c.Faults, FaultEvery: c.Every, AddCores: c.AddCores, LoseDist: c.LoseDistrict, Burden: c.Burden, LastHeavy: c.Heavy, Cells: c.Cells, Platform: c.Platform, Links: !c.Calm, Break: world.Break(c.Break)}
 	bad := defect.New(defect.BadBoot, "the what-if can't be run")
 	for _, at := range c.At {
 		name, when, ok := strings.Cut(at, "@")
--- a/sim/plan/faults.go
+++ b/sim/plan/faults.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"cottonarch.example/cottonarch/kernel/ident"
@@ -52,13 +54,84 @@
 		"herd":             (*Run).herd,
 		"burst":            (*Run).burst,
 	}
+	maps.Copy(Faults, latter)
+}
+
+// latter are the faults that only worlds of the platform's kind draw: a name more would
+// change what known seeds draw.
+var latter = map[string]Fault{
+	"core-kill-power": (*Run).coreKillPower,
+	"endpoint-slow":   (*Run).endpointSlow,
+	"endpoint-fails":  (*Run).endpointFails,
+}
+
+// drawn lists the faults that this run draws from when none are named.
+func (r *Run) drawn() []string {
+	names := Names()
+	if !r.Platform {
+		names = slices.DeleteFunc(names, func(n string) bool { return latter[n] != nil })
+	}
+	return names
+}
+
+// coreKillPower: a core is killed while its disk is slow, so writes are under way; it starts
+// again, and only later does its machine lose power.
+func (r *Run) coreKillPower() time.Duration {
+	if !r.healthy() {
+		return 0
+	}
+	c := r.core()
+	hold, gone, later, dark := r.span(10*time.Millisecond, 100*time.Millisecond), r.span(100*time.Millisecond, time.Second), r.span(50*time.Millisecond, 3*time.Second), r.span(300*time.Millisecond, 2*time.Second)
+	r.Say("core %s killed, back in %v, its power lost %v later for %v", c.Addr, gone, later, dark)
+	c.Slow = 100 * time.Millisecond
+	r.After(hold, func() {
+		c.Slow = 0
+		if !c.Well() {
+			return // another fault has it
+		}
+		c.Kill(false)
+		r.After(gone, func() {
+			c.Start()
+			r.After(later, func() {
+				c.PowerOff()
+				r.After(dark, c.Start)
+			})
+		})
+	})
+	return hold + gone + later + dark + time.Second
+}
+
+// endpointSlow: an endpoint takes several times as long, so requests wait for it.
+func (r *Run) endpointSlow() time.Duration {
+	e := r.some()
+	if e == nil {
+		return 0
+	}
+	d, old := r.span(time.Second, 5*time.Second), e.Mood.Work
+	r.Say("endpoint %s is slow for %v", e.Server, d)
+	e.Mood.Work = 10 * old
+	r.After(d, func() { e.Mood.Work = old })
+	return d
+}
+
+// endpointFails: an endpoint says itself that it fails, mostly.
+func (r *Run) endpointFails() time.Duration {
+	e := r.some()
+	if e == nil {
+		return 0
+	}
+	d, old := r.span(time.Second, 5*time.Second), e.Mood.Fail
+	r.Say("endpoint %s fails for %v", e.Server, d)
+	e.Mood.Fail = 0.7
+	r.After(d, func() { e.Mood.Fail = old })
+	return d
 }
 
 // faults draws one fault after the other until the end, sometimes two together.
 func (r *Run) faults(end moment.Moment) {
 	names := r.what.Faults
 	if len(names) == 0 {
-		names = Names()
+		names = r.drawn()
 	}
 	every := r.what.FaultEvery
 	if every == 0 {
--- a/sim/plan/plan.go
+++ b/sim/plan/plan.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -75,6 +76,9 @@
 	// Cells says that applications use cells and kept claims too. It is apart because
 	// every user draws from the seed, and the schedules of known seeds are worth keeping.
 	Cells bool
+	// Platform says that the world is as the users' platform has it, see world.World; apart
+	// for the same reason.
+	Platform bool
 }
 
 // Run is one simulated day.
@@ -111,6 +115,9 @@
 	if _, ok := world.Breaks[q.Break]; !ok && q.Break != "" {
 		add("break", "there is no break %q", q.Break)
 	}
+	if q.Break.Platform() && !q.Platform {
+		add("break", "%q needs the platform", q.Break)
+	}
 	if q.For < 5*time.Second || q.For > time.Hour {
 		add("for", "must be from 5s to 1h")
 	}
@@ -139,7 +146,7 @@
 // Simulate runs one day and judges it.
 func Simulate(d Deployment, q What) *world.World {
 	w := world.New(q.Seed)
-	w.Break, w.History = q.Break, 20*time.Second
+	w.Break, w.History, w.Platform = q.Break, 20*time.Second, q.Platform
 	r := &Run{World: w, d: d, what: q, load: d.Rate * q.Burden}
 	if q.Scale > 0 {
 		r.load *= q.Scale
@@ -248,6 +255,13 @@
 			ways[fmt.Sprintf("bulk-%d", i)] = map[string]any{"host": fmt.Sprintf("h%d.bulk", i), "service": string(r.d.Services[0].Name)}
 		}
 	}
+	if r.Platform {
+		for i, name := range slices.Sorted(maps.Keys(ways)) {
+			if w := ways[name].(map[string]any); strings.HasPrefix(name, "w-") {
+				w["aimMs"], w["rank"] = 150+100*(i%3), i%3
+			}
+		}
+	}
 	return map[string]any{"services": services, "ways": ways}
 }
 
@@ -256,6 +270,9 @@
 	if addr == "" {
 		addr = ident.Addr(fmt.Sprintf("10.0.2.%d:%d", r.serial%250+1, 8000+r.serial))
 	}
+	if r.Platform {
+		return s.NewEndpoint(ident.Server(fmt.Sprintf("srv%d", r.serial)), svc, addr, world.Mood{Work: 16 * time.Millisecond, Lose: 0.002, Garbage: 0.002, Long: 0.002, Slots: 2, Queue: 2, Fail: 0.005})
+	}
 	return s.NewEndpoint(ident.Server(fmt.Sprintf("srv%d", r.serial)), svc, addr, world.Mood{Work: 6 * time.Millisecond, Lose: 0.002, Garbage: 0.002, Long: 0.002})
 }
 
--- /dev/null
+++ b/sim/world/berth.go
@@ -0,0 +1,325 @@
+package world
+
+import (
+	"time"
+
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/mesh/bay"
+	"cottonarch.example/cottonarch/mesh/gate"
+	"cottonarch.example/cottonarch/mesh/path"
+	"cottonarch.example/cottonarch/mesh/registry/record"
+	"cottonarch.example/cottonarch/sim/check"
+)
+
+const (
+	// ended is how soon after a planned stop began nobody waits in its bay any more.
+	ended = 100 * time.Millisecond
+	// greetSlots is the daemon's.
+	greetSlots = 4
+)
+
+// try is one try of a call. Invariants: turned is set once the bay turned it away, ran once
+// an endpoint ran it; never both.
+type try struct {
+	ch          path.Choice
+	call        *path.Call
+	rec         *check.Call
+	ask         bay.Ask // with spans that are reckoned from nought
+	limit       time.Duration
+	at, left    moment.Moment // when it reached the endpoint, and what that endpoint's end was then
+	lost        moment.Moment
+	turned, ran bool
+}
+
+// wants makes the try of a choice, as the caller's sidecar tells it to the bay.
+func (s *Side) wants(ch path.Choice, j *job) *try {
+	now, c := s.clock(), j.call
+	aim := c.Way.Aim
+	if aim <= 0 {
+		aim = c.Until.Since(j.began)
+	}
+	a := bay.Ask{Rank: c.Way.Rank, Work: ch.Work, Peers: ch.Peers, Must: ch.Must,
+		Early: moment.Moment(j.began.Add(aim / 4).Since(now)), Aim: moment.Moment(j.began.Add(aim).Since(now))}
+	// The gate gives up a little before the caller's side does, so that its word is heard.
+	return &try{ch: ch, call: c, rec: j.rec, ask: a, limit: ch.Limit - min(ch.Limit/10, 20*time.Millisecond)}
+}
+
+// berth is one that waits in the bay, and what goes on when it has a word.
+type berth struct {
+	t    *try
+	then func(bay.Act)
+}
+
+// acts tells those who wait what becomes of them. What follows runs later, as whoever
+// waited must first be woken.
+func (s *Side) acts(list []bay.Act) {
+	w := s.w
+	if w.Break == "bay-act" && len(list) > 0 {
+		list = append(list, list[0])
+	}
+	for _, a := range list {
+		if a.Word == bay.Wait {
+			continue
+		}
+		w.Check.Look(check.BayTold)
+		b := s.berths[a.ID]
+		if b == nil {
+			w.Breach(check.BayTold, "the bay of %s told %d of %d, who has a word or waits no more", s.Node, a.Word, a.ID)
+			continue
+		}
+		delete(s.berths, a.ID)
+		if a.Word == bay.TurnAway {
+			w.Check.Look(check.BayTurned)
+			if b.t.turned = true; b.t.ran {
+				w.Breach(check.BayTurned, "%s was turned away by the bay of %s and had run", b.t.rec.ID, s.Node)
+			}
+		}
+		gen := s.gen
+		w.After(10*time.Microsecond, func() { s.run(gen, func() { b.then(a) }) })
+	}
+}
+
+// moor keeps the bay to what the gate knows.
+func (s *Side) moor() {
+	here := map[ident.Server]bool{}
+	for _, x := range s.gate.Workloads() {
+		here[x.UID] = true
+		if x.Status != record.Healthy {
+			s.acts(s.bay.Empty(x.UID))
+		}
+	}
+	keep := s.moored[:0]
+	for _, id := range s.moored {
+		if here[id] {
+			keep = append(keep, id)
+			continue
+		}
+		s.acts(s.bay.Drop(id))
+	}
+	s.moored = keep
+}
+
+// changed carries out a change of the gate.
+func (s *Side) changed(c gate.Change) {
+	if s.w.Platform && c.News && !(s.leaving && s.w.Break == "bay-stop") {
+		s.moor()
+	}
+}
+
+// beaten takes what a beat says of an endpoint's room.
+func (s *Side) beaten(b gate.Beat) {
+	if !s.w.Platform || b.State != gate.Alive || b.Slots == 0 {
+		return
+	}
+	for _, id := range s.moored {
+		if id == b.Server {
+			s.acts(s.bay.Tell(s.clock(), b.Server, b.Slots, 0))
+			return
+		}
+	}
+	s.moored = append(s.moored, b.Server)
+	s.acts(s.bay.Tell(s.clock(), b.Server, b.Slots, 0))
+}
+
+// greet asks the endpoint beside a sidecar that has just started, as the daemon does.
+func (s *Side) greet() {
+	if s.greeted || s.path.Epoch() == 0 {
+		return
+	}
+	s.greeted = true
+	if len(s.Ends) == 0 || s.Ends[0].hung || s.Ends[0].state != gate.Alive {
+		return
+	}
+	e, gen := s.Ends[0], s.gen
+	b := gate.Beat{Server: e.Server, Service: e.Service, Addr: e.Addr, State: gate.Alive, Slots: greetSlots}
+	s.w.After(time.Millisecond, func() {
+		s.run(gen, func() {
+			if len(s.gate.Workloads()) > 0 || s.leaving {
+				return
+			}
+			if c, d := s.gate.Take(s.clock(), b); d == nil {
+				e.beatAt, e.lostAt = s.clock(), 0
+				s.changed(c)
+				s.beaten(b)
+			}
+		})
+	})
+}
+
+// admit is the gate with its bay and what lies behind them, as the daemon's pass is.
+func (s *Side) admit(t *try, done func(path.End)) {
+	w, gen, server := s.w, s.gen, t.ch.Entry.UID
+	if _, _, d := s.gate.Pass(s.clock(), server, t.ch.Entry.Service); d != nil {
+		done(path.End{Verdict: path.NotRun, Defect: d, Turned: true})
+		return
+	}
+	s.hand++
+	over := false
+	end := func(e path.End) {
+		if over {
+			return
+		}
+		over = true
+		s.lay(gen)
+		if b, ok := s.bay.Burden(s.clock(), server); ok {
+			e.Told = &b
+		}
+		done(e)
+	}
+	now := s.clock()
+	until := now.Add(t.limit)
+	s.berthed++
+	id := s.berthed
+	b := &berth{t: t, then: func(a bay.Act) {
+		if a.Word == bay.Go {
+			s.berthIn(t, id, until, end)
+			return
+		}
+		end(path.End{Verdict: path.NotRun, Turned: true, Shed: true, Defect: defect.New(defect.Busy, "server %q: %s", server, a.Why).Later(max(0.01, a.Retry.Seconds()))})
+		if w.Break == "bay" {
+			s.berthIn(t, id, until, func(path.End) {})
+		}
+	}}
+	s.berths[id] = b
+	a := t.ask
+	a.ID, a.Early, a.Aim, a.Until = id, now.Add(time.Duration(a.Early)), now.Add(time.Duration(a.Aim)), until
+	s.acts(s.bay.Offer(now, server, a))
+	if s.berths[id] == nil {
+		return
+	}
+	w.After(t.limit, func() {
+		s.run(gen, func() {
+			if s.berths[id] != nil {
+				delete(s.berths, id)
+				s.acts(s.bay.Quit(s.clock(), server, id))
+				end(path.End{Verdict: path.NotRun, Turned: true, Shed: true, Defect: defect.New(defect.Late, "no room in time")})
+			}
+		})
+	})
+}
+
+// berthIn goes on with a try that the bay let in.
+func (s *Side) berthIn(t *try, id uint64, until moment.Moment, done func(path.End)) {
+	w, gen, server, again := s.w, s.gen, t.ch.Entry.UID, t.ch.Repeat
+	over, begun := false, false
+	// end says what became of it, at the endpoint too, and once.
+	end := func(e path.End, at bay.End, took time.Duration) {
+		s.run(gen, func() {
+			if over {
+				return
+			}
+			over = true
+			if begun {
+				s.path.Tree.End(again)
+			}
+			s.acts(s.bay.Done(s.clock(), server, id, at, took))
+			e.Took = took
+			done(e)
+		})
+	}
+	turned := func(d *defect.Defect) {
+		end(path.End{Verdict: path.NotRun, Defect: d, Turned: true}, bay.Over, 0)
+	}
+	addr, _, d := s.gate.Pass(s.clock(), server, t.ch.Entry.Service)
+	if d == nil {
+		if begun = s.path.Tree.Begin(s.clock(), again); !begun {
+			d = defect.New(defect.Busy, "a repeat has no room below")
+		}
+	}
+	if d != nil {
+		turned(d)
+		return
+	}
+	w.After(150*time.Microsecond, func() { // the dial
+		s.run(gen, func() {
+			e := w.spots[addr]
+			if e == nil {
+				s.changed(s.gate.Failed(s.clock(), server))
+				turned(defect.New(defect.Unreached, "no connection"))
+				return
+			}
+			if now, _, d := s.gate.Pass(s.clock(), server, t.ch.Entry.Service); d != nil || now != addr {
+				turned(defect.New(defect.Gate, "server %q is not there any more", server))
+				return
+			}
+			began := s.clock()
+			took := func() time.Duration { return s.clock().Since(began) }
+			w.After(until.Since(began), func() {
+				end(path.End{Verdict: path.Unsure, Defect: defect.Unsure(defect.Late, "the endpoint gave no return")}, bay.Over, took())
+			})
+			w.arrive(t.rec, t.call)
+			t.at, t.left, t.lost = w.now, e.leftAt, e.lostAt
+			e.take(t, until.Since(began), func(v path.End) {
+				switch {
+				case v.Verdict == path.NotRun:
+					end(v, bay.Over, 0)
+				case v.Verdict == path.Unsure || v.Bad:
+					end(v, bay.Failed, 0)
+				default:
+					end(v, bay.Served, took())
+				}
+			})
+		})
+	})
+}
+
+// take is an endpoint with slots: it works on so many at once, queues a few more, and says
+// of the others, and of what names another endpoint, that it did not run them.
+func (e *Endpoint) take(t *try, left time.Duration, done func(path.End)) {
+	w := e.w
+	if e.hung {
+		e.late = append(e.late, func() { e.take(t, left, done) })
+		return
+	}
+	shed := func(why string) {
+		w.Served["endpoint-shed"]++
+		if w.Break == "shed" {
+			e.work(t, func(path.End) {})
+		}
+		done(path.End{Verdict: path.NotRun, Arrived: true, Defect: defect.New(defect.Busy, "%s", why)})
+	}
+	switch {
+	case e.Server != t.ch.Entry.UID && w.Break != "fence":
+		shed("it is another endpoint")
+	case e.hand < e.Mood.Slots:
+		e.work(t, done)
+	case len(e.queue) >= e.Mood.Queue:
+		shed("it is full")
+	default:
+		until := w.now.Add(left)
+		e.queue = append(e.queue, func() bool {
+			if w.now >= until {
+				shed("its time is over")
+				return false
+			}
+			e.work(t, done)
+			return true
+		})
+	}
+}
+
+// work runs a request and takes the next one in when it is done.
+func (e *Endpoint) work(t *try, done func(path.End)) {
+	w := e.w
+	if t.ran = true; t.turned {
+		w.Breach(check.BayTurned, "%s was turned away by the bay beside %s and ran", t.rec.ID, e.Server)
+	}
+	run := check.Run{ID: t.rec.ID, Server: e.Server, Service: e.Service, Asked: t.call.Way.Service, At: t.at, LeftAt: t.left, LostAt: t.lost, Unsafe: t.rec.Unsafe}
+	e.serve(run, t.rec, func(v path.End) {
+		if v.Verdict == path.Ran && w.Rng.Float64() < e.Mood.Fail {
+			v.Bad = true
+		}
+		done(v)
+	})
+}
+
+// room lets those in who queue at an endpoint.
+func (e *Endpoint) room() {
+	for e.up && !e.hung && e.hand < e.Mood.Slots && len(e.queue) > 0 {
+		next := e.queue[0]
+		e.queue = e.queue[1:]
+		next()
+	}
+}
--- a/sim/world/side.go
+++ b/sim/world/side.go
@@ -14,12 +14,14 @@
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/mesh/allowance"
+	"cottonarch.example/cottonarch/mesh/bay"
 	"cottonarch.example/cottonarch/mesh/claim/holder"
 	"cottonarch.example/cottonarch/mesh/gate"
 	"cottonarch.example/cottonarch/mesh/line"
 	"cottonarch.example/cottonarch/mesh/path"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 	"cottonarch.example/cottonarch/mesh/witness"
+	"cottonarch.example/cottonarch/sim/check"
 )
 
 // Side is a simulated application machine: its sidecar and its endpoints.
@@ -51,6 +53,12 @@
 	hand     int
 	urgent   int // urgent calls in hand
 	watch    moment.Watch
+	// The rest is for worlds with bays.
+	bay     *bay.Bay
+	berths  map[uint64]*berth // who waits in the bay
+	berthed uint64
+	moored  []ident.Server // whom the bay knows
+	greeted bool
 }
 
 // slow is the clock that counts only time that was watched.
@@ -76,6 +84,10 @@
 	s.path.Reckless = s.w.Break == "retry"
 	s.path.Tree.Free = s.w.Break == "allowance"
 	s.gate, s.held, s.wit = gate.New(), holder.New(), witness.New(s.clock())
+	if s.w.Platform {
+		s.gate.Every(pace).Fenced = true
+		s.bay, s.berths, s.berthed, s.moored, s.greeted = bay.New(bay.Usual()), map[uint64]*berth{}, 0, nil, false
+	}
 	s.line = line.New[*job](s.w.Senders, s.w.Senders)
 	s.line.Level = s.w.Break == "urgent"
 	s.wit.Deaf = s.w.Break == "witness"
@@ -97,7 +109,21 @@
 func (s *Side) Stop(after func()) {
 	gen := s.gen
 	s.leaving = true
-	s.run(gen, func() { s.gate.Leave(s.clock()) })
+	s.run(gen, func() {
+		waits := len(s.berths)
+		s.changed(s.gate.Leave(s.clock()))
+		if waits == 0 {
+			return
+		}
+		s.w.After(ended, func() {
+			s.run(gen, func() {
+				s.w.Check.Look(check.BayStop)
+				if n := len(s.berths); n > 0 {
+					s.w.Breach(check.BayStop, "%s stops and %d still wait in its bay", s.Node, n)
+				}
+			})
+		})
+	})
 	s.drain(gen, 0, 0, after)
 }
 
@@ -126,7 +152,11 @@
 		s.slow()
 		s.losses()
 		s.path.Tree.Tick(now)
-		s.gate.Tick(now)
+		s.changed(s.gate.Tick(now))
+		if s.w.Platform {
+			s.acts(s.bay.Tick(now))
+			s.greet()
+		}
 		switch {
 		case !s.entered && !s.asking && n%6 == 0:
 			s.grantEntry()
--- a/sim/world/world.go
+++ b/sim/world/world.go
@@ -35,6 +35,11 @@
 	Senders int
 	// History is how long a group keeps its puts, the default if 0.
 	History time.Duration
+	// Platform says that the world is as the users' platform has it: endpoints have slots,
+	// a queue and words of their own, beat at a slower pace and turn away what names
+	// another; bays stand beside the gates; and what a killed core has not synced stays in
+	// the page cache until power is lost.
+	Platform bool
 	// Closed says that clients begin nothing new.
 	Closed bool
 	// Broken on purpose, to see the checkers catch it.
@@ -76,8 +81,22 @@
 	"cell-history": {"cell-watch"},
 	"cell-fate":    {"cell-turned"},
 	"cell-keep":    {"lock-shared"},
+	// Those of worlds with bays.
+	"bay":      {check.BayTurned},
+	"bay-act":  {check.BayTold},
+	"bay-stop": {check.BayStop},
+	"fence":    {"wrong-service"},
+	"shed":     {"false-not-run"},
+	"failed":   {"double-run"},
+	"soft":     {"disk"},
 }
 
+// platform lists the breaks that need a world of the platform's kind.
+var platform = map[Break]bool{"bay": true, "bay-act": true, "bay-stop": true, "fence": true, "shed": true, "failed": true, "soft": true}
+
+// Platform tells whether the break needs a world of the platform's kind.
+func (b Break) Platform() bool { return platform[b] }
+
 // New makes an empty world of a seed.
 func New(seed uint64) *World {
 	w := &World{Check: check.New(), spots: map[ident.Addr]*Endpoint{}, Ring: ring.Boot{Files: 6, Size: 256 << 10}, Served: map[string]int{}, Senders: 64}
--- a/storage/ring/folder.go
+++ b/storage/ring/folder.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 
 	"cottonarch.example/cottonarch/kernel/defect"
@@ -152,7 +154,8 @@
 
 // Crash loses power: of every unsynced write, keep says how many bytes stayed.
 func (m *Mem) Crash(keep func(n int) int) {
-	for _, f := range m.Files {
+	for _, name := range slices.Sorted(maps.Keys(m.Files)) { // keep may draw
+		f := m.Files[name]
 		for _, p := range f.late {
 			n := keep(len(p.data))
 			copy(f.solid[p.off:], p.data[:n])
