--- a/control/core/node/duties.go
+++ b/control/core/node/duties.go
@@ -33,8 +33,11 @@
 
 // duties claims the sweeping duty and does it while it is held.
 func (n *Node) duties(now moment.Moment, fx *Effects) {
+	if !n.holds {
+		n.found = Sweep{}
+	}
 	if !n.Votes() || n.leaving || !n.Majority(now) {
-		n.holds = false
+		n.holds, n.found = false, Sweep{}
 		return
 	}
 	if now.Since(n.dutied) >= dutyEvery && (n.holds || !n.served(now)) {
@@ -161,16 +164,31 @@
 	return out
 }
 
+// Sweep is what the last whole sweep of this core found. Invariant: of Of counted disks
+// Read were compared, and on one of these at least Differ keys were behind; At is 0 when
+// there was none.
+type Sweep struct {
+	At       moment.Moment
+	Read, Of int
+	Differ   int
+}
+
+// Swept is the last sweep; it is nobody's once the duty is another's.
+func (n *Node) Swept() (Sweep, bool) { return n.found, n.holds && n.found.At != 0 }
+
 // sweep reads every key whose copies differ; the read mends them.
 func (n *Node) sweep(now moment.Moment, s *survey.Survey, fx *Effects) {
 	if s == nil {
 		return
 	}
 	all := s.Found()
+	n.found = Sweep{At: now}
+	n.found.Read, n.found.Of = s.Read()
 	for _, k := range sorted(all) {
 		if len(s.Lagging(all[k])) == 0 {
 			continue
 		}
+		n.found.Differ++
 		n.Mended++
 		n.internal(now, owner.Deed{Key: k, Kind: owner.Mend}, fx, func(moment.Moment, End, *Effects) {})
 	}
--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -139,6 +139,7 @@
 	copying  bool
 	copied   ident.Epoch
 	swept    moment.Moment
+	found    Sweep
 	dutied   moment.Moment
 	fence    uint64
 	holds    bool
--- a/control/register/survey/survey.go
+++ b/control/register/survey/survey.go
@@ -233,6 +233,16 @@
 	return out
 }
 
+// Read tells how many counted disks were read, and how many there are.
+func (s *Survey) Read() (read, of int) {
+	for _, st := range s.strands {
+		if st.done {
+			read++
+		}
+	}
+	return read, s.counted()
+}
+
 // Lagging lists the disks whose copy of the key is behind the newest one read.
 func (s *Survey) Lagging(f Found) []ident.Disk {
 	var out []ident.Disk
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -91,6 +91,17 @@
 	Sight    string         `json:"-"` // stands for Places
 	Epoch    ident.Epoch    `json:"epoch,omitempty"`
 	Members  any            `json:"members"`
+	Sweep    *Sweep         `json:"sweep,omitempty"` // set while this core holds the sweeping duty
+}
+
+// Sweep is what the last sweep found, for pages. Invariant: Whole if and only if every disk
+// that counts was compared and no key differed.
+type Sweep struct {
+	Whole  bool  `json:"whole"`
+	Read   int   `json:"read"`
+	Of     int   `json:"of"`
+	Differ int   `json:"differ"`
+	Ago    int64 `json:"agoMs"`
 }
 
 // Folder is the data folder; closing it lets it go.
@@ -206,6 +217,9 @@
 	if m := c.held.Load(); m != nil {
 		v.Epoch = m.Epoch
 	}
+	if s, ok := n.Swept(); ok {
+		v.Sweep = &Sweep{Whole: s.Read == s.Of && s.Differ == 0, Read: s.Read, Of: s.Of, Differ: s.Differ, Ago: now.Since(s.At).Milliseconds()}
+	}
 	old := c.view.Swap(v)
 	o := n.Owner()
 	for name, x := range map[string]uint64{"takes": o.Takes, "rounds": o.Rounds, "mended": o.Mended, "losses": o.Losses, "patches": o.Patched, "patches_refused": o.Refused, "sweeps": n.Sweeps, "swept_keys": n.Mended} {
