--- a/boot/boot.go
+++ b/boot/boot.go
@@ -55,6 +55,8 @@
 	Headers Headers
 	// Terms are those of further tries.
 	Terms allowance.Terms
+	// Bulk bounds the bytes of request bodies in hand; 0 is no bound.
+	Bulk int64
 	// Cross is what each KB between districts counts in the pick, as time waited for.
 	Cross time.Duration
 }
@@ -200,13 +202,14 @@
 func ReadSidecar(m map[string]any) (Sidecar, *defect.Defect) {
 	f := &walk.Faults{}
 	s := walk.Top(m, f)
-	s.Only("node", "address", "listen", "caller", "district", "seeds", "senders", "queue", "hand", "stopS", "allowanceExtra", "allowanceWindowS", "allowanceRatio", "allowanceInner", "crossMsPerKB")
+	s.Only("node", "address", "listen", "caller", "district", "seeds", "senders", "queue", "hand", "stopS", "allowanceExtra", "allowanceWindowS", "allowanceRatio", "allowanceInner", "crossMsPerKB", "bulkMiB")
 	c := Sidecar{Node: ident.Node(s.Text("node", "")), Addr: addr(s, "address", true), Listen: addr(s, "listen", false), Caller: addr(s, "caller", true),
 		District: ident.District(s.Must("district")), Seeds: addrs(s, "seeds", 3), Senders: int(s.Whole("senders", 256, 1, 10000)),
 		Queue: int(s.Whole("queue", 512, 1, 100000)), Hand: int(s.Whole("hand", 512, 1, 100000)),
 		Stop:  time.Duration(s.Real("stopS", 10, 0, 3600) * float64(time.Second)),
 		Terms: allowance.Terms{Extra: extra(s), Window: time.Duration(s.Real("allowanceWindowS", allowance.Window.Seconds(), 1, 600) * float64(time.Second)), Ratio: s.Real("allowanceRatio", allowance.Ratio, 0, 1), Inner: s.Flag("allowanceInner", false)}}
 	c.Headers = Plain
+	c.Bulk = s.Whole("bulkMiB", 0, 0, 1<<20) << 20
 	c.Cross = time.Duration(s.Real("crossMsPerKB", CrossMs, 0, 1e6) * float64(time.Millisecond))
 	if c.Terms.Ratio == 0 {
 		c.Terms.Ratio = -1
--- a/daemon/sidecar/intake.go
+++ b/daemon/sidecar/intake.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/boot"
+	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
@@ -21,7 +22,6 @@
 )
 
 const (
-	requestMax = 8 << 20
 	// TargetHeader names the endpoint that is meant.
 	TargetHeader = "X-Target-Server"
 	// ServiceHeader names the service it is meant as.
@@ -91,6 +91,51 @@
 	return h
 }
 
+// whole takes a request whole within the manifest's limits and the room for bodies; free
+// must be called when it is over.
+func (s *Sidecar) whole(r *http.Request) (body []byte, free func(), d *defect.Defect) {
+	most := check.Usual
+	if l := s.limits.Load(); l != nil {
+		most = *l
+	}
+	head := int64(len(r.RequestURI))
+	for name, list := range r.Header {
+		for _, v := range list {
+			head += int64(len(name) + len(v) + 4)
+		}
+	}
+	if head > most.HeadBytes+ownHeads {
+		return nil, nil, defect.New(defect.Oversize, "a head is at most %d bytes", most.HeadBytes)
+	}
+	// What comes in pieces may be as large as the limit; it is counted as it is read.
+	size := max(0, r.ContentLength)
+	if size > most.BodyBytes {
+		return nil, nil, defect.New(defect.Oversize, "a body is at most %d bytes", most.BodyBytes)
+	}
+	if s.bulk.Add(size) > s.Boot.Bulk && s.Boot.Bulk > 0 && size > 0 {
+		s.bulk.Add(-size)
+		s.Board.Add("bodies_turned_away", 1)
+		return nil, nil, defect.New(defect.Busy, "too many bytes are in hand").Later(soon)
+	}
+	limit := most.BodyBytes
+	if s.Boot.Bulk > 0 {
+		limit = min(limit, max(size, s.Boot.Bulk-s.bulk.Load()+size))
+	}
+	if body, d = reply.Read(r, limit); d != nil {
+		s.bulk.Add(-size)
+		if d.Kind == defect.Oversize && limit < most.BodyBytes {
+			d = defect.New(defect.Busy, "too many bytes are in hand").Later(soon)
+		}
+		return nil, nil, d
+	}
+	more := int64(len(body)) - size
+	s.bulk.Add(more)
+	return body, func() { s.bulk.Add(-size - more) }, nil
+}
+
+// ownHeads is what the mesh's own headers may add to a head between sidecars, in bytes.
+const ownHeads = 2 << 10
+
 // Intake is the first stage: it takes a caller's request whole, finds its way and
 // puts it in line, or turns it away at once.
 func (s *Sidecar) Intake(w http.ResponseWriter, r *http.Request) {
@@ -106,11 +151,12 @@
 		w.Header().Set("Connection", "close")
 	}
 	began := s.clock()
-	body, d := reply.Read(r, requestMax)
+	body, free, d := s.whole(r)
 	if d != nil {
 		s.say(w, d)
 		return
 	}
+	defer free()
 	heads := s.Boot.Headers
 	from, _, _ := net.SplitHostPort(r.RemoteAddr)
 	who := r.Header.Get(CallerHeader)
@@ -343,11 +389,12 @@
 		s.hand--
 		s.mu.Unlock()
 	}()
-	body, d := reply.Read(r, requestMax)
+	body, free, d := s.whole(r)
 	if d != nil {
 		turn(gateTurned, d)
 		return true
 	}
+	defer free()
 	ms, err := strconv.Atoi(r.Header.Get(LimitHeader))
 	if err != nil || ms <= 0 {
 		turn(gateTurned, defect.New(defect.Late, "no time is left"))
--- a/daemon/sidecar/manifest.go
+++ b/daemon/sidecar/manifest.go
@@ -85,6 +85,9 @@
 		return
 	}
 	s.raw = raw
+	if m.Limits != (check.Limits{}) {
+		s.limits.Store(&m.Limits)
+	}
 	s.inUse.Store(true)
 	s.Log.Info("manifest", zap.Uint64("epoch", uint64(m.Epoch)), zap.Int("ways", len(m.Ways)))
 	s.kick(s.push)
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"cottonarch.example/cottonarch/boot"
+	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/kernel/count"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
@@ -76,6 +77,8 @@
 	began    moment.Moment
 	hand     int
 
+	limits   atomic.Pointer[check.Limits] // of the manifest in force
+	bulk     atomic.Int64                 // bytes of bodies in hand
 	entered  atomic.Bool
 	inUse    atomic.Bool // a manifest is in force
 	leaving  atomic.Bool
--- /dev/null
+++ b/daemon/sidecar/whole_test.go
@@ -0,0 +1,46 @@
+package sidecar
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"cottonarch.example/cottonarch/boot"
+	"cottonarch.example/cottonarch/control/manifest/check"
+	"cottonarch.example/cottonarch/kernel/defect"
+)
+
+// A request is taken whole within the limits of the manifest and the room for bodies, with
+// a length or in pieces; what is turned away has not run and leaves no room taken.
+func TestRequestsAreTakenWithinLimits(t *testing.T) {
+	s := New(boot.Sidecar{Bulk: 1000}, nil)
+	s.limits.Store(&check.Limits{HeadBytes: 500, BodyBytes: 800})
+	for _, pieces := range []bool{false, true} {
+		for _, c := range []struct {
+			body, head, held int
+			kind             defect.Kind
+		}{{0, 0, 0, ""}, {800, 0, 0, ""}, {801, 0, 0, defect.Oversize}, {0, 9000, 0, defect.Oversize}, {500, 0, 500, ""}, {501, 0, 500, defect.Busy}, {0, 0, 1000, ""}} {
+			s.bulk.Store(int64(c.held))
+			r := httptest.NewRequest("POST", "/x", strings.NewReader(strings.Repeat("b", c.body)))
+			if pieces {
+				r.ContentLength = -1
+			}
+			r.Header.Set("X-Long", strings.Repeat("h", c.head))
+			body, free, d := s.whole(r)
+			if c.kind != "" {
+				must.NotNil(t, d, must.Sprint(pieces, c))
+				must.Eq(t, c.kind, d.Kind, must.Sprint(pieces, c))
+				must.Eq(t, defect.FateNo, d.Fate)
+				must.Eq(t, int64(c.held), s.bulk.Load())
+				continue
+			}
+			must.Nil(t, d, must.Sprint(pieces, c))
+			must.Eq(t, c.body, len(body))
+			must.Eq(t, int64(c.held+c.body), s.bulk.Load())
+			free()
+			must.Eq(t, int64(c.held), s.bulk.Load())
+		}
+	}
+}
--- a/wire/server/server.go
+++ b/wire/server/server.go
@@ -17,6 +17,10 @@
 	"cottonarch.example/cottonarch/wire/reply"
 )
 
+// headMost is the largest head that is read at all, in bytes; what a manifest allows is
+// below it.
+const headMost = 256 << 10
+
 // Server is a kratos server.
 type Server = khttp.Server
 
@@ -50,7 +54,7 @@
 		}))
 	}
 	s := khttp.NewServer(opts...)
-	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = 10*time.Second, 90*time.Second, 64<<10
+	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = 10*time.Second, 90*time.Second, headMost
 	return s
 }
 
