cottonarch capacity: what a mesh costs as it grows, and what 600 nodes would cost

Cause: nobody could say what 600 nodes would cost each role, nor which mechanism breaks first.

The command runs real cores as processes with disk folders and hollow nodes (the daemon's own Sidecar, many to a process, one whole and alone) on loopback, counts messages, bytes, processor time and memory by duty under steady beats and seven events, walks calls in pairs through both sidecars and directly, draws lines through at least four sizes and holds them against the budgets. docs/CAPACITY.md takes its tables from it; re-running it gives the new slopes.

Ruled out: one process for all (its garbage collection is nobody's), relays for the cut (they cost more than what is measured; bytes are held at the listener instead), a line through fewer than four sizes, times of a machine that stood still.

--- /dev/null
+++ b/capacity/fit/fit_test.go
@@ -0,0 +1,35 @@
+package fit
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestLines(t *testing.T) {
+	for name, c := range map[string]struct {
+		list  []XY
+		power float64
+		at    float64 // at 600
+		off   float64
+	}{
+		"flat, noisy":           {[]XY{{10, 5}, {20, 5.2}, {40, 4.9}, {80, 5.1}}, 0, 5.05, 0.1},
+		"a line":                {[]XY{{10, 3 + 20}, {20, 3 + 40}, {40, 3 + 80}, {80, 3 + 160}}, 1, 1203, 0.001},
+		"a square":              {[]XY{{10, 1 + 100}, {20, 1 + 400}, {40, 1 + 1600}, {80, 1 + 6400}}, 2, 360001, 0.001},
+		"falling is flat":       {[]XY{{10, 8}, {20, 6}, {40, 5}, {80, 4}}, 0, 4.9, 0.7},
+		"never below nought":    {[]XY{{10, 5}, {20, 17}, {40, 41}, {80, 89}}, 1, 600, 0.25},
+		"too small to see once": {[]XY{{10, 0}, {20, 2}, {40, 4}, {80, 8}}, 1, 60, 0.4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, ok := Draw(c.list)
+			must.True(t, ok)
+			must.Eq(t, c.power, l.Power)
+			must.GreaterEq(t, 0, l.A)
+			must.InDelta(t, 1, l.At(600)/c.at, max(c.off, 0.02))
+			must.Eq(t, 10, l.From)
+			must.Eq(t, 80, l.To)
+		})
+	}
+	_, ok := Draw([]XY{{10, 1}, {20, 2}, {40, 4}})
+	must.False(t, ok)
+}
--- /dev/null
+++ b/cmd/cottonarch/capacity.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"cottonarch.example/cottonarch/capacity/part"
+	"cottonarch.example/cottonarch/capacity/plan"
+	"cottonarch.example/cottonarch/capacity/report"
+	"cottonarch.example/cottonarch/capacity/run"
+	"cottonarch.example/cottonarch/kernel/defect"
+)
+
+type capacityCmd struct {
+	Sizes  []int         `default:"5,10,20,40" help:"Numbers of nodes to measure, each at least double the last."`
+	Loads  []string      `default:"steady,leave,manifest,restart,walk" help:"What to measure: all, or some of ${loads}. Steady beats are always measured."`
+	For    time.Duration `default:"3s" help:"How long each look is; regions are apart as long."`
+	Out    string        `default:"capacity-out" help:"Folder for the figures, tables and plots." type:"path"`
+	Target string        `help:"File with the size that is asked about and its budgets; the users' if not given." type:"path"`
+	Page   string        `help:"A page whose tables are put in place between its capacity marks." type:"path"`
+	From   string        `help:"Write tables, plots and page from an earlier run's figures, and measure nothing." type:"path"`
+	Limit  time.Duration `default:"170s" help:"How long the whole may take; what does not fit is left out and named."`
+	Disks  string        `help:"Folder for the cores' disk folders; the system's temporary one if not given." type:"path"`
+	Memory float64       `help:"Bytes that all processes together may take; half of the machine's if not given."`
+	Commit string        `help:"Commit that this program was built from, where the build does not hold it."`
+	Most   int           `default:"300" help:"How many processes there may be at once."`
+}
+
+type capacityPartCmd struct{}
+
+// Run is one process of a measured mesh.
+func (capacityPartCmd) Run() error { return part.Run(os.Stdin, os.Stdout) }
+
+func (c capacityCmd) Run() error {
+	say := func(f string, args ...any) { fmt.Fprintf(os.Stderr, f+"\n", args...) }
+	if c.From != "" {
+		res, err := report.Load(c.From)
+		if err != nil {
+			return err
+		}
+		return c.tell(res)
+	}
+	t, err := plan.Read(c.Target)
+	if err != nil {
+		return err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return defect.Wrap(err, defect.Internal, "own program")
+	}
+	b := run.Boot{Self: []string{self, "capacity-part"}, Dir: c.Disks, Target: t, Sizes: c.Sizes, Loads: c.Loads, Commit: c.Commit, Command: "cottonarch " + strings.Join(os.Args[1:], " "), For: c.For, Limit: c.Limit, Memory: c.Memory, Process: c.Most, Say: say}
+	if b.Memory <= 0 {
+		b.Memory = run.Half()
+	}
+	b.Keep = func(res *run.Result) {
+		if _, err := report.Write(res, c.Out); err != nil {
+			say("%v", err)
+		}
+	}
+	if len(c.Loads) == 1 && c.Loads[0] == "all" {
+		b.Loads = run.Loads()
+	}
+	res, err := run.Measure(b)
+	if err != nil {
+		return err
+	}
+	return c.tell(res)
+}
+
+func (c capacityCmd) tell(res *run.Result) error {
+	text, err := report.Write(res, c.Out)
+	if err != nil {
+		return err
+	}
+	if c.Page != "" {
+		if err := report.Page(c.Page, text); err != nil {
+			return err
+		}
+	}
+	fmt.Print(text)
+	return nil
+}
--- a/cmd/cottonarch/main.go
+++ b/cmd/cottonarch/main.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"cottonarch.example/cottonarch/boot"
+	"cottonarch.example/cottonarch/capacity/run"
 	"cottonarch.example/cottonarch/daemon/assemble"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
@@ -26,11 +27,13 @@
 )
 
 var app struct {
-	Core     coreCmd     `cmd:"" help:"Run a core: control state on disk, the registry, coordination."`
-	Sidecar  sidecarCmd  `cmd:"" help:"Run a sidecar: the node beside an application."`
-	Simulate simulateCmd `cmd:"" help:"Ask what-if questions of a simulated deployment; ends with 1 when a rule breaks."`
-	Endpoint endpointCmd `cmd:"" help:"Run a stand-in endpoint."`
-	Caller   callerCmd   `cmd:"" help:"Run stand-in callers and print what they were told."`
+	Core     coreCmd         `cmd:"" help:"Run a core: control state on disk, the registry, coordination."`
+	Sidecar  sidecarCmd      `cmd:"" help:"Run a sidecar: the node beside an application."`
+	Simulate simulateCmd     `cmd:"" help:"Ask what-if questions of a simulated deployment; ends with 1 when a rule breaks."`
+	Endpoint endpointCmd     `cmd:"" help:"Run a stand-in endpoint."`
+	Caller   callerCmd       `cmd:"" help:"Run stand-in callers and print what they were told."`
+	Capacity capacityCmd     `cmd:"" help:"Measure what a mesh costs as it grows, and what that says of a larger one."`
+	Part     capacityPartCmd `cmd:"" hidden:"" name:"capacity-part" help:"One process of a measured mesh; takes orders on its input."`
 	operatorCmds
 }
 
@@ -89,7 +92,7 @@
 	}
 	daemon.Start()
 	defer daemon.Close()
-	return run(log, "core", func() { daemon.Leave(10 * time.Second) }, srv)
+	return serve(log, "core", func() { daemon.Leave(10 * time.Second) }, srv)
 }
 
 func (c sidecarCmd) Run() error { return start(c.bootFlags, boot.ReadSidecar, runSidecar) }
@@ -98,11 +101,11 @@
 	daemon, srv, front := assemble.Sidecar(b, log)
 	daemon.Start()
 	defer daemon.Close()
-	return run(log, "sidecar", daemon.Leave, srv, front)
+	return serve(log, "sidecar", daemon.Leave, srv, front)
 }
 
-// run runs the servers until the platform says stop; leave is done first.
-func run(log *zap.Logger, name string, leave func(), servers ...*server.Server) error {
+// serve runs the servers until the platform says stop; leave is done first.
+func serve(log *zap.Logger, name string, leave func(), servers ...*server.Server) error {
 	opts := []kratos.Option{kratos.Name("cottonarch-" + name), kratos.Logger(server.Logger(log)), kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
 		kratos.StopTimeout(30 * time.Second), kratos.BeforeStop(func(context.Context) error {
 			leave()
@@ -176,7 +179,7 @@
 
 func main() {
 	k := kong.Parse(&app, kong.Name("cottonarch"), kong.Description("A service mesh: cores hold the control state, sidecars carry the traffic."), kong.UsageOnError(),
-		kong.Vars{"faults": strings.Join(plan.Names(), ", "), "breaks": strings.Join(plan.BreakNames(), ", ")},
+		kong.Vars{"faults": strings.Join(plan.Names(), ", "), "breaks": strings.Join(plan.BreakNames(), ", "), "loads": strings.Join(run.Loads(), ", ")},
 		kong.Exit(func(code int) {
 			if code != 0 && code != 1 {
 				code = 2 // a wrong command line is bad input too
