--- a/mesh/path/path_test.go
+++ b/mesh/path/path_test.go
@@ -210,3 +210,26 @@
 		}
 	}
 }
+
+// A repeat that finds no room at a gate says nothing of the endpoint behind it, so first
+// tries still go there; any other refusal of a gate sends them around it.
+func TestBusyRepeatLeavesTheEndpointAlone(t *testing.T) {
+	for kind, there := range map[defect.Kind]bool{defect.Busy: true, defect.Gate: false} {
+		p, c := ready(), &Call{Host: "h", Path: "/", Method: "GET", Caller: "c"}
+		must.Nil(t, p.Way(start, c, 0))
+		must.Nil(t, p.Next(start, c).Defect)
+		must.True(t, p.Ended(start, c, End{Verdict: NotRun, Arrived: true, Defect: &defect.Defect{Kind: defect.Busy}}))
+		again := p.Next(start, c)
+		must.True(t, again.Further)
+		must.True(t, p.Ended(start, c, End{Verdict: NotRun, Turned: true, Defect: &defect.Defect{Kind: kind}}))
+		seen := false
+		for range 100 {
+			next := &Call{Host: "h", Path: "/", Method: "GET", Caller: "c"}
+			must.Nil(t, p.Way(start, next, 0))
+			ch := p.Next(start, next)
+			seen = seen || ch.Entry.UID == again.Entry.UID
+			p.Ended(start, next, End{Verdict: Ran})
+		}
+		must.Eq(t, there, seen, must.Sprint(kind))
+	}
+}
