--- a/wire/exchange/exchange_test.go
+++ b/wire/exchange/exchange_test.go
@@ -134,6 +134,33 @@
 	must.Eq(t, 0, seen.Load())
 }
 
+// An endpoint that closes or speaks before it is asked has taken nothing, and is not lost.
+func TestClosedBeforeItIsAskedIsBusy(t *testing.T) {
+	for _, say := range []string{"", "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = l.Close() })
+		over := make(chan struct{}, 8)
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, say)
+				_ = c.Close()
+				over <- struct{}{}
+			}
+		}()
+		c := call("POST")
+		c.Last = func() *defect.Defect { <-over; return nil }
+		_, sent, d := do(t, exchange.New(""), ident.Addr(l.Addr().String()), c)
+		must.False(t, sent)
+		must.Eq(t, defect.Busy, d.Kind)
+		must.Eq(t, defect.FateNo, d.Fate)
+	}
+}
+
 // A kept connection that the other end has closed is not used again.
 func TestClosedKeptConnectionIsNotUsed(t *testing.T) {
 	addr, seen := raw(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", 1) // closes without a word
