--- a/fleet/run/judge_test.go
+++ b/fleet/run/judge_test.go
@@ -122,17 +122,13 @@
 		outs []*outage
 		sent time.Duration // of a look that finds the epoch missing
 		late bool
-		held time.Duration // what the machine withheld
 	}{
-		{"in time", nil, 1900 * time.Millisecond, false, 0},
-		{"late", nil, 2100 * time.Millisecond, true, 0},
-		{"late, and less was withheld", nil, 2100 * time.Millisecond, true, 50 * time.Millisecond},
-		{"late, and as much was withheld", nil, 2100 * time.Millisecond, false, 150 * time.Millisecond},
-		{"late beyond all that may be withheld", nil, 6100 * time.Millisecond, true, time.Hour},
-		{"cut until now", []*outage{{cause: cutOff}}, 9 * time.Second, false, 0},
-		{"cut until a second ago", []*outage{{to: time.Unix(8, 0), cause: cutOff}}, 9 * time.Second, false, 0},
-		{"cut until three seconds ago", []*outage{{to: time.Unix(6, 0), cause: cutOff}}, 9 * time.Second, true, 0},
-		{"cut only later", []*outage{{from: time.Unix(5, 0), cause: cutOff}}, 9 * time.Second, true, 0},
+		{"in time", nil, 1900 * time.Millisecond, false},
+		{"late", nil, 2100 * time.Millisecond, true},
+		{"cut until now", []*outage{{cause: cutOff}}, 9 * time.Second, false},
+		{"cut until a second ago", []*outage{{to: time.Unix(8, 0), cause: cutOff}}, 9 * time.Second, false},
+		{"cut until three seconds ago", []*outage{{to: time.Unix(6, 0), cause: cutOff}}, 9 * time.Second, true},
+		{"cut only later", []*outage{{from: time.Unix(5, 0), cause: cutOff}}, 9 * time.Second, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := empty(Boot{})
@@ -148,7 +144,7 @@
 				}
 				f.outs["s"] = append(f.outs["s"], &outage{from, to, o.cause})
 			}
-			f.seen("manifest-late", &machine.Machine{Name: "s"}, 7, base, base.Add(c.sent), 6, true, func() time.Duration { return c.held })
+			f.seen("manifest-late", &machine.Machine{Name: "s"}, 7, base, base.Add(c.sent), 6, true)
 			must.Eq(t, c.late, broken(f)["manifest-late"] == 1)
 		})
 	}
--- a/fleet/run/watch.go
+++ b/fleet/run/watch.go
@@ -89,7 +89,6 @@
 
 func (f *Fleet) awaits(ctx context.Context, s *machine.Machine, epoch ident.Epoch, at time.Time) {
 	const rule = "manifest-late"
-	held := f.withheld(s)
 	t := time.NewTicker(15 * time.Millisecond)
 	defer t.Stop()
 	for {
@@ -98,7 +97,7 @@
 		}
 		sent := time.Now()
 		_, err := s.Ask(500*time.Millisecond, "GET", "/status", nil, &got)
-		if done := f.seen(rule, s, epoch, at, sent, got.Epoch, err == nil, held); done {
+		if done := f.seen(rule, s, epoch, at, sent, got.Epoch, err == nil); done {
 			return
 		}
 		select {
@@ -112,41 +111,13 @@
 	}
 }
 
-// heldMost is the most that a bound grows by what the machine withheld: however busy it is,
-// what takes longer is late.
-const heldMost = 2 * check.ManifestMax
-
-// withheld begins to reckon for how long the machine kept processors from those on whom
-// it hangs that a sidecar knows an epoch: the sum over the cores and that sidecar, each with
-// its thread that waited most.
-func (f *Fleet) withheld(s *machine.Machine) func() time.Duration {
-	list := append(f.cores(), s)
-	before := make([]map[string]time.Duration, len(list))
-	for i, m := range list {
-		before[i] = m.Waits()
-	}
-	return func() (sum time.Duration) {
-		for i, m := range list {
-			sum += machine.Withheld(before[i], m.Waits())
-		}
-		return sum
-	}
-}
-
 // seen judges one look. A return without the epoch proves that it was missing still
 // after the question was sent.
-func (f *Fleet) seen(rule string, s *machine.Machine, epoch ident.Epoch, at, sent time.Time, got ident.Epoch, answered bool, held func() time.Duration) (done bool) {
+func (f *Fleet) seen(rule string, s *machine.Machine, epoch ident.Epoch, at, sent time.Time, got ident.Epoch, answered bool) (done bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	from, cause, live := f.since(s.Name, at, time.Now(), check.ManifestMax)
-	bound := check.ManifestMax
-	late := !live && sent.Sub(from) > bound
-	if late {
-		bound += min(held(), heldMost)
-		if late = sent.Sub(from) > bound; !late {
-			f.Counts["looks spared as the machine withheld processors"]++
-		}
-	}
+	late := !live && sent.Sub(from) > check.ManifestMax
 	if answered && got >= epoch {
 		f.Check.Look(rule)
 		if cause != "" {
@@ -161,7 +132,7 @@
 		f.Check.Break(f.at(sent), rule, "%s has epoch %d %v after %d was confirmed, waited for the end of %q", s.Name, got, sent.Sub(at), epoch, cause)
 		return true
 	}
-	if late && sent.Sub(from) > bound+check.ManifestMax {
+	if late && sent.Sub(from) > 2*check.ManifestMax {
 		f.Check.Look(rule)
 		f.Check.Break(f.at(sent), rule, "%s does not say what is in force %v after %d was confirmed", s.Name, sent.Sub(at), epoch)
 		return true
