An empty core counts within the catch-up: only who has listened calls a voter dead

Cause: a core that came to a voter's place waited 3 s from its own start before it asked for the slot, and 0.4 s more before it counted; with 0.9 s to start, 4.6 s after the machine was back, above catchUpS (4 s): until then the next loss is one too many.

Now a voter that has not listened for deadAfter holds nobody for dead, and the newcomer asks at once at its own address, or after 1.2 s at another.

Ruled out: a shorter deadAfter (a restart would cost its slot).

--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -40,7 +40,8 @@
 	helloLook   = 30 * time.Millisecond
 	// alive is how long a core counts as live after its last hello.
 	alive = 1200 * time.Millisecond
-	// deadAfter is how long a voter must be unheard before its slot may be taken.
+	// deadAfter is how long a voter must be unheard, by disks that have listened for as
+	// long, before its slot may be taken.
 	deadAfter  = 3 * time.Second
 	growAfter  = 6 * time.Second
 	diskTag    = "disk"
--- a/control/core/node/node_test.go
+++ b/control/core/node/node_test.go
@@ -1,6 +1,9 @@
 package node_test
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,6 +14,7 @@
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/storage/ring"
 )
 
 // trio is three nodes without disks that are always up, but for those in dead.
@@ -20,6 +24,8 @@
 	ends  []node.End
 	post  []mail
 	dead  map[ident.Addr]bool
+	// disks holds what each wrote last under a tag.
+	disks map[ident.Addr]map[string]ring.Record
 	lost  func(to ident.Addr, m message.Message) bool
 	// tickets numbers the deeds of helpers.
 	tickets uint64
@@ -33,19 +39,35 @@
 var three = []ident.Addr{"a:1", "b:1", "c:1"}
 
 func newTrio(t *testing.T) *trio {
-	x := &trio{tickets: 1000, nodes: map[ident.Addr]*node.Node{}, now: moment.Moment(time.Second), dead: map[ident.Addr]bool{}}
+	x := &trio{tickets: 1000, nodes: map[ident.Addr]*node.Node{}, now: moment.Moment(time.Second), dead: map[ident.Addr]bool{}, disks: map[ident.Addr]map[string]ring.Record{}}
 	for _, a := range three {
-		n, _, err := node.New(x.now, node.Boot{Addr: a, Founders: three, Mark: "m", NewDisk: func() ident.Disk { return ident.Disk("disk-" + a) }}, nil)
-		must.NoError(t, err)
-		x.nodes[a] = n
+		x.start(t, a, ident.Disk("disk-"+a), three)
 	}
 	x.run(2 * time.Second)
 	must.True(t, x.nodes["a:1"].Votes())
 	return x
 }
 
+// start starts a node on what its disk holds, or on an empty disk of that name.
+func (x *trio) start(t *testing.T, a ident.Addr, disk ident.Disk, founders []ident.Addr) {
+	var recs []ring.Record
+	for _, tag := range slices.Sorted(maps.Keys(x.disks[a])) {
+		recs = append(recs, x.disks[a][tag])
+	}
+	n, write, err := node.New(x.now, node.Boot{Addr: a, Seeds: three, Founders: founders, Mark: fmt.Sprint("m", x.now), NewDisk: func() ident.Disk { return disk }}, recs)
+	must.NoError(t, err)
+	x.nodes[a], x.dead[a] = n, false
+	x.out(a, node.Effects{Records: write})
+}
+
 func (x *trio) out(at ident.Addr, fx node.Effects) {
 	x.ends = append(x.ends, fx.Ends...)
+	for _, r := range fx.Records {
+		if x.disks[at] == nil {
+			x.disks[at] = map[string]ring.Record{}
+		}
+		x.disks[at][r.Tag] = r
+	}
 	for _, s := range fx.Sends {
 		s.Msg.From = at
 		x.post = append(x.post, mail{s.To, s.Msg})
@@ -54,7 +76,7 @@
 
 func (x *trio) run(d time.Duration) {
 	for end := x.now.Add(d); x.now < end; x.now = x.now.Add(10 * time.Millisecond) {
-		for _, a := range three {
+		for _, a := range slices.Sorted(maps.Keys(x.nodes)) {
 			if !x.dead[a] {
 				x.out(a, x.nodes[a].Tick(x.now))
 			}
--- a/control/core/node/place.go
+++ b/control/core/node/place.go
@@ -41,20 +41,42 @@
 	case in && !n.copying:
 		n.copying = true
 		n.survey(now, &reading{until: now.Add(time.Minute), done: n.copiedAll(r.Epoch)}, "", true, n.Disk, fx)
-	case !in && now.Since(n.began) > deadAfter && n.room(now, r):
+	case !in && n.room(now, r):
 		grow := now.Since(n.began) > growAfter
 		n.rosterSends(n.make.Begin(now, r, maker.Take(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr}, n.boot.Voters, grow)), fx)
 	}
 }
 
-// room tells whether this disk may find a slot: there are fewer voters than there should
-// be, one is at this address, or one is not heard here. Only then is a majority asked.
+// room tells whether this disk may find a slot: one voter is at this address, or one is
+// not heard here, or, once this core has run for long, there are fewer voters than there
+// should be. Only then is a majority asked, and what its disks have heard decides; so a
+// core that has just come need not itself wait for a voter's silence to be long.
 func (n *Node) room(now moment.Moment, r cell.Roster) bool {
-	if len(r.Voters) < n.boot.Voters {
+	if slices.ContainsFunc(r.Voters, func(v cell.Voter) bool { return v.Addr == n.boot.Addr }) {
 		return true
 	}
+	ran := now.Since(n.began)
+	if ran <= alive {
+		return false // those that live may not have said so yet
+	}
 	near := n.heard(now, deadAfter)
-	return slices.ContainsFunc(r.Voters, func(v cell.Voter) bool { return v.Addr == n.boot.Addr || !slices.Contains(near, v.Disk) })
+	return ran > deadAfter && len(r.Voters) < n.boot.Voters ||
+		slices.ContainsFunc(r.Voters, func(v cell.Voter) bool { return !slices.Contains(near, v.Disk) })
+}
+
+// notDead lists the disks that this one does not hold for dead: those heard lately and,
+// as long as it has not listened for that long itself, all that vote.
+func (n *Node) notDead(now moment.Moment) []ident.Disk {
+	out := n.heard(now, deadAfter)
+	if now.Since(n.began) > deadAfter {
+		return out
+	}
+	for _, v := range n.acc.Now.Voters {
+		if !slices.Contains(out, v.Disk) {
+			out = append(out, v.Disk)
+		}
+	}
+	return out
 }
 
 // copiedAll takes every key that a majority of the counted voters held at the epoch.
--- a/control/core/node/voting.go
+++ b/control/core/node/voting.go
@@ -95,7 +95,7 @@
 	if n.broken {
 		return true
 	}
-	r, recs, say := n.acc.Step(*m.RosterAsk, n.heard(now, deadAfter))
+	r, recs, say := n.acc.Step(*m.RosterAsk, n.notDead(now))
 	fx.Records = append(fx.Records, recs...)
 	if say {
 		fx.Sends = append(fx.Sends, Send{m.From, message.Message{RosterSays: &r}})
--- a/control/roster/maker/maker.go
+++ b/control/roster/maker/maker.go
@@ -115,7 +115,7 @@
 		return nil, nil
 	}
 	if m.stage == accepting {
-		m.stop(now)
+		m.stage = idle // what comes next builds on it, and need not wait
 		return nil, m.ask.Next
 	}
 	// What a voter has already taken goes first.
