A service's cap on connections holds at the gate

The manifest's `connections` was read and not applied; the exchange takes it as the bound of its address now, beside the bay, which keeps fewer in any case.

--- a/daemon/sidecar/intake.go
+++ b/daemon/sidecar/intake.go
@@ -461,6 +461,9 @@
 	if d == nil {
 		s.gate.Hand(server, 1)
 	}
+	if m := s.path.Manifest(); m != nil {
+		req.Conns = m.Services[service].Connections
+	}
 	s.mu.Unlock()
 	if d != nil {
 		return turn(gateTurned, d)
