--- a/kernel/ident/ident.go
+++ b/kernel/ident/ident.go
@@ -73,10 +73,9 @@
 }
 
 // Mark makes a name that no other process, disk or run has or will have. Invariant: it
-// rests on no clock, so it is new even when clocks jump back. 80 bits by chance: it stands
-// in every ballot that is sent.
+// rests on no clock, so it is new even when clocks jump back.
 func Mark() string {
-	var raw [10]byte
+	var raw [16]byte
 	_, _ = rand.Read(raw[:])
 	return hex.EncodeToString(raw[:])
 }
