--- a/capacity/run/run_test.go
+++ b/capacity/run/run_test.go
@@ -29,7 +29,7 @@
 	}
 	p := plan.Default()
 	p.Cores, p.Ways, p.Services, p.NodesAProcess = 1, 60, 12, 3
-	res, err := Measure(Boot{Self: []string{os.Args[0], "capacity-part"}, Dir: t.TempDir(), Target: p, Sizes: []int{6}, Loads: Loads(), For: 300 * time.Millisecond,
+	res, err := Measure(Boot{Self: []string{os.Args[0], "capacity-part"}, Dir: t.TempDir(), Target: p, Sizes: []int{6}, Loads: Loads(), For: 1200 * time.Millisecond,
 		Limit: 2 * time.Minute, Memory: 4e9, Process: 20, Say: t.Logf})
 	must.NoError(t, err)
 	must.SliceEmpty(t, res.Left)
