Sidecars join in batches: one deed for all claims and shares that came together

Cause: each join cost three quorum operations one after the other (a claim number on a key of its own, a share on the one key for all, the manifest's epoch); a sidecar gave up after 1.5 s and began again at the next core; all asked the same three seeds in the same order, every 30 ms. With 91 sidecars and little processor time most of the work was done for callers that had gone.

What changes: a core queues joins (control/core/admission) and takes those that wait into a batch at its tick, at most one batch out at a time, so coordination, renewals and messages of cores go first. A batch is one deed, share/enter, which gives each node a claim above every claim given before and its share, beside one read of the manifest's epoch that begins after the batch's joins came in. A repeat under the same mark of the attempt, at the same core or another, is given the same claim, so giving up costs nothing. The queue is bounded; who is refused is told when to come back, later the longer the queue and spread by its own hash. A sidecar (mesh/claim/joiner) first asks a seed for the list of cores, then joins at the core of its own order, waits for a batch, keeps to Retry-After, goes on at once when a core is silent, and does not fetch a manifest that it holds.

--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"cottonarch.example/cottonarch/control/coordination/book"
-	"cottonarch.example/cottonarch/control/coordination/number"
 	"cottonarch.example/cottonarch/control/coordination/share"
+	"cottonarch.example/cottonarch/control/core/admission"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/daemon/core"
@@ -101,49 +101,42 @@
 	reply.JSON(w, http.StatusOK, v)
 }
 
-// claim admits a sidecar: its claim epoch is a rising number on a majority of disks,
-// and so is its share.
+// JoinRequest is how a sidecar asks for its membership. Run marks the attempt: a repeat
+// under the same mark is the same join, at whichever core.
+type JoinRequest struct {
+	Node ident.Node `json:"node"`
+	Run  string     `json:"run,omitempty"`
+}
+
+// claim lets a sidecar join: with others that come at the same time, its claim epoch, its
+// share and the newest manifest epoch are read from a majority of disks.
 func (s surface) claim(w http.ResponseWriter, r *http.Request) {
-	var who struct {
-		Node ident.Node `json:"node"`
-	}
-	if d := reply.Decode(r, 1<<16, &who); d != nil {
+	var ask JoinRequest
+	if d := reply.Decode(r, 1<<16, &ask); d != nil {
 		reply.Defect(w, d)
 		return
 	}
-	if who.Node == "" {
+	if ask.Node == "" {
 		reply.Defect(w, defect.New(defect.Invalid, "a claim needs a node"))
 		return
 	}
-	e := s.c.Deed(r.Context(), owner.Deed{Key: ident.Key("claim/" + string(who.Node)), Kind: "number/next"}, 3*time.Second)
-	if e.Defect != nil {
-		reply.Defect(w, e.Defect)
+	if len(ask.Run) > share.RunMost {
+		reply.Defect(w, defect.New(defect.Invalid, "the mark of a run has at most %d bytes", share.RunMost))
 		return
 	}
-	var num number.Number
-	if err := json.Unmarshal(e.Body, &num); err != nil {
-		reply.Defect(w, defect.New(defect.Damaged, "claim: %v", err))
-		return
-	}
-	claim := ident.Epoch(num.N)
-	e = s.c.Deed(r.Context(), owner.Deed{Key: "share", Kind: "share/take", Args: book.JSON(share.Args{Node: who.Node, Claim: claim}.Under(s.c.Boot.Extra))}, 3*time.Second)
+	e := s.c.Join(r.Context(), admission.Request{Node: ask.Node, Run: ask.Run, Total: s.c.Boot.Extra})
 	if e.Defect != nil {
 		reply.Defect(w, e.Defect)
 		return
 	}
-	var told share.Told
-	if err := json.Unmarshal(e.Body, &told); err != nil {
-		reply.Defect(w, defect.New(defect.Damaged, "share: %v", err))
-		return
-	}
-	m, d := s.c.Newest(r.Context(), 3*time.Second)
-	if d != nil {
-		reply.Defect(w, d)
+	var got node.Joined
+	if err := json.Unmarshal(e.Body, &got); err != nil {
+		reply.Defect(w, defect.New(defect.Damaged, "join: %v", err))
 		return
 	}
 	s.c.Board.Add("claims", 1)
 	v := s.c.View()
-	reply.JSON(w, http.StatusOK, Entry{Claim: claim, Share: told, Cores: v.Places, View: v.Sight, Manifest: m.Epoch})
+	reply.JSON(w, http.StatusOK, Entry{Claim: got.Claim, Share: got.Share, Cores: v.Places, View: v.Sight, Manifest: got.Manifest})
 }
 
 // share takes a sidecar's promise to spend less, or its wish for more.
--- a/control/coordination/book/book.go
+++ b/control/coordination/book/book.go
@@ -60,7 +60,7 @@
 
 // known lists the deeds that tell a repeat by what they carry: no operation of theirs is
 // remembered, and a repeat is served anew.
-var known = map[string]bool{"group/put": true}
+var known = map[string]bool{"group/put": true, "share/enter": true}
 
 // Apply serves a deed.
 func (b Book) Apply(turn owner.Turn, value json.RawMessage, deed owner.Deed) owner.Verdict {
--- a/control/coordination/share/share.go
+++ b/control/coordination/share/share.go
@@ -39,6 +39,8 @@
 	N     int         `json:"n"`
 	Seq   uint64      `json:"seq,omitempty"`
 	Of    int         `json:"of,omitempty"`
+	// Run marks the run of the sidecar that Claim was given to; "" where it gave none.
+	Run string `json:"run,omitempty"`
 }
 
 // of is the total of a grant; one of a release that wrote none was under Total.
@@ -56,8 +58,11 @@
 // larger one rules only after every node has claimed anew (its sidecar was restarted) or
 // was freed. A total that falls below what is granted already gives nothing more out until
 // the nodes, told the smaller fair share, have promised less.
+//
+// Claims is the highest claim that a batch of joins was given, and only rises.
 type Shares struct {
-	Nodes map[ident.Node]Grant `json:"nodes"`
+	Nodes  map[ident.Node]Grant `json:"nodes"`
+	Claims ident.Epoch          `json:"claims,omitempty"`
 }
 
 // Args are those of all deeds. Using, when given, promises that the node has spent at
@@ -91,7 +96,7 @@
 
 // Deeds are the handlers.
 func Deeds() book.Book {
-	return book.Book{"share/take": take, "share/free": free, "share/read": read}
+	return book.Book{"share/take": take, EnterKind: enter, "share/free": free, "share/read": read}
 }
 
 func load(state, raw json.RawMessage) (s Shares, a Args, d *defect.Defect) {
@@ -122,35 +127,47 @@
 	if known && g.Claim > a.Claim {
 		return book.Turned(defect.New(defect.Conflict, "claim %d is newer", g.Claim))
 	}
-	was, total := g, a.Total
+	if g.Claim == a.Claim && a.Seq <= g.Seq && known {
+		of := s.total()
+		return book.Entry{Body: book.JSON(Told{N: g.N, Fair: Fair(of, len(s.Nodes)), Seq: g.Seq, Total: of})}
+	}
+	s.note(a)
+	body := book.JSON(s.grant(a.Node))
+	if known && g == s.Nodes[a.Node] {
+		return book.Entry{Body: body}
+	}
+	return book.Entry{State: book.JSON(s), Body: body}
+}
+
+// note writes down the claim, the total and the promise of a node; it gives nothing.
+func (s Shares) note(a Args) {
+	g, total := s.Nodes[a.Node], a.Total
 	if total == 0 {
 		total = Total
 	}
 	if g.Claim != a.Claim {
-		g.Claim, g.Seq, g.Of = a.Claim, 0, total
-	} else if a.Seq <= g.Seq && known {
-		of := s.total()
-		return book.Entry{Body: book.JSON(Told{N: g.N, Fair: Fair(of, len(s.Nodes)), Seq: g.Seq, Total: of})}
+		g.Claim, g.Of, g.Run = a.Claim, total, ""
 	}
 	g.Seq, g.Of = a.Seq, min(total, g.of())
 	if a.Using != nil && *a.Using >= 0 && *a.Using < g.N {
 		g.N = *a.Using
 	}
 	s.Nodes[a.Node] = g
-	total = s.total()
+}
+
+// grant raises the share of a node that was noted to its fair share, as far as the others
+// leave room.
+func (s Shares) grant(node ident.Node) Told {
+	g, total := s.Nodes[node], s.total()
 	left, fair := total, Fair(total, len(s.Nodes))
-	for node, o := range s.Nodes {
-		if node != a.Node {
+	for other, o := range s.Nodes {
+		if other != node {
 			left -= o.N
 		}
 	}
 	g.N = max(g.N, min(fair, left))
-	s.Nodes[a.Node] = g
-	body := book.JSON(Told{N: g.N, Fair: fair, Seq: g.Seq, Total: total})
-	if known && was == g {
-		return book.Entry{Body: body}
-	}
-	return book.Entry{State: book.JSON(s), Body: body}
+	s.Nodes[node] = g
+	return Told{N: g.N, Fair: fair, Seq: g.Seq, Total: total}
 }
 
 // free takes a share back. The caller must know from a majority that the node has
--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -13,6 +13,7 @@
 	"cottonarch.example/cottonarch/control/coordination/lock"
 	"cottonarch.example/cottonarch/control/coordination/number"
 	"cottonarch.example/cottonarch/control/coordination/share"
+	"cottonarch.example/cottonarch/control/core/admission"
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/cell"
@@ -159,7 +160,12 @@
 	old      bool          // see Stale
 	rolling  moment.Moment // when a roll-out was last known to run
 	quiet    quiet
-	in       []func(*Node, moment.Moment, message.Message, *Effects) bool
+	joins    admission.Queue
+	// JoinBatches counts the batches of joins that were begun here, JoinsRefused the joins
+	// that were told to come back.
+	JoinBatches  uint64
+	JoinsRefused uint64
+	in           []func(*Node, moment.Moment, message.Message, *Effects) bool
 }
 
 // Kinds is the book of every deed that the control state knows; history is as in Boot.
--- a/control/core/node/quiet.go
+++ b/control/core/node/quiet.go
@@ -14,7 +14,7 @@
 )
 
 // shareKey holds the shares of the further tries.
-const shareKey ident.Key = "share"
+const shareKey = share.Key
 
 // quiet is the question, to all voters, which nodes they have long not heard.
 type quiet struct {
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"cottonarch.example/cottonarch/boot"
+	"cottonarch.example/cottonarch/control/core/admission"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/kernel/count"
@@ -222,7 +223,8 @@
 	}
 	old := c.view.Swap(v)
 	o := n.Owner()
-	for name, x := range map[string]uint64{"takes": o.Takes, "rounds": o.Rounds, "mended": o.Mended, "losses": o.Losses, "patches": o.Patched, "patches_refused": o.Refused, "sweeps": n.Sweeps, "swept_keys": n.Mended} {
+	for name, x := range map[string]uint64{"takes": o.Takes, "rounds": o.Rounds, "mended": o.Mended, "losses": o.Losses, "patches": o.Patched, "patches_refused": o.Refused, "sweeps": n.Sweeps, "swept_keys": n.Mended,
+		"join_batches": n.JoinBatches, "joins_refused": n.JoinsRefused} {
 		c.Board.Set(name, int64(x))
 	}
 	c.Board.Set("owned", int64(v.Owned))
@@ -323,6 +325,17 @@
 	})
 }
 
+// Join lets a sidecar join and waits for the end.
+func (c *Core) Join(ctx context.Context, r admission.Request) node.End {
+	ctx, stop := context.WithTimeout(ctx, node.JoinBudget+time.Second)
+	defer stop()
+	came := moment.Process()
+	began := came()
+	return c.await(ctx, func(now moment.Moment, t uint64) node.Effects {
+		return c.node.Join(now, t, r, node.JoinBudget-came().Since(began))
+	})
+}
+
 // Survey reads a prefix from a majority.
 func (c *Core) Survey(ctx context.Context, prefix string, values bool, budget time.Duration) node.End {
 	c.Board.Add("surveys", 1)
--- a/daemon/sidecar/follow.go
+++ b/daemon/sidecar/follow.go
@@ -11,7 +11,6 @@
 
 	"cottonarch.example/cottonarch/adapter/mesh"
 	"cottonarch.example/cottonarch/control/coordination/share"
-	"cottonarch.example/cottonarch/daemon/core"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/mesh/claim/holder"
@@ -48,12 +47,10 @@
 			return
 		}
 		if !s.entered.Load() {
-			cores := s.cored()
-			s.grantEntry(cores[turn%len(cores)])
-			turn++
+			s.askToJoin()
 			if !s.entered.Load() {
-				s.pause(30 * time.Millisecond)
-				s.kick(s.push) // ask the next one soon
+				s.pause(s.joiner.Wait(s.clock()))
+				s.kick(s.push) // ask the next one then
 				continue
 			}
 		}
@@ -94,45 +91,6 @@
 	return s.path.Floor
 }
 
-func (s *Sidecar) grantEntry(from ident.Addr) {
-	// A core that is frozen must not hold this up: the next one is asked soon.
-	ctx, stop := context.WithTimeout(context.Background(), 1500*time.Millisecond)
-	defer stop()
-	var got mesh.Entry
-	if err := s.pool.Ask(ctx, from, "POST", "/cottonarch/v1/claim", map[string]ident.Node{"node": s.Boot.Node}, &got); err != nil {
-		s.Board.Add("claims_failed", 1)
-		// The seed may be a sidecar: it knows cores.
-		var known core.Known
-		d := (*defect.Defect)(nil)
-		side := defect.Find(err, &d) && d.Kind == defect.Missing
-		if s.pool.Ask(ctx, from, "GET", "/cottonarch/v1/cores", nil, &known) == nil {
-			s.mu.Lock()
-			s.sides[from] = side
-			s.join(known.Cores)
-			s.mu.Unlock()
-		}
-		return
-	}
-	s.mu.Lock()
-	s.claim, s.seq = got.Claim, 1
-	s.path.Floor = max(s.path.Floor, got.Manifest)
-	s.wit.Entered()
-	s.portion.Begin(s.slow(), got.Share)
-	s.path.Tree.Grant(s.portion.Use())
-	s.held.Learn(got.View, got.Cores)
-	s.join(s.held.Told())
-	s.lastCore = s.clock()
-	s.mu.Unlock()
-	s.entered.Store(true)
-	if got.Manifest > 0 {
-		if err := s.fetch(from); err != nil {
-			s.Board.Add("manifest_fetches_failed", 1)
-		}
-	}
-	s.Log.Info("entry granted", zap.Uint64("claim", uint64(got.Claim)), zap.Int("share", got.Share.N), zap.Uint64("manifest", uint64(got.Manifest)))
-	s.point(from)
-}
-
 // point tells the following duty which core to turn to.
 func (s *Sidecar) point(core ident.Addr) {
 	select {
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -20,6 +20,7 @@
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/mesh/bay"
 	"cottonarch.example/cottonarch/mesh/claim/holder"
+	"cottonarch.example/cottonarch/mesh/claim/joiner"
 	"cottonarch.example/cottonarch/mesh/gate"
 	"cottonarch.example/cottonarch/mesh/line"
 	"cottonarch.example/cottonarch/mesh/path"
@@ -72,6 +73,9 @@
 	told     map[ident.Addr]moment.Moment
 	sides    map[ident.Addr]bool // seeds that are sidecars
 	held     *holder.Holder
+	joiner   *joiner.Joiner // only the duty that renews touches it
+	learned  moment.Moment  // when a core last listed the cores to it
+	run      string         // marks the join that is tried, "" while none is
 	portion  holder.Portion
 	lastCore moment.Moment
 	began    moment.Moment
@@ -96,7 +100,7 @@
 	now := clock()
 	s := &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, slow: moment.Watched(clock), pool: client.New(b.Addr), peers: exchange.New(b.Addr, exchange.Settings{Silence: silence}), ends: exchange.New(b.Addr, exchange.Settings{Silence: silence}),
 		done: make(chan struct{}), line: line.New[*job](b.Senders, b.Queue),
-		path: path.New(now, b.District, h.Sum64(), b.Terms), gate: gate.New(), bay: bay.New(bay.Usual()), berths: map[uint64]chan bay.Act{}, moored: map[ident.Server]bool{}, wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, sides: map[ident.Addr]bool{}, held: holder.New(), portion: holder.Portion{Terms: b.Terms},
+		path: path.New(now, b.District, h.Sum64(), b.Terms), gate: gate.New(), bay: bay.New(bay.Usual()), berths: map[uint64]chan bay.Act{}, moored: map[ident.Server]bool{}, wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, sides: map[ident.Addr]bool{}, held: holder.New(), joiner: joiner.New(b.Node, b.District), portion: holder.Portion{Terms: b.Terms},
 		began: now, lastCore: now, poke: make(chan ident.Addr, 1), push: make(chan struct{}, 1)}
 	s.path.Picker.Cross = b.Cross
 	s.gate.Every(b.Beat).Fenced = b.Fenced
--- a/mesh/claim/holder/holder.go
+++ b/mesh/claim/holder/holder.go
@@ -92,7 +92,7 @@
 	}
 	all := make([]rank, 0, len(cores))
 	for _, a := range cores {
-		r := rank{addr: a, weight: weigh(node, a)}
+		r := rank{addr: a, weight: Weight(node, a)}
 		switch d, told := at[a]; {
 		case !told:
 			r.class = 2 // no core tells of it: it may be gone, or be none
@@ -135,7 +135,8 @@
 // while it is in doubt.
 func (h *Holder) To() []ident.Addr { return append([]ident.Addr{h.keeper}, h.others...) }
 
-func weigh(n ident.Node, a ident.Addr) uint64 {
+// Weight ranks a core for a node: each node has an order of the cores of its own.
+func Weight(n ident.Node, a ident.Addr) uint64 {
 	f := fnv.New64a()
 	_, _ = f.Write([]byte(a))
 	_, _ = f.Write([]byte{0})
@@ -259,6 +260,9 @@
 	return out
 }
 
+// Places lists the same with their districts.
+func (h *Holder) Places() []record.Place { return slices.Clone(h.places) }
+
 // Majority is the newest moment at which a renewal was sent that a majority of the voters
 // has heard of, 0 if none.
 func (h *Holder) Majority() moment.Moment { return h.majority }
--- a/mesh/claim/ledger/ledger.go
+++ b/mesh/claim/ledger/ledger.go
@@ -229,6 +229,14 @@
 	return out
 }
 
+// Claim is the newest claim of a node that was heard of here, 0 if none.
+func (l *Ledger) Claim(n ident.Node) ident.Epoch {
+	if s := l.seats[n]; s != nil {
+		return s.report.Claim
+	}
+	return 0
+}
+
 // Live counts the sidecars whose claim holds.
 func (l *Ledger) Live() (n int) {
 	for _, s := range l.seats {
--- a/sim/world/core.go
+++ b/sim/world/core.go
@@ -10,6 +10,7 @@
 	"cottonarch.example/cottonarch/control/coordination/group"
 	"cottonarch.example/cottonarch/control/coordination/key"
 	"cottonarch.example/cottonarch/control/coordination/lock"
+	"cottonarch.example/cottonarch/control/core/admission"
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/manifest/check"
@@ -503,6 +504,13 @@
 	c.out(c.node.Deed(c.clock(), c.ticket, d, budget))
 }
 
+// Join lets a sidecar join at this core.
+func (c *Core) Join(r admission.Request, end func(node.End)) {
+	c.ticket++
+	c.ends[c.ticket] = end
+	c.out(c.node.Join(c.clock(), c.ticket, r, node.JoinBudget))
+}
+
 // follow keeps the newest confirmed manifest, as the daemon does.
 func (c *Core) follow() {
 	if c.reading || !c.node.Majority(c.clock()) {
--- a/sim/world/side.go
+++ b/sim/world/side.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"cottonarch.example/cottonarch/control/coordination/book"
-	"cottonarch.example/cottonarch/control/coordination/number"
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/core/node"
 	manifest "cottonarch.example/cottonarch/control/manifest/check"
@@ -16,6 +15,7 @@
 	"cottonarch.example/cottonarch/mesh/allowance"
 	"cottonarch.example/cottonarch/mesh/bay"
 	"cottonarch.example/cottonarch/mesh/claim/holder"
+	"cottonarch.example/cottonarch/mesh/claim/joiner"
 	"cottonarch.example/cottonarch/mesh/gate"
 	"cottonarch.example/cottonarch/mesh/line"
 	"cottonarch.example/cottonarch/mesh/path"
@@ -41,6 +41,8 @@
 	claim    ident.Epoch
 	seq      uint64
 	turn     int
+	joiner   *joiner.Joiner
+	joins    int        // attempts that were granted, which mark the next one
 	follow   ident.Addr // the core that is polled
 	mark     int        // gen of it that place belongs to
 	place    uint64
@@ -83,6 +85,7 @@
 	s.path = path.New(s.clock(), s.District, s.w.Rng.Uint64(), allowance.Terms{})
 	s.path.Reckless = s.w.Break == "retry"
 	s.path.Tree.Free = s.w.Break == "allowance"
+	s.joiner = joiner.New(s.Node, s.District)
 	s.gate, s.held, s.wit = gate.New(), holder.New(), witness.New(s.clock())
 	if s.w.Platform {
 		s.gate.Every(pace).Fenced = true
@@ -158,8 +161,8 @@
 			s.greet()
 		}
 		switch {
-		case !s.entered && !s.asking && n%6 == 0:
-			s.grantEntry()
+		case !s.entered && !s.asking:
+			s.askToJoin(n)
 		case s.entered:
 			s.renew()
 		}
@@ -207,57 +210,6 @@
 	})
 }
 
-func (s *Side) core() *Core { return s.w.Cores[s.turn%len(s.w.Cores)] }
-
-type entered struct {
-	claim ident.Epoch
-	share share.Told
-	epoch ident.Epoch
-}
-
-// grantEntry claims membership as the daemon does: claim epoch, share, newest manifest.
-func (s *Side) grantEntry() {
-	s.asking = true
-	s.turn++
-	c := s.core()
-	s.ask(&c.proc, 1500*time.Millisecond, func(say func(any)) { // as the daemon
-		c.Deed(owner.Deed{Key: ident.Key("claim/" + string(s.Node)), Kind: "number/next"}, 3*time.Second, func(e node.End) {
-			var num number.Number
-			if e.Defect != nil || json.Unmarshal(e.Body, &num) != nil {
-				say(nil)
-				return
-			}
-			args := book.JSON(share.Args{Node: s.Node, Claim: ident.Epoch(num.N)})
-			c.Deed(owner.Deed{Key: "share", Kind: "share/take", Args: args}, 3*time.Second, func(e node.End) {
-				var g share.Told
-				if e.Defect != nil || json.Unmarshal(e.Body, &g) != nil {
-					say(nil)
-					return
-				}
-				c.Newest(func(ok bool) {
-					if !ok {
-						say(nil)
-						return
-					}
-					say(entered{ident.Epoch(num.N), g, c.epoch()})
-				})
-			})
-		})
-	}, func(v any) {
-		s.asking = false
-		got, ok := v.(entered)
-		if !ok {
-			return
-		}
-		s.entered, s.claim, s.seq = true, got.claim, 1
-		s.path.Floor = max(s.path.Floor, got.epoch)
-		s.wit.Entered()
-		s.heard = s.clock()
-		s.portion.Begin(s.slow(), got.share)
-		s.path.Tree.Grant(s.portion.Use())
-	})
-}
-
 // renew renews the claim at the keeper, as the daemon does.
 func (s *Side) renew() {
 	now := s.clock()
