Simulator: herds of sidecars, cores whose messages cost time, and a rule for both

A simulated core took any number of messages at once, so the joins that keep a herd out on small cores could not show.

--- a/cmd/cottonarch/simulate.go
+++ b/cmd/cottonarch/simulate.go
@@ -32,13 +32,14 @@
 	Heavy        bool          `default:"true" negatable:"" help:"End with one heavy fault."`
 	Cells        bool          `default:"true" negatable:"" help:"Applications use cells and kept claims too."`
 	Platform     bool          `default:"true" negatable:"" help:"Endpoints with slots, words and a pace of their own, bays beside the gates, and kills that leave writes unsynced."`
+	Cost         time.Duration `help:"What if a core's process took this long for each message and request, as with a part of a processor."`
 	Trace        bool          `help:"Print the whole trace of faults."`
 	Break        string        `default:"" help:"Break a rule on purpose, to see it caught. Known: ${breaks}."`
 }
 
 func (c simulateCmd) Run() error {
 	d, wrong := describe(c.Deployment)
-	q := plan.What{For: c.For, Faults: c.Faults, FaultEvery: c.Every, AddCores: c.AddCores, LoseDist: c.LoseDistrict, Burden: c.Burden, LastHeavy: c.Heavy, Cells: c.Cells, Platform: c.Platform, Links: !c.Calm, Break: world.Break(c.Break)}
+	q := plan.What{For: c.For, Faults: c.Faults, FaultEvery: c.Every, AddCores: c.AddCores, LoseDist: c.LoseDistrict, Burden: c.Burden, LastHeavy: c.Heavy, Cells: c.Cells, Platform: c.Platform, Links: !c.Calm, Cost: c.Cost, Break: world.Break(c.Break)}
 	bad := defect.New(defect.BadBoot, "the what-if can't be run")
 	for _, at := range c.At {
 		name, when, ok := strings.Cut(at, "@")
@@ -125,8 +126,8 @@
 	}
 	f := &walk.Faults{}
 	s := walk.Top(m, f)
-	s.Only("name", "cores", "sidecars", "districts", "services", "requests", "rate", "locks", "coordination", "manifestEveryS")
-	d := plan.Deployment{Name: s.Text("name", name), Cores: int(s.Whole("cores", 3, 1, 9)), Sides: int(s.Whole("sidecars", 6, 1, 500)), Districts: int(s.Whole("districts", 3, 1, 50)),
+	s.Only("name", "cores", "moreCores", "sidecars", "districts", "services", "requests", "rate", "locks", "coordination", "manifestEveryS")
+	d := plan.Deployment{Name: s.Text("name", name), Cores: int(s.Whole("cores", 3, 1, 9)), MoreCores: int(s.Whole("moreCores", 0, 0, 32)), Sides: int(s.Whole("sidecars", 6, 1, 500)), Districts: int(s.Whole("districts", 3, 1, 50)),
 		Rate: s.Real("rate", 100, 0.1, 100000), Locks: int(s.Whole("locks", 10, 1, 10000)), Keys: 300, Coord: s.Real("coordination", 20, 1, 10000),
 		Manifests: time.Duration(s.Real("manifestEveryS", 3, 0.1, 3600) * float64(time.Second))}
 	if d.Cores%2 == 0 {
--- a/sim/check/check.go
+++ b/sim/check/check.go
@@ -66,7 +66,14 @@
 
 // Rules names every rule, in the order of the brief.
 var Rules = []string{"double-run", "false-not-run", "late-to-leaver", "wrong-service", "wrong-return", "manifest-late", "manifest-back",
-	"manifest-turned", "dropped-in-stop", "further-tries", "lock-shared", "number-repeated", "stale-read", "watch-forgotten", CellOrder, CellStale, CellWatch, CellTurned, BayTurned, BayTold, BayStop, "slow-recovery", "urgent-turned", "held-back", "not-mended", "audit", "disk", "invalid", "damaged"}
+	"manifest-turned", "dropped-in-stop", "further-tries", "lock-shared", "number-repeated", "stale-read", "watch-forgotten", CellOrder, CellStale, CellWatch, CellTurned, BayTurned, BayTold, BayStop, "slow-recovery", "urgent-turned", "held-back", "not-mended", "audit", "disk", "invalid", "damaged", HerdReady}
+
+// HerdReady: sidecars that come together are all ready soon after a majority of the cores
+// is there. Only faults that must be asked for by name look at it.
+const HerdReady = "herd-ready"
+
+// named lists the rules that only such faults look at.
+var named = map[string]bool{HerdReady: true}
 
 // The rules of a bay: what it turned away never ran; a request gets one word; nobody waits
 // there soon after a planned stop began.
@@ -154,6 +161,9 @@
 func (c *Check) Unjudged() []string {
 	var out []string
 	for _, r := range Rules {
+		if named[r] && c.Seen[r] == 0 {
+			continue
+		}
 		need, ok := few[r]
 		if !ok {
 			need = enough
@@ -356,6 +366,8 @@
 			word = "BROKEN"
 		case slices.Contains(unjudged, r):
 			word = "not judged"
+		case named[r] && c.Seen[r] == 0:
+			word = "not asked"
 		}
 		fmt.Fprintf(&b, "%-18s %-10s looked at %d, broken %d", r, word, c.Seen[r], bad[r])
 		list(&b, "excused", c.Excused[r])
--- a/sim/plan/plan.go
+++ b/sim/plan/plan.go
@@ -18,6 +18,7 @@
 type Deployment struct {
 	Name      string
 	Cores     int
+	MoreCores int // beyond those that form the first roster
 	Sides     int
 	Districts int
 	Services  []Service
@@ -79,6 +80,8 @@
 	// Platform says that the world is as the users' platform has it, see world.World; apart
 	// for the same reason.
 	Platform bool
+	// Cost is world.World's.
+	Cost time.Duration
 }
 
 // Run is one simulated day.
@@ -127,6 +130,9 @@
 	if q.AddCores < 0 || q.AddCores > 4 {
 		add("add-cores", "must be from 0 to 4")
 	}
+	if q.Cost < 0 || q.Cost > 100*time.Millisecond {
+		add("cost", "must be from 0 to 100ms")
+	}
 	if len(d.All) > 0 {
 		return d
 	}
@@ -147,6 +153,7 @@
 func Simulate(d Deployment, q What) *world.World {
 	w := world.New(q.Seed)
 	w.Break, w.History, w.Platform = q.Break, 20*time.Second, q.Platform
+	w.Cost = q.Cost
 	r := &Run{World: w, d: d, what: q, load: d.Rate * q.Burden}
 	if q.Scale > 0 {
 		r.load *= q.Scale
@@ -154,7 +161,7 @@
 	if q.Links {
 		w.Links.Lose, w.Links.Double, w.Links.Late = 0.01, 0.02, 0.01
 	}
-	n := d.Cores + q.AddCores
+	n := d.Cores + d.MoreCores + q.AddCores
 	for i := range n {
 		a := ident.Addr(fmt.Sprintf("10.0.0.%d:7000", i+1))
 		if i < d.Cores {
--- a/sim/plan/plan_test.go
+++ b/sim/plan/plan_test.go
@@ -172,7 +172,12 @@
 				}
 				q.Break, q.Platform = b, b.Platform()
 				q.Cells = strings.HasPrefix(string(b), "cell-")
-				for _, x := range Simulate(Deployments["prairie"], q).Check.Breaches {
+				d := Deployments["prairie"]
+				if b == world.BreakJoin {
+					d, q = herd84, herdDay(seed, "herd-power")
+					q.Break = b
+				}
+				for _, x := range Simulate(d, q).Check.Breaches {
 					for _, r := range rules {
 						if r == x.Rule {
 							seen[r] = true
--- a/sim/world/clients.go
+++ b/sim/world/clients.go
@@ -60,7 +60,7 @@
 		if c.gen != gen || !c.up {
 			return
 		}
-		c.run(gen, func() {
+		c.handle(gen, c.cost, func() {
 			c.Deed(d, budget, func(e node.End) {
 				w.After(w.delay(), func() { say(&e) })
 			})
--- a/sim/world/core.go
+++ b/sim/world/core.go
@@ -38,6 +38,8 @@
 	rate    float64
 	jump    time.Duration // by which its clock has jumped
 	still   bool          // its clock stands while it is frozen
+	cost    time.Duration // of its own time for each message and request
+	free    moment.Moment // when it has done what came so far
 	backlog []func()
 }
 
@@ -59,7 +61,7 @@
 func (p *proc) start() {
 	p.up, p.frozen, p.backlog = true, false, nil
 	p.gen++
-	p.born, p.jump, p.still = p.w.now, 0, false
+	p.born, p.jump, p.still, p.free = p.w.now, 0, false, 0
 	p.rate = 0.99 + 0.02*p.w.Rng.Float64()
 }
 
@@ -77,6 +79,17 @@
 	do()
 }
 
+// handle has the process take a message or a request: one after the other, each for its
+// cost.
+func (p *proc) handle(gen int, cost time.Duration, do func()) {
+	if cost == 0 || !p.up || p.gen != gen {
+		p.run(gen, do)
+		return
+	}
+	p.free = max(p.free, p.w.now).Add(cost)
+	p.w.After(p.free.Since(p.w.now), func() { p.run(gen, do) })
+}
+
 // Freeze stops the process for a while.
 func (p *proc) Freeze(d time.Duration) {
 	if !p.up || p.frozen {
@@ -133,7 +146,7 @@
 
 // NewCore makes a core machine with an empty disk.
 func (w *World) NewCore(addr ident.Addr, d ident.District) *Core {
-	c := &Core{proc: proc{w: w, Addr: addr}, District: d, mem: ring.NewMem()}
+	c := &Core{proc: proc{w: w, Addr: addr, cost: w.Cost}, District: d, mem: ring.NewMem()}
 	w.Cores = append(w.Cores, c)
 	return c
 }
@@ -491,7 +504,7 @@
 				c.w.carry(to, c.Addr, func() { c.run(gen, func() { c.out(c.node.Down(c.clock(), to)) }) })
 			}
 			if d.Addr == to {
-				d.run(d.gen, func() { d.out(d.node.Step(d.clock(), m)) })
+				d.handle(d.gen, d.cost, func() { d.out(d.node.Step(d.clock(), m)) })
 			}
 		}
 	})
--- a/sim/world/reach.go
+++ b/sim/world/reach.go
@@ -61,6 +61,26 @@
 	return causeNoMajor
 }
 
+// Quorate tells whether a majority of the voters is well and joined.
+func (w *World) Quorate() bool {
+	for _, c := range w.Cores {
+		if c.Well() && w.quorate(c) {
+			return true
+		}
+	}
+	return false
+}
+
+// Calm tells whether no link is cut, and no core is down, frozen or slow.
+func (w *World) Calm() bool {
+	for _, c := range w.Cores {
+		if !c.up || c.frozen || c.broken || c.Slow > 0 {
+			return false
+		}
+	}
+	return len(w.Links.cuts) == 0
+}
+
 // quorate tells whether this core and the well voters that it has open links to are a
 // majority.
 func (w *World) quorate(c *Core) bool {
--- a/sim/world/side.go
+++ b/sim/world/side.go
@@ -104,6 +104,15 @@
 	s.ticker(s.gen, 0)
 }
 
+// Ready tells whether callers may come: it was let in and has a manifest in force.
+func (s *Side) Ready() bool { return s.up && s.entered && s.path.Epoch() > 0 }
+
+// Thawed tells whether the sidecar runs.
+func (s *Side) Thawed() bool { return s.up && !s.frozen }
+
+// Run counts the starts of the sidecar.
+func (s *Side) Run() int { return s.gen }
+
 // Kill ends the sidecar at once.
 func (s *Side) Kill() { s.up = false }
 
@@ -183,6 +192,11 @@
 // ask asks a core: the request may be lost, and so may the return. serve runs in the
 // core and says its return once; done runs here, with nil when none came in time.
 func (s *Side) ask(c *proc, limit time.Duration, serve func(say func(any)), done func(any)) {
+	s.askAt(c, c.cost, limit, serve, done)
+}
+
+// askAt is ask of a request that costs the core something else than others.
+func (s *Side) askAt(c *proc, cost, limit time.Duration, serve func(say func(any)), done func(any)) {
 	w, gen, over := s.w, s.gen, false
 	end := func(v any) {
 		if !over {
@@ -200,7 +214,7 @@
 		return
 	}
 	w.After(w.delay(), func() {
-		c.run(cg, func() {
+		c.handle(cg, cost, func() {
 			serve(func(v any) {
 				if w.Links.Open(to, from) {
 					w.After(w.delay(), func() { end(v) })
@@ -348,7 +362,11 @@
 	if s.mark != c.gen {
 		after = 0
 	}
-	s.ask(&c.proc, time.Second, func(say func(any)) {
+	cost := c.cost
+	if s.mark == c.gen && c.node.Ledger.Change() <= after {
+		cost = 0 // the daemon's long poll waits, and is no request of its own
+	}
+	s.askAt(&c.proc, cost, time.Second, func(say func(any)) {
 		say(told{c.gen, c.node.Ledger.Change(), c.node.Ledger.Feed(after), c.held, c.node.Stale()})
 	}, func(v any) {
 		if poll != s.polls {
--- a/sim/world/world.go
+++ b/sim/world/world.go
@@ -40,6 +40,9 @@
 	// another; bays stand beside the gates; and what a killed core has not synced stays in
 	// the page cache until power is lost.
 	Platform bool
+	// Cost is how long a core's process takes for each message and request that reaches it,
+	// as one with a part of a processor does; nothing if 0.
+	Cost time.Duration
 	// Closed says that clients begin nothing new.
 	Closed bool
 	// Broken on purpose, to see the checkers catch it.
@@ -74,6 +77,7 @@
 	"clock":     {"lock-shared"},
 	"mend":      {"not-mended"},
 	"audit":     {"audit"},
+	BreakJoin:   {check.HerdReady},
 	// Those of cells and kept claims.
 	"cell-twice":   {"cell-order"},
 	"cell-old":     {"cell-stale"},
