Answers to an earlier run of a core count for nothing in the next

Cause: each run of a core process numbered its rounds, surveys and forwards from 1. A return names the number, not the ballot, and a return may outlive the run it was meant for: it waits in another core's send queue behind a batch that got no answer (up to 1.5 s), or in a frozen process. The next run does the same things in the same order, so the numbers met.

Ruled out: naming the asker's mark in each return (32 bytes more each); comparing ballots everywhere (a confirming return and a taken patch carry none).

Now numbers begin at a place that the run's mark fixes (40 bits), and the maker takes a yes only under the very ballot that it asked with.

--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -133,6 +133,7 @@
 	seen     map[string]*message.Carried
 	seenList []string
 	reads    map[uint64]*reading
+	first    uint64 // where the numbers of this run begin, see ident.FirstNumber
 	count    uint64
 	said     moment.Moment
 	leaving  bool
@@ -194,6 +195,8 @@
 		n.Disk = boot.NewDisk()
 		write = append(write, ring.Record{Tag: diskTag, Data: []byte(n.Disk)})
 	}
+	n.first = ident.FirstNumber(boot.Mark)
+	n.count = n.first
 	n.rep, n.acc = replica.New(n.Disk), acceptor.New(n.Disk)
 	for _, rec := range recs {
 		if len(rec.Data) == 0 || rec.Tag == diskTag {
@@ -255,6 +258,7 @@
 	return news
 }
 
+// next numbers what this run asks of others. Invariant: no other run uses the number.
 func (n *Node) next() uint64 { n.count++; return n.count }
 
 // send reaches a voter, at the address it was last heard from.
--- a/control/register/owner/owner.go
+++ b/control/register/owner/owner.go
@@ -144,8 +144,9 @@
 	mending bool      // the last round was asked for so that copies are mended
 }
 
-// Owner runs all tenures of one core process. Invariant: mark is unique to the
-// process, so no ballot is ever used by two.
+// Owner runs all tenures of one core process. Invariants: mark is unique to the
+// process, so no ballot is ever used by two; turns begin at first, which is the process's
+// own too, so no return to an earlier process's ask counts in a round of this one.
 type Owner struct {
 	mark   string
 	mach   Machine
@@ -154,6 +155,7 @@
 	busy   map[ident.Key]*tenure
 	close  []ident.Disk
 	kin    int
+	first  uint64
 	turn   uint64
 	able   map[ident.Disk]bool
 	// Near, when set, gives what the process's own disk holds of a key. It need not be
@@ -165,7 +167,8 @@
 
 // New makes an owner.
 func New(mark string, mach Machine) *Owner {
-	return &Owner{mark: mark, mach: mach, held: map[ident.Key]*tenure{}, busy: map[ident.Key]*tenure{}, able: map[ident.Disk]bool{}}
+	first := ident.FirstNumber(mark)
+	return &Owner{mark: mark, mach: mach, first: first, turn: first, held: map[ident.Key]*tenure{}, busy: map[ident.Key]*tenure{}, able: map[ident.Disk]bool{}}
 }
 
 // Able says whether the process that has the disk knows patches.
@@ -302,14 +305,14 @@
 	o.close, o.kin = disks, min(kin, max(0, len(disks)-1))
 }
 
-// few lists whom a confirming round asks first. Those that are no kin take turns, so that
+// few lists whom the confirming round of a number asks first. Those that are no kin take turns, so that
 // in time every copy is looked at.
-func (o *Owner) few(turn uint64) []ident.Disk {
+func (o *Owner) few(round uint64) []ident.Disk {
 	need := o.roster.Majority()
 	out := slices.Clone(o.close[:min(need, 1+o.kin)])
 	rest := o.close[1+o.kin:]
 	for i := 0; len(out) < need; i++ {
-		out = append(out, rest[(int(turn%uint64(len(rest)))+i)%len(rest)])
+		out = append(out, rest[(int(round%uint64(len(rest)))+i)%len(rest)])
 	}
 	return out
 }
@@ -319,7 +322,7 @@
 func (o *Owner) ask(t *tenure, fx *Effects) {
 	var few []ident.Disk
 	if t.few {
-		few = o.few(t.turn)
+		few = o.few(t.turn - o.first)
 	}
 	for _, v := range o.roster.Voters {
 		if _, ok := t.returns[v.Disk]; ok || t.few && !slices.Contains(few, v.Disk) {
@@ -441,7 +444,7 @@
 			// Another tenure is above: come back higher, a little later.
 			t.tries++
 			t.stage = idle
-			t.pause = now.Add(time.Duration(t.tries*10+int(o.turn*7%23)) * time.Millisecond)
+			t.pause = now.Add(time.Duration(t.tries*10+int((o.turn-o.first)*7%23)) * time.Millisecond)
 			return fx
 		}
 		o.lose(t, &fx)
--- a/control/roster/maker/maker.go
+++ b/control/roster/maker/maker.go
@@ -110,6 +110,9 @@
 		m.stop(now)
 		return nil, nil
 	}
+	if r.Promised != m.ballot {
+		return nil, nil // a yes to the same turn of an earlier run, whose ballot was another
+	}
 	m.returns[r.Disk] = r
 	if len(m.returns) < m.base.Majority() {
 		return nil, nil
--- a/kernel/ident/ident.go
+++ b/kernel/ident/ident.go
@@ -4,6 +4,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"hash/fnv"
 	"net"
 	"net/netip"
 	"strings"
@@ -79,3 +80,19 @@
 	_, _ = rand.Read(raw[:])
 	return hex.EncodeToString(raw[:])
 }
+
+// firstBits is how many bits the first request number of a run has: few, as they travel
+// with every request, and enough that the numbers of two runs do not meet.
+const firstBits = 40
+
+// FirstNumber is where a run of a process begins to number its requests to others; run is
+// its mark, or a name that holds the mark. Invariant: the numbers of two runs lie apart, so
+// that a late answer to an earlier run is never taken for an answer to this one.
+func FirstNumber(run string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(run))
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	return (x ^ x>>33) >> (64 - firstBits)
+}
