A core that loses the majority ends what it has not begun at once

Cause: a call that was waiting when the majority went, or came in the 1.2 s in which a silent core still counts as live, waited out its budget (0.9 s to 4 s), and was then told 504, its fate unknown, though it had not been begun: it stood behind another round, or behind a takeover that no majority answered.

Now a core that heard a majority and hears none takes back, within a tick, what waits at its owner without being begun, its own and other cores' calls, and ends it as not run; so it does with reads, which change nothing. A change that may have been begun is kept until its time is over, since its end may yet come. A read is never told as of unknown fate. Calls whose time is over while they wait are told as not run, too. A core that has only just started keeps calls as before: those that live may not have said so yet.

Shown: 20 kinds of call, answers and refusals, at a core that owns the keys and so remembers every answer, cut off silently both ways, in or out, called 0 to 2 s after: none is answered or refused (15 combinations of cut and time, 300 calls).

Left: a core whose words alone are lost still hears hellos and can't know it; its calls wait out their budget and are told the truth then.

--- /dev/null
+++ b/control/core/node/cut_test.go
@@ -0,0 +1,197 @@
+package node_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/group"
+	"cottonarch.example/cottonarch/control/coordination/lock"
+	"cottonarch.example/cottonarch/control/coordination/share"
+	"cottonarch.example/cottonarch/control/core/message"
+	"cottonarch.example/cottonarch/control/manifest/offer"
+	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
+)
+
+// cuts are the ways in which a core may be cut off from the others.
+var cuts = map[string]func(at, to ident.Addr, m message.Message) bool{
+	"both": func(at, to ident.Addr, m message.Message) bool { return (m.From == at) != (to == at) },
+	"in":   func(at, to ident.Addr, m message.Message) bool { return to == at && m.From != at },
+	"out":  func(at, to ident.Addr, m message.Message) bool { return m.From == at && to != at },
+}
+
+func (x *trio) cut(at ident.Addr, way string) {
+	x.lost = func(to ident.Addr, m message.Message) bool { return cuts[way](at, to, m) }
+}
+
+// call runs a deed at a core until it has ended.
+func (x *trio) call(at ident.Addr, d owner.Deed, budget time.Duration) (e defectOrBody) {
+	x.tickets++
+	ticket, began := x.tickets, x.now
+	x.out(at, x.nodes[at].Deed(x.now, ticket, d, budget))
+	for x.end(ticket) == nil && x.now.Since(began) < budget+time.Second {
+		x.run(10 * time.Millisecond)
+	}
+	if end := x.end(ticket); end != nil {
+		return defectOrBody{string(end.Body), end.Defect, x.now.Since(began)}
+	}
+	return defectOrBody{took: -1}
+}
+
+type defectOrBody struct {
+	body   string
+	defect *defect.Defect
+	took   time.Duration
+}
+
+func (e defectOrBody) kind() defect.Kind {
+	if e.defect == nil {
+		return ""
+	}
+	return e.defect.Kind
+}
+
+func deedOf(key ident.Key, kind string, args any) owner.Deed {
+	return owner.Deed{Key: key, Kind: kind, Args: book.JSON(args), Loose: true}
+}
+
+// known are calls that a core which owns every key answers, or refuses, when it is well:
+// each names the answer, which it knows from its own tenure's memory.
+var known = []struct {
+	deed owner.Deed
+	says defect.Kind // "" for a yes
+}{
+	{deedOf("lock/l", "lock/claim", lock.Args{Holder: "other", TTL: 60000}), defect.Held},
+	{deedOf("lock/l", "lock/claim", lock.Args{Holder: "me", TTL: 60000, Keep: true}), ""},
+	{deedOf("lock/l", "lock/renew", lock.Args{Holder: "me", Fence: 1, TTL: 60000}), ""},
+	{deedOf("lock/l", "lock/renew", lock.Args{Holder: "me", Fence: 7}), defect.NotHolder},
+	{deedOf("lock/l", "lock/release", lock.Args{Holder: "other", Fence: 1}), defect.NotHolder},
+	{deedOf("lock/l", "lock/read", lock.Args{}), ""},
+	{deedOf("number/n", "number/next", map[string]int{}), ""},
+	{deedOf("number/n", "number/read", map[string]int{}), ""},
+	{deedOf(group.Key("g."), "group/read", group.Args{Name: "a"}), ""},
+	{deedOf(group.Key("g."), "group/read", group.Args{Name: "none"}), defect.Missing},
+	{deedOf(group.Key("g."), "group/put", group.Args{Name: "a", Value: []byte(`"1"`)}), ""},
+	{deedOf(group.Key("g."), "group/put", group.Args{Name: "a", Value: []byte(`"2"`), If: new(ident.Revision)}), defect.Conflict},
+	{deedOf(group.Key("g."), "group/since", group.Args{After: new(ident.Revision)}), ""},
+	{deedOf(offer.Key, "manifest/epoch", nil), ""},
+	{deedOf(offer.Key, "manifest/read", nil), ""},
+	{deedOf(offer.Key, "manifest/offer", offer.Args{BaseRelease: new(uint64), Loose: true, Body: []byte(`{"release":9}`)}), defect.Conflict},
+	{deedOf(offer.Key, "manifest/offer", offer.Args{Body: []byte(`{"ways":{"w":{"host":"h","service":"none"}}}`)}), defect.Invalid},
+	{deedOf("share", "share/take", share.Args{Node: "s", Claim: 1}), defect.Conflict},
+	{deedOf("share", "share/read", nil), ""},
+	{deedOf("number/n", "no/such", nil), defect.Malformed},
+}
+
+// fill gives every key of the table a state, and has one core own them all.
+func (x *trio) fill(t *testing.T, at ident.Addr) {
+	for _, d := range []owner.Deed{
+		deedOf("lock/l", "lock/claim", lock.Args{Holder: "me", TTL: 60000}),
+		deedOf("number/n", "number/next", map[string]int{}),
+		deedOf(group.Key("g."), "group/put", group.Args{Name: "a", Value: []byte(`"1"`)}),
+		deedOf(offer.Key, "manifest/offer", offer.Args{Loose: true, Body: []byte(`{"release":3}`)}),
+		deedOf("share", "share/take", share.Args{Node: "s", Claim: 2}),
+	} {
+		x.out(at, x.nodes[at].Step(x.now, message.Message{Handover: &message.Handover{Keys: []ident.Key{d.Key}}}))
+		x.run(50 * time.Millisecond)
+		must.Eq(t, "", x.call(at, d, 4*time.Second).kind(), must.Sprint(d.Kind))
+	}
+}
+
+// own makes one core own a key again, by taking it.
+func (x *trio) own(at ident.Addr, k ident.Key) {
+	x.out(at, x.nodes[at].Step(x.now, message.Message{Handover: &message.Handover{Keys: []ident.Key{k}}}))
+	x.run(50 * time.Millisecond)
+}
+
+// A core that owns a key, and so remembers all of its state, neither answers nor refuses
+// from memory: cut off in any way, and called at any time after that, it says that no
+// majority answered, or that the fate of a change is not known, and nothing else. What it
+// said was not done is not done afterwards. Well, it gives each of the answers.
+func TestCutOffCoreAnswersNothingFromMemory(t *testing.T) {
+	const budget = 900 * time.Millisecond
+	for way := range cuts {
+		for _, after := range []time.Duration{0, 300 * time.Millisecond, 900 * time.Millisecond, 1300 * time.Millisecond, 2 * time.Second} {
+			x := newTrio(t)
+			x.fill(t, "a:1")
+			for i, c := range known {
+				must.Eq(t, c.says, x.call("a:1", c.deed, budget).kind(), must.Sprint(i, c.deed.Kind))
+			}
+			x.call("a:1", deedOf("number/n", "number/next", map[string]int{}), budget)
+			for i, c := range known {
+				x.own("a:1", c.deed.Key)
+				x.cut("a:1", way)
+				x.run(after)
+				at := fmt.Sprintf("call %d, %s, cut %s, %v after it", i, c.deed.Kind, way, after)
+				got := x.call("a:1", c.deed, budget)
+				must.NotNil(t, got.defect, must.Sprint(at, got.body))
+				must.SliceContains(t, []defect.Kind{defect.NoMajority, defect.Unknown}, got.kind(), must.Sprint(at))
+				must.Eq(t, got.kind() == defect.NoMajority, got.defect.Fate == defect.FateNo, must.Sprint(at))
+				must.Between(t, 0, got.took, budget+50*time.Millisecond, must.Sprint(at))
+				if way != "out" && after > 1200*time.Millisecond {
+					must.Eq(t, defect.NoMajority, got.kind(), must.Sprint(at))
+					must.Less(t, 50*time.Millisecond, got.took, must.Sprint(at))
+				}
+				x.lost = nil
+				x.run(time.Second)
+				if c.deed.Kind == "number/next" && got.defect.Fate == defect.FateNo {
+					must.Eq(t, `{"number":3}`, x.call("b:1", deedOf("number/n", "number/read", nil), budget).body, must.Sprint(at))
+				}
+			}
+		}
+	}
+}
+
+// What waits at a core when it loses the majority is answered then and not at the end of
+// its time: a read at once, and a change that was not begun at once too; both as not run.
+// A change that was begun has an unknown fate, and is answered with its end if the majority
+// is back in time.
+func TestWaitingCallsEndWithTheMajority(t *testing.T) {
+	const budget = 4 * time.Second
+	next, read := deedOf("number/n", "number/next", map[string]int{}), deedOf("number/n", "number/read", map[string]int{})
+	next.Loose = false // so that the copies of one call act once
+	start := func(way string) *trio {
+		x := newTrio(t)
+		x.fill(t, "a:1")
+		x.own("a:1", "number/n")
+		x.cut("a:1", way)
+		return x
+	}
+	for _, way := range []string{"both", "in"} {
+		x := start(way)
+		got := x.call("a:1", read, budget)
+		must.Eq(t, defect.NoMajority, got.kind())
+		must.Less(t, 1300*time.Millisecond, got.took)
+
+		// The first change is in a round; the ones behind it are not begun.
+		x = start(way)
+		for ticket := uint64(1); ticket <= 3; ticket++ {
+			x.out("a:1", x.nodes["a:1"].Deed(x.now, ticket, next, budget))
+		}
+		x.run(1300 * time.Millisecond)
+		must.Nil(t, x.end(1))
+		for ticket := uint64(2); ticket <= 3; ticket++ {
+			must.NotNil(t, x.end(ticket))
+			must.Eq(t, defect.FateNo, x.end(ticket).Defect.Fate)
+		}
+		x.lost = nil
+		x.run(budget)
+		must.Nil(t, x.end(1).Defect)
+		must.Eq(t, `{"number":3}`, x.call("b:1", next, budget).body, must.Sprint("one of three took effect"))
+	}
+}
+
+// A core that has just started, and has heard no majority yet, keeps a call until it hears
+// one: those that live may not have said so.
+func TestStartingCoreKeepsCalls(t *testing.T) {
+	x := newTrio(t)
+	x.dead["c:1"] = true
+	x.start(t, "c:1", "", three)
+	got := x.call("c:1", deedOf("number/n", "number/next", map[string]int{}), 2*time.Second)
+	must.Nil(t, got.defect)
+}
--- a/control/core/node/deeds.go
+++ b/control/core/node/deeds.go
@@ -33,6 +33,9 @@
 	done   func(moment.Moment, End, *Effects)
 }
 
+// mayAct tells whether some copy of the deed may have changed something, or may yet.
+func (p *pending) mayAct() bool { return (p.risk || p.open > 0) && !harmless[p.deed.Kind] }
+
 type guest struct {
 	from   ident.Addr
 	mark   string
@@ -75,6 +78,10 @@
 
 // steer sends the one copy of a pending deed to the key's owner.
 func (n *Node) steer(now moment.Moment, p *pending, fx *Effects) {
+	if n.cutOff(now) && !p.mayAct() {
+		n.late(now, p, fx)
+		return
+	}
 	disks, at := n.live(now)
 	first, _ := place.Owner(p.deed.Key, disks)
 	if first == "" || p.pause.After(now) || !n.Majority(now) {
@@ -105,7 +112,7 @@
 
 func (n *Node) finish(now moment.Moment, p *pending, e End, fx *Effects) {
 	e.Ticket = p.ticket
-	if e.Defect != nil && (p.risk || p.open > 0) && e.Defect.Fate == defect.FateNo {
+	if e.Defect != nil && p.mayAct() && e.Defect.Fate == defect.FateNo {
 		// Another copy may still take effect: a no would not be sure.
 		d := *e.Defect
 		d.Fate = defect.FateUnknown
--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -136,6 +136,7 @@
 	first    uint64 // where the numbers of this run begin, see ident.FirstNumber
 	count    uint64
 	said     moment.Moment
+	joined   bool // this run has heard a majority
 	leaving  bool
 	broken   bool
 	copying  bool
--- a/control/core/node/peers.go
+++ b/control/core/node/peers.go
@@ -128,6 +128,10 @@
 // Majority tells whether enough voters are heard to serve.
 func (n *Node) Majority(now moment.Moment) bool { return n.majority(now, alive) }
 
+// cutOff tells whether this core heard a majority and hears none now. One that has just
+// started and has heard none yet is not: those that live may not have said so.
+func (n *Node) cutOff(now moment.Moment) bool { return n.joined && !n.Majority(now) }
+
 // majority tells whether enough voters were heard within a span.
 func (n *Node) majority(now moment.Moment, span time.Duration) bool {
 	got := 0
--- a/control/core/node/tick.go
+++ b/control/core/node/tick.go
@@ -42,8 +42,13 @@
 	return fx
 }
 
-// pendings routes what waits and ends what is late.
+// pendings routes what waits and ends what is late. While this core is cut off it ends at
+// once whatever has certainly changed nothing; a change that may have been begun stays until
+// its time is over, as its fate may yet be learned.
 func (n *Node) pendings(now moment.Moment, fx *Effects) {
+	n.joined = n.joined || n.Majority(now)
+	cut := n.cutOff(now)
+	n.owned(now, n.own.Withdraw(func(d owner.Deed) bool { return cut || d.Until != 0 && now.After(d.Until) }), fx)
 	list := n.wait
 	n.wait = nil
 	for _, p := range list {
@@ -58,7 +63,7 @@
 		if !ok {
 			continue
 		}
-		if now > p.until {
+		if now > p.until || cut && harmless[p.deed.Kind] {
 			delete(n.pend, out)
 			p.risk = true
 			n.late(now, p, fx)
@@ -78,7 +83,7 @@
 
 func (n *Node) late(now moment.Moment, p *pending, fx *Effects) {
 	d := defect.New(defect.NoMajority, "no majority of the core answered in time").Later(1)
-	if p.risk || p.open > 0 {
+	if p.mayAct() {
 		d = defect.Unsure(defect.Unknown, "the change was sent on and no return came in time")
 	}
 	n.finish(now, p, End{Defect: d}, fx)
@@ -87,7 +92,7 @@
 func (n *Node) readings(now moment.Moment, fx *Effects) {
 	for _, turn := range n.turns() {
 		rd := n.reads[turn]
-		if now > rd.until {
+		if now > rd.until || rd.done == nil && n.cutOff(now) {
 			delete(n.reads, turn)
 			if rd.done != nil && rd.All && rd.Enough() {
 				rd.done(now, rd.Survey, fx)
--- a/control/register/owner/owner.go
+++ b/control/register/owner/owner.go
@@ -215,6 +215,22 @@
 	return fx
 }
 
+// Withdraw takes back the deeds that match, of those that wait and were not begun: each
+// ends as lost, without risk, and this owner will not begin it.
+func (o *Owner) Withdraw(match func(Deed) bool) (fx Effects) {
+	for _, key := range o.keys(o.busy) {
+		t := o.busy[key]
+		t.waiting = slices.DeleteFunc(slices.Clone(t.waiting), func(d Deed) bool {
+			if !match(d) {
+				return false
+			}
+			fx.Outcomes = append(fx.Outcomes, Outcome{Deed: d, Lost: true})
+			return true
+		})
+	}
+	return fx
+}
+
 // Keys lists what is held.
 func (o *Owner) Keys() []ident.Key {
 	return slices.DeleteFunc(o.keys(o.held), func(k ident.Key) bool { return o.held[k].stage == idle })
