--- a/fleet/standing/main.go
+++ b/fleet/standing/main.go
@@ -41,6 +41,9 @@
 
 func read(pid int) (u use, err error) {
 	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*", pid))
+	if err != nil {
+		return u, err
+	}
 	for _, t := range tasks {
 		raw, err := os.ReadFile(t + "/schedstat")
 		if err != nil {
--- a/mesh/bay/model_test.go
+++ b/mesh/bay/model_test.go
@@ -232,7 +232,6 @@
 	all     []index.Entry
 	tally   tally
 	ids     uint64
-	ways    map[string]float64
 	spent   float64 // further tries, as a part of calls
 	cap     float64
 }
