A damaged head of a young ring's only file is damage, not a new ring

Cause: with no readable head in any file, Open began a new ring unless a file other than the first had bytes in its head.

Ruled out: taking any bytes in the first head for damage. A power loss during the very first write leaves some, with nothing synced behind them; that ring must begin anew. Records are appended only after the head was synced, and each names what was known as synced: one that names anything proves the head was there.

--- a/storage/ring/ring.go
+++ b/storage/ring/ring.go
@@ -103,6 +103,11 @@
 				return nil, defect.New(defect.Damaged, "ring-%03d: head is damaged", i)
 			}
 		}
+		// Records follow a head only once it was synced: without a head, one that knew
+		// anything as synced proves that the head was there and is damaged.
+		if err := r.behind(0, 1, fileHead); err != nil {
+			return nil, err
+		}
 		r.now, r.seq = boot.Files-1, 0
 		return r, r.advance()
 	}
--- a/storage/ring/ring_test.go
+++ b/storage/ring/ring_test.go
@@ -195,3 +195,38 @@
 		}
 	}
 }
+
+// A damaged head of the only file that a young ring has written does not make it a new one:
+// what was synced is never forgotten without a word. A ring that lost power while its first
+// head was written holds nothing yet, and begins anew.
+func TestDamagedFirstHeadIsNoNewRing(t *testing.T) {
+	boot := Boot{Files: 4, Size: 4096}
+	for off := range int64(fileHead) {
+		box := NewMem()
+		r, err := Open(box, boot)
+		must.NoError(t, err)
+		must.NoError(t, r.Append([]Record{{"promise", []byte("7")}}))
+		must.NoError(t, r.Sync())
+		box.Flip("ring-000", off)
+		_, err = Open(box, boot)
+		must.NotNil(t, err, must.Sprintf("byte %d of the head", off))
+		var d *defect.Defect
+		must.True(t, defect.Find(err, &d))
+		must.Eq(t, defect.Damaged, d.Kind)
+	}
+	for part := range fileHead {
+		box := NewMem()
+		box.Fail = func(deed string) error {
+			if deed == "sync" {
+				return errors.New("power is gone")
+			}
+			return nil
+		}
+		_, err := Open(box, boot)
+		must.NotNil(t, err)
+		box.Crash(func(n int) int { return min(n, part) })
+		r, err := Open(box, boot)
+		must.NoError(t, err, must.Sprintf("%d bytes of the first head", part))
+		must.SliceEmpty(t, r.Records())
+	}
+}
