All orders of a request's hops over real sockets; no kept connection without an id

Tests: three moves of two endpoints beside a sidecar, two or three of the hop between sidecars before those behind it, and hanging peers, over the daemon's own code; every answer is held against what the endpoints saw.

Cause of the change: where endpoints echo an id, a request that brings none went out on a kept connection under an empty id. An endpoint that echoes the empty one and says an older answer late had that answer given to the next caller; one that echoes none lost the answer (502, fate unknown). TestRequestWithoutAnIdHasAConnectionOfItsOwn failed in both ways before. Now such a request has a connection of its own, as where endpoints repeat no id. Ruled out: an id made up here, since endpoints are to see the caller's own.

Also: what follows the last chunk of an answer must be header lines.

--- a/daemon/sidecar/intake.go
+++ b/daemon/sidecar/intake.go
@@ -478,13 +478,16 @@
 	req.Until = until
 	req.Set = append(make([]exchange.Field, 0, 4), req.Set...)
 	req.Set = append(req.Set, exchange.Field{Name: TargetHeader, Value: string(server)})
-	if heads.Id == "" {
+	if heads.Id != "" {
+		req.Set = append(req.Set, exchange.Field{Name: heads.Limit, Value: strconv.FormatInt(max(1, time.Until(until).Milliseconds()-endMargin), 10)})
+		req.Seal, req.Plain = heads.Seal, true
+	}
+	if id := first(req.Header, heads.Id); id == "" {
 		// Without an id nothing tells an unasked return on a kept connection from the one
 		// that is due: each request has a connection of its own.
 		req.Fresh = true
 	} else {
-		req.Set = append(req.Set, exchange.Field{Name: heads.Limit, Value: strconv.FormatInt(max(1, time.Until(until).Milliseconds()-endMargin), 10)})
-		req.IdHeader, req.Id, req.Seal, req.Plain, req.Sure = heads.Id, first(req.Header, heads.Id), heads.Seal, true, sure
+		req.IdHeader, req.Id, req.Sure = heads.Id, id, sure
 	}
 	req.Last = func() *defect.Defect {
 		s.mu.Lock()
--- /dev/null
+++ b/daemon/sidecar/once_test.go
@@ -0,0 +1,224 @@
+package sidecar
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/wire/reply"
+)
+
+// These tests play all orders of what the far ends of a request's hops may do, over the
+// daemon's own code and real sockets, and hold every answer against what the endpoints
+// saw. Builds that they were seen to catch: see docs/design/control-safety/exactly-once.md.
+
+// patientLimit is the time of a request that nothing ends by time; shortLimit that of one
+// which meets a peer that hangs.
+const (
+	patientLimit = time.Minute
+	shortLimit   = 60 * time.Millisecond
+)
+
+// promises are the statuses that promise that a request has not run and never will.
+var promises = map[int]bool{408: true, 421: true, 429: true, 503: true}
+
+// place puts the two endpoints of a service on the stage and gives the sidecar that is asked.
+type place func(*stage) *Sidecar
+
+func beside(st *stage) *Sidecar {
+	s := node("a", "127.0.0.1:1", st.endpoints...)
+	s.knows("a", "127.0.0.1:1", "a0", "a1")
+	return s
+}
+
+func behind(st *stage) *Sidecar {
+	st.peer.Store(node("b", "127.0.0.1:2", st.endpoints...))
+	s := node("a", "127.0.0.1:1")
+	s.knows("b", st.hop, "b0", "b1")
+	return s
+}
+
+// play sends requests one after the other against one order of moves. It is judged when
+// they are answered, and again when all of the stage is over: what was refused never runs.
+func (st *stage) play(t *testing.T, at place, limit time.Duration, paths []string, script []endpointMove, relays []relayMove) {
+	j, order := newJournal(script, relays), fmt.Sprint(st.orders.Add(1))
+	st.journals.Store(order, j)
+	s := at(st)
+	defer st.over(s)
+	answers := make([]*httptest.ResponseRecorder, len(paths))
+	for n, path := range paths {
+		answers[n] = s.asks(path, fmt.Sprint(order, "-r", n), limit)
+	}
+	judge := func() {
+		for n, path := range paths {
+			j.judge(t, path, fmt.Sprint(order, "-r", n), answers[n], orderText(paths, script, relays))
+		}
+	}
+	judge()
+	t.Cleanup(judge)
+}
+
+// over closes the connections that an order kept.
+func (st *stage) over(s *Sidecar) {
+	for _, one := range []*Sidecar{s, st.peer.Swap(nil)} {
+		if one == nil {
+			continue
+		}
+		for _, addr := range append(st.endpoints, st.hop) {
+			one.ends.Drop(addr)
+			one.peers.Drop(addr)
+		}
+	}
+}
+
+func orderText(paths []string, script []endpointMove, relays []relayMove) string {
+	names := []string{strings.Join(paths, " ")}
+	for _, m := range script {
+		names = append(names, m.name)
+	}
+	for _, m := range relays {
+		names = append(names, "hop "+m.name)
+	}
+	return strings.Join(names, "; ")
+}
+
+// judge holds the answer to one request against what the endpoints saw of it.
+func (j *journal) judge(t *testing.T, path, id string, got *httptest.ResponseRecorder, order string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	ran, unproved := 0, j.lost[id]
+	for n, move := range j.arrivals[id] {
+		if move.runs {
+			ran++
+		}
+		unproved = unproved || move.evidence == doubt
+		if n > 0 && strings.HasPrefix(path, "/once/") {
+			must.Eq(t, refused, j.arrivals[id][n-1].evidence, must.Sprintf("%s: %s was sent on after one that may have run", order, id))
+		}
+	}
+	say := must.Sprintf("%s: %s ran %d times, was told %d %s %s", order, id, ran, got.Code, got.Header().Get(reply.FateHeader), got.Body)
+	if strings.HasPrefix(path, "/once/") {
+		must.LessEq(t, 1, ran, say)
+	}
+	fate := defect.Fate(got.Header().Get(reply.FateHeader))
+	if fate == "" { // an endpoint's own
+		must.Eq(t, ownBody(id), got.Body.String(), say)
+		must.Eq(t, []string{id}, got.Header()[testId], say)
+		must.Greater(t, 0, ran, say)
+		return
+	}
+	must.False(t, got.Code < 300, say)
+	must.Eq(t, fate == defect.FateNo, promises[got.Code], say)
+	if fate == defect.FateNo {
+		must.Eq(t, 0, ran, say)
+	} else {
+		must.Eq(t, defect.FateUnknown, fate, say)
+		must.True(t, unproved || j.ended, say) // not unsure without a cause
+	}
+}
+
+// quick are the moves that nothing ends by time.
+func quick() (list []endpointMove) {
+	for _, m := range endpointMoves {
+		if m.end != hangs {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+var pathPairs = [][]string{{"/once/x", "/once/y"}, {"/again/x", "/once/y"}, {"/once/x", "/again/y"}}
+
+// named gives the moves of an endpoint that have these names.
+func named(names ...string) (list []endpointMove) {
+	for _, m := range endpointMoves {
+		if slices.Contains(names, m.name) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// All orders of three moves of two endpoints beside the sidecar, against two requests.
+func TestAllOrdersBesideTheSidecar(t *testing.T) {
+	last := named("answers", "answers an older one late, then this", "refuses", "runs and resets")
+	must.SliceLen(t, 4, last)
+	for _, first := range quick() {
+		t.Run(first.name, func(t *testing.T) {
+			t.Parallel()
+			st := newStage(t)
+			for _, second := range quick() {
+				for _, third := range last {
+					for _, paths := range pathPairs {
+						st.play(t, beside, patientLimit, paths, []endpointMove{first, second, third}, nil)
+					}
+				}
+			}
+		})
+	}
+}
+
+// All orders of two moves of the hop between sidecars and two of the endpoints behind it.
+func TestAllOrdersBehindAPeer(t *testing.T) {
+	moves := named("answers", "answers and closes", "answers twice", "refuses", "runs and resets")
+	must.SliceLen(t, 5, moves)
+	for _, first := range relayMoves {
+		t.Run(first.name, func(t *testing.T) {
+			t.Parallel()
+			st := newStage(t)
+			for _, second := range relayMoves {
+				for _, one := range moves {
+					for _, two := range moves {
+						st.play(t, behind, patientLimit, pathPairs[0], []endpointMove{one, two}, []relayMove{first, second})
+					}
+				}
+			}
+		})
+	}
+}
+
+// The same with a request that may run again before one that may not: three moves of the hop.
+func TestAllOrdersOfTheHopForWhatMayRunAgain(t *testing.T) {
+	moves := named("answers", "runs and resets")
+	must.SliceLen(t, 2, moves)
+	for _, first := range relayMoves {
+		t.Run(first.name, func(t *testing.T) {
+			t.Parallel()
+			st := newStage(t)
+			for _, second := range relayMoves {
+				for _, third := range relayMoves {
+					for _, one := range moves {
+						st.play(t, behind, patientLimit, pathPairs[1], []endpointMove{one}, []relayMove{first, second, third})
+					}
+				}
+			}
+		})
+	}
+}
+
+// A peer that hangs ends the request at its time: whether it ran is unknown, nothing goes
+// out again, and its connection carries nothing after it.
+func TestAllOrdersWithAPeerThatHangs(t *testing.T) {
+	hang := endpointMoves[len(endpointMoves)-1]
+	must.Eq(t, hangs, hang.end)
+	silent := relayMove{"hangs", true, false, none, hangs, true}
+	for _, other := range endpointMoves {
+		t.Run(other.name, func(t *testing.T) {
+			t.Parallel()
+			st := newStage(t)
+			for _, script := range [][]endpointMove{{hang, other}, {other, hang}} {
+				for _, paths := range pathPairs {
+					st.play(t, beside, shortLimit, paths, script, nil)
+					st.play(t, behind, shortLimit, paths, script, nil)
+					st.play(t, behind, shortLimit, paths, script[:1], []relayMove{silent})
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/daemon/sidecar/unnamed_test.go
@@ -0,0 +1,51 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// A request that brings no id has nothing that tells its answer from another's: it gets a
+// connection to the endpoint of its own, so an older answer that comes late reaches nobody.
+func TestRequestWithoutAnIdHasAConnectionOfItsOwn(t *testing.T) {
+	for name, echo := range map[string]string{"echoed": testId + ": \r\n", "not echoed": ""} {
+		t.Run(name, func(t *testing.T) {
+			answer := func(n int) string {
+				body := fmt.Sprintf(`{"n":%d}`, n)
+				return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s%s: s\r\nContent-Length: %d\r\n\r\n%s", echo, testSeal, len(body), body)
+			}
+			asked := make(chan string, 8)
+			var all atomic.Int64
+			at := listens(t, func(c *net.TCPConn) {
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				for past := ""; ; {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					body, _ := io.ReadAll(req.Body)
+					asked <- string(body)
+					own := answer(int(all.Add(1)))
+					_, _ = io.WriteString(c, past+own)
+					past = own
+				}
+			})
+			s := node("a", "127.0.0.1:1", at)
+			s.knows("a", "127.0.0.1:1", "a0")
+			for n := range 3 {
+				w := s.asks("/once/x", "", patientLimit)
+				must.Eq(t, http.StatusOK, w.Code, must.Sprint(w.Body))
+				must.Eq(t, fmt.Sprintf(`{"n":%d}`, n+1), w.Body.String())
+				must.Eq(t, `{"to":""}`, <-asked)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/wire/exchange/fuzz_test.go
@@ -0,0 +1,124 @@
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// fuzzBodyMax bounds the bodies of fuzzed answers.
+const fuzzBodyMax = 1 << 10
+
+// readAnswer reads one answer off the bytes as a connection would bring them; used tells
+// how many of them were taken.
+func readAnswer(raw []byte, call *Call) (answer *Return, keep bool, used int) {
+	source := bytes.NewReader(raw)
+	r := reads.Get().(*reading)
+	defer reads.Put(r)
+	r.Reset(source)
+	answer, keep, problem := r.read(call, fuzzBodyMax, func(time.Duration) {})
+	if (answer == nil) == (problem == nil) {
+		panic("an answer without a defect, or neither")
+	}
+	return answer, keep, len(raw) - source.Len() - r.Buffered()
+}
+
+// Whatever bytes a peer sends as an answer: reading ends, what is accepted carries the
+// call's own id, is within the bound, is read the same by net/http's own reader, and is
+// not accepted when its last byte is missing.
+func FuzzAnswer(f *testing.F) {
+	const id = "X-Id: i\r\n"
+	for _, seed := range []string{
+		well, "", "HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX-Tail: a\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\n" + well, "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 2\r\n\r\nho" + well, well + well,
+		"HTTP/1.1 204 No Content\r\n" + id + "\r\n", "HTTP/1.1 304 Not Modified\r\n" + id + "Content-Length: 2\r\n\r\n",
+		"HTTP/1.0 200 OK\r\n" + id + "Content-Type: application/json\r\n\r\n{\"a\":1}", "HTTP/1.1 200 OK\r\n" + id + "Keep-Alive: timeout=5\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nhi",
+		"\x00\x01 garbage\r\n\r\n", "HTTP/1.1 200 OK\r\n" + id + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	} {
+		for _, method := range []string{"GET", "HEAD"} {
+			f.Add(method, true, []byte(seed))
+			f.Add(method, false, []byte(seed))
+		}
+	}
+	f.Fuzz(func(t *testing.T, method string, named bool, raw []byte) {
+		call := &Call{Method: method}
+		if named {
+			call.IdHeader, call.Id = "X-Id", "i"
+		}
+		answer, keep, used := readAnswer(raw, call)
+		if answer == nil {
+			return
+		}
+		must.LessEq(t, fuzzBodyMax, len(answer.Body))
+		must.True(t, answer.Status >= 200 && answer.Status <= 999)
+		if named {
+			must.Eq(t, []string{"i"}, answer.Header["X-Id"])
+		}
+		if keep {
+			cut, _, _ := readAnswer(raw[:used-1], call)
+			must.Nil(t, cut, must.Sprint("accepted without its last byte"))
+		}
+		reference(t, raw, call, answer)
+	})
+}
+
+// reference reads the same bytes with net/http, past what the exchange reads past.
+func reference(t *testing.T, raw []byte, call *Call, answer *Return) {
+	source := bufio.NewReader(bytes.NewReader(raw))
+	for {
+		got, err := http.ReadResponse(source, &http.Request{Method: call.Method})
+		must.NoError(t, err)
+		body, err := io.ReadAll(got.Body)
+		must.NoError(t, err)
+		if got.StatusCode < 200 || call.IdHeader != "" && got.Header.Get(call.IdHeader) != call.Id {
+			continue
+		}
+		must.Eq(t, got.StatusCode, answer.Status)
+		must.True(t, bytes.Equal(body, answer.Body), must.Sprintf("%q is not %q", answer.Body, body))
+		return
+	}
+}
+
+// Whatever a call is made of: it is refused before anything is written, or net/http's own
+// reader finds exactly one request in what is written, with that method, target, host,
+// header and body.
+func FuzzRequest(f *testing.F) {
+	f.Add("GET", "/x//y?z=1", "h.x", "X-A", "b", "r", []byte(nil), false)
+	f.Add("POST", "/", "h", "Transfer-Encoding", "chunked", "r", []byte("GET /smuggled HTTP/1.1\r\n\r\n"), true)
+	f.Add("PUT", "/a b", "h\r\nX: y", "A: b\r\nC", "d\r\nE: f", "r\n", []byte("x"), false)
+	f.Add("GET /", "", "", "", "\x00", "", []byte{}, true)
+	f.Add("DELETE", "/", "h", "Connection", "X-Id, Content-Length", "r", []byte("body"), false)
+	f.Fuzz(func(t *testing.T, method, target, host, name, value, id string, body []byte, fresh bool) {
+		call := &Call{Method: method, Target: target, Host: host, Header: http.Header{name: {value}}, Body: body, IdHeader: "X-Id", Id: id, Fresh: fresh}
+		out := &writing{}
+		if out.fill(call) != nil {
+			return
+		}
+		written := append(bytes.Clone(out.head), out.body...)
+		must.StrHasPrefix(t, method+" "+target+" HTTP/1.1\r\nHost: "+host+"\r\n", string(written))
+		// A target in a form that net/http does not read is not the writer's to refuse.
+		if !strings.HasPrefix(target, "/") || strings.Contains(target, "%") || strings.HasPrefix(target, "//") {
+			return
+		}
+		source := bufio.NewReader(bytes.NewReader(written))
+		got, err := http.ReadRequest(source)
+		if err != nil {
+			return // a host that net/http refuses whole
+		}
+		data, err := io.ReadAll(got.Body)
+		must.NoError(t, err)
+		must.Eq(t, method, got.Method)
+		must.Eq(t, target, got.RequestURI)
+		must.Eq(t, fresh, got.Close)
+		must.Eq(t, []string{strings.Trim(id, " \t")}, got.Header["X-Id"])
+		must.True(t, bytes.Equal(body, data))
+		_, err = source.ReadByte()
+		must.Eq(t, io.EOF, err, must.Sprint("more than one request was written"))
+	})
+}
--- a/wire/exchange/read.go
+++ b/wire/exchange/read.go
@@ -275,12 +275,13 @@
 		_, err = r.Discard(2)
 		return err
 	}
-	raw, err := r.until(func([]byte) bool { return true })
-	if err != nil {
+	if _, err := r.until(func([]byte) bool { return true }); err != nil {
 		return err
 	}
-	_, err = r.Discard(len(raw))
-	return err
+	if _, err := r.text.ReadMIMEHeader(); err != nil {
+		return errHead
+	}
+	return nil
 }
 
 func within(from io.Reader, most int) ([]byte, error) {
