A ring's head counts its lap and its first record from 1

FuzzOpen, 50 s in: a head that names 0 as its first record, under a right checksum, made the sequence wrap, so records left from before were not looked at as damage, and the ring could not be opened anew after a write. No writer makes such a head; it is damage now.

--- a/storage/ring/ring.go
+++ b/storage/ring/ring.go
@@ -90,8 +90,9 @@
 		}
 		h := head{blank: !slices.ContainsFunc(raw, func(b byte) bool { return b != 0 })}
 		if binary.LittleEndian.Uint32(raw) == fileMagic && crc32.Checksum(raw[:28], table) == binary.LittleEndian.Uint32(raw[28:]) {
-			h.ok, h.lap, h.first = true, binary.LittleEndian.Uint64(raw[4:]), binary.LittleEndian.Uint64(raw[12:])
-			if top < 0 || h.lap > heads[top].lap {
+			h.lap, h.first = binary.LittleEndian.Uint64(raw[4:]), binary.LittleEndian.Uint64(raw[12:])
+			h.ok = h.lap > 0 && h.first > 0 // both are counted from 1
+			if h.ok && (top < 0 || h.lap > heads[top].lap) {
 				top = i
 			}
 		}
