A request whose time ends in the sidecar's line is turned away then

Cause: who waits in line waited for its turn without an end. What would be late is turned away when it comes, by the pace so far; but with all senders taken by requests that have more time, one with little was held until one of them ended, past its route's timeout. Now it leaves the line at its time (Late, fate no). Ruled out: counting it among those that are out and over at once, which would draw the line's pace towards nought.

--- a/daemon/sidecar/hops_test.go
+++ b/daemon/sidecar/hops_test.go
@@ -123,7 +123,7 @@
 }
 
 // listens serves every connection of a listener of its own until the test ends.
-func listens(t *testing.T, serve func(*net.TCPConn)) ident.Addr {
+func listens(t testing.TB, serve func(*net.TCPConn)) ident.Addr {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
--- a/daemon/sidecar/intake.go
+++ b/daemon/sidecar/intake.go
@@ -191,7 +191,11 @@
 		s.say(w, defect.New(defect.Busy, "too many requests are in hand").Later(soon))
 		return
 	}
-	<-j.turn
+	if !s.comesUp(j) {
+		s.Board.Add("late_in_line", 1)
+		s.say(w, defect.New(defect.Late, "its time was over before its turn").Later(soon))
+		return
+	}
 	sent := s.clock()
 	end := s.walk(j)
 	s.mu.Lock()
@@ -253,6 +257,26 @@
 	}
 }
 
+// comesUp waits for a job's turn, and tells whether it came within the job's time. A job
+// that is late has left the line: its turn never comes.
+func (s *Sidecar) comesUp(j *job) bool {
+	select {
+	case <-j.turn:
+		return true
+	default:
+	}
+	late := time.NewTimer(j.call.Until.Since(s.clock()))
+	defer late.Stop()
+	select {
+	case <-j.turn:
+		return true
+	case <-late.C:
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.line.Quit(func(waiting *job) bool { return waiting == j })
+}
+
 // walk tries until there is a return, or nothing more may be tried.
 func (s *Sidecar) walk(j *job) ending {
 	var last *exchange.Return // an endpoint's own word that it failed, while others are tried
--- a/mesh/line/line.go
+++ b/mesh/line/line.go
@@ -3,6 +3,7 @@
 package line
 
 import (
+	"slices"
 	"time"
 
 	"cottonarch.example/cottonarch/kernel/moment"
@@ -71,6 +72,18 @@
 	return item, urgent, true
 }
 
+// Quit takes the first waiting request that fits out of its queue, and tells whether there
+// was one.
+func (l *Line[T]) Quit(fits func(T) bool) bool {
+	for _, q := range []*[]entry[T]{&l.urgent, &l.normal} {
+		if n := slices.IndexFunc(*q, func(e entry[T]) bool { return fits(e.item) }); n >= 0 {
+			*q = slices.Delete(*q, n, n+1)
+			return true
+		}
+	}
+	return false
+}
+
 // Done counts a request in again that was out for a while.
 func (l *Line[T]) Done(urgent bool, took time.Duration) {
 	l.out--
--- a/mesh/line/line_test.go
+++ b/mesh/line/line_test.go
@@ -1,6 +1,7 @@
 package line
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -71,3 +72,24 @@
 	must.True(t, l.Offer(start, 0, true, start.Add(5*time.Second)))
 	must.Eq(t, 1, l.TurnedAway)
 }
+
+// Who leaves is taken out of its queue, once; the others keep their order and their places.
+func TestWhoQuitsIsPassedOver(t *testing.T) {
+	for gone := range 6 {
+		l := New[int](10, 3)
+		for i := range 6 {
+			must.True(t, l.Offer(start, i, i%2 == 0, start.Add(time.Second)))
+		}
+		is := func(i int) bool { return i == gone }
+		must.True(t, l.Quit(is))
+		must.False(t, l.Quit(is))
+		must.Eq(t, 5, l.Len())
+		var got []int
+		for i, _, ok := l.Next(); ok; i, _, ok = l.Next() {
+			got = append(got, i)
+		}
+		want := slices.DeleteFunc([]int{0, 2, 4, 1, 3, 5}, is)
+		must.Eq(t, want, got)
+		must.True(t, l.Offer(start, gone, gone%2 == 0, start.Add(time.Second)))
+	}
+}
