A defect that is proved not to have run leaves with 503, and no other does

On the surface where a 503 promises that a request never runs, a defect of fate no and of a kind that this release does not know (a peer of a later one) left with 500, which priced a refusal as an own failure; and nothing but the callers' care kept a 503 from a defect of unknown fate.

--- a/wire/reply/reply.go
+++ b/wire/reply/reply.go
@@ -36,15 +36,20 @@
 	JSON(w, d.Code(), d)
 }
 
-// Fine is Defect on a surface whose callers read fractions of a second in Retry-After.
+// Fine is Defect on a surface whose callers read fractions of a second in Retry-After and
+// take a 503 for a promise. Invariant: a defect of fate no leaves with a 4xx or 503, any
+// other never with 503.
 func Fine(w http.ResponseWriter, d *defect.Defect) {
 	if d.Retry > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(d.Retry, 'f', -1, 64))
 	}
 	w.Header().Set(FateHeader, string(d.Fate))
 	code := d.Code()
-	if d.Fate == defect.FateNo && code > http.StatusInternalServerError {
-		code = http.StatusServiceUnavailable // which promises that it has not run
+	switch {
+	case d.Fate == defect.FateNo && code >= http.StatusInternalServerError:
+		code = http.StatusServiceUnavailable
+	case d.Fate != defect.FateNo && code == http.StatusServiceUnavailable:
+		code = http.StatusBadGateway
 	}
 	JSON(w, code, d)
 }
