A ring's head does not count past 2^62

FuzzOpen, 57 s in: a head under a right checksum whose first record is near 2^64 made the count wrap, and a record written then was not found again. No ring counts that far; such a head is damage now.

--- a/storage/ring/ring.go
+++ b/storage/ring/ring.go
@@ -68,6 +68,12 @@
 	return int64(recordHead + len(tag) + len(data))
 }
 
+// countMax is beyond what any ring counts to, and far from where a count would wrap.
+const countMax = 1 << 62
+
+// counted tells whether a number of a head may be a count: laps and records count from 1.
+func counted(n uint64) bool { return n > 0 && n < countMax }
+
 // Open recovers a ring. It answers a Damaged defect when anything that was synced
 // cannot be read whole.
 func Open(box Folder, boot Boot) (*Ring, error) {
@@ -91,7 +97,7 @@
 		h := head{blank: !slices.ContainsFunc(raw, func(b byte) bool { return b != 0 })}
 		if binary.LittleEndian.Uint32(raw) == fileMagic && crc32.Checksum(raw[:28], table) == binary.LittleEndian.Uint32(raw[28:]) {
 			h.lap, h.first = binary.LittleEndian.Uint64(raw[4:]), binary.LittleEndian.Uint64(raw[12:])
-			h.ok = h.lap > 0 && h.first > 0 // both are counted from 1
+			h.ok = counted(h.lap) && counted(h.first)
 			if h.ok && (top < 0 || h.lap > heads[top].lap) {
 				top = i
 			}
