--- a/daemon/sidecar/intake.go
+++ b/daemon/sidecar/intake.go
@@ -499,20 +499,7 @@
 		s.mu.Unlock()
 	}()
 	heads := s.Boot.Headers
-	req.Until = until
-	req.Set = append(make([]exchange.Field, 0, 4), req.Set...)
-	req.Set = append(req.Set, exchange.Field{Name: TargetHeader, Value: string(server)})
-	if heads.Id != "" {
-		req.Set = append(req.Set, exchange.Field{Name: heads.Limit, Value: strconv.FormatInt(max(1, time.Until(until).Milliseconds()-endMargin), 10)})
-		req.Seal, req.Plain = heads.Seal, true
-	}
-	if id := first(req.Header, heads.Id); id == "" {
-		// Without an id nothing tells an unasked return on a kept connection from the one
-		// that is due: each request has a connection of its own.
-		req.Fresh = true
-	} else {
-		req.IdHeader, req.Id, req.Sure = heads.Id, id, sure
-	}
+	req = toEndpoint(heads, req, server, until)
 	req.Last = func() *defect.Defect {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -551,6 +538,26 @@
 	return out
 }
 
+// toEndpoint makes of a request the call of one endpoint: it names that one and the time
+// that is left, and says by what the answer is known as this call's own.
+func toEndpoint(heads boot.Headers, req exchange.Call, server ident.Server, until time.Time) exchange.Call {
+	req.Until = until
+	req.Set = append(make([]exchange.Field, 0, 4), req.Set...)
+	req.Set = append(req.Set, exchange.Field{Name: TargetHeader, Value: string(server)})
+	if heads.Id != "" {
+		req.Set = append(req.Set, exchange.Field{Name: heads.Limit, Value: strconv.FormatInt(max(1, time.Until(until).Milliseconds()-endMargin), 10)})
+		req.Seal, req.Plain = heads.Seal, true
+	}
+	if id := first(req.Header, heads.Id); id == "" {
+		// Without an id nothing tells an unasked return on a kept connection from the one
+		// that is due: each request has a connection of its own.
+		req.Fresh = true
+	} else {
+		req.IdHeader, req.Id, req.Sure = heads.Id, id, sure
+	}
+	return req
+}
+
 // judge tells an endpoint's return from its word that it did not run the request. That it
 // is a return to this request, sealed and whole, the exchange has seen to.
 func judge(heads boot.Headers, ret *exchange.Return) (*exchange.Return, string, *defect.Defect) {
--- a/daemon/sidecar/unnamed_test.go
+++ b/daemon/sidecar/unnamed_test.go
@@ -8,8 +8,12 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
+
+	"cottonarch.example/cottonarch/boot"
+	"cottonarch.example/cottonarch/wire/exchange"
 )
 
 // A request that brings no id has nothing that tells its answer from another's: it gets a
@@ -49,3 +53,20 @@
 		})
 	}
 }
+
+// Every call of an endpoint either has a connection of its own, or asks for its id and for a
+// connection that was in use just now: never for any kept one.
+func TestHowAnEndpointIsCalled(t *testing.T) {
+	for _, name := range []string{"", testId} {
+		for _, id := range []string{"", "r"} {
+			heads := boot.Headers{Id: name, Seal: testSeal, Limit: "X-Time-Left-Ms"}
+			call := toEndpoint(heads, exchange.Call{Header: http.Header{testId: {id}}}, "e", time.Now().Add(time.Minute))
+			named := name != "" && id != ""
+			must.Eq(t, !named, call.Fresh)
+			must.Eq(t, named, call.IdHeader == testId && call.Id == "r")
+			must.Eq(t, named, call.Sure == sure)
+			must.Eq(t, name != "", call.Seal == testSeal && call.Plain)
+			must.Eq(t, exchange.Field{Name: TargetHeader, Value: "e"}, call.Set[0])
+		}
+	}
+}
