--- a/daemon/sidecar/intake.go
+++ b/daemon/sidecar/intake.go
@@ -191,7 +191,11 @@
 		s.say(w, defect.New(defect.Busy, "too many requests are in hand").Later(soon))
 		return
 	}
-	<-j.turn
+	if !s.comesUp(j) {
+		s.Board.Add("late_in_line", 1)
+		s.say(w, defect.New(defect.Late, "its time was over before its turn").Later(soon))
+		return
+	}
 	sent := s.clock()
 	end := s.walk(j)
 	s.mu.Lock()
@@ -253,6 +257,26 @@
 	}
 }
 
+// comesUp waits for a job's turn, and tells whether it came within the job's time. A job
+// that is late has left the line: its turn never comes.
+func (s *Sidecar) comesUp(j *job) bool {
+	select {
+	case <-j.turn:
+		return true
+	default:
+	}
+	late := time.NewTimer(j.call.Until.Since(s.clock()))
+	defer late.Stop()
+	select {
+	case <-j.turn:
+		return true
+	case <-late.C:
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.line.Quit(func(waiting *job) bool { return waiting == j })
+}
+
 // walk tries until there is a return, or nothing more may be tried.
 func (s *Sidecar) walk(j *job) ending {
 	var last *exchange.Return // an endpoint's own word that it failed, while others are tried
@@ -475,17 +499,7 @@
 		s.mu.Unlock()
 	}()
 	heads := s.Boot.Headers
-	req.Until = until
-	req.Set = append(make([]exchange.Field, 0, 4), req.Set...)
-	req.Set = append(req.Set, exchange.Field{Name: TargetHeader, Value: string(server)})
-	if heads.Id == "" {
-		// Without an id nothing tells an unasked return on a kept connection from the one
-		// that is due: each request has a connection of its own.
-		req.Fresh = true
-	} else {
-		req.Set = append(req.Set, exchange.Field{Name: heads.Limit, Value: strconv.FormatInt(max(1, time.Until(until).Milliseconds()-endMargin), 10)})
-		req.IdHeader, req.Id, req.Seal, req.Plain, req.Sure = heads.Id, first(req.Header, heads.Id), heads.Seal, true, sure
-	}
+	req = toEndpoint(heads, req, server, until)
 	req.Last = func() *defect.Defect {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -524,6 +538,26 @@
 	return out
 }
 
+// toEndpoint makes of a request the call of one endpoint: it names that one and the time
+// that is left, and says by what the answer is known as this call's own.
+func toEndpoint(heads boot.Headers, req exchange.Call, server ident.Server, until time.Time) exchange.Call {
+	req.Until = until
+	req.Set = append(make([]exchange.Field, 0, 4), req.Set...)
+	req.Set = append(req.Set, exchange.Field{Name: TargetHeader, Value: string(server)})
+	if heads.Id != "" {
+		req.Set = append(req.Set, exchange.Field{Name: heads.Limit, Value: strconv.FormatInt(max(1, time.Until(until).Milliseconds()-endMargin), 10)})
+		req.Seal, req.Plain = heads.Seal, true
+	}
+	if id := first(req.Header, heads.Id); id == "" {
+		// Without an id nothing tells an unasked return on a kept connection from the one
+		// that is due: each request has a connection of its own.
+		req.Fresh = true
+	} else {
+		req.IdHeader, req.Id, req.Sure = heads.Id, id, sure
+	}
+	return req
+}
+
 // judge tells an endpoint's return from its word that it did not run the request. That it
 // is a return to this request, sealed and whole, the exchange has seen to.
 func judge(heads boot.Headers, ret *exchange.Return) (*exchange.Return, string, *defect.Defect) {
--- a/storage/ring/ring.go
+++ b/storage/ring/ring.go
@@ -68,6 +68,12 @@
 	return int64(recordHead + len(tag) + len(data))
 }
 
+// countMax is beyond what any ring counts to, and far from where a count would wrap.
+const countMax = 1 << 62
+
+// counted tells whether a number of a head may be a count: laps and records count from 1.
+func counted(n uint64) bool { return n > 0 && n < countMax }
+
 // Open recovers a ring. It answers a Damaged defect when anything that was synced
 // cannot be read whole.
 func Open(box Folder, boot Boot) (*Ring, error) {
@@ -90,8 +96,9 @@
 		}
 		h := head{blank: !slices.ContainsFunc(raw, func(b byte) bool { return b != 0 })}
 		if binary.LittleEndian.Uint32(raw) == fileMagic && crc32.Checksum(raw[:28], table) == binary.LittleEndian.Uint32(raw[28:]) {
-			h.ok, h.lap, h.first = true, binary.LittleEndian.Uint64(raw[4:]), binary.LittleEndian.Uint64(raw[12:])
-			if top < 0 || h.lap > heads[top].lap {
+			h.lap, h.first = binary.LittleEndian.Uint64(raw[4:]), binary.LittleEndian.Uint64(raw[12:])
+			h.ok = counted(h.lap) && counted(h.first)
+			if h.ok && (top < 0 || h.lap > heads[top].lap) {
 				top = i
 			}
 		}
@@ -103,6 +110,11 @@
 				return nil, defect.New(defect.Damaged, "ring-%03d: head is damaged", i)
 			}
 		}
+		// Records follow a head only once it was synced: without a head, one that knew
+		// anything as synced proves that the head was there and is damaged.
+		if err := r.behind(0, 1, fileHead); err != nil {
+			return nil, err
+		}
 		r.now, r.seq = boot.Files-1, 0
 		return r, r.advance()
 	}
