A taken order that is sent again is never refused, however many came after it

Cause: the manifest's state remembered the marks of the newest 256 taken offers, with no trace of what it had forgotten. An older one that was sent again met only the look at the base release and was told a conflict, 412, though it had been taken. On the own surface a base epoch was refused as soon as 64 other operations had come. All marks, 256 lines for the audit log and 64 operation names were part of the value that each change writes.

Now the new package chain keeps, for each epoch of a window of 256, by how much it raised the release and 64 bits of a sum of the proposal. A proposal on a base can only have made the one change that led away from that base: the same mark is acknowledged again, another one proves a conflict, a base before the window is an unknown fate (504). It is in the same value as the change, so both are chosen in one round. "Release must be above" and other faults are judged only on the newest base, which proves that it was not taken. On the own surface a refusal of an operation that names itself and no base says that its fate is unknown once changes were forgotten.

Lines are dropped once the audit log is known, in this owner's tenure, to hold them. The operators' offers are loose: the chain knows a repeat, their names need not be remembered.

Ruled out: marks in keys of their own by ranges of releases. An older mark could move there only by a round of its own, and a bound with an unknown fate behind it needs none.

--- a/adapter/operator/operator.go
+++ b/adapter/operator/operator.go
@@ -55,7 +55,7 @@
 		reply.Defect(w, d)
 		return
 	}
-	a := offer.Args{Partial: part, Body: body}
+	a := offer.Args{Partial: part, Op: r.Header.Get("Idempotency-Key"), Body: body}
 	if t := r.URL.Query().Get("baseEpoch"); t != "" {
 		n, err := strconv.ParseUint(t, 10, 64)
 		if err != nil {
@@ -75,7 +75,7 @@
 		return
 	}
 	a.Body = book.JSON(tree)
-	e := c.Deed(r.Context(), owner.Deed{Key: offer.Key, Kind: "manifest/offer", Op: ident.Op(r.Header.Get("Idempotency-Key")), Args: book.JSON(a)}, budget)
+	e := c.Deed(r.Context(), owner.Deed{Key: offer.Key, Kind: "manifest/offer", Op: ident.Op(a.Op), Args: book.JSON(a)}, budget)
 	if e.Defect != nil {
 		c.Board.Add("manifests_turned_away", 1)
 		reply.Defect(w, e.Defect)
--- a/control/core/node/duties.go
+++ b/control/core/node/duties.go
@@ -112,7 +112,7 @@
 		last = leaves[len(leaves)-1].Epoch
 	}
 	n.audited = last
-	n.internal(now, owner.Deed{Key: offer.Key, Kind: "manifest/lines"}, fx, func(now moment.Moment, e End, fx *Effects) {
+	n.internal(now, owner.Deed{Key: offer.Key, Kind: "manifest/lines", Args: book.JSON(offer.LinesArgs{After: last})}, fx, func(now moment.Moment, e End, fx *Effects) {
 		var lines []offer.Line
 		if e.Defect != nil || json.Unmarshal(e.Body, &lines) != nil {
 			return
--- a/control/manifest/offer/offer.go
+++ b/control/manifest/offer/offer.go
@@ -3,12 +3,13 @@
 
 import (
 	"crypto/sha256"
-	"encoding/base64"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/manifest/chain"
 	"cottonarch.example/cottonarch/control/manifest/change"
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/manifest/merge"
@@ -47,11 +48,12 @@
 	Kind    Kind         `json:"kind,omitempty"`
 	Base    *ident.Epoch `json:"baseEpoch,omitempty"`
 	// BaseRelease, when given, is the release that the offer builds on, 0 for none yet. The
-	// offer then needs a release above it, and an exact repeat of one that was taken is
-	// told the same yes again.
+	// offer then needs a release above it. See answered for what a repeat is told.
 	BaseRelease *uint64 `json:"baseRelease,omitempty"`
 	// Loose keeps and ignores fields that the mesh does not know.
 	Loose bool `json:"loose,omitempty"`
+	// Op is the operator's own name for the proposal, if it gave one.
+	Op string `json:"op,omitempty"`
 	// Body is the manifest as sent.
 	Body json.RawMessage `json:"manifest"`
 }
@@ -70,18 +72,11 @@
 	Release  uint64          `json:"release,omitempty"`
 	Loose    bool            `json:"loose,omitempty"`
 	Manifest json.RawMessage `json:"manifest"`
-	// Lines are the newest lines for the audit log, in order of epoch.
+	// Lines are the newest lines for the audit log, in order of epoch; the last is that of
+	// the newest epoch.
 	Lines []Line `json:"lines,omitempty"`
-	// Taken are the newest offers on a base release that were taken, in order of epoch.
-	Taken []Taken `json:"taken,omitempty"`
-}
-
-// Taken remembers an offer by what was sent. Invariant: Mark is the same for two offers
-// only if their kinds, base releases and bodies are the same.
-type Taken struct {
-	Epoch   ident.Epoch `json:"e"`
-	Release uint64      `json:"r"`
-	Mark    string      `json:"m"`
+	// Chain are the newest proposals that were taken.
+	Chain *chain.Chain `json:"chain,omitempty"`
 }
 
 // Line says what an epoch brought. Invariant: Sum is the SHA-256 of the whole manifest
@@ -92,10 +87,19 @@
 	Partial bool        `json:"partial,omitempty"`
 }
 
-// linesMax is how many lines wait for the audit log, and how many offers are remembered,
-// at most.
+// linesMax is how many lines wait for the audit log at most.
 const linesMax = 256
 
+// LinesArgs are those of a question for the lines. Invariant: the audit log holds every
+// line up to the epoch After.
+type LinesArgs struct {
+	After ident.Epoch `json:"after,omitempty"`
+}
+
+// audited is what an owner knows in its tenure of the audit log: every line up to this
+// epoch stands there. A new owner knows nothing, and drops no line until it is told.
+type audited ident.Epoch
+
 // Yes is the return to a winning offer.
 type Yes struct {
 	Epoch   ident.Epoch `json:"epoch"`
@@ -117,23 +121,74 @@
 	if d != nil {
 		return book.Turned(d)
 	}
-	mark := ""
-	if a.BaseRelease != nil {
-		sent := book.JSON(body)
-		mark = a.mark(sent)
-		if yes, ok := h.again(a, mark, sent); ok {
-			return book.Entry{Body: book.JSON(yes)}
-		}
-		if *a.BaseRelease != h.Release {
-			return book.Turned(defect.New(defect.Conflict, "the manifest is at release %d, not %d", h.Release, *a.BaseRelease))
-		}
+	sent := book.JSON(body)
+	history := h.Chain.Continue(h.Epoch, h.Release)
+	mark := a.mark(sent)
+	if entry, ok := h.answered(a, history, mark, sent); ok {
+		return entry
+	}
+	next, d := h.follow(turn, a, body)
+	if d != nil {
+		return book.Turned(a.surely(history, d))
+	}
+	history = history.Add(next.Release, mark)
+	next.Chain = &history
+	return book.Entry{State: book.JSON(next), Body: book.JSON(Yes{next.Epoch, next.Release}), Kept: turn.Kept}
+}
+
+// answered is the return to a proposal that need not be judged, or must not be any more. A
+// repeat of a taken one is told the first yes again, and so is the whole manifest that is
+// the newest. A conflict is said only where it is proved that this proposal was not taken;
+// where that is forgotten its fate is unknown.
+func (h *Held) answered(a Args, history chain.Chain, mark chain.Mark, sent json.RawMessage) (book.Entry, bool) {
+	fate, change := a.fate(history, mark)
+	if fate == chain.Taken {
+		return book.Entry{Body: book.JSON(Yes{change.Epoch, change.Release})}, true
+	}
+	if a.BaseRelease != nil && h.isNewest(a, sent) {
+		return book.Entry{Body: book.JSON(Yes{h.Epoch, h.Release})}, true
+	}
+	switch {
+	case fate == chain.Open || a.BaseRelease == nil && a.Base == nil:
+		return book.Entry{}, false
+	case fate == chain.Forgotten:
+		return book.Turned(defect.Unsure(defect.Unknown, "the manifest is at epoch %d and release %d; whether this was taken long before is not known any more", h.Epoch, h.Release)), true
+	case a.BaseRelease != nil:
+		return book.Turned(defect.New(defect.Conflict, "the manifest is at release %d, not %d", h.Release, *a.BaseRelease)), true
+	default:
+		return book.Turned(defect.New(defect.Conflict, "the manifest is at epoch %d, not %d", h.Epoch, *a.Base)), true
+	}
+}
+
+// fate is what is known of the proposal. One that names neither a base nor itself is
+// always a new one.
+func (a Args) fate(history chain.Chain, mark chain.Mark) (chain.Fate, chain.Change) {
+	switch {
+	case a.BaseRelease != nil:
+		return history.OnRelease(*a.BaseRelease, mark)
+	case a.Base != nil:
+		return history.OnEpoch(*a.Base, mark)
+	case a.Op != "":
+		return history.Named(mark)
+	default:
+		return chain.Open, chain.Change{}
 	}
-	if a.Base != nil && *a.Base != h.Epoch {
-		return book.Turned(defect.New(defect.Conflict, "the manifest is at epoch %d, not %d", h.Epoch, *a.Base))
+}
+
+// surely leaves a refusal's fate unknown where the proposal may have been taken before: it
+// names itself and no base, and the chain has forgotten changes.
+func (a Args) surely(history chain.Chain, d *defect.Defect) *defect.Defect {
+	if fate, _ := a.fate(history, ""); fate == chain.Forgotten {
+		d.Fate = defect.FateUnknown
 	}
+	return d
+}
+
+// follow judges a proposal on the newest manifest and gives the state after it.
+func (h *Held) follow(turn owner.Turn, a Args, body map[string]any) (next Held, d *defect.Defect) {
 	whole, d := h.lay(a, body)
 	if d != nil {
-		return book.Turned(d)
+		return next, d
 	}
 	loose := a.Loose || a.kind() != Whole && h.Loose
 	look := check.Read
@@ -142,43 +197,37 @@
 	}
 	m, d := look(whole)
 	if d != nil {
-		return book.Turned(d)
+		return next, d
 	}
 	if d := h.rises(a, body, m.Release); d != nil {
-		return book.Turned(d)
+		return next, d
 	}
 	kept := book.JSON(whole)
 	if len(kept) > check.BytesMax {
-		return book.Turned(defect.New(defect.Oversize, "a manifest is at most %d bytes", check.BytesMax))
+		return next, defect.New(defect.Oversize, "a manifest is at most %d bytes", check.BytesMax)
 	}
-	next := Held{Epoch: ident.Epoch(turn.Revision) + 1, Release: max(h.Release, m.Release), Loose: loose, Manifest: kept, Taken: h.Taken}
-	next.Lines = newest(append(h.Lines, Line{Epoch: next.Epoch, Sum: sum(kept), Partial: a.kind() != Whole}))
-	if mark != "" {
-		next.Taken = newest(append(h.Taken, Taken{next.Epoch, next.Release, mark}))
-	}
-	return book.Entry{State: book.JSON(next), Body: book.JSON(Yes{next.Epoch, next.Release})}
+	next = Held{Epoch: ident.Epoch(turn.Revision) + 1, Release: max(h.Release, m.Release), Loose: loose, Manifest: kept}
+	next.Lines = newest(append(h.unaudited(turn), Line{Epoch: next.Epoch, Sum: sum(kept), Partial: a.kind() != Whole}))
+	return next, nil
 }
 
-// mark names the offer by its kind, its base and its body with its fields in order.
-func (a Args) mark(sent json.RawMessage) string {
-	h := sha256.New()
-	_, _ = fmt.Fprintf(h, "%s %d ", a.kind(), *a.BaseRelease)
-	_, _ = h.Write(sent)
-	return base64.RawStdEncoding.EncodeToString(h.Sum(nil)[:18])
+// mark names the proposal by its kind, its base, its own name and its body with its fields
+// in order.
+func (a Args) mark(sent json.RawMessage) chain.Mark {
+	base := ""
+	switch {
+	case a.BaseRelease != nil:
+		base = fmt.Sprint("release ", *a.BaseRelease)
+	case a.Base != nil:
+		base = fmt.Sprint("epoch ", *a.Base)
+	}
+	return chain.MarkOf(string(a.kind()), base, a.Op, string(sent))
 }
 
-// again finds the yes that an offer was given before: it was taken under this very
-// mark, or it is the whole manifest that is the newest.
-func (h *Held) again(a Args, mark string, sent json.RawMessage) (Yes, bool) {
-	for _, t := range h.Taken {
-		if t.Mark == mark {
-			return Yes{t.Epoch, t.Release}, true
-		}
-	}
-	if n := len(h.Lines); a.kind() == Whole && n > 0 && h.Lines[n-1].Epoch == h.Epoch && h.Lines[n-1].Sum == sum(sent) {
-		return Yes{h.Epoch, h.Release}, true
-	}
-	return Yes{}, false
+// isNewest tells whether the proposal is the whole manifest in force.
+func (h *Held) isNewest(a Args, sent json.RawMessage) bool {
+	n := len(h.Lines)
+	return a.kind() == Whole && n > 0 && h.Lines[n-1].Epoch == h.Epoch && h.Lines[n-1].Sum == sum(sent)
 }
 
 // lay makes the whole manifest that is offered.
@@ -209,6 +258,12 @@
 	return nil
 }
 
+// unaudited are the lines that the audit log is not known to hold.
+func (h *Held) unaudited(turn owner.Turn) []Line {
+	upTo, _ := turn.Kept.(audited)
+	return slices.DeleteFunc(h.Lines, func(l Line) bool { return l.Epoch <= ident.Epoch(upTo) })
+}
+
 func sum(body json.RawMessage) string {
 	s := sha256.Sum256(body)
 	return hex.EncodeToString(s[:])
@@ -222,17 +277,19 @@
 	if d := book.Read(state, raw, &h, &a); d != nil {
 		return book.Turned(d)
 	}
-	h.Lines, h.Taken = nil, nil
+	h.Lines, h.Chain = nil, nil
 	return book.Entry{Body: book.JSON(h)}
 }
 
-func lines(_ owner.Turn, state, raw json.RawMessage) book.Entry {
+// lines tells the lines that wait for the audit log, and learns up to where it has them.
+func lines(turn owner.Turn, state, raw json.RawMessage) book.Entry {
 	var h Held
-	var a Args
+	var a LinesArgs
 	if d := book.Read(state, raw, &h, &a); d != nil {
 		return book.Turned(d)
 	}
-	return book.Entry{Body: book.JSON(h.Lines)}
+	known, _ := turn.Kept.(audited)
+	return book.Entry{Body: book.JSON(h.Lines), Kept: max(known, audited(a.After))}
 }
 
 // epoch tells the newest epoch, which is the key's revision.
--- /dev/null
+++ b/control/manifest/offer/size_test.go
@@ -0,0 +1,94 @@
+package offer_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/manifest/chain"
+	"cottonarch.example/cottonarch/control/manifest/offer"
+	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/kernel/ident"
+)
+
+// tenure is one owner's, with what it keeps between deeds.
+type tenure struct {
+	state
+	kept any
+}
+
+func (n *tenure) do(kind string, args any) owner.Verdict {
+	v := offer.Deeds().Apply(owner.Turn{Revision: n.rev, Kept: n.kept}, n.value, owner.Deed{Key: offer.Key, Kind: kind, Args: book.JSON(args), Loose: true})
+	if v.Changed {
+		n.value, n.kept = v.Value, nil
+		n.rev++
+	}
+	if v.Kept != nil {
+		n.kept = v.Kept
+	}
+	return v
+}
+
+// What is stored beside the manifest is bounded: by the window of the chain, and by the
+// lines that the audit log has not got yet.
+func TestBytesBesideTheManifest(t *testing.T) {
+	const (
+		perChange = 14  // of the chain: a step, its end and a mark
+		perLine   = 110 // that waits for the audit log
+		fixed     = 300
+		auditPace = 3 // changes between two looks of the audit log's duty
+	)
+	n := &tenure{}
+	must.Nil(t, n.do("manifest/offer", onRelease(offer.Whole, 0, whole(1, ""))).Defect)
+	release := uint64(1)
+	for _, changes := range []uint64{0, 300, 1000} {
+		for ; release < 1+changes; release++ {
+			if release%auditPace == 0 {
+				must.Nil(t, n.do("manifest/lines", offer.LinesArgs{After: ident.Epoch(n.rev)}).Defect)
+			}
+			must.Nil(t, n.do("manifest/offer", onRelease(offer.Change, release, fmt.Sprintf(`{"release":%d}`, release+1))).Defect)
+		}
+		beside := len(n.value) - len(n.read().Manifest)
+		t.Logf("after %d changes: %d bytes beside a manifest of %d", changes, beside, len(n.read().Manifest))
+		must.LessEq(t, fixed+auditPace*perLine+perChange*min(int(changes)+1, chain.Window), beside)
+	}
+}
+
+// No line is dropped that the audit log is not known to hold, and a new owner knows nothing
+// of it; the newest line always stays, for the exact repeat.
+func TestLinesWaitForTheAuditLog(t *testing.T) {
+	n := &tenure{}
+	must.Nil(t, n.do("manifest/offer", onRelease(offer.Whole, 0, whole(1, ""))).Defect)
+	change := func() {
+		release := n.read().Release
+		must.Nil(t, n.do("manifest/offer", onRelease(offer.Change, release, fmt.Sprintf(`{"release":%d}`, release+1))).Defect)
+	}
+	lines := func(after ident.Epoch) (out []ident.Epoch) {
+		v := n.do("manifest/lines", offer.LinesArgs{After: after})
+		must.False(t, v.Changed)
+		var all []offer.Line
+		must.NoError(t, json.Unmarshal(v.Body, &all))
+		for _, l := range all {
+			out = append(out, l.Epoch)
+		}
+		return out
+	}
+	for range 4 {
+		change()
+	}
+	must.Eq(t, []ident.Epoch{1, 2, 3, 4, 5}, lines(0))
+	lines(3)
+	lines(2) // of a duty that lags behind another
+	change()
+	must.Eq(t, []ident.Epoch{4, 5, 6}, lines(0))
+	lines(6)
+	n.kept = nil // a new owner
+	change()
+	must.Eq(t, []ident.Epoch{4, 5, 6, 7}, lines(7))
+	must.Nil(t, n.do("manifest/offer", onRelease(offer.Whole, 0, string(n.read().Manifest))).Defect)
+	change()
+	must.Eq(t, []ident.Epoch{8}, lines(0))
+}
--- a/daemon/core/manifest.go
+++ b/daemon/core/manifest.go
@@ -63,7 +63,7 @@
 	if err := json.Unmarshal(raw, &h); err != nil {
 		return nil, defect.New(defect.Damaged, "manifest: %v", err)
 	}
-	h.Lines, h.Taken = nil, nil
+	h.Lines, h.Chain = nil, nil
 	if have := c.held.Load(); have != nil && have.Epoch >= h.Epoch {
 		return have, nil
 	}
