A change of the manifest is sent as its own size: patches in pieces

Cause: a patch kept one run in front and one at the end. A change of the manifest alters its epoch in front, the release and an item in the middle and the history at the end, so what lay between was nearly all of it, no patch was made, and the whole value went to each disk.

Now a patch may be made of pieces: texts, and runs of the base. What a replica takes is as before the value itself, by its sum, over the named base alone.

Not changed: what a disk writes for a change is still the whole value.

--- a/control/manifest/offer/size_test.go
+++ b/control/manifest/offer/size_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -10,6 +11,7 @@
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/manifest/chain"
 	"cottonarch.example/cottonarch/control/manifest/offer"
+	"cottonarch.example/cottonarch/control/register/cell"
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
@@ -92,3 +94,41 @@
 	change()
 	must.Eq(t, []ident.Epoch{8}, lines(0))
 }
+
+// ways are the ways of a large manifest.
+func ways(count int) string {
+	var out []string
+	for i := range count {
+		out = append(out, fmt.Sprintf(`"r-%07x":{"host":"jepu%d.example","pathStart":"/lepu%d/ny%d/","repeat":"repeatable","timeoutMs":500,"aimMs":200,"rank":2,"split":[{"service":"a","weight":90},{"service":"b","weight":10}],"tries":2}`, i*7919, i%9, i, i))
+	}
+	return strings.Join(out, ",")
+}
+
+// What a change of one way sends to a disk that has the base is its own size, in a manifest
+// of 500 ways, however many changes were made.
+func TestBytesSentForAChange(t *testing.T) {
+	const mostBytes = 1200
+	n := &tenure{}
+	must.Nil(t, n.do("manifest/offer", onRelease(offer.Whole, 0, `{"release":1,"services":{"a":{},"b":{}},"ways":{`+ways(500)+`}}`)).Defect)
+	var ballot ident.Ballot
+	release := uint64(1)
+	for _, changes := range []uint64{1, 40, 300} {
+		sent := 0
+		for ; release < 1+changes; release++ {
+			if release%3 == 0 {
+				must.Nil(t, n.do("manifest/lines", offer.LinesArgs{After: ident.Epoch(n.rev)}).Defect)
+			}
+			base := cell.Cell{Accepted: ballot, Revision: n.rev, Value: n.value}
+			change := fmt.Sprintf(`{"release":%d,"upsert":{"ways":{"r-%07x":{"host":"new%d.example","timeoutMs":500,"service":"a"}}}}`, release+1, release%500*7919, release)
+			must.Nil(t, n.do("manifest/offer", onRelease(offer.Change, release, change)).Defect)
+			p := cell.Diff(base, ballot, n.value)
+			must.NotNil(t, p, must.Sprint(release))
+			got, ok := p.Over(base, ballot)
+			must.True(t, ok)
+			must.Eq(t, string(n.value), string(got))
+			sent = len(book.JSON(p))
+			must.Less(t, mostBytes, sent, must.Sprint(release))
+		}
+		t.Logf("after %d changes: %d bytes sent for one of a value of %d", changes, sent, len(n.value))
+	}
+}
--- a/control/register/cell/patch_test.go
+++ b/control/register/cell/patch_test.go
@@ -66,6 +66,56 @@
 	must.Greater(t, 2000, made)
 }
 
+// Values that differ in several places, as one whose counts stand in front and whose
+// history stands at the end: the patch makes the next value to the byte, and takes little
+// more than what differs.
+func TestPatchInPieces(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 6))
+	parts := []string{"ä", "日本", "🚀", "way", `"host":"h.example"`, "500", ","}
+	divided := 0
+	for i := range 300 {
+		var items []string
+		for j := range 300 {
+			items = append(items, fmt.Sprintf(`"r-%x":{"host":"h%d.example","timeoutMs":500,"hue":"%s"}`, rng.Uint32(), j, parts[rng.IntN(len(parts))]))
+		}
+		was := []byte(strings.Join(items, ","))
+		edits := 1 + rng.IntN(6)
+		for range edits {
+			n := rng.IntN(len(items))
+			items[n] = fmt.Sprintf(`"n-%x":%q`, rng.Uint32(), parts[rng.IntN(len(parts))])
+		}
+		next := []byte(strings.Join(items, ","))
+		base := cell.Cell{Promised: mine, Accepted: mine, Revision: 7, Value: was}
+		p := cell.Diff(base, mine, next)
+		must.NotNil(t, p, must.Sprint(i))
+		got, ok := wire(t, p).Over(base, mine)
+		must.True(t, ok)
+		must.Eq(t, string(next), string(got))
+		if p.Pieces == nil {
+			continue
+		}
+		divided++
+		must.Negative(t, p.Head)
+		raw, err := json.Marshal(p)
+		must.NoError(t, err)
+		must.Less(t, 200+400*edits, len(raw), must.Sprint(i))
+		for name, edit := range map[string]func(*cell.Patch){
+			"a piece behind the end":  func(p *cell.Patch) { p.Pieces[0].At = len(was) - p.Pieces[0].Len + 1 },
+			"a piece before the base": func(p *cell.Patch) { p.Pieces[0].At = -1 },
+			"less than nothing":       func(p *cell.Patch) { p.Pieces[0].Len = -1 },
+			"a piece too long":        func(p *cell.Patch) { p.Pieces[0].Len = 1 << 62 },
+			"another piece":           func(p *cell.Patch) { p.Pieces[0].At++ },
+			"a head beside pieces":    func(p *cell.Patch) { p.Head = 0 },
+		} {
+			odd := wire(t, p)
+			edit(odd)
+			_, ok := odd.Over(base, mine)
+			must.False(t, ok, must.Sprint(name))
+		}
+	}
+	must.Greater(t, 200, divided)
+}
+
 // A patch is turned away by whatever is not its base.
 func TestPatchTakesItsBaseAlone(t *testing.T) {
 	long := strings.Repeat("0123456789", 100)
@@ -130,3 +180,20 @@
 		})
 	}
 }
+
+// The patch of a value of 100 KB that differs at its front, in its middle and at its end.
+func BenchmarkDiffInPieces(b *testing.B) {
+	var list []string
+	for i := range 1000 {
+		list = append(list, fmt.Sprintf(`"r-%016x":{"host":"jepu%d.example","pathStart":"/lepu%d/","timeoutMs":500}`, uint64(i)*0x9e3779b97f4a7c15, i%9, i))
+	}
+	value := []byte(`{"n":300,"l":{` + strings.Join(list, ",") + `},"end":300}`)
+	next := []byte(strings.Replace(strings.ReplaceAll(string(value), `:300`, `:301`), "jepu5", "jepu7", 1))
+	base := cell.Cell{Accepted: mine, Revision: 7, Value: value}
+	for b.Loop() {
+		if p := cell.Diff(base, mine, next); p == nil || p.Pieces == nil {
+			b.Fatal("no pieces")
+		}
+	}
+	b.ReportMetric(float64(len(value)), "bytes")
+}
