Large answers are let in only as fast as the machine's link carries them

Change: mesh/link estimates what waits at the link and what is expected; the gate turns away a large answer's request that would wait too long there (not run, with a time to come back), and its sender goes elsewhere. The link's speed comes from the settings; 0 bounds nothing.

Ruled out: telling it in the endpoint's load alone (nothing limits the queue when many senders choose at once); a longer limit for renewals (a configuration would still be late).

Measured (model): at twice what the link carries the queue stays under 0.35 s with over 60 % of the link used; without admission it passes 3 s within 20 s.

--- a/boot/boot.go
+++ b/boot/boot.go
@@ -59,8 +59,13 @@
 	Bulk int64
 	// Cross is what each KB between districts counts in the pick, as time waited for.
 	Cross time.Duration
+	// Link is how many bytes a second the machine's network link carries, 0 for unknown.
+	Link float64
 }
 
+// BytesPerMegabit is what a megabit a second carries in a second.
+const BytesPerMegabit = 1e6 / 8
+
 // CrossMs is what a KB between districts counts unless the boot says otherwise: links
 // between districts are slower and often paid for by the byte.
 const CrossMs = 8
@@ -202,7 +207,7 @@
 func ReadSidecar(m map[string]any) (Sidecar, *defect.Defect) {
 	f := &walk.Faults{}
 	s := walk.Top(m, f)
-	s.Only("node", "address", "listen", "caller", "district", "seeds", "senders", "queue", "hand", "stopS", "allowanceExtra", "allowanceWindowS", "allowanceRatio", "allowanceInner", "crossMsPerKB", "bulkMiB")
+	s.Only("node", "address", "listen", "caller", "district", "seeds", "senders", "queue", "hand", "stopS", "allowanceExtra", "allowanceWindowS", "allowanceRatio", "allowanceInner", "crossMsPerKB", "bulkMiB", "linkMbps")
 	c := Sidecar{Node: ident.Node(s.Text("node", "")), Addr: addr(s, "address", true), Listen: addr(s, "listen", false), Caller: addr(s, "caller", true),
 		District: ident.District(s.Must("district")), Seeds: addrs(s, "seeds", 3), Senders: int(s.Whole("senders", 256, 1, 10000)),
 		Queue: int(s.Whole("queue", 512, 1, 100000)), Hand: int(s.Whole("hand", 512, 1, 100000)),
@@ -210,6 +215,7 @@
 		Terms: allowance.Terms{Extra: extra(s), Window: time.Duration(s.Real("allowanceWindowS", allowance.Window.Seconds(), 1, 600) * float64(time.Second)), Ratio: s.Real("allowanceRatio", allowance.Ratio, 0, 1), Inner: s.Flag("allowanceInner", false)}}
 	c.Headers = Plain
 	c.Bulk = s.Whole("bulkMiB", 0, 0, 1<<20) << 20
+	c.Link = s.Real("linkMbps", 0, 0, 1e9) * BytesPerMegabit
 	c.Cross = time.Duration(s.Real("crossMsPerKB", CrossMs, 0, 1e6) * float64(time.Millisecond))
 	if c.Terms.Ratio == 0 {
 		c.Terms.Ratio = -1
--- a/daemon/sidecar/bay.go
+++ b/daemon/sidecar/bay.go
@@ -16,13 +16,15 @@
 )
 
 // want is what a request's origin says of it to the bay beside its endpoint, as spans that
-// remain. Invariant: as text it is six whole numbers: rank, work, early and aim in
-// microseconds, failing peers in thousandths, must.
+// remain. Invariant: as text it is seven whole numbers: rank, work, early and aim in
+// microseconds, failing peers in thousandths, must, and the bytes of the answer; a release
+// that knows six reads those.
 type want struct {
 	rank             int
 	work, early, aim time.Duration
 	peers            float64
 	must             bool
+	bytes            int
 }
 
 // wanted tells what a call wants at its chosen endpoint.
@@ -32,7 +34,7 @@
 		aim = call.Until.Since(began)
 	}
 	rank := call.Way.Rank
-	return want{rank: rank, work: c.Work, early: began.Add(aim / 4).Since(now), aim: began.Add(aim).Since(now), peers: c.Peers, must: c.Must}
+	return want{rank: rank, work: c.Work, early: began.Add(aim / 4).Since(now), aim: began.Add(aim).Since(now), peers: c.Peers, must: c.Must, bytes: c.Bytes}
 }
 
 func (w want) text() string {
@@ -41,7 +43,7 @@
 	if w.must {
 		must = 1
 	}
-	for i, n := range []int64{int64(w.rank), w.work.Microseconds(), w.early.Microseconds(), w.aim.Microseconds(), int64(w.peers * 1000), must} {
+	for i, n := range []int64{int64(w.rank), w.work.Microseconds(), w.early.Microseconds(), w.aim.Microseconds(), int64(w.peers * 1000), must, int64(w.bytes)} {
 		if i > 0 {
 			b = append(b, ',')
 		}
@@ -52,14 +54,14 @@
 
 // wantOf reads the text; what can't be read wants nothing special.
 func wantOf(text string) (w want) {
-	var n [6]int64
+	var n [7]int64
 	for i := range n {
 		part, rest, _ := strings.Cut(text, ",")
 		n[i], _ = strconv.ParseInt(part, 10, 64)
 		text = rest
 	}
 	micro := func(x int64) time.Duration { return time.Duration(min(max(x, -1<<40), 1<<40)) * time.Microsecond }
-	return want{rank: int(min(max(n[0], 0), 1000)), work: max(0, micro(n[1])), early: micro(n[2]), aim: micro(n[3]), peers: float64(min(max(n[4], 0), 1000)) / 1000, must: n[5] == 1}
+	return want{rank: int(min(max(n[0], 0), 1000)), work: max(0, micro(n[1])), early: micro(n[2]), aim: micro(n[3]), peers: float64(min(max(n[4], 0), 1000)) / 1000, must: n[5] == 1, bytes: int(min(max(n[6], 0), 1<<30))}
 }
 
 // ask makes the bay's question of it; a span of nought is never.
--- a/daemon/sidecar/intake.go
+++ b/daemon/sidecar/intake.go
@@ -430,7 +430,13 @@
 		again, _ = strconv.ParseFloat(x, 64)
 	}
 	req := exchange.Call{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: strip(r.Header), Body: body}
+	if d := s.linkAdmits(want); d != nil {
+		w.Header()[BurdenHeader] = []string{s.burden(ident.Server(server))}
+		turn(gateBay, d)
+		return true
+	}
 	got := s.pass(until, ident.Server(server), ident.Service(service), req, min(1, max(0, again)), want)
+	s.linkSent(want, got.ret)
 	if got.told != "" {
 		w.Header()[BurdenHeader] = []string{got.told}
 	}
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -22,6 +22,7 @@
 	"cottonarch.example/cottonarch/mesh/claim/joiner"
 	"cottonarch.example/cottonarch/mesh/gate"
 	"cottonarch.example/cottonarch/mesh/line"
+	"cottonarch.example/cottonarch/mesh/link"
 	"cottonarch.example/cottonarch/mesh/path"
 	"cottonarch.example/cottonarch/mesh/witness"
 	"cottonarch.example/cottonarch/wire/client"
@@ -62,6 +63,7 @@
 	berths   map[uint64]chan bay.Act // who waits in the bay
 	berthed  uint64
 	moored   map[ident.Server]bool // endpoints that the bay knows
+	link     *link.Link
 	wit      *witness.Witness
 	shown    stored // the manifest in force
 	next     stored // the one that is held and not shown yet
@@ -99,7 +101,7 @@
 	now := clock()
 	s := &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, slow: moment.Watched(clock), pool: client.New(b.Addr), peers: exchange.New(b.Addr, exchange.Settings{Silence: silence}), ends: exchange.New(b.Addr, exchange.Settings{Silence: silence}),
 		done: make(chan struct{}), line: line.New[*job](b.Senders, b.Queue),
-		path: path.New(now, b.District, h.Sum64(), b.Terms), gate: gate.New(), bay: bay.New(bay.Usual()), berths: map[uint64]chan bay.Act{}, moored: map[ident.Server]bool{}, wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, sides: map[ident.Addr]bool{}, held: holder.New(), joiner: joiner.New(b.Node, b.District), portion: holder.Portion{Terms: b.Terms},
+		path: path.New(now, b.District, h.Sum64(), b.Terms), gate: gate.New(), bay: bay.New(bay.Usual()), berths: map[uint64]chan bay.Act{}, moored: map[ident.Server]bool{}, link: link.New(b.Link), wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, sides: map[ident.Addr]bool{}, held: holder.New(), joiner: joiner.New(b.Node, b.District), portion: holder.Portion{Terms: b.Terms},
 		began: now, lastCore: now, poke: make(chan ident.Addr, 1), push: make(chan struct{}, 1)}
 	s.path.Picker.Cross = b.Cross
 	s.gate.Every(b.Beat).Fenced = b.Fenced
--- /dev/null
+++ b/mesh/link/link_test.go
@@ -0,0 +1,93 @@
+package link
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"cottonarch.example/cottonarch/kernel/moment"
+)
+
+const (
+	megabit = 1e6 / 8
+	answer  = 90_000
+)
+
+func at(d time.Duration) moment.Moment { return moment.Moment(time.Second + d) }
+
+// The first large answer is admitted whatever its size; while it is expected, no other is
+// that would wait too long, and what was refused is admitted when it was told to come back.
+func TestLargeAnswersAreSpaced(t *testing.T) {
+	l := New(11 * megabit)
+	_, ok := l.Admit(at(0), 2_000_000, false)
+	must.True(t, ok)
+	_, ok = l.Admit(at(0), answer, false)
+	must.False(t, ok)
+	l.Sent(at(0), 2_000_000, 0) // it ended without an answer
+	_, ok = l.Admit(at(0), answer, false)
+	must.True(t, ok)
+	l.Sent(at(0), answer, 4*answer) // it was larger than was expected
+	back, ok := l.Admit(at(0), answer, false)
+	must.False(t, ok)
+	_, ok = l.Admit(at(back), answer, false)
+	must.True(t, ok)
+}
+
+// Small answers pass a full link, one that must be served here waits longer, and a link of
+// unknown speed bounds nothing.
+func TestWhatAFullLinkAdmits(t *testing.T) {
+	l := New(11 * megabit)
+	l.Sent(at(0), 0, 400_000)
+	must.Positive(t, l.Wait(at(0)))
+	_, ok := l.Admit(at(0), smallBytes, false)
+	must.True(t, ok)
+	_, ok = l.Admit(at(0), answer, false)
+	must.False(t, ok)
+	_, ok = l.Admit(at(0), answer, true)
+	must.True(t, ok)
+	unknown := New(0)
+	for range 100 {
+		_, ok = unknown.Admit(at(0), 1<<30, false)
+		must.True(t, ok)
+		unknown.Sent(at(0), 1<<30, 1<<30)
+	}
+	must.Eq(t, 0, unknown.Wait(at(0)))
+}
+
+// A machine that is asked for twice what its link carries: with admission the queue of a
+// real link stays short and the link full; without it the queue grows without end.
+func TestQueueOfAnOverloadedLinkStaysShort(t *testing.T) {
+	for _, admission := range []bool{true, false} {
+		rng := rand.New(rand.NewPCG(3, 4))
+		rate := 11 * megabit
+		l := New(rate)
+		queued, longest, carried := 0.0, 0.0, 0.0
+		running := map[moment.Moment][]int{}
+		step := 2 * time.Millisecond
+		for now := at(0); now < at(20*time.Second); now = now.Add(step) {
+			took := min(queued, rate*step.Seconds())
+			queued, carried = queued-took, carried+took
+			for _, size := range running[now] {
+				l.Sent(now, answer, size)
+				queued += float64(size)
+				longest = max(longest, queued/rate)
+			}
+			if rng.Float64() > 2*rate/answer*step.Seconds() {
+				continue
+			}
+			if _, ok := l.Admit(now, answer, false); ok || !admission {
+				end := now.Add(time.Duration(20+rng.IntN(120)) * step)
+				running[end] = append(running[end], answer/2+rng.IntN(answer))
+			}
+		}
+		used := carried / rate / 20
+		if !admission {
+			must.Greater(t, 3, longest)
+			continue
+		}
+		must.Less(t, 0.35, longest)
+		must.Greater(t, 0.6, used)
+	}
+}
--- a/mesh/path/path.go
+++ b/mesh/path/path.go
@@ -76,8 +76,10 @@
 	Entry   index.Entry
 	Limit   time.Duration
 	Defect  *defect.Defect
-	// Work, Peers and Must are for the bay at the destination; see bay.Ask.
+	// Work, Peers and Must are for the bay at the destination; see bay.Ask. Bytes is what a
+	// return of the way has had on the mean, for the link there.
 	Work  time.Duration
+	Bytes int
 	Peers float64
 	Must  bool
 }
@@ -228,7 +230,7 @@
 	c.past[e.UID] = true
 	c.now = e
 	p.Picker.Sent(e.UID)
-	return Choice{Entry: e, Limit: left, Further: further, Repeat: repeat, Work: p.Picker.Work(c.Way.Name), Peers: p.Picker.Peers(c.Way.Service),
+	return Choice{Entry: e, Limit: left, Further: further, Repeat: repeat, Work: p.Picker.Work(c.Way.Name), Bytes: p.Picker.Bytes(c.Way.Name), Peers: p.Picker.Peers(c.Way.Service),
 		Must: c.shed || p.Picker.Must(now, e.UID)}
 }
 
--- a/mesh/pick/pick.go
+++ b/mesh/pick/pick.go
@@ -326,6 +326,14 @@
 	return 0
 }
 
+// Bytes is the mean size of a way's returns, 0 when none has come.
+func (p *Picker) Bytes(name string) int {
+	if w := p.ways[name]; w != nil {
+		return int(w.bytes)
+	}
+	return 0
+}
+
 // Peers is the part of runs that fails at a service's endpoints, as told by their gates.
 func (p *Picker) Peers(s ident.Service) float64 {
 	if c := p.crowds[s]; c != nil {
