A core that can't get a manifest it knows of sends its sidecars away

Cause: a core whose words reach no other core, while it hears them (one way cut, or its connections refused), went on saying to the sidecars that renew at it that its manifest was the newest: its hellos told it of the newer epoch and that others were sure, and only the manifest did not come. A voter gets it with the round that writes it; a core that does not vote never did. Now it says that it is stale 0.8 s after it heard of the epoch, and they turn to another core. TestCutOffCoreSendsItsSidecarsAway fails without it ("out").

In the simulator it did not show: peers tell each other of epochs.

A core that hears no majority also told an asker that a record, or any manifest, was missing (404 from memory, GET /address and /part): now 503.

--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -264,7 +264,8 @@
 func (s surface) part(w http.ResponseWriter, r *http.Request) {
 	m := s.c.Held()
 	if m == nil {
-		reply.Defect(w, defect.New(defect.Missing, "no manifest is known here"))
+		// That there is none, only a majority can tell.
+		reply.Defect(w, defect.New(defect.NotReady, "no manifest is known here").Later(1))
 		return
 	}
 	GivePart(w, r, m.Epoch, m.Manifest)
@@ -281,21 +282,29 @@
 }
 
 // address looks one universal record up: by serverId, namespace/hostname or
-// network/ip:port.
+// network/ip:port. A core that is cut off has old records, and says neither yes nor no.
 func (s surface) address(w http.ResponseWriter, r *http.Request) {
 	want := mux.Vars(r)["key"]
-	done := make(chan []record.Set, 1)
-	if !s.c.Do(func(moment.Moment) node.Effects {
-		done <- s.c.Ledger().Feed(0)
+	type found struct {
+		sets  []record.Set
+		stale bool
+	}
+	done := make(chan found, 1)
+	if !s.c.Do(func(now moment.Moment) node.Effects {
+		done <- found{s.c.Ledger().Feed(0), s.c.Node().StaleAt(now)}
 		return node.Effects{}
 	}) {
 		reply.Defect(w, defect.New(defect.Busy, "the core's inbox is full").Later(1))
 		return
 	}
 	select {
-	case sets := <-done:
+	case got := <-done:
+		if got.stale {
+			reply.Defect(w, defect.New(defect.NoMajority, "this core hears no majority").Later(1))
+			return
+		}
 		x := index.New()
-		x.Merge(sets)
+		x.Merge(got.sets)
 		if a, ok := x.Look(want); ok {
 			reply.JSON(w, http.StatusOK, a)
 			return
--- a/control/core/node/cut_test.go
+++ b/control/core/node/cut_test.go
@@ -12,10 +12,12 @@
 	"cottonarch.example/cottonarch/control/coordination/lock"
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/core/message"
+	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/mesh/registry/record"
 )
 
 // cuts are the ways in which a core may be cut off from the others.
@@ -195,3 +197,47 @@
 	got := x.call("c:1", deedOf("number/n", "number/next", map[string]int{}), 2*time.Second)
 	must.Nil(t, got.defect)
 }
+
+// hold has a core hold the manifest of an epoch, as the daemon does once it has read it.
+func (x *trio) hold(at ident.Addr, e ident.Epoch) {
+	x.nodes[at].Ledger.Manifest(&check.Manifest{Epoch: e})
+}
+
+// stale asks as a sidecar that renews whether a core can tell what the newest manifest is.
+func (x *trio) stale(t *testing.T, at ident.Addr) bool {
+	got, fx, d := x.nodes[at].Renew(x.now, record.Renewal{Node: "s", Claim: 1, Seq: 1, Report: &record.Report{Node: "s"}})
+	must.Nil(t, d)
+	x.out(at, fx)
+	return got.Stale
+}
+
+// A core that is cut off tells the sidecars that renew at it so in time, however it is cut:
+// within a second once it hears no majority, and within one after it has heard of a
+// manifest that it can't get. Well, it never does.
+func TestCutOffCoreSendsItsSidecarsAway(t *testing.T) {
+	for way := range cuts {
+		x := newTrio(t)
+		x.fill(t, "a:1")
+		for _, a := range three {
+			x.hold(a, 1)
+		}
+		for range 50 {
+			x.run(100 * time.Millisecond)
+			must.False(t, x.stale(t, "a:1"), must.Sprint(way))
+		}
+		x.cut("a:1", way)
+		x.run(1300 * time.Millisecond) // the others take the key over
+		must.Eq(t, way != "out", x.stale(t, "a:1"), must.Sprint(way))
+		must.Eq(t, "", x.call("b:1", deedOf(offer.Key, "manifest/offer", offer.Args{Loose: true, Body: []byte(`{"release":4}`)}), time.Second).kind(), must.Sprint(way))
+		x.hold("b:1", 2)
+		x.hold("c:1", 2)
+		x.run(1300 * time.Millisecond)
+		must.True(t, x.stale(t, "a:1"), must.Sprint(way, ": it holds an older manifest and does not say so"))
+		must.False(t, x.stale(t, "b:1"), must.Sprint(way))
+		x.lost = nil
+		x.run(time.Second)
+		x.hold("a:1", 2)
+		x.run(100 * time.Millisecond)
+		must.False(t, x.stale(t, "a:1"), must.Sprint(way, ": healed"))
+	}
+}
--- a/control/core/node/lookout.go
+++ b/control/core/node/lookout.go
@@ -23,6 +23,9 @@
 	staleAge = 1300 * time.Millisecond
 	// hushAge is the same for how long it may go without a hello from a majority.
 	hushAge = 800 * time.Millisecond
+	// behindAge is the same for how long it may know of a newer manifest than it holds: it
+	// hears the others, and can't ask them for it.
+	behindAge = 800 * time.Millisecond
 )
 
 // lookOut keeps this core sure of the newest confirmed manifest. Invariant: nothing newer
@@ -51,11 +54,28 @@
 	}}, fx)
 }
 
-// stale tells whether this core can't tell what the newest manifest is.
+// stale tells whether this core can't tell what the newest manifest is, or can't get it.
 func (n *Node) stale(now moment.Moment) bool {
-	return n.sure == 0 || now.Since(n.sure) > staleAge || !n.majority(now, hushAge)
+	return n.sure == 0 || now.Since(n.sure) > staleAge || !n.majority(now, hushAge) || n.behind != 0 && now.Since(n.behind) > behindAge
 }
 
+// lag notes since when a newer manifest is known of here than the one held.
+func (n *Node) lag(now moment.Moment) {
+	held := ident.Epoch(0)
+	if m := n.Ledger.InForce(); m != nil {
+		held = m.Epoch
+	}
+	switch {
+	case held >= n.Epoch:
+		n.behind = 0
+	case n.behind == 0:
+		n.behind = now
+	}
+}
+
+// StaleAt is the same for those who ask.
+func (n *Node) StaleAt(now moment.Moment) bool { return n.stale(now) }
+
 // Stale is the same as of the last tick; that it changed is news to those who follow.
 func (n *Node) Stale() bool { return n.old }
 
--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -159,6 +159,7 @@
 	sure     moment.Moment // nothing newer than Epoch was confirmed before this
 	looking  moment.Moment // when the read that is out began, 0 if none is
 	old      bool          // see Stale
+	behind   moment.Moment // since when a newer manifest than the one held is known of, 0 if none is
 	rolling  moment.Moment // when a roll-out was last known to run
 	quiet    quiet
 	in       []func(*Node, moment.Moment, message.Message, *Effects) bool
--- a/control/core/node/tick.go
+++ b/control/core/node/tick.go
@@ -36,6 +36,7 @@
 		n.duties(now, &fx)
 	}
 	n.lookOut(now, &fx)
+	n.lag(now)
 	if old := n.stale(now); old != n.old {
 		n.old, fx.Changed = old, true
 	}
--- a/sim/plan/faults.go
+++ b/sim/plan/faults.go
@@ -55,6 +55,7 @@
 		"burst":            (*Run).burst,
 	}
 	maps.Copy(Faults, latter)
+	maps.Copy(Faults, parted)
 }
 
 // latter are the faults that only worlds of the platform's kind draw: a name more would
@@ -67,7 +68,7 @@
 
 // drawn lists the faults that this run draws from when none are named.
 func (r *Run) drawn() []string {
-	names := Names()
+	names := slices.DeleteFunc(Names(), func(n string) bool { return parted[n] != nil })
 	if !r.Platform {
 		names = slices.DeleteFunc(names, func(n string) bool { return latter[n] != nil })
 	}
--- a/sim/world/clock.go
+++ b/sim/world/clock.go
@@ -71,6 +71,7 @@
 	Lose, Double float64
 	Late         float64               // part of messages that are held up much longer
 	cuts         map[[2]ident.Addr]int // how many faults cut this direction now
+	refused      map[[2]ident.Addr]int // how many of these tell the sender
 	heals        int
 	Lost         int
 	Sent         int
--- a/sim/world/core.go
+++ b/sim/world/core.go
@@ -483,6 +483,10 @@
 		return
 	}
 	gen := c.gen
+	if c.w.Links.refuses(c.Addr, to) {
+		c.w.After(c.w.delay(), func() { c.run(gen, func() { c.out(c.node.Down(c.clock(), to)) }) })
+		return
+	}
 	c.w.carry(c.Addr, to, func() {
 		for _, d := range c.w.Cores {
 			if d.Addr == to && !d.up {
--- a/sim/world/side.go
+++ b/sim/world/side.go
@@ -194,6 +194,9 @@
 	}
 	from, to, cg := s.Addr, c.Addr, c.gen
 	if !w.Links.Open(from, to) || !w.Links.Open(to, from) {
+		if w.Links.refuses(from, to) {
+			w.After(time.Millisecond, func() { end(nil) })
+		}
 		return
 	}
 	w.After(w.delay(), func() {
--- a/sim/world/world.go
+++ b/sim/world/world.go
@@ -101,7 +101,7 @@
 func New(seed uint64) *World {
 	w := &World{Check: check.New(), spots: map[ident.Addr]*Endpoint{}, Ring: ring.Boot{Files: 6, Size: 256 << 10}, Served: map[string]int{}, Senders: 64}
 	w.Rng = rand.New(rand.NewPCG(seed, 0x5eed))
-	w.Links = Links{Base: 200 * time.Microsecond, Jitter: 800 * time.Microsecond, cuts: map[[2]ident.Addr]int{}}
+	w.Links = Links{Base: 200 * time.Microsecond, Jitter: 800 * time.Microsecond, cuts: map[[2]ident.Addr]int{}, refused: map[[2]ident.Addr]int{}}
 	return w
 }
 
