Simulator: a core cut off from the others, with sidecars that have only cores to ask

Cause: in the cuts added before, peers told the sidecars of every epoch, so the core's own word that it is behind was not tried. core-apart-alone also cuts the sidecars from each other.

The break "stay" (sidecars pass over that word) is among those that the checkers must see.

--- a/sim/plan/parted.go
+++ b/sim/plan/parted.go
@@ -13,6 +13,7 @@
 var parted = map[string]Fault{
 	"core-apart":         func(r *Run) time.Duration { _, d := r.coreApart(false); return d },
 	"core-apart-refused": func(r *Run) time.Duration { _, d := r.coreApart(true); return d },
+	"core-apart-alone":   (*Run).coreApartAlone,
 	"core-apart-restart": (*Run).coreApartRestart,
 	"seeds-apart":        (*Run).seedsApart,
 }
@@ -36,6 +37,18 @@
 	return out
 }
 
+// coreApartAlone cuts a core off from the others and, for the same time, each sidecar from
+// its peers: what a sidecar knows then comes from cores alone.
+func (r *Run) coreApartAlone() time.Duration {
+	_, d := r.coreApart(r.Rng.IntN(2) == 0)
+	for i, s := range r.Sides {
+		for _, o := range r.Sides[i+1:] {
+			r.Part([]ident.Addr{s.Addr}, []ident.Addr{o.Addr}, "both", false, d)
+		}
+	}
+	return d
+}
+
 // coreApartRestart restarts a core while it is cut off from the others, and some sidecars.
 func (r *Run) coreApartRestart() time.Duration {
 	if !r.healthy() {
--- a/sim/plan/parted_test.go
+++ b/sim/plan/parted_test.go
@@ -26,7 +26,11 @@
 // has it can be reached, and that nothing acknowledged is read back older.
 func TestSidecarsLeaveACoreThatIsCutOff(t *testing.T) {
 	for fault := range parted {
-		for seed := uint64(1); seed <= 2; seed++ {
+		most := uint64(2)
+		if fault == "core-apart-alone" {
+			most = 6 // nothing but the core's own word sends the sidecars away
+		}
+		for seed := uint64(1); seed <= most; seed++ {
 			for _, x := range []struct {
 				dep  string
 				more int // cores beyond the voters' number do not vote
--- a/sim/plan/plan_test.go
+++ b/sim/plan/plan_test.go
@@ -167,6 +167,9 @@
 				if b == "witness" {
 					q = isolated(seed)
 				}
+				if b == "stay" {
+					q = parts(seed, "core-apart-alone", 0)
+				}
 				if b == "bay-stop" {
 					q = stops(seed)
 				}
--- a/sim/world/side.go
+++ b/sim/world/side.go
@@ -305,6 +305,7 @@
 			}
 			s.held.Ended()
 		case record.Renewed:
+			got.Stale = got.Stale && s.w.Break != "stay"
 			s.held.Renewed(s.clock(), at, got)
 			s.heard = s.clock()
 			s.portion.Members(s.slow(), got.Members)
--- a/sim/world/world.go
+++ b/sim/world/world.go
@@ -59,6 +59,7 @@
 	"fate":      {"false-not-run"},
 	"return":    {"wrong-return"},
 	"deaf":      {"manifest-late"},
+	"stay":      {"manifest-late"},
 	"replica":   {"manifest-back", "stale-read"},
 	"offer":     {"manifest-turned"},
 	"quorum":    {"number-repeated", "stale-read"},
