Real cores: one left alone neither answers nor refuses, on every surface

25 calls at a core of three, with each answer and refusal that it gives with a majority; the other two lose power; each call then is 503, or 504 for a change; with them back the answers are as before.

--- /dev/null
+++ b/daemon/proof/cut_test.go
@@ -0,0 +1,66 @@
+package proof
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// A core that owned or knew all of it is left alone by the others: whatever it would
+// answer or refuse with a majority, it now says 503, or 504 where a change may have been
+// begun, on every surface of a core. With the majority back it gives the same answers.
+func TestCoreLeftAloneNeitherAnswersNorRefuses(t *testing.T) {
+	c := upCores(t, 3)
+	calls := []struct {
+		method, path, body string
+		code               int // with a majority
+	}{
+		{"PUT", "/manifest", `{"services":{"a":{}},"ways":{"w":{"host":"h","pathStart":"/","service":"a"}}}`, 200},
+		{"PUT", "/manifest?baseEpoch=70", `{"services":{"a":{}}}`, 409},
+		{"GET", "/manifest", "", 200},
+		{"GET", "/audit", "", 200},
+		{"POST", "/locks/l/claim", `{"holder":"me","ttlMs":600000}`, 200},
+		{"POST", "/locks/l/claim", `{"holder":"other","ttlMs":600000}`, 409},
+		{"POST", "/locks/l/renew", `{"holder":"me","fence":99}`, 409},
+		{"POST", "/locks/l/release", `{"holder":"other","fence":1}`, 409},
+		{"GET", "/locks/l", "", 200},
+		{"POST", "/numbers/n/next", "", 200},
+		{"GET", "/numbers/n", "", 200},
+		{"PUT", "/cells/g.a", `"x"`, 200},
+		{"PUT", "/cells/g.a?ifRevision=70", `"y"`, 409},
+		{"GET", "/cells/g.a", "", 200},
+		{"GET", "/cells/g.none", "", 404},
+		{"GET", "/groups/g.?after=0&waitMs=100", "", 200},
+		{"PUT", "/keys/k", `"x"`, 200},
+		{"GET", "/keys/none", "", 404},
+		{"GET", "/keys?prefix=", "", 200},
+		{"GET", "/watch?waitMs=100", "", 200},
+		{"GET", "/rollouts/none", "", 404},
+		{"DELETE", "/rollouts/none", "", 404},
+		{"GET", "/address/none", "", 404},
+		{"POST", "/cottonarch/v1/claim", `{"node":"n"}`, 200},
+		{"POST", "/cottonarch/v1/share", `{"node":"n","claim":0}`, 409},
+	}
+	say := func(i int) int {
+		x := calls[i]
+		code, _ := ask(x.method, c.addrs[0], "", x.path, []byte(x.body), nil)
+		return code
+	}
+	for i, x := range calls {
+		must.Eq(t, x.code, say(i), must.Sprint(x))
+	}
+	c.lose(1)
+	c.lose(2)
+	c.await(0, "majority", false)
+	for i, x := range calls {
+		code := say(i)
+		must.True(t, code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout && x.method != "GET", must.Sprint(x, code))
+	}
+	c.start(1)
+	c.start(2)
+	c.await(0, "majority", true)
+	for i, x := range calls {
+		eventually(t, x.method+" "+x.path, func() bool { return say(i) == x.code })
+	}
+}
