--- a/control/core/node/tick.go
+++ b/control/core/node/tick.go
@@ -37,6 +37,7 @@
 	}
 	n.lookOut(now, &fx)
 	n.admit(now, &fx)
+	n.lag(now)
 	if old := n.stale(now); old != n.old {
 		n.old, fx.Changed = old, true
 	}
--- a/sim/plan/faults.go
+++ b/sim/plan/faults.go
@@ -56,6 +56,7 @@
 	}
 	maps.Copy(Faults, latter)
 	maps.Copy(Faults, herds)
+	maps.Copy(Faults, parted)
 }
 
 // latter are the faults that only worlds of the platform's kind draw: a name more would
@@ -68,7 +69,7 @@
 
 // drawn lists the faults that this run draws from when none are named.
 func (r *Run) drawn() []string {
-	names := slices.DeleteFunc(Names(), func(n string) bool { return herds[n] != nil })
+	names := slices.DeleteFunc(Names(), func(n string) bool { return herds[n] != nil || parted[n] != nil })
 	if !r.Platform {
 		names = slices.DeleteFunc(names, func(n string) bool { return latter[n] != nil })
 	}
--- a/sim/world/side.go
+++ b/sim/world/side.go
@@ -211,6 +211,9 @@
 	}
 	from, to, cg := s.Addr, c.Addr, c.gen
 	if !w.Links.Open(from, to) || !w.Links.Open(to, from) {
+		if w.Links.refuses(from, to) {
+			w.After(time.Millisecond, func() { end(nil) })
+		}
 		return
 	}
 	w.After(w.delay(), func() {
@@ -268,6 +271,7 @@
 			}
 			s.held.Ended()
 		case record.Renewed:
+			got.Stale = got.Stale && s.w.Break != "stay"
 			s.held.Renewed(s.clock(), at, got)
 			s.heard = s.clock()
 			s.portion.Members(s.slow(), got.Members)
