A HEAD that a peer's gate turned away is proved not to have run; pages of runs

Cause: the gate's word on a HEAD has no body, and a word without one that can be read proved nothing, so a one-shot HEAD that certainly did not run was told as unknown (502) instead of going on or being told 503. The header alone says it there; on other methods nothing changes. TestWordWithoutABody and TestHeadIsTurnedAwayByAPeer failed before.

--- a/daemon/sidecar/intake.go
+++ b/daemon/sidecar/intake.go
@@ -357,7 +357,9 @@
 		return sized(j, ret, path.End{Verdict: path.Ran, Told: told, Took: time.Duration(max(0, micro)) * time.Microsecond})
 	}
 	d := &defect.Defect{}
-	if err := json.Unmarshal(ret.Body, d); err != nil || d.Kind == "" || word == "" {
+	if _, known := verdicts[word]; known && j.req.Method == http.MethodHead {
+		d = bodiless(word)
+	} else if err := json.Unmarshal(ret.Body, d); err != nil || d.Kind == "" || word == "" {
 		return nil, path.End{Verdict: path.Unsure, Defect: defect.Unsure(defect.BadReturn, "the gate's return can't be read")}
 	}
 	end := verdict(d, word)
@@ -365,6 +367,14 @@
 	return nil, end
 }
 
+// bodiless is the defect behind a gate's word that came without one.
+func bodiless(word string) *defect.Defect {
+	if verdicts[word].Verdict == path.NotRun {
+		return defect.New(defect.Busy, "a gate turned it away").Later(soon)
+	}
+	return defect.Unsure(defect.LostReturn, "a gate can't tell what became of it")
+}
+
 // verdicts says what each word of a gate means.
 var verdicts = map[string]path.End{
 	gateReturn: {Verdict: path.Ran},
