The names of a disk's files last before anything is written into them

Cause: after a loss of power each file that was made without a sync of its folder may be kept or lost by itself, whatever was synced within it. The folder was synced only by the run that made a file, after it was filled: a run killed between the two left files of full size, the next run synced no folder, and a later loss of power could take any of them. A folder that could not be opened was passed over, and the names of the data folder itself and of those made above it were never synced. One file lost made the disk damaged for good, all of them lost made it an empty disk that had voted.

Now the ring syncs the folder at each opening, before it writes, and ends if that fails; the folders above are synced as far as they were made, and the one right above always (but where it may not be read: who may not did not make it).

The model: a file of the memory disk has a name that lasts only after a sync of the folder, and Crash draws for each other file by itself. The simulator's disks follow the same model, with a break "folder" that rule "disk" catches (TestEveryCheckerCanFail).

Not covered: that the kernel's own fsync of a folder does what it says.

--- a/daemon/proof/rig_test.go
+++ b/daemon/proof/rig_test.go
@@ -72,6 +72,9 @@
 	return file{d, f}, err
 }
 
+// Sync makes the names of the files last.
+func (d *disk) Sync() error { return d.turn(d.mem.Sync) }
+
 // Close lets it go.
 func (d *disk) Close() error { return nil }
 
--- a/sim/plan/plan_test.go
+++ b/sim/plan/plan_test.go
@@ -157,6 +157,7 @@
 		"shed":      {"endpoint-slow", "overload"},
 		"failed":    {"endpoint-fails"},
 		"soft":      {"core-kill-power"},
+		"folder":    {"core-kill-power"},
 	}
 	for b, rules := range world.Breaks {
 		t.Run(string(b), func(t *testing.T) {
--- a/sim/world/core.go
+++ b/sim/world/core.go
@@ -323,12 +323,21 @@
 // disk is the folder of the next run. With the break it syncs only what that run itself
 // wrote, as if opening synced nothing.
 func (c *Core) disk() ring.Folder {
-	if c.w.Break == "soft" {
+	switch c.w.Break {
+	case "soft":
 		return lazy{c.mem}
+	case "folder":
+		return nameless{c.mem}
 	}
 	return c.mem
 }
 
+// nameless is a folder that is never synced.
+type nameless struct{ ring.Folder }
+
+// Sync does nothing.
+func (nameless) Sync() error { return nil }
+
 type lazy struct{ ring.Folder }
 
 // Open opens a file.
--- a/sim/world/world.go
+++ b/sim/world/world.go
@@ -89,10 +89,11 @@
 	"shed":     {"false-not-run"},
 	"failed":   {"double-run"},
 	"soft":     {"disk"},
+	"folder":   {"disk"},
 }
 
 // platform lists the breaks that need a world of the platform's kind.
-var platform = map[Break]bool{"bay": true, "bay-act": true, "bay-stop": true, "fence": true, "shed": true, "failed": true, "soft": true}
+var platform = map[Break]bool{"bay": true, "bay-act": true, "bay-stop": true, "fence": true, "shed": true, "failed": true, "soft": true, "folder": true}
 
 // Platform tells whether the break needs a world of the platform's kind.
 func (b Break) Platform() bool { return platform[b] }
--- a/storage/ring/folder.go
+++ b/storage/ring/folder.go
@@ -1,7 +1,9 @@
 package ring
 
 import (
+	"errors"
 	"fmt"
+	"io/fs"
 	"maps"
 	"os"
 	"path/filepath"
@@ -18,9 +20,12 @@
 	Sync() error
 }
 
-// Folder opens preallocated files; a file that was not there is all zeros.
+// Folder opens preallocated files; a file that was not there is all zeros. Until Sync the
+// name of a file that was made may be lost with the power, each by itself, whatever was
+// written and synced within the file.
 type Folder interface {
 	Open(name string, size int64) (File, error)
+	Sync() error
 }
 
 // Dir is a Folder on a real disk. Invariant: one process holds it at a time.
@@ -31,8 +36,8 @@
 
 // OpenDir makes and locks the data folder.
 func OpenDir(path string) (*Dir, error) {
-	if err := os.MkdirAll(path, 0o755); err != nil {
-		return nil, defect.Wrap(err, defect.DiskFailed, "make data folder")
+	if err := makeFolder(path); err != nil {
+		return nil, err
 	}
 	lock, err := os.OpenFile(filepath.Join(path, "lock"), os.O_CREATE|os.O_RDWR, 0o644)
 	if err != nil {
@@ -73,28 +78,63 @@
 		if err := f.Sync(); err != nil {
 			return nil, defect.Wrap(err, defect.DiskFailed, "sync "+name)
 		}
-		if dir, err := os.Open(d.path); err == nil {
-			err = dir.Sync()
-			_ = dir.Close()
-			if err != nil {
-				return nil, defect.Wrap(err, defect.DiskFailed, "sync folder")
-			}
-		}
 	}
 	return f, nil
 }
 
+// Sync makes the names of the folder's files last.
+func (d *Dir) Sync() error { return syncFolder(d.path) }
+
+func syncFolder(path string) error {
+	dir, err := os.Open(path)
+	if err != nil {
+		return defect.Wrap(err, defect.DiskFailed, "open folder")
+	}
+	err = dir.Sync()
+	_ = dir.Close()
+	return defect.Wrap(err, defect.DiskFailed, "sync folder")
+}
+
+// makeFolder makes a folder with those above it, and has the names of all that it made
+// last, and its own in any case: an earlier run may have been killed before it had.
+func makeFolder(path string) error {
+	path, err := filepath.Abs(path)
+	if err != nil {
+		return defect.Wrap(err, defect.DiskFailed, "find data folder")
+	}
+	made := []string{filepath.Dir(path)}
+	for above := made[0]; ; above = filepath.Dir(above) {
+		if _, err := os.Stat(above); err == nil || above == filepath.Dir(above) {
+			break
+		}
+		made = append(made, filepath.Dir(above))
+	}
+	if err := os.MkdirAll(path, 0o755); err != nil {
+		return defect.Wrap(err, defect.DiskFailed, "make data folder")
+	}
+	for _, above := range made {
+		// Who may not read the folder above did not make it.
+		if err := syncFolder(above); err != nil && !errors.Is(err, fs.ErrPermission) {
+			return err
+		}
+	}
+	return nil
+}
+
 // Mem is a Folder in memory that loses or tears what was not synced. Invariant:
 // solid holds only what a Sync covered, or what Crash chose to keep of the rest.
 type Mem struct {
 	Files map[string]*MemFile
 	// Fail, when set, is asked before each write or sync and may fail it.
 	Fail func(deed string) error
+	// Counters of bytes.
+	Read, Wrote uint64
 }
 
 // MemFile is one file of a Mem.
 type MemFile struct {
 	owner *Mem
+	named bool // the folder was synced since the file was made
 	solid []byte
 	soft  []byte
 	late  []patch
@@ -118,12 +158,27 @@
 	return f, nil
 }
 
+// Sync makes the names of all files last.
+func (m *Mem) Sync() error {
+	if m.Fail != nil {
+		if err := m.Fail("sync folder"); err != nil {
+			return err
+		}
+	}
+	for _, f := range m.Files {
+		f.named = true
+	}
+	return nil
+}
+
 // ReadAt reads what the process sees.
 func (f *MemFile) ReadAt(p []byte, off int64) (int, error) {
 	if off >= int64(len(f.soft)) {
 		return 0, fmt.Errorf("read past end: %w", os.ErrInvalid)
 	}
-	return copy(p, f.soft[off:]), nil
+	n := copy(p, f.soft[off:])
+	f.owner.Read += uint64(n)
+	return n, nil
 }
 
 // WriteAt writes softly.
@@ -134,6 +189,7 @@
 		}
 	}
 	copy(f.soft[off:], p)
+	f.owner.Wrote += uint64(len(p))
 	f.late = append(f.late, patch{off, append([]byte(nil), p...)})
 	return len(p), nil
 }
@@ -152,10 +208,16 @@
 	return nil
 }
 
-// Crash loses power: of every unsynced write, keep says how many bytes stayed.
+// Crash loses power: of every unsynced write, keep says how many bytes stayed, and of the
+// one name of a file that no Sync of the folder covered whether it stayed.
 func (m *Mem) Crash(keep func(n int) int) {
 	for _, name := range slices.Sorted(maps.Keys(m.Files)) { // keep may draw
 		f := m.Files[name]
+		if !f.named && keep(1) == 0 {
+			delete(m.Files, name)
+			continue
+		}
+		f.named = true
 		for _, p := range f.late {
 			n := keep(len(p.data))
 			copy(f.solid[p.off:], p.data[:n])
--- a/storage/ring/ring.go
+++ b/storage/ring/ring.go
@@ -84,6 +84,13 @@
 			return nil, err
 		}
 		r.files = append(r.files, f)
+	}
+	// Also where all files were there: a run that was killed may have made them and not
+	// synced the folder. Nothing is written before their names last.
+	if err := box.Sync(); err != nil {
+		return nil, err
+	}
+	for i, f := range r.files {
 		raw := make([]byte, fileHead)
 		if _, err := f.ReadAt(raw, 0); err != nil {
 			return nil, defect.Wrap(err, defect.DiskFailed, "read head")
--- a/storage/ring/ring_test.go
+++ b/storage/ring/ring_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"path/filepath"
 	"testing"
 
 	"cottonarch.example/cottonarch/kernel/defect"
@@ -195,3 +196,74 @@
 		}
 	}
 }
+
+// A loss of power may take each file whose name no sync of the folder covered. Before
+// anything counts all names last, also those that a run made which was killed before it
+// had synced the folder: for each set of files that may be lost and each point of such a
+// kill, what was synced is there.
+func TestNamesOfFilesLast(t *testing.T) {
+	const files, points = 4, 12
+	killed := errors.New("killed")
+	for point := range points {
+		for lost := range 1 << files {
+			box := NewMem()
+			boot := Boot{Files: files, Size: 4096}
+			left := point
+			box.Fail = func(string) error {
+				if left--; left < 0 {
+					return killed
+				}
+				return nil
+			}
+			if _, err := Open(box, boot); err != nil {
+				must.ErrorIs(t, err, killed)
+			}
+			box.Fail = nil // what the killed run wrote is in the page cache
+			r, err := Open(box, boot)
+			must.NoError(t, err)
+			must.NoError(t, r.Append([]Record{{"a", []byte("synced")}}))
+			must.NoError(t, r.Sync())
+			n := -1
+			box.Crash(func(size int) int {
+				n++
+				if lost>>n&1 == 1 {
+					return 0
+				}
+				return size
+			})
+			r, err = Open(box, boot)
+			must.NoError(t, err, must.Sprint(point, lost))
+			must.Eq(t, map[string]string{"a": "synced"}, see(r), must.Sprint(point, lost))
+		}
+	}
+}
+
+// Nothing counts in a folder that can't be synced.
+func TestFolderThatCannotBeSynced(t *testing.T) {
+	box := NewMem()
+	box.Fail = func(deed string) error {
+		if deed == "sync folder" {
+			return errors.New("bad folder")
+		}
+		return nil
+	}
+	_, err := Open(box, Boot{Files: 4, Size: 4096})
+	must.Error(t, err)
+}
+
+// A data folder is made with those above it, and a ring in it is read back.
+func TestFolderOnARealDisk(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "made", "here")
+	for start := range 3 {
+		dir, err := OpenDir(path)
+		must.NoError(t, err)
+		_, err = OpenDir(path)
+		must.Error(t, err, must.Sprint("a second holder"))
+		r, err := Open(dir, Boot{Files: 4, Size: 4096})
+		must.NoError(t, err)
+		must.Len(t, start, r.Records())
+		must.NoError(t, r.Append([]Record{{fmt.Sprint(start), []byte("x")}}))
+		must.NoError(t, r.Sync())
+		must.NoError(t, dir.Close())
+	}
+}
