--- a/control/coordination/group/group_test.go
+++ b/control/coordination/group/group_test.go
@@ -305,3 +305,32 @@
 	}
 	b.ReportMetric(float64(len(c.value)), "bytes")
 }
+
+// A put that was taken is told its own revision again for as long as the history lasts,
+// however many puts came between and under each new owner. Later it is another put: put
+// anew without a base, turned away with one.
+func TestResendAfterManyPuts(t *testing.T) {
+	const puts, history = 1000, 25 * time.Second
+	c := newCell(history)
+	name := func(i int) string { return fmt.Sprint(i % 50) }
+	val := func(i int) string { return fmt.Sprint("v", i) }
+	base := func(i int) ident.Revision { return ident.Revision(max(0, i+1-50)) }
+	for i := range puts {
+		rev, d := c.put(at(1+float64(i)/50), name(i), val(i), base(i))
+		must.Nil(t, d)
+		must.Eq(t, ident.Revision(i+1), rev)
+	}
+	for i := range puts {
+		if i%300 == 299 {
+			c.kept = nil // a new owner
+		}
+		rev, d := c.put(at(22), name(i), val(i), base(i))
+		must.Nil(t, d, must.Sprint(i))
+		must.Eq(t, ident.Revision(i+1), rev)
+	}
+	_, d := c.put(at(200), name(0), val(0), base(0))
+	must.Eq(t, defect.Conflict, d.Kind)
+	rev, d := c.put(at(200), name(0), val(0))
+	must.Nil(t, d)
+	must.Eq(t, ident.Revision(puts+1), rev)
+}
--- a/control/core/node/duties.go
+++ b/control/core/node/duties.go
@@ -58,7 +58,7 @@
 	}
 	if n.holds && n.Epoch > n.audited && now.Since(n.auditAt) >= time.Second {
 		n.auditAt = now
-		n.survey(now, &reading{until: now.Add(time.Second), done: n.audit}, chunk.Prefix, true, "", fx)
+		n.survey(now, &reading{until: now.Add(time.Second), done: n.audit}, n.auditPrefix(), true, "", fx)
 	}
 	if n.holds && now.Since(n.swept) >= sweepEvery {
 		n.swept = now
@@ -98,6 +98,15 @@
 	}
 }
 
+// auditPrefix is where the next leaf of the audit log belongs, as far as this core knows;
+// without any knowledge it is the whole log. What stands before is not read again.
+func (n *Node) auditPrefix() string {
+	if n.leaves == 0 {
+		return chunk.Prefix
+	}
+	return string(chunk.Key(n.leaves))
+}
+
 // audit adds to the audit log what the newest manifests brought.
 func (n *Node) audit(now moment.Moment, s *survey.Survey, fx *Effects) {
 	if s == nil {
@@ -107,17 +116,26 @@
 	if !ok {
 		return // an append is under way, or was left on a minority: look again
 	}
-	last := ident.Epoch(0)
+	from, part := 0, s.Prefix != chunk.Prefix
+	if part {
+		from = n.leaves - n.leaves%chunk.Size
+	}
+	if part && s.Prefix != n.auditPrefix() || from+len(leaves) < n.leaves {
+		return // it was read before an append that ended meanwhile
+	}
+	n.leaves = from + len(leaves)
 	if len(leaves) > 0 {
-		last = leaves[len(leaves)-1].Epoch
+		n.audited = leaves[len(leaves)-1].Epoch
+	}
+	if part && len(leaves) == chunk.Size {
+		return // another core may have begun the next chunk: look there first
 	}
-	n.audited = last
-	n.internal(now, owner.Deed{Key: offer.Key, Kind: "manifest/lines", Args: book.JSON(offer.LinesArgs{After: last})}, fx, func(now moment.Moment, e End, fx *Effects) {
+	n.internal(now, owner.Deed{Key: offer.Key, Kind: "manifest/lines", Args: book.JSON(offer.LinesArgs{After: n.audited})}, fx, func(now moment.Moment, e End, fx *Effects) {
 		var lines []offer.Line
 		if e.Defect != nil || json.Unmarshal(e.Body, &lines) != nil {
 			return
 		}
-		n.append(now, len(leaves), last, lines, fx)
+		n.append(now, n.leaves, n.audited, lines, fx)
 	})
 }
 
@@ -134,7 +152,7 @@
 		if e.Defect != nil {
 			return
 		}
-		n.audited = lines[0].Epoch
+		n.audited, n.leaves = lines[0].Epoch, at+1
 		n.append(now, at+1, n.audited, lines[1:], fx)
 	})
 }
--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -146,20 +146,23 @@
 	holds    bool
 	rolls    *drive.Drive
 	rolled   moment.Moment
-	audited  ident.Epoch // the newest epoch in the audit log, as this duty knows
-	auditAt  moment.Moment
-	Sweeps   uint64
-	Mended   uint64
-	Epoch    ident.Epoch   // newest manifest epoch learned
-	no       uint64        // of the last hello
-	called   moment.Moment // when those that were never heard were last told hello
-	wants    []ident.Addr
-	sure     moment.Moment // nothing newer than Epoch was confirmed before this
-	looking  moment.Moment // when the read that is out began, 0 if none is
-	old      bool          // see Stale
-	rolling  moment.Moment // when a roll-out was last known to run
-	quiet    quiet
-	in       []func(*Node, moment.Moment, message.Message, *Effects) bool
+	// audited is the newest epoch in the audit log and leaves their number, as this core
+	// last read or wrote it. Both only rise, for the log only grows.
+	audited ident.Epoch
+	leaves  int
+	auditAt moment.Moment
+	Sweeps  uint64
+	Mended  uint64
+	Epoch   ident.Epoch   // newest manifest epoch learned
+	no      uint64        // of the last hello
+	called  moment.Moment // when those that were never heard were last told hello
+	wants   []ident.Addr
+	sure    moment.Moment // nothing newer than Epoch was confirmed before this
+	looking moment.Moment // when the read that is out began, 0 if none is
+	old     bool          // see Stale
+	rolling moment.Moment // when a roll-out was last known to run
+	quiet   quiet
+	in      []func(*Node, moment.Moment, message.Message, *Effects) bool
 }
 
 // Kinds is the book of every deed that the control state knows; history is as in Boot.
--- a/sim/world/restart_test.go
+++ b/sim/world/restart_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"cottonarch.example/cottonarch/control/audit/chunk"
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/manifest/offer"
@@ -161,6 +162,25 @@
 	return 0
 }
 
+// audited checks that the audit log holds each epoch once, in order, also those whose line
+// was written while the core with that duty was ended.
+func (u *longUse) audited() {
+	u.w.RunFor(10 * time.Second)
+	c := u.w.Cores[0]
+	var end *node.End
+	c.ticket++
+	c.ends[c.ticket] = func(e node.End) { end = &e }
+	c.out(c.node.Survey(c.clock(), c.ticket, chunk.Prefix, true, time.Second))
+	u.w.RunFor(time.Second)
+	must.NotNil(u, end)
+	leaves, ok := node.Leaves(end.Found)
+	must.True(u, ok)
+	must.Eq(u, int(u.top), len(leaves))
+	for i, l := range leaves {
+		must.Eq(u, ident.Epoch(i+1), l.Epoch)
+	}
+}
+
 // ends are the ways in which a core is ended at each tenth change, each with the point of
 // its next writes or syncs at which that happens.
 var ends = []struct {
@@ -190,7 +210,8 @@
 }
 
 // Through a thousand changes a core is ended in some way at each tenth, and is back a
-// second later: it catches up in the users' time, no tenure begins on an old state, and
+// second later, and all lose power at once in the end: each catches up in the users' time,
+// no tenure begins on an old state, and
 // what a start reads and writes is bounded by the ring's size and the state, not by the
 // history.
 func TestRestartsThroughAThousandChanges(t *testing.T) {
@@ -237,6 +258,18 @@
 		slowest = max(slowest, u.caughtUp(c))
 		slowestCopy = max(slowestCopy, u.copied(c))
 	}
+	for _, c := range u.w.Cores {
+		c.PowerOff()
+	}
+	u.w.RunFor(time.Second)
+	for _, c := range u.w.Cores {
+		c.Start()
+	}
+	for _, c := range u.w.Cores {
+		slowest = max(slowest, u.caughtUp(c))
+	}
+	u.change()
+	u.audited()
 	u.Logf("caught up in %v at most, own disk's copy in %v; %d tenures", slowest, slowestCopy, len(u.ballots))
 	u.Logf("a start read %d bytes at most (first half), %d (second), wrote %d, %d, found %d records, %d; a ring is %d bytes, and was written %d", read[0], read[1], wrote[0], wrote[1], records[0], records[1], int64(disk.Files)*disk.Size, u.w.Cores[0].mem.Wrote)
 	must.Less(u, uint64(3*int64(disk.Files)*disk.Size), read[1])
