--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -149,21 +149,24 @@
 	holds    bool
 	rolls    *drive.Drive
 	rolled   moment.Moment
-	audited  ident.Epoch // the newest epoch in the audit log, as this duty knows
-	auditAt  moment.Moment
-	Sweeps   uint64
-	Mended   uint64
-	Epoch    ident.Epoch   // newest manifest epoch learned
-	no       uint64        // of the last hello
-	called   moment.Moment // when those that were never heard were last told hello
-	wants    []ident.Addr
-	sure     moment.Moment // nothing newer than Epoch was confirmed before this
-	looking  moment.Moment // when the read that is out began, 0 if none is
-	old      bool          // see Stale
-	behind   moment.Moment // since when a newer manifest than the one held is known of, 0 if none is
-	rolling  moment.Moment // when a roll-out was last known to run
-	quiet    quiet
-	joins    admission.Queue
+	// audited is the newest epoch in the audit log and leaves their number, as this core
+	// last read or wrote it. Both only rise, for the log only grows.
+	audited ident.Epoch
+	leaves  int
+	auditAt moment.Moment
+	Sweeps  uint64
+	Mended  uint64
+	Epoch   ident.Epoch   // newest manifest epoch learned
+	no      uint64        // of the last hello
+	called  moment.Moment // when those that were never heard were last told hello
+	wants   []ident.Addr
+	sure    moment.Moment // nothing newer than Epoch was confirmed before this
+	looking moment.Moment // when the read that is out began, 0 if none is
+	old     bool          // see Stale
+	behind  moment.Moment // since when a newer manifest than the one held is known of, 0 if none is
+	rolling moment.Moment // when a roll-out was last known to run
+	quiet   quiet
+	joins   admission.Queue
 	// JoinBatches counts the batches of joins that were begun here, JoinsRefused the joins
 	// that were told to come back.
 	JoinBatches  uint64
