--- a/daemon/sidecar/follow.go
+++ b/daemon/sidecar/follow.go
@@ -138,6 +138,9 @@
 	var told share.Told
 	if err := s.pool.Ask(ctx, core, "POST", "/cottonarch/v1/share", ask, &told); err != nil {
 		s.Board.Add("shares_failed", 1)
+		if d := (*defect.Defect)(nil); defect.Find(err, &d) && d.Kind == defect.Conflict {
+			s.superseded(ask.Claim, err)
+		}
 		return
 	}
 	s.mu.Lock()
@@ -148,6 +151,18 @@
 	}
 }
 
+// superseded gives up a claim that a core knows a newer one than: this sidecar joins anew. It
+// may have been a join of an earlier run that came late.
+func (s *Sidecar) superseded(claim ident.Epoch, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if claim == s.claim {
+		s.Log.Warn("claim superseded", zap.Error(err))
+		s.entered.Store(false)
+		s.kick(s.push)
+	}
+}
+
 func (s *Sidecar) renew(core ident.Addr, r record.Renewal) {
 	ctx, stop := context.WithTimeout(context.Background(), holder.Limit)
 	defer stop()
--- a/sim/world/side.go
+++ b/sim/world/side.go
@@ -323,11 +323,17 @@
 	s.ask(&c.proc, 3500*time.Millisecond, func(say func(any)) {
 		c.Deed(owner.Deed{Key: "share", Kind: "share/take", Args: book.JSON(a)}, 3*time.Second, func(e node.End) {
 			var t share.Told
-			if e.Defect == nil && json.Unmarshal(e.Body, &t) == nil {
+			switch {
+			case e.Defect != nil:
+				say(e.Defect)
+			case json.Unmarshal(e.Body, &t) == nil:
 				say(t)
 			}
 		})
 	}, func(v any) {
+		if d, ok := v.(*defect.Defect); ok && d.Kind == defect.Conflict && a.Claim == s.claim {
+			s.entered = false // superseded: it joins anew, as the daemon does
+		}
 		if t, ok := v.(share.Told); ok && a.Claim == s.claim {
 			s.portion.Told(s.slow(), t)
 			s.path.Tree.Grant(s.portion.Use())
