Sidecars do not ask cores among their seeds as peers, four times a second, while they wait

Cause: a sidecar that no core has let in asks peers for the manifest every 0.25 s, and the seeds are asked as peers since they may be sidecars. On a deployment whose seeds are cores, every sidecar of a herd asked the same three cores for what they do not have, at the time when they have least to spare.

A seed is now asked as a peer every 1.5 s until it has answered as a sidecar, and 30 s after it answered as a core. Price: where all seeds are sidecars and down, the first that comes back may be asked 1.25 s later than before.

--- a/daemon/sidecar/join.go
+++ b/daemon/sidecar/join.go
@@ -61,10 +61,12 @@
 		s.joiner.Failed(s.clock(), at)
 	}
 	side := d != nil && d.Kind == defect.Missing // a sidecar: it knows cores
-	s.mu.Lock()
-	s.sides[at] = side
-	s.mu.Unlock()
 	answered := d != nil && d.Kind != defect.LostReturn
+	if answered {
+		s.mu.Lock()
+		s.sides[at] = side
+		s.mu.Unlock()
+	}
 	if side || answered && s.clock().Since(s.learned) > coresEvery {
 		s.learnCores(at)
 	}
--- a/daemon/sidecar/join_test.go
+++ b/daemon/sidecar/join_test.go
@@ -160,3 +160,20 @@
 	must.Eq(t, 6, s.floor())
 	must.Eq(t, 1, f.parts)
 }
+
+// A seed is asked as a peer at the usual pace only once it has answered as a sidecar: a core
+// among the seeds would else be asked by every sidecar that waits for it.
+func TestSeedsThatAreCoresAreNotAskedAsPeers(t *testing.T) {
+	f := newFakeCore(t)
+	s := newJoining(f.addr)
+	must.True(t, s.seedPeer(f.addr))
+	must.False(t, s.seedPeer(f.addr))
+	s.askPeer(f.addr) // says that it has no such path, as a core does
+	must.False(t, s.seedPeer(f.addr))
+	s.seedSaid(f.addr, nil)
+	must.True(t, s.seedPeer(f.addr))
+	must.True(t, s.seedPeer(f.addr))
+	s.askPeer(f.addr)
+	must.False(t, s.seedPeer(f.addr))
+	must.Eq(t, 2, f.parts)
+}
--- a/daemon/sidecar/peers.go
+++ b/daemon/sidecar/peers.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 	"cottonarch.example/cottonarch/mesh/witness"
@@ -49,7 +50,7 @@
 		gates := s.gates()
 		s.mu.Unlock()
 		for _, a := range s.Boot.Seeds {
-			if !slices.Contains(gates, a) {
+			if !slices.Contains(gates, a) && s.seedPeer(a) {
 				gates = append(gates, a)
 			}
 		}
@@ -66,6 +67,34 @@
 	}
 }
 
+// seedPeer tells whether a seed may be asked as a peer now. Seeds may be cores: until one has
+// answered as a sidecar it is asked seldom, as all sidecars of a herd ask the same seeds.
+func (s *Sidecar) seedPeer(a ident.Addr) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	if !s.sides[a] && s.noPeer[a].After(now) {
+		return false
+	}
+	s.noPeer[a] = now.Add(seedEvery)
+	return true
+}
+
+// seedSaid takes what the answer of a seed tells of it: a core knows no peers.
+func (s *Sidecar) seedSaid(a ident.Addr, err error) {
+	if !slices.Contains(s.Boot.Seeds, a) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if d := (*defect.Defect)(nil); err == nil {
+		s.sides[a] = true
+	} else if defect.Find(err, &d) && d.Kind == defect.Missing {
+		delete(s.sides, a)
+		s.noPeer[a] = s.clock().Add(coreEvery)
+	}
+}
+
 func (s *Sidecar) askPeer(g ident.Addr) {
 	ctx, stop := context.WithTimeout(context.Background(), 400*time.Millisecond)
 	defer stop()
@@ -73,7 +102,9 @@
 	s.mu.Lock()
 	have := sum(s.path.Index.Sets())
 	s.mu.Unlock()
-	if s.pool.Ask(ctx, g, "GET", "/cottonarch/v1/peer?have="+have, nil, &p) != nil {
+	err := s.pool.Ask(ctx, g, "GET", "/cottonarch/v1/peer?have="+have, nil, &p)
+	s.seedSaid(g, err)
+	if err != nil {
 		return
 	}
 	s.mu.Lock()
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -34,6 +34,10 @@
 	// peersMost is how many peers are asked at once, and peersEvery how often.
 	peersMost  = 8
 	peersEvery = 250 * time.Millisecond
+	// seedEvery bounds how often a seed that is not known to be a sidecar is asked as one,
+	// coreEvery the same for one that has answered as a core does.
+	seedEvery = 1500 * time.Millisecond
+	coreEvery = 30 * time.Second
 	// silence is how long the machine of a gate may leave bytes unanswered before its
 	// connections are given up: it has no power, or is cut off.
 	silence = 700 * time.Millisecond
@@ -71,7 +75,8 @@
 	news     bool
 	cores    []ident.Addr
 	told     map[ident.Addr]moment.Moment
-	sides    map[ident.Addr]bool // seeds that are sidecars
+	sides    map[ident.Addr]bool          // seeds that are sidecars
+	noPeer   map[ident.Addr]moment.Moment // until when a seed is not asked as a peer
 	held     *holder.Holder
 	joiner   *joiner.Joiner // only the duty that renews touches it
 	learned  moment.Moment  // when a core last listed the cores to it
@@ -100,7 +105,7 @@
 	now := clock()
 	s := &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, slow: moment.Watched(clock), pool: client.New(b.Addr), peers: exchange.New(b.Addr, exchange.Settings{Silence: silence}), ends: exchange.New(b.Addr, exchange.Settings{Silence: silence}),
 		done: make(chan struct{}), line: line.New[*job](b.Senders, b.Queue),
-		path: path.New(now, b.District, h.Sum64(), b.Terms), gate: gate.New(), bay: bay.New(bay.Usual()), berths: map[uint64]chan bay.Act{}, moored: map[ident.Server]bool{}, wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, sides: map[ident.Addr]bool{}, held: holder.New(), joiner: joiner.New(b.Node, b.District), portion: holder.Portion{Terms: b.Terms},
+		path: path.New(now, b.District, h.Sum64(), b.Terms), gate: gate.New(), bay: bay.New(bay.Usual()), berths: map[uint64]chan bay.Act{}, moored: map[ident.Server]bool{}, wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, sides: map[ident.Addr]bool{}, noPeer: map[ident.Addr]moment.Moment{}, held: holder.New(), joiner: joiner.New(b.Node, b.District), portion: holder.Portion{Terms: b.Terms},
 		began: now, lastCore: now, poke: make(chan ident.Addr, 1), push: make(chan struct{}, 1)}
 	s.path.Picker.Cross = b.Cross
 	s.gate.Every(b.Beat).Fenced = b.Fenced
