--- a/daemon/sidecar/once_test.go
+++ b/daemon/sidecar/once_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -223,3 +226,53 @@
 		})
 	}
 }
+
+// Many requests at once, on connections that are kept and ended as moves drawn by a seed
+// have it: no two of them mix, and each is judged as above.
+func TestManyAtOnce(t *testing.T) {
+	const callers, each = 8, 30
+	for seed := range uint64(6) {
+		for name, at := range map[string]place{"beside": beside, "behind": behind} {
+			t.Run(fmt.Sprint(name, " ", seed), func(t *testing.T) {
+				t.Parallel()
+				draw := rand.New(rand.NewPCG(seed, 1))
+				var script []endpointMove
+				var relays []relayMove
+				for range 2 * callers * each { // half of the moves are well
+					script = append(script, endpointMoves[0], oneOf(draw, quick()))
+					relays = append(relays, relayMoves[0], oneOf(draw, relayMoves))
+				}
+				st := newStage(t)
+				j := newJournal(script, relays)
+				st.journals.Store("1", j)
+				s := at(st)
+				defer st.over(s)
+				var answers [callers][each]*httptest.ResponseRecorder
+				path := func(n int) string { return []string{"/once/x", "/again/y"}[n%2] }
+				id := func(who, n int) string { return fmt.Sprintf("1-%d-%d", who, n) }
+				var all sync.WaitGroup
+				for who := range callers {
+					all.Go(func() {
+						for n := range each {
+							answers[who][n] = s.asks(path(n), id(who, n), patientLimit)
+						}
+					})
+				}
+				all.Wait()
+				served := 0
+				for who := range callers {
+					for n := range each {
+						got := answers[who][n]
+						j.judge(t, path(n), id(who, n), got, fmt.Sprint("seed ", seed))
+						if got.Code == http.StatusOK {
+							served++
+						}
+					}
+				}
+				must.Greater(t, callers*each/4, served) // or the moves leave nothing to be seen
+			})
+		}
+	}
+}
+
+func oneOf[T any](draw *rand.Rand, list []T) T { return list[draw.IntN(len(list))] }
