--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -79,7 +79,7 @@
 	return server.Paths{
 		"/cottonarch/v1/messages": {"POST": s.messages},
 		"/cottonarch/v1/cores": {"GET": func(w http.ResponseWriter, _ *http.Request) {
-			reply.JSON(w, http.StatusOK, core.Known{Cores: c.View().Cores})
+			reply.JSON(w, http.StatusOK, core.Known{Cores: c.View().Cores, Core: true})
 		}},
 		"/cottonarch/v1/claim": {"POST": s.claim},
 		"/cottonarch/v1/renew": {"POST": s.renew},
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -377,6 +377,9 @@
 // Known is what any process tells of the cores it knows.
 type Known struct {
 	Cores []ident.Addr `json:"cores"`
+	// Core says that the answer is a core's own, so all of Cores are cores; a sidecar may
+	// list seeds that it has not met.
+	Core bool `json:"core,omitempty"`
 }
 
 // Leave is the planned stop: successors are named, what is in hand is finished.
--- a/daemon/sidecar/join.go
+++ b/daemon/sidecar/join.go
@@ -81,10 +81,17 @@
 	if s.pool.Ask(ctx, at, "GET", "/cottonarch/v1/cores", nil, &known) != nil {
 		return false
 	}
-	s.learned = s.clock()
+	now := s.clock()
+	s.learned = now
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.join(known.Cores)
-	s.mu.Unlock()
+	if known.Core {
+		for _, a := range append(known.Cores, at) {
+			delete(s.sides, a)
+			s.noPeer[a] = now.Add(coreEvery)
+		}
+	}
 	return true
 }
 
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -35,9 +35,11 @@
 	peersMost  = 8
 	peersEvery = 250 * time.Millisecond
 	// seedEvery bounds how often a seed that is not known to be a sidecar is asked as one,
-	// coreEvery the same for one that has answered as a core does.
+	// coreEvery the same for one that is known to be a core; seedFirst is how long after the
+	// start none is, as the cores that were asked may yet answer.
 	seedEvery = 1500 * time.Millisecond
 	coreEvery = 30 * time.Second
+	seedFirst = 600 * time.Millisecond
 	// silence is how long the machine of a gate may leave bytes unanswered before its
 	// connections are given up: it has no power, or is cut off.
 	silence = 700 * time.Millisecond
@@ -107,6 +109,9 @@
 		done: make(chan struct{}), line: line.New[*job](b.Senders, b.Queue),
 		path: path.New(now, b.District, h.Sum64(), b.Terms), gate: gate.New(), bay: bay.New(bay.Usual()), berths: map[uint64]chan bay.Act{}, moored: map[ident.Server]bool{}, wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, sides: map[ident.Addr]bool{}, noPeer: map[ident.Addr]moment.Moment{}, held: holder.New(), joiner: joiner.New(b.Node, b.District), portion: holder.Portion{Terms: b.Terms},
 		began: now, lastCore: now, poke: make(chan ident.Addr, 1), push: make(chan struct{}, 1)}
+	for _, a := range b.Seeds {
+		s.noPeer[a] = now.Add(seedFirst)
+	}
 	s.path.Picker.Cross = b.Cross
 	s.gate.Every(b.Beat).Fenced = b.Fenced
 	s.Board.Fresh = func() {
