--- a/daemon/sidecar/join.go
+++ b/daemon/sidecar/join.go
@@ -18,13 +18,16 @@
 	coresLimit = 500 * time.Millisecond
 	// coresEvery bounds how often a sidecar without a lease asks for the list.
 	coresEvery = time.Second
+	// runMark is the length of the mark of a join. It tells the joins of one node apart, and
+	// the cores keep it for every node.
+	runMark = 12
 )
 
 // askToJoin asks one core for a lease. Before any core has listed the others, one of the
 // seeds is asked for them, so that a herd does not join at the seeds alone.
 func (s *Sidecar) askToJoin() {
 	if s.run == "" {
-		s.run = ident.Mark()
+		s.run = ident.Mark()[:runMark]
 	}
 	at := s.joinCore()
 	if s.learned == 0 {
@@ -81,10 +84,17 @@
 	if s.pool.Ask(ctx, at, "GET", "/cottonarch/v1/cores", nil, &known) != nil {
 		return false
 	}
-	s.learned = s.clock()
+	now := s.clock()
+	s.learned = now
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.join(known.Cores)
-	s.mu.Unlock()
+	if known.Core {
+		for _, a := range append(known.Cores, at) {
+			delete(s.sides, a)
+			s.noPeer[a] = now.Add(coreEvery)
+		}
+	}
 	return true
 }
 
