A core counts as live only while it hears as well as speaks

Cause: contact was one way. A core that others heard kept its keys, also when it heard nobody itself: forwards to it were never answered, and no core served those keys for as long as the cut lasted. The other way round, a core that heard the others counted itself among a majority and let calls wait for answers that could not come.

Now a hello tells the newest hello taken from its receiver (in Ack, or Heard where the lists of sidecars differ), and a peer counts while one of ours that was sent within 2.5 s was taken. It moves keys, forwards and what is said of the majority; slots of the roster move as before. Processes that do not tell (earlier releases) count as before.

Weighed: marking a peer mute after unanswered forwards (the first call of each core would be lost again and again); 2 s (stricter than the 1.2 s on links that take a second there and back).

TestReplacedWhileCutOff (20 s in each of three cuts, a spare takes the slot): the cut-off core says 503 or 504 throughout, the others serve each call from 4 s on, and it comes back as a new disk with the newest state. TestCutOffCoreAnswersNothingFromMemory has a moment more at which a core cut off outwards says 503 within 0.05 s. Both fail with contact one way. The rig of stepped nodes gave a wiped disk its old name again, which no machine does; it makes a new one now.

What it adds to idle traffic was not measured: a field in few hellos, one more in whole ones.

--- a/control/core/message/message.go
+++ b/control/core/message/message.go
@@ -43,11 +43,14 @@
 // every hello of one run; Ack is the newest No of the run Of whose Sum was that of the list held here, so
 // that this core has heard of every renewal that hello told of.
 type Hello struct {
-	Run      uint64      `json:"run"`
-	Brief    bool        `json:"brief,omitempty"`
-	No       uint64      `json:"no"`
-	Of       uint64      `json:"of,omitempty"`
-	Ack      uint64      `json:"ack,omitempty"`
+	Run   uint64 `json:"run"`
+	Brief bool   `json:"brief,omitempty"`
+	No    uint64 `json:"no"`
+	Of    uint64 `json:"of,omitempty"`
+	Ack   uint64 `json:"ack,omitempty"`
+	// Heard is the newest No of the run Of that was taken at all; it is left out when it
+	// is Ack.
+	Heard    uint64      `json:"heard,omitempty"`
 	Sum      uint64      `json:"sum,omitempty"` // of the sidecars kept at the sender
 	At       ident.Epoch `json:"at,omitempty"`  // of the roster
 	Manifest ident.Epoch `json:"manifest"`
@@ -67,6 +70,8 @@
 	Cores    []ident.Addr   `json:"cores,omitempty"`
 	// Patches says that this process takes accepts that carry a cell.Patch.
 	Patches bool `json:"patches,omitempty"`
+	// Echo says that this process's hellos tell what it has Heard.
+	Echo bool `json:"echo,omitempty"`
 }
 
 // Run stands for the mark of a run.
@@ -86,7 +91,7 @@
 	}
 	later.Brief, later.Mark = h.Brief, h.Mark
 	later.Disk, later.District, later.Roster, later.Leaving, later.Broken, later.Cores = h.Disk, h.District, h.Roster, h.Leaving, h.Broken, h.Cores
-	later.Patches = h.Patches
+	later.Patches, later.Echo = h.Patches, h.Echo
 	if later.Ends == nil {
 		later.Ends = h.Ends
 	}
--- a/control/core/node/cut_test.go
+++ b/control/core/node/cut_test.go
@@ -118,7 +118,7 @@
 func TestCutOffCoreAnswersNothingFromMemory(t *testing.T) {
 	const budget = 900 * time.Millisecond
 	for way := range cuts {
-		for _, after := range []time.Duration{0, 300 * time.Millisecond, 900 * time.Millisecond, 1300 * time.Millisecond, 2 * time.Second} {
+		for _, after := range []time.Duration{0, 300 * time.Millisecond, 900 * time.Millisecond, 1300 * time.Millisecond, 2 * time.Second, 3100 * time.Millisecond} {
 			x := newTrio(t)
 			x.fill(t, "a:1")
 			for i, c := range known {
@@ -135,7 +135,7 @@
 				must.SliceContains(t, []defect.Kind{defect.NoMajority, defect.Unknown}, got.kind(), must.Sprint(at))
 				must.Eq(t, got.kind() == defect.NoMajority, got.defect.Fate == defect.FateNo, must.Sprint(at))
 				must.Between(t, 0, got.took, budget+50*time.Millisecond, must.Sprint(at))
-				if way != "out" && after > 1200*time.Millisecond {
+				if way != "out" && after > 1200*time.Millisecond || after > 3*time.Second {
 					must.Eq(t, defect.NoMajority, got.kind(), must.Sprint(at))
 					must.Less(t, 50*time.Millisecond, got.took, must.Sprint(at))
 				}
@@ -241,3 +241,42 @@
 		must.False(t, x.stale(t, "a:1"), must.Sprint(way, ": healed"))
 	}
 }
+
+// A core is cut off for twenty seconds, in which a spare core takes its slot of the roster
+// and the others go on changing what it owned. All the while it says 503 or 504; once it is
+// back it is a new disk, holds nothing of the old one, and tells the newest state.
+func TestReplacedWhileCutOff(t *testing.T) {
+	const budget = 900 * time.Millisecond
+	next, read := deedOf("number/n", "number/next", nil), deedOf("number/n", "number/read", nil)
+	for way := range cuts {
+		x := newTrio(t)
+		x.start(t, "d:1", "disk-d:1", three)
+		x.run(10 * time.Second)
+		x.fill(t, "a:1")
+		x.own("a:1", "number/n")
+		disk := x.nodes["a:1"].Disk
+		x.cut("a:1", way)
+		for began := x.now; x.now.Since(began) < 20*time.Second; {
+			if got := x.call("b:1", next, budget); x.now.Since(began) > 4*time.Second {
+				must.Nil(t, got.defect, must.Sprint(way, ": a core that has a majority serves not, after ", x.now.Since(began)))
+			}
+			for _, d := range []owner.Deed{read, next, known[0].deed, known[9].deed, known[15].deed} {
+				got := x.call("a:1", d, budget)
+				must.NotNil(t, got.defect, must.Sprint(way, d.Kind, got.body))
+				must.SliceContains(t, []defect.Kind{defect.NoMajority, defect.Unknown}, got.kind(), must.Sprint(way, d.Kind))
+			}
+		}
+		if way != "in" { // else the others hear it
+			_, in := x.nodes["b:1"].Roster().Find(disk)
+			must.False(t, in, must.Sprint(way, ": the spare did not take the slot"))
+		}
+		top := x.call("b:1", read, budget).body
+		x.lost = nil
+		x.run(5 * time.Second)
+		if way != "in" {
+			must.NotEq(t, disk, x.nodes["a:1"].Disk, must.Sprint(way))
+		}
+		must.Eq(t, top, x.call("a:1", read, budget).body, must.Sprint(way))
+		must.Eq(t, defect.Held, x.call("a:1", known[0].deed, budget).kind(), must.Sprint(way))
+	}
+}
--- a/control/core/node/hello.go
+++ b/control/core/node/hello.go
@@ -67,6 +67,7 @@
 // greet says hello to some cores.
 func (n *Node) greet(now moment.Moment, to []ident.Addr, fx *Effects) {
 	n.no++
+	n.stamped(now)
 	n.Ledger.Stamp(n.no)
 	brief := message.Hello{Run: message.Run(n.boot.Mark), Brief: true, No: n.no, Sum: n.Ledger.Sum(), At: n.acc.Now.Epoch, Manifest: n.Epoch, Duty: n.holds, Rolling: n.holds && n.Rolling(now)}
 	if n.sure != 0 {
@@ -76,7 +77,7 @@
 		brief.Ends = n.Ledger.Here()
 	}
 	whole := brief
-	whole.Brief, whole.Mark, whole.Disk, whole.District, whole.Leaving, whole.Broken, whole.Cores, whole.Patches = false, n.boot.Mark, n.Disk, n.boot.District, n.leaving, n.broken, n.Fresh(now), true
+	whole.Brief, whole.Mark, whole.Disk, whole.District, whole.Leaving, whole.Broken, whole.Cores, whole.Patches, whole.Echo = false, n.boot.Mark, n.Disk, n.boot.District, n.leaving, n.broken, n.Fresh(now), true, true
 	if n.acc.Now.Epoch > 0 {
 		r := n.acc.Now
 		whole.Roster = &r
@@ -92,6 +93,9 @@
 			}
 			p.saidAt = now
 			h.Of, h.Ack = p.hello.Run, p.fits
+			if p.hello.No != p.fits {
+				h.Heard = p.hello.No
+			}
 		}
 		fx.Sends = append(fx.Sends, Send{a, message.Message{Hello: &h}})
 	}
@@ -107,13 +111,13 @@
 		return true
 	}
 	if p == nil {
-		p = &peer{}
+		p = &peer{since: now}
 		n.peers[m.From] = p
 	}
 	if p.hello.Run != h.Run {
 		n.gone(now, m.From, p.hello.Mark)
 		n.Ledger.Gone(m.From)
-		*p = peer{}
+		*p = peer{since: now}
 	}
 	p.heard, p.down = now, false
 	if h.No < p.hello.No {
@@ -137,6 +141,7 @@
 	}
 	if h.Of == message.Run(n.boot.Mark) {
 		p.acked = max(p.acked, h.Ack)
+		p.echo = max(p.echo, n.sentAt(max(h.Ack, h.Heard)))
 	}
 	var want message.Want
 	want.Hello = m.Hello.Brief && h.At > n.acc.Now.Epoch
--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -40,6 +40,9 @@
 	helloLook   = 30 * time.Millisecond
 	// alive is how long a core counts as live after its last hello.
 	alive = 1200 * time.Millisecond
+	// echoAge is the same for how long ago the newest hello that it is known to have taken
+	// was sent: twice as long as the other, for it is told by a return.
+	echoAge = 2500 * time.Millisecond
 	// deadAfter is how long a voter must be unheard, by disks that have listened for as
 	// long, before its slot may be taken.
 	deadAfter  = 3 * time.Second
@@ -154,6 +157,7 @@
 	Mended   uint64
 	Epoch    ident.Epoch   // newest manifest epoch learned
 	no       uint64        // of the last hello
+	stamps   []stamp       // when the last hellos were sent, in order of their numbers
 	called   moment.Moment // when those that were never heard were last told hello
 	wants    []ident.Addr
 	sure     moment.Moment // nothing newer than Epoch was confirmed before this
--- a/control/core/node/node_test.go
+++ b/control/core/node/node_test.go
@@ -55,7 +55,14 @@
 		recs = append(recs, x.disks[a][tag])
 	}
 	seeds := slices.DeleteFunc(slices.Sorted(maps.Keys(x.nodes)), func(s ident.Addr) bool { return x.dead[s] })
-	n, write, err := node.New(x.now, node.Boot{Addr: a, Seeds: seeds[:min(3, len(seeds))], Founders: founders, Mark: fmt.Sprint("m", x.now), NewDisk: func() ident.Disk { return disk }}, recs)
+	made := 0
+	newDisk := func() ident.Disk { // no name is given twice
+		if made++; made > 1 {
+			return ident.Disk(fmt.Sprint(disk, "-", made))
+		}
+		return disk
+	}
+	n, write, err := node.New(x.now, node.Boot{Addr: a, Seeds: seeds[:min(3, len(seeds))], Founders: founders, Mark: fmt.Sprint("m", x.now), NewDisk: newDisk}, recs)
 	must.NoError(t, err)
 	x.nodes[a], x.dead[a] = n, false
 	x.out(a, node.Effects{Records: write})
--- a/control/core/node/peers.go
+++ b/control/core/node/peers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -14,9 +15,12 @@
 // connection; it moves keys and forwards, never a slot of the roster.
 // Invariants: fits is the newest of its hellos whose list of sidecars is the one held
 // here, acked the newest of ours that it said so of; told is what the last whole hello to
-// it said. All of them belong to one run of it.
+// it said. All of them belong to one run of it, which was first heard at since; echo is
+// when the newest hello of ours was sent that it is known to have taken.
 type peer struct {
 	hello  message.Hello
+	since  moment.Moment
+	echo   moment.Moment
 	heard  moment.Moment
 	down   bool
 	fits   uint64
@@ -27,7 +31,40 @@
 	wanted moment.Moment
 }
 
-func (p *peer) live(now moment.Moment) bool { return !p.down && now.Since(p.heard) <= alive }
+// live tells whether the peer counts as one that can be asked.
+func (p *peer) live(now moment.Moment) bool {
+	return !p.down && now.Since(p.heard) <= alive && p.hears(now)
+}
+
+// hears tells whether the peer hears this core, as far as can be told: it may be heard
+// itself, over a link that is cut one way.
+func (p *peer) hears(now moment.Moment) bool {
+	return !p.hello.Echo || now.Since(max(p.since, p.echo)) <= echoAge
+}
+
+// stamp is when a hello was sent.
+type stamp struct {
+	no uint64
+	at moment.Moment
+}
+
+// stamped notes that a hello is sent now, and forgets those that say nothing any more.
+func (n *Node) stamped(now moment.Moment) {
+	old := 0
+	for old < len(n.stamps) && now.Since(n.stamps[old].at) > echoAge {
+		old++
+	}
+	n.stamps = append(n.stamps[old:], stamp{n.no, now})
+}
+
+// sentAt is when the hello of a number was sent, 0 if that is long ago.
+func (n *Node) sentAt(no uint64) moment.Moment {
+	at, found := slices.BinarySearchFunc(n.stamps, no, func(s stamp, no uint64) int { return cmp.Compare(s.no, no) })
+	if !found {
+		return 0
+	}
+	return n.stamps[at].at
+}
 
 // Cores lists the addresses of the cores known.
 func (n *Node) Cores() []ident.Addr {
@@ -137,7 +174,7 @@
 	got := 0
 	near := []ident.Disk{n.Disk}
 	for _, p := range n.peers {
-		if !p.down && now.Since(p.heard) <= span {
+		if !p.down && now.Since(p.heard) <= span && p.hears(now) {
 			near = append(near, p.hello.Disk)
 		}
 	}
