--- /dev/null
+++ b/explore/canon/canon.go
@@ -0,0 +1,164 @@
+// Package canon writes the state of a step function as bytes that depend on nothing but
+// its content, and hashes them: two states with the same bytes behave alike.
+package canon
+
+import (
+	"bytes"
+	"encoding/binary"
+	"hash/fnv"
+	"reflect"
+	"slices"
+
+	"cottonarch.example/cottonarch/kernel/moment"
+)
+
+// Encoder writes values in a canonical form. Invariants: maps are written in the order of
+// their encoded keys; pointers are followed; functions are written as set or not set; a
+// moment is written as its distance from Now, for step functions only compare distances,
+// and a zero moment, which means never, stays apart from all others.
+type Encoder struct {
+	// Now is the moment that others are written relative to.
+	Now  moment.Moment
+	skip map[string]map[string]bool
+	buf  bytes.Buffer
+}
+
+// New makes an encoder.
+func New() *Encoder { return &Encoder{skip: map[string]map[string]bool{}} }
+
+// Skip leaves out fields of a struct type, named as package.Type, that no step reads, such
+// as counters.
+func (e *Encoder) Skip(structure string, fields ...string) {
+	names := map[string]bool{}
+	for _, field := range fields {
+		names[field] = true
+	}
+	e.skip[structure] = names
+}
+
+// Put appends one value.
+func (e *Encoder) Put(value any) { e.put(reflect.ValueOf(value)) }
+
+// Bytes gives what was written so far.
+func (e *Encoder) Bytes() []byte { return e.buf.Bytes() }
+
+// Hash is the 64-bit hash of what was written so far.
+func (e *Encoder) Hash() uint64 { return Hash(e.buf.Bytes()) }
+
+// Reset empties the encoder; what is skipped stays.
+func (e *Encoder) Reset() { e.buf.Reset() }
+
+// Hash mixes bytes to 64 bits.
+func Hash(data []byte) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write(data)
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+var momentType = reflect.TypeFor[moment.Moment]()
+
+func (e *Encoder) number(x uint64) {
+	var raw [binary.MaxVarintLen64]byte
+	e.buf.Write(raw[:binary.PutUvarint(raw[:], x)])
+}
+
+func (e *Encoder) text(s string) {
+	e.number(uint64(len(s)))
+	e.buf.WriteString(s)
+}
+
+func (e *Encoder) flag(on bool) {
+	if on {
+		e.buf.WriteByte(1)
+		return
+	}
+	e.buf.WriteByte(0)
+}
+
+func (e *Encoder) put(v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Invalid:
+		e.buf.WriteByte(0)
+	case reflect.Bool:
+		e.flag(v.Bool())
+	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
+		e.integer(v)
+	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		e.number(v.Uint())
+	case reflect.String:
+		e.text(v.String())
+	case reflect.Slice, reflect.Array:
+		e.list(v)
+	case reflect.Map:
+		e.table(v)
+	case reflect.Struct:
+		e.fields(v)
+	case reflect.Pointer, reflect.Interface:
+		e.target(v)
+	default: // functions and channels have no content
+		e.flag(!v.IsNil())
+	}
+}
+
+func (e *Encoder) integer(v reflect.Value) {
+	if v.Type() != momentType {
+		e.number(uint64(v.Int()))
+		return
+	}
+	e.flag(v.Int() != 0)
+	if v.Int() != 0 {
+		e.number(uint64(v.Int() - int64(e.Now)))
+	}
+}
+
+func (e *Encoder) list(v reflect.Value) {
+	e.number(uint64(v.Len()))
+	if v.Kind() == reflect.Slice && v.Type().Elem().Kind() == reflect.Uint8 {
+		e.buf.Write(v.Bytes())
+		return
+	}
+	for i := range v.Len() {
+		e.put(v.Index(i))
+	}
+}
+
+func (e *Encoder) target(v reflect.Value) {
+	e.flag(!v.IsNil())
+	if v.IsNil() {
+		return
+	}
+	if v.Kind() == reflect.Interface {
+		e.text(v.Elem().Type().String())
+	}
+	e.put(v.Elem())
+}
+
+func (e *Encoder) fields(v reflect.Value) {
+	skip := e.skip[v.Type().String()]
+	for i := range v.NumField() {
+		if !skip[v.Type().Field(i).Name] {
+			e.put(v.Field(i))
+		}
+	}
+}
+
+// table writes each entry on its own and puts the entries in order of their bytes.
+func (e *Encoder) table(v reflect.Value) {
+	rows := make([][]byte, 0, v.Len())
+	for iter := v.MapRange(); iter.Next(); {
+		row := &Encoder{Now: e.Now, skip: e.skip}
+		row.put(iter.Key())
+		row.put(iter.Value())
+		rows = append(rows, row.buf.Bytes())
+	}
+	slices.SortFunc(rows, bytes.Compare)
+	e.number(uint64(len(rows)))
+	for _, row := range rows {
+		e.buf.Write(row)
+	}
+}
--- /dev/null
+++ b/explore/cluster/encode.go
@@ -0,0 +1,67 @@
+package cluster
+
+import (
+	"slices"
+
+	"cottonarch.example/cottonarch/explore/canon"
+	"cottonarch.example/cottonarch/kernel/ident"
+)
+
+// encoder leaves out the counters of an owner, which no step reads, and its machine, which
+// is the same for all.
+func encoder() *canon.Encoder {
+	e := canon.New()
+	e.Skip("owner.Owner", "mach", "Near", "Takes", "Rounds", "Mended", "Losses", "Patched", "Refused")
+	e.Skip("maker.Maker", "plan")
+	return e
+}
+
+// Hash names the state: all that a later step, choice or check may depend on.
+func (c *Cluster) Hash() uint64 {
+	e := encoder()
+	e.Now = c.now
+	e.Put(c.used)
+	e.Put(c.cuts)
+	e.Put(c.chosen)
+	e.Put(c.disks)
+	e.Put(c.objects)
+	e.Put(c.clients)
+	for _, m := range c.members {
+		c.putMember(e, m)
+	}
+	for _, one := range c.waiting() {
+		e.Put(one.id)
+	}
+	e.Put(c.found != nil)
+	return e.Hash()
+}
+
+func (c *Cluster) putMember(e *canon.Encoder, m *member) {
+	e.Now = c.now
+	e.Put([]bool{m.up, m.leaving, m.silent})
+	e.Put(m.run)
+	e.Put(m.disk)
+	e.Put(m.pending)
+	e.Put(m.durable)
+	for _, k := range c.keys() {
+		e.Put(m.rep.Peek(k))
+	}
+	e.Put(m.acc.State)
+	if c.set.Break == BreakSoft {
+		e.Put(m.mem.Files)
+	}
+	if !m.up {
+		return
+	}
+	e.Now = c.clock(m)
+	e.Put(m.own)
+	e.Put(m.make)
+	e.Put(m.copy)
+	e.Put([]ident.Epoch{m.copied, ident.Epoch(m.turns)})
+	for _, one := range m.gated {
+		e.Put(one.id)
+	}
+	for _, tag := range slices.Sorted(slices.Values(sortedTags(m.orders))) {
+		e.Put(tag)
+	}
+}
--- /dev/null
+++ b/explore/cluster/inspect.go
@@ -0,0 +1,70 @@
+package cluster
+
+import (
+	"maps"
+	"math/bits"
+	"slices"
+
+	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/kernel/ident"
+)
+
+// inspect reads, for every chosen roster that a majority could still serve, each key from
+// every majority, as a new owner's prepare would: what was acknowledged must be there.
+func (c *Cluster) inspect() {
+	newest := c.newest().Epoch
+	for _, epoch := range slices.Sorted(maps.Keys(c.chosen)) {
+		r := c.chosen[epoch]
+		disks := c.serving(r, epoch == newest)
+		for _, group := range majorities(disks, majority(r)) {
+			c.read(group)
+		}
+	}
+}
+
+// serving lists the members whose disks count in a roster and may still serve at it.
+func (c *Cluster) serving(r cell.Roster, newest bool) []*member {
+	var out []*member
+	for _, v := range r.Voters {
+		m := c.holder(v.Disk)
+		if v.Counted && m != nil && (newest || m.acc.Now.Epoch <= r.Epoch) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// majorities lists every choice of so many members.
+func majorities(all []*member, size int) [][]*member {
+	var out [][]*member
+	for mask := range 1 << len(all) {
+		if bits.OnesCount(uint(mask)) != size {
+			continue
+		}
+		var one []*member
+		for i, m := range all {
+			if mask>>i&1 == 1 {
+				one = append(one, m)
+			}
+		}
+		out = append(out, one)
+	}
+	return out
+}
+
+func (c *Cluster) read(group []*member) {
+	for _, o := range c.objects {
+		o.inspect(c, newestCell(group, o.key()))
+	}
+}
+
+// newestCell is what a prepare at these members would find.
+func newestCell(group []*member, key ident.Key) cell.Cell {
+	var best cell.Cell
+	for _, m := range group {
+		if got := m.rep.Peek(key); got.Newer(best) {
+			best = got
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/explore/cluster/member.go
@@ -0,0 +1,356 @@
+package cluster
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"cottonarch.example/cottonarch/control/core/message"
+	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/replica"
+	"cottonarch.example/cottonarch/control/register/survey"
+	"cottonarch.example/cottonarch/control/roster/acceptor"
+	"cottonarch.example/cottonarch/control/roster/maker"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/sim/broken"
+	"cottonarch.example/cottonarch/storage/ring"
+)
+
+const diskTag = "disk"
+
+// ringBoot is small: a run writes little, and each run begins with empty disks.
+var ringBoot = ring.Boot{Files: 4, Size: 16 << 10}
+
+// member is one core. Invariants: rep holds, while the process is down, what its disk
+// would give back; gated holds the returns that wait for a sync.
+type member struct {
+	number  int
+	run     int
+	up      bool
+	leaving bool
+	silent  bool
+	mem     *ring.Mem
+	ring    *ring.Ring
+	disk    ident.Disk
+	acc     *acceptor.Acceptor
+	rep     *replica.Replica
+	own     *owner.Owner
+	make    *maker.Maker
+	copy    *survey.Survey
+	copied  ident.Epoch
+	turns   uint64
+	gated   []envelope
+	skew    moment.Span
+	watch   moment.Watch
+	// pending are the records that no sync has covered, durable the newest that one has.
+	pending []ring.Record
+	durable map[string]string
+	// orders are the deeds in hand, by tag.
+	orders map[uint64]*order
+}
+
+func (m *member) addr() ident.Addr { return ident.Addr(fmt.Sprintf("m%d", m.number)) }
+
+func (m *member) mark() string { return fmt.Sprintf("%s-%d", m.addr(), m.run) }
+
+func (m *member) counted() bool { return m.up && m.acc.Now.Counts(m.disk) }
+
+// append writes records without a sync.
+func (m *member) append(recs []ring.Record) error {
+	m.pending = append(m.pending, recs...)
+	return m.ring.Append(recs)
+}
+
+func (m *member) sync() error {
+	for _, rec := range m.pending {
+		m.durable[rec.Tag] = string(rec.Data)
+	}
+	m.pending = nil
+	return m.ring.Sync()
+}
+
+// folder is the disk as the next run sees it.
+func (c *Cluster) folder(m *member) ring.Folder {
+	if c.set.Break == BreakSoft {
+		return broken.Lazy{Folder: m.mem}
+	}
+	return m.mem
+}
+
+// open reads the disk as a new run does.
+func (c *Cluster) open(m *member) bool {
+	r, err := ring.Open(c.folder(m), ringBoot)
+	if err != nil {
+		c.breach(RuleDisk, "m%d can't read its own disk: %v", m.number, err)
+		return false
+	}
+	m.ring = r
+	c.rebuild(m, r.Records())
+	return true
+}
+
+// recall makes of a member that is down what its disk would give back; it reads no file,
+// for to open one syncs it.
+func (c *Cluster) recall(m *member) {
+	newest := map[string]string{}
+	maps.Copy(newest, m.durable)
+	for _, rec := range m.pending {
+		newest[rec.Tag] = string(rec.Data)
+	}
+	var records []ring.Record
+	for _, tag := range slices.Sorted(maps.Keys(newest)) {
+		records = append(records, ring.Record{Tag: tag, Data: []byte(newest[tag])})
+	}
+	c.rebuild(m, records)
+}
+
+// rebuild makes replica and acceptor of what was read.
+func (c *Cluster) rebuild(m *member, records []ring.Record) {
+	m.disk = ""
+	for _, rec := range records {
+		if rec.Tag == diskTag {
+			m.disk = ident.Disk(rec.Data)
+		}
+	}
+	m.rep, m.acc = replica.New(m.disk), acceptor.New(m.disk)
+	for _, rec := range records {
+		if err := m.take(rec); err != nil {
+			c.breach(RuleDisk, "m%d can't read %s: %v", m.number, rec.Tag, err)
+		}
+	}
+	m.acc.Now.Need = c.set.need()
+}
+
+func (m *member) take(rec ring.Record) error {
+	switch {
+	case len(rec.Data) == 0, rec.Tag == diskTag:
+		return nil
+	case rec.Tag == acceptor.Tag:
+		return m.acc.Load(rec.Data)
+	}
+	_, err := m.rep.Load(rec)
+	return err
+}
+
+// start begins a run from what the disk holds.
+func (c *Cluster) start(m *member) {
+	m.run++
+	if !c.open(m) {
+		return
+	}
+	m.up, m.leaving, m.gated, m.orders = true, false, nil, map[uint64]*order{}
+	if c.set.Break != BreakSoft { // opening syncs
+		_ = m.sync()
+	}
+	if m.disk == "" {
+		c.name(m)
+		c.must(m, m.append([]ring.Record{{Tag: diskTag, Data: []byte(m.disk)}}))
+		c.must(m, m.sync())
+	}
+	m.watch = moment.Watch{}
+	c.begin(m)
+}
+
+// name gives a member's disk a new name.
+func (c *Cluster) name(m *member) {
+	c.disks++
+	m.disk = ident.Disk(fmt.Sprintf("disk%d", c.disks))
+	now := m.acc.Now
+	m.rep, m.acc = replica.New(m.disk), acceptor.New(m.disk)
+	m.acc.Now = now
+}
+
+// begin makes the parts of a run that hold nothing of the disk.
+func (c *Cluster) begin(m *member) {
+	m.make, m.copy, m.copied = maker.New(m.disk, m.mark()), nil, 0
+	m.own = owner.New(string(m.disk)+"."+m.mark(), c.machine)
+	m.own.Near = func(k ident.Key) cell.Cell { return m.rep.Peek(k) }
+	for _, other := range c.members {
+		if other.disk != "" {
+			m.own.Able(other.disk, true)
+		}
+	}
+	m.own.Rostered(c.clock(m), m.acc.Now)
+}
+
+// clock is what the member's steps are told: time that was watched go by, unless that rule
+// is broken.
+func (c *Cluster) clock(m *member) moment.Moment {
+	raw := c.now.Add(m.skew)
+	if c.set.Break == BreakClock {
+		return raw
+	}
+	return m.watch.Look(raw)
+}
+
+// kill ends the process; the deeds in hand end with an unknown fate.
+func (c *Cluster) kill(m *member) {
+	for _, tag := range sortedTags(m.orders) {
+		c.unknown(m.orders[tag])
+	}
+	m.up, m.leaving, m.gated, m.orders, m.own, m.make, m.copy = false, false, nil, nil, nil, nil, nil
+}
+
+// adopt takes a chosen roster in, as a node does.
+func (c *Cluster) adopt(m *member, r cell.Roster) {
+	_, was := m.acc.Now.Find(m.disk)
+	r.Need = c.set.need()
+	recs, newer := m.acc.Adopt(r)
+	if !newer {
+		return
+	}
+	c.must(m, m.append(recs))
+	m.make.Adopted(r)
+	m.copy = nil
+	c.owned(m, m.own.Rostered(c.clock(m), r))
+	if _, is := r.Find(m.disk); was && !is {
+		c.wipe(m)
+	}
+}
+
+// wipe makes this a new disk: its slot was taken while it was away.
+func (c *Cluster) wipe(m *member) {
+	var recs []ring.Record
+	for _, tag := range m.rep.Tags() {
+		recs = append(recs, ring.Record{Tag: tag})
+	}
+	for _, tag := range sortedTags(m.orders) {
+		c.unknown(m.orders[tag])
+	}
+	m.orders = map[uint64]*order{}
+	c.name(m)
+	recs = append(recs, ring.Record{Tag: diskTag, Data: []byte(m.disk)}, m.acc.Record())
+	c.must(m, m.append(recs))
+	c.begin(m)
+}
+
+// take part in the roster: the next step towards being counted, as a node does it.
+func (c *Cluster) join(m *member) {
+	now, r := c.clock(m), m.acc.Now
+	slot, in := r.Find(m.disk)
+	me := cell.Voter{Disk: m.disk, Addr: m.addr()}
+	switch {
+	case in && slot.Counted:
+	case in && slot.Joining && !c.grows(m):
+		c.rosterSends(m, m.make.Begin(now, r, maker.Take(me, rosterMost, false)))
+	case in && m.copied == r.Epoch:
+		c.rosterSends(m, m.make.Begin(now, r, maker.Count(m.disk)))
+	case in && m.copy == nil:
+		m.turns++
+		m.copy = survey.Begin(m.turns, r, "", true, m.disk)
+		c.scans(m, m.copy.Tick(now))
+	case !in:
+		c.rosterSends(m, m.make.Begin(now, r, maker.Take(me, rosterMost, true)))
+	}
+}
+
+// rosterMost is how many slots a roster has at most.
+const rosterMost = 5
+
+// grows tells whether a slot that has joined may be counted in.
+func (c *Cluster) grows(m *member) bool {
+	others := 0
+	for _, v := range m.acc.Now.Voters {
+		other := c.holder(v.Disk)
+		well := other != nil && other.up && !other.silent && !other.leaving
+		switch {
+		case v.Joining && other != m && well:
+			others++
+		case !v.Joining && !well:
+			return false
+		}
+	}
+	return m.acc.Now.Size()%2 == 0 || others > 0
+}
+
+// copiedAll takes in what a majority held.
+func (c *Cluster) copiedAll(m *member) {
+	all := m.copy.Found()
+	for _, k := range c.keys() {
+		if found, ok := all[k]; ok {
+			c.must(m, m.append(m.rep.Learn(cell.Row{Key: k, Cell: found.Cell})))
+		}
+	}
+	m.copied, m.copy = m.copy.Roster.Epoch, nil
+}
+
+// alive lists the disks that a voter has lately heard.
+func (c *Cluster) alive(at *member) []ident.Disk {
+	out := []ident.Disk{at.disk}
+	for _, m := range c.members {
+		if m != at && m.up && !m.silent && !c.cut(m.number, at.number) {
+			out = append(out, m.disk)
+		}
+	}
+	return out
+}
+
+// holder is the member that has a disk, nil if none has.
+func (c *Cluster) holder(d ident.Disk) *member {
+	for _, m := range c.members {
+		if m.disk == d && d != "" {
+			return m
+		}
+	}
+	return nil
+}
+
+// must notes that a write failed, which nothing here may cause.
+func (c *Cluster) must(m *member, err error) {
+	if err != nil {
+		c.breach(RuleDisk, "m%d can't write: %v", m.number, err)
+	}
+}
+
+// handle serves a message and gives what it makes the member say in return.
+func (c *Cluster) handle(m *member, from int, msg message.Message) []message.Message {
+	now := c.clock(m)
+	switch {
+	case msg.Ask != nil:
+		return c.onAsk(m, *msg.Ask)
+	case msg.RosterAsk != nil:
+		says, recs, say := m.acc.Step(*msg.RosterAsk, c.alive(m))
+		c.must(m, m.append(recs))
+		if say {
+			return []message.Message{{RosterSays: &says}}
+		}
+	case msg.Scan != nil && m.counted():
+		if page, ok := m.rep.Scan(m.acc.Now.Epoch, *msg.Scan); ok {
+			return []message.Message{{ScanReturn: &page}}
+		}
+	case msg.Return != nil:
+		c.owned(m, m.own.Step(now, *msg.Return))
+	case msg.RosterSays != nil:
+		c.onRosterSays(m, *msg.RosterSays)
+	case msg.ScanReturn != nil && m.copy != nil:
+		sends, done := m.copy.Step(now, *msg.ScanReturn)
+		c.scans(m, sends)
+		if done {
+			c.copiedAll(m)
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) onAsk(m *member, a cell.Ask) []message.Message {
+	if _, in := m.acc.Now.Find(m.disk); !in {
+		return nil
+	}
+	r, recs, say := m.rep.Step(m.acc.Now.Epoch, a)
+	c.must(m, m.append(recs))
+	if !say {
+		return nil
+	}
+	return []message.Message{{Return: &r}}
+}
+
+func (c *Cluster) onRosterSays(m *member, r acceptor.Return) {
+	sends, next := m.make.Step(c.clock(m), r)
+	c.rosterSends(m, sends)
+	if next != nil {
+		c.decided(m, *next)
+		c.adopt(m, *next)
+	}
+}
--- /dev/null
+++ b/explore/cluster/network.go
@@ -0,0 +1,178 @@
+package cluster
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"cottonarch.example/cottonarch/control/core/message"
+	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/survey"
+	"cottonarch.example/cottonarch/control/roster/maker"
+	"cottonarch.example/cottonarch/explore/canon"
+)
+
+// envelope is one message on its way between two addresses. As in the daemon it goes to
+// whichever process is at the address when it is delivered. Invariant: id is the hash of
+// the rest, so an equal message that is sent again is the same one as long as the first is
+// on its way.
+type envelope struct {
+	id       uint64
+	from, to int
+	msg      message.Message
+}
+
+func seal(from, to int, msg message.Message) envelope {
+	e := canon.New()
+	e.Put(from)
+	e.Put(to)
+	e.Put(msg)
+	return envelope{e.Hash(), from, to, msg}
+}
+
+// says tells whether the message is a return, which is delivered without an answer.
+func (e envelope) says() bool {
+	return e.msg.Return != nil || e.msg.RosterSays != nil || e.msg.ScanReturn != nil
+}
+
+// post puts a message on its way; to itself a member speaks at once when that is set.
+func (c *Cluster) post(from, to int, msg message.Message) {
+	e := seal(from, to, msg)
+	if from == to && c.set.Instant {
+		c.local = append(c.local, e)
+		return
+	}
+	c.net[e.id] = e
+}
+
+// flush delivers what members said to themselves.
+func (c *Cluster) flush() {
+	for len(c.local) > 0 {
+		e := c.local[0]
+		c.local = c.local[1:]
+		c.exchange(e)
+	}
+}
+
+// waiting lists the messages on their way, in a fixed order.
+func (c *Cluster) waiting() []envelope {
+	return slices.SortedFunc(maps.Values(c.net), func(a, b envelope) int { return cmp.Compare(a.id, b.id) })
+}
+
+func (c *Cluster) cut(from, to int) bool { return c.cuts[[2]int{from, to}] }
+
+// deliverable tells whether a message may arrive now.
+func (c *Cluster) deliverable(e envelope) bool {
+	return c.members[e.to-1].up && !c.cut(e.from, e.to)
+}
+
+// exchange delivers a message, syncs what it wrote and delivers the return at once.
+func (c *Cluster) exchange(e envelope) {
+	m := c.members[e.to-1]
+	says := c.handle(m, e.from, e.msg)
+	if !e.says() {
+		c.sync(m)
+	}
+	for _, msg := range says {
+		back := seal(e.to, e.from, msg)
+		if !c.deliverable(back) {
+			c.net[back.id] = back
+			continue
+		}
+		c.handle(c.members[e.from-1], e.to, msg)
+	}
+}
+
+// hold delivers a message and leaves its writes and its return for later.
+func (c *Cluster) hold(e envelope) {
+	m := c.members[e.to-1]
+	for _, msg := range c.handle(m, e.from, e.msg) {
+		m.gated = append(m.gated, seal(e.to, e.from, msg))
+	}
+}
+
+// sync syncs a member's disk and sends the returns that rested on it.
+func (c *Cluster) sync(m *member) {
+	c.must(m, m.sync())
+	for _, e := range m.gated {
+		c.net[e.id] = e
+	}
+	m.gated = nil
+}
+
+// owned carries out what an owner wants.
+func (c *Cluster) owned(m *member, fx owner.Effects) {
+	for _, s := range fx.Sends {
+		ask := s.Ask
+		if c.set.Break == BreakMend && ask.Turn == 0 {
+			continue
+		}
+		c.sendTo(m, s.To, message.Message{Ask: &ask})
+	}
+	for _, out := range fx.Outcomes {
+		c.ended(m, out)
+	}
+}
+
+func (c *Cluster) rosterSends(m *member, sends []maker.Send) {
+	for _, s := range sends {
+		ask := s.Ask
+		c.sendTo(m, s.To, message.Message{RosterAsk: &ask})
+	}
+}
+
+func (c *Cluster) scans(m *member, sends []survey.Send) {
+	for _, s := range sends {
+		scan := s.Scan
+		c.sendTo(m, s.To, message.Message{Scan: &scan})
+	}
+}
+
+// sendTo sends to the address that a voter has.
+func (c *Cluster) sendTo(m *member, v cell.Voter, msg message.Message) {
+	for _, to := range c.members {
+		if to.addr() == v.Addr {
+			c.post(m.number, to.number, msg)
+		}
+	}
+}
+
+// describe tells a message in words.
+func describe(msg message.Message) string {
+	switch {
+	case msg.Ask != nil:
+		a := msg.Ask
+		return fmt.Sprintf("%s of %s, turn %d, ballot %d.%s, revision %d, roster %d", a.Kind, a.Key, a.Turn, a.Ballot.Epoch, a.Ballot.Owner, a.Revision, a.Roster)
+	case msg.Return != nil:
+		r := msg.Return
+		return fmt.Sprintf("return of %s to %s of %s, turn %d, ok %v, promised %d.%s, accepted %d.%s revision %d", r.Disk, r.Kind, r.Key, r.Turn, r.OK,
+			r.Cell.Promised.Epoch, r.Cell.Promised.Owner, r.Cell.Accepted.Epoch, r.Cell.Accepted.Owner, r.Cell.Revision)
+	case msg.RosterAsk != nil:
+		a := msg.RosterAsk
+		return fmt.Sprintf("roster %s, turn %d, base %d, ballot %d.%s%s", a.Kind, a.Turn, a.Base, a.Ballot.Epoch, a.Ballot.Owner, proposal(a.Next))
+	case msg.RosterSays != nil:
+		r := msg.RosterSays
+		return fmt.Sprintf("return of %s to roster %s, turn %d, base %d, ok %v%s", r.Disk, r.Kind, r.Turn, r.Base, r.OK, proposal(r.Next))
+	case msg.Scan != nil:
+		return fmt.Sprintf("scan, turn %d, roster %d", msg.Scan.Turn, msg.Scan.Roster)
+	case msg.ScanReturn != nil:
+		return fmt.Sprintf("page of %s, turn %d, %d cells", msg.ScanReturn.Disk, msg.ScanReturn.Turn, len(msg.ScanReturn.Rows))
+	}
+	return "message"
+}
+
+func proposal(r *cell.Roster) string {
+	if r == nil {
+		return ""
+	}
+	out := fmt.Sprintf(", roster %d of", r.Epoch)
+	for _, v := range r.Voters {
+		out += " " + string(v.Disk)
+		if !v.Counted {
+			out += " (not counted)"
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/explore/cluster/settle.go
@@ -0,0 +1,165 @@
+package cluster
+
+import (
+	"fmt"
+	"time"
+
+	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/kernel/ident"
+)
+
+const (
+	// settleRounds is how many rounds of messages and time the end of a run has, and
+	// settlePace how long each is: together longer than any round may be out.
+	settleRounds = 16
+	settlePace   = 200 * time.Millisecond
+	// mendTries is how often a read is asked for whose tenure is lost to what was on its way.
+	mendTries = 3
+	// deliveries bounds the messages of one round.
+	deliveries = 500
+)
+
+// Settle ends the run without further faults: all members start, all messages arrive, time
+// passes. Then every key must be readable, and a read that is asked to mend must leave all
+// copies alike.
+func (c *Cluster) Settle() {
+	if c.found != nil {
+		return
+	}
+	c.heal()
+	for _, m := range c.members {
+		if m.leaving {
+			c.crash(m)
+		}
+		if !m.up && m.number <= c.set.Members {
+			c.start(m)
+		}
+	}
+	c.rounds(func() bool { return c.quiet() })
+	c.mendAll()
+}
+
+// rounds runs until done, or long enough.
+func (c *Cluster) rounds(done func() bool) {
+	for range settleRounds {
+		c.drain()
+		if c.found != nil || done() {
+			return
+		}
+		c.gather()
+		c.pass(settlePace)
+	}
+	c.drain()
+}
+
+// drain delivers all messages.
+func (c *Cluster) drain() {
+	for range deliveries {
+		sent := false
+		for _, m := range c.members {
+			if m.up && len(m.gated) > 0 {
+				c.sync(m)
+			}
+		}
+		for _, e := range c.waiting() {
+			if !c.deliverable(e) {
+				continue
+			}
+			delete(c.net, e.id)
+			c.exchange(e)
+			c.flush()
+			sent = true
+			break
+		}
+		if !sent {
+			return
+		}
+	}
+}
+
+// gather tells all of the newest roster in force, and has those that do not count join.
+func (c *Cluster) gather() {
+	for _, x := range c.rosterChoices() {
+		if x.Kind == tell && c.members[x.Member-1].acc.Now.Epoch > c.members[x.Other-1].acc.Now.Epoch || x.Kind == join && c.at(x).make.Idle() {
+			c.Apply(x)
+		}
+	}
+}
+
+// quiet tells whether nobody waits and every founder's slot counts.
+func (c *Cluster) quiet() bool {
+	for _, cl := range c.clients {
+		if cl.open != nil {
+			return false
+		}
+	}
+	for _, m := range c.members {
+		if m.up && (!m.acc.Now.Counts(m.disk) || m.acc.Now.Epoch < c.newest().Epoch) {
+			return false
+		}
+	}
+	return true
+}
+
+// mendAll reads every key, asking that copies be mended, and compares the copies.
+func (c *Cluster) mendAll() {
+	for _, k := range c.keys() {
+		if c.found != nil || !c.mend(k) {
+			return
+		}
+		c.alike(k)
+	}
+}
+
+// mend asks the first member that counts; it tells whether that was answered.
+func (c *Cluster) mend(k ident.Key) bool {
+	var at *member
+	for _, m := range c.members {
+		if m.counted() && m.acc.Now.Epoch == c.newest().Epoch {
+			at = m
+			break
+		}
+	}
+	if at == nil {
+		c.breach(RuleStuck, "no member counts at the newest roster, %d", c.newest().Epoch)
+		return false
+	}
+	for range mendTries {
+		c.tags++
+		tag := c.tags
+		c.mending = tag
+		c.owned(at, at.own.Submit(c.clock(at), owner.Deed{Tag: tag, Key: k, Kind: owner.Mend}))
+		c.flush()
+		c.rounds(func() bool { return c.mending != tag })
+		if c.mending != tag || c.found != nil {
+			return c.found == nil
+		}
+	}
+	c.breach(RuleStuck, "%s can't be read after all faults have ended", k)
+	return false
+}
+
+// alike checks that all disks that count hold the same of a key.
+func (c *Cluster) alike(k ident.Key) {
+	for range 3 { // a copy behind a stray promise is mended by the tenure above it
+		c.drain()
+		c.pass(settlePace)
+	}
+	var group []*member
+	for _, v := range c.newest().Voters {
+		if m := c.holder(v.Disk); v.Counted && m != nil && m.up && m.acc.Now.Epoch == c.newest().Epoch {
+			group = append(group, m)
+		}
+	}
+	best := newestCell(group, k)
+	for _, m := range group {
+		if got := m.rep.Peek(k); best.Newer(got) {
+			c.breach(RuleMended, "m%d has %s at %s, the newest is %s", m.number, k, version(got), version(best))
+		}
+	}
+}
+
+func version(x cell.Cell) string {
+	return fmt.Sprintf("ballot %d.%s revision %d", x.Accepted.Epoch, x.Accepted.Owner, x.Revision)
+}
--- /dev/null
+++ b/explore/model.go
@@ -0,0 +1,176 @@
+// Package explore checks the step functions of the control plane against all orders of
+// messages and faults up to a bound, and beyond it by guided random walks. Others may embed
+// it; cottonarch explore is its command.
+package explore
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"cottonarch.example/cottonarch/explore/cluster"
+	"cottonarch.example/cottonarch/explore/search"
+	"cottonarch.example/cottonarch/kernel/defect"
+)
+
+// Model names what is explored.
+type Model string
+
+// The models.
+const (
+	Register      Model = "register"
+	Membership    Model = "membership"
+	Configuration Model = "configuration"
+	Locks         Model = "locks"
+	All           Model = "all"
+)
+
+// Models lists the models in the order in which All explores them.
+func Models() []Model { return []Model{Register, Configuration, Locks, Membership} }
+
+// Options say what is explored and how far.
+type Options struct {
+	Model     Model `json:"model"`
+	Members   int   `json:"members"`
+	Keys      int   `json:"keys"`
+	Operators int   `json:"operators"`
+	// Depth bounds the breadth-first search by choices, States by remembered states.
+	Depth  int `json:"depth"`
+	States int `json:"states"`
+	// Faults are the numbers of faults in place of the model's own.
+	Faults map[cluster.Fault]int `json:"faults,omitempty"`
+	// Walks random walks of Steps choices follow.
+	Walks int           `json:"walks"`
+	Steps int           `json:"steps"`
+	Seed  uint64        `json:"seed"`
+	Break cluster.Break `json:"break,omitempty"`
+	// Stop, when set, is asked between runs and ends the search early.
+	Stop func() bool `json:"-"`
+}
+
+// shape is what a model explores by itself.
+type shape struct {
+	keys   []cluster.KeyKind
+	waits  []time.Duration
+	faults map[cluster.Fault]int
+	spares int
+	deeds  int
+	owners int
+}
+
+// shapes hold the models. Waits are a span after which messages are sent again, one after
+// which a round is given up, and for locks one after which a claim is over.
+var shapes = map[Model]shape{
+	Register: {
+		keys:   []cluster.KeyKind{cluster.ValueKey, cluster.NumberKey, cluster.CellKey, cluster.AuditKey},
+		waits:  []time.Duration{200 * time.Millisecond, 1300 * time.Millisecond},
+		faults: map[cluster.Fault]int{cluster.Late: 2, cluster.Crash: 1, cluster.Power: 1, cluster.Wait: 2, cluster.Leave: 1, cluster.Double: 1},
+		deeds:  2, owners: 2,
+	},
+	Configuration: {
+		keys:   []cluster.KeyKind{cluster.ManifestKey},
+		waits:  []time.Duration{200 * time.Millisecond, 1300 * time.Millisecond},
+		faults: map[cluster.Fault]int{cluster.Late: 1, cluster.Crash: 1, cluster.Again: 2, cluster.Wait: 2},
+		deeds:  2, owners: 2,
+	},
+	Locks: {
+		keys:   []cluster.KeyKind{cluster.LockKey},
+		waits:  []time.Duration{200 * time.Millisecond, 1400 * time.Millisecond},
+		faults: map[cluster.Fault]int{cluster.Late: 1, cluster.Crash: 1, cluster.Jump: 1, cluster.Wait: 2},
+		deeds:  2, owners: 2,
+	},
+	Membership: {
+		keys:   []cluster.KeyKind{cluster.ValueKey},
+		waits:  []time.Duration{400 * time.Millisecond, 2100 * time.Millisecond},
+		faults: map[cluster.Fault]int{cluster.Late: 2, cluster.Empty: 2, cluster.Crash: 1, cluster.Power: 1, cluster.Silent: 1, cluster.Wait: 4},
+		spares: 1, deeds: 2, owners: 2,
+	},
+}
+
+// Settings are those of a cluster of one model.
+func (o Options) Settings(model Model) cluster.Settings {
+	own := shapes[model]
+	s := cluster.Settings{
+		Members: o.Members, Spares: own.spares, Clients: o.Operators, Deeds: own.deeds, Owners: own.owners,
+		Waits: own.waits, Faults: maps.Clone(own.faults), Instant: true, Break: o.Break,
+	}
+	for i := range o.Keys {
+		if model == Configuration && i > 0 {
+			break // there is one configuration
+		}
+		s.Keys = append(s.Keys, own.keys[i%len(own.keys)])
+	}
+	maps.Copy(s.Faults, o.Faults)
+	return s
+}
+
+// Check finds what is wrong with the options.
+func (o Options) Check() *defect.Defect {
+	bad := defect.New(defect.BadBoot, "this can't be explored")
+	add := func(path, form string, args ...any) {
+		bad.All = append(bad.All, defect.Fault{Path: path, Note: fmt.Sprintf(form, args...)})
+	}
+	between := func(path string, n, low, high int) {
+		if n < low || n > high {
+			add(path, "must be from %d to %d", low, high)
+		}
+	}
+	if _, known := shapes[o.Model]; !known && o.Model != All {
+		add("model", "there is no model %q", o.Model)
+	}
+	between("members", o.Members, membersLeast, membersMost)
+	between("keys", o.Keys, 1, keysMost)
+	between("operators", o.Operators, 1, operatorsMost)
+	between("depth", o.Depth, 0, depthMost)
+	between("walks", o.Walks, 0, walksMost)
+	between("steps", o.Steps, 1, walksMost)
+	for f, n := range o.Faults {
+		if !slices.Contains(cluster.Faults(), f) {
+			add("faults", "there is no fault %q", f)
+		}
+		between("faults", n, 0, faultsMost)
+	}
+	if _, known := breaks[o.Break]; !known && o.Break != "" {
+		add("break", "there is no break %q; known are %s", o.Break, strings.Join(BreakNames(), ", "))
+	}
+	if len(bad.All) == 0 {
+		return nil
+	}
+	slices.SortFunc(bad.All, func(a, b defect.Fault) int { return strings.Compare(a.Path+a.Note, b.Path+b.Note) })
+	return bad
+}
+
+// What may be asked for.
+const (
+	membersLeast, membersMost = 3, 5
+	keysMost                  = 8
+	operatorsMost             = 4
+	depthMost                 = 200
+	walksMost                 = 10_000_000
+	faultsMost                = 100
+)
+
+// breaks lists what can be broken on purpose, with the model that shows it.
+var breaks = map[cluster.Break]Model{
+	cluster.BreakQuorum: Register, cluster.BreakReplica: Register, cluster.BreakClock: Locks, cluster.BreakMend: Register,
+	cluster.BreakSoft: Register, cluster.BreakStop: Register, cluster.BreakFate: Register,
+	"offer": Configuration, "lock": Locks, "cell-keep": Locks, "audit": Register, "history": Register,
+	"cell-twice": Register, "cell-old": Register, "cell-skip": Register, "cell-history": Register,
+}
+
+// BreakNames lists what can be broken on purpose.
+func BreakNames() []string {
+	var out []string
+	for b := range breaks {
+		out = append(out, string(b))
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Bound is that of the search.
+func (o Options) Bound() search.Bound {
+	return search.Bound{Depth: o.Depth, States: o.States, Walks: o.Walks, Steps: o.Steps, Seed: o.Seed, Stop: o.Stop}
+}
--- /dev/null
+++ b/explore/search/walk.go
@@ -0,0 +1,75 @@
+package search
+
+import "math/rand/v2"
+
+// guide remembers what walks have met, to lead later ones elsewhere.
+type guide struct {
+	seen  map[uint64]bool
+	taken map[choiceClass]int
+}
+
+// choiceClass groups choices that differ in their message alone.
+type choiceClass struct {
+	kind          Kind
+	member, other int
+	deed          string
+}
+
+func class(c Choice) choiceClass { return choiceClass{c.Kind, c.Member, c.Other, c.Deed} }
+
+// walks makes random walks. Each step draws two choices and keeps the one whose class was
+// taken less often; a walk that meets no new state for long ends early.
+func walks(begin Factory, b Bound, seen map[uint64]bool, r *Report) {
+	g := guide{seen: seen, taken: map[choiceClass]int{}}
+	before := len(seen)
+	for i := range b.Walks {
+		if b.stopped() {
+			break
+		}
+		trace, breach := g.walk(begin, b, uint64(i), r)
+		r.Walks++
+		if breach != nil {
+			r.Breach, r.Trace = breach, trace
+			break
+		}
+	}
+	r.WalkStates = len(seen) - before
+}
+
+// staleMax is how many steps in a row may meet nothing new before a walk ends.
+const staleMax = 40
+
+func (g *guide) walk(begin Factory, b Bound, number uint64, r *Report) (trace []Choice, breach *Breach) {
+	rng := rand.New(rand.NewPCG(b.Seed, number))
+	s := begin()
+	for stale := 0; len(trace) < b.Steps && stale < staleMax; {
+		choices := s.Choices()
+		if len(choices) == 0 {
+			break
+		}
+		c := g.draw(rng, choices)
+		s.Apply(c)
+		trace = append(trace, c)
+		r.Taken[c.Kind]++
+		g.taken[class(c)]++
+		if s.Breach() != nil {
+			return trace, s.Breach()
+		}
+		stale++
+		if h := s.Hash(); !g.seen[h] {
+			g.seen[h] = true
+			stale = 0
+		}
+	}
+	s.Settle()
+	return trace, s.Breach()
+}
+
+// draw prefers, of two choices, the one of the class that was taken less often.
+func (g *guide) draw(rng *rand.Rand, choices []Choice) Choice {
+	one, two := choices[rng.IntN(len(choices))], choices[rng.IntN(len(choices))]
+	if g.taken[class(two)] < g.taken[class(one)] {
+		return two
+	}
+	return one
+}
--- a/storage/ring/folder.go
+++ b/storage/ring/folder.go
@@ -166,6 +166,16 @@
 	m.Fail = nil
 }
 
+// Unsynced counts the writes that a loss of power may take, in the order in which Crash
+// asks for them.
+func (m *Mem) Unsynced() int {
+	n := 0
+	for _, f := range m.Files {
+		n += len(f.late)
+	}
+	return n
+}
+
 // Flip damages one solid byte.
 func (m *Mem) Flip(name string, off int64) {
 	f := m.Files[name]
