A return to an earlier run of a core is none to the next run

Cause: a return names only the turn of its round and goes to an address. Turns began at 0 in every run, and a core's returns to another wait in a queue by address, so one that was late behind a restart came to the next run and counted for its round of the same number. The roster's maker and the surveys counted their turns the same way.

Ruled out: naming the process in each return (it needs a field that earlier releases do not fill, and 32 bytes a message); checking the ballot in the return (a patch's and a confirm's return do not carry it).

Now the turns of owner, maker and surveys begin at a number made of the run's mark, below 2^53. Returns and asks grow by up to 16 digits.

--- a/control/core/node/deeds.go
+++ b/control/core/node/deeds.go
@@ -54,7 +54,7 @@
 
 func (n *Node) begindeed(now moment.Moment, p *pending, fx *Effects) {
 	if p.deed.Op == "" {
-		p.deed.Op = ident.Op(fmt.Sprintf("%s.%s.%d", n.Disk, n.boot.Mark, n.next()))
+		p.deed.Op = ident.Op(fmt.Sprintf("%s.%s.%d", n.Disk, n.boot.Mark, n.next()-n.first))
 	}
 	if grows[p.deed.Kind] && n.boot.Full != nil && n.boot.Full() {
 		n.finish(now, p, End{Defect: defect.New(defect.Full, "the disk has no room for more control state")}, fx)
--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -133,7 +133,8 @@
 	seen     map[string]*message.Carried
 	seenList []string
 	reads    map[uint64]*reading
-	count    uint64
+	count    uint64 // the last turn, ticket or tag given
+	first    uint64 // the one before the first of this run, see ident.FirstTurn
 	said     moment.Moment
 	leaving  bool
 	broken   bool
@@ -184,6 +185,8 @@
 	}
 	n := &Node{boot: boot, began: now, peers: map[ident.Addr]*peer{}, known: map[ident.Addr]moment.Moment{}, pend: map[uint64]*pending{}, guests: map[uint64]guest{},
 		seen: map[string]*message.Carried{}, reads: map[uint64]*reading{}, Ledger: ledger.New()}
+	n.first = ident.FirstTurn(boot.Mark)
+	n.count = n.first
 	var write []ring.Record
 	for _, rec := range recs {
 		if rec.Tag == diskTag {
--- a/control/register/owner/owner.go
+++ b/control/register/owner/owner.go
@@ -163,9 +163,10 @@
 	Takes, Rounds, Mended, Losses, Patched, Refused uint64
 }
 
-// New makes an owner.
+// New makes an owner. Its turns begin where those of no other run do: a return to a run that
+// ended may still arrive at its address, and must be no return to this one's rounds.
 func New(mark string, mach Machine) *Owner {
-	return &Owner{mark: mark, mach: mach, held: map[ident.Key]*tenure{}, busy: map[ident.Key]*tenure{}, able: map[ident.Disk]bool{}}
+	return &Owner{mark: mark, mach: mach, turn: ident.FirstTurn(mark), held: map[ident.Key]*tenure{}, busy: map[ident.Key]*tenure{}, able: map[ident.Disk]bool{}}
 }
 
 // Able says whether the process that has the disk knows patches.
--- a/control/roster/maker/maker.go
+++ b/control/roster/maker/maker.go
@@ -48,8 +48,11 @@
 	plan    Plan
 }
 
-// New makes an idle maker.
-func New(disk ident.Disk, mark string) *Maker { return &Maker{disk: disk, mark: mark} }
+// New makes an idle maker. Its turns begin where those of no other run do, so a late return
+// to an earlier run of this process is none to this one.
+func New(disk ident.Disk, mark string) *Maker {
+	return &Maker{disk: disk, mark: mark, turn: ident.FirstTurn(mark)}
+}
 
 // Send is one ask to one voter.
 type Send struct {
--- /dev/null
+++ b/control/roster/maker/restart_test.go
@@ -0,0 +1,43 @@
+package maker_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/control/roster/acceptor"
+	"cottonarch.example/cottonarch/control/roster/maker"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+)
+
+// A return to a proposal of an earlier run is none to the next run's: else a roster could be
+// said to be chosen that a majority never took.
+func TestReturnToAnEarlierRunDoesNotCount(t *testing.T) {
+	base := cell.Roster{Epoch: 1}
+	disks := map[ident.Disk]*acceptor.Acceptor{}
+	for _, d := range []ident.Disk{"d1", "d2", "d3"} {
+		base.Voters = append(base.Voters, cell.Voter{Disk: d, Addr: ident.Addr(d), Counted: true})
+	}
+	for _, v := range base.Voters {
+		disks[v.Disk] = acceptor.New(v.Disk)
+		disks[v.Disk].Adopt(base)
+	}
+	now := moment.Moment(1e9)
+	plan := maker.Move(cell.Voter{Disk: "d1", Addr: "elsewhere"})
+	old := maker.New("d1", "run1")
+	var late []acceptor.Return
+	for _, s := range old.Begin(now, base, plan) {
+		r, _, say := disks[s.To.Disk].Step(s.Ask, nil)
+		must.True(t, say)
+		late = append(late, r)
+	}
+	next := maker.New("d1", "run2")
+	next.Begin(now, base, plan)
+	for _, r := range late {
+		sends, chosen := next.Step(now, r)
+		must.SliceEmpty(t, sends, must.Sprint("an earlier run's promise was taken for this one's"))
+		must.Nil(t, chosen)
+	}
+}
--- a/kernel/ident/ident.go
+++ b/kernel/ident/ident.go
@@ -4,6 +4,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"hash/fnv"
 	"net"
 	"net/netip"
 	"strings"
@@ -79,3 +80,19 @@
 	_, _ = rand.Read(raw[:])
 	return hex.EncodeToString(raw[:])
 }
+
+// turnBits is how many turns a run may take before it enters the room of another's.
+const turnBits = 20
+
+// FirstTurn is the number after which a run counts its turns, from the run's mark. A return
+// names its turn alone and goes to an address, so it may come to the next run there; the
+// turns of two runs must differ. It is below 2^53, so any JSON reader keeps it whole.
+func FirstTurn(mark string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(mark))
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return (x >> 32) << turnBits
+}
