--- a/explore/cluster/settings.go
+++ b/explore/cluster/settings.go
@@ -9,6 +9,7 @@
 
 	"cottonarch.example/cottonarch/control/register/cell"
 	"cottonarch.example/cottonarch/explore/search"
+	"cottonarch.example/cottonarch/sim/broken"
 )
 
 // Fault is a kind of fault that the adversary may choose.
@@ -82,12 +83,15 @@
 	Faults map[Fault]int
 	// Instant has each member answer itself at once.
 	Instant bool
-	Break   Break
+	// Ring has members write to the daemon's ring rather than to a plain list of records.
+	Ring  bool
+	Break Break
 }
 
 // Factory makes clusters of these settings.
 func (s Settings) Factory() search.Factory {
-	return func() search.System { return New(s) }
+	machine := broken.Book(string(s.Break), history)
+	return func() search.System { return assemble(s, machine) }
 }
 
 // need is the number of returns that stands in for the majority.
