--- /dev/null
+++ b/cmd/cottonarch/explore.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"cottonarch.example/cottonarch/explore"
+	"cottonarch.example/cottonarch/explore/cluster"
+	"cottonarch.example/cottonarch/kernel/defect"
+)
+
+type exploreCmd struct {
+	Model     string         `default:"all" enum:"register,membership,configuration,locks,all" help:"What is explored: ${enum}."`
+	Members   int            `default:"3" help:"Members that form the first roster, 3 to 5."`
+	Keys      int            `default:"2" help:"Control keys."`
+	Operators int            `default:"2" help:"Clients that ask at the same time."`
+	Depth     int            `default:"40" help:"Longest run of the breadth-first search, in choices."`
+	States    int            `default:"20000" help:"States that the breadth-first search of one model remembers."`
+	Faults    map[string]int `help:"Numbers of faults, in place of the models' own, such as crash=1;late=2. Known: ${explore_faults}."`
+	Walks     int            `default:"500" help:"Guided random walks after it."`
+	Steps     int            `default:"80" help:"Choices of a walk."`
+	Seed      uint64         `default:"1" help:"Seed of the walks."`
+	For       time.Duration  `default:"0s" help:"Stop after this time; what was explored then depends on the machine. 0 sets no limit."`
+	Ring      bool           `help:"Write to the daemon's ring, which is slower."`
+	Break     string         `help:"Break a rule on purpose, to see it found. Known: ${explore_breaks}."`
+	Trace     string         `help:"Write the run that broke a rule to this file." type:"path"`
+	Replay    string         `help:"Replay such a file instead." type:"path"`
+}
+
+// exploreVars are what the help names.
+func exploreVars() kong.Vars {
+	var faults []string
+	for _, f := range cluster.Faults() {
+		faults = append(faults, string(f))
+	}
+	return kong.Vars{"explore_faults": strings.Join(faults, ", "), "explore_breaks": strings.Join(explore.BreakNames(), ", ")}
+}
+
+// Run explores, or replays.
+func (c exploreCmd) Run() error {
+	if c.Replay != "" {
+		return c.replay()
+	}
+	o := explore.Options{Model: explore.Model(c.Model), Members: c.Members, Keys: c.Keys, Operators: c.Operators, Depth: c.Depth, States: c.States,
+		Walks: c.Walks, Steps: c.Steps, Seed: c.Seed, Ring: c.Ring, Break: cluster.Break(c.Break), Faults: map[cluster.Fault]int{}}
+	for name, n := range c.Faults {
+		o.Faults[cluster.Fault(name)] = n
+	}
+	if bad := o.Check(); bad != nil {
+		return bad
+	}
+	if c.For > 0 {
+		end := time.Now().Add(c.For)
+		o.Stop = func() bool { return time.Now().After(end) }
+	}
+	parts := explore.Run(o)
+	fmt.Print(explore.Text(parts))
+	last := parts[len(parts)-1]
+	if last.Breach == nil {
+		fmt.Println("all held")
+		return nil
+	}
+	if c.Trace != "" {
+		if err := os.WriteFile(c.Trace, last.Trace().Encode(), 0o644); err != nil {
+			return defect.New(defect.BadBoot, "can't write the trace: %v", err)
+		}
+	}
+	return defect.New(defect.Conflict, "%s", last.Breach)
+}
+
+func (c exploreCmd) replay() error {
+	raw, err := os.ReadFile(c.Replay)
+	if err != nil {
+		return defect.New(defect.BadBoot, "can't read the trace: %v", err)
+	}
+	trace, bad := explore.Decode(raw)
+	if bad != nil {
+		return bad
+	}
+	lines, breach, bad := trace.Replay()
+	for _, line := range lines {
+		fmt.Println(line)
+	}
+	if bad != nil {
+		return bad
+	}
+	if breach == nil {
+		fmt.Println("all held")
+		return nil
+	}
+	return defect.New(defect.Conflict, "%s", breach)
+}
--- a/cmd/cottonarch/main.go
+++ b/cmd/cottonarch/main.go
@@ -32,6 +32,7 @@
 	Sidecar  sidecarCmd      `cmd:"" help:"Run a sidecar: the node beside an application."`
 	Platform platformCmd     `cmd:"" help:"Run the role that the platform's settings file gives, speaking as the platform does."`
 	Simulate simulateCmd     `cmd:"" help:"Ask what-if questions of a simulated deployment; ends with 1 when a rule breaks."`
+	Explore  exploreCmd      `cmd:"" help:"Check the control plane's steps over all orders of messages and faults up to a bound; ends with 1 when a rule breaks."`
 	Endpoint endpointCmd     `cmd:"" help:"Run a stand-in endpoint."`
 	Caller   callerCmd       `cmd:"" help:"Run stand-in callers and print what they were told."`
 	Capacity capacityCmd     `cmd:"" help:"Measure what a mesh costs as it grows, and what that says of a larger one."`
@@ -202,7 +203,7 @@
 
 func main() {
 	k := kong.Parse(&app, kong.Name("cottonarch"), kong.Description("A service mesh: cores hold the control state, sidecars carry the traffic."), kong.UsageOnError(),
-		kong.Vars{"faults": strings.Join(plan.Names(), ", "), "breaks": strings.Join(plan.BreakNames(), ", "), "loads": strings.Join(run.Loads(), ", ")},
+		exploreVars(), kong.Vars{"faults": strings.Join(plan.Names(), ", "), "breaks": strings.Join(plan.BreakNames(), ", "), "loads": strings.Join(run.Loads(), ", ")},
 		kong.Exit(func(code int) {
 			if code != 0 && code != 1 {
 				code = 2 // a wrong command line is bad input too
--- a/explore/cluster/choices.go
+++ b/explore/cluster/choices.go
@@ -35,6 +35,9 @@
 			add(search.Choice{Kind: search.Kind(Wait), Span: span})
 		}
 	}
+	for i, x := range out {
+		out[i].Fault = c.set.allowed(Fault(x.Kind)) > 0
+	}
 	return out
 }
 
--- a/explore/cluster/settings.go
+++ b/explore/cluster/settings.go
@@ -9,6 +9,7 @@
 
 	"cottonarch.example/cottonarch/control/register/cell"
 	"cottonarch.example/cottonarch/explore/search"
+	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/sim/broken"
 )
 
@@ -94,6 +95,22 @@
 	return func() search.System { return assemble(s, machine) }
 }
 
+// Check finds what is wrong with settings that were read from a file.
+func (s Settings) Check() *defect.Defect {
+	if s.Members < 1 || s.Members+s.Spares > membersMost || s.Clients < 1 || s.Clients > clientsMost {
+		return defect.New(defect.BadBoot, "a cluster has 1 to %d members and 1 to %d clients", membersMost, clientsMost)
+	}
+	for _, kind := range s.Keys {
+		if makers[kind] == nil {
+			return defect.New(defect.BadBoot, "there is no kind of key %q", kind)
+		}
+	}
+	return nil
+}
+
+// membersMost and clientsMost bound a cluster.
+const membersMost, clientsMost = 6, 16
+
 // need is the number of returns that stands in for the majority.
 func (s Settings) need() int {
 	if s.Break == BreakQuorum {
--- a/explore/model.go
+++ b/explore/model.go
@@ -4,6 +4,7 @@
 package explore
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -35,9 +36,13 @@
 	Members   int   `json:"members"`
 	Keys      int   `json:"keys"`
 	Operators int   `json:"operators"`
+	// Deeds is how many deeds an operator asks for, if it is not the search's own number.
+	Deeds int `json:"deeds,omitempty"`
 	// Depth bounds the breadth-first search by choices, States by remembered states.
 	Depth  int `json:"depth"`
 	States int `json:"states"`
+	// Kinds are the kinds of the keys, in place of Keys of the model's own.
+	Kinds []cluster.KeyKind `json:"kinds,omitempty"`
 	// Faults are the numbers of faults in place of the model's own.
 	Faults map[cluster.Fault]int `json:"faults,omitempty"`
 	// Walks random walks of Steps choices follow.
@@ -45,6 +50,8 @@
 	Steps int           `json:"steps"`
 	Seed  uint64        `json:"seed"`
 	Break cluster.Break `json:"break,omitempty"`
+	// Ring has members write to the daemon's ring, which is slower.
+	Ring bool `json:"ring,omitempty"`
 	// Stop, when set, is asked between runs and ends the search early.
 	Stop func() bool `json:"-"`
 }
@@ -57,7 +64,6 @@
 	mixes  []faults
 	faults faults
 	spares int
-	deeds  int
 	owners int
 }
 
@@ -77,7 +83,7 @@
 			cluster.Late: 4, cluster.Crash: 2, cluster.Power: 2, cluster.Wait: 8, cluster.Leave: 1, cluster.Double: 2, cluster.Lost: 3,
 			cluster.Cut: 1, cluster.CutOneWay: 1,
 		},
-		deeds: 2, owners: 2,
+		owners: 2,
 	},
 	Configuration: {
 		keys:  []cluster.KeyKind{cluster.ManifestKey},
@@ -87,7 +93,7 @@
 			cluster.Late: 3, cluster.Crash: 2, cluster.Power: 1, cluster.Again: 3, cluster.Wait: 8, cluster.Double: 2, cluster.Lost: 3,
 			cluster.Cut: 1, cluster.CutOneWay: 1,
 		},
-		deeds: 2, owners: 2,
+		owners: 2,
 	},
 	Locks: {
 		keys:  []cluster.KeyKind{cluster.LockKey},
@@ -97,7 +103,7 @@
 			cluster.Late: 3, cluster.Crash: 2, cluster.Power: 1, cluster.Jump: 2, cluster.Wait: 8, cluster.Double: 2, cluster.Lost: 3,
 			cluster.Cut: 1, cluster.CutOneWay: 1,
 		},
-		deeds: 2, owners: 2,
+		owners: 2,
 	},
 	Membership: {
 		keys:  []cluster.KeyKind{cluster.ValueKey},
@@ -107,7 +113,7 @@
 			cluster.Late: 4, cluster.Empty: 2, cluster.Crash: 2, cluster.Power: 2, cluster.Silent: 1, cluster.Wait: 8, cluster.Lost: 2,
 			cluster.Leave: 1,
 		},
-		spares: 1, deeds: 2, owners: 2,
+		spares: 1, owners: 2,
 	},
 }
 
@@ -128,11 +134,15 @@
 }
 
 // settings are those of a cluster of one model under some faults.
-func (o Options) settings(model Model, under faults) cluster.Settings {
+func (o Options) settings(model Model, under faults, deeds int) cluster.Settings {
 	own := shapes[model]
 	s := cluster.Settings{
-		Members: o.Members, Spares: own.spares, Clients: o.Operators, Deeds: own.deeds, Owners: own.owners,
-		Waits: own.waits, Faults: maps.Clone(under), Instant: true, Ring: o.Break == cluster.BreakSoft, Break: o.Break,
+		Members: o.Members, Spares: own.spares, Clients: o.Operators, Deeds: cmp.Or(o.Deeds, deeds), Owners: own.owners,
+		Waits: own.waits, Faults: maps.Clone(under), Instant: true, Ring: o.Ring, Break: o.Break,
+	}
+	if len(o.Kinds) > 0 {
+		s.Keys = o.Kinds
+		return s
 	}
 	for i := range o.Keys {
 		if model == Configuration && i > 0 {
@@ -143,6 +153,13 @@
 	return s
 }
 
+// A client asks for so many deeds in the breadth-first search, and in walks.
+const (
+	deedsBreadth = 2
+	deedsWalked  = 5
+	deedsAlone   = 9
+)
+
 // Check finds what is wrong with the options.
 func (o Options) Check() *defect.Defect {
 	bad := defect.New(defect.BadBoot, "this can't be explored")
@@ -189,12 +206,51 @@
 	faultsMost                = 100
 )
 
-// breaks lists what can be broken on purpose, with the model that shows it.
-var breaks = map[cluster.Break]Model{
-	cluster.BreakQuorum: Register, cluster.BreakReplica: Register, cluster.BreakClock: Locks, cluster.BreakMend: Register,
-	cluster.BreakSoft: Register, cluster.BreakStop: Register, cluster.BreakFate: Register,
-	"offer": Configuration, "lock": Locks, "cell-keep": Locks, "audit": Register, "history": Register,
-	"cell-twice": Register, "cell-old": Register, "cell-skip": Register, "cell-history": Register,
+// show is where a break shows: the model, the keys that it concerns and, when given, the
+// faults that it needs in place of the model's own.
+type show struct {
+	model Model
+	keys  []cluster.KeyKind
+	under faults
+	// alone has one client ask for more deeds, one after the other.
+	alone bool
+}
+
+// breaks lists what can be broken on purpose.
+var breaks = map[cluster.Break]show{
+	cluster.BreakQuorum:  {model: Register, keys: []cluster.KeyKind{cluster.ValueKey, cluster.NumberKey}},
+	cluster.BreakReplica: {model: Register, keys: []cluster.KeyKind{cluster.ValueKey, cluster.NumberKey}},
+	cluster.BreakMend:    {model: Register, keys: []cluster.KeyKind{cluster.ValueKey, cluster.NumberKey}},
+	cluster.BreakSoft:    {model: Register, keys: []cluster.KeyKind{cluster.NumberKey}, under: faults{cluster.Late: 2, cluster.Crash: 1, cluster.Power: 1, cluster.Wait: 2}},
+	cluster.BreakStop:    {model: Register, keys: []cluster.KeyKind{cluster.ValueKey, cluster.NumberKey}},
+	cluster.BreakFate:    {model: Register, keys: []cluster.KeyKind{cluster.CellKey}},
+	cluster.BreakClock:   {model: Locks, keys: []cluster.KeyKind{cluster.LockKey}, under: faults{cluster.Jump: 1}},
+	"lock":               {model: Locks, keys: []cluster.KeyKind{cluster.LockKey}},
+	"cell-keep":          {model: Locks, keys: []cluster.KeyKind{cluster.LockKey}},
+	"offer":              {model: Configuration, keys: []cluster.KeyKind{cluster.ManifestKey}},
+	"audit":              {model: Register, keys: []cluster.KeyKind{cluster.AuditKey}},
+	"history":            {model: Register, keys: []cluster.KeyKind{cluster.ValueKey, cluster.NumberKey}},
+	"cell-twice":         {model: Register, keys: []cluster.KeyKind{cluster.CellKey}},
+	"cell-old":           {model: Register, keys: []cluster.KeyKind{cluster.CellKey}},
+	"cell-skip":          {model: Register, keys: []cluster.KeyKind{cluster.CellKey}},
+	"cell-history":       {model: Register, keys: []cluster.KeyKind{cluster.CellKey}, under: faults{cluster.Wait: 4}, alone: true},
+}
+
+// Focused narrows options with a break to where it shows.
+func (o Options) Focused() Options {
+	at, broken := breaks[o.Break]
+	if !broken {
+		return o
+	}
+	o.Model, o.Kinds = at.model, at.keys
+	o.Ring = o.Ring || o.Break == cluster.BreakSoft
+	if len(o.Faults) == 0 {
+		o.Faults = at.under
+	}
+	if at.alone {
+		o.Operators, o.Deeds = 1, deedsAlone
+	}
+	return o
 }
 
 // BreakNames lists what can be broken on purpose.
--- a/explore/run.go
+++ b/explore/run.go
@@ -19,6 +19,7 @@
 // Run explores, model after model, every mix of faults breadth first and then by walks. It
 // ends with the first breach, which is that of the last part.
 func Run(o Options) []Part {
+	o = o.Focused()
 	models := []Model{o.Model}
 	if o.Model == All {
 		models = Models()
@@ -40,10 +41,10 @@
 func (o Options) plan(model Model) []Part {
 	var out []Part
 	for _, mix := range o.mixes(model) {
-		out = append(out, Part{Model: model, Faults: maps.Clone(mix), settings: o.settings(model, mix)})
+		out = append(out, Part{Model: model, Faults: maps.Clone(mix), settings: o.settings(model, mix, deedsBreadth)})
 	}
 	drawn := o.drawn(model)
-	return append(out, Part{Model: model, Faults: maps.Clone(drawn), Walked: true, settings: o.settings(model, drawn)})
+	return append(out, Part{Model: model, Faults: maps.Clone(drawn), Walked: true, settings: o.settings(model, drawn, deedsWalked)})
 }
 
 func (p *Part) search(o Options) {
--- a/explore/search/breadth.go
+++ b/explore/search/breadth.go
@@ -42,7 +42,6 @@
 		l.report.Depth = depth
 	}
 	l.report.Whole = len(l.now) == 0 && l.report.Breach == nil
-	l.report.reduce(begin)
 	return l.report
 }
 
--- a/explore/search/search.go
+++ b/explore/search/search.go
@@ -15,6 +15,8 @@
 // beginning lead to the same state, so a list of them is a whole run.
 type Choice struct {
 	Kind Kind `json:"kind"`
+	// Fault says that the choice is a fault, of which there is a bounded number.
+	Fault bool `json:"fault,omitempty"`
 	// Member and Other are members by number, from 1; 0 is none.
 	Member int `json:"member,omitempty"`
 	Other  int `json:"other,omitempty"`
--- a/explore/search/walk.go
+++ b/explore/search/walk.go
@@ -42,7 +42,7 @@
 		if len(choices) == 0 {
 			break
 		}
-		c := g.draw(rng, choices)
+		c := g.draw(rng, share(number), choices)
 		s.Apply(c)
 		trace = append(trace, c)
 		r.Taken[c.Kind]++
@@ -60,9 +60,32 @@
 	return trace, s.Breach()
 }
 
-// draw prefers, of two choices, the one of the class that was taken less often.
-func (g *guide) draw(rng *rand.Rand, choices []Choice) Choice {
-	one, two := choices[rng.IntN(len(choices))], choices[rng.IntN(len(choices))]
+// share is how many choices in a hundred go to what is no fault, in a walk of a number:
+// some walks are full of faults, others have long spells between them.
+func share(number uint64) int { return sharesLeast + int(number%shares)*shareStep }
+
+const (
+	sharesLeast = 55
+	shares      = 5
+	shareStep   = 10
+)
+
+// draw takes a fault or not by the walk's share, and of two choices the one of the class
+// that was taken less often.
+func (g *guide) draw(rng *rand.Rand, share int, choices []Choice) Choice {
+	var calm, faults []Choice
+	for _, c := range choices {
+		if c.Fault {
+			faults = append(faults, c)
+			continue
+		}
+		calm = append(calm, c)
+	}
+	from := calm
+	if len(calm) == 0 || len(faults) > 0 && rng.IntN(100) >= share {
+		from = faults
+	}
+	one, two := from[rng.IntN(len(from))], from[rng.IntN(len(from))]
 	if g.taken[class(two)] < g.taken[class(one)] {
 		return two
 	}
