--- a/explore/cluster/encode.go
+++ b/explore/cluster/encode.go
@@ -52,7 +52,7 @@
 	e.Put(m.own)
 	e.Put(m.make)
 	e.Put(m.copy)
-	e.Put([]ident.Epoch{m.copied, ident.Epoch(m.turns)})
+	e.Put([]ident.Epoch{m.copied, ident.Epoch(m.turns), ident.Epoch(m.awaits)})
 	for _, one := range m.gated {
 		e.Put(one.id)
 	}
--- a/explore/cluster/member.go
+++ b/explore/cluster/member.go
@@ -34,6 +34,7 @@
 	copy    *survey.Survey
 	copied  ident.Epoch
 	turns   uint64
+	awaits  uint64 // the turn of the word that a copy is synced, 0 if none is awaited
 	gated   []envelope
 	skew    moment.Span
 	watch   moment.Watch
@@ -133,7 +134,7 @@
 
 // begin makes the parts of a run that hold nothing of the disk.
 func (c *Cluster) begin(m *member) {
-	m.make, m.copy, m.copied = maker.New(m.disk, m.mark()), nil, 0
+	m.make, m.copy, m.copied, m.awaits = maker.New(m.disk, m.mark()), nil, 0, 0
 	m.turns = ident.FirstTurn(m.mark())
 	m.own = owner.New(string(m.disk)+"."+m.mark(), c.machine)
 	m.own.Near = func(k ident.Key) cell.Cell { return m.rep.Peek(k) }
@@ -173,7 +174,7 @@
 	}
 	c.must(m, m.append(recs))
 	m.make.Adopted(r)
-	m.copy = nil
+	m.copy, m.awaits = nil, 0
 	c.owned(m, m.own.Rostered(c.clock(m), r))
 	if _, is := r.Find(m.disk); was && !is {
 		c.wipe(m)
@@ -235,7 +236,8 @@
 	return m.acc.Now.Size()%2 == 0 || others > 0
 }
 
-// copiedAll takes in what a majority held.
+// copiedAll takes in what a majority held. As in a node the copy is done only once it is
+// synced: the word of that waits behind its records.
 func (c *Cluster) copiedAll(m *member) {
 	all := m.copy.Found()
 	for _, k := range c.keys() {
@@ -243,7 +245,18 @@
 			c.must(m, m.append(m.rep.Learn(cell.Row{Key: k, Cell: found.Cell})))
 		}
 	}
-	m.copied, m.copy = m.copy.Roster.Epoch, nil
+	m.turns++
+	m.awaits = m.turns
+	synced := cell.ScanReturn{Turn: m.awaits, Disk: m.disk, Roster: m.copy.Roster.Epoch}
+	m.gated = append(m.gated, seal(m.number, m.number, message.Message{ScanReturn: &synced}))
+}
+
+// copySynced takes the word that the copy is synced.
+func (m *member) copySynced(r cell.ScanReturn) {
+	m.awaits = 0
+	if r.Roster == m.acc.Now.Epoch {
+		m.copied, m.copy = r.Roster, nil
+	}
 }
 
 // alive lists the disks that a voter has lately heard.
@@ -294,7 +307,9 @@
 		c.owned(m, m.own.Step(now, *msg.Return))
 	case msg.RosterSays != nil:
 		c.onRosterSays(m, *msg.RosterSays)
-	case msg.ScanReturn != nil && m.copy != nil:
+	case msg.ScanReturn != nil && from == m.number && msg.ScanReturn.Turn == m.awaits:
+		m.copySynced(*msg.ScanReturn)
+	case msg.ScanReturn != nil && m.copy != nil && m.awaits == 0:
 		sends, done := m.copy.Step(now, *msg.ScanReturn)
 		c.scans(m, sends)
 		if done {
--- a/explore/cluster/network.go
+++ b/explore/cluster/network.go
@@ -96,7 +96,7 @@
 func (c *Cluster) sync(m *member) {
 	c.must(m, m.store.sync())
 	for _, e := range m.gated {
-		c.net[e.id] = e
+		c.post(e.from, e.to, e.msg)
 	}
 	m.gated = nil
 }
