--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -141,6 +141,7 @@
 	copying  bool
 	copied   ident.Epoch // the roster epoch whose cells were copied and synced
 	copy     uint64      // the turn of the word that a copy is synced, 0 if none is awaited
+	copyAt   moment.Moment
 	swept    moment.Moment
 	found    Sweep
 	dutied   moment.Moment
--- a/control/core/node/place.go
+++ b/control/core/node/place.go
@@ -12,6 +12,9 @@
 	"cottonarch.example/cottonarch/kernel/moment"
 )
 
+// copyAgain is how long the word that a copy is synced is awaited before all is copied anew.
+const copyAgain = 2 * time.Second
+
 // place works towards this disk being a counted voter.
 func (n *Node) place(now moment.Moment, fx *Effects) {
 	r := n.acc.Now
@@ -42,7 +45,7 @@
 		}
 	case in && n.copied == r.Epoch:
 		n.rosterSends(n.make.Begin(now, r, maker.Count(n.Disk)), fx)
-	case in && !n.copying:
+	case in && (!n.copying || n.copy != 0 && now.Since(n.copyAt) > copyAgain):
 		n.copying = true
 		n.survey(now, &reading{until: now.Add(time.Minute), done: n.copiedAll(r.Epoch)}, "", true, n.Disk, fx)
 	case !in && n.room(now, r):
@@ -118,7 +121,7 @@
 // copy is done only once it is synced: the word of that waits at the gate behind its
 // records. A disk that counted sooner and then lost power would count and know nothing.
 func (n *Node) copiedAll(at ident.Epoch) func(moment.Moment, *survey.Survey, *Effects) {
-	return func(_ moment.Moment, s *survey.Survey, fx *Effects) {
+	return func(now moment.Moment, s *survey.Survey, fx *Effects) {
 		if s == nil || n.acc.Now.Epoch != at {
 			n.copying = false
 			return
@@ -127,7 +130,7 @@
 		for _, k := range sorted(all) {
 			fx.Records = append(fx.Records, n.rep.Learn(cell.Row{Key: k, Cell: all[k].Cell})...)
 		}
-		n.copy = n.next()
+		n.copy, n.copyAt = n.next(), now
 		synced := cell.ScanReturn{Turn: n.copy, Disk: n.Disk, Roster: at}
 		fx.Sends = append(fx.Sends, Send{n.boot.Addr, message.Message{ScanReturn: &synced}})
 	}
