--- a/control/core/node/place.go
+++ b/control/core/node/place.go
@@ -12,6 +12,9 @@
 	"cottonarch.example/cottonarch/kernel/moment"
 )
 
+// copyAgain is how long the word that a copy is synced is awaited before all is copied anew.
+const copyAgain = 2 * time.Second
+
 // place works towards this disk being a counted voter.
 func (n *Node) place(now moment.Moment, fx *Effects) {
 	r := n.acc.Now
@@ -42,7 +45,7 @@
 		}
 	case in && n.copied == r.Epoch:
 		n.rosterSends(n.make.Begin(now, r, maker.Count(n.Disk)), fx)
-	case in && !n.copying:
+	case in && (!n.copying || n.copy != 0 && now.Since(n.copyAt) > copyAgain):
 		n.copying = true
 		n.survey(now, &reading{until: now.Add(time.Minute), done: n.copiedAll(r.Epoch)}, "", true, n.Disk, fx)
 	case !in && n.room(now, r):
@@ -114,19 +117,35 @@
 	return out
 }
 
-// copiedAll takes every key that a majority of the counted voters held at the epoch.
+// copiedAll takes every key that a majority of the counted voters held at the epoch. The
+// copy is done only once it is synced: the word of that waits at the gate behind its
+// records. A disk that counted sooner and then lost power would count and know nothing.
 func (n *Node) copiedAll(at ident.Epoch) func(moment.Moment, *survey.Survey, *Effects) {
-	return func(_ moment.Moment, s *survey.Survey, fx *Effects) {
-		n.copying = false
+	return func(now moment.Moment, s *survey.Survey, fx *Effects) {
 		if s == nil || n.acc.Now.Epoch != at {
+			n.copying = false
 			return
 		}
 		all := s.Found()
 		for _, k := range sorted(all) {
 			fx.Records = append(fx.Records, n.rep.Learn(cell.Row{Key: k, Cell: all[k].Cell})...)
 		}
-		n.copied = at
+		n.copy, n.copyAt = n.next(), now
+		synced := cell.ScanReturn{Turn: n.copy, Disk: n.Disk, Roster: at}
+		fx.Sends = append(fx.Sends, Send{n.boot.Addr, message.Message{ScanReturn: &synced}})
+	}
+}
+
+// copySynced takes the word that the copy is synced.
+func (n *Node) copySynced(r cell.ScanReturn) bool {
+	if r.Turn != n.copy || r.Disk != n.Disk || n.copy == 0 {
+		return false
+	}
+	n.copy = 0
+	if r.Roster == n.acc.Now.Epoch {
+		n.copying, n.copied = false, r.Roster
 	}
+	return true
 }
 
 func sorted(all map[ident.Key]survey.Found) []ident.Key {
