A voter that leaves hands over first: its successor is counted in, or the others hold all

Cause: a planned stop named successors for keys and went; it did not look whether what was confirmed lay on a majority of those that stay, and a core standing by could take the slot only after 3 s of silence. A question about the roster left before the sync of the copy that it rests on, so a newcomer could be counted and lose power without its copy.

Now a leaving voter waits until a core that stands by is counted in and drops its own slot, or falls silent and compares the copies of those that stay. An even number of slots drops one that is dead. Questions about the roster leave behind the disk's sync.

--- /dev/null
+++ b/control/core/node/handover.go
@@ -0,0 +1,260 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/survey"
+	"cottonarch.example/cottonarch/control/roster/maker"
+	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+)
+
+const (
+	// inDoubt is how long after this disk's vote the round that it was for may still end:
+	// no round is out for longer than 1.2 s.
+	inDoubt = 1300 * time.Millisecond
+	// reliefWait is how long a leaving voter waits for its successor to be counted in.
+	reliefWait = 2 * time.Second
+	// proofWait bounds one comparison of the copies, and proofPause parts two of them.
+	proofWait  = time.Second
+	proofPause = 20 * time.Millisecond
+)
+
+// vote is an accept that this disk said yes to.
+type vote struct {
+	key ident.Key
+	at  moment.Moment
+}
+
+// departure is a voter's planned leave. Invariants: while silent is set, this disk answers
+// no owner, so every majority is one of those that stay; resolved is set only when every
+// round that an earlier vote of this disk may have ended is over.
+type departure struct {
+	began    moment.Moment
+	silent   bool
+	asked    bool
+	open     int // deeds out that end the rounds in doubt
+	failed   bool
+	resolved bool
+}
+
+// proof shows, for one roster, that the confirmed values need no copy of one voter. It is
+// dropped when the roster changes.
+type proof struct {
+	without ident.Disk
+	skip    ident.Disk
+	busy    bool
+	holds   bool
+	next    moment.Moment
+}
+
+// voted remembers the keys that this disk took an accept for.
+func (n *Node) voted(now moment.Moment, key ident.Key) {
+	for len(n.votes) > 0 && now.Since(n.votes[0].at) > inDoubt {
+		n.votes = n.votes[1:]
+	}
+	n.votes = append(n.votes, vote{key, now})
+}
+
+// handOver carries a planned leave on; it is true once nothing that was confirmed needs
+// this disk any more, or when nobody stays to whom it could be handed.
+//
+//   - Where another core can follow, that one is counted in first and this voter's slot is
+//     dropped then, so that at no step a majority is of fewer than before.
+//   - Else this disk stops voting, and goes once a majority of those that stay holds
+//     everything.
+func (n *Node) handOver(now moment.Moment, fx *Effects) bool {
+	r := n.acc.Now
+	if n.broken || !r.Counts(n.Disk) {
+		return true
+	}
+	stay, may := n.staying(now, r)
+	even := r.Size()%2 == 0
+	switch {
+	case even && stay >= r.Size()/2:
+		n.away = &departure{began: n.away.began}
+		if n.proves(now, n.Disk, "", fx) {
+			n.rosterSends(n.make.Begin(now, r, maker.Drop(n.Disk, true)), fx)
+		}
+		return false
+	case stay < r.Majority():
+		n.away = &departure{began: n.away.began}
+		return !may
+	case !even && n.successor(now, r) != "" && now.Since(n.away.began) < reliefWait:
+		n.away = &departure{began: n.away.began}
+		return false
+	}
+	n.away.silent = true
+	return n.resolves(now, fx) && n.proves(now, n.Disk, n.Disk, fx)
+}
+
+// staying counts the other voters that are heard and stay; may tells whether there are any
+// that have not said that they leave, heard or not.
+func (n *Node) staying(now moment.Moment, r cell.Roster) (stay int, may bool) {
+	near := n.well(now)
+	for _, v := range r.Voters {
+		if !v.Counted || v.Disk == n.Disk {
+			continue
+		}
+		if slices.Contains(near, v.Disk) {
+			stay++
+		}
+		may = may || !n.saidLeaving(v.Disk)
+	}
+	return stay, may
+}
+
+// saidLeaving tells whether the last that was heard of a disk is that it leaves.
+func (n *Node) saidLeaving(d ident.Disk) bool {
+	for _, p := range n.peers {
+		if p.hello.Disk == d {
+			return p.hello.Leaving
+		}
+	}
+	return false
+}
+
+// leaver tells whether a counted voter that is heard leaves as planned, while all others
+// that have a slot are well.
+func (n *Node) leaver(now moment.Moment, r cell.Roster) bool {
+	near, found := n.well(now), false
+	for _, v := range r.Voters {
+		if v.Joining || slices.Contains(near, v.Disk) && (v.Disk != n.Disk || !n.leaving) {
+			continue
+		}
+		heard := v.Disk == n.Disk || slices.Contains(n.heard(now, alive), v.Disk)
+		if !v.Counted || !heard || v.Disk != n.Disk && !n.saidLeaving(v.Disk) {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
+// successor is the disk that is to be counted in for a voter that leaves: one that has
+// joined already, else the first by address of the cores without a slot. There is none
+// while another slot is not well, which is to be filled first.
+func (n *Node) successor(now moment.Moment, r cell.Roster) ident.Disk {
+	if !n.leaver(now, r) {
+		return ""
+	}
+	near := n.well(now)
+	for _, v := range r.Voters {
+		if v.Joining && slices.Contains(near, v.Disk) && (v.Disk != n.Disk || !n.leaving) {
+			return v.Disk
+		}
+	}
+	addrs := append(n.peerAddrs(), n.boot.Addr)
+	slices.Sort(addrs)
+	for _, a := range addrs {
+		d, stays := n.Disk, !n.leaving && !n.broken
+		if p := n.peers[a]; p != nil {
+			d, stays = p.hello.Disk, slices.Contains(near, p.hello.Disk)
+		}
+		if _, in := r.Find(d); stays && !in {
+			return d
+		}
+	}
+	return ""
+}
+
+// relieves tells whether this disk is to follow a voter that leaves.
+func (n *Node) relieves(now moment.Moment, r cell.Roster) bool {
+	return r.Size()%2 != 0 && !n.leaving && n.successor(now, r) == n.Disk
+}
+
+// resolves ends the rounds that this disk voted for before it fell silent. A round's owner
+// may have this disk's yes and wait for one more, so what it writes may be confirmed after
+// the copies were compared. A deed of the same key, run by its owner, ends only after that.
+func (n *Node) resolves(now moment.Moment, fx *Effects) bool {
+	d := n.away
+	if d.resolved || d.asked && d.open > 0 {
+		return d.resolved
+	}
+	if d.asked && !d.failed {
+		d.resolved = true
+		return true
+	}
+	d.asked, d.failed = true, false
+	var keys []ident.Key
+	for _, v := range n.votes {
+		if now.Since(v.at) <= inDoubt+now.Since(d.began) && !slices.Contains(keys, v.key) {
+			keys = append(keys, v.key)
+		}
+	}
+	d.open = len(keys)
+	for _, k := range keys {
+		n.internal(now, owner.Deed{Key: k, Kind: owner.Mend}, fx, func(_ moment.Moment, e End, _ *Effects) {
+			d.open--
+			d.failed = d.failed || e.Defect != nil && e.Defect.Kind != defect.Malformed // what an older release says to it, after its round
+		})
+	}
+	return false
+}
+
+// proves compares the copies of all voters but skip, and mends what is behind, until every
+// value is held by a majority of the voters that are left without one of them.
+func (n *Node) proves(now moment.Moment, without, skip ident.Disk, fx *Effects) bool {
+	if n.proof == nil || n.proof.without != without || n.proof.skip != skip {
+		n.proof = &proof{without: without, skip: skip}
+	}
+	p := n.proof
+	if p.holds || p.busy || p.next.After(now) {
+		return p.holds
+	}
+	p.busy = true
+	n.survey(now, &reading{until: now.Add(proofWait), all: n.allHeard(now, skip), buckets: buckets(n.Cells()), done: func(now moment.Moment, s *survey.Survey, fx *Effects) {
+		p.busy, p.next = false, now.Add(proofPause)
+		p.holds = s != nil && n.holdsWithout(now, s, without, fx)
+	}}, "", false, skip, fx)
+	return p.holds
+}
+
+// holdsWithout tells whether a survey found every value on a majority of the voters that
+// are left; what it did not is read through its owner, which mends it.
+func (n *Node) holdsWithout(now moment.Moment, s *survey.Survey, without ident.Disk, fx *Effects) bool {
+	need, whole := (s.Roster.Size()-1)/2+1, true
+	all := s.Found()
+	for _, k := range sorted(all) {
+		if s.Holders(all[k], without) < need {
+			whole = false
+			n.internal(now, owner.Deed{Key: k, Kind: owner.Mend}, fx, func(moment.Moment, End, *Effects) {})
+		}
+	}
+	return whole
+}
+
+// allHeard tells whether all counted voters but one are heard.
+func (n *Node) allHeard(now moment.Moment, skip ident.Disk) bool {
+	near := n.heard(now, alive)
+	return !slices.ContainsFunc(n.acc.Now.Voters, func(v cell.Voter) bool {
+		return v.Counted && v.Disk != skip && !slices.Contains(near, v.Disk)
+	})
+}
+
+// sheds drops the slot of a voter that is held for dead where the number of slots is even:
+// with one fewer the mesh bears the next loss, which it would not with an empty one. The
+// first counted voter that is well does it.
+func (n *Node) sheds(now moment.Moment, r cell.Roster, fx *Effects) {
+	if r.Size()%2 != 0 || now.Since(n.began) <= deadAfter {
+		return
+	}
+	near, heard := n.well(now), n.heard(now, deadAfter)
+	first, gone := ident.Disk(""), ident.Disk("")
+	for _, v := range r.Voters {
+		switch {
+		case v.Joining:
+		case first == "" && v.Counted && slices.Contains(near, v.Disk):
+			first = v.Disk
+		case gone == "" && !slices.Contains(heard, v.Disk):
+			gone = v.Disk
+		}
+	}
+	if first == n.Disk && gone != "" && n.proves(now, gone, gone, fx) {
+		n.rosterSends(n.make.Begin(now, r, maker.Drop(gone, false)), fx)
+	}
+}
--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -82,12 +82,14 @@
 	Exit      *defect.Defect
 }
 
-// Gate splits off the records and the messages that rest on this disk.
+// Gate splits off the records and the messages that rest on this disk. A question about the
+// roster is one of them: a newcomer that asks to be counted says by it that it holds its
+// copy, and a loss of power must not prove it wrong.
 func (fx *Effects) Gate() Effects {
 	out := Effects{Records: fx.Records}
 	var rest []Send
 	for _, s := range fx.Sends {
-		if s.Msg.Return != nil || s.Msg.RosterSays != nil || s.Msg.ScanReturn != nil {
+		if s.Msg.Return != nil || s.Msg.RosterAsk != nil || s.Msg.RosterSays != nil || s.Msg.ScanReturn != nil {
 			out.Sends = append(out.Sends, s)
 			continue
 		}
@@ -136,6 +138,9 @@
 	count    uint64
 	said     moment.Moment
 	leaving  bool
+	away     *departure
+	votes    []vote // the accepts taken lately, oldest first
+	proof    *proof
 	broken   bool
 	copying  bool
 	copied   ident.Epoch
@@ -170,6 +175,7 @@
 			all[kind] = h
 		}
 	}
+	all[owner.Mend] = func(owner.Turn, json.RawMessage, json.RawMessage) book.Entry { return book.Entry{} }
 	return all
 }
 
@@ -194,7 +200,7 @@
 		n.Disk = boot.NewDisk()
 		write = append(write, ring.Record{Tag: diskTag, Data: []byte(n.Disk)})
 	}
-	n.rep, n.acc = replica.New(n.Disk), acceptor.New(n.Disk)
+	n.rep, n.acc, n.away = replica.New(n.Disk), acceptor.New(n.Disk), &departure{}
 	for _, rec := range recs {
 		if len(rec.Data) == 0 || rec.Tag == diskTag {
 			continue
--- a/control/core/node/place.go
+++ b/control/core/node/place.go
@@ -35,8 +35,10 @@
 	switch {
 	case in && me.Counted && me.Addr != n.boot.Addr:
 		n.rosterSends(n.make.Begin(now, r, maker.Move(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr})), fx)
-	case in && me.Counted, n.leaving:
-	case in && me.Joining && !n.grows(now, r):
+	case n.leaving:
+	case in && me.Counted:
+		n.sheds(now, r, fx)
+	case in && me.Joining && !n.grows(now, r) && !n.relieves(now, r):
 		if n.room(now, r) {
 			n.rosterSends(n.make.Begin(now, r, maker.Take(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr}, n.boot.Voters, false)), fx)
 		}
@@ -45,6 +47,8 @@
 	case in && !n.copying:
 		n.copying = true
 		n.survey(now, &reading{until: now.Add(time.Minute), done: n.copiedAll(r.Epoch)}, "", true, n.Disk, fx)
+	case !in && n.relieves(now, r):
+		n.rosterSends(n.make.Begin(now, r, maker.Take(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr}, len(r.Voters)+1, true)), fx)
 	case !in && n.room(now, r):
 		grow := now.Since(n.began) > growAfter
 		n.rosterSends(n.make.Begin(now, r, maker.Take(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr}, n.boot.Voters, grow)), fx)
--- a/control/core/node/tick.go
+++ b/control/core/node/tick.go
@@ -110,7 +110,7 @@
 	if n.leaving {
 		return fx
 	}
-	n.leaving = true
+	n.leaving, n.away = true, &departure{began: now}
 	n.keep(now, &fx)
 	n.hello(now, true, &fx)
 	disks, at := n.live(now)
@@ -135,10 +135,14 @@
 	return fx
 }
 
-// Left lets go of what has no round out; it is true when nothing is in hand.
+// Left lets go of what has no round out; it is true when nothing is in hand and all that
+// was confirmed is on a majority of the voters that stay.
 func (n *Node) Left(now moment.Moment) (bool, Effects) {
 	var fx Effects
 	done, o := n.own.Release()
 	n.owned(now, o, &fx)
-	return done && len(n.pend) == 0 && len(n.wait) == 0, fx
+	if !done || len(n.pend) > 0 || len(n.wait) > 0 {
+		return false, fx
+	}
+	return n.handOver(now, &fx), fx
 }
--- a/control/core/node/voting.go
+++ b/control/core/node/voting.go
@@ -22,7 +22,8 @@
 	}
 	fx.Records = append(fx.Records, recs...)
 	n.make.Adopted(r)
-	n.copying = false
+	n.copying, n.proof = false, nil
+	n.away = &departure{began: n.away.began, silent: n.away.silent}
 	for _, turn := range n.turns() {
 		rd := n.reads[turn]
 		delete(n.reads, turn)
@@ -62,11 +63,11 @@
 	n.copied = 0
 }
 
-func (n *Node) onAsk(_ moment.Moment, m message.Message, fx *Effects) bool {
+func (n *Node) onAsk(now moment.Moment, m message.Message, fx *Effects) bool {
 	if m.Ask == nil {
 		return false
 	}
-	if n.broken {
+	if n.broken || n.away.silent {
 		return true
 	}
 	if _, in := n.acc.Now.Find(n.Disk); !in {
@@ -74,6 +75,9 @@
 	}
 	r, recs, say := n.rep.Step(n.acc.Now.Epoch, *m.Ask)
 	fx.Records = append(fx.Records, recs...)
+	if r.OK && (m.Ask.Kind == cell.Accept || m.Ask.Kind == cell.PatchAccept) {
+		n.voted(now, m.Ask.Key)
+	}
 	if say {
 		fx.Sends = append(fx.Sends, Send{m.From, message.Message{Return: &r}})
 	}
--- a/control/register/survey/survey.go
+++ b/control/register/survey/survey.go
@@ -183,13 +183,7 @@
 		}
 	}
 	if s.All {
-		most := 0
-		for _, v := range s.Roster.Voters {
-			if v.Counted {
-				most++
-			}
-		}
-		return n == most
+		return n == s.counted()
 	}
 	return n >= s.Roster.Majority()
 }
@@ -243,6 +237,17 @@
 	return read, s.counted()
 }
 
+// Holders counts the disks read, but for one, that hold the key's newest state.
+func (s *Survey) Holders(f Found, without ident.Disk) int {
+	holders := 0
+	for disk, st := range s.strands {
+		if disk != without && st.done && !f.Cell.Newer(st.rows[f.Key]) {
+			holders++
+		}
+	}
+	return holders
+}
+
 // Lagging lists the disks whose copy of the key is behind the newest one read.
 func (s *Survey) Lagging(f Found) []ident.Disk {
 	var out []ident.Disk
--- a/control/roster/maker/maker.go
+++ b/control/roster/maker/maker.go
@@ -215,6 +215,23 @@
 	}
 }
 
+// Drop plans that a voter has no slot from now on: one that leaves as planned, or one that
+// nobody has heard. Only an even number of slots shrinks: the odd one below it bears as
+// many losses, while with an even one a voter that is gone is a loss that is borne already.
+func Drop(gone ident.Disk, leaves bool) Plan {
+	return func(now cell.Roster, alive map[ident.Disk]bool) *cell.Roster {
+		voter, in := now.Find(gone)
+		if !in || voter.Joining || now.Size()%2 != 0 || !leaves && alive[gone] {
+			return nil
+		}
+		next := cell.Roster{Epoch: now.Epoch + 1, Voters: slices.DeleteFunc(slices.Clone(now.Voters), func(v cell.Voter) bool { return v.Disk == gone })}
+		if counted(next) < next.Majority() {
+			return nil
+		}
+		return &next
+	}
+}
+
 func counted(r cell.Roster) int {
 	n := 0
 	for _, v := range r.Voters {
