--- a/boot/boot.go
+++ b/boot/boot.go
@@ -22,6 +22,8 @@
 	District ident.District
 	Seeds    []ident.Addr
 	Founders []ident.Addr
+	// CanLose is how many machines with a disk may be lost at once; 0 where nobody says.
+	CanLose  int
 	Data     string
 	Voters   int
 	RingFile int64
--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -62,6 +62,8 @@
 	NewDisk  func() ident.Disk
 	Machine  owner.Machine
 	Need     int // see cell.Roster
+	// CanLose is how many machines with a disk may be lost at once; 0 where nobody says.
+	CanLose int
 	// History is how long at least a group's puts are kept for watches; 60 s if it is 0.
 	History time.Duration
 	// Full, when set, tells that the disk has little room left.
--- a/control/core/node/place.go
+++ b/control/core/node/place.go
@@ -50,7 +50,7 @@
 	case !in && n.relieves(now, r):
 		n.rosterSends(n.make.Begin(now, r, maker.Take(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr}, len(r.Voters)+1, true)), fx)
 	case !in && n.room(now, r):
-		grow := now.Since(n.began) > growAfter
+		grow := n.mayGrow(now, r)
 		n.rosterSends(n.make.Begin(now, r, maker.Take(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr}, n.boot.Voters, grow)), fx)
 	}
 }
@@ -86,8 +86,8 @@
 }
 
 // room tells whether this disk may find a slot: one voter is at this address, or one is
-// not heard here, or, once this core has run for long, there are fewer voters than there
-// should be. Only then is a majority asked, and what its disks have heard decides; so a
+// not heard here, or it may grow the roster, which has fewer voters than there should be.
+// Who can have none does not ask: each question outbids those that would be agreed to. Only then is a majority asked, and what its disks have heard decides; so a
 // core that has just come need not itself wait for a voter's silence to be long.
 func (n *Node) room(now moment.Moment, r cell.Roster) bool {
 	if slices.ContainsFunc(r.Voters, func(v cell.Voter) bool { return v.Addr == n.boot.Addr && v.Disk != n.Disk }) {
@@ -99,10 +99,18 @@
 	}
 	near := n.heard(now, deadAfter)
 	_, in := r.Find(n.Disk)
-	return !in && ran > deadAfter && len(r.Voters) < n.boot.Voters ||
+	return !in && n.mayGrow(now, r) && len(r.Voters) < n.boot.Voters ||
 		slices.ContainsFunc(r.Voters, func(v cell.Voter) bool { return !slices.Contains(near, v.Disk) && (!in || !v.Joining) })
 }
 
+// mayGrow tells whether this disk may ask for a slot of its own. A core that replaces
+// another is given time to find the empty slot first; where there are too few slots to bear
+// what may be lost at once, it waits no longer than it takes to hear the others.
+func (n *Node) mayGrow(now moment.Moment, r cell.Roster) bool {
+	ran := now.Since(n.began)
+	return ran > growAfter || r.Size() < 2*n.boot.CanLose+1 && ran > alive
+}
+
 // notDead lists the disks that this one does not hold for dead: those heard lately and,
 // as long as it has not listened for that long itself, all that vote.
 func (n *Node) notDead(now moment.Moment) []ident.Disk {
--- a/control/roster/maker/maker.go
+++ b/control/roster/maker/maker.go
@@ -3,6 +3,8 @@
 package maker
 
 import (
+	"fmt"
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -16,6 +18,10 @@
 	resend = 200 * time.Millisecond
 	giveUp = 2 * time.Second
 	rest   = 300 * time.Millisecond
+	// retry is the pause after a voter had promised another proposal more: far less than
+	// rest, or a proposer that has nothing to propose and asks each rest, with a higher
+	// ballot each time, would for ever be ahead of one that has.
+	retry = 20 * time.Millisecond
 )
 
 type stage int
@@ -92,6 +98,13 @@
 	m.stage, m.pause = idle, now.Add(rest+time.Duration(m.turn*37%100)*time.Millisecond)
 }
 
+// outbid pauses for a moment that differs between proposers and from one try to the next.
+func (m *Maker) outbid(now moment.Moment) {
+	h := fnv.New32a()
+	_, _ = fmt.Fprint(h, m.disk, m.turn)
+	m.stage, m.pause = idle, now.Add(retry+time.Duration(h.Sum32()%100)*time.Millisecond)
+}
+
 // Adopted drops a change that builds on an older roster.
 func (m *Maker) Adopted(r cell.Roster) {
 	if m.stage != idle && r.Epoch > m.base.Epoch {
@@ -107,7 +120,7 @@
 	}
 	if !r.OK {
 		m.seen = max(m.seen, r.Promised.Epoch)
-		m.stop(now)
+		m.outbid(now)
 		return nil, nil
 	}
 	m.returns[r.Disk] = r
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -123,7 +123,7 @@
 	}
 	recs := c.ring.Records()
 	var first []ring.Record
-	c.node, first, err = node.New(c.clock(), node.Boot{Addr: b.Addr, District: b.District, Seeds: b.Seeds, Founders: b.Founders, Voters: b.Voters,
+	c.node, first, err = node.New(c.clock(), node.Boot{Addr: b.Addr, District: b.District, Seeds: b.Seeds, Founders: b.Founders, Voters: b.Voters, CanLose: b.CanLose,
 		History: b.History, Full: c.full.Load, Mark: ident.Mark(), NewDisk: func() ident.Disk { return ident.Disk(ident.Mark()) }}, recs)
 	if err != nil {
 		return nil, err
