--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -66,6 +66,8 @@
 	NewDisk  func() ident.Disk
 	Machine  owner.Machine
 	Need     int // see cell.Roster
+	// CanLose is how many machines with a disk may be lost at once; 0 where nobody says.
+	CanLose int
 	// History is how long at least a group's puts are kept for watches; 60 s if it is 0.
 	History time.Duration
 	// Full, when set, tells that the disk has little room left.
@@ -86,12 +88,14 @@
 	Exit      *defect.Defect
 }
 
-// Gate splits off the records and the messages that rest on this disk.
+// Gate splits off the records and the messages that rest on this disk. A question about the
+// roster is one of them: a newcomer that asks to be counted says by it that it holds its
+// copy, and a loss of power must not prove it wrong.
 func (fx *Effects) Gate() Effects {
 	out := Effects{Records: fx.Records}
 	var rest []Send
 	for _, s := range fx.Sends {
-		if s.Msg.Return != nil || s.Msg.RosterSays != nil || s.Msg.ScanReturn != nil {
+		if s.Msg.Return != nil || s.Msg.RosterAsk != nil || s.Msg.RosterSays != nil || s.Msg.ScanReturn != nil {
 			out.Sends = append(out.Sends, s)
 			continue
 		}
@@ -142,6 +146,10 @@
 	said     moment.Moment
 	joined   bool // this run has heard a majority
 	leaving  bool
+	away     *departure
+	votes    []vote // the accepts taken lately, oldest first
+	proof    *proof
+	missed   *catchUp
 	broken   bool
 	copying  bool
 	copied   ident.Epoch // the roster epoch whose cells were copied and synced
@@ -188,6 +196,7 @@
 			all[kind] = h
 		}
 	}
+	all[owner.Mend] = func(owner.Turn, json.RawMessage, json.RawMessage) book.Entry { return book.Entry{} }
 	return all
 }
 
@@ -214,7 +223,8 @@
 	}
 	n.first = ident.FirstNumber(boot.Mark)
 	n.count = n.first
-	n.rep, n.acc = replica.New(n.Disk), acceptor.New(n.Disk)
+	n.rep, n.acc, n.away = replica.New(n.Disk), acceptor.New(n.Disk), &departure{}
+	n.missed = &catchUp{}
 	for _, rec := range recs {
 		if len(rec.Data) == 0 || rec.Tag == diskTag {
 			continue
--- a/control/roster/maker/maker.go
+++ b/control/roster/maker/maker.go
@@ -3,6 +3,8 @@
 package maker
 
 import (
+	"fmt"
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -16,6 +18,10 @@
 	resend = 200 * time.Millisecond
 	giveUp = 2 * time.Second
 	rest   = 300 * time.Millisecond
+	// retry is the pause after a voter had promised another proposal more: far less than
+	// rest, or a proposer that has nothing to propose and asks each rest, with a higher
+	// ballot each time, would for ever be ahead of one that has.
+	retry = 20 * time.Millisecond
 )
 
 type stage int
@@ -92,6 +98,13 @@
 	m.stage, m.pause = idle, now.Add(rest+time.Duration(m.turn*37%100)*time.Millisecond)
 }
 
+// outbid pauses for a moment that differs between proposers and from one try to the next.
+func (m *Maker) outbid(now moment.Moment) {
+	h := fnv.New32a()
+	_, _ = fmt.Fprint(h, m.disk, m.turn)
+	m.stage, m.pause = idle, now.Add(retry+time.Duration(h.Sum32()%100)*time.Millisecond)
+}
+
 // Adopted drops a change that builds on an older roster.
 func (m *Maker) Adopted(r cell.Roster) {
 	if m.stage != idle && r.Epoch > m.base.Epoch {
@@ -107,7 +120,7 @@
 	}
 	if !r.OK {
 		m.seen = max(m.seen, r.Promised.Epoch)
-		m.stop(now)
+		m.outbid(now)
 		return nil, nil
 	}
 	if r.Promised != m.ballot {
@@ -172,7 +185,7 @@
 		}
 		next := cell.Roster{Epoch: now.Epoch + 1, Voters: slices.DeleteFunc(slices.Clone(now.Voters), func(v cell.Voter) bool { return v.Disk == me.Disk })}
 		slot := slices.IndexFunc(next.Voters, func(v cell.Voter) bool { return v.Addr == me.Addr })
-		if slot < 0 {
+		if slot < 0 && now.Size() <= most { // one too many is dropped and not filled
 			slot = slices.IndexFunc(next.Voters, func(v cell.Voter) bool { return !alive[v.Disk] && (!in || !v.Joining) })
 		}
 		if slot < 0 && (in || !grow || len(next.Voters) >= most) {
@@ -218,6 +231,23 @@
 	}
 }
 
+// Drop plans that a voter has no slot from now on: one that leaves as planned, or one that
+// nobody has heard. Only an even number of slots shrinks: the odd one below it bears as
+// many losses, while with an even one a voter that is gone is a loss that is borne already.
+func Drop(gone ident.Disk, leaves bool) Plan {
+	return func(now cell.Roster, alive map[ident.Disk]bool) *cell.Roster {
+		voter, in := now.Find(gone)
+		if !in || voter.Joining || now.Size()%2 != 0 || !leaves && alive[gone] {
+			return nil
+		}
+		next := cell.Roster{Epoch: now.Epoch + 1, Voters: slices.DeleteFunc(slices.Clone(now.Voters), func(v cell.Voter) bool { return v.Disk == gone })}
+		if counted(next) < next.Majority() {
+			return nil
+		}
+		return &next
+	}
+}
+
 func counted(r cell.Roster) int {
 	n := 0
 	for _, v := range r.Voters {
