--- a/explore/canon/canon.go
+++ b/explore/canon/canon.go
@@ -29,21 +29,24 @@
 type Plan struct {
 	skip   map[string][]string
 	fields sync.Map // reflect.Type to []int
+	free   sync.Pool
 }
 
 // NewPlan makes a plan that leaves out fields of struct types, named as package.Type, that
 // no step reads, such as counters.
 func NewPlan(skip map[string][]string) *Plan { return &Plan{skip: skip} }
 
-// Encoder makes an empty encoder.
+// Encoder makes an empty encoder. Whoever has done with it gives it back by Free.
 func (p *Plan) Encoder() *Encoder {
-	e := &Encoder{plan: p}
-	e.buf.Grow(roomFirst)
-	return e
+	if e, ok := p.free.Get().(*Encoder); ok {
+		e.buf.Reset()
+		return e
+	}
+	return &Encoder{plan: p}
 }
 
-// roomFirst is what an encoder has room for at first: most states are smaller.
-const roomFirst = 8 << 10
+// Free gives the encoder back, to be used again.
+func (e *Encoder) Free() { e.plan.free.Put(e) }
 
 // of lists the fields of a type that are written.
 func (p *Plan) of(t reflect.Type) []int {
@@ -164,11 +167,14 @@
 // table writes each entry on its own and puts the entries in order of their bytes.
 func (e *Encoder) table(v reflect.Value) {
 	rows := make([][]byte, 0, v.Len())
+	row := e.plan.Encoder()
+	defer row.Free()
+	row.Now = e.Now
 	for iter := v.MapRange(); iter.Next(); {
-		row := &Encoder{Now: e.Now, plan: e.plan}
+		row.buf.Reset()
 		row.put(iter.Key())
 		row.put(iter.Value())
-		rows = append(rows, row.buf.Bytes())
+		rows = append(rows, bytes.Clone(row.buf.Bytes()))
 	}
 	slices.SortFunc(rows, bytes.Compare)
 	e.number(uint64(len(rows)))
--- a/explore/cluster/encode.go
+++ b/explore/cluster/encode.go
@@ -18,6 +18,7 @@
 // Hash names the state: all that a later step, choice or check may depend on.
 func (c *Cluster) Hash() uint64 {
 	e := plan.Encoder()
+	defer e.Free()
 	e.Now = c.now
 	e.Put(c.used)
 	e.Put(c.cuts)
--- a/explore/cluster/inspect.go
+++ b/explore/cluster/inspect.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"bytes"
 	"maps"
 	"math/bits"
 	"slices"
@@ -16,8 +17,9 @@
 	for _, epoch := range slices.Sorted(maps.Keys(c.chosen)) {
 		r := c.chosen[epoch]
 		disks := c.serving(r, epoch == newest)
-		for _, group := range majorities(disks, majority(r)) {
-			c.read(group)
+		groups := majorities(disks, majority(r))
+		for _, o := range c.objects {
+			c.read(o, groups)
 		}
 	}
 }
@@ -52,9 +54,17 @@
 	return out
 }
 
-func (c *Cluster) read(group []*member) {
-	for _, o := range c.objects {
-		o.inspect(c, newestCell(group, o.key()))
+// read looks at what each majority has of an object, at the same cell once.
+func (c *Cluster) read(o object, groups [][]*member) {
+	var looked []cell.Cell
+	for _, group := range groups {
+		found := newestCell(group, o.key())
+		known := func(other cell.Cell) bool { return found.Same(other) && bytes.Equal(found.Value, other.Value) }
+		if slices.ContainsFunc(looked, known) {
+			continue
+		}
+		looked = append(looked, found)
+		o.inspect(c, found)
 	}
 }
 
--- a/explore/cluster/network.go
+++ b/explore/cluster/network.go
@@ -25,6 +25,7 @@
 
 func seal(from, to int, msg message.Message) envelope {
 	e := plan.Encoder()
+	defer e.Free()
 	e.Put(from)
 	e.Put(to)
 	e.Put(msg)
