--- a/explore/breaks_test.go
+++ b/explore/breaks_test.go
@@ -27,6 +27,7 @@
 func TestEveryBreakIsFound(t *testing.T) {
 	for _, name := range explore.BreakNames() {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			parts := explore.Run(ci(cluster.Break(name)))
 			last := parts[len(parts)-1]
 			must.NotNil(t, last.Breach, must.Sprint(explore.Text(parts)))
@@ -41,11 +42,11 @@
 	for _, name := range explore.BreakNames() {
 		o := ci(cluster.Break(name)).Focused()
 		o.Break = ""
-		if same := fmt.Sprint(o); done[same] {
+		same := fmt.Sprint(o)
+		if done[same] {
 			continue
-		} else {
-			done[same] = true
 		}
+		done[same] = true
 		t.Run("as for "+name, func(t *testing.T) { holds(t, o) })
 	}
 }
@@ -67,6 +68,7 @@
 }
 
 func holds(t *testing.T, o explore.Options) {
+	t.Parallel()
 	must.Nil(t, o.Check())
 	parts := explore.Run(o)
 	last := parts[len(parts)-1]
