--- a/control/core/node/copy_test.go
+++ b/control/core/node/copy_test.go
@@ -16,8 +16,8 @@
 )
 
 // A newcomer asks to be counted only once its copy is synced: no ask leaves before the gate
-// has let out what rests on the copy's records. Found by cottonarch explore: the asks left
-// at once, and a loss of power behind them left a disk that counted and knew nothing of
+// has let out what rests on the copy's records. Found by a scripted run of explore/cluster: the
+// asks left at once, and a loss of power behind them left a disk that counted and knew nothing of
 // what had been acknowledged.
 func TestCopyIsSyncedBeforeTheDiskCounts(t *testing.T) {
 	roster := acceptor.New("d4")
