A planned leave and the copies are timed and tried at every moment

Cause: while writes went on, the comparison before a leave never ended, for something on its way always looked as if it lagged. Now the first comparison says what must be on a majority of those that stay; what is confirmed later is, by itself. An even number of slots above the most is not filled again.

--- a/control/core/node/cluster_test.go
+++ b/control/core/node/cluster_test.go
@@ -74,6 +74,7 @@
 	tickets   map[uint64]ident.Key
 	ticket    uint64
 	writing   bool
+	each      func(ms int) // when set, is run each millisecond
 	drop      func(to ident.Addr, m message.Message) bool
 	// removed names the successor of a machine that is gone for good.
 	removed map[ident.Addr]ident.Addr
@@ -252,6 +253,9 @@
 		if c.writing && ms%40 == 0 {
 			c.write(ms / 40)
 		}
+		if c.each != nil {
+			c.each(ms)
+		}
 		for i, m := range c.order() {
 			if m.up && ms%20 == i%20 {
 				c.out(m, m.node.Tick(c.now))
@@ -304,7 +308,10 @@
 			up = append(up, m)
 		}
 	}
-	m, k := up[turn%len(up)], c.keys[turn%len(c.keys)]
+	c.writeAt(up[turn%len(up)], c.keys[turn%len(c.keys)])
+}
+
+func (c *cluster) writeAt(m *member, k ident.Key) {
 	c.ticket++
 	c.tickets[c.ticket] = k
 	c.out(m, m.node.Deed(c.now, c.ticket, owner.Deed{Op: ident.Op(fmt.Sprint("w", c.ticket)), Key: k, Kind: "number/next"}, 2*time.Second))
--- a/control/core/node/handover.go
+++ b/control/core/node/handover.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -43,15 +44,20 @@
 }
 
 // proof shows, for one roster, that the confirmed values need no copy of one voter. It is
-// dropped when the roster changes.
+// dropped when the roster changes. Invariant: behind holds, once the copies were compared,
+// the states found then that a majority without that voter was not yet known to hold. What
+// is confirmed later is held by one, and need not be looked for.
 type proof struct {
-	without ident.Disk
-	skip    ident.Disk
-	busy    bool
-	holds   bool
-	next    moment.Moment
+	without  ident.Disk
+	skip     ident.Disk
+	busy     bool
+	compared bool
+	behind   map[ident.Key]cell.Cell
+	next     moment.Moment
 }
 
+func (p *proof) holds() bool { return p.compared && len(p.behind) == 0 }
+
 // voted remembers the keys that this disk took an accept for.
 func (n *Node) voted(now moment.Moment, key ident.Key) {
 	for len(n.votes) > 0 && now.Since(n.votes[0].at) > inDoubt {
@@ -203,29 +209,41 @@
 		n.proof = &proof{without: without, skip: skip}
 	}
 	p := n.proof
-	if p.holds || p.busy || p.next.After(now) {
-		return p.holds
+	if p.holds() || p.busy || p.next.After(now) {
+		return p.holds()
 	}
 	p.busy = true
 	n.survey(now, &reading{until: now.Add(proofWait), all: n.allHeard(now, skip), buckets: buckets(n.Cells()), done: func(now moment.Moment, s *survey.Survey, fx *Effects) {
 		p.busy, p.next = false, now.Add(proofPause)
-		p.holds = s != nil && n.holdsWithout(now, s, without, fx)
+		if s != nil {
+			p.compare(s)
+			n.mendAll(now, slices.Sorted(maps.Keys(p.behind)), fx)
+		}
 	}}, "", false, skip, fx)
-	return p.holds
+	return p.holds()
 }
 
-// holdsWithout tells whether a survey found every value on a majority of the voters that
-// are left; what it did not is read through its owner, which mends it.
-func (n *Node) holdsWithout(now moment.Moment, s *survey.Survey, without ident.Disk, fx *Effects) bool {
-	need, whole := (s.Roster.Size()-1)/2+1, true
-	all := s.Found()
-	for _, k := range sorted(all) {
-		if s.Holders(all[k], without) < need {
-			whole = false
-			n.internal(now, owner.Deed{Key: k, Kind: owner.Mend}, fx, func(moment.Moment, End, *Effects) {})
+// compare takes in what a survey found. Keys of equal buckets were not read: all that were
+// asked hold the same of them, and one of these held what was found before.
+func (p *proof) compare(s *survey.Survey) {
+	need, all := (s.Roster.Size()-1)/2+1, s.Found()
+	if !p.compared {
+		p.compared, p.behind = true, map[ident.Key]cell.Cell{}
+		for k, f := range all {
+			p.behind[k] = f.Cell
 		}
 	}
-	return whole
+	maps.DeleteFunc(p.behind, func(k ident.Key, state cell.Cell) bool {
+		_, read := all[k]
+		return !read || s.Holders(k, state, p.without) >= need
+	})
+}
+
+// mendAll reads keys through their owners, which mends their copies.
+func (n *Node) mendAll(now moment.Moment, keys []ident.Key, fx *Effects) {
+	for _, k := range keys {
+		n.internal(now, owner.Deed{Key: k, Kind: owner.Mend}, fx, func(moment.Moment, End, *Effects) {})
+	}
 }
 
 // allHeard tells whether all counted voters but one are heard.
--- a/control/register/survey/survey.go
+++ b/control/register/survey/survey.go
@@ -237,11 +237,11 @@
 	return read, s.counted()
 }
 
-// Holders counts the disks read, but for one, that hold the key's newest state.
-func (s *Survey) Holders(f Found, without ident.Disk) int {
+// Holders counts the disks read, but for one, whose copy of the key is not behind a state.
+func (s *Survey) Holders(key ident.Key, state cell.Cell, without ident.Disk) int {
 	holders := 0
 	for disk, st := range s.strands {
-		if disk != without && st.done && !f.Cell.Newer(st.rows[f.Key]) {
+		if disk != without && st.done && !state.Newer(st.rows[key]) {
 			holders++
 		}
 	}
--- a/control/roster/maker/maker.go
+++ b/control/roster/maker/maker.go
@@ -182,7 +182,7 @@
 		}
 		next := cell.Roster{Epoch: now.Epoch + 1, Voters: slices.DeleteFunc(slices.Clone(now.Voters), func(v cell.Voter) bool { return v.Disk == me.Disk })}
 		slot := slices.IndexFunc(next.Voters, func(v cell.Voter) bool { return v.Addr == me.Addr })
-		if slot < 0 {
+		if slot < 0 && now.Size() <= most { // one too many is dropped and not filled
 			slot = slices.IndexFunc(next.Voters, func(v cell.Voter) bool { return !alive[v.Disk] && (!in || !v.Joining) })
 		}
 		if slot < 0 && (in || !grow || len(next.Voters) >= most) {
