--- /dev/null
+++ b/control/core/node/catchup.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"cottonarch.example/cottonarch/control/register/survey"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+)
+
+const (
+	// catchUpPause parts two comparisons, catchUpMost bounds them: while much is written,
+	// something on its way always looks as if it was missed. The sweep does the rest.
+	catchUpPause = 200 * time.Millisecond
+	catchUpMost  = 5
+)
+
+// catchUp is how a voter that counts again, after a start, a cut or a stalled disk, finds
+// what it missed. It need not wait for the next sweep, whose holder may be the one that was
+// lost.
+type catchUp struct {
+	done  bool
+	busy  bool
+	tries int
+	next  moment.Moment
+}
+
+// catchUp compares this disk's copies with those of the others, by digests first, and has
+// mended what is behind here.
+func (n *Node) catchUp(now moment.Moment, fx *Effects) {
+	if !n.Votes() || n.leaving || !n.majority(now, hushAge) {
+		n.missed = &catchUp{}
+		return
+	}
+	c := n.missed
+	if c.done || c.busy || c.next.After(now) {
+		return
+	}
+	c.busy = true
+	n.survey(now, &reading{until: now.Add(proofWait), all: n.allHeard(now, ""), buckets: buckets(n.Cells()), done: func(now moment.Moment, s *survey.Survey, fx *Effects) {
+		c.busy, c.next = false, now.Add(catchUpPause)
+		c.tries++
+		if s == nil {
+			return
+		}
+		behind := n.behind(s)
+		c.done = len(behind) == 0 || c.tries >= catchUpMost
+		n.mendAll(now, behind, fx)
+	}}, "", false, "", fx)
+}
+
+// behind lists the keys of which a survey found an older copy here than elsewhere.
+func (n *Node) behind(s *survey.Survey) (out []ident.Key) {
+	all := s.Found()
+	for _, k := range sorted(all) {
+		if slices.Contains(s.Lagging(all[k]), n.Disk) {
+			out = append(out, k)
+		}
+	}
+	return out
+}
--- a/control/core/node/membership_test.go
+++ b/control/core/node/membership_test.go
@@ -282,13 +282,12 @@
 				c.writing = true
 				c.run(time.Second)
 				back := l.do(c, addrOf(1))
-				c.run(time.Second)
-				c.writing = false
 				for !c.whole(slots) && c.now.Since(back) < 30*time.Second {
 					c.run(20 * time.Millisecond)
 				}
 				took := c.now.Since(back)
 				t.Logf("%6d cells, %2d members: %-42s %5.2f s", cells, members, l.name, took.Seconds())
+				must.Less(t, catchUp, took, must.Sprint(cells, members, l.name))
 			}
 		}
 	}
@@ -302,12 +301,24 @@
 
 func losses() []loss {
 	after := func(c *cluster, gone time.Duration, a ident.Addr) moment.Moment {
-		c.run(gone)
+		c.run(gone - 100*time.Millisecond)
+		c.writing = false // no later write brings the new copies of its key
+		c.run(100 * time.Millisecond)
 		back := c.now
 		c.boot(a)
 		return back
 	}
+	cut := func(c *cluster, span time.Duration, a ident.Addr) moment.Moment {
+		c.drop = func(to ident.Addr, m message.Message) bool { return (to == a) != (m.From == a) }
+		c.run(span - 100*time.Millisecond)
+		c.writing = false
+		c.run(100 * time.Millisecond)
+		c.drop = nil
+		return c.now
+	}
 	return []loss{
+		{"cut off for 1 s", func(c *cluster, a ident.Addr) moment.Moment { return cut(c, time.Second, a) }},
+		{"cut off for 10 s", func(c *cluster, a ident.Addr) moment.Moment { return cut(c, 10*time.Second, a) }},
 		{"power, down for 0.5 s", func(c *cluster, a ident.Addr) moment.Moment { c.kill(a); return after(c, 500*time.Millisecond, a) }},
 		{"power, down for 10 s", func(c *cluster, a ident.Addr) moment.Moment { c.kill(a); return after(c, 10*time.Second, a) }},
 		{"disk lost, down for 0.5 s", func(c *cluster, a ident.Addr) moment.Moment {
@@ -326,6 +337,7 @@
 		{"planned stop, its successor 4 s beforehand", func(c *cluster, a ident.Addr) moment.Moment {
 			c.boot(newcomer)
 			c.run(catchUp)
+			c.writing = false
 			told := c.now
 			c.leave(a)
 			return told
--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -143,6 +143,7 @@
 	away     *departure
 	votes    []vote // the accepts taken lately, oldest first
 	proof    *proof
+	missed   *catchUp
 	broken   bool
 	copying  bool
 	copied   ident.Epoch
@@ -203,6 +204,7 @@
 		write = append(write, ring.Record{Tag: diskTag, Data: []byte(n.Disk)})
 	}
 	n.rep, n.acc, n.away = replica.New(n.Disk), acceptor.New(n.Disk), &departure{}
+	n.missed = &catchUp{}
 	for _, rec := range recs {
 		if len(rec.Data) == 0 || rec.Tag == diskTag {
 			continue
--- a/control/core/node/tick.go
+++ b/control/core/node/tick.go
@@ -33,6 +33,7 @@
 	}
 	if !n.broken {
 		n.place(now, &fx)
+		n.catchUp(now, &fx)
 		n.duties(now, &fx)
 	}
 	n.lookOut(now, &fx)
--- a/control/core/node/voting.go
+++ b/control/core/node/voting.go
@@ -23,6 +23,7 @@
 	fx.Records = append(fx.Records, recs...)
 	n.make.Adopted(r)
 	n.copying, n.proof = false, nil
+	n.missed = &catchUp{done: n.missed.done}
 	n.away = &departure{began: n.away.began, silent: n.away.silent}
 	for _, turn := range n.turns() {
 		rd := n.reads[turn]
