--- a/control/core/node/membership_test.go
+++ b/control/core/membership/membership_test.go
@@ -1,4 +1,4 @@
-package node_test
+package membership_test
 
 import (
 	"fmt"
