--- a/control/core/membership/cluster_test.go
+++ b/control/core/membership/cluster_test.go
@@ -63,6 +63,7 @@
 	t        *testing.T
 	now      moment.Moment
 	members  map[ident.Addr]*member
+	sorted   []*member // by address
 	canLose  int
 	voters   int
 	founders []ident.Addr
@@ -121,6 +122,7 @@
 func (c *cluster) member(a ident.Addr) *member {
 	m := &member{addr: a, synced: map[string]ring.Record{}, holds: map[ident.Key]ident.Revision{}}
 	c.members[a] = m
+	c.sorted = slices.SortedFunc(maps.Values(c.members), func(a, b *member) int { return cmp.Compare(a.addr, b.addr) })
 	return m
 }
 
@@ -167,9 +169,8 @@
 	c.store(m, write)
 }
 
-func (c *cluster) order() []*member {
-	return slices.SortedFunc(maps.Values(c.members), func(a, b *member) int { return cmp.Compare(a.addr, b.addr) })
-}
+// order lists the members by address.
+func (c *cluster) order() []*member { return c.sorted }
 
 // kill ends a process; what was not synced is lost with it, as after a loss of power.
 func (c *cluster) kill(a ident.Addr) {
