--- a/control/core/membership/cluster_test.go
+++ b/control/core/membership/cluster_test.go
@@ -427,12 +427,3 @@
 	}
 	return true
 }
-
-// until runs until all copies are whole, and tells how long that took.
-func (c *cluster) until(slots int) time.Duration {
-	from := c.now
-	for !c.whole(slots) && c.now.Since(from) < 30*time.Second {
-		c.run(10 * time.Millisecond)
-	}
-	return c.now.Since(from)
-}
