--- a/control/coordination/lock/batch_test.go
+++ b/control/coordination/lock/batch_test.go
@@ -27,7 +27,7 @@
 
 func newOne(now moment.Moment) *one {
 	x := &one{o: owner.New("m", Deeds()), r: replica.New("d")}
-	x.take(x.o.Rostered(now, cell.Roster{Epoch: 1, Voters: []cell.Voter{{Disk: "d", Addr: "d:1", Counted: true}}}))
+	x.take(x.o.SetMembership(now, cell.Membership{Epoch: 1, Voters: []cell.Voter{{Disk: "d", Addr: "d:1", Counted: true}}}))
 	return x
 }
 
--- a/control/core/membership/cluster_test.go
+++ b/control/core/membership/cluster_test.go
@@ -14,9 +14,9 @@
 
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/core/node"
+	"cottonarch.example/cottonarch/control/membership/acceptor"
 	"cottonarch.example/cottonarch/control/register/cell"
 	"cottonarch.example/cottonarch/control/register/owner"
-	"cottonarch.example/cottonarch/control/roster/acceptor"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/storage/ring"
@@ -92,11 +92,11 @@
 func newCluster(t *testing.T, members, slots, canLose, cells int) *cluster {
 	c := &cluster{t: t, now: moment.Moment(time.Second), members: map[ident.Addr]*member{}, canLose: canLose, voters: max(5, 2*canLose+1),
 		confirmed: map[ident.Key]ident.Revision{}, tickets: map[uint64]ident.Key{}, removed: map[ident.Addr]ident.Addr{}}
-	first := cell.Roster{Epoch: 1}
+	first := cell.Membership{Epoch: 1}
 	for i := range slots {
 		first.Voters = append(first.Voters, cell.Voter{Disk: ident.Disk(fmt.Sprint("disk", i)), Addr: addrOf(i), Counted: true})
 	}
-	state, _ := json.Marshal(acceptor.State{Now: first})
+	state, _ := json.Marshal(acceptor.State{Current: first})
 	ballot := ident.Ballot{Epoch: 1, Owner: "first"}
 	var held []ring.Record
 	for i := range cells {
@@ -332,17 +332,17 @@
 }
 
 // chosen is the newest roster that any disk says was chosen, or that a majority took.
-func (c *cluster) chosen() cell.Roster {
-	var now cell.Roster
+func (c *cluster) chosen() cell.Membership {
+	var now cell.Membership
 	for _, m := range c.members {
-		if m.roster.Now.Epoch > now.Epoch {
-			now = m.roster.Now
+		if m.roster.Current.Epoch > now.Epoch {
+			now = m.roster.Current
 		}
 	}
 	took := map[ident.Ballot]int{}
 	for _, m := range c.order() {
-		if d := ident.Disk(m.synced["disk"].Data); m.roster.Now.Epoch == now.Epoch && m.roster.Next != nil && now.Counts(d) {
-			if took[m.roster.Taken]++; took[m.roster.Taken] >= now.Majority() {
+		if d := ident.Disk(m.synced["disk"].Data); m.roster.Current.Epoch == now.Epoch && m.roster.Next != nil && now.Counts(d) {
+			if took[m.roster.Accepted]++; took[m.roster.Accepted] >= now.Majority() {
 				return *m.roster.Next
 			}
 		}
@@ -385,7 +385,7 @@
 }
 
 // counted lists the members whose disks count, but for some.
-func (c *cluster) counted(r cell.Roster, but []ident.Addr) (out []*member) {
+func (c *cluster) counted(r cell.Membership, but []ident.Addr) (out []*member) {
 	for _, m := range c.order() {
 		if r.Counts(ident.Disk(m.synced["disk"].Data)) && !slices.Contains(but, m.addr) {
 			out = append(out, m)
--- a/control/core/message/message.go
+++ b/control/core/message/message.go
@@ -4,10 +4,10 @@
 import (
 	"hash/fnv"
 
+	"cottonarch.example/cottonarch/control/membership/acceptor"
 	"cottonarch.example/cottonarch/control/register/cell"
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/control/rollout/drive"
-	"cottonarch.example/cottonarch/control/roster/acceptor"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/mesh/claim/ledger"
@@ -17,22 +17,22 @@
 // mark of the very process it is meant for, and any other drops it; a message is
 // sent at most once by whoever sends it.
 type Message struct {
-	From       ident.Addr       `json:"from,omitempty"`
-	To         string           `json:"to,omitempty"`
-	Hello      *Hello           `json:"hello,omitempty"`
-	Ask        *cell.Ask        `json:"ask,omitempty"`
-	Return     *cell.Return     `json:"return,omitempty"`
-	Scan       *cell.Scan       `json:"scan,omitempty"`
-	ScanReturn *cell.ScanReturn `json:"scanReturn,omitempty"`
-	RosterAsk  *acceptor.Ask    `json:"rosterAsk,omitempty"`
-	RosterSays *acceptor.Return `json:"rosterSays,omitempty"`
-	Forward    *Forward         `json:"forward,omitempty"`
-	Carried    *Carried         `json:"carried,omitempty"`
-	Learned    *Learned         `json:"learned,omitempty"`
-	Handover   *Handover        `json:"handover,omitempty"`
-	Kept       *ledger.Kept     `json:"kept,omitempty"`
-	Want       *Want            `json:"want,omitempty"`
-	Quiet      *Quiet           `json:"quiet,omitempty"`
+	From               ident.Addr         `json:"from,omitempty"`
+	To                 string             `json:"to,omitempty"`
+	Hello              *Hello             `json:"hello,omitempty"`
+	Ask                *cell.Ask          `json:"ask,omitempty"`
+	Return             *cell.Return       `json:"return,omitempty"`
+	Scan               *cell.Scan         `json:"scan,omitempty"`
+	ScanReturn         *cell.ScanReturn   `json:"scanReturn,omitempty"`
+	MembershipRequest  *acceptor.Request  `json:"rosterAsk,omitempty"`
+	MembershipResponse *acceptor.Response `json:"rosterSays,omitempty"`
+	Forward            *Forward           `json:"forward,omitempty"`
+	Carried            *Carried           `json:"carried,omitempty"`
+	Learned            *Learned           `json:"learned,omitempty"`
+	Handover           *Handover          `json:"handover,omitempty"`
+	Kept               *ledger.Kept       `json:"kept,omitempty"`
+	Want               *Want              `json:"want,omitempty"`
+	Quiet              *Quiet             `json:"quiet,omitempty"`
 }
 
 // Empty tells whether no part is set.
@@ -52,7 +52,7 @@
 	// is Ack.
 	Heard    uint64      `json:"heard,omitempty"`
 	Sum      uint64      `json:"sum,omitempty"` // of the sidecars kept at the sender
-	At       ident.Epoch `json:"at,omitempty"`  // of the roster
+	At       ident.Epoch `json:"at,omitempty"`  // of the membership
 	Manifest ident.Epoch `json:"manifest"`
 	// AgeMs is how long ago, plus one, the sender knew that nothing newer than Manifest
 	// was confirmed; 0 is never.
@@ -61,13 +61,13 @@
 	Rolling bool                         `json:"rolling,omitempty"` // a roll-out runs: say Ends
 	Ends    map[ident.Service]drive.Ends `json:"ends,omitempty"`
 	// What a brief one leaves out.
-	Mark     string         `json:"mark,omitempty"`
-	Disk     ident.Disk     `json:"disk,omitempty"`
-	District ident.District `json:"district,omitempty"`
-	Roster   *cell.Roster   `json:"roster,omitempty"`
-	Leaving  bool           `json:"leaving,omitempty"`
-	Broken   bool           `json:"broken,omitempty"`
-	Cores    []ident.Addr   `json:"cores,omitempty"`
+	Mark       string           `json:"mark,omitempty"`
+	Disk       ident.Disk       `json:"disk,omitempty"`
+	District   ident.District   `json:"district,omitempty"`
+	Membership *cell.Membership `json:"roster,omitempty"`
+	Leaving    bool             `json:"leaving,omitempty"`
+	Broken     bool             `json:"broken,omitempty"`
+	Cores      []ident.Addr     `json:"cores,omitempty"`
 	// Patches says that this process takes accepts that carry a cell.Patch.
 	Patches bool `json:"patches,omitempty"`
 	// Echo says that this process's hellos tell what it has Heard.
@@ -90,7 +90,7 @@
 		return later
 	}
 	later.Brief, later.Mark = h.Brief, h.Mark
-	later.Disk, later.District, later.Roster, later.Leaving, later.Broken, later.Cores = h.Disk, h.District, h.Roster, h.Leaving, h.Broken, h.Cores
+	later.Disk, later.District, later.Membership, later.Leaving, later.Broken, later.Cores = h.Disk, h.District, h.Membership, h.Leaving, h.Broken, h.Cores
 	later.Patches, later.Echo = h.Patches, h.Echo
 	if later.Ends == nil {
 		later.Ends = h.Ends
--- a/control/core/node/catchup.go
+++ b/control/core/node/catchup.go
@@ -29,7 +29,7 @@
 // catchUp compares this disk's copies with those of the others, by digests first, and has
 // mended what is behind here.
 func (n *Node) catchUp(now moment.Moment, fx *Effects) {
-	if !n.Votes() || n.leaving || !n.majority(now, hushAge) {
+	if !n.Votes() || n.leaving || !n.majority(now, silentMajorityAge) {
 		n.missed = &catchUp{}
 		return
 	}
@@ -53,7 +53,7 @@
 // laggingHere lists the keys of which a survey found an older copy here than elsewhere.
 func (n *Node) laggingHere(s *survey.Survey) (out []ident.Key) {
 	all := s.Found()
-	for _, k := range sorted(all) {
+	for _, k := range sortedKeys(all) {
 		if slices.Contains(s.Lagging(all[k]), n.Disk) {
 			out = append(out, k)
 		}
--- a/control/core/node/cut_test.go
+++ b/control/core/node/cut_test.go
@@ -242,7 +242,7 @@
 	}
 }
 
-// A core is cut off for twenty seconds, in which a spare core takes its slot of the roster
+// A core is cut off for twenty seconds, in which a spare core takes its slot of the membership
 // and the others go on changing what it owned. All the while it says 503 or 504; once it is
 // back it is a new disk, holds nothing of the old one, and tells the newest state.
 func TestReplacedWhileCutOff(t *testing.T) {
@@ -267,7 +267,7 @@
 			}
 		}
 		if way != "in" { // else the others hear it
-			_, in := x.nodes["b:1"].Roster().Find(disk)
+			_, in := x.nodes["b:1"].Membership().Find(disk)
 			must.False(t, in, must.Sprint(way, ": the spare did not take the slot"))
 		}
 		top := x.call("b:1", read, budget).body
--- a/control/core/node/deeds.go
+++ b/control/core/node/deeds.go
@@ -223,7 +223,7 @@
 		return true
 	}
 	var away *message.Carried
-	if n.leaving || n.broken || !n.acc.Now.Counts(n.Disk) {
+	if n.leaving || n.broken || !n.membership.Current.Counts(n.Disk) {
 		away = &message.Carried{Ticket: m.Forward.Ticket, Lost: true}
 	}
 	if !harmless[m.Forward.Deed.Kind] {
--- a/control/core/node/duties.go
+++ b/control/core/node/duties.go
@@ -64,7 +64,7 @@
 		n.swept = now
 		n.Sweeps++
 		n.survey(now, &reading{until: now.Add(time.Second), all: true, buckets: buckets(n.Cells()), done: n.sweep}, "", false, "", fx)
-		n.reclaim(now, fx)
+		n.reclaimShares(now, fx)
 	}
 }
 
@@ -84,7 +84,7 @@
 		return
 	}
 	all := s.Found()
-	for _, k := range sorted(all) {
+	for _, k := range sortedKeys(all) {
 		var r rollout.Rollout
 		if st := book.State(all[k].Cell.Value); !all[k].Agreed || len(st) == 0 || json.Unmarshal(st, &r) != nil {
 			continue
@@ -160,7 +160,7 @@
 // Leaves puts the audit log together; it is not ok unless a majority agrees on all of
 // it.
 func Leaves(all map[ident.Key]survey.Found) (leaves []offer.Line, ok bool) {
-	for _, k := range sorted(all) {
+	for _, k := range sortedKeys(all) {
 		var c chunk.Chunk
 		if st := book.State(all[k].Cell.Value); len(st) > 0 && json.Unmarshal(st, &c) != nil {
 			return nil, false
@@ -202,7 +202,7 @@
 	all := s.Found()
 	n.found = Sweep{At: now}
 	n.found.Read, n.found.Of = s.Read()
-	for _, k := range sorted(all) {
+	for _, k := range sortedKeys(all) {
 		if len(s.Lagging(all[k])) == 0 {
 			continue
 		}
--- a/control/core/node/example_test.go
+++ b/control/core/node/example_test.go
@@ -59,7 +59,7 @@
 		}
 	}
 	run(2 * time.Second)
-	fmt.Println("roster epoch", nodes["a:1"].Roster().Epoch, "votes", nodes["a:1"].Votes())
+	fmt.Println("roster epoch", nodes["a:1"].Membership().Epoch, "votes", nodes["a:1"].Votes())
 	out("b:1", nodes["b:1"].Deed(now, 7, owner.Deed{Key: "lock/mine", Kind: "lock/claim", Args: book.JSON(lock.Args{Holder: "me", TTL: 5000})}, time.Second))
 	run(time.Second)
 	for _, e := range ends {
@@ -68,6 +68,6 @@
 		}
 	}
 	// Output:
-	// roster epoch 1 votes true
+	// membership epoch 1 votes true
 	// {"holder":"me","fence":1,"ttlMs":5000,"held":true}
 }
--- a/control/core/node/lookout.go
+++ b/control/core/node/freshness.go
@@ -15,34 +15,34 @@
 )
 
 const (
-	// The manifest's owner reads it anew when what it knows is older than ownAge; another
-	// core does so only when no hello brought it word for elseAge.
-	ownAge  = 500 * time.Millisecond
-	elseAge = time.Second
+	// The manifest's owner reads it anew when what it knows is older than refreshAge; another
+	// core does so only when no hello brought it word for otherRefreshAge.
+	refreshAge      = 500 * time.Millisecond
+	otherRefreshAge = time.Second
 	// staleAge is from when on a core says that it can't tell what the newest manifest is.
 	staleAge = 1300 * time.Millisecond
-	// hushAge is the same for how long it may go without a hello from a majority.
-	hushAge = 800 * time.Millisecond
+	// silentMajorityAge is the same for how long it may go without a hello from a majority.
+	silentMajorityAge = 800 * time.Millisecond
 	// behindAge is the same for how long it may know of a newer manifest than it holds: it
 	// hears the others, and can't ask them for it.
 	behindAge = 800 * time.Millisecond
 )
 
-// lookOut keeps this core sure of the newest confirmed manifest. Invariant: nothing newer
-// than Epoch was confirmed before sure, for a read through the key's owner began then,
+// refreshNewest keeps this core informed of the newest confirmed manifest. Invariant: nothing newer
+// than Epoch was confirmed before freshAsOf, for a read through the key's owner began then,
 // here or at the core whose hello told of it.
-func (n *Node) lookOut(now moment.Moment, fx *Effects) {
-	if n.looking != 0 || now.Since(n.sure) < ownAge && n.sure != 0 || n.leaving || !n.Majority(now) {
+func (n *Node) refreshNewest(now moment.Moment, fx *Effects) {
+	if n.refreshing != 0 || now.Since(n.freshAsOf) < refreshAge && n.freshAsOf != 0 || n.leaving || !n.Majority(now) {
 		return
 	}
 	disks, _ := n.live(now)
-	if first, _ := place.Owner(offer.Key, disks); first != n.Disk && n.sure != 0 && now.Since(n.sure) < elseAge {
+	if first, _ := place.Owner(offer.Key, disks); first != n.Disk && n.freshAsOf != 0 && now.Since(n.freshAsOf) < otherRefreshAge {
 		return
 	}
-	n.looking = now
+	n.refreshing = now
 	n.begindeed(now, &pending{deed: owner.Deed{Key: offer.Key, Kind: "manifest/epoch"}, until: now.Add(time.Second), done: func(now moment.Moment, e End, fx *Effects) {
-		began := n.looking
-		n.looking = 0
+		began := n.refreshing
+		n.refreshing = 0
 		var yes offer.Yes
 		if e.Defect != nil || json.Unmarshal(e.Body, &yes) != nil {
 			return
@@ -50,13 +50,13 @@
 		if yes.Epoch > n.Epoch {
 			n.learn(now, message.Learned{Key: offer.Key, Revision: ident.Revision(yes.Epoch)}, fx)
 		}
-		n.sure = max(n.sure, began)
+		n.freshAsOf = max(n.freshAsOf, began)
 	}}, fx)
 }
 
 // stale tells whether this core can't tell what the newest manifest is, or can't get it.
 func (n *Node) stale(now moment.Moment) bool {
-	return n.sure == 0 || now.Since(n.sure) > staleAge || !n.majority(now, hushAge) || n.behind != 0 && now.Since(n.behind) > behindAge
+	return n.freshAsOf == 0 || now.Since(n.freshAsOf) > staleAge || !n.majority(now, silentMajorityAge) || n.behind != 0 && now.Since(n.behind) > behindAge
 }
 
 // lag notes since when a newer manifest is known of here than the one held.
@@ -77,7 +77,7 @@
 func (n *Node) StaleAt(now moment.Moment) bool { return n.stale(now) }
 
 // Stale is the same as of the last tick; that it changed is news to those who follow.
-func (n *Node) Stale() bool { return n.old }
+func (n *Node) Stale() bool { return n.wasStale }
 
 // Renew takes a sidecar's renewal.
 func (n *Node) Renew(now moment.Moment, r record.Renewal) (record.Renewed, Effects, *defect.Defect) {
--- a/control/core/node/handover.go
+++ b/control/core/node/handover.go
@@ -5,10 +5,10 @@
 	"slices"
 	"time"
 
+	"cottonarch.example/cottonarch/control/membership/reconfiguration"
 	"cottonarch.example/cottonarch/control/register/cell"
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/control/register/survey"
-	"cottonarch.example/cottonarch/control/roster/maker"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
@@ -43,8 +43,8 @@
 	resolved bool
 }
 
-// proof shows, for one roster, that the confirmed values need no copy of one voter. It is
-// dropped when the roster changes. Invariant: behind holds, once the copies were compared,
+// proof shows, for one membership, that the confirmed values need no copy of one voter. It is
+// dropped when the membership changes. Invariant: behind holds, once the copies were compared,
 // the states found then that a majority without that voter was not yet known to hold. What
 // is confirmed later is held by one, and need not be looked for.
 type proof struct {
@@ -74,7 +74,7 @@
 //   - Else this disk stops voting, and goes once a majority of those that stay holds
 //     everything.
 func (n *Node) handOver(now moment.Moment, fx *Effects) bool {
-	r := n.acc.Now
+	r := n.membership.Current
 	if n.broken || !r.Counts(n.Disk) {
 		return true
 	}
@@ -84,7 +84,7 @@
 	case even && stay >= r.Size()/2:
 		n.away = &departure{began: n.away.began}
 		if n.proves(now, n.Disk, "", fx) {
-			n.rosterSends(n.make.Begin(now, r, maker.Drop(n.Disk, true)), fx)
+			n.sendReconfiguration(n.reconfigurer.Begin(now, r, reconfiguration.Drop(n.Disk, true)), fx)
 		}
 		return false
 	case stay < r.Majority():
@@ -100,8 +100,8 @@
 
 // staying counts the other voters that are heard and stay; may tells whether there are any
 // that have not said that they leave, heard or not.
-func (n *Node) staying(now moment.Moment, r cell.Roster) (stay int, may bool) {
-	near := n.well(now)
+func (n *Node) staying(now moment.Moment, r cell.Membership) (stay int, may bool) {
+	near := n.healthy(now)
 	for _, v := range r.Voters {
 		if !v.Counted || v.Disk == n.Disk {
 			continue
@@ -126,13 +126,13 @@
 
 // leaver tells whether a counted voter that is heard leaves as planned, while all others
 // that have a slot are well.
-func (n *Node) leaver(now moment.Moment, r cell.Roster) bool {
-	near, found := n.well(now), false
+func (n *Node) leaver(now moment.Moment, r cell.Membership) bool {
+	near, found := n.healthy(now), false
 	for _, v := range r.Voters {
 		if v.Joining || slices.Contains(near, v.Disk) && (v.Disk != n.Disk || !n.leaving) {
 			continue
 		}
-		heard := v.Disk == n.Disk || slices.Contains(n.heard(now, alive), v.Disk)
+		heard := v.Disk == n.Disk || slices.Contains(n.heard(now, heartbeatTimeout), v.Disk)
 		if !v.Counted || !heard || v.Disk != n.Disk && !n.saidLeaving(v.Disk) {
 			return false
 		}
@@ -144,11 +144,11 @@
 // successor is the disk that is to be counted in for a voter that leaves: one that has
 // joined already, else the first by address of the cores without a slot. There is none
 // while another slot is not well, which is to be filled first.
-func (n *Node) successor(now moment.Moment, r cell.Roster) ident.Disk {
+func (n *Node) successor(now moment.Moment, r cell.Membership) ident.Disk {
 	if !n.leaver(now, r) {
 		return ""
 	}
-	near := n.well(now)
+	near := n.healthy(now)
 	for _, v := range r.Voters {
 		if v.Joining && slices.Contains(near, v.Disk) && (v.Disk != n.Disk || !n.leaving) {
 			return v.Disk
@@ -169,7 +169,7 @@
 }
 
 // relieves tells whether this disk is to follow a voter that leaves.
-func (n *Node) relieves(now moment.Moment, r cell.Roster) bool {
+func (n *Node) relieves(now moment.Moment, r cell.Membership) bool {
 	return r.Size()%2 != 0 && !n.leaving && n.successor(now, r) == n.Disk
 }
 
@@ -226,7 +226,7 @@
 // compare takes in what a survey found. Keys of equal buckets were not read: all that were
 // asked hold the same of them, and one of these held what was found before.
 func (p *proof) compare(s *survey.Survey) {
-	need, all := (s.Roster.Size()-1)/2+1, s.Found()
+	need, all := (s.Membership.Size()-1)/2+1, s.Found()
 	if !p.compared {
 		p.compared, p.behind = true, map[ident.Key]cell.Cell{}
 		for k, f := range all {
@@ -248,8 +248,8 @@
 
 // allHeard tells whether all counted voters but one are heard.
 func (n *Node) allHeard(now moment.Moment, skip ident.Disk) bool {
-	near := n.heard(now, alive)
-	return !slices.ContainsFunc(n.acc.Now.Voters, func(v cell.Voter) bool {
+	near := n.heard(now, heartbeatTimeout)
+	return !slices.ContainsFunc(n.membership.Current.Voters, func(v cell.Voter) bool {
 		return v.Counted && v.Disk != skip && !slices.Contains(near, v.Disk)
 	})
 }
@@ -257,11 +257,11 @@
 // sheds drops the slot of a voter that is held for dead where the number of slots is even:
 // with one fewer the mesh bears the next loss, which it would not with an empty one. The
 // first counted voter that is well does it.
-func (n *Node) sheds(now moment.Moment, r cell.Roster, fx *Effects) {
+func (n *Node) sheds(now moment.Moment, r cell.Membership, fx *Effects) {
 	if r.Size()%2 != 0 || now.Since(n.began) <= deadAfter {
 		return
 	}
-	near, heard := n.well(now), n.heard(now, deadAfter)
+	near, heard := n.healthy(now), n.heard(now, deadAfter)
 	first, gone := ident.Disk(""), ident.Disk("")
 	for _, v := range r.Voters {
 		switch {
@@ -273,6 +273,6 @@
 		}
 	}
 	if first == n.Disk && gone != "" && n.proves(now, gone, gone, fx) {
-		n.rosterSends(n.make.Begin(now, r, maker.Drop(gone, false)), fx)
+		n.sendReconfiguration(n.reconfigurer.Begin(now, r, reconfiguration.Drop(gone, false)), fx)
 	}
 }
--- a/control/core/node/hello.go
+++ b/control/core/node/hello.go
@@ -55,7 +55,7 @@
 // Two that do not vote move no keys by their hellos: they need fewer.
 func (n *Node) pace(a ident.Addr, p *peer) time.Duration {
 	out := helloEvery
-	if !n.acc.Now.Counts(n.Disk) && !n.acc.Now.Counts(p.hello.Disk) {
+	if !n.membership.Current.Counts(n.Disk) && !n.membership.Current.Counts(p.hello.Disk) {
 		out = helloSeldom
 	}
 	if n.boot.Addr > a {
@@ -69,18 +69,18 @@
 	n.no++
 	n.stamped(now)
 	n.Ledger.Stamp(n.no)
-	brief := message.Hello{Run: message.Run(n.boot.Mark), Brief: true, No: n.no, Sum: n.Ledger.Sum(), At: n.acc.Now.Epoch, Manifest: n.Epoch, Duty: n.holds, Rolling: n.holds && n.Rolling(now)}
-	if n.sure != 0 {
-		brief.AgeMs = now.Since(n.sure).Milliseconds() + 1
+	brief := message.Hello{Run: message.Run(n.boot.Mark), Brief: true, No: n.no, Sum: n.Ledger.Sum(), At: n.membership.Current.Epoch, Manifest: n.Epoch, Duty: n.holds, Rolling: n.holds && n.Rolling(now)}
+	if n.freshAsOf != 0 {
+		brief.AgeMs = now.Since(n.freshAsOf).Milliseconds() + 1
 	}
 	if n.Rolling(now) {
 		brief.Ends = n.Ledger.Here()
 	}
 	whole := brief
 	whole.Brief, whole.Mark, whole.Disk, whole.District, whole.Leaving, whole.Broken, whole.Cores, whole.Patches, whole.Echo = false, n.boot.Mark, n.Disk, n.boot.District, n.leaving, n.broken, n.Fresh(now), true, true
-	if n.acc.Now.Epoch > 0 {
-		r := n.acc.Now
-		whole.Roster = &r
+	if n.membership.Current.Epoch > 0 {
+		r := n.membership.Current
+		whole.Membership = &r
 	}
 	says := fmt.Sprint(whole.Disk, whole.Leaving, whole.Broken, whole.At, whole.Cores)
 	for _, a := range to {
@@ -135,8 +135,8 @@
 	}
 	if !m.Hello.Brief {
 		n.Know(now, h.Cores)
-		if h.Roster != nil {
-			n.adopt(now, *h.Roster, fx)
+		if h.Membership != nil {
+			n.adopt(now, *h.Membership, fx)
 		}
 	}
 	if h.Of == message.Run(n.boot.Mark) {
@@ -144,7 +144,7 @@
 		p.echo = max(p.echo, n.sentAt(max(h.Ack, h.Heard)))
 	}
 	var want message.Want
-	want.Hello = m.Hello.Brief && h.At > n.acc.Now.Epoch
+	want.Hello = m.Hello.Brief && h.At > n.membership.Current.Epoch
 	if n.Ledger.Hello(now, m.From, m.Hello.Sum) {
 		p.fits = max(p.fits, m.Hello.No)
 	} else {
@@ -173,7 +173,7 @@
 		n.learn(now, message.Learned{Key: offer.Key, Revision: ident.Revision(h.Manifest)}, fx)
 	}
 	if h.AgeMs > 0 {
-		n.sure = max(n.sure, now.Add(-time.Duration(h.AgeMs)*time.Millisecond))
+		n.freshAsOf = max(n.freshAsOf, now.Add(-time.Duration(h.AgeMs)*time.Millisecond))
 	}
 }
 
@@ -239,7 +239,7 @@
 // that came in before it.
 func (n *Node) Turn() uint64 {
 	var got []uint64
-	for _, v := range n.acc.Now.Voters {
+	for _, v := range n.membership.Current.Voters {
 		switch {
 		case v.Joining:
 		case v.Disk == n.Disk:
@@ -252,8 +252,8 @@
 			}
 		}
 	}
-	need := n.acc.Now.Majority()
-	if n.acc.Now.Epoch == 0 || len(got) < need {
+	need := n.membership.Current.Majority()
+	if n.membership.Current.Epoch == 0 || len(got) < need {
 		return 0
 	}
 	slices.Sort(got)
--- a/control/core/node/join.go
+++ b/control/core/node/join.go
@@ -149,7 +149,7 @@
 	if b.epoch > n.Epoch {
 		n.learn(now, message.Learned{Key: offer.Key, Revision: ident.Revision(b.epoch)}, fx)
 	}
-	n.sure = max(n.sure, b.began)
+	n.freshAsOf = max(n.freshAsOf, b.began)
 }
 
 // end is what one caller of the batch is told.
--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -16,15 +16,15 @@
 	"cottonarch.example/cottonarch/control/core/admission"
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/manifest/offer"
+	"cottonarch.example/cottonarch/control/membership/acceptor"
+	"cottonarch.example/cottonarch/control/membership/bootstrap"
+	"cottonarch.example/cottonarch/control/membership/reconfiguration"
 	"cottonarch.example/cottonarch/control/register/cell"
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/control/register/replica"
 	"cottonarch.example/cottonarch/control/register/survey"
 	"cottonarch.example/cottonarch/control/rollout/drive"
 	rollout "cottonarch.example/cottonarch/control/rollout/state"
-	"cottonarch.example/cottonarch/control/roster/acceptor"
-	"cottonarch.example/cottonarch/control/roster/former"
-	"cottonarch.example/cottonarch/control/roster/maker"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
@@ -39,8 +39,8 @@
 	helloSeldom = 500 * time.Millisecond
 	helloLate   = 70 * time.Millisecond
 	helloLook   = 30 * time.Millisecond
-	// alive is how long a core counts as live after its last hello.
-	alive = 1200 * time.Millisecond
+	// heartbeatTimeout is how long a core counts as live after its last hello.
+	heartbeatTimeout = 1200 * time.Millisecond
 	// echoAge is the same for how long ago the newest hello that it is known to have taken
 	// was sent: twice as long as the other, for it is told by a return.
 	echoAge = 2500 * time.Millisecond
@@ -65,7 +65,7 @@
 	Mark     string
 	NewDisk  func() ident.Disk
 	Machine  owner.Machine
-	Need     int // see cell.Roster
+	Need     int // see cell.Membership
 	// CanLose is how many machines with a disk may be lost at once; 0 where nobody says.
 	CanLose int
 	// History is how long at least a group's puts are kept for watches; 60 s if it is 0.
@@ -89,13 +89,13 @@
 }
 
 // Gate splits off the records and the messages that rest on this disk. A question about the
-// roster is one of them: a newcomer that asks to be counted says by it that it holds its
+// membership is one of them: a newcomer that asks to be counted says by it that it holds its
 // copy, and a loss of power must not prove it wrong.
 func (fx *Effects) Gate() Effects {
 	out := Effects{Records: fx.Records}
 	var rest []Send
 	for _, s := range fx.Sends {
-		if s.Msg.Return != nil || s.Msg.RosterAsk != nil || s.Msg.RosterSays != nil || s.Msg.ScanReturn != nil {
+		if s.Msg.Return != nil || s.Msg.MembershipRequest != nil || s.Msg.MembershipResponse != nil || s.Msg.ScanReturn != nil {
 			out.Sends = append(out.Sends, s)
 			continue
 		}
@@ -122,65 +122,65 @@
 
 // Node is one core.
 type Node struct {
-	boot   Boot
-	Disk   ident.Disk
-	began  moment.Moment
-	acc    *acceptor.Acceptor
-	rep    *replica.Replica
-	own    *owner.Owner
-	make   *maker.Maker
-	form   *former.Former
-	Ledger *ledger.Ledger
-	peers  map[ident.Addr]*peer
-	known  map[ident.Addr]moment.Moment // told of by others, and when last
-	pend   map[uint64]*pending          // by out
-	wait   []*pending                   // no copy out
-	guests map[uint64]guest
+	boot         Boot
+	Disk         ident.Disk
+	began        moment.Moment
+	membership   *acceptor.Acceptor
+	rep          *replica.Replica
+	own          *owner.Owner
+	reconfigurer *reconfiguration.Reconfigurer
+	bootstrap    *bootstrap.Bootstrap
+	Ledger       *ledger.Ledger
+	peers        map[ident.Addr]*peer
+	known        map[ident.Addr]moment.Moment // told of by others, and when last
+	pend         map[uint64]*pending          // by out
+	wait         []*pending                   // no copy out
+	guests       map[uint64]guest
 	// seen holds the changes that came from other cores, with their ends once there
 	// are any. Invariant: a doubled or repeated message is one message.
-	seen     map[string]*message.Carried
-	seenList []string
-	reads    map[uint64]*reading
-	first    uint64 // where the numbers of this run begin, see ident.FirstNumber
-	count    uint64
-	said     moment.Moment
-	joined   bool // this run has heard a majority
-	leaving  bool
-	away     *departure
-	votes    []vote // the accepts taken lately, oldest first
-	proof    *proof
-	missed   *catchUp
-	broken   bool
-	copying  bool
-	copied   ident.Epoch // the roster epoch whose cells were copied and synced
-	copy     uint64      // the turn of the word that a copy is synced, 0 if none is awaited
-	copyAt   moment.Moment
-	swept    moment.Moment
-	found    Sweep
-	dutied   moment.Moment
-	fence    uint64
-	holds    bool
-	rolls    *drive.Drive
-	rolled   moment.Moment
+	seen         map[string]*message.Carried
+	seenList     []string
+	reads        map[uint64]*reading
+	first        uint64 // where the numbers of this run begin, see ident.FirstNumber
+	count        uint64
+	said         moment.Moment
+	joined       bool // this run has heard a majority
+	leaving      bool
+	away         *departure
+	votes        []vote // the accepts taken lately, oldest first
+	proof        *proof
+	missed       *catchUp
+	broken       bool
+	copyingState bool
+	copiedAt     ident.Epoch // the membership epoch whose cells were copied and synced
+	copy         uint64      // the turn of the word that a copy is synced, 0 if none is awaited
+	copyAt       moment.Moment
+	swept        moment.Moment
+	found        Sweep
+	dutied       moment.Moment
+	fence        uint64
+	holds        bool
+	rolls        *drive.Drive
+	rolled       moment.Moment
 	// audited is the newest epoch in the audit log and leaves their number, as this core
 	// last read or wrote it. Both only rise, for the log only grows.
-	audited ident.Epoch
-	leaves  int
-	auditAt moment.Moment
-	Sweeps  uint64
-	Mended  uint64
-	Epoch   ident.Epoch   // newest manifest epoch learned
-	no      uint64        // of the last hello
-	stamps  []stamp       // when the last hellos were sent, in order of their numbers
-	called  moment.Moment // when those that were never heard were last told hello
-	wants   []ident.Addr
-	sure    moment.Moment // nothing newer than Epoch was confirmed before this
-	looking moment.Moment // when the read that is out began, 0 if none is
-	old     bool          // see Stale
-	behind  moment.Moment // since when a newer manifest than the one held is known of, 0 if none is
-	rolling moment.Moment // when a roll-out was last known to run
-	quiet   quiet
-	joins   admission.Queue
+	audited    ident.Epoch
+	leaves     int
+	auditAt    moment.Moment
+	Sweeps     uint64
+	Mended     uint64
+	Epoch      ident.Epoch   // newest manifest epoch learned
+	no         uint64        // of the last hello
+	stamps     []stamp       // when the last hellos were sent, in order of their numbers
+	called     moment.Moment // when those that were never heard were last told hello
+	wants      []ident.Addr
+	freshAsOf  moment.Moment // nothing newer than Epoch was confirmed before this
+	refreshing moment.Moment // when the read that is out began, 0 if none is
+	wasStale   bool          // see Stale
+	behind     moment.Moment // since when a newer manifest than the one held is known of, 0 if none is
+	rolling    moment.Moment // when a roll-out was last known to run
+	silence    silenceRound
+	joins      admission.Queue
 	// JoinBatches counts the batches of joins that were begun here, JoinsRefused the joins
 	// that were told to come back.
 	JoinBatches  uint64
@@ -223,14 +223,14 @@
 	}
 	n.first = ident.FirstNumber(boot.Mark)
 	n.count = n.first
-	n.rep, n.acc, n.away = replica.New(n.Disk), acceptor.New(n.Disk), &departure{}
+	n.rep, n.membership, n.away = replica.New(n.Disk), acceptor.New(n.Disk), &departure{}
 	n.missed = &catchUp{}
 	for _, rec := range recs {
 		if len(rec.Data) == 0 || rec.Tag == diskTag {
 			continue
 		}
 		if rec.Tag == acceptor.Tag {
-			if err := n.acc.Load(rec.Data); err != nil {
+			if err := n.membership.Load(rec.Data); err != nil {
 				return nil, nil, err
 			}
 			continue
@@ -239,7 +239,7 @@
 			return nil, nil, err
 		}
 	}
-	n.acc.Now.Need = boot.Need
+	n.membership.Current.Need = boot.Need
 	n.begin(now)
 	return n, write, nil
 }
@@ -253,18 +253,18 @@
 
 func (n *Node) begin(now moment.Moment) {
 	n.own = n.owning()
-	n.make = maker.New(n.Disk, n.boot.Mark)
-	n.form = former.New(n.Disk, n.boot.Addr, n.boot.Founders)
-	n.own.Rostered(now, n.acc.Now)
+	n.reconfigurer = reconfiguration.New(n.Disk, n.boot.Mark)
+	n.bootstrap = bootstrap.New(n.Disk, n.boot.Addr, n.boot.Founders)
+	n.own.SetMembership(now, n.membership.Current)
 	n.in = inbox
 	n.rolls = drive.New()
 }
 
-// Roster is the roster in force here.
-func (n *Node) Roster() cell.Roster { return n.acc.Now }
+// Roster is the membership in force here.
+func (n *Node) Membership() cell.Membership { return n.membership.Current }
 
 // Votes tells whether this disk's returns count.
-func (n *Node) Votes() bool { return !n.broken && n.acc.Now.Counts(n.Disk) }
+func (n *Node) Votes() bool { return !n.broken && n.membership.Current.Counts(n.Disk) }
 
 // Cells counts what the disk holds.
 func (n *Node) Cells() int { return n.rep.Len() }
@@ -322,8 +322,8 @@
 func init() {
 	inbox = []func(*Node, moment.Moment, message.Message, *Effects) bool{
 		(*Node).onHello, (*Node).onAsk, (*Node).onReturn, (*Node).onForward, (*Node).onCarried, (*Node).onScan,
-		(*Node).onScanReturn, (*Node).onLearned, (*Node).onRosterAsk, (*Node).onRosterSays, (*Node).onHandover,
-		(*Node).onKept, (*Node).onWant, (*Node).onQuiet,
+		(*Node).onScanReturn, (*Node).onLearned, (*Node).onMembershipRequest, (*Node).onMembershipResponse, (*Node).onHandover,
+		(*Node).onKept, (*Node).onWant, (*Node).onSilence,
 	}
 }
 
--- a/control/core/node/node_test.go
+++ b/control/core/node/node_test.go
@@ -131,7 +131,7 @@
 }
 
 // A killed owner's keys are taken over as soon as its address takes no connection,
-// not only when its hellos stop; and its slot of the roster is left alone.
+// not only when its hellos stop; and its slot of the membership is left alone.
 func TestKilledOwnerIsFollowedAtOnce(t *testing.T) {
 	x := newTrio(t)
 	x.deed("a:1", 1, "number/next", "number/n")
@@ -151,7 +151,7 @@
 	must.NotNil(t, x.end(2))
 	must.Less(t, 400*time.Millisecond, x.now.Since(began))
 	must.Eq(t, `{"number":1}`, string(x.end(2).Body))
-	must.Eq(t, ident.Epoch(1), x.nodes[at].Roster().Epoch)
+	must.Eq(t, ident.Epoch(1), x.nodes[at].Membership().Epoch)
 }
 
 // A forward that is doubled or repeated acts once, and a lost return is given again.
--- a/control/core/node/peers.go
+++ b/control/core/node/peers.go
@@ -12,7 +12,7 @@
 )
 
 // peer is another core as last heard. Invariant: down is only a hint that it takes no
-// connection; it moves keys and forwards, never a slot of the roster.
+// connection; it moves keys and forwards, never a slot of the membership.
 // Invariants: fits is the newest of its hellos whose list of sidecars is the one held
 // here, acked the newest of ours that it said so of; told is what the last whole hello to
 // it said. All of them belong to one run of it, which was first heard at since; echo is
@@ -33,7 +33,7 @@
 
 // live tells whether the peer counts as one that can be asked.
 func (p *peer) live(now moment.Moment) bool {
-	return !p.down && now.Since(p.heard) <= alive && p.hears(now)
+	return !p.down && now.Since(p.heard) <= heartbeatTimeout && p.hears(now)
 }
 
 // hears tells whether the peer hears this core, as far as can be told: it may be heard
@@ -74,7 +74,7 @@
 			out = append(out, a)
 		}
 	}
-	for _, v := range n.acc.Now.Voters {
+	for _, v := range n.membership.Current.Voters {
 		add(v.Addr)
 	}
 	for _, a := range n.boot.Seeds {
@@ -106,7 +106,7 @@
 // hears.
 func (n *Node) Fresh(now moment.Moment) []ident.Addr {
 	out := []ident.Addr{n.boot.Addr}
-	for _, v := range n.acc.Now.Voters {
+	for _, v := range n.membership.Current.Voters {
 		if !slices.Contains(out, v.Addr) {
 			out = append(out, v.Addr)
 		}
@@ -122,7 +122,7 @@
 // live lists the disks of counted voters that are heard and stay, this one included.
 func (n *Node) live(now moment.Moment) (disks []ident.Disk, at map[ident.Disk]ident.Addr) {
 	at = map[ident.Disk]ident.Addr{}
-	for _, v := range n.acc.Now.Voters {
+	for _, v := range n.membership.Current.Voters {
 		if !v.Counted {
 			continue
 		}
@@ -163,7 +163,7 @@
 }
 
 // Majority tells whether enough voters are heard to serve.
-func (n *Node) Majority(now moment.Moment) bool { return n.majority(now, alive) }
+func (n *Node) Majority(now moment.Moment) bool { return n.majority(now, heartbeatTimeout) }
 
 // cutOff tells whether this core heard a majority and hears none now. One that has just
 // started and has heard none yet is not: those that live may not have said so.
@@ -178,12 +178,12 @@
 			near = append(near, p.hello.Disk)
 		}
 	}
-	for _, v := range n.acc.Now.Voters {
+	for _, v := range n.membership.Current.Voters {
 		if v.Counted && slices.Contains(near, v.Disk) && (v.Disk != n.Disk || !n.broken) {
 			got++
 		}
 	}
-	return n.acc.Now.Epoch > 0 && got >= n.acc.Now.Majority()
+	return n.membership.Current.Epoch > 0 && got >= n.membership.Current.Majority()
 }
 
 // Down takes a hint that the process at an address is gone: it takes no connection.
--- a/control/core/node/place.go
+++ b/control/core/node/placement.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"cottonarch.example/cottonarch/control/core/message"
+	"cottonarch.example/cottonarch/control/membership/reconfiguration"
 	"cottonarch.example/cottonarch/control/register/cell"
 	"cottonarch.example/cottonarch/control/register/survey"
-	"cottonarch.example/cottonarch/control/roster/maker"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
@@ -15,56 +15,56 @@
 // copyAgain is how long the word that a copy is synced is awaited before all is copied anew.
 const copyAgain = 2 * time.Second
 
-// place works towards this disk being a counted voter.
-func (n *Node) place(now moment.Moment, fx *Effects) {
-	r := n.acc.Now
+// seekMembership works towards this disk being a counted voter.
+func (n *Node) seekMembership(now moment.Moment, fx *Effects) {
+	r := n.membership.Current
 	if r.Epoch == 0 {
 		if !slices.Contains(n.boot.Founders, n.boot.Addr) {
 			return
 		}
 		empty := map[ident.Addr]ident.Disk{}
 		for _, a := range n.peerAddrs() {
-			if p := n.peers[a]; p.hello.Roster == nil && now.Since(p.heard) <= alive {
+			if p := n.peers[a]; p.hello.Membership == nil && now.Since(p.heard) <= heartbeatTimeout {
 				empty[a] = p.hello.Disk
 			}
 		}
-		for _, s := range n.form.Tick(now, empty) {
-			ask := s.Ask
-			fx.Sends = append(fx.Sends, Send{s.To, message.Message{RosterAsk: &ask}})
+		for _, s := range n.bootstrap.Tick(now, empty) {
+			ask := s.Request
+			fx.Sends = append(fx.Sends, Send{s.To, message.Message{MembershipRequest: &ask}})
 		}
 		return
 	}
 	me, in := r.Find(n.Disk)
 	switch {
 	case in && me.Counted && me.Addr != n.boot.Addr:
-		n.rosterSends(n.make.Begin(now, r, maker.Move(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr})), fx)
+		n.sendReconfiguration(n.reconfigurer.Begin(now, r, reconfiguration.MoveVoter(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr})), fx)
 	case n.leaving:
 	case in && me.Counted:
 		n.sheds(now, r, fx)
-	case in && me.Joining && !n.grows(now, r) && !n.relieves(now, r):
-		if n.room(now, r) {
-			n.rosterSends(n.make.Begin(now, r, maker.Take(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr}, n.boot.Voters, false)), fx)
+	case in && me.Joining && !n.canGrow(now, r) && !n.relieves(now, r):
+		if n.mayTakeSlot(now, r) {
+			n.sendReconfiguration(n.reconfigurer.Begin(now, r, reconfiguration.TakeSlot(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr}, n.boot.Voters, false)), fx)
 		}
-	case in && n.copied == r.Epoch:
-		n.rosterSends(n.make.Begin(now, r, maker.Count(n.Disk)), fx)
-	case in && (!n.copying || n.copy != 0 && now.Since(n.copyAt) > copyAgain):
-		n.copying = true
-		n.survey(now, &reading{until: now.Add(time.Minute), done: n.copiedAll(r.Epoch)}, "", true, n.Disk, fx)
+	case in && n.copiedAt == r.Epoch:
+		n.sendReconfiguration(n.reconfigurer.Begin(now, r, reconfiguration.CountIn(n.Disk)), fx)
+	case in && (!n.copyingState || n.copy != 0 && now.Since(n.copyAt) > copyAgain):
+		n.copyingState = true
+		n.survey(now, &reading{until: now.Add(time.Minute), done: n.takeCopies(r.Epoch)}, "", true, n.Disk, fx)
 	case !in && n.relieves(now, r):
-		n.rosterSends(n.make.Begin(now, r, maker.Take(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr}, len(r.Voters)+1, true)), fx)
-	case !in && n.room(now, r):
+		n.sendReconfiguration(n.reconfigurer.Begin(now, r, reconfiguration.TakeSlot(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr}, len(r.Voters)+1, true)), fx)
+	case !in && n.mayTakeSlot(now, r):
 		grow := n.mayGrow(now, r)
-		n.rosterSends(n.make.Begin(now, r, maker.Take(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr}, n.boot.Voters, grow)), fx)
+		n.sendReconfiguration(n.reconfigurer.Begin(now, r, reconfiguration.TakeSlot(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr}, n.boot.Voters, grow)), fx)
 	}
 }
 
-// grows tells whether the slots that majorities are of may become one more by this disk,
-// which has joined: all that count are well, and there is another to follow it unless the
+// canGrow tells whether the slots that majorities are of may become one more by this disk,
+// which has joined: all that count are healthy, and there is another to follow it unless the
 // number is even. A core more than an odd number adds to no majority's strength; it stands
 // by, and takes the next empty slot. Had it been counted in, and the voter whose successor
 // it was to be then gone for good, every later loss would be one too many.
-func (n *Node) grows(now moment.Moment, r cell.Roster) bool {
-	near := n.well(now)
+func (n *Node) canGrow(now moment.Moment, r cell.Membership) bool {
+	near := n.healthy(now)
 	others := 0
 	for _, v := range r.Voters {
 		switch well := slices.Contains(near, v.Disk); {
@@ -77,8 +77,8 @@
 	return r.Size()%2 == 0 || others > 0
 }
 
-// well lists the disks that are heard, work and stay, this one included.
-func (n *Node) well(now moment.Moment) []ident.Disk {
+// healthy lists the disks that are heard, work and stay, this one included.
+func (n *Node) healthy(now moment.Moment) []ident.Disk {
 	out := []ident.Disk{n.Disk}
 	for _, a := range n.peerAddrs() {
 		if p := n.peers[a]; p.live(now) && !p.hello.Leaving && !p.hello.Broken {
@@ -88,16 +88,16 @@
 	return out
 }
 
-// room tells whether this disk may find a slot: one voter is at this address, or one is
-// not heard here, or it may grow the roster, which has fewer voters than there should be.
+// mayTakeSlot tells whether this disk may find a slot: one voter is at this address, or one is
+// not heard here, or it may grow the membership, which has fewer voters than there should be.
 // Who can have none does not ask: each question outbids those that would be agreed to. Only then is a majority asked, and what its disks have heard decides; so a
 // core that has just come need not itself wait for a voter's silence to be long.
-func (n *Node) room(now moment.Moment, r cell.Roster) bool {
+func (n *Node) mayTakeSlot(now moment.Moment, r cell.Membership) bool {
 	if slices.ContainsFunc(r.Voters, func(v cell.Voter) bool { return v.Addr == n.boot.Addr && v.Disk != n.Disk }) {
 		return true
 	}
 	ran := now.Since(n.began)
-	if ran <= alive {
+	if ran <= heartbeatTimeout {
 		return false // those that live may not have said so yet
 	}
 	near := n.heard(now, deadAfter)
@@ -109,19 +109,19 @@
 // mayGrow tells whether this disk may ask for a slot of its own. A core that replaces
 // another is given time to find the empty slot first; where there are too few slots to bear
 // what may be lost at once, it waits no longer than it takes to hear the others.
-func (n *Node) mayGrow(now moment.Moment, r cell.Roster) bool {
+func (n *Node) mayGrow(now moment.Moment, r cell.Membership) bool {
 	ran := now.Since(n.began)
-	return ran > growAfter || r.Size() < 2*n.boot.CanLose+1 && ran > alive
+	return ran > growAfter || r.Size() < 2*n.boot.CanLose+1 && ran > heartbeatTimeout
 }
 
-// notDead lists the disks that this one does not hold for dead: those heard lately and,
+// presumedAlive lists the disks that this one does not hold for dead: those heard lately and,
 // as long as it has not listened for that long itself, all that vote.
-func (n *Node) notDead(now moment.Moment) []ident.Disk {
+func (n *Node) presumedAlive(now moment.Moment) []ident.Disk {
 	out := n.heard(now, deadAfter)
 	if now.Since(n.began) > deadAfter {
 		return out
 	}
-	for _, v := range n.acc.Now.Voters {
+	for _, v := range n.membership.Current.Voters {
 		if !slices.Contains(out, v.Disk) {
 			out = append(out, v.Disk)
 		}
@@ -129,21 +129,21 @@
 	return out
 }
 
-// copiedAll takes every key that a majority of the counted voters held at the epoch. The
+// takeCopies takes every key that a majority of the counted voters held at the epoch. The
 // copy is done only once it is synced: the word of that waits at the gate behind its
 // records. A disk that counted sooner and then lost power would count and know nothing.
-func (n *Node) copiedAll(at ident.Epoch) func(moment.Moment, *survey.Survey, *Effects) {
+func (n *Node) takeCopies(at ident.Epoch) func(moment.Moment, *survey.Survey, *Effects) {
 	return func(now moment.Moment, s *survey.Survey, fx *Effects) {
-		if s == nil || n.acc.Now.Epoch != at {
-			n.copying = false
+		if s == nil || n.membership.Current.Epoch != at {
+			n.copyingState = false
 			return
 		}
 		all := s.Found()
-		for _, k := range sorted(all) {
+		for _, k := range sortedKeys(all) {
 			fx.Records = append(fx.Records, n.rep.Learn(cell.Row{Key: k, Cell: all[k].Cell})...)
 		}
 		n.copy, n.copyAt = n.next(), now
-		synced := cell.ScanReturn{Turn: n.copy, Disk: n.Disk, Roster: at}
+		synced := cell.ScanReturn{Turn: n.copy, Disk: n.Disk, Membership: at}
 		fx.Sends = append(fx.Sends, Send{n.boot.Addr, message.Message{ScanReturn: &synced}})
 	}
 }
@@ -154,13 +154,13 @@
 		return false
 	}
 	n.copy = 0
-	if r.Roster == n.acc.Now.Epoch {
-		n.copying, n.copied = false, r.Roster
+	if r.Membership == n.membership.Current.Epoch {
+		n.copyingState, n.copiedAt = false, r.Membership
 	}
 	return true
 }
 
-func sorted(all map[ident.Key]survey.Found) []ident.Key {
+func sortedKeys(all map[ident.Key]survey.Found) []ident.Key {
 	out := make([]ident.Key, 0, len(all))
 	for k := range all {
 		out = append(out, k)
--- a/control/core/node/place_test.go
+++ b/control/core/node/placement_test.go
@@ -39,7 +39,7 @@
 			x.run(10 * time.Millisecond)
 		}
 		must.LessEq(t, c.within, x.now.Since(from), must.Sprint(name))
-		must.Eq(t, 3, len(x.nodes[c.at].Roster().Voters), must.Sprint(name))
+		must.Eq(t, 3, len(x.nodes[c.at].Membership().Voters), must.Sprint(name))
 		must.Positive(t, x.nodes[c.at].Cells(), must.Sprint(name))
 	}
 }
@@ -50,16 +50,16 @@
 	x := newTrio(t)
 	x.start(t, "d:1", "new", nil)
 	x.run(3200 * time.Millisecond)
-	must.Eq(t, 3, len(x.nodes["d:1"].Roster().Voters))
+	must.Eq(t, 3, len(x.nodes["d:1"].Membership().Voters))
 	x.lost = func(_ ident.Addr, m message.Message) bool { return m.From == "c:1" }
 	x.start(t, "a:1", "", nil)
 	x.start(t, "b:1", "", nil)
 	x.run(2 * time.Second)
-	_, in := x.nodes["a:1"].Roster().Find("disk-c:1")
+	_, in := x.nodes["a:1"].Membership().Find("disk-c:1")
 	must.True(t, in)
 	x.lost = nil
 	x.run(2 * time.Second)
-	_, in = x.nodes["a:1"].Roster().Find("disk-c:1")
+	_, in = x.nodes["a:1"].Membership().Find("disk-c:1")
 	must.True(t, in)
 }
 
@@ -98,16 +98,16 @@
 	x := newTrio(t)
 	x.start(t, "d:1", "new-d", nil)
 	x.run(9 * time.Second)
-	must.Eq(t, 3, x.nodes["a:1"].Roster().Size())
+	must.Eq(t, 3, x.nodes["a:1"].Membership().Size())
 	x.start(t, "e:1", "new-e", nil)
 	x.run(9 * time.Second)
-	must.Eq(t, 5, x.nodes["a:1"].Roster().Size())
+	must.Eq(t, 5, x.nodes["a:1"].Membership().Size())
 	must.True(t, x.nodes["d:1"].Votes())
 	must.True(t, x.nodes["e:1"].Votes())
 }
 
 // Cores come, are killed, lose messages, and one at a time loses its disk or is replaced,
-// while the roster grows from three to five: no number is ever given out again, and in the
+// while the membership grows from three to five: no number is ever given out again, and in the
 // end the mesh serves.
 func TestGrowthForgetsNothing(t *testing.T) {
 	for seed := range uint64(12) {
--- a/control/core/node/reading.go
+++ b/control/core/node/reading.go
@@ -27,7 +27,7 @@
 
 func (n *Node) survey(now moment.Moment, r *reading, prefix string, values bool, skip ident.Disk, fx *Effects) {
 	turn := n.next()
-	r.Survey = survey.Begin(turn, n.acc.Now, prefix, values, skip)
+	r.Survey = survey.Begin(turn, n.membership.Current, prefix, values, skip)
 	r.Survey.All, r.Survey.Buckets = r.all, r.buckets
 	n.reads[turn] = r
 	n.scan(r.Tick(now), fx)
@@ -44,10 +44,10 @@
 	if m.Scan == nil {
 		return false
 	}
-	if n.broken || !n.acc.Now.Counts(n.Disk) {
+	if n.broken || !n.membership.Current.Counts(n.Disk) {
 		return true
 	}
-	if r, ok := n.rep.Scan(n.acc.Now.Epoch, *m.Scan); ok {
+	if r, ok := n.rep.Scan(n.membership.Current.Epoch, *m.Scan); ok {
 		fx.Sends = append(fx.Sends, Send{m.From, message.Message{ScanReturn: &r}})
 	}
 	return true
--- a/control/core/node/restart_test.go
+++ b/control/core/node/restart_test.go
@@ -7,8 +7,8 @@
 	"github.com/shoenig/test/must"
 
 	"cottonarch.example/cottonarch/control/core/node"
+	"cottonarch.example/cottonarch/control/membership/acceptor"
 	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/roster/acceptor"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/storage/ring"
@@ -18,7 +18,7 @@
 // older than what was acknowledged since.
 func TestSurveysOfTwoRunsHaveNoTurnInCommon(t *testing.T) {
 	roster := acceptor.New("d1")
-	roster.Adopt(cell.Roster{Epoch: 1, Voters: []cell.Voter{{Disk: "d1", Addr: "a:1", Counted: true}}})
+	roster.Adopt(cell.Membership{Epoch: 1, Voters: []cell.Voter{{Disk: "d1", Addr: "a:1", Counted: true}}})
 	records := []ring.Record{{Tag: "disk", Data: []byte("d1")}, roster.Record()}
 	scan := func(mark string) uint64 {
 		n, _, err := node.New(1, node.Boot{Addr: "a:1", Founders: []ident.Addr{"a:1"}, Mark: mark}, records)
--- a/control/core/node/quiet.go
+++ b/control/core/node/silence.go
@@ -16,16 +16,16 @@
 // shareKey holds the shares of the further tries.
 const shareKey = share.Key
 
-// quiet is the question, to all voters, which nodes they have long not heard.
-type quiet struct {
-	turn   uint64
-	claims map[ident.Node]ident.Epoch
-	says   map[ident.Node]map[ident.Disk]bool
+// silenceRound is the question, to all voters, which nodes they have long not heard.
+type silenceRound struct {
+	round     uint64
+	claims    map[ident.Node]ident.Epoch
+	confirmed map[ident.Node]map[ident.Disk]bool
 }
 
-// reclaim takes back the shares of nodes that a majority has long not heard. The voters
+// reclaimShares takes back the shares of nodes that a majority has long not heard. The voters
 // are asked only of those that this core has not heard.
-func (n *Node) reclaim(now moment.Moment, fx *Effects) {
+func (n *Node) reclaimShares(now moment.Moment, fx *Effects) {
 	n.internal(now, owner.Deed{Key: shareKey, Kind: "share/read"}, fx, func(now moment.Moment, e End, fx *Effects) {
 		var s share.Shares
 		if e.Defect != nil || book.Read(nil, e.Body, nil, &s) != nil {
@@ -35,20 +35,20 @@
 		if len(silent) == 0 || now.Since(n.began) <= ledger.Quiet {
 			return
 		}
-		n.quiet = quiet{turn: n.next(), claims: map[ident.Node]ident.Epoch{}, says: map[ident.Node]map[ident.Disk]bool{}}
+		n.silence = silenceRound{round: n.next(), claims: map[ident.Node]ident.Epoch{}, confirmed: map[ident.Node]map[ident.Disk]bool{}}
 		for _, node := range silent {
-			n.quiet.claims[node], n.quiet.says[node] = s.Nodes[node].Claim, map[ident.Disk]bool{}
+			n.silence.claims[node], n.silence.confirmed[node] = s.Nodes[node].Claim, map[ident.Disk]bool{}
 		}
-		for _, v := range n.acc.Now.Voters {
-			n.send(v, message.Message{Quiet: &message.Quiet{Turn: n.quiet.turn, Nodes: silent}}, fx)
+		for _, v := range n.membership.Current.Voters {
+			n.send(v, message.Message{Quiet: &message.Quiet{Turn: n.silence.round, Nodes: silent}}, fx)
 		}
 	})
 }
 
-// onQuiet answers the question, or takes a voter's answer. Invariant: a core says that a
+// onSilence answers the question, or takes a voter's answer. Invariant: a core says that a
 // node is silent only when it has itself been up for longer than ledger.Quiet; a share is
 // taken back only when a majority of the voters said so.
-func (n *Node) onQuiet(now moment.Moment, m message.Message, fx *Effects) bool {
+func (n *Node) onSilence(now moment.Moment, m message.Message, fx *Effects) bool {
 	q := m.Quiet
 	if q == nil {
 		return false
@@ -59,17 +59,17 @@
 		}
 		return true
 	}
-	if v, in := n.acc.Now.Find(q.Says); !in || v.Joining || q.Turn != n.quiet.turn {
+	if v, in := n.membership.Current.Find(q.Says); !in || v.Joining || q.Turn != n.silence.round {
 		return true
 	}
 	for _, node := range q.Nodes {
-		says := n.quiet.says[node]
+		says := n.silence.confirmed[node]
 		if says == nil || says[q.Says] {
 			continue
 		}
 		says[q.Says] = true
-		if len(says) == n.acc.Now.Majority() {
-			args := book.JSON(share.Args{Node: node, Claim: n.quiet.claims[node]})
+		if len(says) == n.membership.Current.Majority() {
+			args := book.JSON(share.Args{Node: node, Claim: n.silence.claims[node]})
 			n.internal(now, owner.Deed{Key: shareKey, Kind: "share/free", Args: args}, fx, func(moment.Moment, End, *Effects) {})
 		}
 	}
--- a/control/core/node/tick.go
+++ b/control/core/node/tick.go
@@ -25,22 +25,22 @@
 	}
 	n.own.Close(n.near(now))
 	n.owned(now, n.own.Tick(now), &fx)
-	n.rosterSends(n.make.Tick(now), &fx)
+	n.sendReconfiguration(n.reconfigurer.Tick(now), &fx)
 	n.pendings(now, &fx)
 	n.readings(now, &fx)
 	if n.Ledger.Tick(now) {
 		fx.Changed = true
 	}
 	if !n.broken {
-		n.place(now, &fx)
+		n.seekMembership(now, &fx)
 		n.catchUp(now, &fx)
 		n.duties(now, &fx)
 	}
-	n.lookOut(now, &fx)
+	n.refreshNewest(now, &fx)
 	n.admit(now, &fx)
 	n.lag(now)
-	if old := n.stale(now); old != n.old {
-		n.old, fx.Changed = old, true
+	if old := n.stale(now); old != n.wasStale {
+		n.wasStale, fx.Changed = old, true
 	}
 	return fx
 }
--- /dev/null
+++ b/control/membership/reconfiguration/reconfiguration.go
@@ -0,0 +1,261 @@
+// Package reconfiguration raises the membership epoch: a newcomer takes a slot, copies, and then
+// votes.
+package reconfiguration
+
+import (
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"cottonarch.example/cottonarch/control/membership/acceptor"
+	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/kernel/moment"
+)
+
+const (
+	resend       = 200 * time.Millisecond
+	giveUp       = 2 * time.Second
+	pauseBetween = 300 * time.Millisecond
+	// retry is the pause after a voter had promised another proposal more: far less than
+	// rest, or a proposer that has nothing to propose and asks each rest, with a higher
+	// ballot each time, would for ever be ahead of one that has.
+	retry = 20 * time.Millisecond
+)
+
+type stage int
+
+const (
+	idle stage = iota
+	preparing
+	accepting
+)
+
+// Change works out the membership wanted after now, given the disks that the responses of a
+// majority have heard; nil means that nothing may be changed.
+type Change func(now cell.Membership, heard map[ident.Disk]bool) *cell.Membership
+
+// Reconfigurer runs one change at a time. Invariant: it reports a membership as chosen only after a majority
+// of the counted voters of one membership, all at its epoch, accepted one proposal.
+type Reconfigurer struct {
+	disk         ident.Disk
+	instance     string
+	stage        stage
+	base         cell.Membership
+	ballot       ident.Ballot
+	round        uint64
+	request      acceptor.Request
+	responses    map[ident.Disk]acceptor.Response
+	roundBegan   moment.Moment
+	lastSent     moment.Moment
+	pausedUntil  moment.Moment
+	highestEpoch ident.Epoch
+	change       Change
+}
+
+// New makes an idle one.
+func New(disk ident.Disk, instance string) *Reconfigurer {
+	return &Reconfigurer{disk: disk, instance: instance}
+}
+
+// Send is one request to one voter.
+type Send struct {
+	To      cell.Voter
+	Request acceptor.Request
+}
+
+// Idle tells whether nothing is under way.
+func (m *Reconfigurer) Idle() bool { return m.stage == idle }
+
+// Begin starts a change from the membership in force.
+func (m *Reconfigurer) Begin(now moment.Moment, base cell.Membership, plan Change) []Send {
+	if m.stage != idle || m.pausedUntil.After(now) {
+		return nil
+	}
+	m.highestEpoch++
+	m.base, m.change, m.stage = base, plan, preparing
+	m.ballot = ident.Ballot{Epoch: m.highestEpoch, Owner: m.instance}
+	return m.beginRound(now, acceptor.Request{Kind: acceptor.Prepare})
+}
+
+func (m *Reconfigurer) beginRound(now moment.Moment, request acceptor.Request) []Send {
+	m.round++
+	request.Round, request.Base, request.Ballot, request.Disk = m.round, m.base.Epoch, m.ballot, m.disk
+	m.request, m.responses, m.roundBegan, m.lastSent = request, map[ident.Disk]acceptor.Response{}, now, now
+	return m.outstanding()
+}
+
+func (m *Reconfigurer) outstanding() []Send {
+	var out []Send
+	for _, v := range m.base.Voters {
+		if _, ok := m.responses[v.Disk]; v.Counted && !ok {
+			out = append(out, Send{v, m.request})
+		}
+	}
+	return out
+}
+
+func (m *Reconfigurer) stop(now moment.Moment) {
+	m.stage, m.pausedUntil = idle, now.Add(pauseBetween+time.Duration(m.round*37%100)*time.Millisecond)
+}
+
+// outbid pauses for a moment that differs between proposers and from one try to the next.
+func (m *Reconfigurer) outbid(now moment.Moment) {
+	h := fnv.New32a()
+	_, _ = fmt.Fprint(h, m.disk, m.round)
+	m.stage, m.pausedUntil = idle, now.Add(retry+time.Duration(h.Sum32()%100)*time.Millisecond)
+}
+
+// Adopted drops a change that builds on an older membership.
+func (m *Reconfigurer) Adopted(r cell.Membership) {
+	if m.stage != idle && r.Epoch > m.base.Epoch {
+		m.stage = idle
+	}
+	m.highestEpoch = 0
+}
+
+// Step takes one response; the membership is not nil once it is chosen.
+func (m *Reconfigurer) Step(now moment.Moment, r acceptor.Response) ([]Send, *cell.Membership) {
+	if m.stage == idle || r.Round != m.round || r.Base != m.base.Epoch || !m.base.Counts(r.Disk) {
+		return nil, nil
+	}
+	if !r.OK {
+		m.highestEpoch = max(m.highestEpoch, r.Promised.Epoch)
+		m.outbid(now)
+		return nil, nil
+	}
+	if r.Promised != m.ballot {
+		return nil, nil // a yes to the same turn of an earlier run, whose ballot was another
+	}
+	m.responses[r.Disk] = r
+	if len(m.responses) < m.base.Majority() {
+		return nil, nil
+	}
+	if m.stage == accepting {
+		m.stage = idle // what comes next builds on it, and need not wait
+		return nil, m.request.Next
+	}
+	// What a voter has already accepted goes first.
+	var best acceptor.Response
+	heard := map[ident.Disk]bool{}
+	for _, v := range m.responses {
+		if v.Next != nil && best.Accepted.Less(v.Accepted) {
+			best = v
+		}
+		for _, d := range v.Heard {
+			heard[d] = true
+		}
+	}
+	next := best.Next
+	if next == nil {
+		next = m.change(m.base, heard)
+	}
+	if next == nil {
+		m.stop(now)
+		return nil, nil
+	}
+	m.stage = accepting
+	return m.beginRound(now, acceptor.Request{Kind: acceptor.Accept, Next: next}), nil
+}
+
+// Tick repeats or gives up.
+func (m *Reconfigurer) Tick(now moment.Moment) []Send {
+	if m.stage == idle {
+		return nil
+	}
+	if now.Since(m.roundBegan) > giveUp {
+		m.stop(now)
+		return nil
+	}
+	if now.Since(m.lastSent) <= resend {
+		return nil
+	}
+	m.lastSent = now
+	return m.outstanding()
+}
+
+// TakeSlot plans that disk me, at addr, takes a slot: that of an older disk at the same
+// address, else that of the one voter nobody has heard, else, when all are healthy and
+// there are fewer than maxVoters, a new one, in which it joins. Who has only joined may still
+// take a slot that is empty, and leaves its own.
+func TakeSlot(me cell.Voter, maxVoters int, grow bool) Change {
+	return func(now cell.Membership, heard map[ident.Disk]bool) *cell.Membership {
+		own, in := now.Find(me.Disk)
+		if in && !own.Joining {
+			return nil
+		}
+		next := cell.Membership{Epoch: now.Epoch + 1, Voters: slices.DeleteFunc(slices.Clone(now.Voters), func(v cell.Voter) bool { return v.Disk == me.Disk })}
+		slot := slices.IndexFunc(next.Voters, func(v cell.Voter) bool { return v.Addr == me.Addr })
+		if slot < 0 && now.Size() <= maxVoters { // one too many is dropped and not filled
+			slot = slices.IndexFunc(next.Voters, func(v cell.Voter) bool { return !heard[v.Disk] && (!in || !v.Joining) })
+		}
+		if slot < 0 && (in || !grow || len(next.Voters) >= maxVoters) {
+			return nil
+		}
+		me.Counted, me.Joining = false, slot < 0 || next.Voters[slot].Joining
+		if slot < 0 {
+			next.Voters = append(next.Voters, me)
+		} else {
+			next.Voters[slot] = me
+		}
+		// The counted voters that stay must still make a majority.
+		if n := countedVoters(next); n < next.Majority() {
+			return nil
+		}
+		return &next
+	}
+}
+
+// CountIn plans that disk me votes from now on.
+func CountIn(me ident.Disk) Change {
+	return func(now cell.Membership, _ map[ident.Disk]bool) *cell.Membership {
+		next := cell.Membership{Epoch: now.Epoch + 1, Voters: slices.Clone(now.Voters)}
+		slot := slices.IndexFunc(next.Voters, func(v cell.Voter) bool { return v.Disk == me && !v.Counted })
+		if slot < 0 {
+			return nil
+		}
+		next.Voters[slot].Counted, next.Voters[slot].Joining = true, false
+		return &next
+	}
+}
+
+// MoveVoter plans that a voter is found at another address from now on.
+func MoveVoter(me cell.Voter) Change {
+	return func(now cell.Membership, _ map[ident.Disk]bool) *cell.Membership {
+		next := cell.Membership{Epoch: now.Epoch + 1, Voters: slices.Clone(now.Voters)}
+		slot := slices.IndexFunc(next.Voters, func(v cell.Voter) bool { return v.Disk == me.Disk && v.Addr != me.Addr })
+		if slot < 0 {
+			return nil
+		}
+		next.Voters[slot].Addr = me.Addr
+		return &next
+	}
+}
+
+// Drop plans that a voter has no slot from now on: one that leaves as planned, or one that
+// nobody has heard. Only an even number of slots shrinks: the odd one below it bears as
+// many losses, while with an even one a voter that is gone is a loss that is borne already.
+func Drop(gone ident.Disk, leaves bool) Change {
+	return func(now cell.Membership, heard map[ident.Disk]bool) *cell.Membership {
+		voter, in := now.Find(gone)
+		if !in || voter.Joining || now.Size()%2 != 0 || !leaves && heard[gone] {
+			return nil
+		}
+		next := cell.Membership{Epoch: now.Epoch + 1, Voters: slices.DeleteFunc(slices.Clone(now.Voters), func(v cell.Voter) bool { return v.Disk == gone })}
+		if countedVoters(next) < next.Majority() {
+			return nil
+		}
+		return &next
+	}
+}
+
+func countedVoters(r cell.Membership) int {
+	n := 0
+	for _, v := range r.Voters {
+		if v.Counted {
+			n++
+		}
+	}
+	return n
+}
--- a/control/roster/maker/restart_test.go
+++ b/control/membership/reconfiguration/restart_test.go
@@ -1,21 +1,21 @@
-package maker_test
+package reconfiguration_test
 
 import (
 	"testing"
 
 	"github.com/shoenig/test/must"
 
+	"cottonarch.example/cottonarch/control/membership/acceptor"
+	"cottonarch.example/cottonarch/control/membership/reconfiguration"
 	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/roster/acceptor"
-	"cottonarch.example/cottonarch/control/roster/maker"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
 
-// A return to a proposal of an earlier run is none to the next run's: else a roster could be
+// A return to a proposal of an earlier run is none to the next run's: else a membership could be
 // said to be chosen that a majority never took.
 func TestReturnToAnEarlierRunDoesNotCount(t *testing.T) {
-	base := cell.Roster{Epoch: 1}
+	base := cell.Membership{Epoch: 1}
 	disks := map[ident.Disk]*acceptor.Acceptor{}
 	for _, d := range []ident.Disk{"d1", "d2", "d3"} {
 		base.Voters = append(base.Voters, cell.Voter{Disk: d, Addr: ident.Addr(d), Counted: true})
@@ -25,15 +25,15 @@
 		disks[v.Disk].Adopt(base)
 	}
 	now := moment.Moment(1e9)
-	plan := maker.Move(cell.Voter{Disk: "d1", Addr: "elsewhere"})
-	old := maker.New("d1", "run1")
-	var late []acceptor.Return
+	plan := reconfiguration.MoveVoter(cell.Voter{Disk: "d1", Addr: "elsewhere"})
+	old := reconfiguration.New("d1", "run1")
+	var late []acceptor.Response
 	for _, s := range old.Begin(now, base, plan) {
-		r, _, say := disks[s.To.Disk].Step(s.Ask, nil)
+		r, _, say := disks[s.To.Disk].Step(s.Request, nil)
 		must.True(t, say)
 		late = append(late, r)
 	}
-	next := maker.New("d1", "run2")
+	next := reconfiguration.New("d1", "run2")
 	next.Begin(now, base, plan)
 	for _, r := range late {
 		sends, chosen := next.Step(now, r)
--- a/control/register/cell/cell.go
+++ b/control/register/cell/cell.go
@@ -44,13 +44,13 @@
 // of one owner process, except for repeats of the same round and for mending,
 // which uses turn 0 and expects nothing.
 type Ask struct {
-	Kind     Kind            `json:"kind"`
-	Turn     uint64          `json:"turn"`
-	Roster   ident.Epoch     `json:"roster"`
-	Key      ident.Key       `json:"key"`
-	Ballot   ident.Ballot    `json:"ballot"`
-	Revision ident.Revision  `json:"rev,omitempty"`
-	Value    json.RawMessage `json:"value,omitempty"`
+	Kind       Kind            `json:"kind"`
+	Turn       uint64          `json:"turn"`
+	Membership ident.Epoch     `json:"roster"`
+	Key        ident.Key       `json:"key"`
+	Ballot     ident.Ballot    `json:"ballot"`
+	Revision   ident.Revision  `json:"rev,omitempty"`
+	Value      json.RawMessage `json:"value,omitempty"`
 	// Patch stands for Value in a PatchAccept.
 	Patch *Patch `json:"patch,omitempty"`
 	// Have names, in a prepare, an accepted state whose value the owner has: it need not
@@ -74,16 +74,16 @@
 // it speaks of is synced. Cell is empty when a patch was taken; Cell.Value is filled for
 // prepare alone, and not for the state that the Ask said to be had.
 type Return struct {
-	Kind   Kind        `json:"kind"`
-	Turn   uint64      `json:"turn"`
-	Disk   ident.Disk  `json:"disk"`
-	Roster ident.Epoch `json:"roster"`
-	Key    ident.Key   `json:"key"`
-	OK     bool        `json:"ok"`
-	Cell   Cell        `json:"cell"`
+	Kind       Kind        `json:"kind"`
+	Turn       uint64      `json:"turn"`
+	Disk       ident.Disk  `json:"disk"`
+	Membership ident.Epoch `json:"roster"`
+	Key        ident.Key   `json:"key"`
+	OK         bool        `json:"ok"`
+	Cell       Cell        `json:"cell"`
 }
 
-// Voter is one slot of the roster. Invariants: a voter that is still copying is not
+// Voter is one slot of the membership. Invariants: a voter that is still copying is not
 // Counted, yet its slot raises the majority, unless it is Joining: a slot that nobody has
 // counted in yet, which raises none. Who is Joining is not Counted.
 type Voter struct {
@@ -93,8 +93,8 @@
 	Joining bool       `json:"joining,omitempty"`
 }
 
-// Roster is the set of voters at one epoch.
-type Roster struct {
+// Membership is the set of voters at one epoch.
+type Membership struct {
 	Epoch  ident.Epoch `json:"epoch"`
 	Voters []Voter     `json:"voters"`
 	// Need, when set, stands in for the majority; only the simulator sets it, to see
@@ -103,7 +103,7 @@
 }
 
 // Majority is the number of counted returns that a round needs.
-func (r Roster) Majority() int {
+func (r Membership) Majority() int {
 	if r.Need > 0 {
 		return r.Need
 	}
@@ -111,7 +111,7 @@
 }
 
 // Size is the number of slots that majorities are of.
-func (r Roster) Size() int {
+func (r Membership) Size() int {
 	n := 0
 	for _, v := range r.Voters {
 		if !v.Joining {
@@ -122,7 +122,7 @@
 }
 
 // Find looks a disk up.
-func (r Roster) Find(d ident.Disk) (Voter, bool) {
+func (r Membership) Find(d ident.Disk) (Voter, bool) {
 	for _, v := range r.Voters {
 		if v.Disk == d {
 			return v, true
@@ -132,7 +132,7 @@
 }
 
 // Counts tells whether a return of that disk counts.
-func (r Roster) Counts(d ident.Disk) bool {
+func (r Membership) Counts(d ident.Disk) bool {
 	v, ok := r.Find(d)
 	return ok && v.Counted
 }
@@ -140,11 +140,11 @@
 // Scan asks a replica for its cells below a prefix. With Buckets it asks for a digest of
 // each bucket of keys instead, or, with Only, for the cells of those buckets.
 type Scan struct {
-	Turn   uint64      `json:"turn"`
-	Roster ident.Epoch `json:"roster"`
-	Prefix string      `json:"prefix"`
-	After  ident.Key   `json:"after,omitempty"`
-	Values bool        `json:"values,omitempty"`
+	Turn       uint64      `json:"turn"`
+	Membership ident.Epoch `json:"roster"`
+	Prefix     string      `json:"prefix"`
+	After      ident.Key   `json:"after,omitempty"`
+	Values     bool        `json:"values,omitempty"`
 
 	Buckets int   `json:"buckets,omitempty"`
 	Only    []int `json:"only,omitempty"`
@@ -181,11 +181,11 @@
 
 // ScanReturn answers a Scan with one page.
 type ScanReturn struct {
-	Turn   uint64      `json:"turn"`
-	Disk   ident.Disk  `json:"disk"`
-	Roster ident.Epoch `json:"roster"`
-	After  ident.Key   `json:"after,omitempty"`
-	Rows   []Row       `json:"rows,omitempty"`
-	More   bool        `json:"more,omitempty"`
-	Digest []byte      `json:"digest,omitempty"` // of all buckets, when that was asked for
+	Turn       uint64      `json:"turn"`
+	Disk       ident.Disk  `json:"disk"`
+	Membership ident.Epoch `json:"roster"`
+	After      ident.Key   `json:"after,omitempty"`
+	Rows       []Row       `json:"rows,omitempty"`
+	More       bool        `json:"more,omitempty"`
+	Digest     []byte      `json:"digest,omitempty"` // of all buckets, when that was asked for
 }
--- a/control/register/cell/patch_test.go
+++ b/control/register/cell/patch_test.go
@@ -155,7 +155,7 @@
 	value := []byte(`{"state":{"f":1,"l":[` + strings.Join(list, ",") + `],"n":300}}`)
 	next := []byte(strings.Replace(string(value), `],"n":300`, `,["a1","0123456789abcdef",301]],"n":301`, 1))
 	base := cell.Cell{Accepted: mine, Revision: 7, Value: value}
-	ask := cell.Ask{Kind: cell.Accept, Turn: 9, Roster: 1, Key: "group/g.", Ballot: mine, Revision: 8}
+	ask := cell.Ask{Kind: cell.Accept, Turn: 9, Membership: 1, Key: "group/g.", Ballot: mine, Revision: 8}
 	for _, how := range []string{"whole", "patch"} {
 		b.Run(how, func(b *testing.B) {
 			size := 0
--- a/control/register/owner/few_test.go
+++ b/control/register/owner/few_test.go
@@ -18,7 +18,7 @@
 // those are silent for a moment; over time every copy is asked. With any two of five silent
 // it ends all the same.
 func TestConfirmAsksFewAndThenAll(t *testing.T) {
-	r := cell.Roster{Epoch: 1}
+	r := cell.Membership{Epoch: 1}
 	disks := []ident.Disk{"a", "b", "c", "d", "e"}
 	for _, d := range disks {
 		r.Voters = append(r.Voters, cell.Voter{Disk: d, Addr: ident.Addr(d), Counted: true})
@@ -50,7 +50,7 @@
 					}
 				}
 			}
-			take(o.Rostered(now, r))
+			take(o.SetMembership(now, r))
 			o.Close(disks, 1)
 			take(o.Submit(now, Deed{Key: ident.Key(fmt.Sprint("k", x, y)), Kind: "read"}))
 			drain()
--- a/control/register/owner/owner.go
+++ b/control/register/owner/owner.go
@@ -112,28 +112,28 @@
 // rev and value are chosen whenever stage is held or later; next is not, until its
 // round ends.
 type tenure struct {
-	key     ident.Key
-	stage   stage
-	ballot  ident.Ballot
-	roster  ident.Epoch
-	turn    uint64
-	ask     cell.Ask
-	returns map[ident.Disk]cell.Return
-	began   moment.Moment
-	sent    moment.Moment
-	since   moment.Moment
-	pause   moment.Moment
-	tries   int
-	seen    ident.Epoch
-	from    ident.Ballot // under which rev and value were accepted
-	rev     ident.Revision
-	value   json.RawMessage
-	kept    any // of value, or of next while a round is out
-	next    cell.Cell
-	waiting []Deed
-	batch   []Outcome
-	memory  map[string]moment.Moment
-	touched []string
+	key        ident.Key
+	stage      stage
+	ballot     ident.Ballot
+	membership ident.Epoch
+	turn       uint64
+	ask        cell.Ask
+	returns    map[ident.Disk]cell.Return
+	began      moment.Moment
+	sent       moment.Moment
+	since      moment.Moment
+	pause      moment.Moment
+	tries      int
+	seen       ident.Epoch
+	from       ident.Ballot // under which rev and value were accepted
+	rev        ident.Revision
+	value      json.RawMessage
+	kept       any // of value, or of next while a round is out
+	next       cell.Cell
+	waiting    []Deed
+	batch      []Outcome
+	memory     map[string]moment.Moment
+	touched    []string
 	// based lists the disks known, by a return in this tenure, to hold the base of what is
 	// sent next, or to be about to: each was sent every round since. It is a guess that
 	// only spares bytes: the replica looks for itself.
@@ -148,16 +148,16 @@
 // process, so no ballot is ever used by two; turns begin at first, which is the process's
 // own too, so no return to an earlier process's ask counts in a round of this one.
 type Owner struct {
-	mark   string
-	mach   Machine
-	roster cell.Roster
-	held   map[ident.Key]*tenure
-	busy   map[ident.Key]*tenure
-	close  []ident.Disk
-	kin    int
-	first  uint64
-	turn   uint64
-	able   map[ident.Disk]bool
+	mark       string
+	mach       Machine
+	membership cell.Membership
+	held       map[ident.Key]*tenure
+	busy       map[ident.Key]*tenure
+	close      []ident.Disk
+	kin        int
+	first      uint64
+	turn       uint64
+	able       map[ident.Disk]bool
 	// Near, when set, gives what the process's own disk holds of a key. It need not be
 	// synced: only the value that belongs to a ballot and revision is taken from it.
 	Near func(ident.Key) cell.Cell
@@ -175,12 +175,12 @@
 // Able says whether the process that has the disk knows patches.
 func (o *Owner) Able(disk ident.Disk, patches bool) { o.able[disk] = patches }
 
-// Rostered moves to a newer roster; every hold begins anew under it.
-func (o *Owner) Rostered(now moment.Moment, r cell.Roster) (fx Effects) {
-	if r.Epoch <= o.roster.Epoch {
+// SetMembership moves to a newer membership; every hold begins anew under it.
+func (o *Owner) SetMembership(now moment.Moment, r cell.Membership) (fx Effects) {
+	if r.Epoch <= o.membership.Epoch {
 		return fx
 	}
-	o.roster = r
+	o.membership = r
 	for _, key := range o.keys(o.held) {
 		o.lose(o.held[key], &fx)
 	}
@@ -262,7 +262,7 @@
 
 // push moves a tenure on when no round is out.
 func (o *Owner) push(now moment.Moment, t *tenure, fx *Effects) {
-	if len(t.waiting) == 0 || o.roster.Epoch == 0 {
+	if len(t.waiting) == 0 || o.membership.Epoch == 0 {
 		if len(t.waiting) > 0 {
 			o.busy[t.key] = t
 		}
@@ -282,7 +282,7 @@
 func (o *Owner) prepare(now moment.Moment, t *tenure, fx *Effects) {
 	t.seen++
 	t.ballot = ident.Ballot{Epoch: t.seen, Owner: o.mark}
-	t.roster, t.stage = o.roster.Epoch, preparing
+	t.membership, t.stage = o.membership.Epoch, preparing
 	t.memory, t.touched, t.kept, t.based = map[string]moment.Moment{}, nil, nil, map[ident.Disk]bool{}
 	o.busy[t.key] = t
 	o.Takes++
@@ -298,10 +298,10 @@
 func (o *Owner) round(now moment.Moment, t *tenure, a cell.Ask, fx *Effects) {
 	o.turn++
 	o.Rounds++
-	a.Turn, a.Roster, a.Key = o.turn, t.roster, t.key
+	a.Turn, a.Membership, a.Key = o.turn, t.membership, t.key
 	t.turn, t.ask, t.returns = o.turn, a, map[ident.Disk]cell.Return{}
 	t.began, t.sent = now, now
-	t.few = a.Kind == cell.Confirm && !t.mending && len(o.close) >= o.roster.Majority()
+	t.few = a.Kind == cell.Confirm && !t.mending && len(o.close) >= o.membership.Majority()
 	o.ask(t, fx)
 }
 
@@ -309,7 +309,7 @@
 // based hold.
 func (o *Owner) accept(now moment.Moment, t *tenure, base cell.Cell, rev ident.Revision, value json.RawMessage, fx *Effects) {
 	a := cell.Ask{Kind: cell.Accept, Ballot: t.ballot, Revision: rev, Value: value}
-	if slices.ContainsFunc(o.roster.Voters, func(v cell.Voter) bool { return t.based[v.Disk] && o.able[v.Disk] }) {
+	if slices.ContainsFunc(o.membership.Voters, func(v cell.Voter) bool { return t.based[v.Disk] && o.able[v.Disk] }) {
 		a.Patch = cell.Diff(base, t.ballot, value)
 	}
 	o.round(now, t, a, fx)
@@ -325,7 +325,7 @@
 // few lists whom the confirming round of a number asks first. Those that are no kin take turns, so that
 // in time every copy is looked at.
 func (o *Owner) few(round uint64) []ident.Disk {
-	need := o.roster.Majority()
+	need := o.membership.Majority()
 	out := slices.Clone(o.close[:min(need, 1+o.kin)])
 	rest := o.close[1+o.kin:]
 	for i := 0; len(out) < need; i++ {
@@ -341,7 +341,7 @@
 	if t.few {
 		few = o.few(t.turn - o.first)
 	}
-	for _, v := range o.roster.Voters {
+	for _, v := range o.membership.Voters {
 		if _, ok := t.returns[v.Disk]; ok || t.few && !slices.Contains(few, v.Disk) {
 			continue
 		}
@@ -360,8 +360,8 @@
 // that turned a patch away gets the whole value at once, within the same round if one is
 // out.
 func (o *Owner) learn(t *tenure, r cell.Return, fx *Effects) {
-	v, in := o.roster.Find(r.Disk)
-	if !in || r.Turn <= t.took || r.Roster != t.roster || t.roster != o.roster.Epoch || t.stage < settling {
+	v, in := o.membership.Find(r.Disk)
+	if !in || r.Turn <= t.took || r.Membership != t.membership || t.membership != o.membership.Epoch || t.stage < settling {
 		return
 	}
 	switch {
@@ -445,7 +445,7 @@
 	}
 	if t.stage == held {
 		// Late to a confirm that is over: good for mending still.
-		if v, in := o.roster.Find(r.Disk); in && r.OK && t.ask.Kind == cell.Confirm && r.Roster == t.roster && t.roster == o.roster.Epoch {
+		if v, in := o.membership.Find(r.Disk); in && r.OK && t.ask.Kind == cell.Confirm && r.Membership == t.membership && t.membership == o.membership.Epoch {
 			o.mend(t, v, r, &fx)
 		}
 		if t.mending && !r.OK && t.ballot.Less(r.Cell.Promised) {
@@ -467,11 +467,11 @@
 		o.lose(t, &fx)
 		return fx
 	}
-	if !r.OK || r.Roster != t.roster || !o.roster.Counts(r.Disk) || t.roster != o.roster.Epoch {
+	if !r.OK || r.Membership != t.membership || !o.membership.Counts(r.Disk) || t.membership != o.membership.Epoch {
 		return fx
 	}
 	t.returns[r.Disk] = r
-	if len(t.returns) < o.roster.Majority() {
+	if len(t.returns) < o.membership.Majority() {
 		return fx
 	}
 	ends[t.stage](o, now, t, &fx)
@@ -531,7 +531,7 @@
 }
 
 func (o *Owner) confirmed(now moment.Moment, t *tenure, fx *Effects) {
-	for _, v := range o.roster.Voters {
+	for _, v := range o.membership.Voters {
 		if r, ok := t.returns[v.Disk]; ok {
 			o.mend(t, v, r, fx)
 		}
@@ -543,7 +543,7 @@
 func (o *Owner) mend(t *tenure, v cell.Voter, r cell.Return, fx *Effects) {
 	if sure := (cell.Cell{Accepted: t.from, Revision: t.rev}); sure.Newer(r.Cell) {
 		o.Mended++
-		fx.Sends = append(fx.Sends, Send{v, cell.Ask{Kind: cell.Accept, Roster: t.roster, Key: t.key, Ballot: t.ballot, Revision: t.rev, Value: t.value}})
+		fx.Sends = append(fx.Sends, Send{v, cell.Ask{Kind: cell.Accept, Membership: t.membership, Key: t.key, Ballot: t.ballot, Revision: t.rev, Value: t.value}})
 	}
 }
 
--- a/control/register/owner/owner_test.go
+++ b/control/register/owner/owner_test.go
@@ -28,7 +28,7 @@
 // bench is three replicas and some owners, with every message in the test's hand.
 type bench struct {
 	t      *testing.T
-	roster cell.Roster
+	roster cell.Membership
 	reps   map[ident.Disk]*replica.Replica
 	own    map[string]*owner.Owner
 	ends   map[string][]owner.Outcome
@@ -51,7 +51,7 @@
 	}
 	for _, o := range owners {
 		b.own[o] = owner.New(o, put{})
-		b.own[o].Rostered(b.now, b.roster)
+		b.own[o].SetMembership(b.now, b.roster)
 	}
 	return b
 }
@@ -171,7 +171,7 @@
 			// A fresh owner must see the newest of what was answered.
 			b.asks = nil
 			b.own["c"] = owner.New("c", put{})
-			b.own["c"].Rostered(b.now, b.roster)
+			b.own["c"].SetMembership(b.now, b.roster)
 			b.submit("c", "read", "")
 			for range 12 {
 				b.run(func(m mail) bool { return m.from == "c" })
@@ -208,7 +208,7 @@
 	b := newBench(t, "a")
 	b.submit("a", "write", "one")
 	b.run(func(m mail) bool { return m.to != "d3" })
-	_, _, _ = b.reps["d3"].Step(1, cell.Ask{Kind: cell.Prepare, Turn: 9, Roster: 1, Key: "k", Ballot: ident.Ballot{Epoch: 7, Owner: "stray"}})
+	_, _, _ = b.reps["d3"].Step(1, cell.Ask{Kind: cell.Prepare, Turn: 9, Membership: 1, Key: "k", Ballot: ident.Ballot{Epoch: 7, Owner: "stray"}})
 	b.submit("a", owner.Mend, "")
 	for range 5 {
 		b.run(nil)
@@ -239,11 +239,11 @@
 	}
 }
 
-// Returns of another roster epoch or of a voter that is still copying do not count.
+// Returns of another membership epoch or of a voter that is still copying do not count.
 func TestOnlyCountedReturnsCount(t *testing.T) {
 	b := newBench(t, "a")
-	r := cell.Roster{Epoch: 2, Voters: []cell.Voter{{Disk: "d1", Counted: true}, {Disk: "d2", Counted: true}, {Disk: "d3"}}}
-	b.take("a", b.own["a"].Rostered(b.now, r))
+	r := cell.Membership{Epoch: 2, Voters: []cell.Voter{{Disk: "d1", Counted: true}, {Disk: "d2", Counted: true}, {Disk: "d3"}}}
+	b.take("a", b.own["a"].SetMembership(b.now, r))
 	b.submit("a", "write", "one")
 	for range 10 {
 		b.run(nil) // the replicas are at epoch 1 and say nothing
--- a/control/register/owner/patch_test.go
+++ b/control/register/owner/patch_test.go
@@ -64,7 +64,7 @@
 	x := &lanes{bench: newBench(t), sent: map[state]string{}, synced: map[ident.Disk]map[string]ring.Record{}, kinds: map[cell.Kind]int{}}
 	for _, o := range []string{"a", "b"} {
 		x.own[o] = owner.New(o, fill{})
-		x.own[o].Rostered(x.now, x.roster)
+		x.own[o].SetMembership(x.now, x.roster)
 		x.own[o].Near = func(k ident.Key) cell.Cell { return x.reps[homes[o]].Peek(k) }
 		for _, v := range x.roster.Voters {
 			x.own[o].Able(v.Disk, v.Disk != homes[o])
--- a/control/register/owner/restart_test.go
+++ b/control/register/owner/restart_test.go
@@ -30,7 +30,7 @@
 	// The process ends and comes back; its second round is an accept that d1 alone takes.
 	b.asks = nil
 	b.own["a-2"] = owner.New("a-2", put{})
-	b.own["a-2"].Rostered(b.now, b.roster)
+	b.own["a-2"].SetMembership(b.now, b.roster)
 	b.submit("a-2", "write", "one")
 	b.run(func(m mail) bool { return m.to == "d1" || m.ask.Kind == cell.Prepare && m.to == "d2" })
 	must.SliceEmpty(t, b.ends["a-2"])
--- a/control/register/owner/run_test.go
+++ b/control/register/owner/run_test.go
@@ -14,7 +14,7 @@
 func (b *bench) restart(from, to string) {
 	delete(b.own, from)
 	b.own[to] = owner.New(to, put{})
-	b.own[to].Rostered(b.now, b.roster)
+	b.own[to].SetMembership(b.now, b.roster)
 }
 
 // A process is restarted while answers to its earlier run's rounds still wait in other
--- a/control/register/replica/replica.go
+++ b/control/register/replica/replica.go
@@ -27,7 +27,7 @@
 	cell.Cell
 }
 
-// Replica holds the cells of one disk. Invariants: promised only rises; a roster
+// Replica holds the cells of one disk. Invariants: promised only rises; a membership
 // epoch other than its own is never served.
 type Replica struct {
 	Disk  ident.Disk
@@ -141,12 +141,12 @@
 	return !a.Ballot.Less(it.Promised), nil
 }
 
-// Step serves one message at the given roster epoch. The second result is false
+// Step serves one message at the given membership epoch. The second result is false
 // when nothing may be answered. The return may leave only once the records are
 // synced, and after all records of earlier steps.
-func (r *Replica) Step(roster ident.Epoch, a cell.Ask) (cell.Return, []ring.Record, bool) {
+func (r *Replica) Step(membership ident.Epoch, a cell.Ask) (cell.Return, []ring.Record, bool) {
 	deed, known := r.deeds[a.Kind]
-	if !known || a.Roster != roster || roster == 0 {
+	if !known || a.Membership != membership || membership == 0 {
 		return cell.Return{}, nil, false
 	}
 	it, found := r.tree.Get(&item{key: a.Key})
@@ -157,7 +157,7 @@
 	if !found && len(recs) > 0 {
 		r.tree.ReplaceOrInsert(it)
 	}
-	out := cell.Return{Kind: a.Kind, Turn: a.Turn, Disk: r.Disk, Roster: roster, Key: a.Key, OK: ok, Cell: it.Cell}
+	out := cell.Return{Kind: a.Kind, Turn: a.Turn, Disk: r.Disk, Membership: membership, Key: a.Key, OK: ok, Cell: it.Cell}
 	if a.Kind != cell.Prepare || a.Have.Same(it.Cell) {
 		out.Cell.Value = nil
 	}
@@ -168,9 +168,9 @@
 }
 
 // Scan serves one page of cells.
-func (r *Replica) Scan(roster ident.Epoch, s cell.Scan) (cell.ScanReturn, bool) {
-	out := cell.ScanReturn{Turn: s.Turn, Disk: r.Disk, Roster: roster, After: s.After}
-	if s.Roster != roster || roster == 0 {
+func (r *Replica) Scan(membership ident.Epoch, s cell.Scan) (cell.ScanReturn, bool) {
+	out := cell.ScanReturn{Turn: s.Turn, Disk: r.Disk, Membership: membership, After: s.After}
+	if s.Membership != membership || membership == 0 {
 		return out, false
 	}
 	if s.Buckets < 0 || s.Buckets > bucketsMost {
--- a/control/register/survey/survey.go
+++ b/control/register/survey/survey.go
@@ -30,14 +30,14 @@
 	sent   moment.Moment
 }
 
-// Survey is one reading. Invariant: it belongs to one roster epoch; the caller
-// drops it when the roster changes.
+// Survey is one reading. Invariant: it belongs to one membership epoch; the caller
+// drops it when the membership changes.
 type Survey struct {
-	Turn   uint64
-	Prefix string
-	Values bool
-	Roster cell.Roster
-	Skip   ident.Disk
+	Turn       uint64
+	Prefix     string
+	Values     bool
+	Membership cell.Membership
+	Skip       ident.Disk
 	// All waits for every counted voter, as the sweep must: the copy that is behind
 	// may well be the slowest.
 	All bool
@@ -62,8 +62,8 @@
 }
 
 // Begin starts a survey; skip is a disk whose returns do not count.
-func Begin(turn uint64, roster cell.Roster, prefix string, values bool, skip ident.Disk) *Survey {
-	return &Survey{Turn: turn, Prefix: prefix, Values: values, Roster: roster, Skip: skip, strands: map[ident.Disk]*strand{}}
+func Begin(turn uint64, membership cell.Membership, prefix string, values bool, skip ident.Disk) *Survey {
+	return &Survey{Turn: turn, Prefix: prefix, Values: values, Membership: membership, Skip: skip, strands: map[ident.Disk]*strand{}}
 }
 
 // Tick asks, and asks again, for what is out.
@@ -73,9 +73,9 @@
 		s.began = now
 	}
 	if s.Buckets > 0 && !s.known && now.Since(s.began) >= digestWait {
-		s.compare(s.Roster.Majority())
+		s.compare(s.Membership.Majority())
 	}
-	for _, v := range s.Roster.Voters {
+	for _, v := range s.Membership.Voters {
 		if !v.Counted || v.Disk == s.Skip {
 			continue
 		}
@@ -94,14 +94,14 @@
 
 func (s *Survey) ask(now moment.Moment, v cell.Voter, st *strand) Send {
 	st.sent = now
-	return Send{v, cell.Scan{Turn: s.Turn, Roster: s.Roster.Epoch, Prefix: s.Prefix, After: st.last, Values: s.Values, Buckets: s.Buckets, Only: s.only}}
+	return Send{v, cell.Scan{Turn: s.Turn, Membership: s.Membership.Epoch, Prefix: s.Prefix, After: st.last, Values: s.Values, Buckets: s.Buckets, Only: s.only}}
 }
 
 // compare learns which buckets differ, once so many digests are there.
 func (s *Survey) compare(need int) {
 	got, differ := 0, make([]bool, s.Buckets)
 	var first []byte
-	for _, v := range s.Roster.Voters {
+	for _, v := range s.Membership.Voters {
 		st := s.strands[v.Disk]
 		if st == nil || len(st.digest) != s.Buckets*cell.DigestBytes {
 			continue
@@ -130,7 +130,7 @@
 }
 
 func (s *Survey) counted() (n int) {
-	for _, v := range s.Roster.Voters {
+	for _, v := range s.Membership.Voters {
 		if v.Counted && v.Disk != s.Skip {
 			n++
 		}
@@ -140,9 +140,9 @@
 
 // Step takes one page in; done is true once a majority has been read whole.
 func (s *Survey) Step(now moment.Moment, r cell.ScanReturn) (out []Send, done bool) {
-	v, ok := s.Roster.Find(r.Disk)
+	v, ok := s.Membership.Find(r.Disk)
 	st := s.strands[r.Disk]
-	if r.Turn != s.Turn || r.Roster != s.Roster.Epoch || !ok || !v.Counted || st == nil || st.done || r.After != st.last {
+	if r.Turn != s.Turn || r.Membership != s.Membership.Epoch || !ok || !v.Counted || st == nil || st.done || r.After != st.last {
 		return nil, s.Done()
 	}
 	if s.Buckets > 0 && !s.known {
@@ -185,7 +185,7 @@
 	if s.All {
 		return n == s.counted()
 	}
-	return n >= s.Roster.Majority()
+	return n >= s.Membership.Majority()
 }
 
 // Enough tells whether what was read is a majority, all or not.
--- a/control/register/survey/survey_test.go
+++ b/control/register/survey/survey_test.go
@@ -22,11 +22,11 @@
 	voters := []ident.Disk{"a", "b", "c", "d"}
 	for seed := range uint64(60) {
 		rng := rand.New(rand.NewPCG(seed, 3))
-		roster := cell.Roster{Epoch: 4}
+		membership := cell.Membership{Epoch: 4}
 		disks := map[ident.Disk]*replica.Replica{}
 		for _, d := range voters {
 			disks[d] = replica.New(d)
-			roster.Voters = append(roster.Voters, cell.Voter{Disk: d, Addr: ident.Addr(d), Counted: true})
+			membership.Voters = append(membership.Voters, cell.Voter{Disk: d, Addr: ident.Addr(d), Counted: true})
 		}
 		for k := range 300 {
 			key := ident.Key(fmt.Sprintf("key/%d", k))
@@ -48,7 +48,7 @@
 			slow = "b"
 		}
 		run := func(buckets int) (lags map[ident.Key]int, rows int) {
-			s := survey.Begin(1, roster, "", false, "")
+			s := survey.Begin(1, membership, "", false, "")
 			s.All, s.Buckets = true, buckets
 			type late struct {
 				at moment.Moment
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -137,7 +137,7 @@
 		return nil, err
 	}
 	c.look(c.clock())
-	log.Info("disk read", zap.String("disk", string(c.node.Disk)), zap.Int("records", len(recs)), zap.Uint64("roster", uint64(c.node.Roster().Epoch)))
+	log.Info("disk read", zap.String("disk", string(c.node.Disk)), zap.Int("records", len(recs)), zap.Uint64("roster", uint64(c.node.Membership().Epoch)))
 	return c, nil
 }
 
@@ -213,7 +213,7 @@
 // look copies what pages show, and logs changes of state.
 func (c *Core) look(now moment.Moment) {
 	n := c.node
-	v := &View{Disk: n.Disk, Roster: n.Roster(), Votes: n.Votes(), Voters: len(n.Roster().Voters), Majority: n.Majority(now), Owned: len(n.Owned()), Cells: n.Cells(),
+	v := &View{Disk: n.Disk, Roster: n.Membership(), Votes: n.Votes(), Voters: len(n.Membership().Voters), Majority: n.Majority(now), Owned: len(n.Owned()), Cells: n.Cells(),
 		Duty: n.Duty(), Cores: n.Fresh(now), Places: n.Places(now), Members: n.Ledger.Members()}
 	v.Sight = sight(v.Places)
 	if m := c.held.Load(); m != nil {
@@ -235,7 +235,7 @@
 	}
 	if old.Votes != v.Votes || old.Majority != v.Majority || old.Duty != v.Duty || old.Disk != v.Disk {
 		c.Log.Info("state", zap.String("disk", string(v.Disk)), zap.Bool("votes", v.Votes), zap.Bool("majority", v.Majority), zap.Bool("duty", v.Duty),
-			zap.Uint64("roster", uint64(n.Roster().Epoch)))
+			zap.Uint64("roster", uint64(n.Membership().Epoch)))
 	}
 }
 
--- a/explore/cluster/apply.go
+++ b/explore/cluster/apply.go
@@ -44,7 +44,7 @@
 		sync:                   func(c *Cluster, x search.Choice) { c.sync(c.at(x)) },
 		restart:                func(c *Cluster, x search.Choice) { c.start(c.at(x)) },
 		join:                   func(c *Cluster, x search.Choice) { c.join(c.at(x)) },
-		tell:                   func(c *Cluster, x search.Choice) { c.adopt(c.members[x.Other-1], c.at(x).acc.Now) },
+		tell:                   func(c *Cluster, x search.Choice) { c.adopt(c.members[x.Other-1], c.at(x).acc.Current) },
 		stop:                   func(c *Cluster, x search.Choice) { c.stop(c.at(x)) },
 		heal:                   func(c *Cluster, _ search.Choice) { c.heal() },
 		search.Kind(Crash):     func(c *Cluster, x search.Choice) { c.crash(c.at(x)) },
@@ -141,7 +141,7 @@
 	majority int
 }
 
-func voters(r cell.Roster) rosterVoters {
+func voters(r cell.Membership) rosterVoters {
 	out := rosterVoters{majority: majority(r)}
 	for _, v := range r.Voters {
 		if v.Counted {
--- a/explore/cluster/choices.go
+++ b/explore/cluster/choices.go
@@ -156,7 +156,7 @@
 func (c *Cluster) spare(m *member) bool {
 	rosters := []rosterVoters{voters(c.newest())}
 	for _, other := range c.members {
-		rosters = append(rosters, voters(other.acc.Now))
+		rosters = append(rosters, voters(other.acc.Current))
 		if next := other.acc.Next; next != nil {
 			rosters = append(rosters, voters(*next))
 		}
@@ -180,11 +180,11 @@
 		if !m.up {
 			continue
 		}
-		if v, in := m.acc.Now.Find(m.disk); (!in || !v.Counted) && m.acc.Now.Epoch > 0 && !m.leaving && m.make.Idle() {
+		if v, in := m.acc.Current.Find(m.disk); (!in || !v.Counted) && m.acc.Current.Epoch > 0 && !m.leaving && m.make.Idle() {
 			out = append(out, search.Choice{Kind: join, Member: m.number})
 		}
 		for _, other := range c.members {
-			if other.up && m.acc.Now.Epoch > other.acc.Now.Epoch && !c.cut(m.number, other.number) {
+			if other.up && m.acc.Current.Epoch > other.acc.Current.Epoch && !c.cut(m.number, other.number) {
 				out = append(out, search.Choice{Kind: tell, Member: m.number, Other: other.number})
 			}
 		}
@@ -259,7 +259,7 @@
 		return fmt.Sprintf("m%d takes the next step towards being counted", x.Member)
 	},
 	tell: func(c *Cluster, x search.Choice) string {
-		return fmt.Sprintf("m%d tells m%d of roster %d", x.Member, x.Other, c.members[x.Member-1].acc.Now.Epoch)
+		return fmt.Sprintf("m%d tells m%d of roster %d", x.Member, x.Other, c.members[x.Member-1].acc.Current.Epoch)
 	},
 	stop:                func(_ *Cluster, x search.Choice) string { return fmt.Sprintf("m%d has left and ends", x.Member) },
 	search.Kind(Crash):  func(_ *Cluster, x search.Choice) string { return fmt.Sprintf("m%d is killed", x.Member) },
--- a/explore/cluster/cluster.go
+++ b/explore/cluster/cluster.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
+	"cottonarch.example/cottonarch/control/membership/acceptor"
 	"cottonarch.example/cottonarch/control/register/cell"
 	"cottonarch.example/cottonarch/control/register/owner"
-	"cottonarch.example/cottonarch/control/roster/acceptor"
 	"cottonarch.example/cottonarch/explore/search"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
@@ -59,7 +59,7 @@
 	tags    uint64
 	mending uint64 // the tag of the read that mends, until it is answered
 	disks   int
-	chosen  map[ident.Epoch]cell.Roster
+	chosen  map[ident.Epoch]cell.Membership
 	// harsh says that faults together took more than a minority: what was acknowledged must
 	// still be kept, but the cluster need not be able to serve again.
 	harsh bool
@@ -70,14 +70,14 @@
 func New(set Settings) *Cluster { return assemble(set, broken.Book(string(set.Break), history)) }
 
 func assemble(set Settings, machine owner.Machine) *Cluster {
-	c := &Cluster{set: set, machine: machine, now: began, net: map[uint64]envelope{}, cuts: map[[2]int]bool{}, used: map[Fault]int{}, chosen: map[ident.Epoch]cell.Roster{}}
+	c := &Cluster{set: set, machine: machine, now: began, net: map[uint64]envelope{}, cuts: map[[2]int]bool{}, used: map[Fault]int{}, chosen: map[ident.Epoch]cell.Membership{}}
 	for i, kind := range set.Keys {
 		c.objects = append(c.objects, makers[kind](i))
 	}
 	for i := range set.Clients {
 		c.clients = append(c.clients, &client{number: i + 1})
 	}
-	first := cell.Roster{Epoch: 1}
+	first := cell.Membership{Epoch: 1}
 	for i := range set.Members + set.Spares {
 		m := &member{number: i + 1, store: c.blank(), acc: acceptor.New("")}
 		c.members = append(c.members, m)
@@ -97,11 +97,11 @@
 }
 
 // establish writes what a founder's disk holds once the first roster is chosen, and starts it.
-func (c *Cluster) establish(m *member, first cell.Roster) {
+func (c *Cluster) establish(m *member, first cell.Membership) {
 	disk := m.disk
 	_, err := m.store.open()
 	c.must(m, err)
-	m.acc.Now = first
+	m.acc.Current = first
 	c.must(m, m.append([]ring.Record{{Tag: diskTag, Data: []byte(disk)}, m.acc.Record()}))
 	c.must(m, m.store.sync())
 	c.start(m)
@@ -123,7 +123,7 @@
 }
 
 // decided notes a roster that a member says was chosen.
-func (c *Cluster) decided(m *member, r cell.Roster) {
+func (c *Cluster) decided(m *member, r cell.Membership) {
 	r.Need = 0
 	old, known := c.chosen[r.Epoch]
 	if known && !slices.Equal(old.Voters, r.Voters) {
@@ -133,7 +133,7 @@
 }
 
 // newest is the newest chosen roster.
-func (c *Cluster) newest() cell.Roster {
+func (c *Cluster) newest() cell.Membership {
 	return c.chosen[slices.Max(slices.Collect(maps.Keys(c.chosen)))]
 }
 
--- a/explore/cluster/encode.go
+++ b/explore/cluster/encode.go
@@ -10,9 +10,9 @@
 // plan leaves out the counters of an owner, which no step reads, and functions that are the
 // same for all.
 var plan = canon.NewPlan(map[string][]string{
-	"owner.Owner":  {"mach", "Near", "Takes", "Rounds", "Mended", "Losses", "Patched", "Refused"},
-	"maker.Maker":  {"plan"},
-	"ring.MemFile": {"owner"},
+	"owner.Owner":                  {"mach", "Near", "Takes", "Rounds", "Mended", "Losses", "Patched", "Refused"},
+	"reconfiguration.Reconfigurer": {"change"},
+	"ring.MemFile":                 {"owner"},
 })
 
 // Hash names the state: all that a later step, choice or check may depend on.
--- a/explore/cluster/inspect.go
+++ b/explore/cluster/inspect.go
@@ -25,11 +25,11 @@
 }
 
 // serving lists the members whose disks count in a roster and may still serve at it.
-func (c *Cluster) serving(r cell.Roster, newest bool) []*member {
+func (c *Cluster) serving(r cell.Membership, newest bool) []*member {
 	var out []*member
 	for _, v := range r.Voters {
 		m := c.holder(v.Disk)
-		if v.Counted && m != nil && (newest || m.acc.Now.Epoch <= r.Epoch) {
+		if v.Counted && m != nil && (newest || m.acc.Current.Epoch <= r.Epoch) {
 			out = append(out, m)
 		}
 	}
--- a/explore/cluster/member.go
+++ b/explore/cluster/member.go
@@ -4,12 +4,12 @@
 	"fmt"
 
 	"cottonarch.example/cottonarch/control/core/message"
+	"cottonarch.example/cottonarch/control/membership/acceptor"
+	"cottonarch.example/cottonarch/control/membership/reconfiguration"
 	"cottonarch.example/cottonarch/control/register/cell"
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/control/register/replica"
 	"cottonarch.example/cottonarch/control/register/survey"
-	"cottonarch.example/cottonarch/control/roster/acceptor"
-	"cottonarch.example/cottonarch/control/roster/maker"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/storage/ring"
@@ -30,7 +30,7 @@
 	acc     *acceptor.Acceptor
 	rep     *replica.Replica
 	own     *owner.Owner
-	make    *maker.Maker
+	make    *reconfiguration.Reconfigurer
 	copy    *survey.Survey
 	copied  ident.Epoch
 	turns   uint64
@@ -46,7 +46,7 @@
 
 func (m *member) mark() string { return fmt.Sprintf("%s-%d", m.addr(), m.run) }
 
-func (m *member) counted() bool { return m.up && m.acc.Now.Counts(m.disk) }
+func (m *member) counted() bool { return m.up && m.acc.Current.Counts(m.disk) }
 
 // append writes records without a sync.
 func (m *member) append(recs []ring.Record) error {
@@ -93,7 +93,7 @@
 			c.breach(RuleDisk, "m%d can't read %s: %v", m.number, rec.Tag, err)
 		}
 	}
-	m.acc.Now.Need = c.set.need()
+	m.acc.Current.Need = c.set.need()
 }
 
 func (m *member) take(rec ring.Record) error {
@@ -127,14 +127,14 @@
 func (c *Cluster) name(m *member) {
 	c.disks++
 	m.disk = ident.Disk(fmt.Sprintf("disk%d", c.disks))
-	now := m.acc.Now
+	now := m.acc.Current
 	m.rep, m.acc = replica.New(m.disk), acceptor.New(m.disk)
-	m.acc.Now = now
+	m.acc.Current = now
 }
 
 // begin makes the parts of a run that hold nothing of the disk.
 func (c *Cluster) begin(m *member) {
-	m.make, m.copy, m.copied, m.awaits = maker.New(m.disk, m.mark()), nil, 0, 0
+	m.make, m.copy, m.copied, m.awaits = reconfiguration.New(m.disk, m.mark()), nil, 0, 0
 	m.turns = ident.FirstNumber(m.mark())
 	m.own = owner.New(string(m.disk)+"."+m.mark(), c.machine)
 	m.own.Near = func(k ident.Key) cell.Cell { return m.rep.Peek(k) }
@@ -143,7 +143,7 @@
 			m.own.Able(other.disk, true)
 		}
 	}
-	m.own.Rostered(c.clock(m), m.acc.Now)
+	m.own.SetMembership(c.clock(m), m.acc.Current)
 }
 
 // clock is what the member's steps are told: time that was watched go by, unless that rule
@@ -165,8 +165,8 @@
 }
 
 // adopt takes a chosen roster in, as a node does.
-func (c *Cluster) adopt(m *member, r cell.Roster) {
-	_, was := m.acc.Now.Find(m.disk)
+func (c *Cluster) adopt(m *member, r cell.Membership) {
+	_, was := m.acc.Current.Find(m.disk)
 	r.Need = c.set.need()
 	recs, newer := m.acc.Adopt(r)
 	if !newer {
@@ -175,7 +175,7 @@
 	c.must(m, m.append(recs))
 	m.make.Adopted(r)
 	m.copy, m.awaits = nil, 0
-	c.owned(m, m.own.Rostered(c.clock(m), r))
+	c.owned(m, m.own.SetMembership(c.clock(m), r))
 	if _, is := r.Find(m.disk); was && !is {
 		c.wipe(m)
 	}
@@ -199,21 +199,21 @@
 
 // take part in the roster: the next step towards being counted, as a node does it.
 func (c *Cluster) join(m *member) {
-	now, r := c.clock(m), m.acc.Now
+	now, r := c.clock(m), m.acc.Current
 	slot, in := r.Find(m.disk)
 	me := cell.Voter{Disk: m.disk, Addr: m.addr()}
 	switch {
 	case in && slot.Counted:
 	case in && slot.Joining && !c.grows(m):
-		c.rosterSends(m, m.make.Begin(now, r, maker.Take(me, rosterMost, false)))
+		c.rosterSends(m, m.make.Begin(now, r, reconfiguration.TakeSlot(me, rosterMost, false)))
 	case in && m.copied == r.Epoch:
-		c.rosterSends(m, m.make.Begin(now, r, maker.Count(m.disk)))
+		c.rosterSends(m, m.make.Begin(now, r, reconfiguration.CountIn(m.disk)))
 	case in && m.copy == nil:
 		m.turns++
 		m.copy = survey.Begin(m.turns, r, "", true, m.disk)
 		c.scans(m, m.copy.Tick(now))
 	case !in:
-		c.rosterSends(m, m.make.Begin(now, r, maker.Take(me, rosterMost, true)))
+		c.rosterSends(m, m.make.Begin(now, r, reconfiguration.TakeSlot(me, rosterMost, true)))
 	}
 }
 
@@ -223,7 +223,7 @@
 // grows tells whether a slot that has joined may be counted in.
 func (c *Cluster) grows(m *member) bool {
 	others := 0
-	for _, v := range m.acc.Now.Voters {
+	for _, v := range m.acc.Current.Voters {
 		other := c.holder(v.Disk)
 		well := other != nil && other.up && !other.silent && !other.leaving
 		switch {
@@ -233,7 +233,7 @@
 			return false
 		}
 	}
-	return m.acc.Now.Size()%2 == 0 || others > 0
+	return m.acc.Current.Size()%2 == 0 || others > 0
 }
 
 // copiedAll takes in what a majority held. As in a node the copy is done only once it is
@@ -247,15 +247,15 @@
 	}
 	m.turns++
 	m.awaits = m.turns
-	synced := cell.ScanReturn{Turn: m.awaits, Disk: m.disk, Roster: m.copy.Roster.Epoch}
+	synced := cell.ScanReturn{Turn: m.awaits, Disk: m.disk, Membership: m.copy.Membership.Epoch}
 	m.gated = append(m.gated, seal(m.number, m.number, message.Message{ScanReturn: &synced}))
 }
 
 // copySynced takes the word that the copy is synced.
 func (m *member) copySynced(r cell.ScanReturn) {
 	m.awaits = 0
-	if r.Roster == m.acc.Now.Epoch {
-		m.copied, m.copy = r.Roster, nil
+	if r.Membership == m.acc.Current.Epoch {
+		m.copied, m.copy = r.Membership, nil
 	}
 }
 
@@ -293,20 +293,20 @@
 	switch {
 	case msg.Ask != nil:
 		return c.onAsk(m, *msg.Ask)
-	case msg.RosterAsk != nil:
-		says, recs, say := m.acc.Step(*msg.RosterAsk, c.alive(m))
+	case msg.MembershipRequest != nil:
+		says, recs, say := m.acc.Step(*msg.MembershipRequest, c.alive(m))
 		c.must(m, m.append(recs))
 		if say {
-			return []message.Message{{RosterSays: &says}}
+			return []message.Message{{MembershipResponse: &says}}
 		}
 	case msg.Scan != nil && m.counted():
-		if page, ok := m.rep.Scan(m.acc.Now.Epoch, *msg.Scan); ok {
+		if page, ok := m.rep.Scan(m.acc.Current.Epoch, *msg.Scan); ok {
 			return []message.Message{{ScanReturn: &page}}
 		}
 	case msg.Return != nil:
 		c.owned(m, m.own.Step(now, *msg.Return))
-	case msg.RosterSays != nil:
-		c.onRosterSays(m, *msg.RosterSays)
+	case msg.MembershipResponse != nil:
+		c.onRosterSays(m, *msg.MembershipResponse)
 	case msg.ScanReturn != nil && from == m.number && msg.ScanReturn.Turn == m.awaits:
 		m.copySynced(*msg.ScanReturn)
 	case msg.ScanReturn != nil && m.copy != nil && m.awaits == 0:
@@ -320,10 +320,10 @@
 }
 
 func (c *Cluster) onAsk(m *member, a cell.Ask) []message.Message {
-	if _, in := m.acc.Now.Find(m.disk); !in {
+	if _, in := m.acc.Current.Find(m.disk); !in {
 		return nil
 	}
-	r, recs, say := m.rep.Step(m.acc.Now.Epoch, a)
+	r, recs, say := m.rep.Step(m.acc.Current.Epoch, a)
 	c.must(m, m.append(recs))
 	if !say {
 		return nil
@@ -331,7 +331,7 @@
 	return []message.Message{{Return: &r}}
 }
 
-func (c *Cluster) onRosterSays(m *member, r acceptor.Return) {
+func (c *Cluster) onRosterSays(m *member, r acceptor.Response) {
 	sends, next := m.make.Step(c.clock(m), r)
 	c.rosterSends(m, sends)
 	if next != nil {
--- a/explore/cluster/network.go
+++ b/explore/cluster/network.go
@@ -7,10 +7,10 @@
 	"slices"
 
 	"cottonarch.example/cottonarch/control/core/message"
+	"cottonarch.example/cottonarch/control/membership/reconfiguration"
 	"cottonarch.example/cottonarch/control/register/cell"
 	"cottonarch.example/cottonarch/control/register/owner"
 	"cottonarch.example/cottonarch/control/register/survey"
-	"cottonarch.example/cottonarch/control/roster/maker"
 )
 
 // envelope is one message on its way between two addresses. As in the daemon it goes to
@@ -34,7 +34,7 @@
 
 // says tells whether the message is a return, which is delivered without an answer.
 func (e envelope) says() bool {
-	return e.msg.Return != nil || e.msg.RosterSays != nil || e.msg.ScanReturn != nil
+	return e.msg.Return != nil || e.msg.MembershipResponse != nil || e.msg.ScanReturn != nil
 }
 
 // post puts a message on its way; to itself a member speaks at once when that is set.
@@ -116,10 +116,10 @@
 	}
 }
 
-func (c *Cluster) rosterSends(m *member, sends []maker.Send) {
+func (c *Cluster) rosterSends(m *member, sends []reconfiguration.Send) {
 	for _, s := range sends {
-		ask := s.Ask
-		c.sendTo(m, s.To, message.Message{RosterAsk: &ask})
+		ask := s.Request
+		c.sendTo(m, s.To, message.Message{MembershipRequest: &ask})
 	}
 }
 
@@ -144,26 +144,26 @@
 	switch {
 	case msg.Ask != nil:
 		a := msg.Ask
-		return fmt.Sprintf("%s of %s, turn %d, ballot %d.%s, revision %d, roster %d", a.Kind, a.Key, a.Turn, a.Ballot.Epoch, a.Ballot.Owner, a.Revision, a.Roster)
+		return fmt.Sprintf("%s of %s, turn %d, ballot %d.%s, revision %d, roster %d", a.Kind, a.Key, a.Turn, a.Ballot.Epoch, a.Ballot.Owner, a.Revision, a.Membership)
 	case msg.Return != nil:
 		r := msg.Return
 		return fmt.Sprintf("return of %s to %s of %s, turn %d, ok %v, promised %d.%s, accepted %d.%s revision %d", r.Disk, r.Kind, r.Key, r.Turn, r.OK,
 			r.Cell.Promised.Epoch, r.Cell.Promised.Owner, r.Cell.Accepted.Epoch, r.Cell.Accepted.Owner, r.Cell.Revision)
-	case msg.RosterAsk != nil:
-		a := msg.RosterAsk
-		return fmt.Sprintf("roster %s, turn %d, base %d, ballot %d.%s%s", a.Kind, a.Turn, a.Base, a.Ballot.Epoch, a.Ballot.Owner, proposal(a.Next))
-	case msg.RosterSays != nil:
-		r := msg.RosterSays
-		return fmt.Sprintf("return of %s to roster %s, turn %d, base %d, ok %v%s", r.Disk, r.Kind, r.Turn, r.Base, r.OK, proposal(r.Next))
+	case msg.MembershipRequest != nil:
+		a := msg.MembershipRequest
+		return fmt.Sprintf("roster %s, turn %d, base %d, ballot %d.%s%s", a.Kind, a.Round, a.Base, a.Ballot.Epoch, a.Ballot.Owner, proposal(a.Next))
+	case msg.MembershipResponse != nil:
+		r := msg.MembershipResponse
+		return fmt.Sprintf("return of %s to roster %s, turn %d, base %d, ok %v%s", r.Disk, r.Kind, r.Round, r.Base, r.OK, proposal(r.Next))
 	case msg.Scan != nil:
-		return fmt.Sprintf("scan, turn %d, roster %d", msg.Scan.Turn, msg.Scan.Roster)
+		return fmt.Sprintf("scan, turn %d, roster %d", msg.Scan.Turn, msg.Scan.Membership)
 	case msg.ScanReturn != nil:
 		return fmt.Sprintf("page of %s, turn %d, %d cells", msg.ScanReturn.Disk, msg.ScanReturn.Turn, len(msg.ScanReturn.Rows))
 	}
 	return "message"
 }
 
-func proposal(r *cell.Roster) string {
+func proposal(r *cell.Membership) string {
 	if r == nil {
 		return ""
 	}
--- a/explore/cluster/settings.go
+++ b/explore/cluster/settings.go
@@ -128,4 +128,4 @@
 }
 
 // true majority of a roster, whatever stands in for it.
-func majority(r cell.Roster) int { return r.Size()/2 + 1 }
+func majority(r cell.Membership) int { return r.Size()/2 + 1 }
--- a/explore/cluster/settle.go
+++ b/explore/cluster/settle.go
@@ -81,7 +81,7 @@
 // gather tells all of the newest roster in force, and has those that do not count join.
 func (c *Cluster) gather() {
 	for _, x := range c.rosterChoices() {
-		if x.Kind == tell && c.members[x.Member-1].acc.Now.Epoch > c.members[x.Other-1].acc.Now.Epoch || x.Kind == join && c.at(x).make.Idle() {
+		if x.Kind == tell && c.members[x.Member-1].acc.Current.Epoch > c.members[x.Other-1].acc.Current.Epoch || x.Kind == join && c.at(x).make.Idle() {
 			c.Apply(x)
 		}
 	}
@@ -95,7 +95,7 @@
 		}
 	}
 	for _, m := range c.members {
-		if m.up && (!m.acc.Now.Counts(m.disk) || m.acc.Now.Epoch < c.newest().Epoch) {
+		if m.up && (!m.acc.Current.Counts(m.disk) || m.acc.Current.Epoch < c.newest().Epoch) {
 			return false
 		}
 	}
@@ -157,9 +157,9 @@
 	if !held || sure.Revision == 0 {
 		return
 	}
-	for _, v := range at.acc.Now.Voters {
+	for _, v := range at.acc.Current.Voters {
 		m := c.holder(v.Disk)
-		if !v.Counted || m == nil || !m.up || m.acc.Now.Epoch != at.acc.Now.Epoch {
+		if !v.Counted || m == nil || !m.up || m.acc.Current.Epoch != at.acc.Current.Epoch {
 			continue
 		}
 		if got := m.rep.Peek(k); !got.Same(sure) {
@@ -173,7 +173,7 @@
 func (c *Cluster) server() *member {
 	var best *member
 	for _, m := range c.members {
-		if m.counted() && (best == nil || m.acc.Now.Epoch > best.acc.Now.Epoch) {
+		if m.counted() && (best == nil || m.acc.Current.Epoch > best.acc.Current.Epoch) {
 			best = m
 		}
 	}
--- a/sim/world/reach.go
+++ b/sim/world/reach.go
@@ -88,7 +88,7 @@
 		return false
 	}
 	got := 0
-	for _, v := range c.node.Roster().Voters {
+	for _, v := range c.node.Membership().Voters {
 		if !v.Counted {
 			continue
 		}
@@ -98,5 +98,5 @@
 			}
 		}
 	}
-	return c.node.Roster().Epoch > 0 && got >= c.node.Roster().Majority()
+	return c.node.Membership().Epoch > 0 && got >= c.node.Membership().Majority()
 }
