--- a/adapter/coordination/cells.go
+++ b/adapter/coordination/cells.go
@@ -9,7 +9,7 @@
 
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/group"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/daemon/core"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
@@ -44,7 +44,7 @@
 func one(ctx context.Context, c *core.Core, key, kind string, a group.Args, budget time.Duration) (Cell, *defect.Defect) {
 	g, n := group.Split(key)
 	a.Name = n
-	e := c.Deed(ctx, owner.Deed{Key: group.Key(g), Kind: kind, Args: book.JSON(a)}, budget)
+	e := c.Deed(ctx, proposer.Operation{Key: group.Key(g), Kind: kind, Args: book.JSON(a)}, budget)
 	if e.Defect != nil {
 		return Cell{}, e.Defect
 	}
@@ -70,7 +70,7 @@
 	defer over.Stop()
 	for {
 		moved := c.Moved(k)
-		e := c.Deed(ctx, owner.Deed{Key: k, Kind: "group/since", Args: book.JSON(a)}, budget)
+		e := c.Deed(ctx, proposer.Operation{Key: k, Kind: "group/since", Args: book.JSON(a)}, budget)
 		if e.Defect != nil {
 			return Told{}, e.Defect
 		}
--- a/adapter/coordination/coordination.go
+++ b/adapter/coordination/coordination.go
@@ -17,7 +17,7 @@
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/key"
 	"cottonarch.example/cottonarch/control/coordination/watch"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/daemon/core"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
@@ -71,7 +71,7 @@
 		reply.Defect(w, d)
 		return
 	}
-	e := s.c.Deed(r.Context(), owner.Deed{Key: ident.Key(kind + "/" + n), Kind: kind + "/" + deed, Op: ident.Op(r.Header.Get("Idempotency-Key")), Args: book.JSON(args)}, budget)
+	e := s.c.Deed(r.Context(), proposer.Operation{Key: ident.Key(kind + "/" + n), Kind: kind + "/" + deed, Op: ident.Op(r.Header.Get("Idempotency-Key")), Args: book.JSON(args)}, budget)
 	if e.Defect != nil {
 		reply.Defect(w, e.Defect)
 		return
@@ -162,7 +162,7 @@
 }
 
 // list reads all keys below a prefix from a majority; what the majority does not
-// agree on is read through its owner.
+// agree on is read through its proposer.
 func (s surface) list(w http.ResponseWriter, r *http.Request) {
 	pre := r.URL.Query().Get("prefix")
 	e := s.c.Survey(r.Context(), "key/"+pre, true, budget)
@@ -175,7 +175,7 @@
 		var read key.Reading
 		if f.Agreed {
 			var held key.Key
-			if st := book.State(f.Cell.Value); len(st) > 0 {
+			if st := book.State(f.Record.Value); len(st) > 0 {
 				if err := json.Unmarshal(st, &held); err != nil {
 					reply.Defect(w, defect.New(defect.Damaged, "key %s: %v", k, err))
 					return
@@ -203,7 +203,7 @@
 }
 
 func (s surface) reading(ctx context.Context, k ident.Key, since *ident.Revision) (key.Reading, *defect.Defect) {
-	e := s.c.Deed(ctx, owner.Deed{Key: k, Kind: "key/read", Args: book.JSON(key.Args{Since: since})}, budget)
+	e := s.c.Deed(ctx, proposer.Operation{Key: k, Kind: "key/read", Args: book.JSON(key.Args{Since: since})}, budget)
 	var out key.Reading
 	if e.Defect != nil {
 		return out, e.Defect
@@ -274,7 +274,7 @@
 	}
 	seen := map[ident.Key]ident.Revision{}
 	for k, f := range e.Found {
-		seen[k[len("key/"):]] = f.Cell.Revision
+		seen[k[len("key/"):]] = f.Record.Revision
 	}
 	if len(seen) > listMax {
 		return nil, defect.New(defect.Oversize, "more than %d keys: name a longer prefix", listMax)
--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -14,7 +14,7 @@
 	"cottonarch.example/cottonarch/control/core/admission"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/manifest/delta"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/daemon/core"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
@@ -157,7 +157,7 @@
 		reply.Defect(w, d)
 		return
 	}
-	e := s.c.Deed(r.Context(), owner.Deed{Key: "share", Kind: "share/take", Args: book.JSON(a.Under(s.c.Boot.Extra))}, 3*time.Second)
+	e := s.c.Deed(r.Context(), proposer.Operation{Key: "share", Kind: "share/take", Args: book.JSON(a.Under(s.c.Boot.Extra))}, 3*time.Second)
 	if e.Defect != nil {
 		reply.Defect(w, e.Defect)
 		return
--- a/adapter/operator/operator.go
+++ b/adapter/operator/operator.go
@@ -17,7 +17,7 @@
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/manifest/walk"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	rollout "cottonarch.example/cottonarch/control/rollout/state"
 	"cottonarch.example/cottonarch/daemon/core"
 	"cottonarch.example/cottonarch/kernel/defect"
@@ -37,7 +37,7 @@
 		"POST":   func(w http.ResponseWriter, r *http.Request) { roll(c, w, r) },
 		"DELETE": func(w http.ResponseWriter, r *http.Request) { unroll(c, w, r) },
 		"GET": func(w http.ResponseWriter, r *http.Request) {
-			deed(c, w, r, owner.Deed{Key: rollout.Key(mux.Vars(r)["way"]), Kind: "rollout/read"})
+			deed(c, w, r, proposer.Operation{Key: rollout.Key(mux.Vars(r)["way"]), Kind: "rollout/read"})
 		},
 	}, "/manifest": {
 		"PUT":   func(w http.ResponseWriter, r *http.Request) { give(c, w, r, false) },
@@ -75,7 +75,7 @@
 		return
 	}
 	a.Body = book.JSON(tree)
-	e := c.Deed(r.Context(), owner.Deed{Key: offer.Key, Kind: "manifest/offer", Op: ident.Op(a.Op), Args: book.JSON(a)}, budget)
+	e := c.Deed(r.Context(), proposer.Operation{Key: offer.Key, Kind: "manifest/offer", Op: ident.Op(a.Op), Args: book.JSON(a)}, budget)
 	if e.Defect != nil {
 		c.Board.Add("manifests_turned_away", 1)
 		reply.Defect(w, e.Defect)
@@ -85,7 +85,7 @@
 	reply.JSON(w, http.StatusOK, json.RawMessage(e.Body))
 }
 
-// read gives the newest confirmed manifest, through its owner.
+// read gives the newest confirmed manifest, through its proposer.
 func read(c *core.Core, w http.ResponseWriter, r *http.Request) {
 	m, d := c.Newest(r.Context(), budget)
 	if d != nil {
@@ -99,7 +99,7 @@
 	reply.JSON(w, http.StatusOK, m.Held)
 }
 
-func deed(c *core.Core, w http.ResponseWriter, r *http.Request, d owner.Deed) {
+func deed(c *core.Core, w http.ResponseWriter, r *http.Request, d proposer.Operation) {
 	d.Op = ident.Op(r.Header.Get("Idempotency-Key"))
 	e := c.Deed(r.Context(), d, budget)
 	if e.Defect != nil {
@@ -131,13 +131,13 @@
 		reply.Defect(w, defect.New(defect.Missing, "there is no way %q or no service %q", a.Way, a.To))
 		return
 	}
-	deed(c, w, r, owner.Deed{Key: rollout.Key(a.Way), Kind: "rollout/begin", Args: book.JSON(a)})
+	deed(c, w, r, proposer.Operation{Key: rollout.Key(a.Way), Kind: "rollout/begin", Args: book.JSON(a)})
 }
 
 // unroll puts the way back.
 func unroll(c *core.Core, w http.ResponseWriter, r *http.Request) {
 	key := rollout.Key(mux.Vars(r)["way"])
-	e := c.Deed(r.Context(), owner.Deed{Key: key, Kind: "rollout/read"}, budget)
+	e := c.Deed(r.Context(), proposer.Operation{Key: key, Kind: "rollout/read"}, budget)
 	if e.Defect != nil {
 		reply.Defect(w, e.Defect)
 		return
@@ -147,7 +147,7 @@
 		reply.Defect(w, defect.New(defect.Damaged, "roll-out: %v", err))
 		return
 	}
-	deed(c, w, r, owner.Deed{Key: key, Kind: "rollout/move", Args: book.JSON(rollout.Move{Round: now.Round, At: now.At, Phase: now.Phase,
+	deed(c, w, r, proposer.Operation{Key: key, Kind: "rollout/move", Args: book.JSON(rollout.Move{Round: now.Round, At: now.At, Phase: now.Phase,
 		NextAt: now.At, NextPhase: rollout.Backing, Why: "an operator took it back"})})
 }
 
--- a/control/audit/chunk/chunk.go
+++ b/control/audit/chunk/chunk.go
@@ -8,7 +8,7 @@
 
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
@@ -39,7 +39,7 @@
 // Deeds are the handlers.
 func Deeds() book.Book { return book.Book{"audit/append": add} }
 
-func add(_ owner.Turn, state, args json.RawMessage) book.Entry {
+func add(_ proposer.Context, state, args json.RawMessage) book.Entry {
 	var c Chunk
 	var a Append
 	if d := book.Read(state, args, &c, &a); d != nil {
--- a/control/coordination/book/book.go
+++ b/control/coordination/book/book.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"slices"
 
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
@@ -45,7 +45,7 @@
 }
 
 // Handler serves one kind of deed.
-type Handler func(turn owner.Turn, state, args json.RawMessage) Entry
+type Handler func(turn proposer.Context, state, args json.RawMessage) Entry
 
 // Book is a table of handlers.
 type Book map[string]Handler
@@ -63,40 +63,40 @@
 var known = map[string]bool{"group/put": true, "share/enter": true}
 
 // Apply serves a deed.
-func (b Book) Apply(turn owner.Turn, value json.RawMessage, deed owner.Deed) owner.Verdict {
+func (b Book) Apply(turn proposer.Context, value json.RawMessage, deed proposer.Operation) proposer.Result {
 	serve, ok := b[deed.Kind]
 	if !ok {
-		return owner.Verdict{Defect: defect.New(defect.Malformed, "no deed %q", deed.Kind)}
+		return proposer.Result{Defect: defect.New(defect.Malformed, "no deed %q", deed.Kind)}
 	}
 	if blind[deed.Kind] {
 		e := serve(turn, nil, deed.Args)
-		return owner.Verdict{Body: e.Body, Defect: e.Defect, Kept: turn.Kept}
+		return proposer.Result{Body: e.Body, Defect: e.Defect, Decoded: turn.Decoded}
 	}
-	have, ok := turn.Kept.(*open)
+	have, ok := turn.Decoded.(*open)
 	if !ok {
 		have = &open{}
 		if len(value) > 0 {
 			if err := json.Unmarshal(value, &have.page); err != nil {
-				return owner.Verdict{Defect: defect.New(defect.Damaged, "page: %v", err)}
+				return proposer.Result{Defect: defect.New(defect.Damaged, "page: %v", err)}
 			}
 		}
 	}
 	page := have.page
-	remember := deed.Op != "" && !deed.Loose && !timed[deed.Kind] && !known[deed.Kind]
+	remember := deed.Op != "" && !deed.Repeatable && !timed[deed.Kind] && !known[deed.Kind]
 	if remember {
 		for _, past := range page.Ops {
 			if past.Op == deed.Op {
-				return owner.Verdict{Body: past.Body, Kept: have}
+				return proposer.Result{Body: past.Body, Decoded: have}
 			}
 		}
 	}
-	turn.Kept = have.kept
+	turn.Decoded = have.kept
 	e := serve(turn, page.State, deed.Args)
 	if e.Kept == nil && e.State == nil {
 		e.Kept = have.kept
 	}
 	if e.Defect != nil || e.State == nil {
-		return owner.Verdict{Body: e.Body, Defect: e.Defect, Kept: &open{have.page, e.Kept}}
+		return proposer.Result{Body: e.Body, Defect: e.Defect, Decoded: &open{have.page, e.Kept}}
 	}
 	page.State = e.State
 	if remember {
@@ -107,9 +107,9 @@
 	}
 	out, err := page.encode()
 	if err != nil {
-		return owner.Verdict{Defect: defect.New(defect.Malformed, "page: %v", err)}
+		return proposer.Result{Defect: defect.New(defect.Malformed, "page: %v", err)}
 	}
-	return owner.Verdict{Value: out, Changed: true, Body: e.Body, Kept: &open{page, e.Kept}}
+	return proposer.Result{Value: out, Changed: true, Body: e.Body, Decoded: &open{page, e.Kept}}
 }
 
 // encode is json.Marshal but for a page of state alone, which needs no second pass over a
--- a/control/coordination/book/book_test.go
+++ b/control/coordination/book/book_test.go
@@ -9,7 +9,7 @@
 
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/number"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -24,14 +24,14 @@
 			loose bool
 			want  string
 		}{{"a", false, "1"}, {"a", false, "1"}, {"b", true, "2"}, {"b", true, "3"}, {"a", false, "1"}, {"c", false, "4"}, {"c", false, "4"}} {
-			v := number.Deeds().Apply(owner.Turn{Kept: kept}, value, owner.Deed{Op: x.op, Kind: "number/next", Loose: x.loose})
+			v := number.Deeds().Apply(proposer.Context{Decoded: kept}, value, proposer.Operation{Op: x.op, Kind: "number/next", Repeatable: x.loose})
 			must.Nil(t, v.Defect)
 			must.Eq(t, `{"number":`+x.want+`}`, string(v.Body), must.Sprint(i))
 			if v.Changed {
 				value = v.Value
 			}
 			if keep {
-				kept = v.Kept
+				kept = v.Decoded
 			}
 		}
 		must.Eq(t, `{"number":4}`, string(book.State(value)))
--- a/control/coordination/group/group.go
+++ b/control/coordination/group/group.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/control/coordination/book"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
@@ -73,7 +73,7 @@
 
 type keeping time.Duration
 
-func read(turn owner.Turn, state, raw json.RawMessage) book.Entry {
+func read(turn proposer.Context, state, raw json.RawMessage) book.Entry {
 	g, a, d := begin(turn, state, raw)
 	if d != nil {
 		return book.Turned(d)
@@ -85,7 +85,7 @@
 	return book.Entry{Body: book.JSON(p.put()), Kept: g}
 }
 
-func since(turn owner.Turn, state, raw json.RawMessage) book.Entry {
+func since(turn proposer.Context, state, raw json.RawMessage) book.Entry {
 	g, a, d := begin(turn, state, raw)
 	if d != nil {
 		return book.Turned(d)
@@ -102,7 +102,7 @@
 	return book.Entry{Body: book.JSON(out), Kept: g}
 }
 
-func (k keeping) put(turn owner.Turn, state, raw json.RawMessage) book.Entry {
+func (k keeping) put(turn proposer.Context, state, raw json.RawMessage) book.Entry {
 	g, a, d := begin(turn, state, raw)
 	if d != nil {
 		return book.Turned(d)
--- a/control/coordination/group/group_test.go
+++ b/control/coordination/group/group_test.go
@@ -10,13 +10,13 @@
 
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/group"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
 
-// cell is a group under one owner after another, as a tenure serves it.
+// cell is a group under one proposer after another, as a term serves it.
 type cell struct {
 	value json.RawMessage
 	kept  any
@@ -26,12 +26,12 @@
 func newCell(history time.Duration) *cell { return &cell{book: group.Deeds(history)} }
 
 func (c *cell) do(now moment.Moment, kind string, a group.Args) (json.RawMessage, *defect.Defect) {
-	v := c.book.Apply(owner.Turn{Now: now, Kept: c.kept}, c.value, owner.Deed{Op: "op", Kind: kind, Args: book.JSON(a)})
+	v := c.book.Apply(proposer.Context{Now: now, Decoded: c.kept}, c.value, proposer.Operation{Op: "op", Kind: kind, Args: book.JSON(a)})
 	if v.Changed {
 		c.value, c.kept = v.Value, nil
 	}
-	if v.Kept != nil {
-		c.kept = v.Kept
+	if v.Decoded != nil {
+		c.kept = v.Decoded
 	}
 	return v.Body, v.Defect
 }
@@ -73,7 +73,7 @@
 }
 
 // Puts of all cells share one count; a conflict names the cell's own revision, 0 when it
-// has none; a repeat gets its first revision, fitting or not, also after a new owner.
+// has none; a repeat gets its first revision, fitting or not, also after a new proposer.
 func TestOneCountAndRepeats(t *testing.T) {
 	for _, fresh := range []bool{false, true} {
 		c := newCell(0)
@@ -116,7 +116,7 @@
 	}
 }
 
-// Watches of every age, over many owners: one that was given a revision less than the
+// Watches of every age, over many proposers: one that was given a revision less than the
 // history ago is told every put since, in order; never a gap, however old it is; and the
 // old ones are told that they are too old.
 func TestWatchesOfEveryAge(t *testing.T) {
@@ -131,7 +131,7 @@
 	for i := range 1200 {
 		now := at(1 + float64(i)/10)
 		if i%400 == 399 {
-			c.kept = nil // a new owner
+			c.kept = nil // a new proposer
 		}
 		rev, d := c.put(now, fmt.Sprint(i*7%30), fmt.Sprint("v", i))
 		must.Nil(t, d)
@@ -231,7 +231,7 @@
 }
 
 // What is over but not let go yet is no put that a repeat finds: a cell that goes back to
-// a value it had long ago is put anew, once, and stays so under another owner.
+// a value it had long ago is put anew, once, and stays so under another proposer.
 func TestOldValueIsPutAnew(t *testing.T) {
 	c := newCell(time.Second)
 	for i := range 20 {
@@ -307,7 +307,7 @@
 }
 
 // A put that was taken is told its own revision again for as long as the history lasts,
-// however many puts came between and under each new owner. Later it is another put: put
+// however many puts came between and under each new proposer. Later it is another put: put
 // anew without a base, turned away with one.
 func TestResendAfterManyPuts(t *testing.T) {
 	const puts, history = 1000, 25 * time.Second
@@ -322,7 +322,7 @@
 	}
 	for i := range puts {
 		if i%300 == 299 {
-			c.kept = nil // a new owner
+			c.kept = nil // a new proposer
 		}
 		rev, d := c.put(at(22), name(i), val(i), base(i))
 		must.Nil(t, d, must.Sprint(i))
--- a/control/coordination/group/state.go
+++ b/control/coordination/group/state.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/control/coordination/book"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
@@ -16,7 +16,7 @@
 // stored is the state on the disks. Invariants: List is in rising order of revision and
 // holds, as [name, value, revision], each cell's newest put and every put above Gone, so
 // what is current is stored once. Gone is the highest revision that was forgotten; only
-// what another put of its cell has followed is forgotten, and only when this tenure has
+// what another put of its cell has followed is forgotten, and only when this term has
 // seen it grow older than the history. Between two forgettings a put changes the end of
 // what is stored alone, so that it travels as a short patch; Top stands behind the list
 // for that. The fields may come in any order.
@@ -30,7 +30,7 @@
 // writes the list anew, and so has to be rare, and what is over takes room.
 const forgetPart = 4
 
-// past is one put. Invariant: seen is the moment at which this tenure first knew of it, so
+// past is one put. Invariant: seen is the moment at which this term first knew of it, so
 // it is never younger than it looks; beaten says that another put of its cell followed.
 type past struct {
 	name   string
@@ -51,7 +51,7 @@
 
 func (p *past) put() Put { return Put{p.name, p.value, p.rev} }
 
-// decoded is the state as a tenure keeps it between deeds. Invariants: now holds the
+// decoded is the state as a term keeps it between deeds. Invariants: now holds the
 // newest put of each cell, known the newest put in list of each cell and value, bytes what
 // the list takes when stored; it changes only together with the value that it is the decoded form of.
 type decoded struct {
@@ -63,9 +63,9 @@
 }
 
 // begin gives the state as kept, or decodes it, and reads the args.
-func begin(turn owner.Turn, state, raw json.RawMessage) (*decoded, Args, *defect.Defect) {
+func begin(turn proposer.Context, state, raw json.RawMessage) (*decoded, Args, *defect.Defect) {
 	var a Args
-	g, ok := turn.Kept.(*decoded)
+	g, ok := turn.Decoded.(*decoded)
 	if ok {
 		return g, a, book.Read(nil, raw, nil, &a)
 	}
--- a/control/coordination/key/key.go
+++ b/control/coordination/key/key.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/control/coordination/book"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
@@ -28,7 +28,7 @@
 }
 
 // Key is the state. Invariants: Past is in order of revision without gaps and ends
-// with the present state; an entry leaves Past only when this tenure has seen it
+// with the present state; an entry leaves Past only when this term has seen it
 // grow older than Kept; when Past is full of younger ones, writes are turned away.
 // A deleted key keeps its cell, so its revisions never begin anew.
 type Key struct {
@@ -67,7 +67,7 @@
 	return book.Book{"key/read": read, "key/write": write, "key/delete": remove}
 }
 
-func read(_ owner.Turn, state, raw json.RawMessage) book.Entry {
+func read(_ proposer.Context, state, raw json.RawMessage) book.Entry {
 	var k Key
 	var a Args
 	if d := book.Read(state, raw, &k, &a); d != nil {
@@ -86,7 +86,7 @@
 	return book.Entry{Body: book.JSON(out)}
 }
 
-func write(turn owner.Turn, state, raw json.RawMessage) book.Entry {
+func write(turn proposer.Context, state, raw json.RawMessage) book.Entry {
 	var a Args
 	var k Key
 	if d := book.Read(state, raw, &k, &a); d != nil {
@@ -101,7 +101,7 @@
 	return k.change(turn, a, Change{Value: a.Value})
 }
 
-func remove(turn owner.Turn, state, raw json.RawMessage) book.Entry {
+func remove(turn proposer.Context, state, raw json.RawMessage) book.Entry {
 	var a Args
 	var k Key
 	if d := book.Read(state, raw, &k, &a); d != nil {
@@ -113,7 +113,7 @@
 	return k.change(turn, a, Change{Deleted: true})
 }
 
-func (k Key) change(turn owner.Turn, a Args, c Change) book.Entry {
+func (k Key) change(turn proposer.Context, a Args, c Change) book.Entry {
 	now := k.Now()
 	if a.If != nil {
 		have := now.Revision
@@ -130,14 +130,14 @@
 		bulk += len(p.Value) + 40
 	}
 	for len(k.Past) > 1 {
-		seen, ok := turn.Memory[mark(k.Past[1].Revision)]
+		seen, ok := turn.TermMemory[mark(k.Past[1].Revision)]
 		if !ok {
-			seen = turn.Since
+			seen = turn.TermBegan
 		}
 		if turn.Now.Since(seen) <= Kept {
 			break
 		}
-		delete(turn.Memory, mark(k.Past[0].Revision))
+		delete(turn.TermMemory, mark(k.Past[0].Revision))
 		bulk -= len(k.Past[0].Value) + 40
 		k.Past = k.Past[1:]
 	}
@@ -145,7 +145,7 @@
 		return book.Turned(defect.New(defect.Busy, "changes come faster than watches may forget them").Later(10))
 	}
 	k.Past = append(k.Past, c)
-	turn.Touch(mark(c.Revision))
+	turn.Remember(mark(c.Revision))
 	return book.Entry{State: book.JSON(k), Body: book.JSON(Reading{Revision: c.Revision, Value: c.Value, Deleted: c.Deleted})}
 }
 
--- a/control/coordination/key/key_test.go
+++ b/control/coordination/key/key_test.go
@@ -11,7 +11,7 @@
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/key"
 	"cottonarch.example/cottonarch/control/coordination/watch"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
@@ -25,7 +25,7 @@
 }
 
 func (c *cell) do(now moment.Moment, kind string, a key.Args) (key.Reading, *defect.Defect) {
-	v := key.Deeds().Apply(owner.Turn{Now: now, Since: c.since, Revision: c.rev, Memory: c.memory, Touch: func(m string) { c.memory[m] = now }}, c.value, owner.Deed{Kind: kind, Args: book.JSON(a)})
+	v := key.Deeds().Apply(proposer.Context{Now: now, TermBegan: c.since, Revision: c.rev, TermMemory: c.memory, Remember: func(m string) { c.memory[m] = now }}, c.value, proposer.Operation{Kind: kind, Args: book.JSON(a)})
 	if v.Changed {
 		c.value = v.Value
 		c.rev++
@@ -37,14 +37,14 @@
 
 func at(s float64) moment.Moment { return moment.Moment(s * float64(time.Second)) }
 
-// A watcher that comes back within a minute is told every change, also when owners
+// A watcher that comes back within a minute is told every change, also when proposers
 // changed meanwhile; later it is told that its place is forgotten, never a gap.
 func TestHistoryOutlivesOwners(t *testing.T) {
 	c := &cell{since: at(1), memory: map[string]moment.Moment{}}
 	place := watch.Place{"k": 0}
 	for i := range 300 {
 		now := 1 + float64(i)
-		if i%70 == 69 { // a new owner, which knows no times
+		if i%70 == 69 { // a new proposer, which knows no times
 			c.since, c.memory = at(now), map[string]moment.Moment{}
 		}
 		_, d := c.do(at(now), "key/write", key.Args{Value: json.RawMessage(fmt.Sprint(i))})
--- a/control/coordination/lock/batch_test.go
+++ b/control/coordination/lock/batch_test.go
@@ -9,31 +9,31 @@
 	"github.com/shoenig/test/must"
 
 	"cottonarch.example/cottonarch/control/coordination/book"
-	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/register/owner"
-	"cottonarch.example/cottonarch/control/register/replica"
+	"cottonarch.example/cottonarch/control/register/acceptor"
+	"cottonarch.example/cottonarch/control/register/proposer"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
 
-// one is an owner with one disk; what it asks is answered when flush is called, so that
+// one is a proposer with one disk; what it asks is answered when flush is called, so that
 // deeds which come meanwhile share the next round.
 type one struct {
-	o    *owner.Owner
-	r    *replica.Replica
-	asks []cell.Ask
-	ends []owner.Outcome
+	o    *proposer.Proposer
+	r    *acceptor.Acceptor
+	asks []quorum.Request
+	ends []proposer.Outcome
 }
 
 func newOne(now moment.Moment) *one {
-	x := &one{o: owner.New("m", Deeds()), r: replica.New("d")}
-	x.take(x.o.SetMembership(now, cell.Membership{Epoch: 1, Voters: []cell.Voter{{Disk: "d", Addr: "d:1", Counted: true}}}))
+	x := &one{o: proposer.New("m", Deeds()), r: acceptor.New("d")}
+	x.take(x.o.SetMembership(now, quorum.Membership{Epoch: 1, Voters: []quorum.Voter{{Disk: "d", Addr: "d:1", Counted: true}}}))
 	return x
 }
 
-func (x *one) take(fx owner.Effects) {
+func (x *one) take(fx proposer.Effects) {
 	for _, s := range fx.Sends {
-		x.asks = append(x.asks, s.Ask)
+		x.asks = append(x.asks, s.Request)
 	}
 	x.ends = append(x.ends, fx.Outcomes...)
 }
@@ -49,7 +49,7 @@
 }
 
 func (x *one) send(now moment.Moment, kind string, a Args) {
-	x.take(x.o.Submit(now, owner.Deed{Key: "lock/l", Kind: kind, Op: ident.Op(fmt.Sprint(now, kind, a)), Args: book.JSON(a)}))
+	x.take(x.o.Submit(now, proposer.Operation{Key: "lock/l", Kind: kind, Op: ident.Op(fmt.Sprint(now, kind, a)), Args: book.JSON(a)}))
 }
 
 // Claims, renewals and releases of three callers share one round, in every order, after
@@ -76,7 +76,7 @@
 			told := map[string]bool{}
 			for _, e := range x.ends {
 				var g Grant
-				if e.Defect == nil && e.Deed.Kind == "lock/claim" && json.Unmarshal(e.Body, &g) == nil {
+				if e.Defect == nil && e.Operation.Kind == "lock/claim" && json.Unmarshal(e.Body, &g) == nil {
 					told[g.Holder] = true
 				}
 			}
@@ -115,7 +115,7 @@
 		x, now := newOne(sec(1)), sec(1)
 		claim := func(at moment.Moment, who, op string) bool {
 			x.ends = nil
-			x.take(x.o.Submit(at, owner.Deed{Key: "lock/l", Kind: "lock/claim", Op: ident.Op(op), Args: book.JSON(Args{Holder: who, TTL: 5000})}))
+			x.take(x.o.Submit(at, proposer.Operation{Key: "lock/l", Kind: "lock/claim", Op: ident.Op(op), Args: book.JSON(Args{Holder: who, TTL: 5000})}))
 			x.flush(at)
 			return x.ends[0].Defect == nil
 		}
--- a/control/coordination/lock/keep_test.go
+++ b/control/coordination/lock/keep_test.go
@@ -7,7 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"cottonarch.example/cottonarch/control/coordination/book"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
@@ -16,7 +16,7 @@
 func fresh(at float64) *tenure { return &tenure{since: sec(at), memory: map[string]moment.Moment{}} }
 
 // A claim that keeps gives its holder the very fence with further time, from whatever
-// owner; once the claim is over it gives a higher one, and so it does to another caller.
+// proposer; once the claim is over it gives a higher one, and so it does to another caller.
 func TestKeptClaimKeepsItsFence(t *testing.T) {
 	for _, moved := range []bool{false, true} {
 		x := fresh(1)
@@ -68,7 +68,7 @@
 }
 
 // A shorter time under the same fence takes nothing from a longer one that the holder may
-// still count on; it ends with the later of both, also at a new owner.
+// still count on; it ends with the later of both, also at a new proposer.
 func TestShorterTimeLeavesTheLonger(t *testing.T) {
 	for _, moved := range []bool{false, true} {
 		for _, kind := range []string{"lock/claim", "lock/renew"} {
@@ -140,12 +140,12 @@
 		x.flush(now)
 		x.ends = nil
 		x.send(now, "lock/read", Args{}) // this round is out while the release waits
-		x.take(x.o.Submit(now, owner.Deed{Key: "lock/l", Kind: "lock/release", Op: ident.Op("op"), Until: now.Add(900 * time.Millisecond), Args: book.JSON(Args{Holder: "a", Fence: 1})}))
+		x.take(x.o.Submit(now, proposer.Operation{Key: "lock/l", Kind: "lock/release", Op: ident.Op("op"), Deadline: now.Add(900 * time.Millisecond), Args: book.JSON(Args{Holder: "a", Fence: 1})}))
 		x.flush(now.Add(late))
 		must.Len(t, 2, x.ends)
 		begun := late < 900*time.Millisecond
-		must.Eq(t, !begun, x.ends[1].Lost)
-		must.False(t, x.ends[1].Risk)
+		must.Eq(t, !begun, x.ends[1].Abandoned)
+		must.False(t, x.ends[1].MayHaveTakenEffect)
 		x.ends = nil
 		x.send(now.Add(1200*time.Millisecond), "lock/claim", Args{Holder: "b", TTL: 5000})
 		x.flush(now.Add(1200 * time.Millisecond))
--- a/control/coordination/lock/lock.go
+++ b/control/coordination/lock/lock.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/control/coordination/book"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
@@ -18,7 +18,7 @@
 	ttlMin = 50
 	ttlMax = 10 * 60 * 1000
 	// slackMin and slackMax bound what is waited out after a claim's end. The slack guards
-	// clocks that run apart, for the holder counts on its own clock and the owner on its
+	// clocks that run apart, for the holder counts on its own clock and the proposer on its
 	// own: a tenth up to claims of 10 s, a thirtieth at 30 s. Longer claims have less of
 	// it, 1 s in 600 s at the longest; two clocks that are each steered as far as a
 	// kernel steers them, 500 parts in a million and apart, are 0.6 s apart by then. It is
@@ -31,9 +31,9 @@
 // keeps, and never repeats; so a release or renewal that comes late, from before the last
 // claim, does nothing. A claim that keeps leaves the fence and raises Grants, so a release
 // that was begun before it and names the grant does nothing either. The end of the claim
-// is not stored: it is reckoned from the last renewal of this tenure, or from the tenure's
-// beginning, so a new owner waits out the whole claim, and a renewal is only answered once
-// a majority has confirmed that no later tenure had begun. Long, when set, is a longer
+// is not stored: it is reckoned from the last renewal of this term, or from the term's
+// beginning, so a new proposer waits out the whole claim, and a renewal is only answered once
+// a majority has confirmed that no later term had begun. Long, when set, is a longer
 // time that the same fence was given before TTL: a holder that did not hear of the shorter
 // one may still count on it, so the claim is over only when both are.
 type Lock struct {
@@ -70,30 +70,30 @@
 	return book.Book{"lock/claim": claim, "lock/renew": renew, "lock/release": release, "lock/pass": pass, "lock/read": read}
 }
 
-func (l Lock) over(turn owner.Turn) bool {
+func (l Lock) over(turn proposer.Context) bool {
 	if l.Holder == "" {
 		return true
 	}
 	return ran(turn, mark, l.TTL) && (l.Long == 0 || ran(turn, past, l.Long))
 }
 
-// ran tells whether a time that was given at a mark of this tenure, or at its beginning at
+// ran tells whether a time that was given at a time of this term, or at its beginning at
 // the latest, is over with its slack.
-func ran(turn owner.Turn, at string, ttl int64) bool {
+func ran(turn proposer.Context, at string, ttl int64) bool {
 	span := time.Duration(ttl) * time.Millisecond
 	return turn.Now.Since(given(turn, at)) > span+min(max(slackMin, span/10), slackMax)
 }
 
-func given(turn owner.Turn, at string) moment.Moment {
-	from, ok := turn.Memory[at]
-	if !ok || turn.Since.After(from) {
-		return turn.Since
+func given(turn proposer.Context, at string) moment.Moment {
+	from, ok := turn.TermMemory[at]
+	if !ok || turn.TermBegan.After(from) {
+		return turn.TermBegan
 	}
 	return from
 }
 
 // extend gives the fence ttl from now on and tells whether the state changed by it.
-func (l *Lock) extend(turn owner.Turn, ttl int64) bool {
+func (l *Lock) extend(turn proposer.Context, ttl int64) bool {
 	was := *l
 	end := func(at string, ttl int64) moment.Moment {
 		return given(turn, at).Add(time.Duration(ttl) * time.Millisecond)
@@ -104,13 +104,13 @@
 	}
 	if l.Long == 0 && end(mark, l.TTL) > fresh {
 		l.Long = l.TTL
-		turn.Memory[past] = given(turn, mark)
+		turn.TermMemory[past] = given(turn, mark)
 	}
 	if l.Long > 0 && end(past, l.Long) <= fresh {
 		l.Long = 0
 	}
 	l.TTL = ttl
-	turn.Touch(mark)
+	turn.Remember(mark)
 	return *l != was
 }
 
@@ -120,7 +120,7 @@
 
 func proper(ttl int64) bool { return ttl >= ttlMin && ttl <= ttlMax }
 
-func claim(turn owner.Turn, state, args json.RawMessage) book.Entry {
+func claim(turn proposer.Context, state, args json.RawMessage) book.Entry {
 	var l Lock
 	var a Args
 	if d := book.Read(state, args, &l, &a); d != nil {
@@ -141,7 +141,7 @@
 	}
 	l.Holder, l.TTL, l.Long = a.Holder, a.TTL, 0
 	l.Fence++
-	turn.Touch(mark)
+	turn.Remember(mark)
 	return book.Entry{State: book.JSON(l), Body: l.grant()}
 }
 
@@ -158,7 +158,7 @@
 
 // renew gives the fence its time again from now on, or another time when it names one.
 // It costs no disk unless the time is another.
-func renew(turn owner.Turn, state, args json.RawMessage) book.Entry {
+func renew(turn proposer.Context, state, args json.RawMessage) book.Entry {
 	l, a, d := mine(state, args)
 	if d != nil {
 		return book.Turned(d)
@@ -175,7 +175,7 @@
 	return book.Entry{Body: l.grant()}
 }
 
-func release(_ owner.Turn, state, args json.RawMessage) book.Entry {
+func release(_ proposer.Context, state, args json.RawMessage) book.Entry {
 	l, a, d := mine(state, args)
 	if d != nil {
 		return book.Turned(d)
@@ -188,7 +188,7 @@
 }
 
 // pass names the successor, as a duty's holder does when it can.
-func pass(turn owner.Turn, state, args json.RawMessage) book.Entry {
+func pass(turn proposer.Context, state, args json.RawMessage) book.Entry {
 	l, a, d := mine(state, args)
 	if d != nil {
 		return book.Turned(d)
@@ -198,11 +198,11 @@
 	}
 	l.Holder, l.Fence, l.Long = a.To, l.Fence+1, 0
 	l.Grants++
-	turn.Touch(mark)
+	turn.Remember(mark)
 	return book.Entry{State: book.JSON(l), Body: l.grant()}
 }
 
-func read(turn owner.Turn, state, args json.RawMessage) book.Entry {
+func read(turn proposer.Context, state, args json.RawMessage) book.Entry {
 	var l Lock
 	var a Args
 	if d := book.Read(state, args, &l, &a); d != nil {
--- a/control/coordination/lock/lock_test.go
+++ b/control/coordination/lock/lock_test.go
@@ -8,12 +8,12 @@
 	"github.com/shoenig/test/must"
 
 	"cottonarch.example/cottonarch/control/coordination/book"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
 
-// tenure is one owner's hold on the lock's key.
+// term is one proposer's hold on the lock's key.
 type tenure struct {
 	value  json.RawMessage
 	since  moment.Moment
@@ -21,7 +21,7 @@
 }
 
 func (x *tenure) do(now moment.Moment, kind string, a Args) (Grant, *defect.Defect) {
-	v := Deeds().Apply(owner.Turn{Now: now, Since: x.since, Memory: x.memory, Touch: func(m string) { x.memory[m] = now }}, x.value, owner.Deed{Kind: kind, Args: book.JSON(a)})
+	v := Deeds().Apply(proposer.Context{Now: now, TermBegan: x.since, TermMemory: x.memory, Remember: func(m string) { x.memory[m] = now }}, x.value, proposer.Operation{Kind: kind, Args: book.JSON(a)})
 	if v.Changed {
 		x.value = v.Value
 	}
@@ -32,7 +32,7 @@
 
 func sec(s float64) moment.Moment { return moment.Moment(s * float64(time.Second)) }
 
-// A new owner, which knows of no renewal, waits out the whole claim; then the next
+// A new proposer, which knows of no renewal, waits out the whole claim; then the next
 // holder has a higher fence, and the old one can do nothing any more.
 func TestNewOwnerWaitsOutTheWholeClaim(t *testing.T) {
 	x := &tenure{since: sec(1), memory: map[string]moment.Moment{}}
--- a/control/coordination/number/number.go
+++ b/control/coordination/number/number.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 
 	"cottonarch.example/cottonarch/control/coordination/book"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 )
 
@@ -24,7 +24,7 @@
 	return book.Book{"number/next": next, "number/read": read}
 }
 
-func next(_ owner.Turn, state, raw json.RawMessage) book.Entry {
+func next(_ proposer.Context, state, raw json.RawMessage) book.Entry {
 	var n Number
 	a := args{By: 1}
 	if d := book.Read(state, raw, &n, &a); d != nil {
@@ -37,7 +37,7 @@
 	return book.Entry{State: book.JSON(n), Body: book.JSON(n)}
 }
 
-func read(_ owner.Turn, state, raw json.RawMessage) book.Entry {
+func read(_ proposer.Context, state, raw json.RawMessage) book.Entry {
 	var n Number
 	var a args
 	if d := book.Read(state, raw, &n, &a); d != nil {
--- a/control/coordination/share/enter.go
+++ b/control/coordination/share/enter.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 
 	"cottonarch.example/cottonarch/control/coordination/book"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
@@ -50,7 +50,7 @@
 
 // enter gives each node of a batch a claim above every one that was given before, and its
 // share. The claims are noted first, so that the fair share is that of all of them.
-func enter(_ owner.Turn, state, raw json.RawMessage) book.Entry {
+func enter(_ proposer.Context, state, raw json.RawMessage) book.Entry {
 	var s Shares
 	var a EnterArgs
 	if d := book.Read(state, raw, &s, &a); d != nil {
--- a/control/coordination/share/enter_test.go
+++ b/control/coordination/share/enter_test.go
@@ -9,12 +9,12 @@
 	"github.com/shoenig/test/must"
 
 	"cottonarch.example/cottonarch/control/coordination/book"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
 func (d *desk) enter(all ...Entrant) []Entered {
-	v := Deeds().Apply(owner.Turn{}, d.value, owner.Deed{Op: "same", Kind: EnterKind, Args: book.JSON(EnterArgs{all})})
+	v := Deeds().Apply(proposer.Context{}, d.value, proposer.Operation{Op: "same", Kind: EnterKind, Args: book.JSON(EnterArgs{all})})
 	must.Nil(d.t, v.Defect)
 	d.value = v.Value
 	var out []Entered
@@ -122,7 +122,7 @@
 // What is no batch is refused and changes nothing.
 func TestWrongBatchesAreRefused(t *testing.T) {
 	for _, a := range []EnterArgs{{}, {[]Entrant{{}}}, {[]Entrant{{Node: "a"}, {Node: "a"}}}, {make([]Entrant, EnterMost+1)}, {[]Entrant{{Node: "a", Run: string(make([]byte, RunMost+1))}}}} {
-		v := Deeds().Apply(owner.Turn{}, nil, owner.Deed{Kind: EnterKind, Args: book.JSON(a)})
+		v := Deeds().Apply(proposer.Context{}, nil, proposer.Operation{Kind: EnterKind, Args: book.JSON(a)})
 		must.NotNil(t, v.Defect)
 		must.False(t, v.Changed)
 	}
--- a/control/coordination/share/share.go
+++ b/control/coordination/share/share.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 
 	"cottonarch.example/cottonarch/control/coordination/book"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
@@ -118,7 +118,7 @@
 	return least
 }
 
-func take(_ owner.Turn, state, raw json.RawMessage) book.Entry {
+func take(_ proposer.Context, state, raw json.RawMessage) book.Entry {
 	s, a, d := load(state, raw)
 	if d != nil {
 		return book.Turned(d)
@@ -172,7 +172,7 @@
 
 // free takes a share back. The caller must know from a majority that the node has
 // been silent for longer than a share outlives its last renewal.
-func free(_ owner.Turn, state, raw json.RawMessage) book.Entry {
+func free(_ proposer.Context, state, raw json.RawMessage) book.Entry {
 	s, a, d := load(state, raw)
 	if d != nil {
 		return book.Turned(d)
@@ -184,7 +184,7 @@
 	return book.Entry{State: book.JSON(s), Body: book.JSON(s)}
 }
 
-func read(_ owner.Turn, state, raw json.RawMessage) book.Entry {
+func read(_ proposer.Context, state, raw json.RawMessage) book.Entry {
 	s, _, d := load(state, raw)
 	if d != nil {
 		return book.Turned(d)
--- a/control/coordination/share/share_test.go
+++ b/control/coordination/share/share_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"cottonarch.example/cottonarch/control/coordination/book"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -19,7 +19,7 @@
 }
 
 func (d *desk) do(kind string, a Args) (told Told) {
-	v := Deeds().Apply(owner.Turn{}, d.value, owner.Deed{Kind: kind, Args: book.JSON(a)})
+	v := Deeds().Apply(proposer.Context{}, d.value, proposer.Operation{Kind: kind, Args: book.JSON(a)})
 	if v.Changed {
 		d.value = v.Value
 	}
--- a/control/coordination/watch/watch.go
+++ b/control/coordination/watch/watch.go
@@ -13,7 +13,7 @@
 
 // Place is where a watcher stands: the revision it has seen of each key. It is
 // opaque outside. Invariant: it names no core, so it holds at any of them, also
-// after restarts and changes of owner.
+// after restarts and changes of proposer.
 type Place map[ident.Key]ident.Revision
 
 // Encode makes the opaque form.
--- a/control/core/membership/cluster_test.go
+++ b/control/core/membership/cluster_test.go
@@ -15,8 +15,8 @@
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/membership/acceptor"
-	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/storage/ring"
@@ -92,16 +92,16 @@
 func newCluster(t *testing.T, members, slots, canLose, cells int) *cluster {
 	c := &cluster{t: t, now: moment.Moment(time.Second), members: map[ident.Addr]*member{}, canLose: canLose, voters: max(5, 2*canLose+1),
 		confirmed: map[ident.Key]ident.Revision{}, tickets: map[uint64]ident.Key{}, removed: map[ident.Addr]ident.Addr{}}
-	first := cell.Membership{Epoch: 1}
+	first := quorum.Membership{Epoch: 1}
 	for i := range slots {
-		first.Voters = append(first.Voters, cell.Voter{Disk: ident.Disk(fmt.Sprint("disk", i)), Addr: addrOf(i), Counted: true})
+		first.Voters = append(first.Voters, quorum.Voter{Disk: ident.Disk(fmt.Sprint("disk", i)), Addr: addrOf(i), Counted: true})
 	}
 	state, _ := json.Marshal(acceptor.State{Current: first})
 	ballot := ident.Ballot{Epoch: 1, Owner: "first"}
 	var held []ring.Record
 	for i := range cells {
 		k := ident.Key(fmt.Sprintf("number/n%05d", i))
-		data, _ := json.Marshal(cell.Cell{Promised: ballot, Accepted: ballot, Revision: 1, Value: json.RawMessage(`{"state":{"number":1}}`)})
+		data, _ := json.Marshal(quorum.Record{Promised: ballot, Accepted: ballot, Revision: 1, Value: json.RawMessage(`{"state":{"number":1}}`)})
 		held = append(held, ring.Record{Tag: "c/" + string(k), Data: data})
 		c.confirmed[k], c.all = 1, append(c.all, k)
 		if i < 6 {
@@ -136,7 +136,7 @@
 		}
 		if k, ok := strings.CutPrefix(r.Tag, "c/"); ok {
 			delete(m.holds, ident.Key(k))
-			var held cell.Cell
+			var held quorum.Record
 			if len(r.Data) > 0 {
 				must.NoError(c.t, json.Unmarshal(r.Data, &held))
 				m.holds[ident.Key(k)] = held.Revision
@@ -233,8 +233,8 @@
 			continue
 		}
 		p := parcel{c.now.Add(delay), s.To, s.Msg}
-		if s.Msg.ScanReturn != nil {
-			p.at = p.at.Add(time.Duration(len(s.Msg.ScanReturn.Rows)) * perRow)
+		if s.Msg.ScanResponse != nil {
+			p.at = p.at.Add(time.Duration(len(s.Msg.ScanResponse.Rows)) * perRow)
 		}
 		c.net = append(c.net, p)
 	}
@@ -315,7 +315,7 @@
 func (c *cluster) writeAt(m *member, k ident.Key) {
 	c.ticket++
 	c.tickets[c.ticket] = k
-	c.out(m, m.node.Deed(c.now, c.ticket, owner.Deed{Op: ident.Op(fmt.Sprint("w", c.ticket)), Key: k, Kind: "number/next"}, 2*time.Second))
+	c.out(m, m.node.Submit(c.now, c.ticket, proposer.Operation{Op: ident.Op(fmt.Sprint("w", c.ticket)), Key: k, Kind: "number/next"}, 2*time.Second))
 }
 
 // lost lists the machines that count as lost now.
@@ -332,8 +332,8 @@
 }
 
 // chosen is the newest roster that any disk says was chosen, or that a majority took.
-func (c *cluster) chosen() cell.Membership {
-	var now cell.Membership
+func (c *cluster) chosen() quorum.Membership {
+	var now quorum.Membership
 	for _, m := range c.members {
 		if m.roster.Current.Epoch > now.Epoch {
 			now = m.roster.Current
@@ -385,7 +385,7 @@
 }
 
 // counted lists the members whose disks count, but for some.
-func (c *cluster) counted(r cell.Membership, but []ident.Addr) (out []*member) {
+func (c *cluster) counted(r quorum.Membership, but []ident.Addr) (out []*member) {
 	for _, m := range c.order() {
 		if r.Counts(ident.Disk(m.synced["disk"].Data)) && !slices.Contains(but, m.addr) {
 			out = append(out, m)
--- a/control/core/membership/membership_test.go
+++ b/control/core/membership/membership_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"cottonarch.example/cottonarch/control/core/message"
-	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
@@ -84,7 +84,7 @@
 // lag has one member take no accept, so that what is confirmed is on as few as can be.
 func lag(slow ident.Addr) func(ident.Addr, message.Message) bool {
 	return func(to ident.Addr, m message.Message) bool {
-		return to == slow && m.Ask != nil && (m.Ask.Kind == cell.Accept || m.Ask.Kind == cell.PatchAccept)
+		return to == slow && m.Request != nil && (m.Request.Kind == quorum.Accept || m.Request.Kind == quorum.PatchAccept)
 	}
 }
 
@@ -177,11 +177,11 @@
 		c.writing = false
 		c.run(time.Second)
 		leaver, lagger, owns, begun := addrOf(1), addrOf(0), addrOf(2), c.now
-		c.keys = slices.DeleteFunc(c.members[owns].node.Owned(), func(k ident.Key) bool { return !k.Under("number/") })
+		c.keys = slices.DeleteFunc(c.members[owns].node.HeldKeys(), func(k ident.Key) bool { return !k.Under("number/") })
 		must.SliceNotEmpty(t, c.keys)
 		c.drop = func(to ident.Addr, m message.Message) bool {
 			since := c.now.Since(begun)
-			if !lag(to)(to, m) || !slices.Contains(c.keys, m.Ask.Key) {
+			if !lag(to)(to, m) || !slices.Contains(c.keys, m.Request.Key) {
 				return false
 			}
 			if steady {
@@ -247,7 +247,7 @@
 		c.run(9 * time.Second)
 		leaver, begun := addrOf(1), c.now
 		c.drop = func(to ident.Addr, m message.Message) bool {
-			return c.now.Since(begun) < lags && lag(addrOf(0))(to, m) && slices.Contains(c.keys, m.Ask.Key)
+			return c.now.Since(begun) < lags && lag(addrOf(0))(to, m) && slices.Contains(c.keys, m.Request.Key)
 		}
 		c.each = func(ms int) {
 			if c.now.Since(begun) < lags && ms%2 == 0 {
--- a/control/core/message/message.go
+++ b/control/core/message/message.go
@@ -5,8 +5,8 @@
 	"hash/fnv"
 
 	"cottonarch.example/cottonarch/control/membership/acceptor"
-	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/control/rollout/drive"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
@@ -17,22 +17,22 @@
 // mark of the very process it is meant for, and any other drops it; a message is
 // sent at most once by whoever sends it.
 type Message struct {
-	From               ident.Addr         `json:"from,omitempty"`
-	To                 string             `json:"to,omitempty"`
-	Hello              *Hello             `json:"hello,omitempty"`
-	Ask                *cell.Ask          `json:"ask,omitempty"`
-	Return             *cell.Return       `json:"return,omitempty"`
-	Scan               *cell.Scan         `json:"scan,omitempty"`
-	ScanReturn         *cell.ScanReturn   `json:"scanReturn,omitempty"`
-	MembershipRequest  *acceptor.Request  `json:"rosterAsk,omitempty"`
-	MembershipResponse *acceptor.Response `json:"rosterSays,omitempty"`
-	Forward            *Forward           `json:"forward,omitempty"`
-	Carried            *Carried           `json:"carried,omitempty"`
-	Learned            *Learned           `json:"learned,omitempty"`
-	Handover           *Handover          `json:"handover,omitempty"`
-	Kept               *ledger.Kept       `json:"kept,omitempty"`
-	Want               *Want              `json:"want,omitempty"`
-	Quiet              *Quiet             `json:"quiet,omitempty"`
+	From               ident.Addr           `json:"from,omitempty"`
+	To                 string               `json:"to,omitempty"`
+	Hello              *Hello               `json:"hello,omitempty"`
+	Request            *quorum.Request      `json:"ask,omitempty"`
+	Response           *quorum.Response     `json:"return,omitempty"`
+	Scan               *quorum.Scan         `json:"scan,omitempty"`
+	ScanResponse       *quorum.ScanResponse `json:"scanReturn,omitempty"`
+	MembershipRequest  *acceptor.Request    `json:"rosterAsk,omitempty"`
+	MembershipResponse *acceptor.Response   `json:"rosterSays,omitempty"`
+	Forward            *Forward             `json:"forward,omitempty"`
+	Carried            *Carried             `json:"carried,omitempty"`
+	Learned            *Learned             `json:"learned,omitempty"`
+	Handover           *Handover            `json:"handover,omitempty"`
+	Kept               *ledger.Kept         `json:"kept,omitempty"`
+	Want               *Want                `json:"want,omitempty"`
+	Quiet              *Quiet               `json:"quiet,omitempty"`
 }
 
 // Empty tells whether no part is set.
@@ -57,18 +57,18 @@
 	// AgeMs is how long ago, plus one, the sender knew that nothing newer than Manifest
 	// was confirmed; 0 is never.
 	AgeMs   int64                        `json:"ageMs,omitempty"`
-	Duty    bool                         `json:"duty,omitempty"`    // the sender holds the sweeping duty
+	Duty    bool                         `json:"duty,omitempty"`    // the sender holds the anti-entropy duty
 	Rolling bool                         `json:"rolling,omitempty"` // a roll-out runs: say Ends
 	Ends    map[ident.Service]drive.Ends `json:"ends,omitempty"`
 	// What a brief one leaves out.
-	Mark       string           `json:"mark,omitempty"`
-	Disk       ident.Disk       `json:"disk,omitempty"`
-	District   ident.District   `json:"district,omitempty"`
-	Membership *cell.Membership `json:"roster,omitempty"`
-	Leaving    bool             `json:"leaving,omitempty"`
-	Broken     bool             `json:"broken,omitempty"`
-	Cores      []ident.Addr     `json:"cores,omitempty"`
-	// Patches says that this process takes accepts that carry a cell.Patch.
+	Mark       string             `json:"mark,omitempty"`
+	Disk       ident.Disk         `json:"disk,omitempty"`
+	District   ident.District     `json:"district,omitempty"`
+	Membership *quorum.Membership `json:"roster,omitempty"`
+	Leaving    bool               `json:"leaving,omitempty"`
+	Broken     bool               `json:"broken,omitempty"`
+	Cores      []ident.Addr       `json:"cores,omitempty"`
+	// Patches says that this process takes accepts that carry a quorum.Patch.
 	Patches bool `json:"patches,omitempty"`
 	// Echo says that this process's hellos tell what it has Heard.
 	Echo bool `json:"echo,omitempty"`
@@ -106,28 +106,28 @@
 
 // Quiet asks a voter which of the nodes it has not heard for ledger.Quiet, or says so.
 type Quiet struct {
-	Turn  uint64       `json:"turn"`
+	Round uint64       `json:"turn"`
 	Says  ident.Disk   `json:"says,omitempty"` // empty in the question
 	Nodes []ident.Node `json:"nodes,omitempty"`
 }
 
-// Forward carries a deed to its key's owner. LeftMs is how much longer its asker waits, a
-// span as of the sending: the receiver counts it from the receipt and begins the deed no
+// Forward carries an operation to its key's proposer. LeftMs is how much longer its client waits, a
+// span as of the sending: the receiver counts it from the receipt and begins the operation no
 // later. 0, of a core that knows no such field, sets no bound.
 type Forward struct {
-	Ticket uint64     `json:"ticket"`
-	Deed   owner.Deed `json:"deed"`
-	LeftMs int64      `json:"leftMs,omitempty"`
+	Ticket    uint64             `json:"ticket"`
+	Operation proposer.Operation `json:"deed"`
+	LeftMs    int64              `json:"leftMs,omitempty"`
 }
 
-// Carried is the end of a forwarded deed.
+// Carried is the end of a forwarded operation.
 type Carried struct {
-	Ticket   uint64         `json:"ticket"`
-	Body     []byte         `json:"body,omitempty"`
-	Defect   *defect.Defect `json:"defect,omitempty"`
-	Revision ident.Revision `json:"revision"`
-	Lost     bool           `json:"lost,omitempty"`
-	Risk     bool           `json:"risk,omitempty"`
+	Ticket             uint64         `json:"ticket"`
+	Body               []byte         `json:"body,omitempty"`
+	Defect             *defect.Defect `json:"defect,omitempty"`
+	Revision           ident.Revision `json:"revision"`
+	Abandoned          bool           `json:"lost,omitempty"`
+	MayHaveTakenEffect bool           `json:"risk,omitempty"`
 }
 
 // Learned tells that a key was confirmed at a revision, under a ballot. Invariant: a
--- a/control/core/node/sweep_test.go
+++ b/control/core/node/antientropy_test.go
@@ -10,11 +10,11 @@
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
-// swept gives the last sweep of whoever holds the duty.
-func (x *trio) swept(t *testing.T) node.Sweep {
-	var got []node.Sweep
+// swept gives the last anti-entropy pass of whoever holds the duty.
+func (x *trio) swept(t *testing.T) node.Pass {
+	var got []node.Pass
 	for _, a := range three {
-		if s, ok := x.nodes[a].Swept(); ok && !x.dead[a] {
+		if s, ok := x.nodes[a].LastPass(); ok && !x.dead[a] {
 			got = append(got, s)
 		}
 	}
@@ -22,16 +22,16 @@
 	return got[0]
 }
 
-// What the sweep says is so: a copy that forgot all is counted as differing until it is
-// mended, and a disk that says nothing as not read.
-func TestSweepSaysWhetherAllCopiesAreWhole(t *testing.T) {
+// What the anti-entropy pass says is so: a copy that forgot all is counted as differing until it is
+// repaired, and a disk that says nothing as not read.
+func TestAntiEntropySaysWhetherAllCopiesAreWhole(t *testing.T) {
 	x := newTrio(t)
 	for i, k := range []ident.Key{"number/a", "number/b", "number/c"} {
-		x.deed("a:1", uint64(i+1), "number/next", k)
+		x.submit("a:1", uint64(i+1), "number/next", k)
 	}
 	x.run(12 * time.Second)
 	s := x.swept(t)
-	must.Eq(t, node.Sweep{At: s.At, Read: 3, Of: 3}, s)
+	must.Eq(t, node.Pass{At: s.At, Read: 3, Of: 3}, s)
 	loser := three[0]
 	for _, a := range three {
 		if !x.nodes[a].Duty() {
@@ -44,9 +44,9 @@
 	}
 	s = x.swept(t)
 	must.Eq(t, 3, s.Read)
-	must.GreaterEq(t, 3, s.Differ)
+	must.GreaterEq(t, 3, s.Behind)
 	x.run(12 * time.Second)
-	must.Eq(t, 0, x.swept(t).Differ)
+	must.Eq(t, 0, x.swept(t).Behind)
 	x.dead[loser] = true
 	x.run(12 * time.Second)
 	s = x.swept(t)
--- a/control/core/node/bytes_test.go
+++ b/control/core/node/bytes_test.go
@@ -13,8 +13,8 @@
 	"cottonarch.example/cottonarch/control/coordination/group"
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/core/node"
-	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
@@ -50,9 +50,9 @@
 	switch {
 	case m.Hello != nil:
 		return "hello"
-	case m.Ask != nil:
-		return string(m.Ask.Kind)
-	case m.Return != nil:
+	case m.Request != nil:
+		return string(m.Request.Kind)
+	case m.Response != nil:
 		return "return"
 	case m.Learned != nil:
 		return "learned"
@@ -70,7 +70,7 @@
 			h := *s.Msg.Hello
 			h.Patches, s.Msg.Hello = false, &h
 		}
-		if s.To == x.old && s.Msg.Ask != nil && s.Msg.Ask.Kind == cell.PatchAccept {
+		if s.To == x.old && s.Msg.Request != nil && s.Msg.Request.Kind == quorum.PatchAccept {
 			x.toOld++
 		}
 		if s.To != at {
@@ -108,7 +108,7 @@
 	x.step(t)
 	at := three[x.n%3]
 	a := group.Args{Name: fmt.Sprintf("%x", x.n*7919%cells), Value: book.JSON(fmt.Sprintf("%016x", x.n*0x9e3779b97f4a7c1))}
-	x.out(t, at, x.nodes[at].Deed(x.now, uint64(x.n), owner.Deed{Key: "group/g.", Kind: "group/put", Args: book.JSON(a)}, time.Second))
+	x.out(t, at, x.nodes[at].Submit(x.now, uint64(x.n), proposer.Operation{Key: "group/g.", Kind: "group/put", Args: book.JSON(a)}, time.Second))
 	x.drain(t)
 	must.Nil(t, x.ends[uint64(x.n)].Defect)
 	delete(x.ends, uint64(x.n))
@@ -154,10 +154,10 @@
 	}
 }
 
-func (x *wired) owns(a ident.Addr) bool { return slices.Contains(x.nodes[a].Owned(), "group/g.") }
+func (x *wired) owns(a ident.Addr) bool { return slices.Contains(x.nodes[a].HeldKeys(), "group/g.") }
 
 // Puts over three cores, messages as JSON between them, ten a second: 300 cells, 400 past
-// puts. bytes/put is all that travels for a put, with what its returns and news take.
+// puts. bytes/put is all that travels for a put, with what its responses and news take.
 func BenchmarkPut(b *testing.B) {
 	x := newWired(b, 40*time.Second)
 	for range 1000 {
--- a/control/core/node/catchup.go
+++ b/control/core/node/catchup.go
@@ -4,20 +4,20 @@
 	"slices"
 	"time"
 
-	"cottonarch.example/cottonarch/control/register/survey"
+	"cottonarch.example/cottonarch/control/register/quorumread"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
 
 const (
 	// catchUpPause parts two comparisons, catchUpMost bounds them: while much is written,
-	// something on its way always looks as if it was missed. The sweep does the rest.
+	// something on its way always looks as if it was missed. The anti-entropy pass does the rest.
 	catchUpPause = 200 * time.Millisecond
 	catchUpMost  = 5
 )
 
 // catchUp is how a voter that counts again, after a start, a cut or a stalled disk, finds
-// what it missed. It need not wait for the next sweep, whose holder may be the one that was
+// what it missed. It need not wait for the next anti-entropy pass, whose holder may be the one that was
 // lost.
 type catchUp struct {
 	done  bool
@@ -27,7 +27,7 @@
 }
 
 // catchUp compares this disk's copies with those of the others, by digests first, and has
-// mended what is behind here.
+// repaired what is behind here.
 func (n *Node) catchUp(now moment.Moment, fx *Effects) {
 	if !n.Votes() || n.leaving || !n.majority(now, silentMajorityAge) {
 		n.missed = &catchUp{}
@@ -38,7 +38,7 @@
 		return
 	}
 	c.busy = true
-	n.survey(now, &reading{until: now.Add(proofWait), all: n.allHeard(now, ""), buckets: buckets(n.Cells()), done: func(now moment.Moment, s *survey.Survey, fx *Effects) {
+	n.quorumRead(now, &reading{until: now.Add(proofWait), all: n.allHeard(now, ""), buckets: buckets(n.Records()), done: func(now moment.Moment, s *quorumread.Reader, fx *Effects) {
 		c.busy, c.next = false, now.Add(catchUpPause)
 		c.tries++
 		if s == nil {
@@ -50,8 +50,8 @@
 	}}, "", false, "", fx)
 }
 
-// laggingHere lists the keys of which a survey found an older copy here than elsewhere.
-func (n *Node) laggingHere(s *survey.Survey) (out []ident.Key) {
+// laggingHere lists the keys of which a quorum read found an older copy here than elsewhere.
+func (n *Node) laggingHere(s *quorumread.Reader) (out []ident.Key) {
 	all := s.Found()
 	for _, k := range sortedKeys(all) {
 		if slices.Contains(s.Lagging(all[k]), n.Disk) {
--- a/control/core/node/change_test.go
+++ b/control/core/node/change_test.go
@@ -12,7 +12,7 @@
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -26,7 +26,7 @@
 	}
 	at := three[x.n%3]
 	args := book.JSON(offer.Args{Kind: kind, BaseRelease: &base, Loose: true, Body: json.RawMessage(body)})
-	x.out(t, at, x.nodes[at].Deed(x.now, uint64(x.n), owner.Deed{Key: offer.Key, Kind: "manifest/offer", Args: args, Loose: true}, time.Second))
+	x.out(t, at, x.nodes[at].Submit(x.now, uint64(x.n), proposer.Operation{Key: offer.Key, Kind: "manifest/offer", Args: args, Repeatable: true}, time.Second))
 	x.drain(t)
 	must.Nil(t, x.ends[uint64(x.n)].Defect)
 	delete(x.ends, uint64(x.n))
@@ -35,7 +35,7 @@
 // log reads the whole audit log.
 func (x *wired) log(t testing.TB) []offer.Line {
 	x.n++
-	x.out(t, three[0], x.nodes[three[0]].Survey(x.now, uint64(x.n), "audit/", true, time.Second))
+	x.out(t, three[0], x.nodes[three[0]].QuorumRead(x.now, uint64(x.n), "audit/", true, time.Second))
 	x.drain(t)
 	end := x.ends[uint64(x.n)]
 	must.Nil(t, end.Defect)
--- a/control/core/node/copy_test.go
+++ b/control/core/node/copy_test.go
@@ -9,7 +9,7 @@
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/membership/acceptor"
-	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/storage/ring"
@@ -21,7 +21,7 @@
 // what had been acknowledged.
 func TestCopyIsSyncedBeforeTheDiskCounts(t *testing.T) {
 	roster := acceptor.New("d4")
-	roster.Adopt(cell.Membership{Epoch: 2, Voters: []cell.Voter{{Disk: "d1", Addr: "a:1", Counted: true}, {Disk: "d4", Addr: "b:1"}, {Disk: "d3", Addr: "c:1", Counted: true}}})
+	roster.Adopt(quorum.Membership{Epoch: 2, Voters: []quorum.Voter{{Disk: "d1", Addr: "a:1", Counted: true}, {Disk: "d4", Addr: "b:1"}, {Disk: "d3", Addr: "c:1", Counted: true}}})
 	n, _, err := node.New(1, node.Boot{Addr: "b:1", Mark: "run1"}, []ring.Record{{Tag: "disk", Data: []byte("d4")}, roster.Record()})
 	must.NoError(t, err)
 	now := moment.Moment(time.Second)
@@ -33,17 +33,17 @@
 		}
 		return asks
 	}
-	var scan *cell.Scan
+	var scan *quorum.Scan
 	for _, s := range n.Tick(now).Sends {
 		if s.Msg.Scan != nil {
 			scan = s.Msg.Scan
 		}
 	}
 	must.NotNil(t, scan)
-	row := cell.Row{Key: "k", Cell: cell.Cell{Promised: ident.Ballot{Epoch: 1, Owner: "o"}, Accepted: ident.Ballot{Epoch: 1, Owner: "o"}, Revision: 1, Value: []byte(`"one"`)}}
+	row := quorum.Row{Key: "k", Record: quorum.Record{Promised: ident.Ballot{Epoch: 1, Owner: "o"}, Accepted: ident.Ballot{Epoch: 1, Owner: "o"}, Revision: 1, Value: []byte(`"one"`)}}
 	var gated node.Effects
 	for addr, disk := range map[ident.Addr]ident.Disk{"a:1": "d1", "c:1": "d3"} {
-		fx := n.Step(now, message.Message{From: addr, ScanReturn: &cell.ScanReturn{Turn: scan.Turn, Disk: disk, Membership: 2, Rows: []cell.Row{row}}})
+		fx := n.Step(now, message.Message{From: addr, ScanResponse: &quorum.ScanResponse{Round: scan.Round, Disk: disk, Membership: 2, Rows: []quorum.Row{row}}})
 		held := fx.Gate()
 		must.Eq(t, 0, counts(fx))
 		gated.Records, gated.Sends = append(gated.Records, held.Records...), append(gated.Sends, held.Sends...)
--- a/control/core/node/cut_test.go
+++ b/control/core/node/cut_test.go
@@ -14,7 +14,7 @@
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/mesh/registry/record"
@@ -31,11 +31,11 @@
 	x.lost = func(to ident.Addr, m message.Message) bool { return cuts[way](at, to, m) }
 }
 
-// call runs a deed at a core until it has ended.
-func (x *trio) call(at ident.Addr, d owner.Deed, budget time.Duration) (e defectOrBody) {
+// call runs an operation at a core until it has ended.
+func (x *trio) call(at ident.Addr, d proposer.Operation, budget time.Duration) (e defectOrBody) {
 	x.tickets++
 	ticket, began := x.tickets, x.now
-	x.out(at, x.nodes[at].Deed(x.now, ticket, d, budget))
+	x.out(at, x.nodes[at].Submit(x.now, ticket, d, budget))
 	for x.end(ticket) == nil && x.now.Since(began) < budget+time.Second {
 		x.run(10 * time.Millisecond)
 	}
@@ -58,46 +58,46 @@
 	return e.defect.Kind
 }
 
-func deedOf(key ident.Key, kind string, args any) owner.Deed {
-	return owner.Deed{Key: key, Kind: kind, Args: book.JSON(args), Loose: true}
+func operationOf(key ident.Key, kind string, args any) proposer.Operation {
+	return proposer.Operation{Key: key, Kind: kind, Args: book.JSON(args), Repeatable: true}
 }
 
 // known are calls that a core which owns every key answers, or refuses, when it is well:
-// each names the answer, which it knows from its own tenure's memory.
+// each names the answer, which it knows from its own term's memory.
 var known = []struct {
-	deed owner.Deed
-	says defect.Kind // "" for a yes
+	operation proposer.Operation
+	says      defect.Kind // "" for a yes
 }{
-	{deedOf("lock/l", "lock/claim", lock.Args{Holder: "other", TTL: 60000}), defect.Held},
-	{deedOf("lock/l", "lock/claim", lock.Args{Holder: "me", TTL: 60000, Keep: true}), ""},
-	{deedOf("lock/l", "lock/renew", lock.Args{Holder: "me", Fence: 1, TTL: 60000}), ""},
-	{deedOf("lock/l", "lock/renew", lock.Args{Holder: "me", Fence: 7}), defect.NotHolder},
-	{deedOf("lock/l", "lock/release", lock.Args{Holder: "other", Fence: 1}), defect.NotHolder},
-	{deedOf("lock/l", "lock/read", lock.Args{}), ""},
-	{deedOf("number/n", "number/next", map[string]int{}), ""},
-	{deedOf("number/n", "number/read", map[string]int{}), ""},
-	{deedOf(group.Key("g."), "group/read", group.Args{Name: "a"}), ""},
-	{deedOf(group.Key("g."), "group/read", group.Args{Name: "none"}), defect.Missing},
-	{deedOf(group.Key("g."), "group/put", group.Args{Name: "a", Value: []byte(`"1"`)}), ""},
-	{deedOf(group.Key("g."), "group/put", group.Args{Name: "a", Value: []byte(`"2"`), If: new(ident.Revision)}), defect.Conflict},
-	{deedOf(group.Key("g."), "group/since", group.Args{After: new(ident.Revision)}), ""},
-	{deedOf(offer.Key, "manifest/epoch", nil), ""},
-	{deedOf(offer.Key, "manifest/read", nil), ""},
-	{deedOf(offer.Key, "manifest/offer", offer.Args{BaseRelease: new(uint64), Loose: true, Body: []byte(`{"release":9}`)}), defect.Conflict},
-	{deedOf(offer.Key, "manifest/offer", offer.Args{Body: []byte(`{"ways":{"w":{"host":"h","service":"none"}}}`)}), defect.Invalid},
-	{deedOf("share", "share/take", share.Args{Node: "s", Claim: 1}), defect.Conflict},
-	{deedOf("share", "share/read", nil), ""},
-	{deedOf("number/n", "no/such", nil), defect.Malformed},
+	{operationOf("lock/l", "lock/claim", lock.Args{Holder: "other", TTL: 60000}), defect.Held},
+	{operationOf("lock/l", "lock/claim", lock.Args{Holder: "me", TTL: 60000, Keep: true}), ""},
+	{operationOf("lock/l", "lock/renew", lock.Args{Holder: "me", Fence: 1, TTL: 60000}), ""},
+	{operationOf("lock/l", "lock/renew", lock.Args{Holder: "me", Fence: 7}), defect.NotHolder},
+	{operationOf("lock/l", "lock/release", lock.Args{Holder: "other", Fence: 1}), defect.NotHolder},
+	{operationOf("lock/l", "lock/read", lock.Args{}), ""},
+	{operationOf("number/n", "number/next", map[string]int{}), ""},
+	{operationOf("number/n", "number/read", map[string]int{}), ""},
+	{operationOf(group.Key("g."), "group/read", group.Args{Name: "a"}), ""},
+	{operationOf(group.Key("g."), "group/read", group.Args{Name: "none"}), defect.Missing},
+	{operationOf(group.Key("g."), "group/put", group.Args{Name: "a", Value: []byte(`"1"`)}), ""},
+	{operationOf(group.Key("g."), "group/put", group.Args{Name: "a", Value: []byte(`"2"`), If: new(ident.Revision)}), defect.Conflict},
+	{operationOf(group.Key("g."), "group/since", group.Args{After: new(ident.Revision)}), ""},
+	{operationOf(offer.Key, "manifest/epoch", nil), ""},
+	{operationOf(offer.Key, "manifest/read", nil), ""},
+	{operationOf(offer.Key, "manifest/offer", offer.Args{BaseRelease: new(uint64), Loose: true, Body: []byte(`{"release":9}`)}), defect.Conflict},
+	{operationOf(offer.Key, "manifest/offer", offer.Args{Body: []byte(`{"ways":{"w":{"host":"h","service":"none"}}}`)}), defect.Invalid},
+	{operationOf("share", "share/take", share.Args{Node: "s", Claim: 1}), defect.Conflict},
+	{operationOf("share", "share/read", nil), ""},
+	{operationOf("number/n", "no/such", nil), defect.Malformed},
 }
 
 // fill gives every key of the table a state, and has one core own them all.
 func (x *trio) fill(t *testing.T, at ident.Addr) {
-	for _, d := range []owner.Deed{
-		deedOf("lock/l", "lock/claim", lock.Args{Holder: "me", TTL: 60000}),
-		deedOf("number/n", "number/next", map[string]int{}),
-		deedOf(group.Key("g."), "group/put", group.Args{Name: "a", Value: []byte(`"1"`)}),
-		deedOf(offer.Key, "manifest/offer", offer.Args{Loose: true, Body: []byte(`{"release":3}`)}),
-		deedOf("share", "share/take", share.Args{Node: "s", Claim: 2}),
+	for _, d := range []proposer.Operation{
+		operationOf("lock/l", "lock/claim", lock.Args{Holder: "me", TTL: 60000}),
+		operationOf("number/n", "number/next", map[string]int{}),
+		operationOf(group.Key("g."), "group/put", group.Args{Name: "a", Value: []byte(`"1"`)}),
+		operationOf(offer.Key, "manifest/offer", offer.Args{Loose: true, Body: []byte(`{"release":3}`)}),
+		operationOf("share", "share/take", share.Args{Node: "s", Claim: 2}),
 	} {
 		x.out(at, x.nodes[at].Step(x.now, message.Message{Handover: &message.Handover{Keys: []ident.Key{d.Key}}}))
 		x.run(50 * time.Millisecond)
@@ -122,15 +122,15 @@
 			x := newTrio(t)
 			x.fill(t, "a:1")
 			for i, c := range known {
-				must.Eq(t, c.says, x.call("a:1", c.deed, budget).kind(), must.Sprint(i, c.deed.Kind))
+				must.Eq(t, c.says, x.call("a:1", c.operation, budget).kind(), must.Sprint(i, c.operation.Kind))
 			}
-			x.call("a:1", deedOf("number/n", "number/next", map[string]int{}), budget)
+			x.call("a:1", operationOf("number/n", "number/next", map[string]int{}), budget)
 			for i, c := range known {
-				x.own("a:1", c.deed.Key)
+				x.own("a:1", c.operation.Key)
 				x.cut("a:1", way)
 				x.run(after)
-				at := fmt.Sprintf("call %d, %s, cut %s, %v after it", i, c.deed.Kind, way, after)
-				got := x.call("a:1", c.deed, budget)
+				at := fmt.Sprintf("call %d, %s, cut %s, %v after it", i, c.operation.Kind, way, after)
+				got := x.call("a:1", c.operation, budget)
 				must.NotNil(t, got.defect, must.Sprint(at, got.body))
 				must.SliceContains(t, []defect.Kind{defect.NoMajority, defect.Unknown}, got.kind(), must.Sprint(at))
 				must.Eq(t, got.kind() == defect.NoMajority, got.defect.Fate == defect.FateNo, must.Sprint(at))
@@ -141,8 +141,8 @@
 				}
 				x.lost = nil
 				x.run(time.Second)
-				if c.deed.Kind == "number/next" && got.defect.Fate == defect.FateNo {
-					must.Eq(t, `{"number":3}`, x.call("b:1", deedOf("number/n", "number/read", nil), budget).body, must.Sprint(at))
+				if c.operation.Kind == "number/next" && got.defect.Fate == defect.FateNo {
+					must.Eq(t, `{"number":3}`, x.call("b:1", operationOf("number/n", "number/read", nil), budget).body, must.Sprint(at))
 				}
 			}
 		}
@@ -155,8 +155,8 @@
 // is back in time.
 func TestWaitingCallsEndWithTheMajority(t *testing.T) {
 	const budget = 4 * time.Second
-	next, read := deedOf("number/n", "number/next", map[string]int{}), deedOf("number/n", "number/read", map[string]int{})
-	next.Loose = false // so that the copies of one call act once
+	next, read := operationOf("number/n", "number/next", map[string]int{}), operationOf("number/n", "number/read", map[string]int{})
+	next.Repeatable = false // so that the copies of one call act once
 	start := func(way string) *trio {
 		x := newTrio(t)
 		x.fill(t, "a:1")
@@ -173,7 +173,7 @@
 		// The first change is in a round; the ones behind it are not begun.
 		x = start(way)
 		for ticket := uint64(1); ticket <= 3; ticket++ {
-			x.out("a:1", x.nodes["a:1"].Deed(x.now, ticket, next, budget))
+			x.out("a:1", x.nodes["a:1"].Submit(x.now, ticket, next, budget))
 		}
 		x.run(1300 * time.Millisecond)
 		must.Nil(t, x.end(1))
@@ -194,7 +194,7 @@
 	x := newTrio(t)
 	x.dead["c:1"] = true
 	x.start(t, "c:1", "", three)
-	got := x.call("c:1", deedOf("number/n", "number/next", map[string]int{}), 2*time.Second)
+	got := x.call("c:1", operationOf("number/n", "number/next", map[string]int{}), 2*time.Second)
 	must.Nil(t, got.defect)
 }
 
@@ -228,7 +228,7 @@
 		x.cut("a:1", way)
 		x.run(1300 * time.Millisecond) // the others take the key over
 		must.Eq(t, way != "out", x.stale(t, "a:1"), must.Sprint(way))
-		must.Eq(t, "", x.call("b:1", deedOf(offer.Key, "manifest/offer", offer.Args{Loose: true, Body: []byte(`{"release":4}`)}), time.Second).kind(), must.Sprint(way))
+		must.Eq(t, "", x.call("b:1", operationOf(offer.Key, "manifest/offer", offer.Args{Loose: true, Body: []byte(`{"release":4}`)}), time.Second).kind(), must.Sprint(way))
 		x.hold("b:1", 2)
 		x.hold("c:1", 2)
 		x.run(1300 * time.Millisecond)
@@ -247,7 +247,7 @@
 // back it is a new disk, holds nothing of the old one, and tells the newest state.
 func TestReplacedWhileCutOff(t *testing.T) {
 	const budget = 900 * time.Millisecond
-	next, read := deedOf("number/n", "number/next", nil), deedOf("number/n", "number/read", nil)
+	next, read := operationOf("number/n", "number/next", nil), operationOf("number/n", "number/read", nil)
 	for way := range cuts {
 		x := newTrio(t)
 		x.start(t, "d:1", "disk-d:1", three)
@@ -260,7 +260,7 @@
 			if got := x.call("b:1", next, budget); x.now.Since(began) > 4*time.Second {
 				must.Nil(t, got.defect, must.Sprint(way, ": a core that has a majority serves not, after ", x.now.Since(began)))
 			}
-			for _, d := range []owner.Deed{read, next, known[0].deed, known[9].deed, known[15].deed} {
+			for _, d := range []proposer.Operation{read, next, known[0].operation, known[9].operation, known[15].operation} {
 				got := x.call("a:1", d, budget)
 				must.NotNil(t, got.defect, must.Sprint(way, d.Kind, got.body))
 				must.SliceContains(t, []defect.Kind{defect.NoMajority, defect.Unknown}, got.kind(), must.Sprint(way, d.Kind))
@@ -277,6 +277,6 @@
 			must.NotEq(t, disk, x.nodes["a:1"].Disk, must.Sprint(way))
 		}
 		must.Eq(t, top, x.call("a:1", read, budget).body, must.Sprint(way))
-		must.Eq(t, defect.Held, x.call("a:1", known[0].deed, budget).kind(), must.Sprint(way))
+		must.Eq(t, defect.Held, x.call("a:1", known[0].operation, budget).kind(), must.Sprint(way))
 	}
 }
--- a/control/core/node/duties.go
+++ b/control/core/node/duties.go
@@ -8,14 +8,14 @@
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/lock"
 	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/control/register/owner"
-	"cottonarch.example/cottonarch/control/register/survey"
+	"cottonarch.example/cottonarch/control/register/proposer"
+	"cottonarch.example/cottonarch/control/register/quorumread"
 	rollout "cottonarch.example/cottonarch/control/rollout/state"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
 
-// dutyKey is the claim on the sweeping duty. Its holder names a successor when it
+// dutyKey is the claim on the anti-entropy duty. Its holder names a successor when it
 // leaves; when it cannot, the claim ends and a majority gives it to another.
 const dutyKey ident.Key = "lock/cottonarch.duty.sweep"
 
@@ -26,23 +26,23 @@
 	idleRoll  = 2500 * time.Millisecond
 )
 
-// internal runs a deed of the core's own.
-func (n *Node) internal(now moment.Moment, d owner.Deed, fx *Effects, done func(moment.Moment, End, *Effects)) {
-	n.begindeed(now, &pending{deed: d, until: now.Add(2 * time.Second), done: done}, fx)
+// internal runs an operation of the core's own.
+func (n *Node) internal(now moment.Moment, d proposer.Operation, fx *Effects, done func(moment.Moment, End, *Effects)) {
+	n.begin(now, &pending{operation: d, until: now.Add(2 * time.Second), done: done}, fx)
 }
 
-// duties claims the sweeping duty and does it while it is held.
+// duties claims the anti-entropy duty and does it while it is held.
 func (n *Node) duties(now moment.Moment, fx *Effects) {
 	if !n.holds {
-		n.found = Sweep{}
+		n.passFound = Pass{}
 	}
 	if !n.Votes() || n.leaving || !n.Majority(now) {
-		n.holds, n.found = false, Sweep{}
+		n.holds, n.passFound = false, Pass{}
 		return
 	}
 	if now.Since(n.dutied) >= dutyEvery && (n.holds || !n.served(now)) {
 		n.dutied = now
-		d := owner.Deed{Key: dutyKey, Kind: "lock/claim", Args: book.JSON(lock.Args{Holder: string(n.Disk), TTL: dutyTTL})}
+		d := proposer.Operation{Key: dutyKey, Kind: "lock/claim", Args: book.JSON(lock.Args{Holder: string(n.Disk), TTL: dutyTTL})}
 		if n.holds { // costs no disk
 			d.Kind, d.Args = "lock/renew", book.JSON(lock.Args{Holder: string(n.Disk), Fence: n.fence})
 		}
@@ -54,16 +54,16 @@
 	}
 	if n.holds && (now.Since(n.rolled) >= idleRoll || n.Rolling(now) && now.Since(n.rolled) >= rollEvery) {
 		n.rolled = now
-		n.survey(now, &reading{until: now.Add(time.Second), done: n.roll}, rollout.Prefix, true, "", fx)
+		n.quorumRead(now, &reading{until: now.Add(time.Second), done: n.roll}, rollout.Prefix, true, "", fx)
 	}
 	if n.holds && n.Epoch > n.audited && now.Since(n.auditAt) >= time.Second {
 		n.auditAt = now
-		n.survey(now, &reading{until: now.Add(time.Second), done: n.audit}, n.auditPrefix(), true, "", fx)
+		n.quorumRead(now, &reading{until: now.Add(time.Second), done: n.audit}, n.auditPrefix(), true, "", fx)
 	}
-	if n.holds && now.Since(n.swept) >= sweepEvery {
-		n.swept = now
-		n.Sweeps++
-		n.survey(now, &reading{until: now.Add(time.Second), all: true, buckets: buckets(n.Cells()), done: n.sweep}, "", false, "", fx)
+	if n.holds && now.Since(n.lastPass) >= antiEntropyEvery {
+		n.lastPass = now
+		n.AntiEntropyPasses++
+		n.quorumRead(now, &reading{until: now.Add(time.Second), all: true, buckets: buckets(n.Records()), done: n.antiEntropy}, "", false, "", fx)
 		n.reclaimShares(now, fx)
 	}
 }
@@ -78,15 +78,15 @@
 	return false
 }
 
-// roll carries every roll-out one deed further.
-func (n *Node) roll(now moment.Moment, s *survey.Survey, fx *Effects) {
+// roll carries every roll-out one operation further.
+func (n *Node) roll(now moment.Moment, s *quorumread.Reader, fx *Effects) {
 	if s == nil {
 		return
 	}
 	all := s.Found()
 	for _, k := range sortedKeys(all) {
 		var r rollout.Rollout
-		if st := book.State(all[k].Cell.Value); !all[k].Agreed || len(st) == 0 || json.Unmarshal(st, &r) != nil {
+		if st := book.State(all[k].Record.Value); !all[k].Agreed || len(st) == 0 || json.Unmarshal(st, &r) != nil {
 			continue
 		}
 		if r.Phase == rollout.Running || r.Phase == rollout.Backing {
@@ -108,7 +108,7 @@
 }
 
 // audit adds to the audit log what the newest manifests brought.
-func (n *Node) audit(now moment.Moment, s *survey.Survey, fx *Effects) {
+func (n *Node) audit(now moment.Moment, s *quorumread.Reader, fx *Effects) {
 	if s == nil {
 		return
 	}
@@ -130,7 +130,7 @@
 	if part && len(leaves) == chunk.Size {
 		return // another core may have begun the next chunk: look there first
 	}
-	n.internal(now, owner.Deed{Key: offer.Key, Kind: "manifest/lines", Args: book.JSON(offer.LinesArgs{After: n.audited})}, fx, func(now moment.Moment, e End, fx *Effects) {
+	n.internal(now, proposer.Operation{Key: offer.Key, Kind: "manifest/lines", Args: book.JSON(offer.LinesArgs{After: n.audited})}, fx, func(now moment.Moment, e End, fx *Effects) {
 		var lines []offer.Line
 		if e.Defect != nil || json.Unmarshal(e.Body, &lines) != nil {
 			return
@@ -148,7 +148,7 @@
 		return
 	}
 	args := book.JSON(chunk.Append{Index: at, Leaf: lines[0]})
-	n.internal(now, owner.Deed{Key: chunk.Key(at), Kind: "audit/append", Args: args}, fx, func(now moment.Moment, e End, fx *Effects) {
+	n.internal(now, proposer.Operation{Key: chunk.Key(at), Kind: "audit/append", Args: args}, fx, func(now moment.Moment, e End, fx *Effects) {
 		if e.Defect != nil {
 			return
 		}
@@ -159,10 +159,10 @@
 
 // Leaves puts the audit log together; it is not ok unless a majority agrees on all of
 // it.
-func Leaves(all map[ident.Key]survey.Found) (leaves []offer.Line, ok bool) {
+func Leaves(all map[ident.Key]quorumread.Found) (leaves []offer.Line, ok bool) {
 	for _, k := range sortedKeys(all) {
 		var c chunk.Chunk
-		if st := book.State(all[k].Cell.Value); len(st) > 0 && json.Unmarshal(st, &c) != nil {
+		if st := book.State(all[k].Record.Value); len(st) > 0 && json.Unmarshal(st, &c) != nil {
 			return nil, false
 		}
 		if !all[k].Agreed {
@@ -173,7 +173,7 @@
 	return leaves, true
 }
 
-// buckets is how many digests a sweep compares for so many keys.
+// buckets is how many digests an anti-entropy pass compares for so many keys.
 func buckets(keys int) int {
 	out := 16
 	for out < keys/2 && out < 1024 {
@@ -182,32 +182,32 @@
 	return out
 }
 
-// Sweep is what the last whole sweep of this core found. Invariant: of Of counted disks
-// Read were compared, and on one of these at least Differ keys were behind; At is 0 when
+// Pass is what the last whole anti-entropy pass of this core found. Invariant: of Of counted disks
+// Read were compared, and on one of these at least Behind keys were behind; At is 0 when
 // there was none.
-type Sweep struct {
+type Pass struct {
 	At       moment.Moment
 	Read, Of int
-	Differ   int
+	Behind   int
 }
 
-// Swept is the last sweep; it is nobody's once the duty is another's.
-func (n *Node) Swept() (Sweep, bool) { return n.found, n.holds && n.found.At != 0 }
+// LastPass is the last anti-entropy pass; it is nobody's once the duty is another's.
+func (n *Node) LastPass() (Pass, bool) { return n.passFound, n.holds && n.passFound.At != 0 }
 
-// sweep reads every key whose copies differ; the read mends them.
-func (n *Node) sweep(now moment.Moment, s *survey.Survey, fx *Effects) {
+// antiEntropy reads every key whose copies differ; the read repairs them.
+func (n *Node) antiEntropy(now moment.Moment, s *quorumread.Reader, fx *Effects) {
 	if s == nil {
 		return
 	}
 	all := s.Found()
-	n.found = Sweep{At: now}
-	n.found.Read, n.found.Of = s.Read()
+	n.passFound = Pass{At: now}
+	n.passFound.Read, n.passFound.Of = s.Coverage()
 	for _, k := range sortedKeys(all) {
 		if len(s.Lagging(all[k])) == 0 {
 			continue
 		}
-		n.found.Differ++
-		n.Mended++
-		n.internal(now, owner.Deed{Key: k, Kind: owner.Mend}, fx, func(moment.Moment, End, *Effects) {})
+		n.passFound.Behind++
+		n.Repaired++
+		n.internal(now, proposer.Operation{Key: k, Kind: proposer.Repair}, fx, func(moment.Moment, End, *Effects) {})
 	}
 }
--- a/control/core/node/example_test.go
+++ b/control/core/node/example_test.go
@@ -7,7 +7,7 @@
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/lock"
 	"cottonarch.example/cottonarch/control/core/node"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/storage/ring"
@@ -59,8 +59,8 @@
 		}
 	}
 	run(2 * time.Second)
-	fmt.Println("roster epoch", nodes["a:1"].Membership().Epoch, "votes", nodes["a:1"].Votes())
-	out("b:1", nodes["b:1"].Deed(now, 7, owner.Deed{Key: "lock/mine", Kind: "lock/claim", Args: book.JSON(lock.Args{Holder: "me", TTL: 5000})}, time.Second))
+	fmt.Println("membership epoch", nodes["a:1"].Membership().Epoch, "votes", nodes["a:1"].Votes())
+	out("b:1", nodes["b:1"].Submit(now, 7, proposer.Operation{Key: "lock/mine", Kind: "lock/claim", Args: book.JSON(lock.Args{Holder: "me", TTL: 5000})}, time.Second))
 	run(time.Second)
 	for _, e := range ends {
 		if e.Ticket == 7 {
--- a/control/core/node/freshness.go
+++ b/control/core/node/freshness.go
@@ -6,8 +6,8 @@
 
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/control/register/owner"
-	"cottonarch.example/cottonarch/control/register/place"
+	"cottonarch.example/cottonarch/control/register/placement"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
@@ -15,7 +15,7 @@
 )
 
 const (
-	// The manifest's owner reads it anew when what it knows is older than refreshAge; another
+	// The manifest's proposer reads it anew when what it knows is older than refreshAge; another
 	// core does so only when no hello brought it word for otherRefreshAge.
 	refreshAge      = 500 * time.Millisecond
 	otherRefreshAge = time.Second
@@ -29,18 +29,18 @@
 )
 
 // refreshNewest keeps this core informed of the newest confirmed manifest. Invariant: nothing newer
-// than Epoch was confirmed before freshAsOf, for a read through the key's owner began then,
+// than Epoch was confirmed before freshAsOf, for a read through the key's proposer began then,
 // here or at the core whose hello told of it.
 func (n *Node) refreshNewest(now moment.Moment, fx *Effects) {
 	if n.refreshing != 0 || now.Since(n.freshAsOf) < refreshAge && n.freshAsOf != 0 || n.leaving || !n.Majority(now) {
 		return
 	}
 	disks, _ := n.live(now)
-	if first, _ := place.Owner(offer.Key, disks); first != n.Disk && n.freshAsOf != 0 && now.Since(n.freshAsOf) < otherRefreshAge {
+	if first, _ := placement.Proposer(offer.Key, disks); first != n.Disk && n.freshAsOf != 0 && now.Since(n.freshAsOf) < otherRefreshAge {
 		return
 	}
 	n.refreshing = now
-	n.begindeed(now, &pending{deed: owner.Deed{Key: offer.Key, Kind: "manifest/epoch"}, until: now.Add(time.Second), done: func(now moment.Moment, e End, fx *Effects) {
+	n.begin(now, &pending{operation: proposer.Operation{Key: offer.Key, Kind: "manifest/epoch"}, until: now.Add(time.Second), done: func(now moment.Moment, e End, fx *Effects) {
 		began := n.refreshing
 		n.refreshing = 0
 		var yes offer.Yes
--- a/control/core/node/handover.go
+++ b/control/core/node/handover.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"cottonarch.example/cottonarch/control/membership/reconfiguration"
-	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/register/owner"
-	"cottonarch.example/cottonarch/control/register/survey"
+	"cottonarch.example/cottonarch/control/register/proposer"
+	"cottonarch.example/cottonarch/control/register/quorum"
+	"cottonarch.example/cottonarch/control/register/quorumread"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
@@ -32,13 +32,13 @@
 }
 
 // departure is a voter's planned leave. Invariants: while silent is set, this disk answers
-// no owner, so every majority is one of those that stay; resolved is set only when every
+// no proposer, so every majority is one of those that stay; resolved is set only when every
 // round that an earlier vote of this disk may have ended is over.
 type departure struct {
 	began    moment.Moment
 	silent   bool
 	asked    bool
-	open     int // deeds out that end the rounds in doubt
+	open     int // operations out that end the rounds in doubt
 	failed   bool
 	resolved bool
 }
@@ -52,7 +52,7 @@
 	skip     ident.Disk
 	busy     bool
 	compared bool
-	behind   map[ident.Key]cell.Cell
+	behind   map[ident.Key]quorum.Record
 	next     moment.Moment
 }
 
@@ -100,7 +100,7 @@
 
 // staying counts the other voters that are heard and stay; may tells whether there are any
 // that have not said that they leave, heard or not.
-func (n *Node) staying(now moment.Moment, r cell.Membership) (stay int, may bool) {
+func (n *Node) staying(now moment.Moment, r quorum.Membership) (stay int, may bool) {
 	near := n.healthy(now)
 	for _, v := range r.Voters {
 		if !v.Counted || v.Disk == n.Disk {
@@ -126,7 +126,7 @@
 
 // leaver tells whether a counted voter that is heard leaves as planned, while all others
 // that have a slot are well.
-func (n *Node) leaver(now moment.Moment, r cell.Membership) bool {
+func (n *Node) leaver(now moment.Moment, r quorum.Membership) bool {
 	near, found := n.healthy(now), false
 	for _, v := range r.Voters {
 		if v.Joining || slices.Contains(near, v.Disk) && (v.Disk != n.Disk || !n.leaving) {
@@ -144,7 +144,7 @@
 // successor is the disk that is to be counted in for a voter that leaves: one that has
 // joined already, else the first by address of the cores without a slot. There is none
 // while another slot is not well, which is to be filled first.
-func (n *Node) successor(now moment.Moment, r cell.Membership) ident.Disk {
+func (n *Node) successor(now moment.Moment, r quorum.Membership) ident.Disk {
 	if !n.leaver(now, r) {
 		return ""
 	}
@@ -169,13 +169,13 @@
 }
 
 // relieves tells whether this disk is to follow a voter that leaves.
-func (n *Node) relieves(now moment.Moment, r cell.Membership) bool {
+func (n *Node) relieves(now moment.Moment, r quorum.Membership) bool {
 	return r.Size()%2 != 0 && !n.leaving && n.successor(now, r) == n.Disk
 }
 
-// resolves ends the rounds that this disk voted for before it fell silent. A round's owner
+// resolves ends the rounds that this disk voted for before it fell silent. A round's proposer
 // may have this disk's yes and wait for one more, so what it writes may be confirmed after
-// the copies were compared. A deed of the same key, run by its owner, ends only after that.
+// the copies were compared. A operation of the same key, run by its proposer, ends only after that.
 func (n *Node) resolves(now moment.Moment, fx *Effects) bool {
 	d := n.away
 	if d.resolved || d.asked && d.open > 0 {
@@ -194,7 +194,7 @@
 	}
 	d.open = len(keys)
 	for _, k := range keys {
-		n.internal(now, owner.Deed{Key: k, Kind: owner.Mend}, fx, func(_ moment.Moment, e End, _ *Effects) {
+		n.internal(now, proposer.Operation{Key: k, Kind: proposer.Repair}, fx, func(_ moment.Moment, e End, _ *Effects) {
 			d.open--
 			d.failed = d.failed || e.Defect != nil && e.Defect.Kind != defect.Malformed // what an older release says to it, after its round
 		})
@@ -202,7 +202,7 @@
 	return false
 }
 
-// proves compares the copies of all voters but skip, and mends what is behind, until every
+// proves compares the copies of all voters but skip, and repairs what is behind, until every
 // value is held by a majority of the voters that are left without one of them.
 func (n *Node) proves(now moment.Moment, without, skip ident.Disk, fx *Effects) bool {
 	if n.proof == nil || n.proof.without != without || n.proof.skip != skip {
@@ -213,7 +213,7 @@
 		return p.holds()
 	}
 	p.busy = true
-	n.survey(now, &reading{until: now.Add(proofWait), all: n.allHeard(now, skip), buckets: buckets(n.Cells()), done: func(now moment.Moment, s *survey.Survey, fx *Effects) {
+	n.quorumRead(now, &reading{until: now.Add(proofWait), all: n.allHeard(now, skip), buckets: buckets(n.Records()), done: func(now moment.Moment, s *quorumread.Reader, fx *Effects) {
 		p.busy, p.next = false, now.Add(proofPause)
 		if s != nil {
 			p.compare(s)
@@ -223,33 +223,33 @@
 	return p.holds()
 }
 
-// compare takes in what a survey found. Keys of equal buckets were not read: all that were
+// compare takes in what a quorum read found. Keys of equal buckets were not read: all that were
 // asked hold the same of them, and one of these held what was found before.
-func (p *proof) compare(s *survey.Survey) {
+func (p *proof) compare(s *quorumread.Reader) {
 	need, all := (s.Membership.Size()-1)/2+1, s.Found()
 	if !p.compared {
-		p.compared, p.behind = true, map[ident.Key]cell.Cell{}
+		p.compared, p.behind = true, map[ident.Key]quorum.Record{}
 		for k, f := range all {
-			p.behind[k] = f.Cell
+			p.behind[k] = f.Record
 		}
 	}
-	maps.DeleteFunc(p.behind, func(k ident.Key, state cell.Cell) bool {
+	maps.DeleteFunc(p.behind, func(k ident.Key, state quorum.Record) bool {
 		_, read := all[k]
 		return !read || s.Holders(k, state, p.without) >= need
 	})
 }
 
-// mendAll reads keys through their owners, which mends their copies.
+// mendAll reads keys through their owners, which repairs their copies.
 func (n *Node) mendAll(now moment.Moment, keys []ident.Key, fx *Effects) {
 	for _, k := range keys {
-		n.internal(now, owner.Deed{Key: k, Kind: owner.Mend}, fx, func(moment.Moment, End, *Effects) {})
+		n.internal(now, proposer.Operation{Key: k, Kind: proposer.Repair}, fx, func(moment.Moment, End, *Effects) {})
 	}
 }
 
 // allHeard tells whether all counted voters but one are heard.
 func (n *Node) allHeard(now moment.Moment, skip ident.Disk) bool {
 	near := n.heard(now, heartbeatTimeout)
-	return !slices.ContainsFunc(n.membership.Current.Voters, func(v cell.Voter) bool {
+	return !slices.ContainsFunc(n.membership.Current.Voters, func(v quorum.Voter) bool {
 		return v.Counted && v.Disk != skip && !slices.Contains(near, v.Disk)
 	})
 }
@@ -257,7 +257,7 @@
 // sheds drops the slot of a voter that is held for dead where the number of slots is even:
 // with one fewer the mesh bears the next loss, which it would not with an empty one. The
 // first counted voter that is well does it.
-func (n *Node) sheds(now moment.Moment, r cell.Membership, fx *Effects) {
+func (n *Node) sheds(now moment.Moment, r quorum.Membership, fx *Effects) {
 	if r.Size()%2 != 0 || now.Since(n.began) <= deadAfter {
 		return
 	}
--- a/control/core/node/hello.go
+++ b/control/core/node/hello.go
@@ -51,7 +51,7 @@
 }
 
 // pace is how often a peer is told hello. Of two cores the one with the lower address
-// begins, and the other's hello travels in the return; it begins itself when none came.
+// begins, and the other's hello travels in the response; it begins itself when none came.
 // Two that do not vote move no keys by their hellos: they need fewer.
 func (n *Node) pace(a ident.Addr, p *peer) time.Duration {
 	out := helloEvery
@@ -115,7 +115,7 @@
 		n.peers[m.From] = p
 	}
 	if p.hello.Run != h.Run {
-		n.gone(now, m.From, p.hello.Mark)
+		n.abandonCopies(now, m.From, p.hello.Mark)
 		n.Ledger.Gone(m.From)
 		*p = peer{since: now}
 	}
@@ -125,7 +125,7 @@
 	}
 	p.hello = p.hello.Over(h)
 	h = p.hello
-	n.own.Able(h.Disk, h.Patches)
+	n.proposer.SetPatchCapable(h.Disk, h.Patches)
 	// One disk is at one address: an older address of the same disk is stale.
 	for _, a := range n.peerAddrs() {
 		if a != m.From && n.peers[a].hello.Disk == h.Disk {
@@ -159,7 +159,7 @@
 	}
 	n.Ledger.Grown(m.From, h.Mark, h.Ends)
 	n.heardOf(now, m.Hello, fx)
-	// Half due, it goes at once: it travels in the return to the hello that came.
+	// Half due, it goes at once: it travels in the response to the hello that came.
 	if now.Since(p.saidAt) >= n.pace(m.From, p)/2 {
 		n.keep(now, fx)
 		n.greet(now, []ident.Addr{m.From}, fx)
--- a/control/core/node/join.go
+++ b/control/core/node/join.go
@@ -9,7 +9,7 @@
 	"cottonarch.example/cottonarch/control/core/admission"
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
@@ -21,7 +21,7 @@
 	JoinBudget = 1800 * time.Millisecond
 	// majorityWait is how long one waits at a core that sees no majority: another may.
 	majorityWait = 600 * time.Millisecond
-	// batchBudget is how long the deeds of one batch may take.
+	// batchBudget is how long the operations of one batch may take.
 	batchBudget = 1500 * time.Millisecond
 )
 
@@ -33,7 +33,7 @@
 	Manifest ident.Epoch `json:"manifest"`
 }
 
-// joinBatch is the batch that is out: its two deeds run beside each other, and it ends with
+// joinBatch is the batch that is out: its two operations run beside each other, and it ends with
 // the later of them.
 type joinBatch struct {
 	began  moment.Moment
@@ -84,18 +84,18 @@
 	}
 }
 
-// beginBatch sends the deeds of a batch: one for all claims and shares, and one read of the
+// beginBatch sends the operations of a batch: one for all claims and shares, and one read of the
 // newest manifest epoch, which begins after all of its joins came in.
 func (n *Node) beginBatch(now moment.Moment, batch []admission.Request, fx *Effects) {
 	b := &joinBatch{began: now, size: len(batch), open: 2}
 	n.JoinBatches++
 	until := now.Add(batchBudget)
-	n.begindeed(now, &pending{deed: owner.Deed{Key: share.Key, Kind: share.EnterKind, Args: book.JSON(n.entrants(batch))}, until: until,
+	n.begin(now, &pending{operation: proposer.Operation{Key: share.Key, Kind: share.EnterKind, Args: book.JSON(n.entrants(batch))}, until: until,
 		done: func(now moment.Moment, e End, fx *Effects) {
 			b.take(e, &b.given)
 			n.endPart(now, b, fx)
 		}}, fx)
-	n.begindeed(now, &pending{deed: owner.Deed{Key: offer.Key, Kind: "manifest/epoch"}, until: until,
+	n.begin(now, &pending{operation: proposer.Operation{Key: offer.Key, Kind: "manifest/epoch"}, until: until,
 		done: func(now moment.Moment, e End, fx *Effects) {
 			var yes offer.Yes
 			b.take(e, &yes)
@@ -113,7 +113,7 @@
 	return a
 }
 
-// take reads the return of one of the deeds.
+// take reads the return of one of the operations.
 func (b *joinBatch) take(e End, into any) {
 	d := e.Defect
 	if d == nil {
@@ -126,7 +126,7 @@
 	}
 }
 
-// endPart ends the batch once both of its deeds have.
+// endPart ends the batch once both of its operations have.
 func (n *Node) endPart(now moment.Moment, b *joinBatch, fx *Effects) {
 	if b.open--; b.open > 0 {
 		return
--- a/control/core/node/join_test.go
+++ b/control/core/node/join_test.go
@@ -35,7 +35,7 @@
 // rounds counts the rounds of quorum of all owners, without those of reads.
 func (x *trio) rounds() (sum uint64) {
 	for _, a := range three {
-		sum += x.nodes[a].Owner().Rounds
+		sum += x.nodes[a].Proposer().Rounds
 	}
 	return sum
 }
--- a/control/core/node/keep_test.go
+++ b/control/core/node/keep_test.go
@@ -11,7 +11,7 @@
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/core/node"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/mesh/registry/record"
@@ -37,7 +37,7 @@
 	for n := range 10 {
 		x.tickets++
 		at := three[n%3]
-		x.out(at, x.nodes[at].Deed(x.now, x.tickets, owner.Deed{Key: "share", Kind: "share/read"}, 2*time.Second))
+		x.out(at, x.nodes[at].Submit(x.now, x.tickets, proposer.Operation{Key: "share", Kind: "share/read"}, 2*time.Second))
 		for n := 0; n < 30 && x.end(x.tickets) == nil; n++ {
 			x.run(100 * time.Millisecond)
 		}
@@ -61,7 +61,7 @@
 		"the hellos that it is told": func(k, to ident.Addr, m message.Message) bool { return to == k && m.Hello != nil },
 	} {
 		x := newTrio(t)
-		x.out("b:1", x.nodes["b:1"].Deed(x.now, 1, owner.Deed{Key: "share", Kind: "share/take", Args: book.JSON(share.Args{Node: "n", Claim: 1})}, 4*time.Second))
+		x.out("b:1", x.nodes["b:1"].Submit(x.now, 1, proposer.Operation{Key: "share", Kind: "share/take", Args: book.JSON(share.Args{Node: "n", Claim: 1})}, 4*time.Second))
 		x.run(32 * time.Second) // a core that was just started takes nothing back
 		keeper := three[0]
 		if x.nodes[keeper].Duty() {
--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -16,13 +16,13 @@
 	"cottonarch.example/cottonarch/control/core/admission"
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/control/membership/acceptor"
+	membership "cottonarch.example/cottonarch/control/membership/acceptor"
 	"cottonarch.example/cottonarch/control/membership/bootstrap"
 	"cottonarch.example/cottonarch/control/membership/reconfiguration"
-	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/register/owner"
-	"cottonarch.example/cottonarch/control/register/replica"
-	"cottonarch.example/cottonarch/control/register/survey"
+	"cottonarch.example/cottonarch/control/register/acceptor"
+	"cottonarch.example/cottonarch/control/register/proposer"
+	"cottonarch.example/cottonarch/control/register/quorum"
+	"cottonarch.example/cottonarch/control/register/quorumread"
 	"cottonarch.example/cottonarch/control/rollout/drive"
 	rollout "cottonarch.example/cottonarch/control/rollout/state"
 	"cottonarch.example/cottonarch/kernel/defect"
@@ -46,13 +46,13 @@
 	echoAge = 2500 * time.Millisecond
 	// deadAfter is how long a voter must be unheard, by disks that have listened for as
 	// long, before its slot may be taken.
-	deadAfter  = 3 * time.Second
-	growAfter  = 6 * time.Second
-	diskTag    = "disk"
-	sweepEvery = 5 * time.Second
-	dutyTTL    = 3000
-	dutyEvery  = time.Second
-	seenMax    = 1 << 12
+	deadAfter        = 3 * time.Second
+	growAfter        = 6 * time.Second
+	diskTag          = "disk"
+	antiEntropyEvery = 5 * time.Second
+	dutyTTL          = 3000
+	dutyEvery        = time.Second
+	seenMax          = 1 << 12
 )
 
 // Boot is what a core must know.
@@ -64,8 +64,8 @@
 	Voters   int
 	Mark     string
 	NewDisk  func() ident.Disk
-	Machine  owner.Machine
-	Need     int // see cell.Membership
+	Machine  proposer.StateMachine
+	Need     int // see quorum.Membership
 	// CanLose is how many machines with a disk may be lost at once; 0 where nobody says.
 	CanLose int
 	// History is how long at least a group's puts are kept for watches; 60 s if it is 0.
@@ -95,7 +95,7 @@
 	out := Effects{Records: fx.Records}
 	var rest []Send
 	for _, s := range fx.Sends {
-		if s.Msg.Return != nil || s.Msg.MembershipRequest != nil || s.Msg.MembershipResponse != nil || s.Msg.ScanReturn != nil {
+		if s.Msg.Response != nil || s.Msg.MembershipRequest != nil || s.Msg.MembershipResponse != nil || s.Msg.ScanResponse != nil {
 			out.Sends = append(out.Sends, s)
 			continue
 		}
@@ -117,7 +117,7 @@
 	Body     json.RawMessage
 	Defect   *defect.Defect
 	Revision ident.Revision
-	Found    map[ident.Key]survey.Found
+	Found    map[ident.Key]quorumread.Found
 }
 
 // Node is one core.
@@ -125,9 +125,9 @@
 	boot         Boot
 	Disk         ident.Disk
 	began        moment.Moment
-	membership   *acceptor.Acceptor
-	rep          *replica.Replica
-	own          *owner.Owner
+	membership   *membership.Acceptor
+	acceptor     *acceptor.Acceptor
+	proposer     *proposer.Proposer
 	reconfigurer *reconfiguration.Reconfigurer
 	bootstrap    *bootstrap.Bootstrap
 	Ledger       *ledger.Ledger
@@ -155,8 +155,8 @@
 	copiedAt     ident.Epoch // the membership epoch whose cells were copied and synced
 	copy         uint64      // the turn of the word that a copy is synced, 0 if none is awaited
 	copyAt       moment.Moment
-	swept        moment.Moment
-	found        Sweep
+	lastPass     moment.Moment
+	passFound    Pass
 	dutied       moment.Moment
 	fence        uint64
 	holds        bool
@@ -164,23 +164,23 @@
 	rolled       moment.Moment
 	// audited is the newest epoch in the audit log and leaves their number, as this core
 	// last read or wrote it. Both only rise, for the log only grows.
-	audited    ident.Epoch
-	leaves     int
-	auditAt    moment.Moment
-	Sweeps     uint64
-	Mended     uint64
-	Epoch      ident.Epoch   // newest manifest epoch learned
-	no         uint64        // of the last hello
-	stamps     []stamp       // when the last hellos were sent, in order of their numbers
-	called     moment.Moment // when those that were never heard were last told hello
-	wants      []ident.Addr
-	freshAsOf  moment.Moment // nothing newer than Epoch was confirmed before this
-	refreshing moment.Moment // when the read that is out began, 0 if none is
-	wasStale   bool          // see Stale
-	behind     moment.Moment // since when a newer manifest than the one held is known of, 0 if none is
-	rolling    moment.Moment // when a roll-out was last known to run
-	silence    silenceRound
-	joins      admission.Queue
+	audited           ident.Epoch
+	leaves            int
+	auditAt           moment.Moment
+	AntiEntropyPasses uint64
+	Repaired          uint64
+	Epoch             ident.Epoch   // newest manifest epoch learned
+	no                uint64        // of the last hello
+	stamps            []stamp       // when the last hellos were sent, in order of their numbers
+	called            moment.Moment // when those that were never heard were last told hello
+	wants             []ident.Addr
+	freshAsOf         moment.Moment // nothing newer than Epoch was confirmed before this
+	refreshing        moment.Moment // when the read that is out began, 0 if none is
+	wasStale          bool          // see Stale
+	behind            moment.Moment // since when a newer manifest than the one held is known of, 0 if none is
+	rolling           moment.Moment // when a roll-out was last known to run
+	silence           silenceRound
+	joins             admission.Queue
 	// JoinBatches counts the batches of joins that were begun here, JoinsRefused the joins
 	// that were told to come back.
 	JoinBatches  uint64
@@ -188,15 +188,15 @@
 	in           []func(*Node, moment.Moment, message.Message, *Effects) bool
 }
 
-// Kinds is the book of every deed that the control state knows; history is as in Boot.
-func Kinds(history time.Duration) book.Book {
+// Handlers is the table of every operation that the control state knows; history is as in Boot.
+func Handlers(history time.Duration) book.Book {
 	all := book.Book{}
 	for _, b := range []book.Book{lock.Deeds(), number.Deeds(), key.Deeds(), group.Deeds(history), share.Deeds(), offer.Deeds(), rollout.Deeds(), chunk.Deeds()} {
 		for kind, h := range b {
 			all[kind] = h
 		}
 	}
-	all[owner.Mend] = func(owner.Turn, json.RawMessage, json.RawMessage) book.Entry { return book.Entry{} }
+	all[proposer.Repair] = func(proposer.Context, json.RawMessage, json.RawMessage) book.Entry { return book.Entry{} }
 	return all
 }
 
@@ -204,7 +204,7 @@
 // before anything else.
 func New(now moment.Moment, boot Boot, recs []ring.Record) (*Node, []ring.Record, error) {
 	if boot.Machine == nil {
-		boot.Machine = Kinds(boot.History)
+		boot.Machine = Handlers(boot.History)
 	}
 	if boot.Voters == 0 {
 		boot.Voters = 5
@@ -223,59 +223,59 @@
 	}
 	n.first = ident.FirstNumber(boot.Mark)
 	n.count = n.first
-	n.rep, n.membership, n.away = replica.New(n.Disk), acceptor.New(n.Disk), &departure{}
+	n.acceptor, n.membership, n.away = acceptor.New(n.Disk), membership.New(n.Disk), &departure{}
 	n.missed = &catchUp{}
 	for _, rec := range recs {
 		if len(rec.Data) == 0 || rec.Tag == diskTag {
 			continue
 		}
-		if rec.Tag == acceptor.Tag {
+		if rec.Tag == membership.Tag {
 			if err := n.membership.Load(rec.Data); err != nil {
 				return nil, nil, err
 			}
 			continue
 		}
-		if _, err := n.rep.Load(rec); err != nil {
+		if _, err := n.acceptor.Load(rec); err != nil {
 			return nil, nil, err
 		}
 	}
 	n.membership.Current.Need = boot.Need
-	n.begin(now)
+	n.start(now)
 	return n, write, nil
 }
 
-// owning makes the owner of this disk's name.
-func (n *Node) owning() *owner.Owner {
-	own := owner.New(string(n.Disk)+"."+n.boot.Mark, n.boot.Machine)
-	own.Near = func(k ident.Key) cell.Cell { return n.rep.Peek(k) }
-	return own
+// newProposer makes the proposer of this disk's name.
+func (n *Node) newProposer() *proposer.Proposer {
+	created := proposer.New(string(n.Disk)+"."+n.boot.Mark, n.boot.Machine)
+	created.Local = func(k ident.Key) quorum.Record { return n.acceptor.Peek(k) }
+	return created
 }
 
-func (n *Node) begin(now moment.Moment) {
-	n.own = n.owning()
+func (n *Node) start(now moment.Moment) {
+	n.proposer = n.newProposer()
 	n.reconfigurer = reconfiguration.New(n.Disk, n.boot.Mark)
 	n.bootstrap = bootstrap.New(n.Disk, n.boot.Addr, n.boot.Founders)
-	n.own.SetMembership(now, n.membership.Current)
+	n.proposer.SetMembership(now, n.membership.Current)
 	n.in = inbox
 	n.rolls = drive.New()
 }
 
-// Roster is the membership in force here.
-func (n *Node) Membership() cell.Membership { return n.membership.Current }
+// Membership is the membership in force here.
+func (n *Node) Membership() quorum.Membership { return n.membership.Current }
 
-// Votes tells whether this disk's returns count.
+// Votes tells whether this disk's responses count.
 func (n *Node) Votes() bool { return !n.broken && n.membership.Current.Counts(n.Disk) }
 
-// Cells counts what the disk holds.
-func (n *Node) Cells() int { return n.rep.Len() }
+// Records counts what the disk holds.
+func (n *Node) Records() int { return n.acceptor.Len() }
 
-// Owned lists the keys held now.
-func (n *Node) Owned() []ident.Key { return n.own.Keys() }
+// HeldKeys lists the keys held now.
+func (n *Node) HeldKeys() []ident.Key { return n.proposer.Keys() }
 
-// Owner gives the owner's counters.
-func (n *Node) Owner() *owner.Owner { return n.own }
+// Proposer gives the proposer, for its counters.
+func (n *Node) Proposer() *proposer.Proposer { return n.proposer }
 
-// Duty tells whether this core holds the sweeping duty.
+// Duty tells whether this core holds the anti-entropy duty.
 func (n *Node) Duty() bool { return n.holds }
 
 // Break says whether the disk is out of use; it tells whether that is news.
@@ -289,7 +289,7 @@
 func (n *Node) next() uint64 { n.count++; return n.count }
 
 // send reaches a voter, at the address it was last heard from.
-func (n *Node) send(v cell.Voter, m message.Message, fx *Effects) {
+func (n *Node) send(v quorum.Voter, m message.Message, fx *Effects) {
 	if v.Disk == n.Disk {
 		fx.Sends = append(fx.Sends, Send{n.boot.Addr, m})
 		return
@@ -321,15 +321,15 @@
 
 func init() {
 	inbox = []func(*Node, moment.Moment, message.Message, *Effects) bool{
-		(*Node).onHello, (*Node).onAsk, (*Node).onReturn, (*Node).onForward, (*Node).onCarried, (*Node).onScan,
-		(*Node).onScanReturn, (*Node).onLearned, (*Node).onMembershipRequest, (*Node).onMembershipResponse, (*Node).onHandover,
+		(*Node).onHello, (*Node).onRequest, (*Node).onResponse, (*Node).onForward, (*Node).onCarried, (*Node).onScan,
+		(*Node).onScanResponse, (*Node).onLearned, (*Node).onMembershipRequest, (*Node).onMembershipResponse, (*Node).onHandover,
 		(*Node).onKept, (*Node).onWant, (*Node).onSilence,
 	}
 }
 
-// Amnesia makes the replica forget everything, which no real disk may; the
+// Amnesia makes the acceptor forget everything, which no real disk may; the
 // simulator uses it to see its checkers catch that.
-func (n *Node) Amnesia() { n.rep = replica.New(n.Disk) }
+func (n *Node) Amnesia() { n.acceptor = acceptor.New(n.Disk) }
 
 // Copies gives what this disk holds of every key, without values.
-func (n *Node) Copies() map[ident.Key]cell.Cell { return n.rep.Copies() }
+func (n *Node) Copies() map[ident.Key]quorum.Record { return n.acceptor.Copies() }
--- a/control/core/node/node_test.go
+++ b/control/core/node/node_test.go
@@ -11,7 +11,7 @@
 
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/core/node"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/storage/ring"
@@ -27,7 +27,7 @@
 	// disks holds what each wrote last under a tag.
 	disks map[ident.Addr]map[string]ring.Record
 	lost  func(to ident.Addr, m message.Message) bool
-	// tickets numbers the deeds of helpers.
+	// tickets numbers the operations of helpers.
 	tickets uint64
 }
 
@@ -105,8 +105,8 @@
 	}
 }
 
-func (x *trio) deed(at ident.Addr, ticket uint64, kind string, key ident.Key) {
-	x.out(at, x.nodes[at].Deed(x.now, ticket, owner.Deed{Op: ident.Op(kind), Key: key, Kind: kind}, 4*time.Second))
+func (x *trio) submit(at ident.Addr, ticket uint64, kind string, key ident.Key) {
+	x.out(at, x.nodes[at].Submit(x.now, ticket, proposer.Operation{Op: ident.Op(kind), Key: key, Kind: kind}, 4*time.Second))
 }
 
 func (x *trio) end(ticket uint64) *node.End {
@@ -121,7 +121,7 @@
 // ownerOf finds who holds a key.
 func (x *trio) ownerOf(k ident.Key) ident.Addr {
 	for _, a := range three {
-		for _, have := range x.nodes[a].Owned() {
+		for _, have := range x.nodes[a].HeldKeys() {
 			if have == k {
 				return a
 			}
@@ -130,21 +130,21 @@
 	return ""
 }
 
-// A killed owner's keys are taken over as soon as its address takes no connection,
+// A killed proposer's keys are taken over as soon as its address takes no connection,
 // not only when its hellos stop; and its slot of the membership is left alone.
-func TestKilledOwnerIsFollowedAtOnce(t *testing.T) {
+func TestKilledProposerIsFollowedAtOnce(t *testing.T) {
 	x := newTrio(t)
-	x.deed("a:1", 1, "number/next", "number/n")
+	x.submit("a:1", 1, "number/next", "number/n")
 	x.run(200 * time.Millisecond)
 	must.Nil(t, x.end(1).Defect)
-	own := x.ownerOf("number/n")
-	x.dead[own] = true
+	created := x.ownerOf("number/n")
+	x.dead[created] = true
 	at := three[0]
-	if own == at {
+	if created == at {
 		at = three[1]
 	}
 	began := x.now
-	x.deed(at, 2, "number/read", "number/n")
+	x.submit(at, 2, "number/read", "number/n")
 	for x.end(2) == nil && x.now.Since(began) < 3*time.Second {
 		x.run(10 * time.Millisecond)
 	}
@@ -154,11 +154,11 @@
 	must.Eq(t, ident.Epoch(1), x.nodes[at].Membership().Epoch)
 }
 
-// A forward that is doubled or repeated acts once, and a lost return is given again.
+// A forward that is doubled or repeated acts once, and a lost response is given again.
 func TestForwardActsOnce(t *testing.T) {
 	for _, lose := range []string{"", "forward", "carried"} {
 		x := newTrio(t)
-		x.deed("a:1", 1, "number/next", "number/n")
+		x.submit("a:1", 1, "number/next", "number/n")
 		x.run(200 * time.Millisecond)
 		at := three[0]
 		if x.ownerOf("number/n") == at {
@@ -177,58 +177,58 @@
 			}
 			return false
 		}
-		x.out(at, x.nodes[at].Deed(x.now, 2, owner.Deed{Key: "number/n", Kind: "number/next"}, 4*time.Second))
+		x.out(at, x.nodes[at].Submit(x.now, 2, proposer.Operation{Key: "number/n", Kind: "number/next"}, 4*time.Second))
 		x.run(time.Second)
 		must.True(t, dropped)
 		must.NotNil(t, x.end(2), must.Sprint(lose))
 		must.Eq(t, `{"number":2}`, string(x.end(2).Body), must.Sprint(lose))
-		x.deed("a:1", 3, "number/read", "number/n")
+		x.submit("a:1", 3, "number/read", "number/n")
 		x.run(200 * time.Millisecond)
 		must.Eq(t, `{"number":2}`, string(x.end(3).Body), must.Sprint(lose))
 	}
 }
 
-// A planned stop hands keys over: the successor holds them before the owner is gone,
+// A planned stop hands keys over: the successor holds them before the proposer is gone,
 // and nothing in hand is lost.
 func TestPlannedStopHandsOver(t *testing.T) {
 	x := newTrio(t)
-	x.deed("a:1", 1, "number/next", "number/n")
+	x.submit("a:1", 1, "number/next", "number/n")
 	x.run(200 * time.Millisecond)
-	own := x.ownerOf("number/n")
-	x.out(own, x.nodes[own].Leave(x.now))
+	created := x.ownerOf("number/n")
+	x.out(created, x.nodes[created].Leave(x.now))
 	x.run(60 * time.Millisecond)
 	left := false
 	for i := 0; i < 50 && !left; i++ {
 		var fx node.Effects
-		left, fx = x.nodes[own].Left(x.now)
-		x.out(own, fx)
+		left, fx = x.nodes[created].Left(x.now)
+		x.out(created, fx)
 		x.run(20 * time.Millisecond)
 	}
 	must.True(t, left)
 	heir := x.ownerOf("number/n")
 	must.NotEq(t, "", heir)
-	must.NotEq(t, own, heir)
-	x.dead[own] = true
-	x.deed(heir, 2, "number/read", "number/n")
+	must.NotEq(t, created, heir)
+	x.dead[created] = true
+	x.submit(heir, 2, "number/read", "number/n")
 	x.run(200 * time.Millisecond)
 	must.Eq(t, `{"number":1}`, string(x.end(2).Body))
 }
 
-// A change forwarded to an owner that is just leaving, in every order of the first
+// A change forwarded to a proposer that is just leaving, in every order of the first
 // messages: it acts once, and what its sender was told is true.
 func TestAllOrdersOfHandover(t *testing.T) {
 	told := 0
 	for seed := range 4 * 4 * 4 * 4 * 4 {
 		x := newTrio(t)
-		x.deed("a:1", 1, "number/next", "number/n")
+		x.submit("a:1", 1, "number/next", "number/n")
 		x.run(100 * time.Millisecond)
-		own := x.ownerOf("number/n")
+		created := x.ownerOf("number/n")
 		at := three[0]
-		if own == at {
+		if created == at {
 			at = three[1]
 		}
-		x.out(at, x.nodes[at].Deed(x.now, 2, owner.Deed{Op: "twice", Key: "number/n", Kind: "number/next"}, 2*time.Second))
-		x.out(own, x.nodes[own].Leave(x.now))
+		x.out(at, x.nodes[at].Submit(x.now, 2, proposer.Operation{Op: "twice", Key: "number/n", Kind: "number/next"}, 2*time.Second))
+		x.out(created, x.nodes[created].Leave(x.now))
 		for pick, n := seed, 0; n < 60 && len(x.post) > 0; n++ {
 			i := 0
 			if n < 5 {
@@ -239,18 +239,18 @@
 			x.out(p.to, x.nodes[p.to].Step(x.now, p.m))
 		}
 		for n := 0; n < 20; n++ {
-			left, fx := x.nodes[own].Left(x.now)
-			x.out(own, fx)
+			left, fx := x.nodes[created].Left(x.now)
+			x.out(created, fx)
 			x.run(20 * time.Millisecond)
 			if left {
-				x.dead[own] = true
+				x.dead[created] = true
 			}
 		}
-		must.True(t, x.dead[own], must.Sprintf("seed %d: the owner could not leave", seed))
+		must.True(t, x.dead[created], must.Sprintf("seed %d: the proposer could not leave", seed))
 		x.run(2 * time.Second)
 		end := x.end(2)
 		must.NotNil(t, end)
-		x.deed(at, 3, "number/read", "number/n")
+		x.submit(at, 3, "number/read", "number/n")
 		x.run(500 * time.Millisecond)
 		must.Nil(t, x.end(3).Defect)
 		now := string(x.end(3).Body)
--- a/control/core/node/deeds.go
+++ b/control/core/node/operations.go
@@ -8,33 +8,35 @@
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/control/register/owner"
-	"cottonarch.example/cottonarch/control/register/place"
+	"cottonarch.example/cottonarch/control/register/placement"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	rollout "cottonarch.example/cottonarch/control/rollout/state"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
 
-// pending is one deed that this core has to answer. Invariants: at most one copy is
+// pending is one operation that this core has to answer. Invariants: at most one copy is
 // out at a time, but for copies sent to processes that were then given up, which
-// are counted in open; risk is set once any copy may have taken effect.
+// are counted in givenUp; mayHaveTakenEffect is set once any copy may have taken effect.
 type pending struct {
-	ticket uint64
-	deed   owner.Deed
-	until  moment.Moment
-	pause  moment.Moment
-	out    uint64 // the forward ticket or local tag, 0 when none
-	sent   moment.Moment
-	at     ident.Addr
-	mark   string
-	open   int
-	risk   bool
-	done   func(moment.Moment, End, *Effects)
+	ticket             uint64
+	operation          proposer.Operation
+	until              moment.Moment
+	pause              moment.Moment
+	out                uint64 // the forward ticket or local tag, 0 when none
+	sent               moment.Moment
+	at                 ident.Addr
+	instance           string
+	givenUp            int
+	mayHaveTakenEffect bool
+	done               func(moment.Moment, End, *Effects)
 }
 
-// mayAct tells whether some copy of the deed may have changed something, or may yet.
-func (p *pending) mayAct() bool { return (p.risk || p.open > 0) && !harmless[p.deed.Kind] }
+// mayAct tells whether some copy of the operation may have changed something, or may yet.
+func (p *pending) mayAct() bool {
+	return (p.mayHaveTakenEffect || p.givenUp > 0) && !harmless[p.operation.Kind]
+}
 
 type guest struct {
 	from   ident.Addr
@@ -43,23 +45,23 @@
 	name   string
 }
 
-// replayMax is the largest return that is kept for a repeat.
+// replayMax is the largest response that is kept for a repeat.
 const replayMax = 4 << 10
 
-// harmless lists the deeds that change nothing, so that running them twice is harmless.
-var harmless = map[string]bool{"lock/read": true, "number/read": true, "key/read": true, "share/read": true, "manifest/read": true, "manifest/epoch": true, "rollout/read": true, "manifest/lines": true, "group/read": true, "group/since": true, owner.Mend: true}
+// harmless lists the operations that change nothing, so that running them twice is harmless.
+var harmless = map[string]bool{"lock/read": true, "number/read": true, "key/read": true, "share/read": true, "manifest/read": true, "manifest/epoch": true, "rollout/read": true, "manifest/lines": true, "group/read": true, "group/since": true, proposer.Repair: true}
 
-// Deed takes a local request; its End carries the ticket.
-func (n *Node) Deed(now moment.Moment, ticket uint64, d owner.Deed, budget time.Duration) (fx Effects) {
-	n.begindeed(now, &pending{ticket: ticket, deed: d, until: now.Add(budget)}, &fx)
+// Submit takes a local request; its End carries the ticket.
+func (n *Node) Submit(now moment.Moment, ticket uint64, d proposer.Operation, budget time.Duration) (fx Effects) {
+	n.begin(now, &pending{ticket: ticket, operation: d, until: now.Add(budget)}, &fx)
 	return fx
 }
 
-func (n *Node) begindeed(now moment.Moment, p *pending, fx *Effects) {
-	if p.deed.Op == "" {
-		p.deed.Op = ident.Op(fmt.Sprintf("%s.%s.%d", n.Disk, n.boot.Mark, n.next()-n.first))
+func (n *Node) begin(now moment.Moment, p *pending, fx *Effects) {
+	if p.operation.Op == "" {
+		p.operation.Op = ident.Op(fmt.Sprintf("%s.%s.%d", n.Disk, n.boot.Mark, n.next()-n.first))
 	}
-	if grows[p.deed.Kind] && n.boot.Full != nil && n.boot.Full() {
+	if grows[p.operation.Kind] && n.boot.Full != nil && n.boot.Full() {
 		n.finish(now, p, End{Defect: defect.New(defect.Full, "the disk has no room for more control state")}, fx)
 		return
 	}
@@ -67,23 +69,23 @@
 		n.finish(now, p, End{Defect: defect.New(defect.Busy, "too many deeds are in hand").Later(1)}, fx)
 		return
 	}
-	n.steer(now, p, fx)
+	n.dispatch(now, p, fx)
 }
 
-// pendMax bounds the deeds in hand at one core.
+// pendMax bounds the operations in hand at one core.
 const pendMax = 20000
 
-// grows lists the deeds that may need more room on the disks.
+// grows lists the operations that may need more room on the disks.
 var grows = map[string]bool{"key/write": true, "manifest/offer": true, "lock/claim": true, "number/next": true, "rollout/begin": true, "group/put": true}
 
-// steer sends the one copy of a pending deed to the key's owner.
-func (n *Node) steer(now moment.Moment, p *pending, fx *Effects) {
+// dispatch sends the one copy of a pending operation to the key's proposer.
+func (n *Node) dispatch(now moment.Moment, p *pending, fx *Effects) {
 	if n.cutOff(now) && !p.mayAct() {
 		n.late(now, p, fx)
 		return
 	}
 	disks, at := n.live(now)
-	first, _ := place.Owner(p.deed.Key, disks)
+	first, _ := placement.Proposer(p.operation.Key, disks)
 	if first == "" || p.pause.After(now) || !n.Majority(now) {
 		n.wait = append(n.wait, p)
 		return
@@ -91,14 +93,14 @@
 	p.out = n.next()
 	n.pend[p.out] = p
 	if first == n.Disk {
-		p.at, p.mark = n.boot.Addr, n.boot.Mark
-		d := p.deed
-		d.Tag, d.Until = p.out, p.until
-		n.owned(now, n.own.Submit(now, d), fx)
+		p.at, p.instance = n.boot.Addr, n.boot.Mark
+		d := p.operation
+		d.Ticket, d.Deadline = p.out, p.until
+		n.applyProposer(now, n.proposer.Submit(now, d), fx)
 		return
 	}
 	p.at = at[first]
-	p.mark = n.peers[p.at].hello.Mark
+	p.instance = n.peers[p.at].hello.Mark
 	n.forward(now, p, fx)
 }
 
@@ -107,7 +109,7 @@
 func (n *Node) forward(now moment.Moment, p *pending, fx *Effects) {
 	p.sent = now
 	left := max(1, p.until.Since(now).Milliseconds())
-	fx.Sends = append(fx.Sends, Send{p.at, message.Message{To: p.mark, Forward: &message.Forward{Ticket: p.out, Deed: p.deed, LeftMs: left}}})
+	fx.Sends = append(fx.Sends, Send{p.at, message.Message{To: p.instance, Forward: &message.Forward{Ticket: p.out, Operation: p.operation, LeftMs: left}}})
 }
 
 func (n *Node) finish(now moment.Moment, p *pending, e End, fx *Effects) {
@@ -129,44 +131,44 @@
 func (n *Node) ended(now moment.Moment, p *pending, c message.Carried, fx *Effects) {
 	delete(n.pend, p.out)
 	p.out = 0
-	if !c.Lost {
+	if !c.Abandoned {
 		n.finish(now, p, End{Body: c.Body, Defect: c.Defect, Revision: c.Revision}, fx)
 		return
 	}
-	p.risk = p.risk || c.Risk
+	p.mayHaveTakenEffect = p.mayHaveTakenEffect || c.MayHaveTakenEffect
 	p.pause = now.Add(40 * time.Millisecond)
 	n.wait = append(n.wait, p)
 }
 
-// owned carries out what the owner wants.
-func (n *Node) owned(now moment.Moment, o owner.Effects, fx *Effects) {
+// applyProposer carries out what the proposer wants.
+func (n *Node) applyProposer(now moment.Moment, o proposer.Effects, fx *Effects) {
 	for _, s := range o.Sends {
-		ask := s.Ask
-		n.send(s.To, message.Message{Ask: &ask}, fx)
+		ask := s.Request
+		n.send(s.To, message.Message{Request: &ask}, fx)
 	}
 	for _, out := range o.Outcomes {
-		c := message.Carried{Body: out.Body, Defect: out.Defect, Revision: out.Revision, Lost: out.Lost, Risk: out.Risk}
-		if out.Changed && !out.Lost {
-			l := message.Learned{Key: out.Deed.Key, Revision: out.Revision, Ballot: out.Ballot}
+		c := message.Carried{Body: out.Body, Defect: out.Defect, Revision: out.Revision, Abandoned: out.Abandoned, MayHaveTakenEffect: out.MayHaveTakenEffect}
+		if out.Changed && !out.Abandoned {
+			l := message.Learned{Key: out.Operation.Key, Revision: out.Revision, Ballot: out.Ballot}
 			n.learn(now, l, fx)
 			for _, a := range n.peerAddrs() {
 				fx.Sends = append(fx.Sends, Send{a, message.Message{Learned: &l}})
 			}
 		}
-		if g, ok := n.guests[out.Deed.Tag]; ok {
-			delete(n.guests, out.Deed.Tag)
+		if g, ok := n.guests[out.Operation.Ticket]; ok {
+			delete(n.guests, out.Operation.Ticket)
 			c.Ticket = g.ticket
 			if _, kept := n.seen[g.name]; kept {
 				n.seen[g.name] = &c
 				if len(c.Body) > replayMax {
-					// The book of the key remembers it; this end only says so.
-					n.seen[g.name] = &message.Carried{Ticket: g.ticket, Lost: true, Risk: true}
+					// The key's record remembers it; this end only says so.
+					n.seen[g.name] = &message.Carried{Ticket: g.ticket, Abandoned: true, MayHaveTakenEffect: true}
 				}
 			}
 			fx.Sends = append(fx.Sends, Send{g.from, message.Message{To: g.mark, Carried: &c}})
 			continue
 		}
-		if p, ok := n.pend[out.Deed.Tag]; ok {
+		if p, ok := n.pend[out.Operation.Ticket]; ok {
 			n.ended(now, p, c, fx)
 		}
 	}
@@ -180,19 +182,19 @@
 	if l.Key == offer.Key {
 		n.Epoch = max(n.Epoch, ident.Epoch(l.Revision))
 		// The value itself lies here already when this disk took part in the round.
-		if c := n.rep.Peek(l.Key); !l.Ballot.Zero() && c.Accepted == l.Ballot && c.Revision == l.Revision {
+		if c := n.acceptor.Peek(l.Key); !l.Ballot.Zero() && c.Accepted == l.Ballot && c.Revision == l.Revision {
 			fx.Confirmed = book.State(c.Value)
 		}
 	}
 }
 
-// gone gives up the copies that are out at a process that is no more.
-func (n *Node) gone(now moment.Moment, addr ident.Addr, mark string) {
+// abandonCopies gives up the copies that are out at a process that is no more.
+func (n *Node) abandonCopies(now moment.Moment, addr ident.Addr, mark string) {
 	for _, out := range n.outs() {
 		p := n.pend[out]
-		if p.at == addr && p.mark == mark {
+		if p.at == addr && p.instance == mark {
 			delete(n.pend, out)
-			p.out, p.risk = 0, true
+			p.out, p.mayHaveTakenEffect = 0, true
 			n.wait = append(n.wait, p)
 		}
 	}
@@ -211,7 +213,7 @@
 	if m.Forward == nil {
 		return false
 	}
-	name := fmt.Sprintf("%s/%d/%s", m.From, m.Forward.Ticket, m.Forward.Deed.Op)
+	name := fmt.Sprintf("%s/%d/%s", m.From, m.Forward.Ticket, m.Forward.Operation.Op)
 	mark := ""
 	if p := n.peers[m.From]; p != nil {
 		mark = p.hello.Mark
@@ -224,10 +226,10 @@
 	}
 	var away *message.Carried
 	if n.leaving || n.broken || !n.membership.Current.Counts(n.Disk) {
-		away = &message.Carried{Ticket: m.Forward.Ticket, Lost: true}
+		away = &message.Carried{Ticket: m.Forward.Ticket, Abandoned: true}
 	}
-	if !harmless[m.Forward.Deed.Kind] {
-		// What was turned away is remembered too: a copy of it that is still on its way must
+	if !harmless[m.Forward.Operation.Kind] {
+		// What was rejected is remembered too: a copy of it that is still on its way must
 		// not be begun here after its sender was told that it was not.
 		n.seen[name] = away
 		n.seenList = append(n.seenList, name)
@@ -240,13 +242,13 @@
 		fx.Sends = append(fx.Sends, Send{m.From, message.Message{To: mark, Carried: away}})
 		return true
 	}
-	d := m.Forward.Deed
-	d.Tag = n.next()
+	d := m.Forward.Operation
+	d.Ticket = n.next()
 	if m.Forward.LeftMs > 0 {
-		d.Until = now.Add(time.Duration(m.Forward.LeftMs) * time.Millisecond)
+		d.Deadline = now.Add(time.Duration(m.Forward.LeftMs) * time.Millisecond)
 	}
-	n.guests[d.Tag] = guest{m.From, mark, m.Forward.Ticket, name}
-	n.owned(now, n.own.Submit(now, d), fx)
+	n.guests[d.Ticket] = guest{m.From, mark, m.Forward.Ticket, name}
+	n.applyProposer(now, n.proposer.Submit(now, d), fx)
 	return true
 }
 
--- a/control/core/node/peers.go
+++ b/control/core/node/peers.go
@@ -195,14 +195,14 @@
 		return fx
 	}
 	p.down = true
-	n.gone(now, addr, p.hello.Mark)
+	n.abandonCopies(now, addr, p.hello.Mark)
 	n.pendings(now, &fx)
 	return fx
 }
 
 // near lists the counted voters that are heard, this disk first, then those of its own
-// district, which kin counts, then the rest.
-func (n *Node) near(now moment.Moment) (out []ident.Disk, kin int) {
+// district, which nearCount counts, then the rest.
+func (n *Node) near(now moment.Moment) (out []ident.Disk, nearCount int) {
 	disks, at := n.live(now)
 	if !slices.Contains(disks, n.Disk) {
 		return nil, 0
@@ -215,8 +215,8 @@
 			}
 		}
 		if same {
-			kin = len(out) - 1
+			nearCount = len(out) - 1
 		}
 	}
-	return out, kin
+	return out, nearCount
 }
--- a/control/core/node/placement.go
+++ b/control/core/node/placement.go
@@ -6,8 +6,8 @@
 
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/membership/reconfiguration"
-	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/register/survey"
+	"cottonarch.example/cottonarch/control/register/quorum"
+	"cottonarch.example/cottonarch/control/register/quorumread"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
@@ -37,24 +37,24 @@
 	me, in := r.Find(n.Disk)
 	switch {
 	case in && me.Counted && me.Addr != n.boot.Addr:
-		n.sendReconfiguration(n.reconfigurer.Begin(now, r, reconfiguration.MoveVoter(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr})), fx)
+		n.sendReconfiguration(n.reconfigurer.Begin(now, r, reconfiguration.MoveVoter(quorum.Voter{Disk: n.Disk, Addr: n.boot.Addr})), fx)
 	case n.leaving:
 	case in && me.Counted:
 		n.sheds(now, r, fx)
 	case in && me.Joining && !n.canGrow(now, r) && !n.relieves(now, r):
 		if n.mayTakeSlot(now, r) {
-			n.sendReconfiguration(n.reconfigurer.Begin(now, r, reconfiguration.TakeSlot(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr}, n.boot.Voters, false)), fx)
+			n.sendReconfiguration(n.reconfigurer.Begin(now, r, reconfiguration.TakeSlot(quorum.Voter{Disk: n.Disk, Addr: n.boot.Addr}, n.boot.Voters, false)), fx)
 		}
 	case in && n.copiedAt == r.Epoch:
 		n.sendReconfiguration(n.reconfigurer.Begin(now, r, reconfiguration.CountIn(n.Disk)), fx)
 	case in && (!n.copyingState || n.copy != 0 && now.Since(n.copyAt) > copyAgain):
 		n.copyingState = true
-		n.survey(now, &reading{until: now.Add(time.Minute), done: n.takeCopies(r.Epoch)}, "", true, n.Disk, fx)
+		n.quorumRead(now, &reading{until: now.Add(time.Minute), done: n.takeCopies(r.Epoch)}, "", true, n.Disk, fx)
 	case !in && n.relieves(now, r):
-		n.sendReconfiguration(n.reconfigurer.Begin(now, r, reconfiguration.TakeSlot(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr}, len(r.Voters)+1, true)), fx)
+		n.sendReconfiguration(n.reconfigurer.Begin(now, r, reconfiguration.TakeSlot(quorum.Voter{Disk: n.Disk, Addr: n.boot.Addr}, len(r.Voters)+1, true)), fx)
 	case !in && n.mayTakeSlot(now, r):
 		grow := n.mayGrow(now, r)
-		n.sendReconfiguration(n.reconfigurer.Begin(now, r, reconfiguration.TakeSlot(cell.Voter{Disk: n.Disk, Addr: n.boot.Addr}, n.boot.Voters, grow)), fx)
+		n.sendReconfiguration(n.reconfigurer.Begin(now, r, reconfiguration.TakeSlot(quorum.Voter{Disk: n.Disk, Addr: n.boot.Addr}, n.boot.Voters, grow)), fx)
 	}
 }
 
@@ -63,7 +63,7 @@
 // number is even. A core more than an odd number adds to no majority's strength; it stands
 // by, and takes the next empty slot. Had it been counted in, and the voter whose successor
 // it was to be then gone for good, every later loss would be one too many.
-func (n *Node) canGrow(now moment.Moment, r cell.Membership) bool {
+func (n *Node) canGrow(now moment.Moment, r quorum.Membership) bool {
 	near := n.healthy(now)
 	others := 0
 	for _, v := range r.Voters {
@@ -92,8 +92,8 @@
 // not heard here, or it may grow the membership, which has fewer voters than there should be.
 // Who can have none does not ask: each question outbids those that would be agreed to. Only then is a majority asked, and what its disks have heard decides; so a
 // core that has just come need not itself wait for a voter's silence to be long.
-func (n *Node) mayTakeSlot(now moment.Moment, r cell.Membership) bool {
-	if slices.ContainsFunc(r.Voters, func(v cell.Voter) bool { return v.Addr == n.boot.Addr && v.Disk != n.Disk }) {
+func (n *Node) mayTakeSlot(now moment.Moment, r quorum.Membership) bool {
+	if slices.ContainsFunc(r.Voters, func(v quorum.Voter) bool { return v.Addr == n.boot.Addr && v.Disk != n.Disk }) {
 		return true
 	}
 	ran := now.Since(n.began)
@@ -103,13 +103,13 @@
 	near := n.heard(now, deadAfter)
 	_, in := r.Find(n.Disk)
 	return !in && n.mayGrow(now, r) && len(r.Voters) < n.boot.Voters ||
-		slices.ContainsFunc(r.Voters, func(v cell.Voter) bool { return !slices.Contains(near, v.Disk) && (!in || !v.Joining) })
+		slices.ContainsFunc(r.Voters, func(v quorum.Voter) bool { return !slices.Contains(near, v.Disk) && (!in || !v.Joining) })
 }
 
 // mayGrow tells whether this disk may ask for a slot of its own. A core that replaces
 // another is given time to find the empty slot first; where there are too few slots to bear
 // what may be lost at once, it waits no longer than it takes to hear the others.
-func (n *Node) mayGrow(now moment.Moment, r cell.Membership) bool {
+func (n *Node) mayGrow(now moment.Moment, r quorum.Membership) bool {
 	ran := now.Since(n.began)
 	return ran > growAfter || r.Size() < 2*n.boot.CanLose+1 && ran > heartbeatTimeout
 }
@@ -132,25 +132,25 @@
 // takeCopies takes every key that a majority of the counted voters held at the epoch. The
 // copy is done only once it is synced: the word of that waits at the gate behind its
 // records. A disk that counted sooner and then lost power would count and know nothing.
-func (n *Node) takeCopies(at ident.Epoch) func(moment.Moment, *survey.Survey, *Effects) {
-	return func(now moment.Moment, s *survey.Survey, fx *Effects) {
+func (n *Node) takeCopies(at ident.Epoch) func(moment.Moment, *quorumread.Reader, *Effects) {
+	return func(now moment.Moment, s *quorumread.Reader, fx *Effects) {
 		if s == nil || n.membership.Current.Epoch != at {
 			n.copyingState = false
 			return
 		}
 		all := s.Found()
 		for _, k := range sortedKeys(all) {
-			fx.Records = append(fx.Records, n.rep.Learn(cell.Row{Key: k, Cell: all[k].Cell})...)
+			fx.Records = append(fx.Records, n.acceptor.Learn(quorum.Row{Key: k, Record: all[k].Record})...)
 		}
 		n.copy, n.copyAt = n.next(), now
-		synced := cell.ScanReturn{Turn: n.copy, Disk: n.Disk, Membership: at}
-		fx.Sends = append(fx.Sends, Send{n.boot.Addr, message.Message{ScanReturn: &synced}})
+		synced := quorum.ScanResponse{Round: n.copy, Disk: n.Disk, Membership: at}
+		fx.Sends = append(fx.Sends, Send{n.boot.Addr, message.Message{ScanResponse: &synced}})
 	}
 }
 
 // copySynced takes the word that the copy is synced.
-func (n *Node) copySynced(r cell.ScanReturn) bool {
-	if r.Turn != n.copy || r.Disk != n.Disk || n.copy == 0 {
+func (n *Node) copySynced(r quorum.ScanResponse) bool {
+	if r.Round != n.copy || r.Disk != n.Disk || n.copy == 0 {
 		return false
 	}
 	n.copy = 0
@@ -160,7 +160,7 @@
 	return true
 }
 
-func sortedKeys(all map[ident.Key]survey.Found) []ident.Key {
+func sortedKeys(all map[ident.Key]quorumread.Found) []ident.Key {
 	out := make([]ident.Key, 0, len(all))
 	for k := range all {
 		out = append(out, k)
--- a/control/core/node/placement_test.go
+++ b/control/core/node/placement_test.go
@@ -11,7 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"cottonarch.example/cottonarch/control/core/message"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -27,7 +27,7 @@
 		"it replaces another": {"d:1", 2 * time.Second},
 	} {
 		x := newTrio(t)
-		x.deed("a:1", 1, "number/next", "number/n")
+		x.submit("a:1", 1, "number/next", "number/n")
 		x.run(200 * time.Millisecond)
 		must.Nil(t, x.end(1).Defect)
 		x.dead["c:1"] = true
@@ -40,7 +40,7 @@
 		}
 		must.LessEq(t, c.within, x.now.Since(from), must.Sprint(name))
 		must.Eq(t, 3, len(x.nodes[c.at].Membership().Voters), must.Sprint(name))
-		must.Positive(t, x.nodes[c.at].Cells(), must.Sprint(name))
+		must.Positive(t, x.nodes[c.at].Records(), must.Sprint(name))
 	}
 }
 
@@ -70,7 +70,7 @@
 	for at := 250 * time.Millisecond; at <= 9*time.Second; at += 250 * time.Millisecond {
 		for _, stop := range []bool{true, false} {
 			x := newTrio(t)
-			x.deed("a:1", 1, "number/next", "number/n")
+			x.submit("a:1", 1, "number/next", "number/n")
 			x.start(t, "d:1", "new-d", nil)
 			x.run(at)
 			if stop {
@@ -85,7 +85,7 @@
 			x.start(t, "e:1", "new-e", nil)
 			x.run(3 * time.Second)
 			must.True(t, x.nodes["e:1"].Votes(), must.Sprint(at, stop))
-			x.deed("c:1", 2, "number/next", "number/n")
+			x.submit("c:1", 2, "number/next", "number/n")
 			x.run(2 * time.Second)
 			must.NotNil(t, x.end(2), must.Sprint(at, stop))
 			must.Nil(t, x.end(2).Defect, must.Sprint(at, stop))
@@ -122,7 +122,7 @@
 		next := func() bool {
 			ticket++
 			if at := names[luck.IntN(len(names))]; !x.dead[at] {
-				x.out(at, x.nodes[at].Deed(x.now, ticket, owner.Deed{Op: ident.Op(fmt.Sprint(ticket)), Key: "number/n", Kind: "number/next"}, 4*time.Second))
+				x.out(at, x.nodes[at].Submit(x.now, ticket, proposer.Operation{Op: ident.Op(fmt.Sprint(ticket)), Key: "number/n", Kind: "number/next"}, 4*time.Second))
 			}
 			x.run(time.Duration(luck.IntN(300)) * time.Millisecond)
 			e := x.end(ticket)
--- a/control/core/node/restart_test.go
+++ b/control/core/node/restart_test.go
@@ -8,26 +8,26 @@
 
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/membership/acceptor"
-	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/storage/ring"
 )
 
-// A page of a survey that an earlier run began is none of the next run's survey: it may be
+// A page of a quorum read that an earlier run began is none of the next run's quorum read: it may be
 // older than what was acknowledged since.
 func TestSurveysOfTwoRunsHaveNoTurnInCommon(t *testing.T) {
 	roster := acceptor.New("d1")
-	roster.Adopt(cell.Membership{Epoch: 1, Voters: []cell.Voter{{Disk: "d1", Addr: "a:1", Counted: true}}})
+	roster.Adopt(quorum.Membership{Epoch: 1, Voters: []quorum.Voter{{Disk: "d1", Addr: "a:1", Counted: true}}})
 	records := []ring.Record{{Tag: "disk", Data: []byte("d1")}, roster.Record()}
 	scan := func(mark string) uint64 {
 		n, _, err := node.New(1, node.Boot{Addr: "a:1", Founders: []ident.Addr{"a:1"}, Mark: mark}, records)
 		must.NoError(t, err)
 		now := moment.Moment(time.Second)
-		fx := n.Survey(now, 1, "", true, time.Second)
+		fx := n.QuorumRead(now, 1, "", true, time.Second)
 		for _, s := range fx.Sends {
 			if s.Msg.Scan != nil {
-				return s.Msg.Scan.Turn
+				return s.Msg.Scan.Round
 			}
 		}
 		t.Fatal("no scan was sent")
--- a/control/core/node/silence.go
+++ b/control/core/node/silence.go
@@ -7,7 +7,7 @@
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/core/message"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/mesh/claim/ledger"
@@ -26,7 +26,7 @@
 // reclaimShares takes back the shares of nodes that a majority has long not heard. The voters
 // are asked only of those that this core has not heard.
 func (n *Node) reclaimShares(now moment.Moment, fx *Effects) {
-	n.internal(now, owner.Deed{Key: shareKey, Kind: "share/read"}, fx, func(now moment.Moment, e End, fx *Effects) {
+	n.internal(now, proposer.Operation{Key: shareKey, Kind: "share/read"}, fx, func(now moment.Moment, e End, fx *Effects) {
 		var s share.Shares
 		if e.Defect != nil || book.Read(nil, e.Body, nil, &s) != nil {
 			return
@@ -40,7 +40,7 @@
 			n.silence.claims[node], n.silence.confirmed[node] = s.Nodes[node].Claim, map[ident.Disk]bool{}
 		}
 		for _, v := range n.membership.Current.Voters {
-			n.send(v, message.Message{Quiet: &message.Quiet{Turn: n.silence.round, Nodes: silent}}, fx)
+			n.send(v, message.Message{Quiet: &message.Quiet{Round: n.silence.round, Nodes: silent}}, fx)
 		}
 	})
 }
@@ -55,11 +55,11 @@
 	}
 	if q.Says == "" {
 		if now.Since(n.began) > ledger.Quiet {
-			fx.Sends = append(fx.Sends, Send{m.From, message.Message{Quiet: &message.Quiet{Turn: q.Turn, Says: n.Disk, Nodes: n.Ledger.Silent(now, q.Nodes)}}})
+			fx.Sends = append(fx.Sends, Send{m.From, message.Message{Quiet: &message.Quiet{Round: q.Round, Says: n.Disk, Nodes: n.Ledger.Silent(now, q.Nodes)}}})
 		}
 		return true
 	}
-	if v, in := n.membership.Current.Find(q.Says); !in || v.Joining || q.Turn != n.silence.round {
+	if v, in := n.membership.Current.Find(q.Says); !in || v.Joining || q.Round != n.silence.round {
 		return true
 	}
 	for _, node := range q.Nodes {
@@ -70,7 +70,7 @@
 		says[q.Says] = true
 		if len(says) == n.membership.Current.Majority() {
 			args := book.JSON(share.Args{Node: node, Claim: n.silence.claims[node]})
-			n.internal(now, owner.Deed{Key: shareKey, Kind: "share/free", Args: args}, fx, func(moment.Moment, End, *Effects) {})
+			n.internal(now, proposer.Operation{Key: shareKey, Kind: "share/free", Args: args}, fx, func(moment.Moment, End, *Effects) {})
 		}
 	}
 	return true
--- a/control/core/node/tick.go
+++ b/control/core/node/tick.go
@@ -6,14 +6,14 @@
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/lock"
 	"cottonarch.example/cottonarch/control/core/message"
-	"cottonarch.example/cottonarch/control/register/owner"
-	"cottonarch.example/cottonarch/control/register/place"
+	"cottonarch.example/cottonarch/control/register/placement"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
 
-// forwardAgain is how long a forwarded deed may be out before it is sent again.
+// forwardAgain is how long a forwarded operation may be out before it is sent again.
 const forwardAgain = 350 * time.Millisecond
 
 // Tick is called many times a second.
@@ -23,8 +23,8 @@
 		n.said = now
 		n.hello(now, false, &fx)
 	}
-	n.own.Close(n.near(now))
-	n.owned(now, n.own.Tick(now), &fx)
+	n.proposer.SetNear(n.near(now))
+	n.applyProposer(now, n.proposer.Tick(now), &fx)
 	n.sendReconfiguration(n.reconfigurer.Tick(now), &fx)
 	n.pendings(now, &fx)
 	n.readings(now, &fx)
@@ -51,7 +51,7 @@
 func (n *Node) pendings(now moment.Moment, fx *Effects) {
 	n.joined = n.joined || n.Majority(now)
 	cut := n.cutOff(now)
-	n.owned(now, n.own.Withdraw(func(d owner.Deed) bool { return cut || d.Until != 0 && now.After(d.Until) }), fx)
+	n.applyProposer(now, n.proposer.Withdraw(func(d proposer.Operation) bool { return cut || d.Deadline != 0 && now.After(d.Deadline) }), fx)
 	list := n.wait
 	n.wait = nil
 	for _, p := range list {
@@ -59,24 +59,24 @@
 			n.late(now, p, fx)
 			continue
 		}
-		n.steer(now, p, fx)
+		n.dispatch(now, p, fx)
 	}
 	for _, out := range n.outs() {
 		p, ok := n.pend[out]
 		if !ok {
 			continue
 		}
-		if now > p.until || cut && harmless[p.deed.Kind] {
+		if now > p.until || cut && harmless[p.operation.Kind] {
 			delete(n.pend, out)
-			p.risk = true
+			p.mayHaveTakenEffect = true
 			n.late(now, p, fx)
 			continue
 		}
 		if q := n.peers[p.at]; p.at != n.boot.Addr && (q == nil || !q.live(now)) {
-			// The owner is silent: give this copy up, it may still take effect.
+			// The proposer is silent: give this copy up, it may still take effect.
 			delete(n.pend, out)
-			p.out, p.risk = 0, true
-			p.open++
+			p.out, p.mayHaveTakenEffect = 0, true
+			p.givenUp++
 			n.wait = append(n.wait, p)
 		} else if p.at != n.boot.Addr && now.Since(p.sent) > forwardAgain {
 			n.forward(now, p, fx)
@@ -93,12 +93,12 @@
 }
 
 func (n *Node) readings(now moment.Moment, fx *Effects) {
-	for _, turn := range n.turns() {
+	for _, turn := range n.readRounds() {
 		rd := n.reads[turn]
 		if now > rd.until || rd.done == nil && n.cutOff(now) {
 			delete(n.reads, turn)
 			if rd.done != nil && rd.All && rd.Enough() {
-				rd.done(now, rd.Survey, fx)
+				rd.done(now, rd.Reader, fx)
 				continue
 			}
 			if rd.done == nil {
@@ -123,15 +123,15 @@
 	n.hello(now, true, &fx)
 	disks, at := n.live(now)
 	if n.holds {
-		if next, _ := place.Owner(dutyKey, disks); next != "" {
+		if next, _ := placement.Proposer(dutyKey, disks); next != "" {
 			args := book.JSON(lock.Args{Holder: string(n.Disk), Fence: n.fence, To: string(next)})
-			n.internal(now, owner.Deed{Key: dutyKey, Kind: "lock/pass", Args: args}, &fx, func(moment.Moment, End, *Effects) {})
+			n.internal(now, proposer.Operation{Key: dutyKey, Kind: "lock/pass", Args: args}, &fx, func(moment.Moment, End, *Effects) {})
 		}
 		n.holds = false
 	}
 	keys := map[ident.Addr][]ident.Key{}
-	for _, k := range n.own.Keys() {
-		if next, _ := place.Owner(k, disks); next != "" {
+	for _, k := range n.proposer.Keys() {
+		if next, _ := placement.Proposer(k, disks); next != "" {
 			keys[at[next]] = append(keys[at[next]], k)
 		}
 	}
@@ -147,8 +147,8 @@
 // was confirmed is on a majority of the voters that stay.
 func (n *Node) Left(now moment.Moment) (bool, Effects) {
 	var fx Effects
-	done, o := n.own.Release()
-	n.owned(now, o, &fx)
+	done, o := n.proposer.Release()
+	n.applyProposer(now, o, &fx)
 	if !done || len(n.pend) > 0 || len(n.wait) > 0 {
 		return false, fx
 	}
--- a/control/core/node/voting.go
+++ b/control/core/node/voting.go
@@ -4,16 +4,16 @@
 	"slices"
 
 	"cottonarch.example/cottonarch/control/core/message"
-	"cottonarch.example/cottonarch/control/membership/acceptor"
+	membership "cottonarch.example/cottonarch/control/membership/acceptor"
 	"cottonarch.example/cottonarch/control/membership/bootstrap"
 	"cottonarch.example/cottonarch/control/membership/reconfiguration"
-	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/register/replica"
+	"cottonarch.example/cottonarch/control/register/acceptor"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/storage/ring"
 )
 
-func (n *Node) adopt(now moment.Moment, r cell.Membership, fx *Effects) {
+func (n *Node) adopt(now moment.Moment, r quorum.Membership, fx *Effects) {
 	_, was := n.membership.Current.Find(n.Disk)
 	r.Need = n.boot.Need
 	recs, newer := n.membership.Adopt(r)
@@ -25,20 +25,20 @@
 	n.copyingState, n.proof = false, nil
 	n.missed = &catchUp{done: n.missed.done}
 	n.away = &departure{began: n.away.began, silent: n.away.silent}
-	for _, turn := range n.turns() {
+	for _, turn := range n.readRounds() {
 		rd := n.reads[turn]
 		delete(n.reads, turn)
 		if rd.done == nil && rd.until.After(now) {
-			n.survey(now, &reading{ticket: rd.ticket, until: rd.until}, rd.Prefix, rd.Values, rd.Skip, fx)
+			n.quorumRead(now, &reading{ticket: rd.ticket, until: rd.until}, rd.Prefix, rd.Values, rd.Excluded, fx)
 		}
 	}
-	n.owned(now, n.own.SetMembership(now, r), fx)
+	n.applyProposer(now, n.proposer.SetMembership(now, r), fx)
 	if _, is := r.Find(n.Disk); was && !is {
 		n.wipe(now, fx)
 	}
 }
 
-func (n *Node) turns() []uint64 {
+func (n *Node) readRounds() []uint64 {
 	out := make([]uint64, 0, len(n.reads))
 	for t := range n.reads {
 		out = append(out, t)
@@ -50,22 +50,22 @@
 // wipe makes this a new disk: its slot was taken while it was away.
 func (n *Node) wipe(now moment.Moment, fx *Effects) {
 	now2 := n.membership.Current
-	for _, tag := range n.rep.Tags() {
+	for _, tag := range n.acceptor.Tags() {
 		fx.Records = append(fx.Records, ring.Record{Tag: tag})
 	}
 	n.Disk = n.boot.NewDisk()
-	n.rep, n.membership = replica.New(n.Disk), acceptor.New(n.Disk)
+	n.acceptor, n.membership = acceptor.New(n.Disk), membership.New(n.Disk)
 	n.membership.Current = now2
 	fx.Records = append(fx.Records, ring.Record{Tag: diskTag, Data: []byte(n.Disk)}, n.membership.Record())
 	n.reconfigurer = reconfiguration.New(n.Disk, n.boot.Mark)
 	n.bootstrap = bootstrap.New(n.Disk, n.boot.Addr, nil)
-	n.own = n.owning()
-	n.own.SetMembership(now, now2)
+	n.proposer = n.newProposer()
+	n.proposer.SetMembership(now, now2)
 	n.copiedAt = 0
 }
 
-func (n *Node) onAsk(now moment.Moment, m message.Message, fx *Effects) bool {
-	if m.Ask == nil {
+func (n *Node) onRequest(now moment.Moment, m message.Message, fx *Effects) bool {
+	if m.Request == nil {
 		return false
 	}
 	if n.broken || n.away.silent {
@@ -74,22 +74,22 @@
 	if _, in := n.membership.Current.Find(n.Disk); !in {
 		return true
 	}
-	r, recs, say := n.rep.Step(n.membership.Current.Epoch, *m.Ask)
+	r, recs, say := n.acceptor.Step(n.membership.Current.Epoch, *m.Request)
 	fx.Records = append(fx.Records, recs...)
-	if r.OK && (m.Ask.Kind == cell.Accept || m.Ask.Kind == cell.PatchAccept) {
-		n.voted(now, m.Ask.Key)
+	if r.OK && (m.Request.Kind == quorum.Accept || m.Request.Kind == quorum.PatchAccept) {
+		n.voted(now, m.Request.Key)
 	}
 	if say {
-		fx.Sends = append(fx.Sends, Send{m.From, message.Message{Return: &r}})
+		fx.Sends = append(fx.Sends, Send{m.From, message.Message{Response: &r}})
 	}
 	return true
 }
 
-func (n *Node) onReturn(now moment.Moment, m message.Message, fx *Effects) bool {
-	if m.Return == nil {
+func (n *Node) onResponse(now moment.Moment, m message.Message, fx *Effects) bool {
+	if m.Response == nil {
 		return false
 	}
-	n.owned(now, n.own.Step(now, *m.Return), fx)
+	n.applyProposer(now, n.proposer.Step(now, *m.Response), fx)
 	return true
 }
 
@@ -112,7 +112,7 @@
 	if m.MembershipResponse == nil {
 		return false
 	}
-	if m.MembershipResponse.Kind == acceptor.Form {
+	if m.MembershipResponse.Kind == membership.Form {
 		if next := n.bootstrap.Step(*m.MembershipResponse); next != nil && n.membership.Current.Epoch == 0 {
 			n.adopt(now, *next, fx)
 			n.said = 0
@@ -141,7 +141,7 @@
 	}
 	if !n.leaving && !n.broken && n.membership.Current.Counts(n.Disk) {
 		for _, k := range m.Handover.Keys {
-			n.owned(now, n.own.Take(now, k), fx)
+			n.applyProposer(now, n.proposer.Prepare(now, k), fx)
 		}
 	}
 	return true
--- a/control/manifest/offer/offer.go
+++ b/control/manifest/offer/offer.go
@@ -14,7 +14,7 @@
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/manifest/merge"
 	"cottonarch.example/cottonarch/control/manifest/walk"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
@@ -96,7 +96,7 @@
 	After ident.Epoch `json:"after,omitempty"`
 }
 
-// audited is what an owner knows in its tenure of the audit log: every line up to this
+// audited is what an owner knows in its term of the audit log: every line up to this
 // epoch stands there. A new owner knows nothing, and drops no line until it is told.
 type audited ident.Epoch
 
@@ -111,7 +111,7 @@
 	return book.Book{"manifest/offer": offer, "manifest/read": read, "manifest/epoch": epoch, "manifest/lines": lines}
 }
 
-func offer(turn owner.Turn, state, raw json.RawMessage) book.Entry {
+func offer(turn proposer.Context, state, raw json.RawMessage) book.Entry {
 	var h Held
 	var a Args
 	if d := book.Read(state, raw, &h, &a); d != nil {
@@ -133,7 +133,7 @@
 	}
 	history = history.Add(next.Release, mark)
 	next.Chain = &history
-	return book.Entry{State: book.JSON(next), Body: book.JSON(Yes{next.Epoch, next.Release}), Kept: turn.Kept}
+	return book.Entry{State: book.JSON(next), Body: book.JSON(Yes{next.Epoch, next.Release}), Kept: turn.Decoded}
 }
 
 // answered is the return to a proposal that need not be judged, or must not be any more. A
@@ -185,7 +185,7 @@
 }
 
 // follow judges a proposal on the newest manifest and gives the state after it.
-func (h *Held) follow(turn owner.Turn, a Args, body map[string]any) (next Held, d *defect.Defect) {
+func (h *Held) follow(turn proposer.Context, a Args, body map[string]any) (next Held, d *defect.Defect) {
 	whole, d := h.lay(a, body)
 	if d != nil {
 		return next, d
@@ -259,8 +259,8 @@
 }
 
 // unaudited are the lines that the audit log is not known to hold.
-func (h *Held) unaudited(turn owner.Turn) []Line {
-	upTo, _ := turn.Kept.(audited)
+func (h *Held) unaudited(turn proposer.Context) []Line {
+	upTo, _ := turn.Decoded.(audited)
 	return slices.DeleteFunc(h.Lines, func(l Line) bool { return l.Epoch <= ident.Epoch(upTo) })
 }
 
@@ -271,7 +271,7 @@
 
 func newest[T any](all []T) []T { return all[max(0, len(all)-linesMax):] }
 
-func read(_ owner.Turn, state, raw json.RawMessage) book.Entry {
+func read(_ proposer.Context, state, raw json.RawMessage) book.Entry {
 	var h Held
 	var a Args
 	if d := book.Read(state, raw, &h, &a); d != nil {
@@ -282,17 +282,17 @@
 }
 
 // lines tells the lines that wait for the audit log, and learns up to where it has them.
-func lines(turn owner.Turn, state, raw json.RawMessage) book.Entry {
+func lines(turn proposer.Context, state, raw json.RawMessage) book.Entry {
 	var h Held
 	var a LinesArgs
 	if d := book.Read(state, raw, &h, &a); d != nil {
 		return book.Turned(d)
 	}
-	known, _ := turn.Kept.(audited)
+	known, _ := turn.Decoded.(audited)
 	return book.Entry{Body: book.JSON(h.Lines), Kept: max(known, audited(a.After))}
 }
 
 // epoch tells the newest epoch, which is the key's revision.
-func epoch(turn owner.Turn, _, _ json.RawMessage) book.Entry {
+func epoch(turn proposer.Context, _, _ json.RawMessage) book.Entry {
 	return book.Entry{Body: book.JSON(Yes{Epoch: ident.Epoch(turn.Revision)})}
 }
--- a/control/manifest/offer/offer_test.go
+++ b/control/manifest/offer/offer_test.go
@@ -10,7 +10,7 @@
 
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
@@ -22,8 +22,8 @@
 	rev   ident.Revision
 }
 
-func (s *state) offer(op, body string, part bool, base *ident.Epoch) owner.Verdict {
-	v := offer.Deeds().Apply(owner.Turn{Revision: s.rev}, s.value, owner.Deed{Op: ident.Op(op), Key: offer.Key, Kind: "manifest/offer",
+func (s *state) offer(op, body string, part bool, base *ident.Epoch) proposer.Result {
+	v := offer.Deeds().Apply(proposer.Context{Revision: s.rev}, s.value, proposer.Operation{Op: ident.Op(op), Key: offer.Key, Kind: "manifest/offer",
 		Args: book.JSON(offer.Args{Partial: part, Base: base, Body: json.RawMessage(body)})})
 	if v.Changed {
 		s.value = v.Value
--- a/control/manifest/offer/release_test.go
+++ b/control/manifest/offer/release_test.go
@@ -11,14 +11,14 @@
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/manifest/chain"
 	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
 // build offers on a base release, as the users' platform does.
-func (s *state) build(kind offer.Kind, base uint64, body string) owner.Verdict {
-	v := offer.Deeds().Apply(owner.Turn{Revision: s.rev}, s.value, owner.Deed{Key: offer.Key, Kind: "manifest/offer",
+func (s *state) build(kind offer.Kind, base uint64, body string) proposer.Result {
+	v := offer.Deeds().Apply(proposer.Context{Revision: s.rev}, s.value, proposer.Operation{Key: offer.Key, Kind: "manifest/offer",
 		Args: book.JSON(offer.Args{Kind: kind, BaseRelease: &base, Loose: true, Body: json.RawMessage(body)})})
 	if v.Changed {
 		s.value = v.Value
@@ -209,7 +209,7 @@
 func TestEpochIsThatOfTheNewest(t *testing.T) {
 	s := &state{}
 	tell := func() ident.Epoch {
-		v := offer.Deeds().Apply(owner.Turn{Revision: s.rev}, s.value, owner.Deed{Op: "x", Key: offer.Key, Kind: "manifest/epoch"})
+		v := offer.Deeds().Apply(proposer.Context{Revision: s.rev}, s.value, proposer.Operation{Op: "x", Key: offer.Key, Kind: "manifest/epoch"})
 		must.False(t, v.Changed)
 		var yes offer.Yes
 		must.NoError(t, json.Unmarshal(v.Body, &yes))
@@ -228,7 +228,7 @@
 func BenchmarkEpoch500(b *testing.B) {
 	s := &state{value: book.JSON(book.Page{State: book.JSON(offer.Held{Epoch: 1, Manifest: book.JSON(strings.Repeat("x", 100_000))})}), rev: 1}
 	for b.Loop() {
-		if v := offer.Deeds().Apply(owner.Turn{Revision: s.rev}, s.value, owner.Deed{Key: offer.Key, Kind: "manifest/epoch"}); v.Defect != nil {
+		if v := offer.Deeds().Apply(proposer.Context{Revision: s.rev}, s.value, proposer.Operation{Key: offer.Key, Kind: "manifest/epoch"}); v.Defect != nil {
 			b.Fatal(v.Defect)
 		}
 	}
--- a/control/manifest/offer/resend_test.go
+++ b/control/manifest/offer/resend_test.go
@@ -11,14 +11,14 @@
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/manifest/chain"
 	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
 // propose sends a proposal as an operation, as a core does.
-func (s *state) propose(op string, a offer.Args) owner.Verdict {
-	v := offer.Deeds().Apply(owner.Turn{Revision: s.rev}, s.value, owner.Deed{Op: ident.Op(op), Key: offer.Key, Kind: "manifest/offer", Args: book.JSON(a), Loose: op == ""})
+func (s *state) propose(op string, a offer.Args) proposer.Result {
+	v := offer.Deeds().Apply(proposer.Context{Revision: s.rev}, s.value, proposer.Operation{Op: ident.Op(op), Key: offer.Key, Kind: "manifest/offer", Args: book.JSON(a), Repeatable: op == ""})
 	if v.Changed {
 		s.value = v.Value
 		s.rev++
@@ -36,7 +36,7 @@
 
 // resent checks what the repeat of a taken proposal is told: the first return, or nothing
 // sure where that is allowed. It changes nothing.
-func resent(t *testing.T, s *state, v owner.Verdict, first string, mayForget bool, note ...any) {
+func resent(t *testing.T, s *state, v proposer.Result, first string, mayForget bool, note ...any) {
 	t.Helper()
 	must.False(t, v.Changed, must.Sprint(note...))
 	if v.Defect == nil {
@@ -151,7 +151,7 @@
 		current := make([]*order, operators)
 		var past []*order
 		winners := map[uint64]*order{}
-		send := func(o *order) owner.Verdict {
+		send := func(o *order) proposer.Result {
 			v := s.propose("", o.args)
 			base := *o.args.BaseRelease
 			switch {
--- a/control/manifest/offer/size_test.go
+++ b/control/manifest/offer/size_test.go
@@ -11,25 +11,25 @@
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/manifest/chain"
 	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
-// tenure is one owner's, with what it keeps between deeds.
+// term is one owner's, with what it keeps between deeds.
 type tenure struct {
 	state
 	kept any
 }
 
-func (n *tenure) do(kind string, args any) owner.Verdict {
-	v := offer.Deeds().Apply(owner.Turn{Revision: n.rev, Kept: n.kept}, n.value, owner.Deed{Key: offer.Key, Kind: kind, Args: book.JSON(args), Loose: true})
+func (n *tenure) do(kind string, args any) proposer.Result {
+	v := offer.Deeds().Apply(proposer.Context{Revision: n.rev, Decoded: n.kept}, n.value, proposer.Operation{Key: offer.Key, Kind: kind, Args: book.JSON(args), Repeatable: true})
 	if v.Changed {
 		n.value, n.kept = v.Value, nil
 		n.rev++
 	}
-	if v.Kept != nil {
-		n.kept = v.Kept
+	if v.Decoded != nil {
+		n.kept = v.Decoded
 	}
 	return v
 }
@@ -118,12 +118,12 @@
 			if release%3 == 0 {
 				must.Nil(t, n.do("manifest/lines", offer.LinesArgs{After: ident.Epoch(n.rev)}).Defect)
 			}
-			base := cell.Cell{Accepted: ballot, Revision: n.rev, Value: n.value}
+			base := quorum.Record{Accepted: ballot, Revision: n.rev, Value: n.value}
 			change := fmt.Sprintf(`{"release":%d,"upsert":{"ways":{"r-%07x":{"host":"new%d.example","timeoutMs":500,"service":"a"}}}}`, release+1, release%500*7919, release)
 			must.Nil(t, n.do("manifest/offer", onRelease(offer.Change, release, change)).Defect)
-			p := cell.Diff(base, ballot, n.value)
+			p := quorum.Diff(base, ballot, n.value)
 			must.NotNil(t, p, must.Sprint(release))
-			got, ok := p.Over(base, ballot)
+			got, ok := p.Apply(base, ballot)
 			must.True(t, ok)
 			must.Eq(t, string(n.value), string(got))
 			sent = len(book.JSON(p))
--- a/control/membership/acceptor/acceptor.go
+++ b/control/membership/acceptor/acceptor.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"slices"
 
-	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/storage/ring"
@@ -18,14 +18,14 @@
 // Accepted and Next speak of the epoch after Current's and are forgotten when Current moves on;
 // a Current is only ever set to a membership that was chosen.
 type State struct {
-	Current  cell.Membership  `json:"now"`
-	Promised ident.Ballot     `json:"promised"`
-	Accepted ident.Ballot     `json:"taken"`
-	Next     *cell.Membership `json:"next,omitempty"`
+	Current  quorum.Membership  `json:"now"`
+	Promised ident.Ballot       `json:"promised"`
+	Accepted ident.Ballot       `json:"taken"`
+	Next     *quorum.Membership `json:"next,omitempty"`
 	// BoundTo is the first membership this disk, while empty, has agreed to form, and BoundBy
 	// the disk that proposed it. Invariant: an empty disk is bound to one at a time.
-	BoundTo *cell.Membership `json:"bound,omitempty"`
-	BoundBy ident.Disk       `json:"by,omitempty"`
+	BoundTo *quorum.Membership `json:"bound,omitempty"`
+	BoundBy ident.Disk         `json:"by,omitempty"`
 }
 
 // Kind is the kind of membership message.
@@ -40,25 +40,25 @@
 
 // Request is a membership request. Base is the epoch it builds on.
 type Request struct {
-	Kind   Kind             `json:"kind"`
-	Round  uint64           `json:"turn"`
-	Base   ident.Epoch      `json:"base"`
-	Ballot ident.Ballot     `json:"ballot"`
-	Disk   ident.Disk       `json:"disk,omitempty"`
-	Next   *cell.Membership `json:"next,omitempty"`
+	Kind   Kind               `json:"kind"`
+	Round  uint64             `json:"turn"`
+	Base   ident.Epoch        `json:"base"`
+	Ballot ident.Ballot       `json:"ballot"`
+	Disk   ident.Disk         `json:"disk,omitempty"`
+	Next   *quorum.Membership `json:"next,omitempty"`
 }
 
 // Response answers it. Heard lists the disks that the voter has heard lately.
 type Response struct {
-	Kind     Kind             `json:"kind"`
-	Round    uint64           `json:"turn"`
-	Base     ident.Epoch      `json:"base"`
-	Disk     ident.Disk       `json:"disk"`
-	OK       bool             `json:"ok"`
-	Promised ident.Ballot     `json:"promised"`
-	Accepted ident.Ballot     `json:"taken"`
-	Next     *cell.Membership `json:"next,omitempty"`
-	Heard    []ident.Disk     `json:"alive,omitempty"`
+	Kind     Kind               `json:"kind"`
+	Round    uint64             `json:"turn"`
+	Base     ident.Epoch        `json:"base"`
+	Disk     ident.Disk         `json:"disk"`
+	OK       bool               `json:"ok"`
+	Promised ident.Ballot       `json:"promised"`
+	Accepted ident.Ballot       `json:"taken"`
+	Next     *quorum.Membership `json:"next,omitempty"`
+	Heard    []ident.Disk       `json:"alive,omitempty"`
 }
 
 // Acceptor is the step function.
@@ -140,7 +140,7 @@
 }
 
 // Adopt takes a chosen membership; it answers false when it is not newer.
-func (a *Acceptor) Adopt(r cell.Membership) ([]ring.Record, bool) {
+func (a *Acceptor) Adopt(r quorum.Membership) ([]ring.Record, bool) {
 	if r.Epoch <= a.Current.Epoch {
 		return nil, false
 	}
--- a/control/membership/bootstrap/bootstrap.go
+++ b/control/membership/bootstrap/bootstrap.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/control/membership/acceptor"
-	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
@@ -21,7 +21,7 @@
 	addr     ident.Addr
 	founders []ident.Addr
 	round    uint64
-	proposed *cell.Membership
+	proposed *quorum.Membership
 	agreed   map[ident.Disk]bool
 	sent     moment.Moment
 }
@@ -43,7 +43,7 @@
 	if len(b.founders) == 0 || b.founders[0] != b.addr || b.sent != 0 && now.Since(b.sent) < resend {
 		return nil
 	}
-	next := &cell.Membership{Epoch: 1}
+	next := &quorum.Membership{Epoch: 1}
 	for _, a := range b.founders {
 		d, ok := empty[a]
 		if a == b.addr {
@@ -52,7 +52,7 @@
 		if !ok {
 			return nil
 		}
-		next.Voters = append(next.Voters, cell.Voter{Disk: d, Addr: a, Counted: true})
+		next.Voters = append(next.Voters, quorum.Voter{Disk: d, Addr: a, Counted: true})
 	}
 	if b.proposed == nil || !slices.Equal(b.proposed.Voters, next.Voters) {
 		b.round++
@@ -67,7 +67,7 @@
 }
 
 // Step takes one response; the membership is not nil once it is chosen.
-func (b *Bootstrap) Step(r acceptor.Response) *cell.Membership {
+func (b *Bootstrap) Step(r acceptor.Response) *quorum.Membership {
 	if b.proposed == nil || !r.OK || r.Round != b.round || r.Next == nil || !slices.Equal(r.Next.Voters, b.proposed.Voters) {
 		return nil
 	}
--- a/control/membership/reconfiguration/reconfiguration.go
+++ b/control/membership/reconfiguration/reconfiguration.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/control/membership/acceptor"
-	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
@@ -34,7 +34,7 @@
 
 // Change works out the membership wanted after now, given the disks that the responses of a
 // majority have heard; nil means that nothing may be changed.
-type Change func(now cell.Membership, heard map[ident.Disk]bool) *cell.Membership
+type Change func(now quorum.Membership, heard map[ident.Disk]bool) *quorum.Membership
 
 // Reconfigurer runs one change at a time. Invariant: it reports a membership as chosen only after a majority
 // of the counted voters of one membership, all at its epoch, accepted one proposal.
@@ -42,7 +42,7 @@
 	disk         ident.Disk
 	instance     string
 	stage        stage
-	base         cell.Membership
+	base         quorum.Membership
 	ballot       ident.Ballot
 	round        uint64
 	request      acceptor.Request
@@ -61,7 +61,7 @@
 
 // Send is one request to one voter.
 type Send struct {
-	To      cell.Voter
+	To      quorum.Voter
 	Request acceptor.Request
 }
 
@@ -69,7 +69,7 @@
 func (m *Reconfigurer) Idle() bool { return m.stage == idle }
 
 // Begin starts a change from the membership in force.
-func (m *Reconfigurer) Begin(now moment.Moment, base cell.Membership, plan Change) []Send {
+func (m *Reconfigurer) Begin(now moment.Moment, base quorum.Membership, plan Change) []Send {
 	if m.stage != idle || m.pausedUntil.After(now) {
 		return nil
 	}
@@ -108,7 +108,7 @@
 }
 
 // Adopted drops a change that builds on an older membership.
-func (m *Reconfigurer) Adopted(r cell.Membership) {
+func (m *Reconfigurer) Adopted(r quorum.Membership) {
 	if m.stage != idle && r.Epoch > m.base.Epoch {
 		m.stage = idle
 	}
@@ -116,7 +116,7 @@
 }
 
 // Step takes one response; the membership is not nil once it is chosen.
-func (m *Reconfigurer) Step(now moment.Moment, r acceptor.Response) ([]Send, *cell.Membership) {
+func (m *Reconfigurer) Step(now moment.Moment, r acceptor.Response) ([]Send, *quorum.Membership) {
 	if m.stage == idle || r.Round != m.round || r.Base != m.base.Epoch || !m.base.Counts(r.Disk) {
 		return nil, nil
 	}
@@ -179,16 +179,16 @@
 // address, else that of the one voter nobody has heard, else, when all are healthy and
 // there are fewer than maxVoters, a new one, in which it joins. Who has only joined may still
 // take a slot that is empty, and leaves its own.
-func TakeSlot(me cell.Voter, maxVoters int, grow bool) Change {
-	return func(now cell.Membership, heard map[ident.Disk]bool) *cell.Membership {
+func TakeSlot(me quorum.Voter, maxVoters int, grow bool) Change {
+	return func(now quorum.Membership, heard map[ident.Disk]bool) *quorum.Membership {
 		own, in := now.Find(me.Disk)
 		if in && !own.Joining {
 			return nil
 		}
-		next := cell.Membership{Epoch: now.Epoch + 1, Voters: slices.DeleteFunc(slices.Clone(now.Voters), func(v cell.Voter) bool { return v.Disk == me.Disk })}
-		slot := slices.IndexFunc(next.Voters, func(v cell.Voter) bool { return v.Addr == me.Addr })
+		next := quorum.Membership{Epoch: now.Epoch + 1, Voters: slices.DeleteFunc(slices.Clone(now.Voters), func(v quorum.Voter) bool { return v.Disk == me.Disk })}
+		slot := slices.IndexFunc(next.Voters, func(v quorum.Voter) bool { return v.Addr == me.Addr })
 		if slot < 0 && now.Size() <= maxVoters { // one too many is dropped and not filled
-			slot = slices.IndexFunc(next.Voters, func(v cell.Voter) bool { return !heard[v.Disk] && (!in || !v.Joining) })
+			slot = slices.IndexFunc(next.Voters, func(v quorum.Voter) bool { return !heard[v.Disk] && (!in || !v.Joining) })
 		}
 		if slot < 0 && (in || !grow || len(next.Voters) >= maxVoters) {
 			return nil
@@ -209,9 +209,9 @@
 
 // CountIn plans that disk me votes from now on.
 func CountIn(me ident.Disk) Change {
-	return func(now cell.Membership, _ map[ident.Disk]bool) *cell.Membership {
-		next := cell.Membership{Epoch: now.Epoch + 1, Voters: slices.Clone(now.Voters)}
-		slot := slices.IndexFunc(next.Voters, func(v cell.Voter) bool { return v.Disk == me && !v.Counted })
+	return func(now quorum.Membership, _ map[ident.Disk]bool) *quorum.Membership {
+		next := quorum.Membership{Epoch: now.Epoch + 1, Voters: slices.Clone(now.Voters)}
+		slot := slices.IndexFunc(next.Voters, func(v quorum.Voter) bool { return v.Disk == me && !v.Counted })
 		if slot < 0 {
 			return nil
 		}
@@ -221,10 +221,10 @@
 }
 
 // MoveVoter plans that a voter is found at another address from now on.
-func MoveVoter(me cell.Voter) Change {
-	return func(now cell.Membership, _ map[ident.Disk]bool) *cell.Membership {
-		next := cell.Membership{Epoch: now.Epoch + 1, Voters: slices.Clone(now.Voters)}
-		slot := slices.IndexFunc(next.Voters, func(v cell.Voter) bool { return v.Disk == me.Disk && v.Addr != me.Addr })
+func MoveVoter(me quorum.Voter) Change {
+	return func(now quorum.Membership, _ map[ident.Disk]bool) *quorum.Membership {
+		next := quorum.Membership{Epoch: now.Epoch + 1, Voters: slices.Clone(now.Voters)}
+		slot := slices.IndexFunc(next.Voters, func(v quorum.Voter) bool { return v.Disk == me.Disk && v.Addr != me.Addr })
 		if slot < 0 {
 			return nil
 		}
@@ -237,12 +237,12 @@
 // nobody has heard. Only an even number of slots shrinks: the odd one below it bears as
 // many losses, while with an even one a voter that is gone is a loss that is borne already.
 func Drop(gone ident.Disk, leaves bool) Change {
-	return func(now cell.Membership, heard map[ident.Disk]bool) *cell.Membership {
+	return func(now quorum.Membership, heard map[ident.Disk]bool) *quorum.Membership {
 		voter, in := now.Find(gone)
 		if !in || voter.Joining || now.Size()%2 != 0 || !leaves && heard[gone] {
 			return nil
 		}
-		next := cell.Membership{Epoch: now.Epoch + 1, Voters: slices.DeleteFunc(slices.Clone(now.Voters), func(v cell.Voter) bool { return v.Disk == gone })}
+		next := quorum.Membership{Epoch: now.Epoch + 1, Voters: slices.DeleteFunc(slices.Clone(now.Voters), func(v quorum.Voter) bool { return v.Disk == gone })}
 		if countedVoters(next) < next.Majority() {
 			return nil
 		}
@@ -250,7 +250,7 @@
 	}
 }
 
-func countedVoters(r cell.Membership) int {
+func countedVoters(r quorum.Membership) int {
 	n := 0
 	for _, v := range r.Voters {
 		if v.Counted {
--- a/control/membership/reconfiguration/reconfiguration_test.go
+++ b/control/membership/reconfiguration/reconfiguration_test.go
@@ -9,7 +9,7 @@
 	"cottonarch.example/cottonarch/control/membership/acceptor"
 	"cottonarch.example/cottonarch/control/membership/bootstrap"
 	"cottonarch.example/cottonarch/control/membership/reconfiguration"
-	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
@@ -24,7 +24,7 @@
 // of their messages one membership is chosen at most, and whoever goes on to the end
 // agrees with it.
 func TestAllOrdersOfTwoNewcomers(t *testing.T) {
-	base := cell.Membership{Epoch: 1, Voters: []cell.Voter{{Disk: "d1", Addr: "1", Counted: true}, {Disk: "d2", Addr: "2", Counted: true}, {Disk: "dead", Addr: "3", Counted: true}}}
+	base := quorum.Membership{Epoch: 1, Voters: []quorum.Voter{{Disk: "d1", Addr: "1", Counted: true}, {Disk: "d2", Addr: "2", Counted: true}, {Disk: "dead", Addr: "3", Counted: true}}}
 	heard := []ident.Disk{"d1", "d2"}
 	chosen := 0
 	for seed := range 4 * 4 * 4 * 4 * 4 * 4 {
@@ -36,7 +36,7 @@
 		now := moment.Moment(time.Second)
 		reconfigurers := map[ident.Disk]*reconfiguration.Reconfigurer{"n1": reconfiguration.New("n1", "m1"), "n2": reconfiguration.New("n2", "m2")}
 		plan := func(n ident.Disk) reconfiguration.Change {
-			return reconfiguration.TakeSlot(cell.Voter{Disk: n, Addr: ident.Addr(n)}, 3, false)
+			return reconfiguration.TakeSlot(quorum.Voter{Disk: n, Addr: ident.Addr(n)}, 3, false)
 		}
 		var mailbox []envelope
 		post := func(from ident.Disk, sends []reconfiguration.Send) {
@@ -50,7 +50,7 @@
 		for _, n := range order {
 			post(n, reconfigurers[n].Begin(now, base, plan(n)))
 		}
-		var chosenNext *cell.Membership
+		var chosenNext *quorum.Membership
 		pick := seed
 		for step := 0; step < 300; step++ {
 			if len(mailbox) == 0 {
@@ -95,8 +95,8 @@
 // A voter that somebody in the majority has heard is not replaced; the last that a
 // majority rests on is not either.
 func TestOnlyADeadSlotIsTaken(t *testing.T) {
-	me := cell.Voter{Disk: "n", Addr: "9"}
-	three := cell.Membership{Epoch: 4, Voters: []cell.Voter{{Disk: "a", Addr: "1", Counted: true}, {Disk: "b", Addr: "2", Counted: true}, {Disk: "c", Addr: "3", Counted: true}}}
+	me := quorum.Voter{Disk: "n", Addr: "9"}
+	three := quorum.Membership{Epoch: 4, Voters: []quorum.Voter{{Disk: "a", Addr: "1", Counted: true}, {Disk: "b", Addr: "2", Counted: true}, {Disk: "c", Addr: "3", Counted: true}}}
 	all := map[ident.Disk]bool{"a": true, "b": true, "c": true}
 	must.Nil(t, reconfiguration.TakeSlot(me, 3, true)(three, all))
 	next := reconfiguration.TakeSlot(me, 5, true)(three, all)
@@ -105,11 +105,11 @@
 	next = reconfiguration.TakeSlot(me, 5, false)(three, map[ident.Disk]bool{"a": true, "b": true})
 	must.Eq(t, ident.Disk("n"), next.Voters[2].Disk)
 	must.False(t, next.Voters[2].Counted)
-	same := reconfiguration.TakeSlot(cell.Voter{Disk: "n", Addr: "2"}, 5, false)(three, all)
+	same := reconfiguration.TakeSlot(quorum.Voter{Disk: "n", Addr: "2"}, 5, false)(three, all)
 	must.Eq(t, ident.Disk("n"), same.Voters[1].Disk)
 	// One slot is copying already: taking a counted one would leave no majority.
-	copying := cell.Membership{Epoch: 5, Voters: []cell.Voter{{Disk: "a", Addr: "1", Counted: true}, {Disk: "b", Addr: "2", Counted: true}, {Disk: "n", Addr: "9"}}}
-	must.Nil(t, reconfiguration.TakeSlot(cell.Voter{Disk: "m", Addr: "8"}, 3, false)(copying, map[ident.Disk]bool{"a": true, "n": true}))
+	copying := quorum.Membership{Epoch: 5, Voters: []quorum.Voter{{Disk: "a", Addr: "1", Counted: true}, {Disk: "b", Addr: "2", Counted: true}, {Disk: "n", Addr: "9"}}}
+	must.Nil(t, reconfiguration.TakeSlot(quorum.Voter{Disk: "m", Addr: "8"}, 3, false)(copying, map[ident.Disk]bool{"a": true, "n": true}))
 }
 
 // The first membership needs every founder's word that it is empty; a founder bound to
@@ -129,11 +129,11 @@
 		must.Eq(t, i == 2, next != nil, must.Sprint("chosen too early or not at all"))
 	}
 	// Another founder with another set, while d1 is in it: no.
-	other := &cell.Membership{Epoch: 1, Voters: []cell.Voter{{Disk: "d1", Addr: "1", Counted: true}, {Disk: "d2", Addr: "2", Counted: true}, {Disk: "d9", Addr: "3", Counted: true}}}
+	other := &quorum.Membership{Epoch: 1, Voters: []quorum.Voter{{Disk: "d1", Addr: "1", Counted: true}, {Disk: "d2", Addr: "2", Counted: true}, {Disk: "d9", Addr: "3", Counted: true}}}
 	ret, _, _ := acceptors["2"].Step(acceptor.Request{Kind: acceptor.Form, Round: 1, Disk: "d9", Next: other}, nil)
 	must.False(t, ret.OK)
 	// The one that asked first is gone with its disk: then yes.
-	fresh := &cell.Membership{Epoch: 1, Voters: []cell.Voter{{Disk: "d8", Addr: "1", Counted: true}, {Disk: "d2", Addr: "2", Counted: true}, {Disk: "d3", Addr: "3", Counted: true}}}
+	fresh := &quorum.Membership{Epoch: 1, Voters: []quorum.Voter{{Disk: "d8", Addr: "1", Counted: true}, {Disk: "d2", Addr: "2", Counted: true}, {Disk: "d3", Addr: "3", Counted: true}}}
 	ret, _, _ = acceptors["2"].Step(acceptor.Request{Kind: acceptor.Form, Round: 1, Disk: "d8", Next: fresh}, nil)
 	must.True(t, ret.OK)
 	// A disk that has a membership forms none.
--- a/control/membership/reconfiguration/restart_test.go
+++ b/control/membership/reconfiguration/restart_test.go
@@ -7,7 +7,7 @@
 
 	"cottonarch.example/cottonarch/control/membership/acceptor"
 	"cottonarch.example/cottonarch/control/membership/reconfiguration"
-	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
@@ -15,17 +15,17 @@
 // A return to a proposal of an earlier run is none to the next run's: else a membership could be
 // said to be chosen that a majority never took.
 func TestReturnToAnEarlierRunDoesNotCount(t *testing.T) {
-	base := cell.Membership{Epoch: 1}
+	base := quorum.Membership{Epoch: 1}
 	disks := map[ident.Disk]*acceptor.Acceptor{}
 	for _, d := range []ident.Disk{"d1", "d2", "d3"} {
-		base.Voters = append(base.Voters, cell.Voter{Disk: d, Addr: ident.Addr(d), Counted: true})
+		base.Voters = append(base.Voters, quorum.Voter{Disk: d, Addr: ident.Addr(d), Counted: true})
 	}
 	for _, v := range base.Voters {
 		disks[v.Disk] = acceptor.New(v.Disk)
 		disks[v.Disk].Adopt(base)
 	}
 	now := moment.Moment(1e9)
-	plan := reconfiguration.MoveVoter(cell.Voter{Disk: "d1", Addr: "elsewhere"})
+	plan := reconfiguration.MoveVoter(quorum.Voter{Disk: "d1", Addr: "elsewhere"})
 	old := reconfiguration.New("d1", "run1")
 	var late []acceptor.Response
 	for _, s := range old.Begin(now, base, plan) {
--- a/control/membership/reconfiguration/run_test.go
+++ b/control/membership/reconfiguration/run_test.go
@@ -8,7 +8,7 @@
 
 	"cottonarch.example/cottonarch/control/membership/acceptor"
 	"cottonarch.example/cottonarch/control/membership/reconfiguration"
-	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
@@ -17,7 +17,7 @@
 // way, and meanwhile another newcomer's membership is chosen. The new run counts none of the
 // old promises: they were given to another ballot, and say nothing of what was taken since.
 func TestPromisesToAnEarlierRunCountForNothing(t *testing.T) {
-	base := cell.Membership{Epoch: 1, Voters: []cell.Voter{{Disk: "d1", Addr: "1", Counted: true}, {Disk: "d2", Addr: "2", Counted: true}, {Disk: "dead", Addr: "3", Counted: true}}}
+	base := quorum.Membership{Epoch: 1, Voters: []quorum.Voter{{Disk: "d1", Addr: "1", Counted: true}, {Disk: "d2", Addr: "2", Counted: true}, {Disk: "dead", Addr: "3", Counted: true}}}
 	heard := []ident.Disk{"d1", "d2"}
 	acceptors := map[ident.Disk]*acceptor.Acceptor{}
 	for _, d := range heard {
@@ -26,7 +26,7 @@
 	}
 	now := moment.Moment(time.Second)
 	take := func(n ident.Disk) reconfiguration.Change {
-		return reconfiguration.TakeSlot(cell.Voter{Disk: n, Addr: ident.Addr(n)}, 3, false)
+		return reconfiguration.TakeSlot(quorum.Voter{Disk: n, Addr: ident.Addr(n)}, 3, false)
 	}
 	answers := func(sends []reconfiguration.Send) (out []acceptor.Response) {
 		for _, s := range sends {
@@ -42,7 +42,7 @@
 	must.SliceLen(t, 2, late)
 
 	// Another newcomer's membership is chosen.
-	other, chosen := reconfiguration.New("n2", "m2"), (*cell.Membership)(nil)
+	other, chosen := reconfiguration.New("n2", "m2"), (*quorum.Membership)(nil)
 	for round := answers(other.Begin(now, base, take("n2"))); len(round) > 0 && chosen == nil; {
 		var next []acceptor.Response
 		for _, r := range round {
--- a/control/register/place/place.go
+++ b/control/register/placement/placement.go
@@ -1,5 +1,5 @@
-// Package place says which core owns a key.
-package place
+// Package placement says which core is the proposer of a key.
+package placement
 
 import (
 	"hash/fnv"
@@ -7,10 +7,10 @@
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
-// Owner is the live disk with the highest rendezvous weight for the key; the
+// Proposer is the live disk with the highest rendezvous weight for the key; the
 // second is its successor. Every core with the same picture gets the same result,
 // and a disk that comes or goes moves only its own keys.
-func Owner(key ident.Key, live []ident.Disk) (first, second ident.Disk) {
+func Proposer(key ident.Key, live []ident.Disk) (first, second ident.Disk) {
 	var high, next uint64
 	for _, d := range live {
 		w := weigh(key, d)
--- a/control/register/owner/few_test.go
+++ b/control/register/proposer/few_test.go
@@ -1,4 +1,4 @@
-package owner
+package proposer
 
 import (
 	"encoding/json"
@@ -8,8 +8,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/register/replica"
+	"cottonarch.example/cottonarch/control/register/acceptor"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
@@ -18,14 +18,14 @@
 // those are silent for a moment; over time every copy is asked. With any two of five silent
 // it ends all the same.
 func TestConfirmAsksFewAndThenAll(t *testing.T) {
-	r := cell.Membership{Epoch: 1}
+	r := quorum.Membership{Epoch: 1}
 	disks := []ident.Disk{"a", "b", "c", "d", "e"}
 	for _, d := range disks {
-		r.Voters = append(r.Voters, cell.Voter{Disk: d, Addr: ident.Addr(d), Counted: true})
+		r.Voters = append(r.Voters, quorum.Voter{Disk: d, Addr: ident.Addr(d), Counted: true})
 	}
-	reps := map[ident.Disk]*replica.Replica{}
+	reps := map[ident.Disk]*acceptor.Acceptor{}
 	for _, d := range disks {
-		reps[d] = replica.New(d)
+		reps[d] = acceptor.New(d)
 	}
 	for x := range disks {
 		for y := range x {
@@ -45,20 +45,20 @@
 					if asked[s.To.Disk]++; quiet[s.To.Disk] {
 						continue
 					}
-					if got, _, say := reps[s.To.Disk].Step(1, s.Ask); say {
+					if got, _, say := reps[s.To.Disk].Step(1, s.Request); say {
 						take(o.Step(now, got))
 					}
 				}
 			}
 			take(o.SetMembership(now, r))
-			o.Close(disks, 1)
-			take(o.Submit(now, Deed{Key: ident.Key(fmt.Sprint("k", x, y)), Kind: "read"}))
+			o.SetNear(disks, 1)
+			take(o.Submit(now, Operation{Key: ident.Key(fmt.Sprint("k", x, y)), Kind: "read"}))
 			drain()
 			must.Eq(t, 1, ends)
 			over := map[ident.Disk]int{}
 			for range 6 {
 				clear(asked)
-				take(o.Submit(now, Deed{Key: ident.Key(fmt.Sprint("k", x, y)), Kind: "read"}))
+				take(o.Submit(now, Operation{Key: ident.Key(fmt.Sprint("k", x, y)), Kind: "read"}))
 				drain()
 				must.Eq(t, 3, len(asked))
 				must.True(t, asked["a"] == 1 && asked["b"] == 1, must.Sprint("the near ones: ", asked))
@@ -69,10 +69,10 @@
 			must.Eq(t, 5, len(over))
 			quiet[disks[x]], quiet[disks[y]] = true, true
 			ends = 0
-			take(o.Submit(now, Deed{Key: ident.Key(fmt.Sprint("k", x, y)), Kind: "read"}))
+			take(o.Submit(now, Operation{Key: ident.Key(fmt.Sprint("k", x, y)), Kind: "read"}))
 			drain()
 			for n := 0; ends == 0 && n < 4; n++ {
-				now = now.Add(soon + time.Millisecond)
+				now = now.Add(askAllAfter + time.Millisecond)
 				take(o.Tick(now))
 				drain()
 			}
@@ -84,4 +84,4 @@
 // echo is a machine that changes nothing.
 type echo struct{}
 
-func (echo) Apply(Turn, json.RawMessage, Deed) Verdict { return Verdict{} }
+func (echo) Apply(Context, json.RawMessage, Operation) Result { return Result{} }
--- /dev/null
+++ b/control/register/quorum/patch.go
@@ -0,0 +1,105 @@
+package quorum
+
+import (
+	"hash/crc32"
+	"unicode/utf8"
+
+	"cottonarch.example/cottonarch/kernel/ident"
+)
+
+// PatchAccept is an Accept that carries a Patch in place of its value. It is a kind of its
+// own so that an acceptor that knows no patches says nothing to it, rather than take it for
+// an accept without a value.
+const PatchAccept Kind = "patch"
+
+// Patch makes one accepted value out of another: the first Prefix bytes of the base, Middle,
+// and the last Suffix bytes of the base. Invariants: BaseBallot, which is the request's own ballot when
+// it is nil, and BaseRevision name the base as accepted, so the base is one value; Sum is over the
+// whole result, so a base that differs in a byte is found out. With Pieces, which stand for
+// Mid where the two values differ in several places, Head is piecesHead.
+type Patch struct {
+	BaseBallot   *ident.Ballot  `json:"from,omitempty"`
+	BaseRevision ident.Revision `json:"base"`
+	Prefix       int            `json:"head"`
+	Suffix       int            `json:"tail"`
+	Middle       string         `json:"mid,omitempty"`
+	Sum          uint32         `json:"sum"`
+
+	Pieces []Piece `json:"pieces,omitempty"`
+}
+
+// patchOverhead is about what a patch takes besides its bytes, escapes included.
+const patchOverhead = 256
+
+var table = crc32.MakeTable(crc32.Castagnoli)
+
+// Sum is the sum of a value that a Patch carries.
+func Sum(value []byte) uint32 { return crc32.Checksum(value, table) }
+
+// Diff makes the patch from the base's value to the next one, which is to be accepted under
+// a ballot; it is nil unless it takes less than half of what the next value does.
+func Diff(base Record, ballot ident.Ballot, next []byte) *Patch {
+	if len(next) < 2*patchOverhead {
+		return nil
+	}
+	head, tail := shared(base.Value, next)
+	middle := next[head : len(next)-tail]
+	p := &Patch{BaseRevision: base.Revision, Prefix: head, Suffix: tail, Sum: Sum(next)}
+	cost := len(middle)
+	if cost > patchOverhead {
+		if pieces := divide(base.Value, next); size(pieces) < cost && validPieces(pieces) {
+			cost, p.Prefix, p.Suffix, p.Pieces = size(pieces), piecesHead, 0, pieces
+		}
+	}
+	if 2*(cost+patchOverhead) > len(next) || p.Pieces == nil && !utf8.Valid(middle) {
+		return nil
+	}
+	if p.Pieces == nil {
+		p.Middle = string(middle)
+	}
+	if base.Accepted != ballot {
+		p.BaseBallot = &base.Accepted
+	}
+	return p
+}
+
+// shared is how much two values have in common at the front and at the end. No character
+// is cut, for what is between travels as a text.
+func shared(baseValue, next []byte) (head, tail int) {
+	shorter := min(len(baseValue), len(next))
+	for head < shorter && baseValue[head] == next[head] {
+		head++
+	}
+	for tail < shorter-head && baseValue[len(baseValue)-1-tail] == next[len(next)-1-tail] {
+		tail++
+	}
+	for head > 0 && head < len(next) && !utf8.RuneStart(next[head]) {
+		head--
+	}
+	for tail > 0 && !utf8.RuneStart(next[len(next)-tail]) {
+		tail--
+	}
+	return head, tail
+}
+
+// Apply gives the value that the patch makes of the record's, and false unless the record is
+// the patch's base and the value the one that the patch was made for.
+func (p *Patch) Apply(c Record, ballot ident.Ballot) ([]byte, bool) {
+	if p != nil && p.BaseBallot != nil {
+		ballot = *p.BaseBallot
+	}
+	if p == nil || c.Accepted != ballot || c.Revision != p.BaseRevision {
+		return nil, false
+	}
+	if len(p.Pieces) > 0 {
+		out, ok := join(c.Value, p.Pieces)
+		return out, ok && p.Prefix == piecesHead && Sum(out) == p.Sum
+	}
+	if p.Prefix < 0 || p.Suffix < 0 || p.Prefix > len(c.Value)-p.Suffix {
+		return nil, false
+	}
+	out := make([]byte, 0, p.Prefix+len(p.Middle)+p.Suffix)
+	out = append(append(out, c.Value[:p.Prefix]...), p.Middle...)
+	out = append(out, c.Value[len(c.Value)-p.Suffix:]...)
+	return out, Sum(out) == p.Sum
+}
