--- a/control/register/cell/patch_test.go
+++ b/control/register/quorum/patch_test.go
@@ -1,4 +1,4 @@
-package cell_test
+package quorum_test
 
 import (
 	"encoding/json"
@@ -9,7 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -19,10 +19,10 @@
 )
 
 // wire is a patch as the other side reads it.
-func wire(t *testing.T, p *cell.Patch) *cell.Patch {
+func wire(t *testing.T, p *quorum.Patch) *quorum.Patch {
 	raw, err := json.Marshal(p)
 	must.NoError(t, err)
-	out := &cell.Patch{}
+	out := &quorum.Patch{}
 	must.NoError(t, json.Unmarshal(raw, out))
 	return out
 }
@@ -41,24 +41,24 @@
 	}
 	made, none := 0, 0
 	for i := range 20000 {
-		was := text(rng.IntN(900))
-		from, to := rng.IntN(len(was)+1), rng.IntN(len(was)+1)
+		baseValue := text(rng.IntN(900))
+		from, to := rng.IntN(len(baseValue)+1), rng.IntN(len(baseValue)+1)
 		if from > to {
 			from, to = to, from
 		}
-		next := was[:from] + text(rng.IntN(30)) + was[to:]
-		base := cell.Cell{Promised: mine, Accepted: mine, Revision: 7, Value: []byte(was)}
+		next := baseValue[:from] + text(rng.IntN(30)) + baseValue[to:]
+		base := quorum.Record{Promised: mine, Accepted: mine, Revision: 7, Value: []byte(baseValue)}
 		if i%2 == 0 {
 			base.Accepted = theirs
 		}
-		p := cell.Diff(base, mine, []byte(next))
+		p := quorum.Diff(base, mine, []byte(next))
 		if p == nil {
 			none++
 			continue
 		}
 		made++
-		must.LessEq(t, len(next)/2, len(p.Mid))
-		got, ok := wire(t, p).Over(base, mine)
+		must.LessEq(t, len(next)/2, len(p.Middle))
+		got, ok := wire(t, p).Apply(base, mine)
 		must.True(t, ok)
 		must.Eq(t, next, string(got))
 	}
@@ -78,72 +78,72 @@
 		for j := range 300 {
 			items = append(items, fmt.Sprintf(`"r-%x":{"host":"h%d.example","timeoutMs":500,"hue":"%s"}`, rng.Uint32(), j, parts[rng.IntN(len(parts))]))
 		}
-		was := []byte(strings.Join(items, ","))
+		baseValue := []byte(strings.Join(items, ","))
 		edits := 1 + rng.IntN(6)
 		for range edits {
 			n := rng.IntN(len(items))
 			items[n] = fmt.Sprintf(`"n-%x":%q`, rng.Uint32(), parts[rng.IntN(len(parts))])
 		}
 		next := []byte(strings.Join(items, ","))
-		base := cell.Cell{Promised: mine, Accepted: mine, Revision: 7, Value: was}
-		p := cell.Diff(base, mine, next)
+		base := quorum.Record{Promised: mine, Accepted: mine, Revision: 7, Value: baseValue}
+		p := quorum.Diff(base, mine, next)
 		must.NotNil(t, p, must.Sprint(i))
-		got, ok := wire(t, p).Over(base, mine)
+		got, ok := wire(t, p).Apply(base, mine)
 		must.True(t, ok)
 		must.Eq(t, string(next), string(got))
 		if p.Pieces == nil {
 			continue
 		}
 		divided++
-		must.Negative(t, p.Head)
+		must.Negative(t, p.Prefix)
 		raw, err := json.Marshal(p)
 		must.NoError(t, err)
 		must.Less(t, 200+400*edits, len(raw), must.Sprint(i))
-		for name, edit := range map[string]func(*cell.Patch){
-			"a piece behind the end":  func(p *cell.Patch) { p.Pieces[0].At = len(was) - p.Pieces[0].Len + 1 },
-			"a piece before the base": func(p *cell.Patch) { p.Pieces[0].At = -1 },
-			"less than nothing":       func(p *cell.Patch) { p.Pieces[0].Len = -1 },
-			"a piece too long":        func(p *cell.Patch) { p.Pieces[0].Len = 1 << 62 },
-			"another piece":           func(p *cell.Patch) { p.Pieces[0].At++ },
-			"a head beside pieces":    func(p *cell.Patch) { p.Head = 0 },
+		for name, edit := range map[string]func(*quorum.Patch){
+			"a piece behind the end":  func(p *quorum.Patch) { p.Pieces[0].At = len(baseValue) - p.Pieces[0].Len + 1 },
+			"a piece before the base": func(p *quorum.Patch) { p.Pieces[0].At = -1 },
+			"less than nothing":       func(p *quorum.Patch) { p.Pieces[0].Len = -1 },
+			"a piece too long":        func(p *quorum.Patch) { p.Pieces[0].Len = 1 << 62 },
+			"another piece":           func(p *quorum.Patch) { p.Pieces[0].At++ },
+			"a head beside pieces":    func(p *quorum.Patch) { p.Prefix = 0 },
 		} {
 			odd := wire(t, p)
 			edit(odd)
-			_, ok := odd.Over(base, mine)
+			_, ok := odd.Apply(base, mine)
 			must.False(t, ok, must.Sprint(name))
 		}
 	}
 	must.Greater(t, 200, divided)
 }
 
-// A patch is turned away by whatever is not its base.
+// A patch is rejected by whatever is not its base.
 func TestPatchTakesItsBaseAlone(t *testing.T) {
 	long := strings.Repeat("0123456789", 100)
-	base := cell.Cell{Promised: mine, Accepted: mine, Revision: 7, Value: []byte(long)}
+	base := quorum.Record{Promised: mine, Accepted: mine, Revision: 7, Value: []byte(long)}
 	next := []byte(long[:500] + "x" + long[500:])
-	for name, edit := range map[string]func(*cell.Cell, *cell.Patch){
-		"an older revision": func(c *cell.Cell, _ *cell.Patch) { c.Revision-- },
-		"a newer revision":  func(c *cell.Cell, _ *cell.Patch) { c.Revision++ },
-		"another ballot":    func(c *cell.Cell, _ *cell.Patch) { c.Accepted = theirs },
-		"no cell":           func(c *cell.Cell, _ *cell.Patch) { *c = cell.Cell{} },
-		"another byte":      func(c *cell.Cell, _ *cell.Patch) { c.Value = append([]byte("1"), c.Value[1:]...) },
-		"a shorter value":   func(c *cell.Cell, _ *cell.Patch) { c.Value = c.Value[:20] },
-		"more kept":         func(_ *cell.Cell, p *cell.Patch) { p.Head++ },
-		"less than nothing": func(_ *cell.Cell, p *cell.Patch) { p.Head = -1 },
-		"a tail below it":   func(_ *cell.Cell, p *cell.Patch) { p.Tail = -1 },
-		"a tail too long":   func(_ *cell.Cell, p *cell.Patch) { p.Tail = 1 << 62 },
-		"another base":      func(_ *cell.Cell, p *cell.Patch) { p.From = &theirs },
+	for name, edit := range map[string]func(*quorum.Record, *quorum.Patch){
+		"an older revision": func(c *quorum.Record, _ *quorum.Patch) { c.Revision-- },
+		"a newer revision":  func(c *quorum.Record, _ *quorum.Patch) { c.Revision++ },
+		"another ballot":    func(c *quorum.Record, _ *quorum.Patch) { c.Accepted = theirs },
+		"no record":         func(c *quorum.Record, _ *quorum.Patch) { *c = quorum.Record{} },
+		"another byte":      func(c *quorum.Record, _ *quorum.Patch) { c.Value = append([]byte("1"), c.Value[1:]...) },
+		"a shorter value":   func(c *quorum.Record, _ *quorum.Patch) { c.Value = c.Value[:20] },
+		"more kept":         func(_ *quorum.Record, p *quorum.Patch) { p.Prefix++ },
+		"less than nothing": func(_ *quorum.Record, p *quorum.Patch) { p.Prefix = -1 },
+		"a tail below it":   func(_ *quorum.Record, p *quorum.Patch) { p.Suffix = -1 },
+		"a tail too long":   func(_ *quorum.Record, p *quorum.Patch) { p.Suffix = 1 << 62 },
+		"another base":      func(_ *quorum.Record, p *quorum.Patch) { p.BaseBallot = &theirs },
 	} {
-		c, p := base, cell.Diff(base, mine, next)
+		c, p := base, quorum.Diff(base, mine, next)
 		must.NotNil(t, p)
 		edit(&c, p)
-		_, ok := p.Over(c, mine)
+		_, ok := p.Apply(c, mine)
 		must.False(t, ok, must.Sprint(name))
 	}
-	_, ok := (*cell.Patch)(nil).Over(base, mine)
+	_, ok := (*quorum.Patch)(nil).Apply(base, mine)
 	must.False(t, ok)
-	must.Nil(t, cell.Diff(base, mine, []byte(strings.Repeat("x", 1000))), must.Sprint("a value that differs all over"))
-	must.Nil(t, cell.Diff(base, mine, []byte("short")), must.Sprint("a short value"))
+	must.Nil(t, quorum.Diff(base, mine, []byte(strings.Repeat("x", 1000))), must.Sprint("a value that differs all over"))
+	must.Nil(t, quorum.Diff(base, mine, []byte("short")), must.Sprint("a short value"))
 }
 
 // A batch with a value of 10 KB, whole and as a patch: to JSON and back.
@@ -154,24 +154,24 @@
 	}
 	value := []byte(`{"state":{"f":1,"l":[` + strings.Join(list, ",") + `],"n":300}}`)
 	next := []byte(strings.Replace(string(value), `],"n":300`, `,["a1","0123456789abcdef",301]],"n":301`, 1))
-	base := cell.Cell{Accepted: mine, Revision: 7, Value: value}
-	ask := cell.Ask{Kind: cell.Accept, Turn: 9, Membership: 1, Key: "group/g.", Ballot: mine, Revision: 8}
+	base := quorum.Record{Accepted: mine, Revision: 7, Value: value}
+	request := quorum.Request{Kind: quorum.Accept, Round: 9, Membership: 1, Key: "group/g.", Ballot: mine, Revision: 8}
 	for _, how := range []string{"whole", "patch"} {
 		b.Run(how, func(b *testing.B) {
 			size := 0
 			for b.Loop() {
-				a := ask
+				a := request
 				if a.Value = next; how == "patch" {
-					a.Value, a.Patch = nil, cell.Diff(base, mine, next)
+					a.Value, a.Patch = nil, quorum.Diff(base, mine, next)
 				}
-				raw, _ := json.Marshal([]cell.Ask{a})
+				raw, _ := json.Marshal([]quorum.Request{a})
 				size = len(raw)
-				var back []cell.Ask
+				var back []quorum.Request
 				if json.Unmarshal(raw, &back) != nil {
 					b.Fatal("no JSON")
 				}
 				if how == "patch" {
-					if _, ok := back[0].Patch.Over(base, mine); !ok {
+					if _, ok := back[0].Patch.Apply(base, mine); !ok {
 						b.Fatal("turned away")
 					}
 				}
@@ -189,9 +189,9 @@
 	}
 	value := []byte(`{"n":300,"l":{` + strings.Join(list, ",") + `},"end":300}`)
 	next := []byte(strings.Replace(strings.ReplaceAll(string(value), `:300`, `:301`), "jepu5", "jepu7", 1))
-	base := cell.Cell{Accepted: mine, Revision: 7, Value: value}
+	base := quorum.Record{Accepted: mine, Revision: 7, Value: value}
 	for b.Loop() {
-		if p := cell.Diff(base, mine, next); p == nil || p.Pieces == nil {
+		if p := quorum.Diff(base, mine, next); p == nil || p.Pieces == nil {
 			b.Fatal("no pieces")
 		}
 	}
--- a/control/register/cell/pieces.go
+++ b/control/register/quorum/pieces.go
@@ -1,4 +1,4 @@
-package cell
+package quorum
 
 import (
 	"bytes"
--- a/control/register/cell/cell.go
+++ b/control/register/quorum/quorum.go
@@ -1,5 +1,5 @@
-// Package cell holds the state and the messages of the per-key register.
-package cell
+// Package quorum holds the state and the messages of the per-key replicated register.
+package quorum
 
 import (
 	"encoding/binary"
@@ -10,9 +10,9 @@
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
-// Cell is what one disk holds of one key. Invariants: Accepted is never above
+// Record is what one disk holds of one key. Invariants: Accepted is never above
 // Promised; Revision and Value belong to Accepted.
-type Cell struct {
+type Record struct {
 	Promised ident.Ballot    `json:"p"`
 	Accepted ident.Ballot    `json:"a"`
 	Revision ident.Revision  `json:"r"`
@@ -20,7 +20,7 @@
 }
 
 // Newer tells whether c's accepted state comes after d's.
-func (c Cell) Newer(d Cell) bool {
+func (c Record) Newer(d Record) bool {
 	if c.Accepted != d.Accepted {
 		return d.Accepted.Less(c.Accepted)
 	}
@@ -28,7 +28,7 @@
 }
 
 // Same tells whether both hold the same accepted state.
-func (c Cell) Same(d Cell) bool { return c.Accepted == d.Accepted && c.Revision == d.Revision }
+func (c Record) Same(d Record) bool { return c.Accepted == d.Accepted && c.Revision == d.Revision }
 
 // Kind is the kind of a quorum message.
 type Kind string
@@ -40,12 +40,12 @@
 	Confirm Kind = "confirm"
 )
 
-// Ask goes from an owner to the replicas. Invariant: Turn is new for every round
-// of one owner process, except for repeats of the same round and for mending,
-// which uses turn 0 and expects nothing.
-type Ask struct {
+// Request goes from a proposer to the acceptors. Invariant: Round is new for every round
+// of one proposer process, except for repeats of the same round and for read repair,
+// which uses round 0 and expects nothing.
+type Request struct {
 	Kind       Kind            `json:"kind"`
-	Turn       uint64          `json:"turn"`
+	Round      uint64          `json:"turn"`
 	Membership ident.Epoch     `json:"roster"`
 	Key        ident.Key       `json:"key"`
 	Ballot     ident.Ballot    `json:"ballot"`
@@ -53,34 +53,34 @@
 	Value      json.RawMessage `json:"value,omitempty"`
 	// Patch stands for Value in a PatchAccept.
 	Patch *Patch `json:"patch,omitempty"`
-	// Have names, in a prepare, an accepted state whose value the owner has: it need not
-	// travel. A replica that does not know the field sends the value all the same.
-	Have *Have `json:"have,omitempty"`
+	// Held names, in a prepare, an accepted state whose value the proposer holds: it need not
+	// travel. An acceptor that does not know the field sends the value all the same.
+	Held *Held `json:"have,omitempty"`
 }
 
-// Have names one accepted state. Invariant: an accepted ballot and revision have one
+// Held names one accepted state. Invariant: an accepted ballot and revision have one
 // value, wherever and whenever they are met.
-type Have struct {
+type Held struct {
 	Accepted ident.Ballot   `json:"a"`
 	Revision ident.Revision `json:"r"`
 }
 
-// Same tells whether the cell holds that very state.
-func (h *Have) Same(c Cell) bool {
+// Same tells whether the record holds that very state.
+func (h *Held) Same(c Record) bool {
 	return h != nil && c.Accepted == h.Accepted && c.Revision == h.Revision
 }
 
-// Return answers an Ask. Invariant: it leaves the replica only after everything
-// it speaks of is synced. Cell is empty when a patch was taken; Cell.Value is filled for
-// prepare alone, and not for the state that the Ask said to be had.
-type Return struct {
+// Response answers a Request. Invariant: it leaves the acceptor only after everything
+// it speaks of is synced. Record is empty when a patch was accepted; Record.Value is filled for
+// prepare alone, and not for the state that the Request named as held.
+type Response struct {
 	Kind       Kind        `json:"kind"`
-	Turn       uint64      `json:"turn"`
+	Round      uint64      `json:"turn"`
 	Disk       ident.Disk  `json:"disk"`
 	Membership ident.Epoch `json:"roster"`
 	Key        ident.Key   `json:"key"`
 	OK         bool        `json:"ok"`
-	Cell       Cell        `json:"cell"`
+	Record     Record      `json:"cell"`
 }
 
 // Voter is one slot of the membership. Invariants: a voter that is still copying is not
@@ -102,7 +102,7 @@
 	Need int `json:"-"`
 }
 
-// Majority is the number of counted returns that a round needs.
+// Majority is the number of counted responses that a round needs.
 func (r Membership) Majority() int {
 	if r.Need > 0 {
 		return r.Need
@@ -131,23 +131,23 @@
 	return Voter{}, false
 }
 
-// Counts tells whether a return of that disk counts.
+// Counts tells whether a response of that disk counts.
 func (r Membership) Counts(d ident.Disk) bool {
 	v, ok := r.Find(d)
 	return ok && v.Counted
 }
 
-// Scan asks a replica for its cells below a prefix. With Buckets it asks for a digest of
-// each bucket of keys instead, or, with Only, for the cells of those buckets.
+// Scan asks an acceptor for its records below a prefix. With Buckets it asks for a digest of
+// each bucket of keys instead, or, with Only, for the records of those buckets.
 type Scan struct {
-	Turn       uint64      `json:"turn"`
+	Round      uint64      `json:"turn"`
 	Membership ident.Epoch `json:"roster"`
 	Prefix     string      `json:"prefix"`
 	After      ident.Key   `json:"after,omitempty"`
 	Values     bool        `json:"values,omitempty"`
 
-	Buckets int   `json:"buckets,omitempty"`
-	Only    []int `json:"only,omitempty"`
+	Buckets     int   `json:"buckets,omitempty"`
+	OnlyBuckets []int `json:"only,omitempty"`
 }
 
 // Bucket is the bucket that a key lies in, of so many.
@@ -160,9 +160,9 @@
 // DigestBytes is the size of the digest of one bucket.
 const DigestBytes = 8
 
-// Digest lays a cell's accepted state into the digests of all buckets. Buckets that hold
-// the same accepted states have the same digest, in whatever order they were laid in.
-func Digest(all []byte, k ident.Key, c Cell) {
+// Digest adds a record's accepted state into the digests of all buckets. Buckets that hold
+// the same accepted states have the same digest, in whatever order they were added in.
+func Digest(all []byte, k ident.Key, c Record) {
 	h := fnv.New64a()
 	_, _ = fmt.Fprintf(h, "%s\x00%d\x00%s\x00%d", k, c.Accepted.Epoch, c.Accepted.Owner, c.Revision)
 	x := h.Sum64()
@@ -173,15 +173,15 @@
 	binary.LittleEndian.PutUint64(at, binary.LittleEndian.Uint64(at)+x)
 }
 
-// Row is one cell in a Scan's return.
+// Row is one record in a Scan's response.
 type Row struct {
-	Key  ident.Key `json:"key"`
-	Cell Cell      `json:"cell"`
+	Key    ident.Key `json:"key"`
+	Record Record    `json:"cell"`
 }
 
-// ScanReturn answers a Scan with one page.
-type ScanReturn struct {
-	Turn       uint64      `json:"turn"`
+// ScanResponse answers a Scan with one page.
+type ScanResponse struct {
+	Round      uint64      `json:"turn"`
 	Disk       ident.Disk  `json:"disk"`
 	Membership ident.Epoch `json:"roster"`
 	After      ident.Key   `json:"after,omitempty"`
--- a/control/register/survey/survey_test.go
+++ b/control/register/quorumread/quorumread_test.go
@@ -1,4 +1,4 @@
-package survey_test
+package quorumread_test
 
 import (
 	"fmt"
@@ -8,35 +8,35 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/register/replica"
-	"cottonarch.example/cottonarch/control/register/survey"
+	"cottonarch.example/cottonarch/control/register/acceptor"
+	"cottonarch.example/cottonarch/control/register/quorum"
+	"cottonarch.example/cottonarch/control/register/quorumread"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
 
-// Four disks with a few hundred keys, some of which differ: a survey that compares digests
+// Four disks with a few hundred keys, some of which differ: a quorum read that compares digests
 // first finds just the lagging copies that one without them finds, and reads few rows; one
 // that is slow to answer is waited for, one that is silent is not.
 func TestDigestsFindWhatDiffers(t *testing.T) {
 	voters := []ident.Disk{"a", "b", "c", "d"}
 	for seed := range uint64(60) {
 		rng := rand.New(rand.NewPCG(seed, 3))
-		membership := cell.Membership{Epoch: 4}
-		disks := map[ident.Disk]*replica.Replica{}
+		membership := quorum.Membership{Epoch: 4}
+		disks := map[ident.Disk]*acceptor.Acceptor{}
 		for _, d := range voters {
-			disks[d] = replica.New(d)
-			membership.Voters = append(membership.Voters, cell.Voter{Disk: d, Addr: ident.Addr(d), Counted: true})
+			disks[d] = acceptor.New(d)
+			membership.Voters = append(membership.Voters, quorum.Voter{Disk: d, Addr: ident.Addr(d), Counted: true})
 		}
 		for k := range 300 {
 			key := ident.Key(fmt.Sprintf("key/%d", k))
 			for _, d := range voters {
-				c := cell.Cell{Accepted: ident.Ballot{Epoch: 1, Owner: "o"}, Revision: 3, Value: []byte(`"v"`)}
+				c := quorum.Record{Accepted: ident.Ballot{Epoch: 1, Owner: "o"}, Revision: 3, Value: []byte(`"v"`)}
 				if rng.IntN(300) == 0 {
 					c.Revision = ident.Revision(1 + rng.IntN(3))
 				}
 				if rng.IntN(300) != 0 {
-					disks[d].Learn(cell.Row{Key: key, Cell: c})
+					disks[d].Learn(quorum.Row{Key: key, Record: c})
 				}
 			}
 		}
@@ -48,15 +48,15 @@
 			slow = "b"
 		}
 		run := func(buckets int) (lags map[ident.Key]int, rows int) {
-			s := survey.Begin(1, membership, "", false, "")
+			s := quorumread.Begin(1, membership, "", false, "")
 			s.All, s.Buckets = true, buckets
 			type late struct {
 				at moment.Moment
-				r  cell.ScanReturn
+				r  quorum.ScanResponse
 			}
 			var post []late
 			done := false
-			send := func(now moment.Moment, list []survey.Send) {
+			send := func(now moment.Moment, list []quorumread.Send) {
 				for _, out := range list {
 					r, ok := disks[out.To.Disk].Scan(4, out.Scan)
 					must.True(t, ok)
--- a/control/rollout/drive/drive.go
+++ b/control/rollout/drive/drive.go
@@ -10,7 +10,7 @@
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/control/rollout/state"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
@@ -42,10 +42,10 @@
 func New() *Drive { return &Drive{seats: map[string]seat{}} }
 
 // Plan gives the next deed for a roll-out, if one is due.
-func (d *Drive) Plan(now moment.Moment, r state.Rollout, m *check.Manifest, ends func(ident.Service) Ends) (owner.Deed, bool) {
+func (d *Drive) Plan(now moment.Moment, r state.Rollout, m *check.Manifest, ends func(ident.Service) Ends) (proposer.Operation, bool) {
 	if m == nil || r.Phase != state.Running && r.Phase != state.Backing {
 		delete(d.seats, r.Way)
-		return owner.Deed{}, false
+		return proposer.Operation{}, false
 	}
 	var way *check.Way
 	for i := range m.Ways {
@@ -73,13 +73,13 @@
 	all, bad := e.All-s.base.All, e.Bad-s.base.Bad
 	if e.All < s.base.All || e.Bad < s.base.Bad { // another core's sums
 		delete(d.seats, r.Way)
-		return owner.Deed{}, false
+		return proposer.Operation{}, false
 	}
 	if all >= leastCalls && float64(bad) > r.Most*float64(all) {
 		return move(r, state.Backing, r.At, fmt.Sprintf("%d of %d calls ended in a defect at %d%%", bad, all, want))
 	}
 	if now.Since(s.began) < time.Duration(r.StepS*float64(time.Second)) || all < leastCalls {
-		return owner.Deed{}, false
+		return proposer.Operation{}, false
 	}
 	if r.At == len(r.Steps)-1 {
 		return move(r, state.Done, r.At, "")
@@ -100,7 +100,7 @@
 	return 0
 }
 
-func (d *Drive) back(r state.Rollout, w *check.Way, m *check.Manifest) (owner.Deed, bool) {
+func (d *Drive) back(r state.Rollout, w *check.Way, m *check.Manifest) (proposer.Operation, bool) {
 	delete(d.seats, r.Way)
 	if w == nil || w.Service != r.To && part(w, r) == 0 {
 		return move(r, state.Back, r.At, "")
@@ -108,14 +108,14 @@
 	return give(r, m, 0)
 }
 
-func move(r state.Rollout, p state.Phase, at int, why string) (owner.Deed, bool) {
-	return owner.Deed{Key: state.Key(r.Way), Kind: "rollout/move", Args: book.JSON(state.Move{
+func move(r state.Rollout, p state.Phase, at int, why string) (proposer.Operation, bool) {
+	return proposer.Operation{Key: state.Key(r.Way), Kind: "rollout/move", Args: book.JSON(state.Move{
 		Round: r.Round, At: r.At, Phase: r.Phase, NextAt: at, NextPhase: p, Why: why})}, true
 }
 
 // give offers the part of a manifest that brings the way to a share, on the epoch that
 // was looked at, so it never overwrites what an operator did meanwhile.
-func give(r state.Rollout, m *check.Manifest, percent int) (owner.Deed, bool) {
+func give(r state.Rollout, m *check.Manifest, percent int) (proposer.Operation, bool) {
 	way := map[string]any{"service": string(r.From), "split": nil}
 	switch {
 	case percent == 100:
@@ -125,5 +125,5 @@
 	}
 	base := m.Epoch
 	body, _ := json.Marshal(map[string]any{"ways": map[string]any{r.Way: way}})
-	return owner.Deed{Key: offer.Key, Kind: "manifest/offer", Args: book.JSON(offer.Args{Partial: true, Base: &base, Body: body})}, true
+	return proposer.Operation{Key: offer.Key, Kind: "manifest/offer", Args: book.JSON(offer.Args{Partial: true, Base: &base, Body: body})}, true
 }
--- a/control/rollout/state/state.go
+++ b/control/rollout/state/state.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"cottonarch.example/cottonarch/control/coordination/book"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
@@ -63,7 +63,7 @@
 	return book.Book{"rollout/begin": begin, "rollout/move": move, "rollout/read": read}
 }
 
-func begin(_ owner.Turn, state, args json.RawMessage) book.Entry {
+func begin(_ proposer.Context, state, args json.RawMessage) book.Entry {
 	var r, a Rollout
 	if d := book.Read(state, args, &r, &a); d != nil {
 		return book.Turned(d)
@@ -91,7 +91,7 @@
 	return book.Entry{State: book.JSON(a), Body: book.JSON(a)}
 }
 
-func move(_ owner.Turn, state, args json.RawMessage) book.Entry {
+func move(_ proposer.Context, state, args json.RawMessage) book.Entry {
 	var r Rollout
 	var m Move
 	if d := book.Read(state, args, &r, &m); d != nil {
@@ -110,7 +110,7 @@
 	return book.Entry{State: book.JSON(r), Body: book.JSON(r)}
 }
 
-func read(_ owner.Turn, state, args json.RawMessage) book.Entry {
+func read(_ proposer.Context, state, args json.RawMessage) book.Entry {
 	var r Rollout
 	var a struct{}
 	if d := book.Read(state, args, &r, &a); d != nil {
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -18,7 +18,7 @@
 	"cottonarch.example/cottonarch/boot"
 	"cottonarch.example/cottonarch/control/core/admission"
 	"cottonarch.example/cottonarch/control/core/node"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/count"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
@@ -93,7 +93,7 @@
 	Sight    string         `json:"-"` // stands for Places
 	Epoch    ident.Epoch    `json:"epoch,omitempty"`
 	Members  any            `json:"members"`
-	Sweep    *Sweep         `json:"sweep,omitempty"` // set while this core holds the sweeping duty
+	Sweep    *Sweep         `json:"sweep,omitempty"` // set while this core holds the anti-entropy duty
 }
 
 // Sweep is what the last sweep found, for pages. Invariant: Whole if and only if every disk
@@ -213,18 +213,18 @@
 // look copies what pages show, and logs changes of state.
 func (c *Core) look(now moment.Moment) {
 	n := c.node
-	v := &View{Disk: n.Disk, Roster: n.Membership(), Votes: n.Votes(), Voters: len(n.Membership().Voters), Majority: n.Majority(now), Owned: len(n.Owned()), Cells: n.Cells(),
+	v := &View{Disk: n.Disk, Roster: n.Membership(), Votes: n.Votes(), Voters: len(n.Membership().Voters), Majority: n.Majority(now), Owned: len(n.HeldKeys()), Cells: n.Records(),
 		Duty: n.Duty(), Cores: n.Fresh(now), Places: n.Places(now), Members: n.Ledger.Members()}
 	v.Sight = sight(v.Places)
 	if m := c.held.Load(); m != nil {
 		v.Epoch = m.Epoch
 	}
-	if s, ok := n.Swept(); ok {
-		v.Sweep = &Sweep{Whole: s.Read == s.Of && s.Differ == 0, Read: s.Read, Of: s.Of, Differ: s.Differ, Ago: now.Since(s.At).Milliseconds()}
+	if s, ok := n.LastPass(); ok {
+		v.Sweep = &Sweep{Whole: s.Read == s.Of && s.Behind == 0, Read: s.Read, Of: s.Of, Differ: s.Behind, Ago: now.Since(s.At).Milliseconds()}
 	}
 	old := c.view.Swap(v)
-	o := n.Owner()
-	for name, x := range map[string]uint64{"takes": o.Takes, "rounds": o.Rounds, "mended": o.Mended, "losses": o.Losses, "patches": o.Patched, "patches_refused": o.Refused, "sweeps": n.Sweeps, "swept_keys": n.Mended,
+	o := n.Proposer()
+	for name, x := range map[string]uint64{"takes": o.Prepares, "rounds": o.Rounds, "mended": o.Repaired, "losses": o.AbandonedTerms, "patches": o.PatchesSent, "patches_refused": o.PatchesRejected, "sweeps": n.AntiEntropyPasses, "swept_keys": n.Repaired,
 		"join_batches": n.JoinBatches, "joins_refused": n.JoinsRefused} {
 		c.Board.Set(name, int64(x))
 	}
@@ -311,7 +311,7 @@
 
 // Deed runs one deed and waits for its end, at most budget; what it waits for the loop
 // counts, so a process that was held up begins nothing that nobody waits for any more.
-func (c *Core) Deed(ctx context.Context, d owner.Deed, budget time.Duration) node.End {
+func (c *Core) Deed(ctx context.Context, d proposer.Operation, budget time.Duration) node.End {
 	c.Board.Add("deeds", 1)
 	ctx, stop := context.WithTimeout(ctx, budget+time.Second)
 	defer stop()
@@ -322,7 +322,7 @@
 		if left <= 0 {
 			return node.Effects{Ends: []node.End{{Ticket: t, Defect: defect.New(defect.Busy, "its time was over before it was begun").Later(1)}}}
 		}
-		return c.node.Deed(now, t, d, left)
+		return c.node.Submit(now, t, d, left)
 	})
 }
 
@@ -343,7 +343,7 @@
 	ctx, stop := context.WithTimeout(ctx, budget+time.Second)
 	defer stop()
 	return c.await(ctx, func(now moment.Moment, t uint64) node.Effects {
-		return c.node.Survey(now, t, prefix, values, budget)
+		return c.node.QuorumRead(now, t, prefix, values, budget)
 	})
 }
 
--- a/daemon/core/manifest.go
+++ b/daemon/core/manifest.go
@@ -13,7 +13,7 @@
 	"cottonarch.example/cottonarch/control/manifest/delta"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/manifest/walk"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
@@ -57,10 +57,10 @@
 // Held is the newest manifest that this core knows to be confirmed, nil if none.
 func (c *Core) Held() *Manifest { return c.held.Load() }
 
-// Newest reads the manifest through its owner, so it is not older than any confirmed
+// Newest reads the manifest through its proposer, so it is not older than any confirmed
 // before the call.
 func (c *Core) Newest(ctx context.Context, budget time.Duration) (*Manifest, *defect.Defect) {
-	e := c.Deed(ctx, owner.Deed{Key: offer.Key, Kind: "manifest/epoch"}, budget)
+	e := c.Deed(ctx, proposer.Operation{Key: offer.Key, Kind: "manifest/epoch"}, budget)
 	if e.Defect != nil {
 		return nil, e.Defect
 	}
@@ -74,7 +74,7 @@
 	if yes.Epoch == 0 {
 		return &Manifest{Parsed: &check.Manifest{}}, nil
 	}
-	e = c.Deed(ctx, owner.Deed{Key: offer.Key, Kind: "manifest/read"}, budget)
+	e = c.Deed(ctx, proposer.Operation{Key: offer.Key, Kind: "manifest/read"}, budget)
 	if e.Defect != nil {
 		return nil, e.Defect
 	}
--- a/daemon/core/post.go
+++ b/daemon/core/post.go
@@ -119,18 +119,18 @@
 
 func weight(m message.Message) int {
 	switch {
-	case m.Ask != nil:
-		if m.Ask.Patch != nil {
-			return len(m.Ask.Patch.Mid) + 400
+	case m.Request != nil:
+		if m.Request.Patch != nil {
+			return len(m.Request.Patch.Middle) + 400
 		}
-		return len(m.Ask.Value) + 200
-	case m.Return != nil:
-		return len(m.Return.Cell.Value) + 200
+		return len(m.Request.Value) + 200
+	case m.Response != nil:
+		return len(m.Response.Record.Value) + 200
 	case m.Carried != nil:
 		return len(m.Carried.Body) + 200
 	case m.Forward != nil:
-		return len(m.Forward.Deed.Args) + 200
-	case m.ScanReturn != nil:
+		return len(m.Forward.Operation.Args) + 200
+	case m.ScanResponse != nil:
 		return 1 << 20
 	}
 	return 400
--- a/daemon/proof/apps_test.go
+++ b/daemon/proof/apps_test.go
@@ -19,13 +19,13 @@
 
 // Cells at three cores: a put at one is read at every other at once and wakes a watch
 // there, whoever owns the group; a watch goes on at another core from where it was, over
-// the loss of the owner, and skips nothing.
+// the loss of the proposer, and skips nothing.
 func TestCellsAtEveryCore(t *testing.T) {
 	c := upCores(t, 3)
 	ctx, stop := context.WithTimeout(context.Background(), 2*patience)
 	defer stop()
 	const budget = 900 * time.Millisecond
-	// A put or a read that a busy machine kept from its owner is asked again, as callers do;
+	// A put or a read that a busy machine kept from its proposer is asked again, as callers do;
 	// a put that was done keeps its revision.
 	put := func(at *core.Core, name string, v json.RawMessage) (p coordination.Cell) {
 		eventually(t, "a put", func() bool {
--- a/explore/cluster/apply.go
+++ b/explore/cluster/apply.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/register/replica"
+	"cottonarch.example/cottonarch/control/register/acceptor"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/explore/search"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
@@ -113,7 +113,7 @@
 	return false
 }
 
-func (c *Cluster) forget(m *member) { m.rep = replica.New(m.disk) }
+func (c *Cluster) forget(m *member) { m.rep = acceptor.New(m.disk) }
 
 // leave begins a planned stop: keys that nothing is out for are let go.
 func (c *Cluster) leave(m *member) {
@@ -141,7 +141,7 @@
 	majority int
 }
 
-func voters(r cell.Membership) rosterVoters {
+func voters(r quorum.Membership) rosterVoters {
 	out := rosterVoters{majority: majority(r)}
 	for _, v := range r.Voters {
 		if v.Counted {
--- a/explore/cluster/client.go
+++ b/explore/cluster/client.go
@@ -4,8 +4,8 @@
 	"encoding/json"
 	"fmt"
 
-	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/explore/search"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
@@ -38,11 +38,11 @@
 	// deed makes the order's kind and arguments; it notes what the asker may count on.
 	deed(o *order) (kind string, args json.RawMessage)
 	// told judges the sure end of an order.
-	told(c *Cluster, o *order, out owner.Outcome)
+	told(c *Cluster, o *order, out proposer.Outcome)
 	// turned notes that an order surely did not take effect.
 	turned(o *order)
 	// inspect judges what a majority read would find.
-	inspect(c *Cluster, found cell.Cell)
+	inspect(c *Cluster, found quorum.Record)
 }
 
 // order is one deed of one client. Invariant: floor is what had been acknowledged of the
@@ -109,25 +109,25 @@
 	cl.open = o
 	m.orders[o.Tag] = o
 	op := ident.Op(fmt.Sprintf("op%d", o.Tag))
-	d := owner.Deed{Tag: o.Tag, Op: op, Key: c.objects[o.Object].key(), Kind: o.Kind, Args: o.Args}
+	d := proposer.Operation{Ticket: o.Tag, Op: op, Key: c.objects[o.Object].key(), Kind: o.Kind, Args: o.Args}
 	c.owned(m, m.own.Submit(c.clock(m), d))
 }
 
 // ended takes the end of a deed.
-func (c *Cluster) ended(m *member, out owner.Outcome) {
-	o := m.orders[out.Deed.Tag]
+func (c *Cluster) ended(m *member, out proposer.Outcome) {
+	o := m.orders[out.Operation.Ticket]
 	if o == nil {
-		if out.Deed.Tag == c.mending && !out.Lost {
+		if out.Operation.Ticket == c.mending && !out.Abandoned {
 			c.mending = 0
 		}
 		return
 	}
 	delete(m.orders, o.Tag)
 	switch {
-	case out.Lost && out.Risk && c.set.Break != BreakFate:
+	case out.Abandoned && out.MayHaveTakenEffect && c.set.Break != BreakFate:
 		c.unknown(o)
 		return
-	case out.Lost, out.Defect != nil && out.Defect.Fate == defect.FateNo && out.Defect.Kind != defect.Forgotten:
+	case out.Abandoned, out.Defect != nil && out.Defect.Fate == defect.FateNo && out.Defect.Kind != defect.Forgotten:
 		c.refused(o, out)
 	case out.Defect != nil && out.Defect.Fate != defect.FateNo:
 		c.unknown(o)
@@ -139,9 +139,9 @@
 }
 
 // refused takes a sure no.
-func (c *Cluster) refused(o *order, out owner.Outcome) {
+func (c *Cluster) refused(o *order, out proposer.Outcome) {
 	object := c.objects[o.Object]
-	if m, ok := object.(*manifest); ok && !out.Lost {
+	if m, ok := object.(*manifest); ok && !out.Abandoned {
 		m.refused(c, o, out.Defect)
 	}
 	if !o.Again {
--- a/explore/cluster/cluster.go
+++ b/explore/cluster/cluster.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"cottonarch.example/cottonarch/control/membership/acceptor"
-	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/explore/search"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
@@ -53,13 +53,13 @@
 	local   []envelope
 	cuts    map[[2]int]bool
 	used    map[Fault]int
-	machine owner.Machine
+	machine proposer.StateMachine
 	objects []object
 	clients []*client
 	tags    uint64
 	mending uint64 // the tag of the read that mends, until it is answered
 	disks   int
-	chosen  map[ident.Epoch]cell.Membership
+	chosen  map[ident.Epoch]quorum.Membership
 	// harsh says that faults together took more than a minority: what was acknowledged must
 	// still be kept, but the cluster need not be able to serve again.
 	harsh bool
@@ -69,21 +69,21 @@
 // New makes a cluster whose founders have formed the first roster.
 func New(set Settings) *Cluster { return assemble(set, broken.Book(string(set.Break), history)) }
 
-func assemble(set Settings, machine owner.Machine) *Cluster {
-	c := &Cluster{set: set, machine: machine, now: began, net: map[uint64]envelope{}, cuts: map[[2]int]bool{}, used: map[Fault]int{}, chosen: map[ident.Epoch]cell.Membership{}}
+func assemble(set Settings, machine proposer.StateMachine) *Cluster {
+	c := &Cluster{set: set, machine: machine, now: began, net: map[uint64]envelope{}, cuts: map[[2]int]bool{}, used: map[Fault]int{}, chosen: map[ident.Epoch]quorum.Membership{}}
 	for i, kind := range set.Keys {
 		c.objects = append(c.objects, makers[kind](i))
 	}
 	for i := range set.Clients {
 		c.clients = append(c.clients, &client{number: i + 1})
 	}
-	first := cell.Membership{Epoch: 1}
+	first := quorum.Membership{Epoch: 1}
 	for i := range set.Members + set.Spares {
 		m := &member{number: i + 1, store: c.blank(), acc: acceptor.New("")}
 		c.members = append(c.members, m)
 		if i < set.Members {
 			c.name(m)
-			first.Voters = append(first.Voters, cell.Voter{Disk: m.disk, Addr: m.addr(), Counted: true})
+			first.Voters = append(first.Voters, quorum.Voter{Disk: m.disk, Addr: m.addr(), Counted: true})
 		}
 	}
 	c.chosen[1] = first
@@ -97,7 +97,7 @@
 }
 
 // establish writes what a founder's disk holds once the first roster is chosen, and starts it.
-func (c *Cluster) establish(m *member, first cell.Membership) {
+func (c *Cluster) establish(m *member, first quorum.Membership) {
 	disk := m.disk
 	_, err := m.store.open()
 	c.must(m, err)
@@ -123,7 +123,7 @@
 }
 
 // decided notes a roster that a member says was chosen.
-func (c *Cluster) decided(m *member, r cell.Membership) {
+func (c *Cluster) decided(m *member, r quorum.Membership) {
 	r.Need = 0
 	old, known := c.chosen[r.Epoch]
 	if known && !slices.Equal(old.Voters, r.Voters) {
@@ -133,7 +133,7 @@
 }
 
 // newest is the newest chosen roster.
-func (c *Cluster) newest() cell.Membership {
+func (c *Cluster) newest() quorum.Membership {
 	return c.chosen[slices.Max(slices.Collect(maps.Keys(c.chosen)))]
 }
 
--- a/explore/cluster/encode.go
+++ b/explore/cluster/encode.go
@@ -10,7 +10,7 @@
 // plan leaves out the counters of an owner, which no step reads, and functions that are the
 // same for all.
 var plan = canon.NewPlan(map[string][]string{
-	"owner.Owner":                  {"mach", "Near", "Takes", "Rounds", "Mended", "Losses", "Patched", "Refused"},
+	"proposer.Proposer":            {"machine", "Local", "Prepares", "Rounds", "Repaired", "AbandonedTerms", "PatchesSent", "PatchesRejected"},
 	"reconfiguration.Reconfigurer": {"change"},
 	"ring.MemFile":                 {"owner"},
 })
--- a/explore/cluster/inspect.go
+++ b/explore/cluster/inspect.go
@@ -6,7 +6,7 @@
 	"math/bits"
 	"slices"
 
-	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -25,7 +25,7 @@
 }
 
 // serving lists the members whose disks count in a roster and may still serve at it.
-func (c *Cluster) serving(r cell.Membership, newest bool) []*member {
+func (c *Cluster) serving(r quorum.Membership, newest bool) []*member {
 	var out []*member
 	for _, v := range r.Voters {
 		m := c.holder(v.Disk)
@@ -56,10 +56,10 @@
 
 // read looks at what each majority has of an object, at the same cell once.
 func (c *Cluster) read(o object, groups [][]*member) {
-	var looked []cell.Cell
+	var looked []quorum.Record
 	for _, group := range groups {
 		found := newestCell(group, o.key())
-		known := func(other cell.Cell) bool { return found.Same(other) && bytes.Equal(found.Value, other.Value) }
+		known := func(other quorum.Record) bool { return found.Same(other) && bytes.Equal(found.Value, other.Value) }
 		if slices.ContainsFunc(looked, known) {
 			continue
 		}
@@ -69,8 +69,8 @@
 }
 
 // newestCell is what a prepare at these members would find.
-func newestCell(group []*member, key ident.Key) cell.Cell {
-	var best cell.Cell
+func newestCell(group []*member, key ident.Key) quorum.Record {
+	var best quorum.Record
 	for _, m := range group {
 		if got := m.rep.Peek(key); got.Newer(best) {
 			best = got
--- a/explore/cluster/locks.go
+++ b/explore/cluster/locks.go
@@ -6,8 +6,8 @@
 
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/lock"
-	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
@@ -64,7 +64,7 @@
 	return "lock/" + kind, book.JSON(a)
 }
 
-func (l *locks) told(c *Cluster, o *order, out owner.Outcome) {
+func (l *locks) told(c *Cluster, o *order, out proposer.Outcome) {
 	if o.Name == "release" {
 		return
 	}
@@ -94,7 +94,7 @@
 	}
 }
 
-func (l *locks) inspect(c *Cluster, found cell.Cell) {
+func (l *locks) inspect(c *Cluster, found quorum.Record) {
 	var state lock.Lock
 	_ = json.Unmarshal(book.State(found.Value), &state)
 	if state.Fence < l.Fence {
--- a/explore/cluster/manifest.go
+++ b/explore/cluster/manifest.go
@@ -8,8 +8,8 @@
 
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
@@ -54,7 +54,7 @@
 	return orderKind, book.JSON(a)
 }
 
-func (m *manifest) told(c *Cluster, o *order, out owner.Outcome) {
+func (m *manifest) told(c *Cluster, o *order, out proposer.Outcome) {
 	if o.Name == readOrder {
 		m.shown(c, o, out)
 		return
@@ -83,7 +83,7 @@
 }
 
 // shown judges a read.
-func (m *manifest) shown(c *Cluster, o *order, out owner.Outcome) {
+func (m *manifest) shown(c *Cluster, o *order, out proposer.Outcome) {
 	var h offer.Held
 	_ = json.Unmarshal(out.Body, &h)
 	if uint64(h.Epoch) < o.Floor {
@@ -119,7 +119,7 @@
 
 func (m *manifest) turned(o *order) { m.Turned[o.Content] = true }
 
-func (m *manifest) inspect(c *Cluster, found cell.Cell) {
+func (m *manifest) inspect(c *Cluster, found quorum.Record) {
 	var h offer.Held
 	_ = json.Unmarshal(book.State(found.Value), &h)
 	if uint64(h.Epoch) < m.Floor {
--- a/explore/cluster/member.go
+++ b/explore/cluster/member.go
@@ -4,12 +4,12 @@
 	"fmt"
 
 	"cottonarch.example/cottonarch/control/core/message"
-	"cottonarch.example/cottonarch/control/membership/acceptor"
+	membership "cottonarch.example/cottonarch/control/membership/acceptor"
 	"cottonarch.example/cottonarch/control/membership/reconfiguration"
-	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/register/owner"
-	"cottonarch.example/cottonarch/control/register/replica"
-	"cottonarch.example/cottonarch/control/register/survey"
+	"cottonarch.example/cottonarch/control/register/acceptor"
+	"cottonarch.example/cottonarch/control/register/proposer"
+	"cottonarch.example/cottonarch/control/register/quorum"
+	"cottonarch.example/cottonarch/control/register/quorumread"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/storage/ring"
@@ -27,11 +27,11 @@
 	silent  bool
 	store   disk
 	disk    ident.Disk
-	acc     *acceptor.Acceptor
-	rep     *replica.Replica
-	own     *owner.Owner
+	acc     *membership.Acceptor
+	rep     *acceptor.Acceptor
+	own     *proposer.Proposer
 	make    *reconfiguration.Reconfigurer
-	copy    *survey.Survey
+	copy    *quorumread.Reader
 	copied  ident.Epoch
 	turns   uint64
 	awaits  uint64 // the turn of the word that a copy is synced, 0 if none is awaited
@@ -87,7 +87,7 @@
 			m.disk = ident.Disk(rec.Data)
 		}
 	}
-	m.rep, m.acc = replica.New(m.disk), acceptor.New(m.disk)
+	m.rep, m.acc = acceptor.New(m.disk), membership.New(m.disk)
 	for _, rec := range records {
 		if err := m.take(rec); err != nil {
 			c.breach(RuleDisk, "m%d can't read %s: %v", m.number, rec.Tag, err)
@@ -100,7 +100,7 @@
 	switch {
 	case len(rec.Data) == 0, rec.Tag == diskTag:
 		return nil
-	case rec.Tag == acceptor.Tag:
+	case rec.Tag == membership.Tag:
 		return m.acc.Load(rec.Data)
 	}
 	_, err := m.rep.Load(rec)
@@ -128,7 +128,7 @@
 	c.disks++
 	m.disk = ident.Disk(fmt.Sprintf("disk%d", c.disks))
 	now := m.acc.Current
-	m.rep, m.acc = replica.New(m.disk), acceptor.New(m.disk)
+	m.rep, m.acc = acceptor.New(m.disk), membership.New(m.disk)
 	m.acc.Current = now
 }
 
@@ -136,11 +136,11 @@
 func (c *Cluster) begin(m *member) {
 	m.make, m.copy, m.copied, m.awaits = reconfiguration.New(m.disk, m.mark()), nil, 0, 0
 	m.turns = ident.FirstNumber(m.mark())
-	m.own = owner.New(string(m.disk)+"."+m.mark(), c.machine)
-	m.own.Near = func(k ident.Key) cell.Cell { return m.rep.Peek(k) }
+	m.own = proposer.New(string(m.disk)+"."+m.mark(), c.machine)
+	m.own.Local = func(k ident.Key) quorum.Record { return m.rep.Peek(k) }
 	for _, other := range c.members {
 		if other.disk != "" {
-			m.own.Able(other.disk, true)
+			m.own.SetPatchCapable(other.disk, true)
 		}
 	}
 	m.own.SetMembership(c.clock(m), m.acc.Current)
@@ -165,7 +165,7 @@
 }
 
 // adopt takes a chosen roster in, as a node does.
-func (c *Cluster) adopt(m *member, r cell.Membership) {
+func (c *Cluster) adopt(m *member, r quorum.Membership) {
 	_, was := m.acc.Current.Find(m.disk)
 	r.Need = c.set.need()
 	recs, newer := m.acc.Adopt(r)
@@ -201,7 +201,7 @@
 func (c *Cluster) join(m *member) {
 	now, r := c.clock(m), m.acc.Current
 	slot, in := r.Find(m.disk)
-	me := cell.Voter{Disk: m.disk, Addr: m.addr()}
+	me := quorum.Voter{Disk: m.disk, Addr: m.addr()}
 	switch {
 	case in && slot.Counted:
 	case in && slot.Joining && !c.grows(m):
@@ -210,7 +210,7 @@
 		c.rosterSends(m, m.make.Begin(now, r, reconfiguration.CountIn(m.disk)))
 	case in && m.copy == nil:
 		m.turns++
-		m.copy = survey.Begin(m.turns, r, "", true, m.disk)
+		m.copy = quorumread.Begin(m.turns, r, "", true, m.disk)
 		c.scans(m, m.copy.Tick(now))
 	case !in:
 		c.rosterSends(m, m.make.Begin(now, r, reconfiguration.TakeSlot(me, rosterMost, true)))
@@ -242,17 +242,17 @@
 	all := m.copy.Found()
 	for _, k := range c.keys() {
 		if found, ok := all[k]; ok {
-			c.must(m, m.append(m.rep.Learn(cell.Row{Key: k, Cell: found.Cell})))
+			c.must(m, m.append(m.rep.Learn(quorum.Row{Key: k, Record: found.Record})))
 		}
 	}
 	m.turns++
 	m.awaits = m.turns
-	synced := cell.ScanReturn{Turn: m.awaits, Disk: m.disk, Membership: m.copy.Membership.Epoch}
-	m.gated = append(m.gated, seal(m.number, m.number, message.Message{ScanReturn: &synced}))
+	synced := quorum.ScanResponse{Round: m.awaits, Disk: m.disk, Membership: m.copy.Membership.Epoch}
+	m.gated = append(m.gated, seal(m.number, m.number, message.Message{ScanResponse: &synced}))
 }
 
 // copySynced takes the word that the copy is synced.
-func (m *member) copySynced(r cell.ScanReturn) {
+func (m *member) copySynced(r quorum.ScanResponse) {
 	m.awaits = 0
 	if r.Membership == m.acc.Current.Epoch {
 		m.copied, m.copy = r.Membership, nil
@@ -291,8 +291,8 @@
 func (c *Cluster) handle(m *member, from int, msg message.Message) []message.Message {
 	now := c.clock(m)
 	switch {
-	case msg.Ask != nil:
-		return c.onAsk(m, *msg.Ask)
+	case msg.Request != nil:
+		return c.onAsk(m, *msg.Request)
 	case msg.MembershipRequest != nil:
 		says, recs, say := m.acc.Step(*msg.MembershipRequest, c.alive(m))
 		c.must(m, m.append(recs))
@@ -301,16 +301,16 @@
 		}
 	case msg.Scan != nil && m.counted():
 		if page, ok := m.rep.Scan(m.acc.Current.Epoch, *msg.Scan); ok {
-			return []message.Message{{ScanReturn: &page}}
+			return []message.Message{{ScanResponse: &page}}
 		}
-	case msg.Return != nil:
-		c.owned(m, m.own.Step(now, *msg.Return))
+	case msg.Response != nil:
+		c.owned(m, m.own.Step(now, *msg.Response))
 	case msg.MembershipResponse != nil:
 		c.onRosterSays(m, *msg.MembershipResponse)
-	case msg.ScanReturn != nil && from == m.number && msg.ScanReturn.Turn == m.awaits:
-		m.copySynced(*msg.ScanReturn)
-	case msg.ScanReturn != nil && m.copy != nil && m.awaits == 0:
-		sends, done := m.copy.Step(now, *msg.ScanReturn)
+	case msg.ScanResponse != nil && from == m.number && msg.ScanResponse.Round == m.awaits:
+		m.copySynced(*msg.ScanResponse)
+	case msg.ScanResponse != nil && m.copy != nil && m.awaits == 0:
+		sends, done := m.copy.Step(now, *msg.ScanResponse)
 		c.scans(m, sends)
 		if done {
 			c.copiedAll(m)
@@ -319,7 +319,7 @@
 	return nil
 }
 
-func (c *Cluster) onAsk(m *member, a cell.Ask) []message.Message {
+func (c *Cluster) onAsk(m *member, a quorum.Request) []message.Message {
 	if _, in := m.acc.Current.Find(m.disk); !in {
 		return nil
 	}
@@ -328,10 +328,10 @@
 	if !say {
 		return nil
 	}
-	return []message.Message{{Return: &r}}
+	return []message.Message{{Response: &r}}
 }
 
-func (c *Cluster) onRosterSays(m *member, r acceptor.Response) {
+func (c *Cluster) onRosterSays(m *member, r membership.Response) {
 	sends, next := m.make.Step(c.clock(m), r)
 	c.rosterSends(m, sends)
 	if next != nil {
--- a/explore/cluster/network.go
+++ b/explore/cluster/network.go
@@ -8,9 +8,9 @@
 
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/membership/reconfiguration"
-	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/register/owner"
-	"cottonarch.example/cottonarch/control/register/survey"
+	"cottonarch.example/cottonarch/control/register/proposer"
+	"cottonarch.example/cottonarch/control/register/quorum"
+	"cottonarch.example/cottonarch/control/register/quorumread"
 )
 
 // envelope is one message on its way between two addresses. As in the daemon it goes to
@@ -34,7 +34,7 @@
 
 // says tells whether the message is a return, which is delivered without an answer.
 func (e envelope) says() bool {
-	return e.msg.Return != nil || e.msg.MembershipResponse != nil || e.msg.ScanReturn != nil
+	return e.msg.Response != nil || e.msg.MembershipResponse != nil || e.msg.ScanResponse != nil
 }
 
 // post puts a message on its way; to itself a member speaks at once when that is set.
@@ -103,13 +103,13 @@
 }
 
 // owned carries out what an owner wants.
-func (c *Cluster) owned(m *member, fx owner.Effects) {
+func (c *Cluster) owned(m *member, fx proposer.Effects) {
 	for _, s := range fx.Sends {
-		ask := s.Ask
-		if c.set.Break == BreakMend && ask.Turn == 0 {
+		ask := s.Request
+		if c.set.Break == BreakMend && ask.Round == 0 {
 			continue
 		}
-		c.sendTo(m, s.To, message.Message{Ask: &ask})
+		c.sendTo(m, s.To, message.Message{Request: &ask})
 	}
 	for _, out := range fx.Outcomes {
 		c.ended(m, out)
@@ -123,7 +123,7 @@
 	}
 }
 
-func (c *Cluster) scans(m *member, sends []survey.Send) {
+func (c *Cluster) scans(m *member, sends []quorumread.Send) {
 	for _, s := range sends {
 		scan := s.Scan
 		c.sendTo(m, s.To, message.Message{Scan: &scan})
@@ -131,7 +131,7 @@
 }
 
 // sendTo sends to the address that a voter has.
-func (c *Cluster) sendTo(m *member, v cell.Voter, msg message.Message) {
+func (c *Cluster) sendTo(m *member, v quorum.Voter, msg message.Message) {
 	for _, to := range c.members {
 		if to.addr() == v.Addr {
 			c.post(m.number, to.number, msg)
@@ -142,13 +142,13 @@
 // describe tells a message in words.
 func describe(msg message.Message) string {
 	switch {
-	case msg.Ask != nil:
-		a := msg.Ask
-		return fmt.Sprintf("%s of %s, turn %d, ballot %d.%s, revision %d, roster %d", a.Kind, a.Key, a.Turn, a.Ballot.Epoch, a.Ballot.Owner, a.Revision, a.Membership)
-	case msg.Return != nil:
-		r := msg.Return
-		return fmt.Sprintf("return of %s to %s of %s, turn %d, ok %v, promised %d.%s, accepted %d.%s revision %d", r.Disk, r.Kind, r.Key, r.Turn, r.OK,
-			r.Cell.Promised.Epoch, r.Cell.Promised.Owner, r.Cell.Accepted.Epoch, r.Cell.Accepted.Owner, r.Cell.Revision)
+	case msg.Request != nil:
+		a := msg.Request
+		return fmt.Sprintf("%s of %s, turn %d, ballot %d.%s, revision %d, roster %d", a.Kind, a.Key, a.Round, a.Ballot.Epoch, a.Ballot.Owner, a.Revision, a.Membership)
+	case msg.Response != nil:
+		r := msg.Response
+		return fmt.Sprintf("return of %s to %s of %s, turn %d, ok %v, promised %d.%s, accepted %d.%s revision %d", r.Disk, r.Kind, r.Key, r.Round, r.OK,
+			r.Record.Promised.Epoch, r.Record.Promised.Owner, r.Record.Accepted.Epoch, r.Record.Accepted.Owner, r.Record.Revision)
 	case msg.MembershipRequest != nil:
 		a := msg.MembershipRequest
 		return fmt.Sprintf("roster %s, turn %d, base %d, ballot %d.%s%s", a.Kind, a.Round, a.Base, a.Ballot.Epoch, a.Ballot.Owner, proposal(a.Next))
@@ -156,14 +156,14 @@
 		r := msg.MembershipResponse
 		return fmt.Sprintf("return of %s to roster %s, turn %d, base %d, ok %v%s", r.Disk, r.Kind, r.Round, r.Base, r.OK, proposal(r.Next))
 	case msg.Scan != nil:
-		return fmt.Sprintf("scan, turn %d, roster %d", msg.Scan.Turn, msg.Scan.Membership)
-	case msg.ScanReturn != nil:
-		return fmt.Sprintf("page of %s, turn %d, %d cells", msg.ScanReturn.Disk, msg.ScanReturn.Turn, len(msg.ScanReturn.Rows))
+		return fmt.Sprintf("scan, turn %d, roster %d", msg.Scan.Round, msg.Scan.Membership)
+	case msg.ScanResponse != nil:
+		return fmt.Sprintf("page of %s, turn %d, %d cells", msg.ScanResponse.Disk, msg.ScanResponse.Round, len(msg.ScanResponse.Rows))
 	}
 	return "message"
 }
 
-func proposal(r *cell.Membership) string {
+func proposal(r *quorum.Membership) string {
 	if r == nil {
 		return ""
 	}
--- a/explore/cluster/objects.go
+++ b/explore/cluster/objects.go
@@ -12,8 +12,8 @@
 	"cottonarch.example/cottonarch/control/coordination/key"
 	"cottonarch.example/cottonarch/control/coordination/number"
 	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -74,7 +74,7 @@
 	return "key/write", book.JSON(key.Args{Value: book.JSON(o.Content)})
 }
 
-func (v *value) told(c *Cluster, o *order, out owner.Outcome) {
+func (v *value) told(c *Cluster, o *order, out proposer.Outcome) {
 	var r key.Reading
 	_ = json.Unmarshal(out.Body, &r)
 	if o.Name == "write" {
@@ -98,7 +98,7 @@
 	}
 }
 
-func (v *value) inspect(c *Cluster, found cell.Cell) {
+func (v *value) inspect(c *Cluster, found quorum.Record) {
 	var k key.Key
 	_ = json.Unmarshal(book.State(found.Value), &k)
 	if uint64(found.Revision) < v.Floor {
@@ -136,7 +136,7 @@
 	return "number/next", nil
 }
 
-func (n *counter) told(c *Cluster, o *order, out owner.Outcome) {
+func (n *counter) told(c *Cluster, o *order, out proposer.Outcome) {
 	var got number.Number
 	_ = json.Unmarshal(out.Body, &got)
 	if who, twice := n.Values[got.N]; twice {
@@ -149,7 +149,7 @@
 	n.Floor = max(n.Floor, got.N)
 }
 
-func (n *counter) inspect(c *Cluster, found cell.Cell) {
+func (n *counter) inspect(c *Cluster, found quorum.Record) {
 	var got number.Number
 	_ = json.Unmarshal(book.State(found.Value), &got)
 	if got.N < n.Floor {
@@ -178,7 +178,7 @@
 	return "group/" + o.Name, book.JSON(a)
 }
 
-func (g *cells) told(c *Cluster, o *order, out owner.Outcome) {
+func (g *cells) told(c *Cluster, o *order, out proposer.Outcome) {
 	if out.Defect != nil { // forgotten: no run is as long as the history
 		c.breach(RuleHistory, "a watch of %s is told that it is too old", g.key())
 		return
@@ -214,7 +214,7 @@
 	}
 }
 
-func (g *cells) inspect(c *Cluster, found cell.Cell) {
+func (g *cells) inspect(c *Cluster, found quorum.Record) {
 	if uint64(found.Revision) < g.Floor {
 		c.breach(RuleLost, "a majority knows %s up to revision %d, %d was acknowledged", g.key(), found.Revision, g.Floor)
 	}
@@ -239,11 +239,11 @@
 	return "audit/append", book.JSON(chunk.Append{Index: a.Index*chunk.Size + int(a.Floor), Leaf: leaf})
 }
 
-func (a *audit) told(c *Cluster, o *order, _ owner.Outcome) {
+func (a *audit) told(c *Cluster, o *order, _ proposer.Outcome) {
 	a.shown(c, a.key(), o.Base+1, o.Content)
 }
 
-func (a *audit) inspect(c *Cluster, found cell.Cell) {
+func (a *audit) inspect(c *Cluster, found quorum.Record) {
 	var log chunk.Chunk
 	_ = json.Unmarshal(book.State(found.Value), &log)
 	for _, at := range slices.Sorted(maps.Keys(a.Values)) {
--- a/explore/cluster/settings.go
+++ b/explore/cluster/settings.go
@@ -7,7 +7,7 @@
 import (
 	"time"
 
-	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/explore/search"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/sim/broken"
@@ -128,4 +128,4 @@
 }
 
 // true majority of a roster, whatever stands in for it.
-func majority(r cell.Membership) int { return r.Size()/2 + 1 }
+func majority(r quorum.Membership) int { return r.Size()/2 + 1 }
--- a/explore/cluster/settle.go
+++ b/explore/cluster/settle.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
-	"cottonarch.example/cottonarch/control/register/cell"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -14,7 +14,7 @@
 	// settlePace how long each is: together longer than any round may be out.
 	settleRounds = 16
 	settlePace   = 200 * time.Millisecond
-	// mendTries is how often a read is asked for whose tenure is lost to what was on its way.
+	// mendTries is how often a read is asked for whose term is lost to what was on its way.
 	mendTries = 3
 	// deliveries bounds the messages of one round.
 	deliveries = 500
@@ -123,7 +123,7 @@
 		c.tags++
 		tag := c.tags
 		c.mending = tag
-		c.owned(at, at.own.Submit(c.clock(at), owner.Deed{Tag: tag, Key: k, Kind: owner.Mend}))
+		c.owned(at, at.own.Submit(c.clock(at), proposer.Operation{Ticket: tag, Key: k, Kind: proposer.Repair}))
 		c.flush()
 		c.rounds(func() bool { return c.mending != tag })
 		if c.mending != tag || c.found != nil {
@@ -141,11 +141,11 @@
 	}
 }
 
-// alike checks that all disks that count hold what the tenure of the mending read holds as
-// chosen. A key that never was is left out: a change that a lost tenure left on a minority
+// alike checks that all disks that count hold what the term of the mending read holds as
+// chosen. A key that never was is left out: a change that a lost term left on a minority
 // of a key without any chosen value stays there until the key's first write.
 func (c *Cluster) alike(k ident.Key) {
-	for range 3 { // a copy behind a stray promise is mended by the tenure above it
+	for range 3 { // a copy behind a stray promise is mended by the term above it
 		c.drain()
 		c.pass(settlePace)
 	}
@@ -180,6 +180,6 @@
 	return best
 }
 
-func version(x cell.Cell) string {
+func version(x quorum.Record) string {
 	return fmt.Sprintf("ballot %d.%s revision %d", x.Accepted.Epoch, x.Accepted.Owner, x.Revision)
 }
--- a/kernel/ident/ident.go
+++ b/kernel/ident/ident.go
@@ -38,7 +38,7 @@
 // District is a failure zone.
 type District string
 
-// Epoch counts ownership, roster, claim and manifest epochs. Invariant: each
+// Epoch counts terms of proposers, membership, lease and manifest epochs. Invariant: each
 // series only rises.
 type Epoch uint64
 
@@ -55,14 +55,14 @@
 // Under tells whether the key lies below a prefix.
 func (k Key) Under(pre string) bool { return strings.HasPrefix(string(k), pre) }
 
-// Ballot orders tenures of one key. Invariant: Owner carries the process's own
-// mark, so that a restarted owner never reuses a ballot.
+// Ballot orders the terms of one key. Invariant: Owner carries the process's own
+// mark, so that a restarted proposer never reuses a ballot.
 type Ballot struct {
 	Epoch Epoch  `json:"e"`
 	Owner string `json:"o,omitempty"`
 }
 
-// Zero tells whether no tenure ever was.
+// Zero tells whether no term ever was.
 func (b Ballot) Zero() bool { return b.Epoch == 0 }
 
 // Less is the total order of ballots.
--- a/mesh/claim/holder/portion_test.go
+++ b/mesh/claim/holder/portion_test.go
@@ -11,7 +11,7 @@
 
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/share"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
@@ -25,7 +25,7 @@
 		var value json.RawMessage
 		mach := share.Deeds()
 		do := func(a share.Args) (told share.Told, ok bool) {
-			v := mach.Apply(owner.Turn{}, value, owner.Deed{Kind: "share/take", Args: book.JSON(a)})
+			v := mach.Apply(proposer.Context{}, value, proposer.Operation{Kind: "share/take", Args: book.JSON(a)})
 			if v.Changed {
 				value = v.Value
 			}
--- a/sim/broken/broken.go
+++ b/sim/broken/broken.go
@@ -13,7 +13,7 @@
 	"cottonarch.example/cottonarch/control/coordination/lock"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
@@ -21,18 +21,18 @@
 // Book is the book of all deeds, with the handler of the named break replaced; a name that
 // is no handler's changes nothing. history is how long a group's puts are kept.
 func Book(name string, history time.Duration) book.Book {
-	all := node.Kinds(history)
+	all := node.Handlers(history)
 	switch name {
 	case "lock": // every claim is over at once
 		claim := all["lock/claim"]
-		all["lock/claim"] = func(t owner.Turn, state, args json.RawMessage) book.Entry {
-			t.Memory, t.Since = nil, 0
+		all["lock/claim"] = func(t proposer.Context, state, args json.RawMessage) book.Entry {
+			t.TermMemory, t.TermBegan = nil, 0
 			t.Now = t.Now.Add(time.Hour)
 			return claim(t, state, args)
 		}
 	case "offer": // the base epoch is not looked at
 		give := all["manifest/offer"]
-		all["manifest/offer"] = func(t owner.Turn, state, args json.RawMessage) book.Entry {
+		all["manifest/offer"] = func(t proposer.Context, state, args json.RawMessage) book.Entry {
 			var a offer.Args
 			_ = json.Unmarshal(args, &a)
 			a.Base = nil
@@ -40,7 +40,7 @@
 		}
 	case "audit": // every fifth epoch is left out
 		add := all["audit/append"]
-		all["audit/append"] = func(t owner.Turn, state, args json.RawMessage) book.Entry {
+		all["audit/append"] = func(t proposer.Context, state, args json.RawMessage) book.Entry {
 			var a chunk.Append
 			if json.Unmarshal(args, &a) == nil && a.Leaf.Epoch%5 == 0 {
 				return book.Entry{Body: args}
@@ -49,7 +49,7 @@
 		}
 	case "cell-twice": // now and then a put is told the revision before its own
 		put := all["group/put"]
-		all["group/put"] = func(t owner.Turn, state, args json.RawMessage) book.Entry {
+		all["group/put"] = func(t proposer.Context, state, args json.RawMessage) book.Entry {
 			e := put(t, state, args)
 			var p group.Put
 			if e.State != nil && json.Unmarshal(e.Body, &p) == nil && p.Revision%5 == 0 {
@@ -59,7 +59,7 @@
 			return e
 		}
 	case "cell-old": // a read shows the oldest put that is known
-		all["group/read"] = func(t owner.Turn, state, args json.RawMessage) book.Entry {
+		all["group/read"] = func(t proposer.Context, state, args json.RawMessage) book.Entry {
 			var a group.Args
 			_ = json.Unmarshal(args, &a)
 			e := all["group/since"](t, state, book.JSON(group.Args{After: new(ident.Revision)}))
@@ -74,7 +74,7 @@
 		}
 	case "cell-skip": // a watch is not told the first of several puts
 		since := all["group/since"]
-		all["group/since"] = func(t owner.Turn, state, args json.RawMessage) book.Entry {
+		all["group/since"] = func(t proposer.Context, state, args json.RawMessage) book.Entry {
 			e := since(t, state, args)
 			var n group.News
 			if json.Unmarshal(e.Body, &n) == nil && len(n.Events) > 1 {
@@ -87,7 +87,7 @@
 		all["group/put"] = group.Deeds(1)["group/put"]
 	case "cell-keep": // whoever asks is given the holder's fence
 		claim := all["lock/claim"]
-		all["lock/claim"] = func(t owner.Turn, state, args json.RawMessage) book.Entry {
+		all["lock/claim"] = func(t proposer.Context, state, args json.RawMessage) book.Entry {
 			var l lock.Lock
 			var a lock.Args
 			if book.Read(state, args, &l, &a) == nil && l.Holder != "" && a.Keep {
@@ -97,7 +97,7 @@
 		}
 	case "history": // only the newest change is kept
 		write := all["key/write"]
-		all["key/write"] = func(t owner.Turn, state, args json.RawMessage) book.Entry {
+		all["key/write"] = func(t proposer.Context, state, args json.RawMessage) book.Entry {
 			e := write(t, state, args)
 			var k key.Key
 			if e.State != nil && json.Unmarshal(e.State, &k) == nil && len(k.Past) > 1 {
--- a/sim/plan/rollout_test.go
+++ b/sim/plan/rollout_test.go
@@ -11,14 +11,14 @@
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	rollout "cottonarch.example/cottonarch/control/rollout/state"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/sim/world"
 )
 
 // stage is a small world with one way, an old service and a new one.
-func stage(t *testing.T, seed uint64, mood world.Mood) (*world.World, func(owner.Deed) node.End) {
+func stage(t *testing.T, seed uint64, mood world.Mood) (*world.World, func(proposer.Operation) node.End) {
 	w := world.New(seed)
 	for i := range 3 {
 		a := ident.Addr(fmt.Sprintf("10.0.0.%d:7000", i+1))
@@ -32,7 +32,7 @@
 		w.NewSide(ident.Addr(fmt.Sprintf("10.0.1.%d:7000", i+1)), ident.District(fmt.Sprint("d", i%3))).Start()
 	}
 	w.RunFor(2 * time.Second)
-	do := func(d owner.Deed) (end node.End) {
+	do := func(d proposer.Operation) (end node.End) {
 		for _, c := range w.Cores {
 			if c.Well() {
 				c.Deed(d, 4*time.Second, func(e node.End) { end = e })
@@ -43,7 +43,7 @@
 		return end
 	}
 	body := `{"services":{"old.x":{},"new.x":{}},"ways":{"shop":{"host":"shop.x","service":"old.x"}}}`
-	must.Nil(t, do(owner.Deed{Key: offer.Key, Kind: "manifest/offer", Args: book.JSON(offer.Args{Body: json.RawMessage(body)})}).Defect)
+	must.Nil(t, do(proposer.Operation{Key: offer.Key, Kind: "manifest/offer", Args: book.JSON(offer.Args{Body: json.RawMessage(body)})}).Defect)
 	for i, s := range w.Sides {
 		s.NewEndpoint(ident.Server(fmt.Sprint("old", i)), "old.x", ident.Addr(fmt.Sprintf("10.0.2.%d:80", i)), world.Mood{Work: 4 * time.Millisecond})
 		s.NewEndpoint(ident.Server(fmt.Sprint("new", i)), "new.x", ident.Addr(fmt.Sprintf("10.0.3.%d:80", i)), mood)
@@ -58,16 +58,16 @@
 	return w, do
 }
 
-func begin(t *testing.T, do func(owner.Deed) node.End) {
+func begin(t *testing.T, do func(proposer.Operation) node.End) {
 	args := book.JSON(rollout.Rollout{Way: "shop", From: "old.x", To: "new.x", Steps: []int{10, 50, 100}, StepS: 2, Most: 0.05})
-	must.Nil(t, do(owner.Deed{Key: rollout.Key("shop"), Kind: "rollout/begin", Args: args}).Defect)
+	must.Nil(t, do(proposer.Operation{Key: rollout.Key("shop"), Kind: "rollout/begin", Args: args}).Defect)
 }
 
-func read(t *testing.T, do func(owner.Deed) node.End) (r rollout.Rollout, way map[string]any) {
-	e := do(owner.Deed{Key: rollout.Key("shop"), Kind: "rollout/read"})
+func read(t *testing.T, do func(proposer.Operation) node.End) (r rollout.Rollout, way map[string]any) {
+	e := do(proposer.Operation{Key: rollout.Key("shop"), Kind: "rollout/read"})
 	must.Nil(t, e.Defect)
 	must.NoError(t, json.Unmarshal(e.Body, &r))
-	e = do(owner.Deed{Key: offer.Key, Kind: "manifest/read"})
+	e = do(proposer.Operation{Key: offer.Key, Kind: "manifest/read"})
 	must.Nil(t, e.Defect)
 	var h struct {
 		Manifest struct {
@@ -133,7 +133,7 @@
 func TestRolloutMovesOnce(t *testing.T) {
 	kinds := rollout.Deeds()
 	args := book.JSON(rollout.Rollout{Way: "w", From: "a", To: "b"})
-	v := kinds.Apply(owner.Turn{}, nil, owner.Deed{Kind: "rollout/begin", Args: args})
+	v := kinds.Apply(proposer.Context{}, nil, proposer.Operation{Kind: "rollout/begin", Args: args})
 	must.Nil(t, v.Defect)
 	moves := []rollout.Move{
 		{Round: 1, At: 0, Phase: rollout.Running, NextAt: 1, NextPhase: rollout.Running},
@@ -142,7 +142,7 @@
 	for _, order := range [][]int{{0, 1}, {1, 0}} {
 		value, won := v.Value, 0
 		for _, i := range order {
-			got := kinds.Apply(owner.Turn{}, value, owner.Deed{Kind: "rollout/move", Args: book.JSON(moves[i])})
+			got := kinds.Apply(proposer.Context{}, value, proposer.Operation{Kind: "rollout/move", Args: book.JSON(moves[i])})
 			if got.Defect == nil {
 				value = got.Value
 				won++
@@ -150,6 +150,6 @@
 		}
 		must.Eq(t, 1, won)
 	}
-	again := kinds.Apply(owner.Turn{}, v.Value, owner.Deed{Kind: "rollout/begin", Args: args})
+	again := kinds.Apply(proposer.Context{}, v.Value, proposer.Operation{Kind: "rollout/begin", Args: args})
 	must.NotNil(t, again.Defect, must.Sprint("two roll-outs of one way"))
 }
--- a/sim/world/cells.go
+++ b/sim/world/cells.go
@@ -9,7 +9,7 @@
 	"cottonarch.example/cottonarch/control/coordination/group"
 	"cottonarch.example/cottonarch/control/coordination/lock"
 	"cottonarch.example/cottonarch/control/core/node"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
@@ -58,7 +58,7 @@
 	floor := c.Judge.Floor[g+name]
 	switch w.Rng.IntN(4) {
 	case 0:
-		w.asking(owner.Deed{Key: group.Key(g), Kind: "group/read", Args: book.JSON(group.Args{Name: name})}, appBudget, appSilence, func(e *node.End) {
+		w.asking(proposer.Operation{Key: group.Key(g), Kind: "group/read", Args: book.JSON(group.Args{Name: name})}, appBudget, appSilence, func(e *node.End) {
 			var p group.Put
 			switch {
 			case e != nil && e.Defect != nil && e.Defect.Kind == defect.Missing:
@@ -82,7 +82,7 @@
 	a := group.Args{Name: name, Value: json.RawMessage(val), If: base}
 	var send func(left int)
 	send = func(left int) {
-		w.asking(owner.Deed{Key: group.Key(g), Kind: "group/put", Args: book.JSON(a)}, appBudget, appSilence, func(e *node.End) {
+		w.asking(proposer.Operation{Key: group.Key(g), Kind: "group/put", Args: book.JSON(a)}, appBudget, appSilence, func(e *node.End) {
 			var p group.Put
 			switch {
 			case e != nil && e.Defect == nil && json.Unmarshal(e.Body, &p) == nil:
@@ -123,7 +123,7 @@
 			a.After = &after
 		}
 		sent := w.now
-		w.asking(owner.Deed{Key: group.Key(g), Kind: "group/since", Args: book.JSON(a)}, appBudget, appSilence, func(e *node.End) {
+		w.asking(proposer.Operation{Key: group.Key(g), Kind: "group/since", Args: book.JSON(a)}, appBudget, appSilence, func(e *node.End) {
 			var n group.News
 			switch {
 			case e != nil && e.Defect != nil && e.Defect.Kind == defect.Forgotten:
@@ -176,7 +176,7 @@
 func (k *keeper) hold(name string, ttl time.Duration, times int, done func()) {
 	w, key := k.w, ident.Key("lock/"+name)
 	sent := w.now
-	w.asking(owner.Deed{Key: key, Kind: "lock/claim", Args: book.JSON(lock.Args{Holder: k.who, TTL: ttl.Milliseconds(), Keep: true})}, appBudget, appSilence, func(e *node.End) {
+	w.asking(proposer.Operation{Key: key, Kind: "lock/claim", Args: book.JSON(lock.Args{Holder: k.who, TTL: ttl.Milliseconds(), Keep: true})}, appBudget, appSilence, func(e *node.End) {
 		var g lock.Grant
 		if e == nil || e.Defect != nil || json.Unmarshal(e.Body, &g) != nil || w.now >= sent.Add(ttl) {
 			done()
@@ -213,14 +213,14 @@
 				done()
 			}
 			over := w.now.Add(appSilence)
-			w.asking(owner.Deed{Key: key, Kind: "lock/read"}, appBudget, appSilence, func(e *node.End) {
+			w.asking(proposer.Operation{Key: key, Kind: "lock/read"}, appBudget, appSilence, func(e *node.End) {
 				var seen lock.Grant
 				if e == nil || e.Defect != nil || json.Unmarshal(e.Body, &seen) != nil || w.now >= over {
 					again()
 					return
 				}
 				args := lock.Args{Holder: k.who, Fence: g.Fence, Grant: seen.Grant}
-				w.asking(owner.Deed{Key: key, Kind: "lock/release", Args: book.JSON(args)}, max(1, over.Since(w.now)), over.Since(w.now), func(*node.End) { again() })
+				w.asking(proposer.Operation{Key: key, Kind: "lock/release", Args: book.JSON(args)}, max(1, over.Since(w.now)), over.Since(w.now), func(*node.End) { again() })
 			})
 		})
 	})
--- a/sim/world/clients.go
+++ b/sim/world/clients.go
@@ -13,7 +13,7 @@
 	"cottonarch.example/cottonarch/control/coordination/number"
 	"cottonarch.example/cottonarch/control/coordination/watch"
 	"cottonarch.example/cottonarch/control/core/node"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
@@ -21,12 +21,12 @@
 
 // ask sends a deed to some core, as an application does; end gets a nil End when no
 // return came.
-func (w *World) ask(d owner.Deed, end func(*node.End)) {
+func (w *World) ask(d proposer.Operation, end func(*node.End)) {
 	w.asking(d, 4*time.Second, 6*time.Second, end)
 }
 
 // asking is ask with the core's budget and the silence after which the asker moves on.
-func (w *World) asking(d owner.Deed, budget, silence time.Duration, end func(*node.End)) {
+func (w *World) asking(d proposer.Operation, budget, silence time.Duration, end func(*node.End)) {
 	c := w.Cores[w.Rng.IntN(len(w.Cores))]
 	over := false
 	began := w.now
@@ -86,7 +86,7 @@
 	sent := w.now
 	again := func() { w.After(gap/2+time.Duration(w.Rng.Int64N(int64(gap))), func() { l.round(gap) }) }
 	args := book.JSON(lock.Args{Holder: l.who, TTL: ttl.Milliseconds()})
-	w.ask(owner.Deed{Key: ident.Key("lock/" + name), Kind: "lock/claim", Args: args}, func(e *node.End) {
+	w.ask(proposer.Operation{Key: ident.Key("lock/" + name), Kind: "lock/claim", Args: args}, func(e *node.End) {
 		var g lock.Grant
 		if e == nil || e.Defect != nil || json.Unmarshal(e.Body, &g) != nil || w.now >= sent.Add(ttl) {
 			again()
@@ -108,7 +108,7 @@
 		}
 		name := fmt.Sprintf("n%d", w.Rng.IntN(names))
 		low := floor[name]
-		w.ask(owner.Deed{Key: ident.Key("number/" + name), Kind: "number/next"}, func(e *node.End) {
+		w.ask(proposer.Operation{Key: ident.Key("number/" + name), Kind: "number/next"}, func(e *node.End) {
 			var got number.Number
 			if e != nil && e.Defect == nil && json.Unmarshal(e.Body, &got) == nil {
 				w.Check.Seen["number-repeated"]++
@@ -135,7 +135,7 @@
 	name := fmt.Sprintf("k%d", w.Rng.IntN(k.names))
 	k.n++
 	in := keyIn{kind: []string{"read", "read", "write", "cas"}[w.Rng.IntN(4)], val: fmt.Sprintf("v%d", k.n)}
-	d := owner.Deed{Key: ident.Key("key/" + name), Kind: "key/read", Args: book.JSON(key.Args{})}
+	d := proposer.Operation{Key: ident.Key("key/" + name), Kind: "key/read", Args: book.JSON(key.Args{})}
 	low, began := k.floor[name], w.now
 	raw, _ := json.Marshal(in.val)
 	switch in.kind {
@@ -221,7 +221,7 @@
 			}
 			seen := map[ident.Key]ident.Revision{}
 			for k, f := range e.Found {
-				seen[k] = f.Cell.Revision
+				seen[k] = f.Record.Revision
 			}
 			due := place.Due(seen)
 			w.tell(c, gen, place, due, &last, func() {
@@ -231,7 +231,7 @@
 				}
 			})
 		}
-		c.out(c.node.Survey(c.clock(), c.ticket, "key/", false, 3*time.Second))
+		c.out(c.node.QuorumRead(c.clock(), c.ticket, "key/", false, 3*time.Second))
 	}
 	later()
 }
@@ -248,7 +248,7 @@
 	}
 	k := due[0]
 	at := place[k]
-	c.Deed(owner.Deed{Key: k, Kind: "key/read", Args: book.JSON(key.Args{Since: &at})}, 3*time.Second, func(e node.End) {
+	c.Deed(proposer.Operation{Key: k, Kind: "key/read", Args: book.JSON(key.Args{Since: &at})}, 3*time.Second, func(e node.End) {
 		if e.Defect != nil {
 			done()
 			return
--- a/sim/world/core.go
+++ b/sim/world/core.go
@@ -11,7 +11,7 @@
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/manifest/walk"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/sim/broken"
@@ -203,7 +203,7 @@
 }
 
 // machine is the book of all deeds, with the one that is broken on purpose.
-func (w *World) machine() owner.Machine { return broken.Book(string(w.Break), w.History) }
+func (w *World) machine() proposer.StateMachine { return broken.Book(string(w.Break), w.History) }
 
 // seeds gives a starting core three addresses of others as they are now.
 func (w *World) seeds(c *Core) []ident.Addr {
@@ -376,7 +376,7 @@
 }
 
 func (c *Core) post(to ident.Addr, m message.Message) {
-	if c.w.Break == "mend" && m.Ask != nil && m.Ask.Turn == 0 {
+	if c.w.Break == "mend" && m.Request != nil && m.Request.Round == 0 {
 		return // no mending
 	}
 	if to == c.Addr {
@@ -403,10 +403,10 @@
 }
 
 // Deed runs a deed at this core.
-func (c *Core) Deed(d owner.Deed, budget time.Duration, end func(node.End)) {
+func (c *Core) Deed(d proposer.Operation, budget time.Duration, end func(node.End)) {
 	c.ticket++
 	c.ends[c.ticket] = end
-	c.out(c.node.Deed(c.clock(), c.ticket, d, budget))
+	c.out(c.node.Submit(c.clock(), c.ticket, d, budget))
 }
 
 // Join lets a sidecar join at this core.
@@ -425,9 +425,9 @@
 	c.Newest(func(bool) { c.reading = false })
 }
 
-// Newest reads the manifest through its owner.
+// Newest reads the manifest through its proposer.
 func (c *Core) Newest(done func(ok bool)) {
-	c.Deed(owner.Deed{Key: offer.Key, Kind: "manifest/read"}, time.Second, func(e node.End) {
+	c.Deed(proposer.Operation{Key: offer.Key, Kind: "manifest/read"}, time.Second, func(e node.End) {
 		if e.Defect != nil {
 			done(false)
 			return
--- a/sim/world/join.go
+++ b/sim/world/join.go
@@ -10,7 +10,7 @@
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/core/admission"
 	"cottonarch.example/cottonarch/control/core/node"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/mesh/claim/joiner"
@@ -88,14 +88,14 @@
 	s.turn++
 	c := s.w.Cores[s.turn%len(s.w.Cores)]
 	s.ask(&c.proc, singlyLimit, func(say func(any)) {
-		c.Deed(owner.Deed{Key: ident.Key("claim/" + string(s.Node)), Kind: "number/next"}, 3*time.Second, func(e node.End) {
+		c.Deed(proposer.Operation{Key: ident.Key("claim/" + string(s.Node)), Kind: "number/next"}, 3*time.Second, func(e node.End) {
 			var num number.Number
 			if e.Defect != nil || json.Unmarshal(e.Body, &num) != nil {
 				say(nil)
 				return
 			}
 			args := book.JSON(share.Args{Node: s.Node, Claim: ident.Epoch(num.N)})
-			c.Deed(owner.Deed{Key: share.Key, Kind: "share/take", Args: args}, 3*time.Second, func(e node.End) {
+			c.Deed(proposer.Operation{Key: share.Key, Kind: "share/take", Args: args}, 3*time.Second, func(e node.End) {
 				var g share.Told
 				if e.Defect != nil || json.Unmarshal(e.Body, &g) != nil {
 					say(nil)
--- a/sim/world/lockers.go
+++ b/sim/world/lockers.go
@@ -7,7 +7,7 @@
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/lock"
 	"cottonarch.example/cottonarch/control/core/node"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 )
@@ -70,14 +70,14 @@
 		if left == 0 {
 			if w.Rng.IntN(3) > 0 {
 				h.until = w.now // from here on it does not count on it
-				w.ask(owner.Deed{Key: k, Kind: "lock/release", Args: args}, func(*node.End) { again() })
+				w.ask(proposer.Operation{Key: k, Kind: "lock/release", Args: args}, func(*node.End) { again() })
 				return
 			}
 			w.After(h.until.Since(w.now), again)
 			return
 		}
 		sent := w.now
-		w.ask(owner.Deed{Key: k, Kind: "lock/renew", Args: args}, func(e *node.End) {
+		w.ask(proposer.Operation{Key: k, Kind: "lock/renew", Args: args}, func(e *node.End) {
 			if e != nil && e.Defect == nil && w.now < h.until {
 				h.until = max(h.until, sent.Add(ttl))
 				l.granted(name, h)
--- a/sim/world/operators.go
+++ b/sim/world/operators.go
@@ -11,7 +11,7 @@
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/sim/check"
@@ -85,7 +85,7 @@
 	}
 	a.Body = book.JSON(tree)
 	began := o.top
-	w.ask(owner.Deed{Key: offer.Key, Kind: "manifest/offer", Args: book.JSON(a)}, func(e *node.End) {
+	w.ask(proposer.Operation{Key: offer.Key, Kind: "manifest/offer", Args: book.JSON(a)}, func(e *node.End) {
 		w.Check.Seen["manifest-turned"]++
 		switch {
 		case sure(e):
@@ -188,7 +188,7 @@
 				}
 			}
 		}
-		c.out(c.node.Survey(c.clock(), c.ticket, chunk.Prefix, true, 4*time.Second))
+		c.out(c.node.QuorumRead(c.clock(), c.ticket, chunk.Prefix, true, 4*time.Second))
 		return
 	}
 }
@@ -201,7 +201,7 @@
 			continue
 		}
 		want := o.top
-		c.Deed(owner.Deed{Key: offer.Key, Kind: "manifest/read"}, 4*time.Second, func(e node.End) {
+		c.Deed(proposer.Operation{Key: offer.Key, Kind: "manifest/read"}, 4*time.Second, func(e node.End) {
 			var h offer.Held
 			if e.Defect != nil || json.Unmarshal(e.Body, &h) != nil {
 				w.Breach("slow-recovery", "core %s can't read the manifest at day's end: %v", c.Addr, e.Defect)
--- a/sim/world/orders_test.go
+++ b/sim/world/orders_test.go
@@ -11,7 +11,7 @@
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/storage/ring"
@@ -37,7 +37,7 @@
 
 // send gives an order to some core, and loses one acknowledgement in three.
 func (o *orders) send(r *order, then func(clear bool)) {
-	d := owner.Deed{Key: offer.Key, Kind: "manifest/offer", Args: book.JSON(r.args), Loose: true}
+	d := proposer.Operation{Key: offer.Key, Kind: "manifest/offer", Args: book.JSON(r.args), Repeatable: true}
 	o.w.asking(d, 900*time.Millisecond, time.Second, func(e *node.End) {
 		if o.w.Rng.IntN(3) == 0 {
 			e = nil
@@ -120,7 +120,7 @@
 			w.RunFor(10 * time.Second)
 			must.Eq(t, 0, o.open, must.Sprint("orders without a clear answer"))
 			var h offer.Held
-			e := u.do(w.Cores[0], owner.Deed{Key: offer.Key, Kind: "manifest/read"}, 4*time.Second)
+			e := u.do(w.Cores[0], proposer.Operation{Key: offer.Key, Kind: "manifest/read"}, 4*time.Second)
 			must.NotNil(t, e)
 			must.NoError(t, json.Unmarshal(e.Body, &h))
 			var last struct {
--- a/sim/world/restart_test.go
+++ b/sim/world/restart_test.go
@@ -14,7 +14,7 @@
 	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
@@ -24,7 +24,7 @@
 const (
 	// catchUp is the users' catchUpS: within it a machine that is back counts in full.
 	catchUp = 4 * time.Second
-	// tenureTime is more than a tenure takes from its first question to its hold.
+	// tenureTime is more than a term takes from its first question to its hold.
 	tenureTime = 2500 * time.Millisecond
 	// askPause is between two tries of a proposal.
 	askPause = 100 * time.Millisecond
@@ -72,14 +72,14 @@
 	return 0
 }
 
-// look checks at each tick that no tenure begins on a state older than what was
+// look checks at each tick that no term begins on a state older than what was
 // acknowledged before its first question.
 func (u *longUse) look() {
 	for _, c := range u.w.Cores {
 		if !c.up {
 			continue
 		}
-		held, ok := c.node.Owner().Peek(offer.Key)
+		held, ok := c.node.Proposer().Peek(offer.Key)
 		if !ok || u.ballots[held.Accepted] {
 			continue
 		}
@@ -90,7 +90,7 @@
 }
 
 // do runs a deed at a core until it ends or its time is over.
-func (u *longUse) do(c *Core, d owner.Deed, budget time.Duration) (end *node.End) {
+func (u *longUse) do(c *Core, d proposer.Operation, budget time.Duration) (end *node.End) {
 	if !c.up {
 		return nil
 	}
@@ -112,7 +112,7 @@
 	}
 	for try := range 200 {
 		c := u.w.Cores[(int(u.release)+try)%len(u.w.Cores)]
-		e := u.do(c, owner.Deed{Key: offer.Key, Kind: "manifest/offer", Args: book.JSON(a), Loose: true}, time.Second)
+		e := u.do(c, proposer.Operation{Key: offer.Key, Kind: "manifest/offer", Args: book.JSON(a), Repeatable: true}, time.Second)
 		if e != nil && e.Defect == nil {
 			var yes offer.Yes
 			must.NoError(u, json.Unmarshal(e.Body, &yes))
@@ -137,7 +137,7 @@
 	for u.w.now.Since(began) <= catchUp {
 		if c.Well() && c.epoch() >= top {
 			var h offer.Held
-			e := u.do(c, owner.Deed{Key: offer.Key, Kind: "manifest/read"}, time.Second)
+			e := u.do(c, proposer.Operation{Key: offer.Key, Kind: "manifest/read"}, time.Second)
 			if e != nil && e.Defect == nil && json.Unmarshal(e.Body, &h) == nil {
 				must.GreaterEq(u, top, h.Epoch)
 				return u.w.now.Since(began)
@@ -170,7 +170,7 @@
 	var end *node.End
 	c.ticket++
 	c.ends[c.ticket] = func(e node.End) { end = &e }
-	c.out(c.node.Survey(c.clock(), c.ticket, chunk.Prefix, true, time.Second))
+	c.out(c.node.QuorumRead(c.clock(), c.ticket, chunk.Prefix, true, time.Second))
 	u.w.RunFor(time.Second)
 	must.NotNil(u, end)
 	leaves, ok := node.Leaves(end.Found)
@@ -211,7 +211,7 @@
 
 // Through a thousand changes a core is ended in some way at each tenth, and is back a
 // second later, and all lose power at once in the end: each catches up in the users' time,
-// no tenure begins on an old state, and
+// no term begins on an old state, and
 // what a start reads and writes is bounded by the ring's size and the state, not by the
 // history.
 func TestRestartsThroughAThousandChanges(t *testing.T) {
--- a/sim/world/side.go
+++ b/sim/world/side.go
@@ -8,7 +8,7 @@
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/core/node"
 	manifest "cottonarch.example/cottonarch/control/manifest/check"
-	"cottonarch.example/cottonarch/control/register/owner"
+	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
@@ -325,7 +325,7 @@
 	}
 	c := s.w.Cores[s.w.Rng.IntN(len(s.w.Cores))]
 	s.ask(&c.proc, 3500*time.Millisecond, func(say func(any)) {
-		c.Deed(owner.Deed{Key: "share", Kind: "share/take", Args: book.JSON(a)}, 3*time.Second, func(e node.End) {
+		c.Deed(proposer.Operation{Key: "share", Kind: "share/take", Args: book.JSON(a)}, 3*time.Second, func(e node.End) {
 			var t share.Told
 			switch {
 			case e.Defect != nil:
--- a/sim/world/world.go
+++ b/sim/world/world.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"cottonarch.example/cottonarch/control/register/cell"
+	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/sim/check"
@@ -237,7 +237,7 @@
 // reads and the sweep must have mended the rest.
 func (w *World) Compare() {
 	var first *Core
-	var want map[ident.Key]cell.Cell
+	var want map[ident.Key]quorum.Record
 	for _, c := range w.Cores {
 		if !c.Well() {
 			continue
