--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -228,7 +228,7 @@
 		feed := s.c.Feed()
 		done := make(chan News, 1)
 		if !s.c.Do(func(moment.Moment) node.Effects {
-			l := s.c.Ledger()
+			l := s.c.Leases()
 			done <- News{Mark: s.mark, Place: l.Change(), Sets: l.Feed(after), Stale: s.c.Node().Stale()}
 			return node.Effects{}
 		}) {
@@ -336,7 +336,7 @@
 	}
 	done := make(chan found, 1)
 	if !s.c.Do(func(now moment.Moment) node.Effects {
-		done <- found{s.c.Ledger().Feed(0), s.c.Node().StaleAt(now)}
+		done <- found{s.c.Leases().Feed(0), s.c.Node().StaleAt(now)}
 		return node.Effects{}
 	}) {
 		reply.Defect(w, defect.New(defect.Busy, "the core's inbox is full").Later(1))
--- a/capacity/meter/duty.go
+++ b/capacity/meter/duty.go
@@ -16,10 +16,10 @@
 
 // carriers gives each path's duty; a path that is not here counts as a duty of its own.
 var carriers = map[string]Carrier{
-	"/cottonarch/v1/renew":    {"leases", "mesh/claim"},
+	"/cottonarch/v1/renew":    {"leases", "mesh/lease"},
 	"/cottonarch/v1/claim":    {"entry", "adapter/mesh, control/coordination"},
 	"/cottonarch/v1/share":    {"shares", "control/coordination/share"},
-	"/cottonarch/v1/news":     {"registry", "mesh/registry, mesh/claim/ledger"},
+	"/cottonarch/v1/news":     {"registry", "mesh/registry, mesh/lease/table"},
 	"/cottonarch/v1/part":     {"manifests", "control/manifest, adapter/mesh"},
 	"/manifest":               {"manifests", "control/manifest, adapter/mesh"},
 	"/cottonarch/v1/messages": {"core to core", "control/core, control/register"},
@@ -49,12 +49,12 @@
 	start string
 	Carrier
 }{
-	{"adapter/mesh.surface.renew", Carrier{"leases", "mesh/claim"}},
-	{"adapter/mesh.surface.news", Carrier{"registry", "mesh/registry, mesh/claim/ledger"}},
-	{"mesh/claim/ledger.(*Ledger).Feed", Carrier{"registry", "mesh/registry, mesh/claim/ledger"}},
-	{"mesh/claim/ledger.(*Ledger).Manifest", Carrier{"registry", "mesh/registry, mesh/claim/ledger"}},
-	{"mesh/claim", Carrier{"leases", "mesh/claim"}},
-	{"mesh/registry", Carrier{"registry", "mesh/registry, mesh/claim/ledger"}},
+	{"adapter/mesh.surface.renew", Carrier{"leases", "mesh/lease"}},
+	{"adapter/mesh.surface.news", Carrier{"registry", "mesh/registry, mesh/lease/table"}},
+	{"mesh/lease/table.(*Table).Feed", Carrier{"registry", "mesh/registry, mesh/lease/table"}},
+	{"mesh/lease/table.(*Table).Manifest", Carrier{"registry", "mesh/registry, mesh/lease/table"}},
+	{"mesh/lease", Carrier{"leases", "mesh/lease"}},
+	{"mesh/registry", Carrier{"registry", "mesh/registry, mesh/lease/table"}},
 	{"control/register/survey", Carrier{"sweep", "control/register/survey"}},
 	{"control/register/replica.(*Replica).Scan", Carrier{"sweep", "control/register/survey"}},
 	{"control/core/node.(*Node).sweep", Carrier{"sweep", "control/register/survey"}},
@@ -68,9 +68,9 @@
 	{"daemon/core", Carrier{"loop of the core", "daemon/core"}},
 	{"mesh/witness", Carrier{"witness", "mesh/witness"}},
 	{"mesh/gate", Carrier{"beats", "mesh/gate"}},
-	{"daemon/sidecar.(*Sidecar).renew", Carrier{"leases", "mesh/claim"}},
+	{"daemon/sidecar.(*Sidecar).renew", Carrier{"leases", "mesh/lease"}},
 	{"daemon/sidecar.(*Sidecar).share", Carrier{"shares", "control/coordination/share"}},
-	{"daemon/sidecar.(*Sidecar).follow", Carrier{"registry", "mesh/registry, mesh/claim/ledger"}},
+	{"daemon/sidecar.(*Sidecar).follow", Carrier{"registry", "mesh/registry, mesh/lease/table"}},
 	{"daemon/sidecar.(*Sidecar).enforce", Carrier{"manifests", "control/manifest, adapter/mesh"}},
 	{"daemon/sidecar.(*Sidecar).tell", Carrier{"witness", "mesh/witness"}},
 	{"daemon/sidecar.(*Sidecar).askPeer", Carrier{"witness", "mesh/witness"}},
--- a/capacity/meter/meter_test.go
+++ b/capacity/meter/meter_test.go
@@ -105,8 +105,8 @@
 	got := Parts(&profile.Profile{Sample: []*profile.Sample{
 		stack(10, "/cottonarch/v1/renew", "encoding/json.Unmarshal", "net/http.(*conn).serve"),
 		stack(10, "/cottonarch/v2/unheard", "runtime.mallocgc"),
-		stack(20, "", "sort.x", root+"mesh/claim/ledger.(*Ledger).Feed", root+"adapter/mesh.surface.renew.func1", root+"daemon/core.(*Core).loop"),
-		stack(20, "", root+"mesh/claim/ledger.(*Ledger).Tick", root+"control/core/node.(*Node).Tick", root+"daemon/core.(*Core).loop"),
+		stack(20, "", "sort.x", root+"mesh/lease/table.(*Table).Feed", root+"adapter/mesh.surface.renew.func1", root+"daemon/core.(*Core).loop"),
+		stack(20, "", root+"mesh/lease/table.(*Table).Tick", root+"control/core/node.(*Node).Tick", root+"daemon/core.(*Core).loop"),
 		stack(10, "", "runtime.scanobject", "runtime.gcBgMarkWorker"),
 		stack(10, "", "syscall.read", "net/http.(*conn).serve"),
 		stack(20, "", "runtime.futex", "runtime.mcall"),
--- a/control/core/message/message.go
+++ b/control/core/message/message.go
@@ -10,7 +10,7 @@
 	"cottonarch.example/cottonarch/control/rollout/drive"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/mesh/claim/ledger"
+	"cottonarch.example/cottonarch/mesh/lease/table"
 )
 
 // Message is one message. Invariants: exactly one part is set; To is empty or the
@@ -30,7 +30,7 @@
 	Carried            *Carried             `json:"carried,omitempty"`
 	Learned            *Learned             `json:"learned,omitempty"`
 	Handover           *Handover            `json:"handover,omitempty"`
-	Kept               *ledger.Kept         `json:"kept,omitempty"`
+	LeaseUpdate        *table.Update        `json:"kept,omitempty"`
 	Want               *Want                `json:"want,omitempty"`
 	Quiet              *Quiet               `json:"quiet,omitempty"`
 }
@@ -100,11 +100,11 @@
 
 // Want asks for a whole hello, or for all sidecars kept at the receiver.
 type Want struct {
-	Hello bool `json:"hello,omitempty"`
-	Kept  bool `json:"kept,omitempty"`
+	Hello  bool `json:"hello,omitempty"`
+	Leases bool `json:"kept,omitempty"`
 }
 
-// Quiet asks a voter which of the nodes it has not heard for ledger.Quiet, or says so.
+// Quiet asks a voter which of the nodes it has not heard for table.SilentAfter, or says so.
 type Quiet struct {
 	Round uint64       `json:"turn"`
 	Says  ident.Disk   `json:"says,omitempty"` // empty in the question
--- a/control/core/node/cut_test.go
+++ b/control/core/node/cut_test.go
@@ -200,12 +200,12 @@
 
 // hold has a core hold the manifest of an epoch, as the daemon does once it has read it.
 func (x *trio) hold(at ident.Addr, e ident.Epoch) {
-	x.nodes[at].Ledger.Manifest(&check.Manifest{Epoch: e})
+	x.nodes[at].Leases.Manifest(&check.Manifest{Epoch: e})
 }
 
 // stale asks as a sidecar that renews whether a core can tell what the newest manifest is.
 func (x *trio) stale(t *testing.T, at ident.Addr) bool {
-	got, fx, d := x.nodes[at].Renew(x.now, record.Renewal{Node: "s", Claim: 1, Seq: 1, Report: &record.Report{Node: "s"}})
+	got, fx, d := x.nodes[at].Renew(x.now, record.Renewal{Node: "s", LeaseEpoch: 1, Seq: 1, Report: &record.Report{Node: "s"}})
 	must.Nil(t, d)
 	x.out(at, fx)
 	return got.Stale
--- a/control/core/node/duties.go
+++ b/control/core/node/duties.go
@@ -92,7 +92,7 @@
 		if r.Phase == rollout.Running || r.Phase == rollout.Backing {
 			n.rolling = now
 		}
-		if d, due := n.rolls.Plan(now, r, n.Ledger.InForce(), n.Ledger.Ends); due {
+		if d, due := n.rolls.Plan(now, r, n.Leases.InForce(), n.Leases.Ends); due {
 			n.internal(now, d, fx, func(moment.Moment, End, *Effects) {})
 		}
 	}
--- a/control/core/node/freshness.go
+++ b/control/core/node/freshness.go
@@ -62,7 +62,7 @@
 // lag notes since when a newer manifest is known of here than the one held.
 func (n *Node) lag(now moment.Moment) {
 	held := ident.Epoch(0)
-	if m := n.Ledger.InForce(); m != nil {
+	if m := n.Leases.InForce(); m != nil {
 		held = m.Epoch
 	}
 	switch {
@@ -81,11 +81,11 @@
 
 // Renew takes a sidecar's renewal.
 func (n *Node) Renew(now moment.Moment, r record.Renewal) (record.Renewed, Effects, *defect.Defect) {
-	got, d := n.Ledger.Renew(now, r)
+	got, d := n.Leases.Renew(now, r)
 	if d != nil {
 		return record.Renewed{}, Effects{}, d
 	}
-	return record.Renewed{Want: got.Want, Took: n.Ledger.Took(r.Node, n.Turn()), Members: n.Ledger.Live(), Leaving: n.leaving,
+	return record.Renewed{Want: got.Want, Took: n.Leases.AcknowledgedRenewal(r.Node, n.Turn()), Members: n.Leases.Live(), Leaving: n.leaving,
 		Stale: n.stale(now)}, Effects{Changed: got.Fresh}, nil
 }
 
--- a/control/core/node/hello.go
+++ b/control/core/node/hello.go
@@ -25,7 +25,7 @@
 	for _, a := range n.peerAddrs() {
 		if now.Since(n.peers[a].heard) > time.Minute {
 			delete(n.peers, a)
-			n.Ledger.Gone(a)
+			n.Leases.RemoveRegistrar(a)
 		}
 	}
 	for a, at := range n.known {
@@ -68,13 +68,13 @@
 func (n *Node) greet(now moment.Moment, to []ident.Addr, fx *Effects) {
 	n.no++
 	n.stamped(now)
-	n.Ledger.Stamp(n.no)
-	brief := message.Hello{Run: message.Run(n.boot.Mark), Brief: true, No: n.no, Sum: n.Ledger.Sum(), At: n.membership.Current.Epoch, Manifest: n.Epoch, Duty: n.holds, Rolling: n.holds && n.Rolling(now)}
+	n.Leases.StampHeartbeat(n.no)
+	brief := message.Hello{Run: message.Run(n.boot.Mark), Brief: true, No: n.no, Sum: n.Leases.Sum(), At: n.membership.Current.Epoch, Manifest: n.Epoch, Duty: n.holds, Rolling: n.holds && n.Rolling(now)}
 	if n.freshAsOf != 0 {
 		brief.AgeMs = now.Since(n.freshAsOf).Milliseconds() + 1
 	}
 	if n.Rolling(now) {
-		brief.Ends = n.Ledger.Here()
+		brief.Ends = n.Leases.LocalEnds()
 	}
 	whole := brief
 	whole.Brief, whole.Mark, whole.Disk, whole.District, whole.Leaving, whole.Broken, whole.Cores, whole.Patches, whole.Echo = false, n.boot.Mark, n.Disk, n.boot.District, n.leaving, n.broken, n.Fresh(now), true, true
@@ -116,7 +116,7 @@
 	}
 	if p.hello.Run != h.Run {
 		n.abandonCopies(now, m.From, p.hello.Mark)
-		n.Ledger.Gone(m.From)
+		n.Leases.RemoveRegistrar(m.From)
 		*p = peer{since: now}
 	}
 	p.heard, p.down = now, false
@@ -130,7 +130,7 @@
 	for _, a := range n.peerAddrs() {
 		if a != m.From && n.peers[a].hello.Disk == h.Disk {
 			delete(n.peers, a)
-			n.Ledger.Gone(a)
+			n.Leases.RemoveRegistrar(a)
 		}
 	}
 	if !m.Hello.Brief {
@@ -145,23 +145,23 @@
 	}
 	var want message.Want
 	want.Hello = m.Hello.Brief && h.At > n.membership.Current.Epoch
-	if n.Ledger.Hello(now, m.From, m.Hello.Sum) {
+	if n.Leases.Heartbeat(now, m.From, m.Hello.Sum) {
 		p.fits = max(p.fits, m.Hello.No)
 	} else {
-		want.Kept = true
+		want.Leases = true
 	}
-	if (want.Hello || want.Kept) && now.Since(p.wanted) >= wantEvery {
+	if (want.Hello || want.Leases) && now.Since(p.wanted) >= wantEvery {
 		p.wanted = now
 		fx.Sends = append(fx.Sends, Send{m.From, message.Message{Want: &want}})
 	}
 	if h.Rolling {
 		n.rolling = now
 	}
-	n.Ledger.Grown(m.From, h.Mark, h.Ends)
+	n.Leases.AddRemoteEnds(m.From, h.Mark, h.Ends)
 	n.heardOf(now, m.Hello, fx)
 	// Half due, it goes at once: it travels in the response to the hello that came.
 	if now.Since(p.saidAt) >= n.pace(m.From, p)/2 {
-		n.keep(now, fx)
+		n.sendLeaseUpdates(now, fx)
 		n.greet(now, []ident.Addr{m.From}, fx)
 	}
 	return true
@@ -182,40 +182,40 @@
 	return n.rolling != 0 && now.Since(n.rolling) < rollingFor
 }
 
-// keep tells the other cores what changed among the sidecars kept here, and all of it to
+// sendLeaseUpdates tells the other cores what changed among the sidecars registered here, and all of it to
 // those that asked.
-func (n *Node) keep(now moment.Moment, fx *Effects) {
-	if k, due := n.Ledger.Changes(); due {
+func (n *Node) sendLeaseUpdates(now moment.Moment, fx *Effects) {
+	if k, due := n.Leases.PendingUpdate(); due {
 		for _, a := range n.peerAddrs() {
 			if n.peers[a].live(now) {
-				fx.Sends = append(fx.Sends, Send{a, message.Message{Kept: &k}})
+				fx.Sends = append(fx.Sends, Send{a, message.Message{LeaseUpdate: &k}})
 			}
 		}
 	}
 	if len(n.wants) == 0 {
 		return
 	}
-	if k, ok := n.Ledger.Whole(); ok {
+	if k, ok := n.Leases.FullUpdate(); ok {
 		for _, a := range n.wants {
-			fx.Sends = append(fx.Sends, Send{a, message.Message{Kept: &k}})
+			fx.Sends = append(fx.Sends, Send{a, message.Message{LeaseUpdate: &k}})
 		}
 		n.wants = nil
 	}
 }
 
-func (n *Node) onKept(now moment.Moment, m message.Message, fx *Effects) bool {
-	if m.Kept == nil {
+func (n *Node) onLeaseUpdate(now moment.Moment, m message.Message, fx *Effects) bool {
+	if m.LeaseUpdate == nil {
 		return false
 	}
 	p := n.peers[m.From]
 	if p == nil {
 		return true // its hello comes first
 	}
-	changed, fits := n.Ledger.Take(now, m.From, *m.Kept)
+	changed, fits := n.Leases.ApplyUpdate(now, m.From, *m.LeaseUpdate)
 	fx.Changed = fx.Changed || changed
 	if !fits && now.Since(p.wanted) >= wantEvery {
 		p.wanted = now
-		fx.Sends = append(fx.Sends, Send{m.From, message.Message{Want: &message.Want{Kept: true}}})
+		fx.Sends = append(fx.Sends, Send{m.From, message.Message{Want: &message.Want{Leases: true}}})
 	}
 	return true
 }
@@ -227,10 +227,10 @@
 	if p := n.peers[m.From]; p != nil && m.Want.Hello {
 		p.told = ""
 	}
-	if m.Want.Kept && !slices.Contains(n.wants, m.From) {
+	if m.Want.Leases && !slices.Contains(n.wants, m.From) {
 		n.wants = append(n.wants, m.From)
 	}
-	n.keep(now, fx)
+	n.sendLeaseUpdates(now, fx)
 	return true
 }
 
--- a/control/core/node/join.go
+++ b/control/core/node/join.go
@@ -104,11 +104,11 @@
 		}}, fx)
 }
 
-// entrants are the arguments of a batch. A claim that the ledger knows of is told, so that
+// entrants are the arguments of a batch. A claim that the lease table knows of is told, so that
 // the new one is above it even if the shares have forgotten the node.
 func (n *Node) entrants(batch []admission.Request) (a share.EnterArgs) {
 	for _, r := range batch {
-		a.Nodes = append(a.Nodes, share.Entrant{Node: r.Node, Run: r.Run, Total: r.Total, Above: n.Ledger.Claim(r.Node)})
+		a.Nodes = append(a.Nodes, share.Entrant{Node: r.Node, Run: r.Run, Total: r.Total, Above: n.Leases.Claim(r.Node)})
 	}
 	return a
 }
--- a/control/core/node/keep_test.go
+++ b/control/core/node/leases_test.go
@@ -23,7 +23,7 @@
 	for end := x.now.Add(d); x.now < end; x.run(400 * time.Millisecond) {
 		*beat++
 		sent[*beat] = x.now
-		r := record.Renewal{Node: "n", Claim: 1, Seq: 1, Beat: *beat, Report: &record.Report{Node: "n", Claim: 1, Seq: 1}}
+		r := record.Renewal{Node: "n", LeaseEpoch: 1, Seq: 1, Beat: *beat, Report: &record.Report{Node: "n", LeaseEpoch: 1, Seq: 1}}
 		got, fx, def := x.nodes[at].Renew(x.now, r)
 		must.Nil(t, def)
 		x.out(at, fx)
@@ -50,33 +50,33 @@
 	return s
 }
 
-// A keeper whose words reach nobody tells its sidecar of no majority from then on, and the
+// A registrar whose words reach nobody tells its sidecar of no majority from then on, and the
 // share is taken back only when a majority has long not heard the sidecar: by then the
 // last renewal that was told as taken is long past, whatever is lost on the way.
 func TestShareIsTakenBackOnlyFromTheUnheard(t *testing.T) {
-	for name, lost := range map[string]func(keeper, to ident.Addr, m message.Message) bool{
-		"all that the keeper says":   func(k, _ ident.Addr, m message.Message) bool { return m.From == k },
-		"its lists":                  func(_, _ ident.Addr, m message.Message) bool { return m.Kept != nil },
-		"its hellos":                 func(k, _ ident.Addr, m message.Message) bool { return m.From == k && m.Hello != nil },
-		"the hellos that it is told": func(k, to ident.Addr, m message.Message) bool { return to == k && m.Hello != nil },
+	for name, lost := range map[string]func(registrar, to ident.Addr, m message.Message) bool{
+		"all that the registrar says": func(k, _ ident.Addr, m message.Message) bool { return m.From == k },
+		"its lists":                   func(_, _ ident.Addr, m message.Message) bool { return m.LeaseUpdate != nil },
+		"its hellos":                  func(k, _ ident.Addr, m message.Message) bool { return m.From == k && m.Hello != nil },
+		"the hellos that it is told":  func(k, to ident.Addr, m message.Message) bool { return to == k && m.Hello != nil },
 	} {
 		x := newTrio(t)
 		x.out("b:1", x.nodes["b:1"].Submit(x.now, 1, proposer.Operation{Key: "share", Kind: "share/take", Args: book.JSON(share.Args{Node: "n", Claim: 1})}, 4*time.Second))
 		x.run(32 * time.Second) // a core that was just started takes nothing back
-		keeper := three[0]
-		if x.nodes[keeper].Duty() {
-			keeper = three[2] // the one with the duty asks only of those that it does not hear itself
+		registrar := three[0]
+		if x.nodes[registrar].Duty() {
+			registrar = three[2] // the one with the duty asks only of those that it does not hear itself
 		}
 		beat, sent := uint64(0), map[uint64]moment.Moment{}
 		if name != "its lists" {
-			took := x.renew(t, keeper, &beat, sent, 40*time.Second)
+			took := x.renew(t, registrar, &beat, sent, 40*time.Second)
 			must.Less(t, 1500*time.Millisecond, x.now.Since(took), must.Sprint(name))
 			must.MapContainsKey(t, x.shares(t).Nodes, ident.Node("n"), must.Sprint(name))
 		}
-		x.lost = func(to ident.Addr, m message.Message) bool { return lost(keeper, to, m) }
+		x.lost = func(to ident.Addr, m message.Message) bool { return lost(registrar, to, m) }
 		took, freed := moment.Moment(0), false
 		for range 30 {
-			took = max(took, x.renew(t, keeper, &beat, sent, 2*time.Second))
+			took = max(took, x.renew(t, registrar, &beat, sent, 2*time.Second))
 			if _, has := x.shares(t).Nodes["n"]; !has {
 				freed = true
 				must.Greater(t, 25*time.Second, x.now.Since(took), must.Sprint(name))
@@ -96,7 +96,7 @@
 		beat, sent := uint64(0), map[uint64]moment.Moment{}
 		x.renew(t, three[n], &beat, sent, time.Second)
 		for _, a := range three {
-			must.Eq(t, 1, x.nodes[a].Ledger.Live(), must.Sprintf("%s of %s", a, three[n]))
+			must.Eq(t, 1, x.nodes[a].Leases.Live(), must.Sprintf("%s of %s", a, three[n]))
 		}
 		// One other core starts anew, with nothing of what it knew.
 		again := three[(n+1)%3]
@@ -104,10 +104,10 @@
 		must.NoError(t, err)
 		x.nodes[again] = fresh
 		x.renew(t, three[n], &beat, sent, 1500*time.Millisecond)
-		must.Eq(t, 1, x.nodes[again].Ledger.Live())
+		must.Eq(t, 1, x.nodes[again].Leases.Live())
 		x.run(2 * time.Second)
 		for _, a := range three {
-			must.Eq(t, 0, x.nodes[a].Ledger.Live(), must.Sprint("silent for two seconds"))
+			must.Eq(t, 0, x.nodes[a].Leases.Live(), must.Sprint("silent for two seconds"))
 		}
 	}
 }
--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -28,7 +28,7 @@
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
-	"cottonarch.example/cottonarch/mesh/claim/ledger"
+	"cottonarch.example/cottonarch/mesh/lease/table"
 	"cottonarch.example/cottonarch/storage/ring"
 )
 
@@ -82,7 +82,7 @@
 	Sends   []Send
 	Ends    []End
 	Learned []message.Learned
-	Changed bool // the ledger has news
+	Changed bool // the lease table has news
 	// Confirmed is a manifest, as held, that was just learned to be confirmed.
 	Confirmed json.RawMessage
 	Exit      *defect.Defect
@@ -130,7 +130,7 @@
 	proposer     *proposer.Proposer
 	reconfigurer *reconfiguration.Reconfigurer
 	bootstrap    *bootstrap.Bootstrap
-	Ledger       *ledger.Ledger
+	Leases       *table.Table
 	peers        map[ident.Addr]*peer
 	known        map[ident.Addr]moment.Moment // told of by others, and when last
 	pend         map[uint64]*pending          // by out
@@ -210,7 +210,7 @@
 		boot.Voters = 5
 	}
 	n := &Node{boot: boot, began: now, peers: map[ident.Addr]*peer{}, known: map[ident.Addr]moment.Moment{}, pend: map[uint64]*pending{}, guests: map[uint64]guest{},
-		seen: map[string]*message.Carried{}, reads: map[uint64]*reading{}, Ledger: ledger.New()}
+		seen: map[string]*message.Carried{}, reads: map[uint64]*reading{}, Leases: table.New()}
 	var write []ring.Record
 	for _, rec := range recs {
 		if rec.Tag == diskTag {
@@ -323,7 +323,7 @@
 	inbox = []func(*Node, moment.Moment, message.Message, *Effects) bool{
 		(*Node).onHello, (*Node).onRequest, (*Node).onResponse, (*Node).onForward, (*Node).onCarried, (*Node).onScan,
 		(*Node).onScanResponse, (*Node).onLearned, (*Node).onMembershipRequest, (*Node).onMembershipResponse, (*Node).onHandover,
-		(*Node).onKept, (*Node).onWant, (*Node).onSilence,
+		(*Node).onLeaseUpdate, (*Node).onWant, (*Node).onSilence,
 	}
 }
 
--- a/control/core/node/silence.go
+++ b/control/core/node/silence.go
@@ -10,7 +10,7 @@
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
-	"cottonarch.example/cottonarch/mesh/claim/ledger"
+	"cottonarch.example/cottonarch/mesh/lease/table"
 )
 
 // shareKey holds the shares of the further tries.
@@ -31,8 +31,8 @@
 		if e.Defect != nil || book.Read(nil, e.Body, nil, &s) != nil {
 			return
 		}
-		silent := n.Ledger.Silent(now, slices.Sorted(maps.Keys(s.Nodes)))
-		if len(silent) == 0 || now.Since(n.began) <= ledger.Quiet {
+		silent := n.Leases.Silent(now, slices.Sorted(maps.Keys(s.Nodes)))
+		if len(silent) == 0 || now.Since(n.began) <= table.SilentAfter {
 			return
 		}
 		n.silence = silenceRound{round: n.next(), claims: map[ident.Node]ident.Epoch{}, confirmed: map[ident.Node]map[ident.Disk]bool{}}
@@ -46,7 +46,7 @@
 }
 
 // onSilence answers the question, or takes a voter's answer. Invariant: a core says that a
-// node is silent only when it has itself been up for longer than ledger.Quiet; a share is
+// node is silent only when it has itself been up for longer than table.SilentAfter; a share is
 // taken back only when a majority of the voters said so.
 func (n *Node) onSilence(now moment.Moment, m message.Message, fx *Effects) bool {
 	q := m.Quiet
@@ -54,8 +54,8 @@
 		return false
 	}
 	if q.Says == "" {
-		if now.Since(n.began) > ledger.Quiet {
-			fx.Sends = append(fx.Sends, Send{m.From, message.Message{Quiet: &message.Quiet{Round: q.Round, Says: n.Disk, Nodes: n.Ledger.Silent(now, q.Nodes)}}})
+		if now.Since(n.began) > table.SilentAfter {
+			fx.Sends = append(fx.Sends, Send{m.From, message.Message{Quiet: &message.Quiet{Round: q.Round, Says: n.Disk, Nodes: n.Leases.Silent(now, q.Nodes)}}})
 		}
 		return true
 	}
--- a/control/core/node/tick.go
+++ b/control/core/node/tick.go
@@ -18,7 +18,7 @@
 
 // Tick is called many times a second.
 func (n *Node) Tick(now moment.Moment) (fx Effects) {
-	n.keep(now, &fx)
+	n.sendLeaseUpdates(now, &fx)
 	if n.said == 0 || now.Since(n.said) >= helloLook {
 		n.said = now
 		n.hello(now, false, &fx)
@@ -28,7 +28,7 @@
 	n.sendReconfiguration(n.reconfigurer.Tick(now), &fx)
 	n.pendings(now, &fx)
 	n.readings(now, &fx)
-	if n.Ledger.Tick(now) {
+	if n.Leases.Tick(now) {
 		fx.Changed = true
 	}
 	if !n.broken {
@@ -119,7 +119,7 @@
 		return fx
 	}
 	n.leaving, n.away = true, &departure{began: now}
-	n.keep(now, &fx)
+	n.sendLeaseUpdates(now, &fx)
 	n.hello(now, true, &fx)
 	disks, at := n.live(now)
 	if n.holds {
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -24,7 +24,7 @@
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/kernel/queue"
-	"cottonarch.example/cottonarch/mesh/claim/ledger"
+	"cottonarch.example/cottonarch/mesh/lease/table"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 	"cottonarch.example/cottonarch/storage/ring"
 	"cottonarch.example/cottonarch/wire/client"
@@ -214,7 +214,7 @@
 func (c *Core) look(now moment.Moment) {
 	n := c.node
 	v := &View{Disk: n.Disk, Roster: n.Membership(), Votes: n.Votes(), Voters: len(n.Membership().Voters), Majority: n.Majority(now), Owned: len(n.HeldKeys()), Cells: n.Records(),
-		Duty: n.Duty(), Cores: n.Fresh(now), Places: n.Places(now), Members: n.Ledger.Members()}
+		Duty: n.Duty(), Cores: n.Fresh(now), Places: n.Places(now), Members: n.Leases.Members()}
 	v.Sight = sight(v.Places)
 	if m := c.held.Load(); m != nil {
 		v.Epoch = m.Epoch
@@ -419,8 +419,8 @@
 	return v != nil && v.Majority && !c.leaving.Load()
 }
 
-// Ledger is the node's ledger; only steps run by Do may touch it.
-func (c *Core) Ledger() *ledger.Ledger { return c.node.Ledger }
+// Leases is the node's ledger; only steps run by Do may touch it.
+func (c *Core) Leases() *table.Table { return c.node.Leases }
 
 // Node is the node; only steps run by Do may touch it.
 func (c *Core) Node() *node.Node { return c.node }
--- a/daemon/core/manifest.go
+++ b/daemon/core/manifest.go
@@ -114,7 +114,7 @@
 	c.Log.Info("manifest", zap.Uint64("epoch", uint64(m.Epoch)), zap.Int("ways", len(parsed.Ways)), zap.Int("services", len(parsed.Services)))
 	c.Board.Set("manifest_epoch", int64(m.Epoch))
 	c.Do(func(moment.Moment) node.Effects {
-		return node.Effects{Changed: c.node.Ledger.Manifest(parsed)}
+		return node.Effects{Changed: c.node.Leases.Manifest(parsed)}
 	})
 	return m, nil
 }
--- a/daemon/sidecar/follow.go
+++ b/daemon/sidecar/follow.go
@@ -13,7 +13,7 @@
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/kernel/defect"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/mesh/claim/holder"
+	"cottonarch.example/cottonarch/mesh/lease/holder"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 )
 
@@ -57,22 +57,22 @@
 		cores := s.cored()
 		s.mu.Lock()
 		now := s.clock()
-		ask, share := s.portion.Ask(s.slow(), s.Boot.Node, s.claim)
-		s.held.Keeper(now, s.Boot.Node, s.Boot.District, cores)
+		ask, share := s.budgetShare.Ask(s.slow(), s.Boot.Node, s.leaseEpoch)
+		s.lease.ChooseRegistrar(now, s.Boot.Node, s.Boot.District, cores)
 		rep := s.report()
-		s.news = s.held.News(s.claim, rep)
+		s.news = s.lease.Changed(s.leaseEpoch, rep)
 		var to []ident.Addr
 		var out record.Renewal
-		if s.held.Due(now, s.news) {
+		if s.lease.Due(now, s.news) {
 			if s.news {
 				s.news = false
 				s.seq++
 				rep.Seq = s.seq
 			}
-			to = s.held.To()
-			out = s.held.Begin(now, rep, s.path.Ends())
+			to = s.lease.Targets()
+			out = s.lease.Begin(now, rep, s.path.Ends())
 		}
-		t.Reset(max(s.held.Wait(now), 20*time.Millisecond))
+		t.Reset(max(s.lease.Wait(now), 20*time.Millisecond))
 		s.mu.Unlock()
 		if share {
 			turn++
@@ -127,7 +127,7 @@
 
 // report is what this machine says of itself; mu is held.
 func (s *Sidecar) report() record.Report {
-	return record.Report{Node: s.Boot.Node, Addr: s.Boot.Addr, District: s.Boot.District, Claim: s.claim, Seq: s.seq,
+	return record.Report{Node: s.Boot.Node, Addr: s.Boot.Addr, District: s.Boot.District, LeaseEpoch: s.leaseEpoch, Seq: s.seq,
 		Manifest: s.path.Epoch(), Ready: s.Ready(), Leaving: s.leaving.Load(), Workloads: s.gate.Workloads()}
 }
 
@@ -145,9 +145,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if ask.Claim == s.claim {
-		s.portion.Told(s.slow(), told)
-		s.path.Tree.Grant(s.portion.Use())
+	if ask.Claim == s.leaseEpoch {
+		s.budgetShare.Granted(s.slow(), told)
+		s.path.Tree.Grant(s.budgetShare.Usable())
 	}
 }
 
@@ -156,7 +156,7 @@
 func (s *Sidecar) superseded(claim ident.Epoch, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if claim == s.claim {
+	if claim == s.leaseEpoch {
 		s.Log.Warn("claim superseded", zap.Error(err))
 		s.entered.Store(false)
 		s.kick(s.push)
@@ -164,7 +164,7 @@
 }
 
 func (s *Sidecar) renew(core ident.Addr, r record.Renewal) {
-	ctx, stop := context.WithTimeout(context.Background(), holder.Limit)
+	ctx, stop := context.WithTimeout(context.Background(), holder.RenewTimeout)
 	defer stop()
 	var got record.Renewed
 	err := s.pool.Ask(ctx, core, "POST", "/cottonarch/v1/renew", r, &got)
@@ -174,29 +174,29 @@
 	if err != nil {
 		s.Board.Add("renewals_failed", 1)
 		if d := (*defect.Defect)(nil); defect.Find(err, &d) && d.Kind == defect.Conflict {
-			s.held.Ended()
-			if r.Claim == s.claim {
+			s.lease.Ended()
+			if r.LeaseEpoch == s.leaseEpoch {
 				s.Log.Warn("claim superseded", zap.Error(err))
 				s.entered.Store(false)
 			}
 			return
 		}
-		s.held.Failed(s.clock(), core)
+		s.lease.Failed(s.clock(), core)
 		s.turnTo()
 		return
 	}
-	s.held.Renewed(s.clock(), core, got)
-	s.join(s.held.Told())
+	s.lease.Renewed(s.clock(), core, got)
+	s.join(s.lease.KnownCores())
 	s.lastCore = s.clock()
-	s.portion.Members(s.slow(), got.Members)
-	s.path.Tree.Grant(s.portion.Use())
-	if at := s.held.Majority(); at != 0 {
+	s.budgetShare.Members(s.slow(), got.Members)
+	s.path.Tree.Grant(s.budgetShare.Usable())
+	if at := s.lease.MajorityAsOf(); at != 0 {
 		s.path.Tree.Renewed(at)
 	}
 	s.wit.Told(s.clock(), got.Manifest)
-	was := s.held.At()
+	was := s.lease.Registrar()
 	s.turnTo()
-	switch is := s.held.At(); {
+	switch is := s.lease.Registrar(); {
 	case got.Manifest <= s.wit.Holds(s.path.Epoch()):
 	case core != is:
 		go func() {
@@ -211,8 +211,8 @@
 
 // turnTo tells the following duty when the keeper is another one; mu is held.
 func (s *Sidecar) turnTo() {
-	was := s.held.At()
-	if is := s.held.Keeper(s.clock(), s.Boot.Node, s.Boot.District, s.real()); is != was && is != "" {
+	was := s.lease.Registrar()
+	if is := s.lease.ChooseRegistrar(s.clock(), s.Boot.Node, s.Boot.District, s.real()); is != was && is != "" {
 		s.point(is)
 	}
 }
@@ -228,7 +228,7 @@
 		default:
 		}
 		s.mu.Lock()
-		core, have := s.held.At(), s.wit.Holds(s.path.Epoch())
+		core, have := s.lease.Registrar(), s.wit.Holds(s.path.Epoch())
 		s.mu.Unlock()
 		if !s.entered.Load() || core == "" {
 			s.pause(10 * time.Millisecond)
@@ -321,7 +321,7 @@
 // hurry makes the keeper be asked at once whether it is still there.
 func (s *Sidecar) hurry() {
 	s.mu.Lock()
-	s.held.Doubt()
+	s.lease.Suspect()
 	s.mu.Unlock()
 	s.kick(s.push)
 }
--- a/daemon/sidecar/hops_test.go
+++ b/daemon/sidecar/hops_test.go
@@ -313,7 +313,7 @@
 	for _, id := range servers {
 		records = append(records, record.Address{Workload: &record.Workload{UID: id, Service: "s", Gate: behind, Weight: 1, Status: record.Healthy}})
 	}
-	s.path.Index.Merge([]record.Set{{Author: author, Claim: 1, Records: records}})
+	s.path.Index.Merge([]record.Set{{Author: author, LeaseEpoch: 1, Records: records}})
 }
 
 // gated serves a sidecar towards the mesh, on the daemon's own kind of server.
--- a/daemon/sidecar/join.go
+++ b/daemon/sidecar/join.go
@@ -51,7 +51,7 @@
 func (s *Sidecar) joinCore() ident.Addr {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.joiner.Core(s.real(), s.held.Places())
+	return s.joiner.Core(s.real(), s.lease.Places())
 }
 
 // joinFailed takes a refusal, or the silence of a core.
@@ -102,13 +102,13 @@
 // faster.
 func (s *Sidecar) joined(at ident.Addr, got mesh.Entry) {
 	s.mu.Lock()
-	s.claim, s.seq = got.Claim, 1
+	s.leaseEpoch, s.seq = got.Claim, 1
 	s.path.Floor = max(s.path.Floor, got.Manifest)
 	s.wit.Entered()
-	s.portion.Begin(s.slow(), got.Share)
-	s.path.Tree.Grant(s.portion.Use())
-	s.held.Learn(got.View, got.Cores)
-	s.join(s.held.Told())
+	s.budgetShare.Begin(s.slow(), got.Share)
+	s.path.Tree.Grant(s.budgetShare.Usable())
+	s.lease.LearnCores(got.View, got.Cores)
+	s.join(s.lease.KnownCores())
 	s.lastCore = s.clock()
 	have := s.wit.Holds(s.path.Epoch())
 	s.mu.Unlock()
--- a/daemon/sidecar/join_test.go
+++ b/daemon/sidecar/join_test.go
@@ -103,7 +103,7 @@
 		s := New(boot.Sidecar{Addr: "127.0.0.1:9", Node: ident.Node(strings.Repeat("n", n+1)), Seeds: addrs[:1]}, zap.NewNop())
 		s.askToJoin()
 		must.True(t, s.entered.Load())
-		must.Eq(t, 7, s.claim)
+		must.Eq(t, 7, s.leaseEpoch)
 	}
 	for _, f := range all {
 		must.Positive(t, f.joins())
--- a/daemon/sidecar/peers.go
+++ b/daemon/sidecar/peers.go
@@ -110,7 +110,7 @@
 	s.mu.Lock()
 	if s.path.Index.Merge(p.Sets) {
 		s.refeed.Store(true)
-		s.point(s.held.At())
+		s.point(s.lease.Registrar())
 	}
 	now := s.clock()
 	s.wit.Prior(now, p.Heard, p.Entered)
@@ -125,7 +125,7 @@
 func sum(sets []record.Set) string {
 	h := fnv.New64a()
 	for _, s := range sets {
-		_, _ = fmt.Fprintf(h, "%s %d %d %d %v\n", s.Author, s.Claim, s.Seq, s.Built, s.Lapsed)
+		_, _ = fmt.Fprintf(h, "%s %d %d %d %v\n", s.Author, s.LeaseEpoch, s.Seq, s.Built, s.Lapsed)
 	}
 	return strconv.FormatUint(h.Sum64(), 36)
 }
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -18,9 +18,9 @@
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/mesh/bay"
-	"cottonarch.example/cottonarch/mesh/claim/holder"
 	"cottonarch.example/cottonarch/mesh/claim/joiner"
 	"cottonarch.example/cottonarch/mesh/gate"
+	"cottonarch.example/cottonarch/mesh/lease/holder"
 	"cottonarch.example/cottonarch/mesh/line"
 	"cottonarch.example/cottonarch/mesh/link"
 	"cottonarch.example/cottonarch/mesh/path"
@@ -61,33 +61,33 @@
 	ends  *exchange.Pool // to the endpoints of this machine
 	done  chan struct{}
 
-	mu       sync.Mutex
-	line     *line.Line[*job]
-	path     *path.Path
-	gate     *gate.Gate
-	bay      *bay.Bay
-	berths   map[uint64]chan bay.Act // who waits in the bay
-	berthed  uint64
-	moored   map[ident.Server]bool // endpoints that the bay knows
-	link     *link.Link
-	wit      *witness.Witness
-	shown    stored // the manifest in force
-	next     stored // the one that is held and not shown yet
-	claim    ident.Epoch
-	seq      uint64
-	news     bool
-	cores    []ident.Addr
-	told     map[ident.Addr]moment.Moment
-	sides    map[ident.Addr]bool          // seeds that are sidecars
-	noPeer   map[ident.Addr]moment.Moment // until when a seed is not asked as a peer
-	held     *holder.Holder
-	joiner   *joiner.Joiner // only the duty that renews touches it
-	learned  moment.Moment  // when a core last listed the cores to it
-	run      string         // marks the join that is tried, "" while none is
-	portion  holder.Portion
-	lastCore moment.Moment
-	began    moment.Moment
-	hand     int
+	mu          sync.Mutex
+	line        *line.Line[*job]
+	path        *path.Path
+	gate        *gate.Gate
+	bay         *bay.Bay
+	berths      map[uint64]chan bay.Act // who waits in the bay
+	berthed     uint64
+	moored      map[ident.Server]bool // endpoints that the bay knows
+	link        *link.Link
+	wit         *witness.Witness
+	shown       stored // the manifest in force
+	next        stored // the one that is held and not shown yet
+	leaseEpoch  ident.Epoch
+	seq         uint64
+	news        bool
+	cores       []ident.Addr
+	told        map[ident.Addr]moment.Moment
+	sides       map[ident.Addr]bool          // seeds that are sidecars
+	noPeer      map[ident.Addr]moment.Moment // until when a seed is not asked as a peer
+	lease       *holder.Holder
+	joiner      *joiner.Joiner // only the duty that renews touches it
+	learned     moment.Moment  // when a core last listed the cores to it
+	run         string         // marks the join that is tried, "" while none is
+	budgetShare holder.BudgetShare
+	lastCore    moment.Moment
+	began       moment.Moment
+	hand        int
 
 	limits   atomic.Pointer[check.Limits] // of the manifest in force
 	bulk     atomic.Int64                 // bytes of bodies in hand
@@ -108,7 +108,7 @@
 	now := clock()
 	s := &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, slow: moment.Watched(clock), pool: client.New(b.Addr), peers: exchange.New(b.Addr, exchange.Settings{Silence: silence}), ends: exchange.New(b.Addr, exchange.Settings{Silence: silence}),
 		done: make(chan struct{}), line: line.New[*job](b.Senders, b.Queue),
-		path: path.New(now, b.District, h.Sum64(), b.Terms), gate: gate.New(), bay: bay.New(bay.Usual()), berths: map[uint64]chan bay.Act{}, moored: map[ident.Server]bool{}, link: link.New(b.Link), wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, sides: map[ident.Addr]bool{}, noPeer: map[ident.Addr]moment.Moment{}, held: holder.New(), joiner: joiner.New(b.Node, b.District), portion: holder.Portion{Terms: b.Terms},
+		path: path.New(now, b.District, h.Sum64(), b.Terms), gate: gate.New(), bay: bay.New(bay.Usual()), berths: map[uint64]chan bay.Act{}, moored: map[ident.Server]bool{}, link: link.New(b.Link), wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, sides: map[ident.Addr]bool{}, noPeer: map[ident.Addr]moment.Moment{}, lease: holder.New(), joiner: joiner.New(b.Node, b.District), budgetShare: holder.BudgetShare{Terms: b.Terms},
 		began: now, lastCore: now, poke: make(chan ident.Addr, 1), push: make(chan struct{}, 1)}
 	for _, a := range b.Seeds {
 		s.noPeer[a] = now.Add(seedFirst)
@@ -210,8 +210,8 @@
 func (s *Sidecar) Status() any {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return map[string]any{"node": s.Boot.Node, "claim": s.claim, "manifest": s.path.Epoch(), "ready": s.Ready(), "cores": s.cores,
-		"workloads": s.gate.Workloads(), "share": s.path.Tree.Share(s.clock()), "shareGranted": s.portion.Use(), "sets": len(s.path.Index.Sets())}
+	return map[string]any{"node": s.Boot.Node, "claim": s.leaseEpoch, "manifest": s.path.Epoch(), "ready": s.Ready(), "cores": s.cores,
+		"workloads": s.gate.Workloads(), "share": s.path.Tree.Share(s.clock()), "shareGranted": s.budgetShare.Usable(), "sets": len(s.path.Index.Sets())}
 }
 
 // Beat takes an endpoint's report.
--- a/mesh/claim/joiner/joiner.go
+++ b/mesh/claim/joiner/joiner.go
@@ -11,7 +11,7 @@
 
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
-	"cottonarch.example/cottonarch/mesh/claim/holder"
+	"cottonarch.example/cottonarch/mesh/lease/holder"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 )
 
--- a/mesh/claim/holder/portion_test.go
+++ b/mesh/lease/holder/budgetshare_test.go
@@ -16,7 +16,7 @@
 	"cottonarch.example/cottonarch/kernel/moment"
 )
 
-// Forty sidecars join one after the other; questions and returns are lost, late,
+// Forty sidecars join one after the other; questions and responses are lost, late,
 // doubled and out of order. What was usable within any window never sums over sixty,
 // and in the end everyone has its fair share.
 func TestSharesMoveWithoutEverSummingOver(t *testing.T) {
@@ -36,13 +36,13 @@
 			do func()
 		}
 		var post []late
-		parts := map[int]*Portion{}
+		parts := map[int]*BudgetShare{}
 		peak := map[int][]int{} // what each could use, by tenth of a second
 		const all = 40
 		for tenth := 0; tenth < 3000; tenth++ {
 			now := moment.Moment(tenth+10) * moment.Moment(100*time.Millisecond)
 			if n := len(parts); n < all && tenth%(1+rng.IntN(40)) == 0 {
-				p := &Portion{}
+				p := &BudgetShare{}
 				told, ok := do(share.Args{Node: ident.Node(fmt.Sprint(n)), Claim: 1})
 				must.True(t, ok)
 				p.Begin(now, told)
@@ -52,7 +52,7 @@
 			post = nil
 			for _, l := range list {
 				if l.at <= now {
-					l.do() // may post its return
+					l.do() // may post its response
 				} else {
 					post = append(post, l)
 				}
@@ -68,14 +68,14 @@
 					post = append(post, late{at, func() {
 						if told, ok := do(a); ok && rng.IntN(4) > 0 {
 							back := at.Add(time.Duration(rng.IntN(3000)) * time.Millisecond)
-							post = append(post, late{back, func() { p.Told(back, told) }})
+							post = append(post, late{back, func() { p.Granted(back, told) }})
 						}
 					}})
 				}
 			}
 			sum := 0
 			for i := range len(parts) {
-				peak[i] = append(peak[i], parts[i].Use())
+				peak[i] = append(peak[i], parts[i].Usable())
 				top := 0
 				for _, u := range peak[i][max(0, len(peak[i])-100):] {
 					top = max(top, u)
@@ -85,7 +85,7 @@
 			must.LessEq(t, share.Total, sum, must.Sprintf("seed %d: %d usable within one window", seed, sum))
 		}
 		for i := range all {
-			must.Eq(t, share.Fair(share.Total, all), parts[i].Use(), must.Sprintf("seed %d node %d", seed, i))
+			must.Eq(t, share.Fair(share.Total, all), parts[i].Usable(), must.Sprintf("seed %d node %d", seed, i))
 		}
 	}
 }
--- a/mesh/claim/holder/holder_test.go
+++ b/mesh/lease/holder/holder_test.go
@@ -8,20 +8,20 @@
 
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/moment"
-	"cottonarch.example/cottonarch/mesh/claim/ledger"
+	"cottonarch.example/cottonarch/mesh/lease/table"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 )
 
 // rig drives a holder against cores that answer, refuse, say nothing or are stale.
 type rig struct {
-	h     *Holder
-	now   moment.Moment
-	cores []ident.Addr
-	does  map[ident.Addr]string
-	sent  []ident.Addr
-	took  moment.Moment // last renewal that a core took
-	gap   time.Duration // the longest without one
-	out   []end
+	holder    *Holder
+	now       moment.Moment
+	cores     []ident.Addr
+	behaviour map[ident.Addr]string
+	sent      []ident.Addr
+	lastTaken moment.Moment // last renewal that a core took
+	gap       time.Duration // the longest without one
+	out       []end
 }
 
 type end struct {
@@ -30,8 +30,8 @@
 }
 
 func newRig() *rig {
-	r := &rig{h: New(), now: moment.Moment(time.Second), cores: []ident.Addr{"a:1", "b:1", "c:1", "d:1"}, does: map[ident.Addr]string{}}
-	r.took = r.now
+	r := &rig{holder: New(), now: moment.Moment(time.Second), cores: []ident.Addr{"a:1", "b:1", "c:1", "d:1"}, behaviour: map[ident.Addr]string{}}
+	r.lastTaken = r.now
 	return r
 }
 
@@ -48,12 +48,12 @@
 			}
 			e.do()
 		}
-		r.h.Keeper(r.now, "n", "y", r.cores)
-		if !r.h.Due(r.now, false) {
+		r.holder.ChooseRegistrar(r.now, "n", "y", r.cores)
+		if !r.holder.Due(r.now, false) {
 			continue
 		}
-		to := r.h.To()
-		b := r.h.Begin(r.now, record.Report{Node: "n", Claim: 1, Seq: 1}, nil)
+		to := r.holder.Targets()
+		b := r.holder.Begin(r.now, record.Report{Node: "n", LeaseEpoch: 1, Seq: 1}, nil)
 		for _, a := range to {
 			r.send(a, b)
 		}
@@ -62,54 +62,54 @@
 
 func (r *rig) send(to ident.Addr, b record.Renewal) {
 	r.sent = append(r.sent, to)
-	switch r.does[to] {
+	switch r.behaviour[to] {
 	case "refuse":
-		r.out = append(r.out, end{r.now.Add(10 * time.Millisecond), func() { r.h.Failed(r.now, to) }})
+		r.out = append(r.out, end{r.now.Add(10 * time.Millisecond), func() { r.holder.Failed(r.now, to) }})
 	case "silent":
-		r.out = append(r.out, end{r.now.Add(Limit), func() { r.h.Failed(r.now, to) }})
+		r.out = append(r.out, end{r.now.Add(RenewTimeout), func() { r.holder.Failed(r.now, to) }})
 	default:
-		r.gap, r.took = max(r.gap, r.now.Since(r.took)), r.now
-		stale := r.does[to] == "stale"
+		r.gap, r.lastTaken = max(r.gap, r.now.Since(r.lastTaken)), r.now
+		stale := r.behaviour[to] == "stale"
 		r.out = append(r.out, end{r.now.Add(10 * time.Millisecond), func() {
-			r.h.Renewed(r.now, to, record.Renewed{Took: b.Beat, Stale: stale, View: "v", Cores: places})
+			r.holder.Renewed(r.now, to, record.Renewed{Took: b.Beat, Stale: stale, View: "v", Cores: places})
 		}})
 	}
 }
 
-// However a keeper ends, another takes the next renewals before the claim lapses; the one
-// of the own district comes back when it is well again.
-func TestKeeperIsReplacedInTime(t *testing.T) {
+// However a registrar ends, another takes the next renewals before the lease lapses; the one
+// of the own district comes back when it is healthy again.
+func TestRegistrarIsReplacedInTime(t *testing.T) {
 	for _, how := range []string{"refuse", "silent", "stale"} {
 		r := newRig()
 		r.run(5 * time.Second)
-		home := r.h.At()
+		home := r.holder.Registrar()
 		must.SliceContains(t, []ident.Addr{"c:1", "d:1"}, home)
-		r.does[home], r.gap = how, 0
+		r.behaviour[home], r.gap = how, 0
 		r.run(20 * time.Second)
-		must.Less(t, ledger.Lapse, r.gap, must.Sprint(how))
+		must.Less(t, table.LeaseTTL, r.gap, must.Sprint(how))
 		must.NotEq(t, home, r.sent[len(r.sent)-1])
-		must.SliceContains(t, []ident.Addr{"c:1", "d:1"}, r.h.At(), must.Sprint("the other of the district"))
-		r.does[home] = ""
+		must.SliceContains(t, []ident.Addr{"c:1", "d:1"}, r.holder.Registrar(), must.Sprint("the other of the district"))
+		r.behaviour[home] = ""
 		r.run(20 * time.Second)
-		must.Eq(t, home, r.h.At(), must.Sprint(how))
-		must.Less(t, ledger.Lapse, r.gap, must.Sprint(how))
+		must.Eq(t, home, r.holder.Registrar(), must.Sprint(how))
+		must.Less(t, table.LeaseTTL, r.gap, must.Sprint(how))
 	}
 }
 
-// When nobody is well, renewals do not come faster than the usual, to three cores each, and
-// the first core that is well again is found within a second and a half.
-func TestNobodyIsWell(t *testing.T) {
+// When nobody is healthy, renewals do not come faster than the usual, to three cores each, and
+// the first core that is healthy again is found within a second and a half.
+func TestNobodyIsHealthy(t *testing.T) {
 	for _, how := range []string{"refuse", "silent", "stale"} {
 		r := newRig()
 		r.run(5 * time.Second)
 		for _, c := range r.cores {
-			r.does[c] = how
+			r.behaviour[c] = how
 		}
 		r.run(60 * time.Second)
 		before := len(r.sent)
 		r.run(20 * time.Second)
 		must.LessEq(t, 3*51, len(r.sent)-before, must.Sprint(how))
-		r.does["b:1"], r.took = "", r.now
+		r.behaviour["b:1"], r.lastTaken = "", r.now
 		r.gap = 0
 		r.run(5 * time.Second)
 		must.Less(t, 1500*time.Millisecond, r.gap, must.Sprint(how))
@@ -123,18 +123,18 @@
 	h := New()
 	for n := range 4 {
 		now := moment.Moment(time.Second) * moment.Moment(n+1)
-		h.Keeper(now, "n", "y", []ident.Addr{"a:1"})
-		h.Begin(now, record.Report{Node: "n", Claim: 1, Seq: 1}, nil)
+		h.ChooseRegistrar(now, "n", "y", []ident.Addr{"a:1"})
+		h.Begin(now, record.Report{Node: "n", LeaseEpoch: 1, Seq: 1}, nil)
 		sent = append(sent, now)
 		h.Renewed(now, "a:1", record.Renewed{})
 	}
-	must.Eq(t, moment.Moment(0), h.Majority())
+	must.Eq(t, moment.Moment(0), h.MajorityAsOf())
 	for n := range 256 {
 		x, top := *h, moment.Moment(0)
 		for _, i := range []int{n % 4, n / 4 % 4, n / 16 % 4, n / 64} {
 			x.Renewed(moment.Moment(time.Minute), "a:1", record.Renewed{Took: uint64(i + 1)})
 			top = max(top, sent[i])
-			must.Eq(t, top, x.Majority())
+			must.Eq(t, top, x.MajorityAsOf())
 		}
 	}
 }
--- a/mesh/claim/ledger/ends.go
+++ b/mesh/lease/table/ends.go
@@ -1,4 +1,4 @@
-package ledger
+package table
 
 import (
 	"maps"
@@ -24,51 +24,51 @@
 	}
 }
 
-// sums are the ends of all nodes since this core began. Invariants: here is counted from
+// sums are the ends of all nodes since this core began. Invariants: local is counted from
 // renewals taken here, all from those and from the other cores' own; what a core says
-// first in a run of it only sets the mark.
+// first in a run of it only sets the base.
 type sums struct {
-	here, all ends
-	told      map[ident.Addr]ends
-	marks     map[ident.Addr]string
+	local, all ends
+	reported   map[ident.Addr]ends
+	runs       map[ident.Addr]string
 }
 
 func newSums() sums {
-	return sums{here: ends{}, all: ends{}, told: map[ident.Addr]ends{}, marks: map[ident.Addr]string{}}
+	return sums{local: ends{}, all: ends{}, reported: map[ident.Addr]ends{}, runs: map[ident.Addr]string{}}
 }
 
-// count adds what a node's sums grew by since its last renewal here; a new claim begins
-// at nought, and the first that is heard of a node, or is heard again, only sets the mark.
-func (l *Ledger) count(now moment.Moment, s *seat, r record.Renewal) {
+// count adds what a node's sums grew by since its last renewal here; a new lease begins
+// at nought, and the first that is heard of a node, or is heard again, only sets the base.
+func (t *Table) count(now moment.Moment, s *entry, r record.Renewal) {
 	if r.Ends == nil {
 		return
 	}
 	old := ends(s.ends)
-	known := s.direct != 0 && now.Since(s.direct) <= Lapse
-	if r.Claim != s.report.Claim {
+	known := s.lastRenewal != 0 && now.Since(s.lastRenewal) <= LeaseTTL
+	if r.LeaseEpoch != s.report.LeaseEpoch {
 		old = ends{}
 	}
 	if known && old != nil {
-		l.sums.here.add(old, r.Ends)
-		l.sums.all.add(old, r.Ends)
+		t.sums.local.add(old, r.Ends)
+		t.sums.all.add(old, r.Ends)
 	}
 	s.ends = r.Ends
 }
 
 // Ends sums how the tries at a service ended, over all nodes, since this core began.
-func (l *Ledger) Ends(svc ident.Service) drive.Ends { return l.sums.all[svc] }
+func (t *Table) Ends(svc ident.Service) drive.Ends { return t.sums.all[svc] }
 
-// Here sums the same over the renewals taken here.
-func (l *Ledger) Here() map[ident.Service]drive.Ends { return maps.Clone(l.sums.here) }
+// LocalEnds sums the same over the renewals taken here.
+func (t *Table) LocalEnds() map[ident.Service]drive.Ends { return maps.Clone(t.sums.local) }
 
-// Grown takes another core's sums of the renewals taken there, in the run of it that is
+// AddRemoteEnds takes another core's sums of the renewals taken there, in the run of it that is
 // named.
-func (l *Ledger) Grown(from ident.Addr, run string, is map[ident.Service]drive.Ends) {
+func (t *Table) AddRemoteEnds(from ident.Addr, run string, is map[ident.Service]drive.Ends) {
 	if is == nil {
 		return
 	}
-	if l.sums.marks[from] == run {
-		l.sums.all.add(l.sums.told[from], is)
+	if t.sums.runs[from] == run {
+		t.sums.all.add(t.sums.reported[from], is)
 	}
-	l.sums.marks[from], l.sums.told[from] = run, is
+	t.sums.runs[from], t.sums.reported[from] = run, is
 }
--- a/mesh/path/path_test.go
+++ b/mesh/path/path_test.go
@@ -28,7 +28,7 @@
 			recs = append(recs, record.Address{Workload: &record.Workload{UID: ident.Server(fmt.Sprint(svc, i)), Service: svc, Gate: ident.Addr(fmt.Sprint("g", i)), Weight: 1, Status: record.Healthy}})
 		}
 	}
-	p.Index.Merge([]record.Set{{Author: "n", Claim: 1, Records: recs}})
+	p.Index.Merge([]record.Set{{Author: "n", LeaseEpoch: 1, Records: recs}})
 	return p
 }
 
@@ -122,7 +122,7 @@
 // Without a well workload the caller is told at once, and when to come back.
 func TestNoWorkloadIsSaidAtOnce(t *testing.T) {
 	p := ready()
-	p.Index.Merge([]record.Set{{Author: "n", Claim: 2}})
+	p.Index.Merge([]record.Set{{Author: "n", LeaseEpoch: 2}})
 	c := &Call{Host: "h", Path: "/", Method: "POST"}
 	must.Nil(t, p.Way(start, c, 0))
 	d := p.Next(start, c).Defect
@@ -156,7 +156,7 @@
 		for i := range 12 {
 			more = append(more, record.Address{Workload: &record.Workload{UID: ident.Server(fmt.Sprint("more", i)), Service: "a", Gate: ident.Addr(fmt.Sprint("m", i)), Weight: 1, Status: record.Healthy}})
 		}
-		p.Index.Merge([]record.Set{{Author: "m", Claim: 1, Records: more}})
+		p.Index.Merge([]record.Set{{Author: "m", LeaseEpoch: 1, Records: more}})
 		must.Nil(t, p.Way(start, c, 0))
 		arrived, free, paid := 0, 0, 0
 		for i := 0; ; i++ {
--- a/mesh/registry/index/index_test.go
+++ b/mesh/registry/index/index_test.go
@@ -11,7 +11,7 @@
 
 func set(author string, claim ident.Epoch, seq uint64, built ident.Epoch, lapsed bool, status record.Status) record.Set {
 	w := &record.Workload{UID: ident.Server(author + "-e"), Service: "a.x", Network: record.Network, Addresses: []ident.Addr{"ip:1"}, Status: status, Identity: fmt.Sprint(claim, seq, built), Weight: 1}
-	return record.Set{Author: ident.Node(author), Claim: claim, Seq: seq, Built: built, Lapsed: lapsed, Records: []record.Address{{Workload: w}}}
+	return record.Set{Author: ident.Node(author), LeaseEpoch: claim, Seq: seq, Built: built, Lapsed: lapsed, Records: []record.Address{{Workload: w}}}
 }
 
 // Four versions of one author's records, from whatever cores and peers and in every order,
--- a/mesh/registry/record/record.go
+++ b/mesh/registry/record/record.go
@@ -66,21 +66,21 @@
 }
 
 // Set is all the records of one author. Invariants: only its author changes it;
-// (Claim, Seq, Built) orders its versions and only rises, Built being the manifest
-// epoch it was joined under; Author "" is the manifest, whose Claim is its epoch. Lapsed is the giving core's own view, not the author's.
+// (LeaseEpoch, Seq, Built) orders its versions and only rises, Built being the manifest
+// epoch it was joined under; Author "" is the manifest, whose LeaseEpoch is its epoch. Lapsed is the giving core's own view, not the author's.
 type Set struct {
-	Author  ident.Node  `json:"author"`
-	Claim   ident.Epoch `json:"claim"`
-	Seq     uint64      `json:"seq"`
-	Built   ident.Epoch `json:"built"`
-	Lapsed  bool        `json:"lapsed,omitempty"`
-	Records []Address   `json:"records"`
+	Author     ident.Node  `json:"author"`
+	LeaseEpoch ident.Epoch `json:"claim"`
+	Seq        uint64      `json:"seq"`
+	Built      ident.Epoch `json:"built"`
+	Lapsed     bool        `json:"lapsed,omitempty"`
+	Records    []Address   `json:"records"`
 }
 
 // Older tells whether s comes before t.
 func (s Set) Older(t Set) bool {
-	if s.Claim != t.Claim {
-		return s.Claim < t.Claim
+	if s.LeaseEpoch != t.LeaseEpoch {
+		return s.LeaseEpoch < t.LeaseEpoch
 	}
 	if s.Seq != t.Seq {
 		return s.Seq < t.Seq
@@ -88,21 +88,21 @@
 	return s.Built < t.Built
 }
 
-// Renewal keeps a claim fresh at one core. Report is there when that core may not have
-// the one of (Claim, Seq) yet, Ends when they changed. Invariants: Beat rises with every
+// Renewal keeps a lease fresh at one core. Report is there when that core may not have
+// the one of (LeaseEpoch, Seq) yet, Ends when they changed. Invariants: Beat rises with every
 // renewal of one run of a sidecar; a renewal without a Report says that nothing changed.
 type Renewal struct {
-	Node     ident.Node                   `json:"node"`
-	Claim    ident.Epoch                  `json:"claim"`
-	Seq      uint64                       `json:"seq"`
-	Beat     uint64                       `json:"beat"`
-	Manifest ident.Epoch                  `json:"manifest"`
-	View     string                       `json:"view,omitempty"` // of the cores, as last told
-	Report   *Report                      `json:"report,omitempty"`
-	Ends     map[ident.Service]drive.Ends `json:"ends,omitempty"`
+	Node       ident.Node                   `json:"node"`
+	LeaseEpoch ident.Epoch                  `json:"claim"`
+	Seq        uint64                       `json:"seq"`
+	Beat       uint64                       `json:"beat"`
+	Manifest   ident.Epoch                  `json:"manifest"`
+	View       string                       `json:"view,omitempty"` // of the cores, as last told
+	Report     *Report                      `json:"report,omitempty"`
+	Ends       map[ident.Service]drive.Ends `json:"ends,omitempty"`
 }
 
-// Renewed is the return to a renewal. Took is the newest beat of this claim that a
+// Renewed is the return to a renewal. Took is the newest beat of this lease that a
 // majority of the voters has heard of. Stale says that this core can't tell whether it
 // knows the newest manifest, Want that it needs the report.
 type Renewed struct {
@@ -124,15 +124,15 @@
 
 // Report is what a sidecar says of its machine, whenever that changed.
 type Report struct {
-	Node      ident.Node     `json:"node"`
-	Addr      ident.Addr     `json:"addr"`
-	District  ident.District `json:"district"`
-	Claim     ident.Epoch    `json:"claim"`
-	Seq       uint64         `json:"seq"`
-	Manifest  ident.Epoch    `json:"manifest"`
-	Ready     bool           `json:"ready"`
-	Leaving   bool           `json:"leaving,omitempty"`
-	Workloads []Workload     `json:"workloads"`
+	Node       ident.Node     `json:"node"`
+	Addr       ident.Addr     `json:"addr"`
+	District   ident.District `json:"district"`
+	LeaseEpoch ident.Epoch    `json:"claim"`
+	Seq        uint64         `json:"seq"`
+	Manifest   ident.Epoch    `json:"manifest"`
+	Ready      bool           `json:"ready"`
+	Leaving    bool           `json:"leaving,omitempty"`
+	Workloads  []Workload     `json:"workloads"`
 }
 
 // Same tells whether two reports say the same, but for the workloads' burdens: those
@@ -170,7 +170,7 @@
 	if m == nil {
 		return out
 	}
-	out.Claim = m.Epoch
+	out.LeaseEpoch = m.Epoch
 	hosts := map[ident.Service][]string{}
 	for _, w := range m.Ways {
 		if !slices.Contains(hosts[w.Service], w.Host) {
--- a/sim/world/core.go
+++ b/sim/world/core.go
@@ -465,6 +465,6 @@
 		}
 		m.Epoch = h.Epoch
 		c.held, c.raw = m, h.Manifest
-		c.node.Ledger.Manifest(m)
+		c.node.Leases.Manifest(m)
 	}
 }
--- a/sim/world/join.go
+++ b/sim/world/join.go
@@ -36,7 +36,7 @@
 	if s.joiner.Wait(s.clock()) > 0 {
 		return
 	}
-	c := s.coreAt(s.joiner.Core(s.w.coreAddrs(), s.held.Places()))
+	c := s.coreAt(s.joiner.Core(s.w.coreAddrs(), s.lease.Places()))
 	if c == nil {
 		return
 	}
@@ -73,12 +73,12 @@
 func (s *Side) joined(got node.Joined) {
 	s.joins++
 	s.joiner.Joined()
-	s.entered, s.claim, s.seq = true, got.Claim, 1
+	s.entered, s.leaseEpoch, s.seq = true, got.Claim, 1
 	s.path.Floor = max(s.path.Floor, got.Manifest)
 	s.wit.Entered()
 	s.heard = s.clock()
-	s.portion.Begin(s.slow(), got.Share)
-	s.path.Tree.Grant(s.portion.Use())
+	s.budgetShare.Begin(s.slow(), got.Share)
+	s.path.Tree.Grant(s.budgetShare.Usable())
 }
 
 // joinSingly is the broken way: claim epoch, share and newest manifest one after the other,
--- a/sim/world/side.go
+++ b/sim/world/side.go
@@ -14,9 +14,9 @@
 	"cottonarch.example/cottonarch/kernel/moment"
 	"cottonarch.example/cottonarch/mesh/allowance"
 	"cottonarch.example/cottonarch/mesh/bay"
-	"cottonarch.example/cottonarch/mesh/claim/holder"
 	"cottonarch.example/cottonarch/mesh/claim/joiner"
 	"cottonarch.example/cottonarch/mesh/gate"
+	"cottonarch.example/cottonarch/mesh/lease/holder"
 	"cottonarch.example/cottonarch/mesh/line"
 	"cottonarch.example/cottonarch/mesh/path"
 	"cottonarch.example/cottonarch/mesh/registry/record"
@@ -27,34 +27,34 @@
 // Side is a simulated application machine: its sidecar and its endpoints.
 type Side struct {
 	proc
-	Node     ident.Node
-	District ident.District
-	Ends     []*Endpoint
-	path     *path.Path
-	gate     *gate.Gate
-	wit      *witness.Witness
-	line     *line.Line[*job]
-	held     *holder.Holder
-	portion  holder.Portion
-	entered  bool
-	asking   bool
-	claim    ident.Epoch
-	seq      uint64
-	turn     int
-	joiner   *joiner.Joiner
-	joins    int        // attempts that were granted, which mark the next one
-	follow   ident.Addr // the core that is polled
-	mark     int        // gen of it that place belongs to
-	place    uint64
-	polling  bool
-	polls    int
-	stale    bool // as the polled core last said
-	leaving  bool
-	shown    ident.Epoch
-	heard    moment.Moment // a core, last
-	hand     int
-	urgent   int // urgent calls in hand
-	watch    moment.Watch
+	Node        ident.Node
+	District    ident.District
+	Ends        []*Endpoint
+	path        *path.Path
+	gate        *gate.Gate
+	wit         *witness.Witness
+	line        *line.Line[*job]
+	lease       *holder.Holder
+	budgetShare holder.BudgetShare
+	entered     bool
+	asking      bool
+	leaseEpoch  ident.Epoch
+	seq         uint64
+	turn        int
+	joiner      *joiner.Joiner
+	joins       int        // attempts that were granted, which mark the next one
+	follow      ident.Addr // the core that is polled
+	mark        int        // gen of it that place belongs to
+	place       uint64
+	polling     bool
+	polls       int
+	stale       bool // as the polled core last said
+	leaving     bool
+	shown       ident.Epoch
+	heard       moment.Moment // a core, last
+	hand        int
+	urgent      int // urgent calls in hand
+	watch       moment.Watch
 	// The rest is for worlds with bays.
 	bay     *bay.Bay
 	berths  map[uint64]*berth // who waits in the bay
@@ -86,7 +86,7 @@
 	s.path.Reckless = s.w.Break == "retry"
 	s.path.Tree.Free = s.w.Break == "allowance"
 	s.joiner = joiner.New(s.Node, s.District)
-	s.gate, s.held, s.wit = gate.New(), holder.New(), witness.New(s.clock())
+	s.gate, s.lease, s.wit = gate.New(), holder.New(), witness.New(s.clock())
 	if s.w.Platform {
 		s.gate.Every(pace).Fenced = true
 		s.bay, s.berths, s.berthed, s.moored, s.greeted = bay.New(bay.Usual()), map[uint64]*berth{}, 0, nil, false
@@ -95,7 +95,7 @@
 	s.line.Level = s.w.Break == "urgent"
 	s.wit.Deaf = s.w.Break == "witness"
 	s.gate.Open = s.w.Break == "gate" || s.w.Break == "silence"
-	s.entered, s.asking, s.claim, s.seq, s.polling, s.leaving = false, false, 0, 0, false, false
+	s.entered, s.asking, s.leaseEpoch, s.seq, s.polling, s.leaving = false, false, 0, 0, false, false
 	s.follow, s.mark, s.place = "", 0, 0
 	s.hand, s.urgent, s.heard = 0, 0, s.clock()
 	for _, e := range s.Ends { // this run has seen none of them yet
@@ -230,18 +230,18 @@
 // renew renews the claim at the keeper, as the daemon does.
 func (s *Side) renew() {
 	now := s.clock()
-	s.held.Keeper(now, s.Node, s.District, s.w.coreAddrs())
-	rep := record.Report{Node: s.Node, Addr: s.Addr, District: s.District, Claim: s.claim, Seq: s.seq, Manifest: s.path.Epoch(), Leaving: s.leaving, Workloads: s.gate.Workloads()}
-	news := s.held.News(s.claim, rep)
-	if !s.held.Due(now, news) {
+	s.lease.ChooseRegistrar(now, s.Node, s.District, s.w.coreAddrs())
+	rep := record.Report{Node: s.Node, Addr: s.Addr, District: s.District, LeaseEpoch: s.leaseEpoch, Seq: s.seq, Manifest: s.path.Epoch(), Leaving: s.leaving, Workloads: s.gate.Workloads()}
+	news := s.lease.Changed(s.leaseEpoch, rep)
+	if !s.lease.Due(now, news) {
 		return
 	}
 	if news {
 		s.seq++
 		rep.Seq = s.seq
 	}
-	to := s.held.To()
-	ask := s.held.Begin(now, rep, s.path.Ends())
+	to := s.lease.Targets()
+	ask := s.lease.Begin(now, rep, s.path.Ends())
 	for _, at := range to {
 		s.renewAt(at, ask)
 	}
@@ -250,10 +250,10 @@
 func (s *Side) renewAt(at ident.Addr, ask record.Renewal) {
 	c := s.coreAt(at)
 	if c == nil {
-		s.held.Failed(s.clock(), at)
+		s.lease.Failed(s.clock(), at)
 		return
 	}
-	s.ask(&c.proc, holder.Limit, func(say func(any)) {
+	s.ask(&c.proc, holder.RenewTimeout, func(say func(any)) {
 		got, fx, d := c.node.Renew(c.clock(), ask)
 		c.out(fx)
 		if d != nil {
@@ -266,23 +266,23 @@
 	}, func(v any) {
 		switch got := v.(type) {
 		case *defect.Defect:
-			if ask.Claim == s.claim {
+			if ask.LeaseEpoch == s.leaseEpoch {
 				s.entered = false
 			}
-			s.held.Ended()
+			s.lease.Ended()
 		case record.Renewed:
 			got.Stale = got.Stale && s.w.Break != "stay"
-			s.held.Renewed(s.clock(), at, got)
+			s.lease.Renewed(s.clock(), at, got)
 			s.heard = s.clock()
-			s.portion.Members(s.slow(), got.Members)
-			s.path.Tree.Grant(s.portion.Use())
-			if m := s.held.Majority(); m != 0 {
+			s.budgetShare.Members(s.slow(), got.Members)
+			s.path.Tree.Grant(s.budgetShare.Usable())
+			if m := s.lease.MajorityAsOf(); m != 0 {
 				s.path.Tree.Renewed(m)
 			}
 			s.renew()
 			switch {
 			case got.Manifest <= s.path.Epoch():
-			case at != s.held.At():
+			case at != s.lease.Registrar():
 				s.ask(&c.proc, time.Second, func(say func(any)) { say(c.held) }, func(v any) {
 					if m, ok := v.(*manifest.Manifest); ok {
 						s.enforce(m)
@@ -293,7 +293,7 @@
 			}
 			s.poll()
 		default:
-			s.held.Failed(s.clock(), at)
+			s.lease.Failed(s.clock(), at)
 			s.renew()
 			s.poll()
 		}
@@ -319,7 +319,7 @@
 
 // shares sends a promise or a wish about the share.
 func (s *Side) shares() {
-	a, due := s.portion.Ask(s.slow(), s.Node, s.claim)
+	a, due := s.budgetShare.Ask(s.slow(), s.Node, s.leaseEpoch)
 	if !due {
 		return
 	}
@@ -335,12 +335,12 @@
 			}
 		})
 	}, func(v any) {
-		if d, ok := v.(*defect.Defect); ok && d.Kind == defect.Conflict && a.Claim == s.claim {
+		if d, ok := v.(*defect.Defect); ok && d.Kind == defect.Conflict && a.Claim == s.leaseEpoch {
 			s.entered = false // superseded: it joins anew, as the daemon does
 		}
-		if t, ok := v.(share.Told); ok && a.Claim == s.claim {
-			s.portion.Told(s.slow(), t)
-			s.path.Tree.Grant(s.portion.Use())
+		if t, ok := v.(share.Told); ok && a.Claim == s.leaseEpoch {
+			s.budgetShare.Granted(s.slow(), t)
+			s.path.Tree.Grant(s.budgetShare.Usable())
 		}
 	})
 }
@@ -356,7 +356,7 @@
 // poll follows the registry and the manifest at the keeper; the daemon's long poll is a
 // poll each tick here.
 func (s *Side) poll() {
-	if at := s.held.At(); at != s.follow {
+	if at := s.lease.Registrar(); at != s.follow {
 		s.follow, s.mark, s.polling, s.stale = at, 0, false, false
 	}
 	if s.polling || s.w.Break == "deaf" && s.w.Rng.IntN(100) > 0 {
@@ -373,11 +373,11 @@
 		after = 0
 	}
 	cost := c.cost
-	if s.mark == c.gen && c.node.Ledger.Change() <= after {
+	if s.mark == c.gen && c.node.Leases.Change() <= after {
 		cost = 0 // the daemon's long poll waits, and is no request of its own
 	}
 	s.askAt(&c.proc, cost, time.Second, func(say func(any)) {
-		say(told{c.gen, c.node.Ledger.Change(), c.node.Ledger.Feed(after), c.held, c.node.Stale()})
+		say(told{c.gen, c.node.Leases.Change(), c.node.Leases.Feed(after), c.held, c.node.Stale()})
 	}, func(v any) {
 		if poll != s.polls {
 			return // broken off
@@ -386,7 +386,7 @@
 		got, ok := v.(told)
 		if !ok {
 			s.mark = 0
-			s.held.Doubt()
+			s.lease.Suspect()
 			return
 		}
 		s.mark, s.place = got.gen, got.place
@@ -394,7 +394,7 @@
 		s.path.Index.Merge(got.sets)
 		s.enforce(got.m)
 		if was := s.stale; got.stale && !was {
-			s.held.Doubt()
+			s.lease.Suspect()
 			s.renew()
 		}
 		s.stale = got.stale
