--- a/adapter/coordination/cells.go
+++ b/adapter/coordination/cells.go
@@ -7,11 +7,11 @@
 	"strconv"
 	"time"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/group"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/daemon/core"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/wire/reply"
 )
@@ -31,26 +31,26 @@
 
 // Put puts a cell. Defects: Conflict with the revision the cell has, Invalid, Oversize,
 // Busy, and those of core.Deed.
-func Put(ctx context.Context, c *core.Core, key string, value json.RawMessage, base *ident.Revision, budget time.Duration) (Cell, *defect.Defect) {
+func Put(ctx context.Context, c *core.Core, key string, value json.RawMessage, base *ident.Revision, budget time.Duration) (Cell, *failure.Error) {
 	return one(ctx, c, key, "group/put", group.Args{Value: value, If: base}, budget)
 }
 
 // Read reads a cell, no older than any put that was confirmed before the call; Missing
 // when it has none.
-func Read(ctx context.Context, c *core.Core, key string, budget time.Duration) (Cell, *defect.Defect) {
+func Read(ctx context.Context, c *core.Core, key string, budget time.Duration) (Cell, *failure.Error) {
 	return one(ctx, c, key, "group/read", group.Args{}, budget)
 }
 
-func one(ctx context.Context, c *core.Core, key, kind string, a group.Args, budget time.Duration) (Cell, *defect.Defect) {
+func one(ctx context.Context, c *core.Core, key, kind string, a group.Args, budget time.Duration) (Cell, *failure.Error) {
 	g, n := group.Split(key)
 	a.Name = n
-	e := c.Deed(ctx, proposer.Operation{Key: group.Key(g), Kind: kind, Args: book.JSON(a)}, budget)
-	if e.Defect != nil {
-		return Cell{}, e.Defect
+	e := c.Deed(ctx, proposer.Operation{Key: group.Key(g), Kind: kind, Args: operation.Encode(a)}, budget)
+	if e.Failure != nil {
+		return Cell{}, e.Failure
 	}
 	var p group.Put
 	if err := json.Unmarshal(e.Body, &p); err != nil {
-		return Cell{}, defect.Unsure(defect.Damaged, "cell: %v", err)
+		return Cell{}, failure.Unsure(failure.Damaged, "cell: %v", err)
 	}
 	return Cell{key, p.Value, p.Revision}, nil
 }
@@ -60,7 +60,7 @@
 // began; what is told at the end of the wait was read within the last look's time and
 // poll. Defects: Forgotten, Stopping, and those of core.Deed; none of them changed
 // anything.
-func Follow(ctx context.Context, c *core.Core, name string, after ident.Revision, wait, budget time.Duration) (Told, *defect.Defect) {
+func Follow(ctx context.Context, c *core.Core, name string, after ident.Revision, wait, budget time.Duration) (Told, *failure.Error) {
 	k := group.Key(name)
 	var a group.Args
 	if after > 0 {
@@ -70,13 +70,13 @@
 	defer over.Stop()
 	for {
 		moved := c.Moved(k)
-		e := c.Deed(ctx, proposer.Operation{Key: k, Kind: "group/since", Args: book.JSON(a)}, budget)
-		if e.Defect != nil {
-			return Told{}, e.Defect
+		e := c.Deed(ctx, proposer.Operation{Key: k, Kind: "group/since", Args: operation.Encode(a)}, budget)
+		if e.Failure != nil {
+			return Told{}, e.Failure
 		}
 		var n group.News
 		if err := json.Unmarshal(e.Body, &n); err != nil {
-			return Told{}, defect.New(defect.Damaged, "news: %v", err)
+			return Told{}, failure.New(failure.Damaged, "news: %v", err)
 		}
 		out := Told{Events: make([]Cell, len(n.Events)), Revision: n.Revision}
 		for i, p := range n.Events {
@@ -95,16 +95,16 @@
 			return out, nil
 		case <-c.Stopping():
 			again.Stop()
-			return Told{}, defect.New(defect.Stopping, "the core stops").Later(1)
+			return Told{}, failure.New(failure.Stopping, "the core stops").Later(1)
 		case <-ctx.Done():
 			again.Stop()
-			return Told{}, defect.New(defect.Late, "nobody waits any more")
+			return Told{}, failure.New(failure.Late, "nobody waits any more")
 		}
 	}
 }
 
 // Span reads the query of a watch: the revision after which, and how long to wait.
-func Span(r *http.Request) (after ident.Revision, wait time.Duration, d *defect.Defect) {
+func Span(r *http.Request) (after ident.Revision, wait time.Duration, d *failure.Error) {
 	q := r.URL.Query()
 	whole := func(name string, fall uint64, bits int) uint64 {
 		t := q.Get(name)
@@ -113,7 +113,7 @@
 		}
 		n, err := strconv.ParseUint(t, 10, bits)
 		if err != nil {
-			d = defect.New(defect.Malformed, "%s is no whole number", name)
+			d = failure.New(failure.Malformed, "%s is no whole number", name)
 		}
 		return n
 	}
@@ -139,7 +139,7 @@
 		d = e
 	}
 	if d == nil && !json.Valid(data) {
-		d = defect.New(defect.Malformed, "the body is no JSON")
+		d = failure.New(failure.Malformed, "the body is no JSON")
 	}
 	at, e := base(r)
 	if d == nil {
@@ -170,8 +170,8 @@
 	reply.JSON(w, http.StatusOK, out)
 }
 
-func say(w http.ResponseWriter) func(Cell, *defect.Defect) {
-	return func(c Cell, d *defect.Defect) {
+func say(w http.ResponseWriter) func(Cell, *failure.Error) {
+	return func(c Cell, d *failure.Error) {
 		if d != nil {
 			reply.Defect(w, d)
 			return
--- a/adapter/coordination/coordination.go
+++ b/adapter/coordination/coordination.go
@@ -14,12 +14,12 @@
 
 	"github.com/gorilla/mux"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/key"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/coordination/watch"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/daemon/core"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/wire/reply"
 	"cottonarch.example/cottonarch/wire/server"
@@ -57,10 +57,10 @@
 type surface struct{ c *core.Core }
 
 // Name checks the name in the path; the mesh's own keys are not for applications.
-func Name(r *http.Request) (string, *defect.Defect) {
+func Name(r *http.Request) (string, *failure.Error) {
 	n := mux.Vars(r)["name"]
 	if !names.MatchString(n) || strings.HasPrefix(n, "cottonarch.") {
-		return "", defect.New(defect.Invalid, "%q is no name: letters, digits and ._:/- up to 256, not beginning with cottonarch.", n)
+		return "", failure.New(failure.Invalid, "%q is no name: letters, digits and ._:/- up to 256, not beginning with cottonarch.", n)
 	}
 	return n, nil
 }
@@ -71,18 +71,18 @@
 		reply.Defect(w, d)
 		return
 	}
-	e := s.c.Deed(r.Context(), proposer.Operation{Key: ident.Key(kind + "/" + n), Kind: kind + "/" + deed, Op: ident.Op(r.Header.Get("Idempotency-Key")), Args: book.JSON(args)}, budget)
-	if e.Defect != nil {
-		reply.Defect(w, e.Defect)
+	e := s.c.Deed(r.Context(), proposer.Operation{Key: ident.Key(kind + "/" + n), Kind: kind + "/" + deed, Op: ident.Op(r.Header.Get("Idempotency-Key")), Args: operation.Encode(args)}, budget)
+	if e.Failure != nil {
+		reply.Defect(w, e.Failure)
 		return
 	}
 	var m map[string]any
 	if err := json.Unmarshal(e.Body, &m); err != nil {
-		reply.Defect(w, defect.New(defect.Damaged, "return: %v", err))
+		reply.Defect(w, failure.New(failure.Damaged, "return: %v", err))
 		return
 	}
 	if deed == "read" && m["deleted"] == true {
-		reply.Defect(w, defect.New(defect.Missing, "there is no such key"))
+		reply.Defect(w, failure.New(failure.Missing, "there is no such key"))
 		return
 	}
 	if _, ok := m["revision"]; !ok {
@@ -92,14 +92,14 @@
 	reply.JSON(w, http.StatusOK, m)
 }
 
-// deed makes a handler whose JSON body is the deed's arguments.
+// operation makes a handler whose JSON body is the operation's arguments.
 func (s surface) deed(kind, deed string, body bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		args := json.RawMessage("{}")
 		if body {
 			data, d := reply.Read(r, bodyMax)
 			if d == nil && len(data) > 0 && !json.Valid(data) {
-				d = defect.New(defect.Malformed, "the body is no JSON")
+				d = failure.New(failure.Malformed, "the body is no JSON")
 			}
 			if d != nil {
 				reply.Defect(w, d)
@@ -116,14 +116,14 @@
 func (s surface) read(w http.ResponseWriter, r *http.Request) { s.run(w, r, "key", "read", key.Args{}) }
 
 // base reads the revision that a write builds on.
-func base(r *http.Request) (*ident.Revision, *defect.Defect) {
+func base(r *http.Request) (*ident.Revision, *failure.Error) {
 	t := r.URL.Query().Get("ifRevision")
 	if t == "" {
 		return nil, nil
 	}
 	n, err := strconv.ParseUint(t, 10, 64)
 	if err != nil {
-		return nil, defect.New(defect.Malformed, "ifRevision is no whole number")
+		return nil, failure.New(failure.Malformed, "ifRevision is no whole number")
 	}
 	out := ident.Revision(n)
 	return &out, nil
@@ -133,7 +133,7 @@
 func (s surface) write(w http.ResponseWriter, r *http.Request) {
 	data, d := reply.Read(r, bodyMax)
 	if d == nil && !json.Valid(data) {
-		d = defect.New(defect.Malformed, "the body is no JSON")
+		d = failure.New(failure.Malformed, "the body is no JSON")
 	}
 	at, e := base(r)
 	if d == nil {
@@ -166,8 +166,8 @@
 func (s surface) list(w http.ResponseWriter, r *http.Request) {
 	pre := r.URL.Query().Get("prefix")
 	e := s.c.Survey(r.Context(), "key/"+pre, true, budget)
-	if e.Defect != nil {
-		reply.Defect(w, e.Defect)
+	if e.Failure != nil {
+		reply.Defect(w, e.Failure)
 		return
 	}
 	out := []Listed{}
@@ -175,16 +175,16 @@
 		var read key.Reading
 		if f.Agreed {
 			var held key.Key
-			if st := book.State(f.Record.Value); len(st) > 0 {
+			if st := operation.State(f.Record.Value); len(st) > 0 {
 				if err := json.Unmarshal(st, &held); err != nil {
-					reply.Defect(w, defect.New(defect.Damaged, "key %s: %v", k, err))
+					reply.Defect(w, failure.New(failure.Damaged, "key %s: %v", k, err))
 					return
 				}
 			}
 			now := held.Now()
 			read = key.Reading{Revision: now.Revision, Value: now.Value, Deleted: now.Deleted}
 		} else {
-			var d *defect.Defect
+			var d *failure.Error
 			if read, d = s.reading(r.Context(), k, nil); d != nil {
 				reply.Defect(w, d)
 				return
@@ -195,21 +195,21 @@
 		}
 	}
 	if len(out) > listMax {
-		reply.Defect(w, defect.New(defect.Oversize, "more than %d keys: name a longer prefix", listMax))
+		reply.Defect(w, failure.New(failure.Oversize, "more than %d keys: name a longer prefix", listMax))
 		return
 	}
 	slices.SortFunc(out, func(a, b Listed) int { return strings.Compare(string(a.Key), string(b.Key)) })
 	reply.JSON(w, http.StatusOK, map[string]any{"keys": out})
 }
 
-func (s surface) reading(ctx context.Context, k ident.Key, since *ident.Revision) (key.Reading, *defect.Defect) {
-	e := s.c.Deed(ctx, proposer.Operation{Key: k, Kind: "key/read", Args: book.JSON(key.Args{Since: since})}, budget)
+func (s surface) reading(ctx context.Context, k ident.Key, since *ident.Revision) (key.Reading, *failure.Error) {
+	e := s.c.Deed(ctx, proposer.Operation{Key: k, Kind: "key/read", Args: operation.Encode(key.Args{Since: since})}, budget)
 	var out key.Reading
-	if e.Defect != nil {
-		return out, e.Defect
+	if e.Failure != nil {
+		return out, e.Failure
 	}
 	if err := json.Unmarshal(e.Body, &out); err != nil {
-		return out, defect.New(defect.Damaged, "key %s: %v", k, err)
+		return out, failure.New(failure.Damaged, "key %s: %v", k, err)
 	}
 	return out, nil
 }
@@ -228,7 +228,7 @@
 	if t := q.Get("waitMs"); t != "" {
 		ms, err := strconv.ParseUint(t, 10, 32)
 		if err != nil {
-			reply.Defect(w, defect.New(defect.Malformed, "waitMs is no whole number"))
+			reply.Defect(w, failure.New(failure.Malformed, "waitMs is no whole number"))
 			return
 		}
 		wait = min(time.Duration(ms)*time.Millisecond, watchMax)
@@ -256,7 +256,7 @@
 			return
 		case <-s.c.Stopping():
 			again.Stop()
-			reply.Defect(w, defect.New(defect.Stopping, "the core stops").Later(1))
+			reply.Defect(w, failure.New(failure.Stopping, "the core stops").Later(1))
 			return
 		case <-r.Context().Done():
 			again.Stop()
@@ -267,17 +267,17 @@
 }
 
 // news finds what changed after the place and moves the place on.
-func (s surface) news(ctx context.Context, pre ident.Key, spot watch.Place, first bool) ([]watch.Event, *defect.Defect) {
+func (s surface) news(ctx context.Context, pre ident.Key, spot watch.Place, first bool) ([]watch.Event, *failure.Error) {
 	e := s.c.Survey(ctx, string(pre), false, budget)
-	if e.Defect != nil {
-		return nil, e.Defect
+	if e.Failure != nil {
+		return nil, e.Failure
 	}
 	seen := map[ident.Key]ident.Revision{}
 	for k, f := range e.Found {
 		seen[k[len("key/"):]] = f.Record.Revision
 	}
 	if len(seen) > listMax {
-		return nil, defect.New(defect.Oversize, "more than %d keys: name a longer prefix", listMax)
+		return nil, failure.New(failure.Oversize, "more than %d keys: name a longer prefix", listMax)
 	}
 	events := []watch.Event{}
 	for _, k := range spot.Due(seen) {
--- a/adapter/mesh/mesh.go
+++ b/adapter/mesh/mesh.go
@@ -9,16 +9,16 @@
 	"strconv"
 	"time"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/core/admission"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/manifest/delta"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/daemon/core"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 	"cottonarch.example/cottonarch/wire/reply"
 	"cottonarch.example/cottonarch/wire/server"
@@ -128,21 +128,21 @@
 		return
 	}
 	if ask.Node == "" {
-		reply.Defect(w, defect.New(defect.Invalid, "a claim needs a node"))
+		reply.Defect(w, failure.New(failure.Invalid, "a claim needs a node"))
 		return
 	}
 	if len(ask.Run) > share.RunMost {
-		reply.Defect(w, defect.New(defect.Invalid, "the mark of a run has at most %d bytes", share.RunMost))
+		reply.Defect(w, failure.New(failure.Invalid, "the mark of a run has at most %d bytes", share.RunMost))
 		return
 	}
 	e := s.c.Join(r.Context(), admission.Request{Node: ask.Node, Run: ask.Run, Total: s.c.Boot.Extra})
-	if e.Defect != nil {
-		reply.Defect(w, e.Defect)
+	if e.Failure != nil {
+		reply.Defect(w, e.Failure)
 		return
 	}
 	var got node.Joined
 	if err := json.Unmarshal(e.Body, &got); err != nil {
-		reply.Defect(w, defect.New(defect.Damaged, "join: %v", err))
+		reply.Defect(w, failure.New(failure.Damaged, "join: %v", err))
 		return
 	}
 	s.c.Board.Add("claims", 1)
@@ -157,9 +157,9 @@
 		reply.Defect(w, d)
 		return
 	}
-	e := s.c.Deed(r.Context(), proposer.Operation{Key: "share", Kind: "share/take", Args: book.JSON(a.Under(s.c.Boot.Extra))}, 3*time.Second)
-	if e.Defect != nil {
-		reply.Defect(w, e.Defect)
+	e := s.c.Deed(r.Context(), proposer.Operation{Key: "share", Kind: "share/take", Args: operation.Encode(a.Under(s.c.Boot.Extra))}, 3*time.Second)
+	if e.Failure != nil {
+		reply.Defect(w, e.Failure)
 		return
 	}
 	reply.JSON(w, http.StatusOK, json.RawMessage(e.Body))
@@ -172,20 +172,20 @@
 		return
 	}
 	if ask.Node == "" {
-		reply.Defect(w, defect.New(defect.Invalid, "a renewal needs a node"))
+		reply.Defect(w, failure.New(failure.Invalid, "a renewal needs a node"))
 		return
 	}
 	type end struct {
 		out record.Renewed
-		d   *defect.Defect
+		d   *failure.Error
 	}
 	done := make(chan end, 1)
-	if !s.c.Do(func(now moment.Moment) node.Effects {
+	if !s.c.Do(func(now monotime.Time) node.Effects {
 		out, fx, d := s.c.Node().Renew(now, ask)
 		done <- end{out, d}
 		return fx
 	}) {
-		reply.Defect(w, defect.New(defect.Busy, "the core's inbox is full").Later(1))
+		reply.Defect(w, failure.New(failure.Busy, "the core's inbox is full").Later(1))
 		return
 	}
 	var got end
@@ -196,7 +196,7 @@
 			return
 		}
 	case <-s.c.Done():
-		reply.Defect(w, defect.New(defect.Stopping, "the core stops").Later(1))
+		reply.Defect(w, failure.New(failure.Stopping, "the core stops").Later(1))
 		return
 	}
 	v := s.c.View()
@@ -227,19 +227,19 @@
 	for last, first, was := false, true, false; ; first = false {
 		feed := s.c.Feed()
 		done := make(chan News, 1)
-		if !s.c.Do(func(moment.Moment) node.Effects {
+		if !s.c.Do(func(monotime.Time) node.Effects {
 			l := s.c.Leases()
 			done <- News{Mark: s.mark, Place: l.Change(), Sets: l.Feed(after), Stale: s.c.Node().Stale()}
 			return node.Effects{}
 		}) {
-			reply.Defect(w, defect.New(defect.Busy, "the core's inbox is full").Later(1))
+			reply.Defect(w, failure.New(failure.Busy, "the core's inbox is full").Later(1))
 			return
 		}
 		var out News
 		select {
 		case out = <-done:
 		case <-s.c.Done():
-			reply.Defect(w, defect.New(defect.Stopping, "the core stops").Later(1))
+			reply.Defect(w, failure.New(failure.Stopping, "the core stops").Later(1))
 			return
 		}
 		was, out.Stale = out.Stale, out.Stale && !was && !first
@@ -284,7 +284,7 @@
 	m := s.c.Held()
 	if m == nil {
 		// That there is none, only a majority can tell.
-		reply.Defect(w, defect.New(defect.NotReady, "no manifest is known here").Later(1))
+		reply.Defect(w, failure.New(failure.NotReady, "no manifest is known here").Later(1))
 		return
 	}
 	GivePart(w, r, Source{Epoch: m.Epoch, Raw: m.Manifest, Packed: m.Packed, Since: s.c.Since})
@@ -304,7 +304,7 @@
 	query := r.URL.Query()
 	at, err := strconv.Atoi(query.Get("at"))
 	if err != nil || at < 0 {
-		reply.Defect(w, defect.New(defect.Malformed, "at is no place in the manifest"))
+		reply.Defect(w, failure.New(failure.Malformed, "at is no place in the manifest"))
 		return
 	}
 	if have, err := strconv.ParseUint(query.Get("have"), 10, 64); err == nil && at == 0 && src.Since != nil {
@@ -319,7 +319,7 @@
 		data = src.Packed.Bytes()
 	}
 	if at > len(data) {
-		reply.Defect(w, defect.New(defect.Malformed, "at is no place in the manifest"))
+		reply.Defect(w, failure.New(failure.Malformed, "at is no place in the manifest"))
 		return
 	}
 	out.Size, out.Data = len(data), data[at:min(len(data), at+PartBytes)]
@@ -335,17 +335,17 @@
 		stale bool
 	}
 	done := make(chan found, 1)
-	if !s.c.Do(func(now moment.Moment) node.Effects {
+	if !s.c.Do(func(now monotime.Time) node.Effects {
 		done <- found{s.c.Leases().Feed(0), s.c.Node().StaleAt(now)}
 		return node.Effects{}
 	}) {
-		reply.Defect(w, defect.New(defect.Busy, "the core's inbox is full").Later(1))
+		reply.Defect(w, failure.New(failure.Busy, "the core's inbox is full").Later(1))
 		return
 	}
 	select {
 	case got := <-done:
 		if got.stale {
-			reply.Defect(w, defect.New(defect.NoMajority, "this core hears no majority").Later(1))
+			reply.Defect(w, failure.New(failure.NoMajority, "this core hears no majority").Later(1))
 			return
 		}
 		x := index.New()
@@ -354,8 +354,8 @@
 			reply.JSON(w, http.StatusOK, a)
 			return
 		}
-		reply.Defect(w, defect.New(defect.Missing, "no address %q", want))
+		reply.Defect(w, failure.New(failure.Missing, "no address %q", want))
 	case <-s.c.Done():
-		reply.Defect(w, defect.New(defect.Stopping, "the core stops").Later(1))
+		reply.Defect(w, failure.New(failure.Stopping, "the core stops").Later(1))
 	}
 }
--- a/adapter/operator/operator.go
+++ b/adapter/operator/operator.go
@@ -12,7 +12,7 @@
 
 	"cottonarch.example/cottonarch/control/audit/chunk"
 	"cottonarch.example/cottonarch/control/audit/tree"
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/manifest/offer"
@@ -20,7 +20,7 @@
 	"cottonarch.example/cottonarch/control/register/proposer"
 	rollout "cottonarch.example/cottonarch/control/rollout/state"
 	"cottonarch.example/cottonarch/daemon/core"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/wire/reply"
 	"cottonarch.example/cottonarch/wire/server"
@@ -59,7 +59,7 @@
 	if t := r.URL.Query().Get("baseEpoch"); t != "" {
 		n, err := strconv.ParseUint(t, 10, 64)
 		if err != nil {
-			reply.Defect(w, defect.New(defect.Malformed, "baseEpoch is no whole number"))
+			reply.Defect(w, failure.New(failure.Malformed, "baseEpoch is no whole number"))
 			return
 		}
 		base := ident.Epoch(n)
@@ -74,11 +74,11 @@
 		reply.Defect(w, d)
 		return
 	}
-	a.Body = book.JSON(tree)
-	e := c.Deed(r.Context(), proposer.Operation{Key: offer.Key, Kind: "manifest/offer", Op: ident.Op(a.Op), Args: book.JSON(a)}, budget)
-	if e.Defect != nil {
+	a.Body = operation.Encode(tree)
+	e := c.Deed(r.Context(), proposer.Operation{Key: offer.Key, Kind: "manifest/offer", Op: ident.Op(a.Op), Args: operation.Encode(a)}, budget)
+	if e.Failure != nil {
 		c.Board.Add("manifests_turned_away", 1)
-		reply.Defect(w, e.Defect)
+		reply.Defect(w, e.Failure)
 		return
 	}
 	c.Board.Add("manifests_taken", 1)
@@ -93,7 +93,7 @@
 		return
 	}
 	if m.Epoch == 0 {
-		reply.Defect(w, defect.New(defect.Missing, "no manifest was given yet"))
+		reply.Defect(w, failure.New(failure.Missing, "no manifest was given yet"))
 		return
 	}
 	reply.JSON(w, http.StatusOK, m.Held)
@@ -102,8 +102,8 @@
 func deed(c *core.Core, w http.ResponseWriter, r *http.Request, d proposer.Operation) {
 	d.Op = ident.Op(r.Header.Get("Idempotency-Key"))
 	e := c.Deed(r.Context(), d, budget)
-	if e.Defect != nil {
-		reply.Defect(w, e.Defect)
+	if e.Failure != nil {
+		reply.Defect(w, e.Failure)
 		return
 	}
 	reply.JSON(w, http.StatusOK, json.RawMessage(e.Body))
@@ -128,26 +128,26 @@
 		}
 	}
 	if _, ok := m.Parsed.Services[a.To]; a.From == "" || !ok {
-		reply.Defect(w, defect.New(defect.Missing, "there is no way %q or no service %q", a.Way, a.To))
+		reply.Defect(w, failure.New(failure.Missing, "there is no way %q or no service %q", a.Way, a.To))
 		return
 	}
-	deed(c, w, r, proposer.Operation{Key: rollout.Key(a.Way), Kind: "rollout/begin", Args: book.JSON(a)})
+	deed(c, w, r, proposer.Operation{Key: rollout.Key(a.Way), Kind: "rollout/begin", Args: operation.Encode(a)})
 }
 
 // unroll puts the way back.
 func unroll(c *core.Core, w http.ResponseWriter, r *http.Request) {
 	key := rollout.Key(mux.Vars(r)["way"])
 	e := c.Deed(r.Context(), proposer.Operation{Key: key, Kind: "rollout/read"}, budget)
-	if e.Defect != nil {
-		reply.Defect(w, e.Defect)
+	if e.Failure != nil {
+		reply.Defect(w, e.Failure)
 		return
 	}
 	var now rollout.Rollout
 	if err := json.Unmarshal(e.Body, &now); err != nil {
-		reply.Defect(w, defect.New(defect.Damaged, "roll-out: %v", err))
+		reply.Defect(w, failure.New(failure.Damaged, "roll-out: %v", err))
 		return
 	}
-	deed(c, w, r, proposer.Operation{Key: key, Kind: "rollout/move", Args: book.JSON(rollout.Move{Round: now.Round, At: now.At, Phase: now.Phase,
+	deed(c, w, r, proposer.Operation{Key: key, Kind: "rollout/move", Args: operation.Encode(rollout.Move{Round: now.Round, At: now.At, Phase: now.Phase,
 		NextAt: now.At, NextPhase: rollout.Backing, Why: "an operator took it back"})})
 }
 
@@ -155,19 +155,19 @@
 func audit(c *core.Core, w http.ResponseWriter, r *http.Request) {
 	for range 5 {
 		e := c.Survey(r.Context(), chunk.Prefix, true, budget)
-		if e.Defect != nil {
-			reply.Defect(w, e.Defect)
+		if e.Failure != nil {
+			reply.Defect(w, e.Failure)
 			return
 		}
 		if leaves, ok := node.Leaves(e.Found); ok {
 			log, err := tree.Build(leaves)
 			if err != nil {
-				reply.Defect(w, defect.Of(err))
+				reply.Defect(w, failure.Of(err))
 				return
 			}
 			reply.JSON(w, http.StatusOK, log)
 			return
 		}
 	}
-	reply.Defect(w, defect.New(defect.Busy, "the audit log is being added to").Later(1))
+	reply.Defect(w, failure.New(failure.Busy, "the audit log is being added to").Later(1))
 }
--- a/adapter/platform/platform.go
+++ b/adapter/platform/platform.go
@@ -5,7 +5,7 @@
 	"net/http"
 
 	"cottonarch.example/cottonarch/kernel/count"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/wire/reply"
 	"cottonarch.example/cottonarch/wire/server"
 )
@@ -15,7 +15,7 @@
 	return server.Paths{
 		"/ready": {"GET": func(w http.ResponseWriter, _ *http.Request) {
 			if !ready() {
-				reply.Defect(w, defect.New(defect.NotReady, "not ready").Later(1))
+				reply.Defect(w, failure.New(failure.NotReady, "not ready").Later(1))
 				return
 			}
 			reply.JSON(w, http.StatusOK, map[string]bool{"ready": true})
--- a/boot/boot.go
+++ b/boot/boot.go
@@ -10,7 +10,7 @@
 
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/manifest/walk"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/mesh/allowance"
 )
@@ -110,16 +110,16 @@
 }
 
 // Load reads the file, if one is named, lays the flags over it and gives the tree.
-func (f Flags) Load(file string) (map[string]any, *defect.Defect) {
+func (f Flags) Load(file string) (map[string]any, *failure.Error) {
 	m := map[string]any{}
 	if file != "" {
 		raw, err := os.ReadFile(file)
 		if err != nil {
-			return nil, defect.New(defect.BadBoot, "%v", err)
+			return nil, failure.New(failure.BadSettings, "%v", err)
 		}
-		var d *defect.Defect
+		var d *failure.Error
 		if m, d = walk.Parse(raw); d != nil {
-			d.Kind, d.Note = defect.BadBoot, file+": "+d.Note
+			d.Kind, d.Note = failure.BadSettings, file+": "+d.Note
 			return nil, d
 		}
 	}
@@ -183,7 +183,7 @@
 }
 
 // ReadCore checks a core's boot.
-func ReadCore(m map[string]any) (Core, *defect.Defect) {
+func ReadCore(m map[string]any) (Core, *failure.Error) {
 	f := &walk.Faults{}
 	s := walk.Top(m, f)
 	s.Only("address", "listen", "district", "seeds", "founders", "data", "voters", "ringFileMiB", "ringFiles", "historyS", "allowanceExtra")
@@ -202,11 +202,11 @@
 	if len(c.Founders) == 0 && len(c.Seeds) == 0 {
 		s.Fault("seeds", "a core needs seeds or founders")
 	}
-	return c, f.Defect(defect.BadBoot)
+	return c, f.Defect(failure.BadSettings)
 }
 
 // ReadSidecar checks a sidecar's boot.
-func ReadSidecar(m map[string]any) (Sidecar, *defect.Defect) {
+func ReadSidecar(m map[string]any) (Sidecar, *failure.Error) {
 	f := &walk.Faults{}
 	s := walk.Top(m, f)
 	s.Only("node", "address", "listen", "caller", "district", "seeds", "senders", "queue", "hand", "stopS", "allowanceExtra", "allowanceWindowS", "allowanceRatio", "allowanceInner", "crossMsPerKB", "bulkMiB", "linkMbps")
@@ -234,5 +234,5 @@
 	if len(c.Seeds) == 0 {
 		s.Fault("seeds", "a sidecar needs at least one seed")
 	}
-	return c, f.Defect(defect.BadBoot)
+	return c, f.Defect(failure.BadSettings)
 }
--- a/boot/boot_test.go
+++ b/boot/boot_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/mesh/allowance"
 	"github.com/shoenig/test/must"
 )
@@ -16,17 +16,17 @@
 func TestEveryFaultIsNamed(t *testing.T) {
 	_, d := ReadCore(map[string]any{"address": "host:1", "district": "", "seeds": []any{"1.2.3.4:5", "1.2.3.4:5", "x"}, "surprise": true, "voters": "two"})
 	must.NotNil(t, d)
-	must.Eq(t, defect.BadBoot, d.Kind)
+	must.Eq(t, failure.BadSettings, d.Kind)
 	for _, path := range []string{"address", "district", "seeds", "surprise", "voters", "data"} {
 		found := false
-		for _, f := range d.All {
+		for _, f := range d.Faults {
 			found = found || f.Path == path
 		}
-		must.True(t, found, must.Sprintf("%s is not named in %v", path, d.All))
+		must.True(t, found, must.Sprintf("%s is not named in %v", path, d.Faults))
 	}
 	_, d = ReadSidecar(map[string]any{"address": "127.0.0.1:1", "caller": "127.0.0.1:1", "data": "x"})
 	must.NotNil(t, d)
-	must.Eq(t, 4, len(d.All), must.Sprint(d.All)) // caller, data, district, seeds
+	must.Eq(t, 4, len(d.Faults), must.Sprint(d.Faults)) // caller, data, district, seeds
 }
 
 // The sample boot files of both deployments are good.
@@ -85,7 +85,7 @@
 	must.Nil(t, d)
 	must.Eq(t, allowance.Terms{Extra: 208, Window: 4500 * time.Millisecond, Ratio: -1, Inner: true}, s.Terms)
 	_, d = ReadSidecar(base(map[string]any{"allowanceWindowS": json.Number("0"), "allowanceRatio": json.Number("2"), "allowanceExtra": json.Number("-1")}))
-	must.Eq(t, 3, len(d.All))
+	must.Eq(t, 3, len(d.Faults))
 	c, d := ReadCore(map[string]any{"address": "127.0.0.1:1", "district": "d", "seeds": []any{"127.0.0.1:3"}, "data": "x", "allowanceExtra": json.Number("0")})
 	must.Nil(t, d)
 	must.Eq(t, -1, c.Extra)
--- a/boot/fuzz_test.go
+++ b/boot/fuzz_test.go
@@ -7,7 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"cottonarch.example/cottonarch/control/manifest/walk"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 // Whatever stands in a boot file: it is refused as a bad boot, or its addresses can be
@@ -21,7 +21,7 @@
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		tree, d := walk.Parse(raw)
 		if d != nil {
-			must.Eq(t, defect.Malformed, d.Kind)
+			must.Eq(t, failure.Malformed, d.Kind)
 			return
 		}
 		listens := func(a string) {
--- a/capacity/load/load.go
+++ b/capacity/load/load.go
@@ -14,7 +14,7 @@
 	"cottonarch.example/cottonarch/capacity/meter"
 	"cottonarch.example/cottonarch/capacity/part"
 	"cottonarch.example/cottonarch/capacity/rig"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/mesh/gate"
 )
 
@@ -95,7 +95,7 @@
 			continue
 		}
 		if err := loads[name](r); err != nil {
-			return defect.Wrap(err, defect.Internal, "load "+name)
+			return failure.Wrap(err, failure.Internal, "load "+name)
 		}
 	}
 	return nil
@@ -105,7 +105,7 @@
 func (r *Run) settle() error {
 	_, missing, _, err := r.Await(part.Want{Ready: true, Servers: r.Servers()}, r.limit()).Times()
 	if err == nil && missing > 0 {
-		err = defect.New(defect.Late, "%d of %d nodes did not come to know every endpoint in %v; their counters: %s", missing, r.N, r.limit(), r.failures())
+		err = failure.New(failure.Late, "%d of %d nodes did not come to know every endpoint in %v; their counters: %s", missing, r.N, r.limit(), r.failures())
 	}
 	return err
 }
@@ -218,7 +218,7 @@
 		if again--; again > 0 {
 			return r.look(again)
 		}
-		return defect.New(defect.Late, "a look of %v took %.1f s: the machine was held up", r.For, t.span)
+		return failure.New(failure.Late, "a look of %v took %.1f s: the machine was held up", r.For, t.span)
 	}
 	r.base = rates{true, t.sum() / t.span, slices.Max(t.cores) / t.span, t.node / t.span, t.hollow / t.span, t.messages() / t.span, float64(t.coreB.In+t.coreB.Out) / t.span, t.nodeB / t.span}
 	v := map[string]float64{
--- a/capacity/meter/duty.go
+++ b/capacity/meter/duty.go
@@ -8,7 +8,7 @@
 
 	"github.com/google/pprof/profile"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 // Carrier is a duty with the package that carries it.
@@ -142,13 +142,13 @@
 func Profile(span time.Duration) (map[string]float64, error) {
 	var raw bytes.Buffer
 	if err := pprof.StartCPUProfile(&raw); err != nil {
-		return nil, defect.Wrap(err, defect.Internal, "profile")
+		return nil, failure.Wrap(err, failure.Internal, "profile")
 	}
 	<-time.After(span)
 	pprof.StopCPUProfile()
 	p, err := profile.Parse(&raw)
 	if err != nil {
-		return nil, defect.Wrap(err, defect.Internal, "profile")
+		return nil, failure.Wrap(err, failure.Internal, "profile")
 	}
 	return Parts(p), nil
 }
--- a/capacity/part/core.go
+++ b/capacity/part/core.go
@@ -10,7 +10,7 @@
 	"cottonarch.example/cottonarch/capacity/plan"
 	"cottonarch.example/cottonarch/daemon/assemble"
 	daemon "cottonarch.example/cottonarch/daemon/core"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -26,7 +26,7 @@
 func (p *part) serve(srv *http.Server, at string) (ident.Addr, error) {
 	l, err := net.Listen("tcp", at)
 	if err != nil {
-		return "", defect.Wrap(err, defect.Internal, "listen")
+		return "", failure.Wrap(err, failure.Internal, "listen")
 	}
 	srv.Handler = p.meter.Wrap(srv.Handler)
 	go func() { _ = srv.Serve(p.meter.Listen(l)) }()
@@ -36,7 +36,7 @@
 func (p *part) startCore(o Order) (Answer, error) {
 	c := o.Core
 	if c == nil {
-		return Answer{}, defect.New(defect.Invalid, "core needs its boot")
+		return Answer{}, failure.New(failure.Invalid, "core needs its boot")
 	}
 	b := boot.Core{Addr: c.Addr, Listen: c.Addr, District: p.target.District(p.target.CoreSpot(c.Index)), Seeds: c.Seeds, Founders: c.Founders,
 		Data: c.Data, Voters: len(c.Founders), RingFile: plan.RingBytes, Rings: plan.RingFiles}
--- a/capacity/part/node.go
+++ b/capacity/part/node.go
@@ -13,7 +13,7 @@
 	"cottonarch.example/cottonarch/capacity/meter"
 	"cottonarch.example/cottonarch/daemon/assemble"
 	"cottonarch.example/cottonarch/daemon/sidecar"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/mesh/gate"
 	"cottonarch.example/cottonarch/mesh/registry/record"
@@ -45,7 +45,7 @@
 func spot(ip string) (ident.Addr, error) {
 	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
-		return "", defect.Wrap(err, defect.Internal, "port")
+		return "", failure.Wrap(err, failure.Internal, "port")
 	}
 	defer func() { _ = l.Close() }()
 	return ident.Addr(l.Addr().String()), nil
@@ -130,7 +130,7 @@
 	a := Answer{At: meter.Now()}
 	for _, i := range o.Nodes {
 		if p.nodes[i] != nil {
-			return a, defect.New(defect.Conflict, "node %d runs", i)
+			return a, failure.New(failure.Conflict, "node %d runs", i)
 		}
 		n, err := p.launch(i, ident.Mark()[:8])
 		if err != nil {
@@ -149,7 +149,7 @@
 	for _, i := range o.Nodes {
 		n := p.nodes[i]
 		if n == nil {
-			return a, defect.New(defect.Missing, "node %d does not run", i)
+			return a, failure.New(failure.Missing, "node %d does not run", i)
 		}
 		delete(p.nodes, i)
 		a.Servers = append(a.Servers, n.server)
@@ -166,7 +166,7 @@
 	for _, i := range o.Nodes {
 		n := p.nodes[i]
 		if n == nil {
-			return a, defect.New(defect.Missing, "node %d does not run", i)
+			return a, failure.New(failure.Missing, "node %d does not run", i)
 		}
 		b := *n.beat.Load()
 		b.State = o.State
--- a/capacity/part/order.go
+++ b/capacity/part/order.go
@@ -15,7 +15,7 @@
 
 	"cottonarch.example/cottonarch/capacity/meter"
 	"cottonarch.example/cottonarch/capacity/plan"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/mesh/gate"
 )
@@ -90,7 +90,7 @@
 	over   chan struct{}
 }
 
-// deeds is the table of orders.
+// operations is the table of orders.
 var deeds = map[string]func(*part, Order) (Answer, error){
 	"begin": (*part).begin, "core": (*part).startCore, "nodes": (*part).startNodes, "stop": (*part).stopNodes,
 	"beat": (*part).beat, "await": (*part).await, "read": (*part).read, "profile": (*part).profile, "apart": (*part).apart,
@@ -110,7 +110,7 @@
 		}
 		var o Order
 		if err := json.Unmarshal(raw, &o); err != nil {
-			return defect.Wrap(err, defect.Malformed, "order")
+			return failure.Wrap(err, failure.Malformed, "order")
 		}
 		act := func() {
 			a, err := p.do(o)
@@ -133,17 +133,17 @@
 func (p *part) do(o Order) (Answer, error) {
 	deed, ok := deeds[o.Do]
 	if !ok {
-		return Answer{}, defect.New(defect.Invalid, "no order %q; known: %s", o.Do, strings.Join(slices.Sorted(maps.Keys(deeds)), ", "))
+		return Answer{}, failure.New(failure.Invalid, "no order %q; known: %s", o.Do, strings.Join(slices.Sorted(maps.Keys(deeds)), ", "))
 	}
 	if o.Do != "begin" && p.meter == nil {
-		return Answer{}, defect.New(defect.Invalid, "begin comes first")
+		return Answer{}, failure.New(failure.Invalid, "begin comes first")
 	}
 	return deed(p, o)
 }
 
 func (p *part) begin(o Order) (Answer, error) {
 	if o.Target == nil {
-		return Answer{}, defect.New(defect.Invalid, "begin needs a target")
+		return Answer{}, failure.New(failure.Invalid, "begin needs a target")
 	}
 	p.target, p.meter = *o.Target, meter.New(o.Target.Region)
 	return Answer{}, nil
--- a/capacity/plan/plan.go
+++ b/capacity/plan/plan.go
@@ -9,7 +9,7 @@
 	"os"
 	"time"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -57,13 +57,13 @@
 	if file != "" {
 		raw, err := os.Open(file)
 		if err != nil {
-			return t, defect.New(defect.BadBoot, "%v", err)
+			return t, failure.New(failure.BadSettings, "%v", err)
 		}
 		defer func() { _ = raw.Close() }()
 		dec := json.NewDecoder(raw)
 		dec.DisallowUnknownFields()
 		if err := dec.Decode(&t); err != nil {
-			return t, defect.New(defect.BadBoot, "%s: %v", file, err)
+			return t, failure.New(failure.BadSettings, "%s: %v", file, err)
 		}
 	}
 	if d := t.Check(); d != nil {
@@ -73,11 +73,11 @@
 }
 
 // Check names every fault.
-func (t Target) Check() *defect.Defect {
-	d := defect.New(defect.BadBoot, "the size can't be asked about")
+func (t Target) Check() *failure.Error {
+	d := failure.New(failure.BadSettings, "the size can't be asked about")
 	want := func(path string, ok bool, note string) {
 		if !ok {
-			d.All = append(d.All, defect.Fault{Path: path, Note: note})
+			d.Faults = append(d.Faults, failure.Fault{Path: path, Note: note})
 		}
 	}
 	want("nodes", t.Nodes > 0 && t.Nodes <= 100000, "must be from 1 to 100000")
@@ -89,7 +89,7 @@
 	want("nodesAProcess", t.NodesAProcess > 0 && t.NodesAProcess <= 1000, "must be from 1 to 1000")
 	want("nodesAWave", t.NodesAWave > 0, "must be above 0")
 	want("callsS", t.CallsS > 0 && t.Deep > 0 && t.ChangesDay > 0, "callsS, deep and changesDay must be above 0")
-	if len(d.All) > 0 {
+	if len(d.Faults) > 0 {
 		return d
 	}
 	return nil
--- a/capacity/report/write.go
+++ b/capacity/report/write.go
@@ -10,7 +10,7 @@
 	"github.com/wcharczuk/go-chart/v2"
 
 	"cottonarch.example/cottonarch/capacity/run"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 // Figures is the file of what was measured, Text that of the tables.
@@ -23,11 +23,11 @@
 func Load(file string) (*run.Result, error) {
 	raw, err := os.ReadFile(file)
 	if err != nil {
-		return nil, defect.New(defect.BadBoot, "%v", err)
+		return nil, failure.New(failure.BadSettings, "%v", err)
 	}
 	res := &run.Result{}
 	if err := json.Unmarshal(raw, res); err != nil {
-		return nil, defect.New(defect.BadBoot, "%s: %v", file, err)
+		return nil, failure.New(failure.BadSettings, "%s: %v", file, err)
 	}
 	return res, nil
 }
@@ -35,11 +35,11 @@
 // Write writes figures, tables and plots into a folder and gives the tables.
 func Write(res *run.Result, dir string) (string, error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return "", defect.Wrap(err, defect.Internal, "folder")
+		return "", failure.Wrap(err, failure.Internal, "folder")
 	}
 	raw, err := json.MarshalIndent(res, "", " ")
 	if err != nil {
-		return "", defect.Wrap(err, defect.Internal, "figures")
+		return "", failure.Wrap(err, failure.Internal, "figures")
 	}
 	text := Tables(res)
 	put := map[string][]byte{Figures: append(raw, '\n'), Text: []byte(text)}
@@ -47,7 +47,7 @@
 	for _, p := range plots {
 		svg, err := p.draw(res, rows)
 		if err != nil {
-			return "", defect.Wrap(err, defect.Internal, "plot "+p.file)
+			return "", failure.Wrap(err, failure.Internal, "plot "+p.file)
 		}
 		if svg != nil {
 			put[p.file+".svg"] = svg
@@ -55,7 +55,7 @@
 	}
 	for name, data := range put {
 		if err := os.WriteFile(filepath.Join(dir, name), data, 0o644); err != nil {
-			return "", defect.Wrap(err, defect.Internal, "write")
+			return "", failure.Wrap(err, failure.Internal, "write")
 		}
 	}
 	return text, nil
@@ -134,15 +134,15 @@
 func Page(file, text string) error {
 	raw, err := os.ReadFile(file)
 	if err != nil {
-		return defect.New(defect.BadBoot, "%v", err)
+		return failure.New(failure.BadSettings, "%v", err)
 	}
 	head, rest, a := strings.Cut(string(raw), Begin)
 	_, tail, b := strings.Cut(rest, End)
 	if !a || !b {
-		return defect.New(defect.BadBoot, "%s has no marks %s and %s", file, Begin, End)
+		return failure.New(failure.BadSettings, "%s has no marks %s and %s", file, Begin, End)
 	}
 	if err := os.WriteFile(file, []byte(head+Begin+"\n"+text+End+tail), 0o644); err != nil {
-		return defect.Wrap(err, defect.Internal, "page")
+		return failure.Wrap(err, failure.Internal, "page")
 	}
 	return nil
 }
--- a/capacity/rig/child.go
+++ b/capacity/rig/child.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/capacity/part"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 // child is one process and the orders that are out. Invariant: each order gets exactly
@@ -31,14 +31,14 @@
 	c.cmd.Stderr = os.Stderr
 	var err error
 	if c.in, err = c.cmd.StdinPipe(); err != nil {
-		return nil, defect.Wrap(err, defect.Internal, "part")
+		return nil, failure.Wrap(err, failure.Internal, "part")
 	}
 	out, err := c.cmd.StdoutPipe()
 	if err != nil {
-		return nil, defect.Wrap(err, defect.Internal, "part")
+		return nil, failure.Wrap(err, failure.Internal, "part")
 	}
 	if err := c.cmd.Start(); err != nil {
-		return nil, defect.Wrap(err, defect.Internal, "part")
+		return nil, failure.Wrap(err, failure.Internal, "part")
 	}
 	go c.listen(out)
 	return c, nil
@@ -93,13 +93,13 @@
 	select {
 	case a := <-ch:
 		if a.Fault != "" {
-			return a, defect.New(defect.Internal, "part: %s", a.Fault)
+			return a, failure.New(failure.Internal, "part: %s", a.Fault)
 		}
 		return a, nil
 	case <-c.gone:
-		return part.Answer{}, defect.New(defect.LostReturn, "a part ended by itself")
+		return part.Answer{}, failure.New(failure.LostResponse, "a part ended by itself")
 	case <-t.C:
-		return part.Answer{}, defect.New(defect.Late, "a part did not answer in %v", limit)
+		return part.Answer{}, failure.New(failure.Late, "a part did not answer in %v", limit)
 	}
 }
 
--- a/capacity/rig/rig.go
+++ b/capacity/rig/rig.go
@@ -16,7 +16,7 @@
 	"cottonarch.example/cottonarch/capacity/meter"
 	"cottonarch.example/cottonarch/capacity/part"
 	"cottonarch.example/cottonarch/capacity/plan"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/mesh/gate"
 )
@@ -66,7 +66,7 @@
 		}
 	}()
 	if r.dir, err = os.MkdirTemp(b.Dir, "capacity"); err != nil {
-		return r, defect.Wrap(err, defect.Internal, "folder")
+		return r, failure.Wrap(err, failure.Internal, "folder")
 	}
 	begin := func() (*child, error) {
 		c, err := launch(b.Self)
@@ -79,7 +79,7 @@
 	for i := range b.Target.Cores {
 		l, err := net.Listen("tcp", b.Target.CoreIP(i)+":0")
 		if err != nil {
-			return r, defect.Wrap(err, defect.Internal, "port")
+			return r, failure.Wrap(err, failure.Internal, "port")
 		}
 		r.addrs = append(r.addrs, ident.Addr(l.Addr().String()))
 		_ = l.Close()
@@ -141,7 +141,7 @@
 			}
 			at += len(wave)
 			if w, err := c.wait(c.send(part.Order{Do: "await", Want: part.Want{Ready: true}, For: b.Patience}), b.Patience+wait); err != nil || w.Missing > 0 {
-				return r, defect.New(defect.Late, "%d of %d nodes, which come %d at a time, were not ready in %v (%v)", w.Missing, at, b.Target.NodesAWave, b.Patience, err)
+				return r, failure.New(failure.Late, "%d of %d nodes, which come %d at a time, were not ready in %v (%v)", w.Missing, at, b.Target.NodesAWave, b.Patience, err)
 			}
 		}
 	}
@@ -193,7 +193,7 @@
 func (r *Rig) Offer(method string, tree map[string]any, limit time.Duration) (ident.Epoch, error) {
 	raw, err := json.Marshal(tree)
 	if err != nil {
-		return 0, defect.Wrap(err, defect.Malformed, "manifest")
+		return 0, failure.Wrap(err, failure.Malformed, "manifest")
 	}
 	r.serial++
 	key, last := fmt.Sprintf("capacity-%d", r.serial), error(nil)
@@ -202,7 +202,7 @@
 	for until := time.Now().Add(limit); time.Now().Before(until); <-t.C {
 		req, err := http.NewRequest(method, "http://"+string(r.addrs[0])+"/manifest", bytes.NewReader(raw))
 		if err != nil {
-			return 0, defect.Wrap(err, defect.Malformed, "manifest")
+			return 0, failure.Wrap(err, failure.Malformed, "manifest")
 		}
 		req.Header.Set("Idempotency-Key", key)
 		res, err := r.client.Do(req)
@@ -218,12 +218,12 @@
 		if res.StatusCode == http.StatusOK && json.Unmarshal(text, &got) == nil {
 			return got.Epoch, nil
 		}
-		last = defect.New(defect.BadReturn, "status %d: %.200s", res.StatusCode, text)
+		last = failure.New(failure.BadResponse, "status %d: %.200s", res.StatusCode, text)
 		if res.StatusCode == 400 || res.StatusCode == 422 || res.StatusCode == 413 {
 			break
 		}
 	}
-	return 0, defect.Wrap(last, defect.Late, "no core took the manifest")
+	return 0, failure.Wrap(last, failure.Late, "no core took the manifest")
 }
 
 // all gives one order to many parts at once.
--- a/capacity/run/run.go
+++ b/capacity/run/run.go
@@ -15,7 +15,7 @@
 	"cottonarch.example/cottonarch/capacity/plan"
 	"cottonarch.example/cottonarch/capacity/rig"
 	"cottonarch.example/cottonarch/capacity/walk"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 // WalkLoad is the name of the walk among the loads.
@@ -54,10 +54,10 @@
 }
 
 // Check names every fault.
-func (b Boot) Check() *defect.Defect {
-	d := defect.New(defect.BadBoot, "the capacity can't be measured")
+func (b Boot) Check() *failure.Error {
+	d := failure.New(failure.BadSettings, "the capacity can't be measured")
 	bad := func(path, note string, args ...any) {
-		d.All = append(d.All, defect.Fault{Path: path, Note: fmt.Sprintf(note, args...)})
+		d.Faults = append(d.Faults, failure.Fault{Path: path, Note: fmt.Sprintf(note, args...)})
 	}
 	last := 0
 	for _, n := range b.Sizes {
@@ -77,7 +77,7 @@
 	if b.For < 200*time.Millisecond || b.For > 10*time.Minute {
 		bad("for", "must be from 200ms to 10m")
 	}
-	if len(d.All) > 0 {
+	if len(d.Faults) > 0 {
 		return d
 	}
 	return nil
@@ -190,7 +190,7 @@
 		}
 	}
 	if len(out.Points)+len(out.Walk) == 0 {
-		return out, defect.New(defect.Late, "nothing could be measured: %s", strings.Join(out.Left, "; "))
+		return out, failure.New(failure.Late, "nothing could be measured: %s", strings.Join(out.Left, "; "))
 	}
 	return out, nil
 }
--- a/capacity/walk/walk.go
+++ b/capacity/walk/walk.go
@@ -16,7 +16,7 @@
 	"cottonarch.example/cottonarch/capacity/part"
 	"cottonarch.example/cottonarch/capacity/plan"
 	"cottonarch.example/cottonarch/capacity/rig"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/mesh/gate"
 )
@@ -62,7 +62,7 @@
 func endpoint(ip string) (ident.Addr, *http.Server, error) {
 	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
-		return "", nil, defect.Wrap(err, defect.Internal, "endpoint")
+		return "", nil, failure.Wrap(err, failure.Internal, "endpoint")
 	}
 	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "text/plain")
@@ -76,7 +76,7 @@
 // the mesh to come up.
 func Measure(self []string, dir string, t plan.Target, records, ways int, span, patience time.Duration) (Point, error) {
 	if t.Services < 2*fillers {
-		return Point{}, defect.New(defect.BadBoot, "the walk needs at least %d services", 2*fillers)
+		return Point{}, failure.New(failure.BadSettings, "the walk needs at least %d services", 2*fillers)
 	}
 	p := Point{Records: records, Ways: max(ways, t.Services)}
 	t.Ways, t.Cores = p.Ways, 1
@@ -101,7 +101,7 @@
 	}
 	r.Beats(r.Wholes[1].Addr, beats)
 	if _, missing, _, err := r.Await(part.Want{Ready: true, Servers: want}, patience).Times(); err != nil || missing > 0 {
-		return p, defect.New(defect.Late, "%d nodes did not come to know the walked endpoints: %v", missing, err)
+		return p, failure.New(failure.Late, "%d nodes did not come to know the walked endpoints: %v", missing, err)
 	}
 	c := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	defer c.CloseIdleConnections()
@@ -148,7 +148,7 @@
 	}
 	p.Pairs, p.Added, p.Through, p.Direct = added.TotalCount(), read(added), read(through), read(direct)
 	if p.Pairs == 0 {
-		return p, defect.New(defect.BadReturn, "none of %d calls came through", p.Failed)
+		return p, failure.New(failure.BadResponse, "none of %d calls came through", p.Failed)
 	}
 	return p, nil
 }
--- a/cmd/cottonarch/capacity.go
+++ b/cmd/cottonarch/capacity.go
@@ -10,7 +10,7 @@
 	"cottonarch.example/cottonarch/capacity/plan"
 	"cottonarch.example/cottonarch/capacity/report"
 	"cottonarch.example/cottonarch/capacity/run"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 type capacityCmd struct {
@@ -48,7 +48,7 @@
 	}
 	self, err := os.Executable()
 	if err != nil {
-		return defect.Wrap(err, defect.Internal, "own program")
+		return failure.Wrap(err, failure.Internal, "own program")
 	}
 	b := run.Boot{Self: []string{self, "capacity-part"}, Dir: c.Disks, Target: t, Sizes: c.Sizes, Loads: c.Loads, Commit: c.Commit, Command: "cottonarch " + strings.Join(os.Args[1:], " "), For: c.For, Limit: c.Limit, Memory: c.Memory, Process: c.Most, Say: say}
 	if b.Memory <= 0 {
--- a/cmd/cottonarch/explore.go
+++ b/cmd/cottonarch/explore.go
@@ -10,7 +10,7 @@
 
 	"cottonarch.example/cottonarch/explore"
 	"cottonarch.example/cottonarch/explore/cluster"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 type exploreCmd struct {
@@ -66,16 +66,16 @@
 	}
 	if c.Trace != "" {
 		if err := os.WriteFile(c.Trace, last.Trace().Encode(), 0o644); err != nil {
-			return defect.New(defect.BadBoot, "can't write the trace: %v", err)
+			return failure.New(failure.BadSettings, "can't write the trace: %v", err)
 		}
 	}
-	return defect.New(defect.Conflict, "%s", last.Breach)
+	return failure.New(failure.Conflict, "%s", last.Breach)
 }
 
 func (c exploreCmd) replay() error {
 	raw, err := os.ReadFile(c.Replay)
 	if err != nil {
-		return defect.New(defect.BadBoot, "can't read the trace: %v", err)
+		return failure.New(failure.BadSettings, "can't read the trace: %v", err)
 	}
 	trace, bad := explore.Decode(raw)
 	if bad != nil {
@@ -92,5 +92,5 @@
 		fmt.Println("all held")
 		return nil
 	}
-	return defect.New(defect.Conflict, "%s", breach)
+	return failure.New(failure.Conflict, "%s", breach)
 }
--- a/cmd/cottonarch/main.go
+++ b/cmd/cottonarch/main.go
@@ -18,7 +18,7 @@
 	"cottonarch.example/cottonarch/boot"
 	"cottonarch.example/cottonarch/capacity/run"
 	"cottonarch.example/cottonarch/daemon/assemble"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/platform"
 	"cottonarch.example/cottonarch/sim/plan"
@@ -65,7 +65,7 @@
 }
 
 // start reads and checks the boot, makes the log and runs the daemon.
-func start[T any](f bootFlags, read func(map[string]any) (T, *defect.Defect), daemon func(T, *zap.Logger) error) error {
+func start[T any](f bootFlags, read func(map[string]any) (T, *failure.Error), daemon func(T, *zap.Logger) error) error {
 	m, err := f.tree()
 	if err != nil {
 		return err
@@ -80,7 +80,7 @@
 	}
 	log, err := logger()
 	if err != nil {
-		return defect.Wrap(err, defect.Internal, "log")
+		return failure.Wrap(err, failure.Internal, "log")
 	}
 	defer func() { _ = log.Sync() }()
 	return daemon(b, log)
@@ -122,7 +122,7 @@
 	}
 	log, err := logger()
 	if err != nil {
-		return defect.Wrap(err, defect.Internal, "log")
+		return failure.Wrap(err, failure.Internal, "log")
 	}
 	defer func() { _ = log.Sync() }()
 	return platform.Run(s, log, serve)
@@ -144,7 +144,7 @@
 	}
 	opts = append(opts, kratos.Server(all...))
 	if err := kratos.New(opts...).Run(); err != nil {
-		return defect.Wrap(err, defect.Internal, name)
+		return failure.Wrap(err, failure.Internal, name)
 	}
 	log.Info("stopped")
 	return nil
@@ -165,7 +165,7 @@
 	e, err := endpoint.Start(endpoint.Boot{Server: ident.Server(c.Server), Service: ident.Service(c.Service), Addr: ident.Addr(c.Address), Beat: ident.Addr(c.Sidecar),
 		Mood: endpoint.Mood{Work: c.Work, Lose: c.Lose, Garbage: c.Garbage, Cut: c.Cut}})
 	if err != nil {
-		return defect.Wrap(err, defect.Internal, "endpoint")
+		return failure.Wrap(err, failure.Internal, "endpoint")
 	}
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
@@ -196,7 +196,7 @@
 	}
 	fmt.Printf("served %d, not run %d, unknown %d, dropped %d, wrong %d\n", sums[caller.Served], sums[caller.NotRun], sums[caller.Unknown], sums[caller.Dropped], sums[caller.Wrong])
 	if sums[caller.Wrong]+sums[caller.Dropped] > 0 {
-		return defect.New(defect.BadReturn, "%d returns were wrong or dropped", sums[caller.Wrong]+sums[caller.Dropped])
+		return failure.New(failure.BadResponse, "%d returns were wrong or dropped", sums[caller.Wrong]+sums[caller.Dropped])
 	}
 	return nil
 }
@@ -214,14 +214,14 @@
 	if err == nil {
 		return
 	}
-	d := defect.Of(err)
+	d := failure.Of(err)
 	fmt.Fprintln(os.Stderr, "cottonarch:", d.Error())
 	os.Exit(exits(d))
 }
 
 // exits gives the exit code: 2 for bad input, 1 for the rest.
-func exits(d *defect.Defect) int {
-	if d.Kind == defect.BadBoot {
+func exits(d *failure.Error) int {
+	if d.Kind == failure.BadSettings {
 		return 2
 	}
 	return 1
--- a/cmd/cottonarch/operator.go
+++ b/cmd/cottonarch/operator.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/control/audit/tree"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 type operatorCmds struct {
@@ -31,27 +31,27 @@
 	Core string `short:"c" required:"" env:"COTTONARCH_CORE" help:"Address of any core (or of a sidecar, where that fits), ip:port."`
 }
 
-// ask sends one request and prints the return; a defect ends the program with 1.
+// ask sends one request and prints the return; a failure ends the program with 1.
 func (t target) ask(method, path string, body []byte) (json.RawMessage, error) {
 	req, err := http.NewRequest(method, "http://"+t.Core+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, defect.Wrap(err, defect.Malformed, "request")
+		return nil, failure.Wrap(err, failure.Malformed, "request")
 	}
 	res, err := (&http.Client{Timeout: 70 * time.Second}).Do(req)
 	if err != nil {
-		return nil, defect.Wrap(err, defect.Unreached, t.Core)
+		return nil, failure.Wrap(err, failure.Unreached, t.Core)
 	}
 	defer func() { _ = res.Body.Close() }()
 	data, err := io.ReadAll(res.Body)
 	if err != nil {
-		return nil, defect.Wrap(err, defect.LostReturn, t.Core)
+		return nil, failure.Wrap(err, failure.LostResponse, t.Core)
 	}
 	if res.StatusCode >= 300 {
-		d := &defect.Defect{}
+		d := &failure.Error{}
 		if json.Unmarshal(data, d) != nil || d.Kind == "" {
-			return nil, defect.Unsure(defect.BadReturn, "status %d: %s", res.StatusCode, data)
+			return nil, failure.Unsure(failure.BadResponse, "status %d: %s", res.StatusCode, data)
 		}
-		d.Note = fmt.Sprintf("%s (changed: %s)", d.Note, d.Fate)
+		d.Note = fmt.Sprintf("%s (changed: %s)", d.Note, d.Outcome)
 		return nil, d
 	}
 	return data, nil
@@ -86,7 +86,7 @@
 		raw, err = os.ReadFile(c.File)
 	}
 	if err != nil {
-		return defect.Wrap(err, defect.Malformed, "manifest")
+		return failure.Wrap(err, failure.Malformed, "manifest")
 	}
 	q := ""
 	if c.Base != nil {
@@ -142,13 +142,13 @@
 	}
 	var log tree.Log
 	if err := json.Unmarshal(data, &log); err != nil {
-		return defect.Wrap(err, defect.BadReturn, "audit")
+		return failure.Wrap(err, failure.BadResponse, "audit")
 	}
 	old := ""
 	if c.Old != "" {
 		raw, err := os.ReadFile(c.Old)
 		if err != nil {
-			return defect.Wrap(err, defect.Malformed, "old checkpoint")
+			return failure.Wrap(err, failure.Malformed, "old checkpoint")
 		}
 		old = string(raw)
 	}
@@ -157,7 +157,7 @@
 	}
 	if c.Save != "" {
 		if err := os.WriteFile(c.Save, []byte(log.Checkpoint), 0o644); err != nil {
-			return defect.Wrap(err, defect.Internal, "save")
+			return failure.Wrap(err, failure.Internal, "save")
 		}
 	}
 	if c.Leaves {
@@ -242,7 +242,7 @@
 			Place string `json:"place"`
 		}
 		if err := json.Unmarshal(data, &got); err != nil {
-			return defect.Wrap(err, defect.BadReturn, "watch")
+			return failure.Wrap(err, failure.BadResponse, "watch")
 		}
 		place = got.Place
 		fmt.Println(strings.TrimSpace(string(data)))
--- a/cmd/cottonarch/simulate.go
+++ b/cmd/cottonarch/simulate.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/control/manifest/walk"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/sim/check"
 	"cottonarch.example/cottonarch/sim/plan"
@@ -40,29 +40,29 @@
 func (c simulateCmd) Run() error {
 	d, wrong := describe(c.Deployment)
 	q := plan.What{For: c.For, Faults: c.Faults, FaultEvery: c.Every, AddCores: c.AddCores, LoseDist: c.LoseDistrict, Burden: c.Burden, LastHeavy: c.Heavy, Cells: c.Cells, Platform: c.Platform, Links: !c.Calm, Cost: c.Cost, Break: world.Break(c.Break)}
-	bad := defect.New(defect.BadBoot, "the what-if can't be run")
+	bad := failure.New(failure.BadSettings, "the what-if can't be run")
 	for _, at := range c.At {
 		name, when, ok := strings.Cut(at, "@")
 		t, err := time.ParseDuration(when)
 		if !ok || err != nil {
-			bad.All = append(bad.All, defect.Fault{Path: "at", Note: fmt.Sprintf("%q is no fault@time", at)})
+			bad.Faults = append(bad.Faults, failure.Fault{Path: "at", Note: fmt.Sprintf("%q is no fault@time", at)})
 			continue
 		}
 		q.At = append(q.At, plan.Timed{Fault: name, After: t})
 	}
 	if more := q.Check(); more != nil {
-		bad.All = append(bad.All, more.All...)
+		bad.Faults = append(bad.Faults, more.Faults...)
 	}
 	if c.Seeds < 1 || c.Seeds > 100000 {
-		bad.All = append(bad.All, defect.Fault{Path: "seeds", Note: "must be from 1 to 100000"})
+		bad.Faults = append(bad.Faults, failure.Fault{Path: "seeds", Note: "must be from 1 to 100000"})
 	}
-	if found := (*defect.Defect)(nil); wrong != nil && defect.Find(wrong, &found) {
-		if len(found.All) == 0 {
-			found.All = []defect.Fault{{Path: "deployment", Note: found.Note}}
+	if found := (*failure.Error)(nil); wrong != nil && failure.Find(wrong, &found) {
+		if len(found.Faults) == 0 {
+			found.Faults = []failure.Fault{{Path: "deployment", Note: found.Note}}
 		}
-		bad.All = append(bad.All, found.All...)
+		bad.Faults = append(bad.Faults, found.Faults...)
 	}
-	if len(bad.All) > 0 {
+	if len(bad.Faults) > 0 {
 		return bad
 	}
 	var mu sync.Mutex
@@ -107,7 +107,7 @@
 		names = append(names, fmt.Sprintf("%s %d", r, n))
 	}
 	sort.Strings(names)
-	return defect.New(defect.Conflict, "rules were broken: %s", strings.Join(names, ", "))
+	return failure.New(failure.Conflict, "rules were broken: %s", strings.Join(names, ", "))
 }
 
 // describe finds a deployment by name, or reads it from a file.
@@ -117,11 +117,11 @@
 	}
 	raw, err := os.ReadFile(name)
 	if err != nil {
-		return plan.Deployment{}, defect.New(defect.BadBoot, "deployment %q is neither prairie, volta nor a file", name)
+		return plan.Deployment{}, failure.New(failure.BadSettings, "deployment %q is neither prairie, volta nor a file", name)
 	}
 	m, bad := walk.Parse(raw)
 	if bad != nil {
-		bad.Kind = defect.BadBoot
+		bad.Kind = failure.BadSettings
 		return plan.Deployment{}, bad
 	}
 	f := &walk.Faults{}
@@ -160,7 +160,7 @@
 	if len(d.Kinds) == 0 {
 		s.Fault("requests", "at least one kind of request")
 	}
-	if bad := f.Defect(defect.BadBoot); bad != nil {
+	if bad := f.Defect(failure.BadSettings); bad != nil {
 		return d, bad
 	}
 	return d, nil
--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -11,7 +11,7 @@
 	"github.com/alecthomas/kong"
 
 	"cottonarch.example/cottonarch/fleet/run"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/sim/plan"
 )
 
@@ -28,10 +28,10 @@
 }
 
 // check names every fault of the command line.
-func check(faults []string) *defect.Defect {
-	d := defect.New(defect.BadBoot, "the fleet can't be run")
+func check(faults []string) *failure.Error {
+	d := failure.New(failure.BadSettings, "the fleet can't be run")
 	add := func(path, form string, args ...any) {
-		d.All = append(d.All, defect.Fault{Path: path, Note: fmt.Sprintf(form, args...)})
+		d.Faults = append(d.Faults, failure.Fault{Path: path, Note: fmt.Sprintf(form, args...)})
 	}
 	if _, ok := plan.Deployments[app.Deployment]; !ok {
 		add("deployment", "there is no deployment %q; there are prairie, volta", app.Deployment)
@@ -56,7 +56,7 @@
 	if _, err := os.Stat(app.Old); app.Old != "" && err != nil {
 		add("old", "%v", err)
 	}
-	if len(d.All) > 0 {
+	if len(d.Faults) > 0 {
 		return d
 	}
 	return nil
--- a/control/audit/chunk/chunk.go
+++ b/control/audit/chunk/chunk.go
@@ -6,10 +6,10 @@
 	"encoding/json"
 	"fmt"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -30,27 +30,27 @@
 	Leaves []offer.Line `json:"leaves"`
 }
 
-// Append is the one deed.
+// Append is the one operation.
 type Append struct {
 	Index int        `json:"index"`
 	Leaf  offer.Line `json:"leaf"`
 }
 
-// Deeds are the handlers.
-func Deeds() book.Book { return book.Book{"audit/append": add} }
+// Handlers are the handlers.
+func Handlers() operation.Table { return operation.Table{"audit/append": add} }
 
-func add(_ proposer.Context, state, args json.RawMessage) book.Entry {
+func add(_ proposer.Context, state, args json.RawMessage) operation.Result {
 	var c Chunk
 	var a Append
-	if d := book.Read(state, args, &c, &a); d != nil {
-		return book.Turned(d)
+	if d := operation.Decode(state, args, &c, &a); d != nil {
+		return operation.Rejected(d)
 	}
 	if len(c.Leaves) != a.Index%Size {
-		return book.Turned(defect.New(defect.Conflict, "the chunk holds %d leaves", len(c.Leaves)))
+		return operation.Rejected(failure.New(failure.Conflict, "the chunk holds %d leaves", len(c.Leaves)))
 	}
 	if n := len(c.Leaves); n > 0 && c.Leaves[n-1].Epoch >= a.Leaf.Epoch {
-		return book.Turned(defect.New(defect.Conflict, "epoch %d is in the log", c.Leaves[n-1].Epoch))
+		return operation.Rejected(failure.New(failure.Conflict, "epoch %d is in the log", c.Leaves[n-1].Epoch))
 	}
 	c.Leaves = append(c.Leaves, a.Leaf)
-	return book.Entry{State: book.JSON(c), Body: book.JSON(a)}
+	return operation.Result{State: operation.Encode(c), Body: operation.Encode(a)}
 }
--- a/control/audit/tree/tree.go
+++ b/control/audit/tree/tree.go
@@ -12,7 +12,7 @@
 	"golang.org/x/mod/sumdb/tlog"
 
 	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 // Origin is the first line of a checkpoint.
@@ -49,16 +49,16 @@
 	for i, l := range leaves {
 		raw, err := json.Marshal(l)
 		if err != nil {
-			return tlog.Hash{}, defect.Wrap(err, defect.Internal, "leaf")
+			return tlog.Hash{}, failure.Wrap(err, failure.Internal, "leaf")
 		}
 		more, err := tlog.StoredHashes(int64(i), raw, reader)
 		if err != nil {
-			return tlog.Hash{}, defect.Wrap(err, defect.Internal, "hashes")
+			return tlog.Hash{}, failure.Wrap(err, failure.Internal, "hashes")
 		}
 		held = append(held, more...)
 	}
 	root, err := tlog.TreeHash(int64(len(leaves)), reader)
-	return root, defect.Wrap(err, defect.Internal, "tree")
+	return root, failure.Wrap(err, failure.Internal, "tree")
 }
 
 // Check checks a log against its own checkpoint and, when one is given, against an
@@ -69,11 +69,11 @@
 		return err
 	}
 	if again.Checkpoint != l.Checkpoint {
-		return defect.New(defect.Damaged, "the leaves do not make the checkpoint")
+		return failure.New(failure.Damaged, "the leaves do not make the checkpoint")
 	}
 	for i := 1; i < len(l.Leaves); i++ {
 		if l.Leaves[i].Epoch <= l.Leaves[i-1].Epoch {
-			return defect.New(defect.Damaged, "epoch %d stands after %d", l.Leaves[i].Epoch, l.Leaves[i-1].Epoch)
+			return failure.New(failure.Damaged, "epoch %d stands after %d", l.Leaves[i].Epoch, l.Leaves[i-1].Epoch)
 		}
 	}
 	if old == "" {
@@ -81,21 +81,21 @@
 	}
 	lines := strings.Split(old, "\n")
 	if len(lines) < 3 || lines[0] != Origin {
-		return defect.New(defect.Malformed, "the older checkpoint is none of ours")
+		return failure.New(failure.Malformed, "the older checkpoint is none of ours")
 	}
 	n, err := strconv.Atoi(lines[1])
 	if err != nil || n < 0 {
-		return defect.New(defect.Malformed, "the older checkpoint has no size")
+		return failure.New(failure.Malformed, "the older checkpoint has no size")
 	}
 	if n > len(l.Leaves) {
-		return defect.New(defect.Damaged, "the log has %d leaves, it had %d", len(l.Leaves), n)
+		return failure.New(failure.Damaged, "the log has %d leaves, it had %d", len(l.Leaves), n)
 	}
 	part, err := Build(l.Leaves[:n])
 	if err != nil {
 		return err
 	}
 	if strings.TrimSpace(part.Checkpoint) != strings.TrimSpace(old) {
-		return defect.New(defect.Damaged, "the first %d leaves are not those of the older checkpoint", n)
+		return failure.New(failure.Damaged, "the first %d leaves are not those of the older checkpoint", n)
 	}
 	return nil
 }
--- a/control/coordination/group/group.go
+++ b/control/coordination/group/group.go
@@ -9,9 +9,9 @@
 	"strings"
 	"time"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -25,7 +25,7 @@
 )
 
 // margin is added to the history's time, which counts from when a watch was given a
-// revision: the return and the question after it may each be 1 s on their way, a watch
+// revision: the response and the question after it may each be 1 s on their way, a watch
 // may give a revision that it read 2 s before, and clocks run apart by a few in a hundred.
 func margin(history time.Duration) time.Duration { return history/20 + 4*time.Second }
 
@@ -48,7 +48,7 @@
 	Revision ident.Revision  `json:"revision"`
 }
 
-// Args are those of every group deed; names are those within the group.
+// Args are those of every group operation; names are those within the group.
 type Args struct {
 	Name  string          `json:"name,omitempty"`
 	Value json.RawMessage `json:"value,omitempty"`
@@ -64,86 +64,86 @@
 	Revision ident.Revision `json:"revision"`
 }
 
-// Deeds are the handlers; history is how long a put stays known at least, Kept if 0.
-func Deeds(history time.Duration) book.Book {
+// Handlers are the handlers; history is how long a put stays known at least, Kept if 0.
+func Handlers(history time.Duration) operation.Table {
 	history = cmp.Or(history, Kept)
 	keep := keeping(history + margin(history))
-	return book.Book{"group/put": keep.put, "group/read": read, "group/since": since}
+	return operation.Table{"group/put": keep.put, "group/read": read, "group/since": since}
 }
 
 type keeping time.Duration
 
-func read(turn proposer.Context, state, raw json.RawMessage) book.Entry {
-	g, a, d := begin(turn, state, raw)
+func read(context proposer.Context, state, raw json.RawMessage) operation.Result {
+	g, a, d := begin(context, state, raw)
 	if d != nil {
-		return book.Turned(d)
+		return operation.Rejected(d)
 	}
 	p := g.now[a.Name]
 	if p == nil {
-		return book.Entry{Defect: defect.New(defect.Missing, "there is no such cell"), Kept: g}
+		return operation.Result{Failure: failure.New(failure.Missing, "there is no such cell"), Decoded: g}
 	}
-	return book.Entry{Body: book.JSON(p.put()), Kept: g}
+	return operation.Result{Body: operation.Encode(p.put()), Decoded: g}
 }
 
-func since(turn proposer.Context, state, raw json.RawMessage) book.Entry {
-	g, a, d := begin(turn, state, raw)
+func since(context proposer.Context, state, raw json.RawMessage) operation.Result {
+	g, a, d := begin(context, state, raw)
 	if d != nil {
-		return book.Turned(d)
+		return operation.Rejected(d)
 	}
 	out := News{Events: []Put{}, Revision: g.top}
 	if a.After != nil {
 		if *a.After < g.gone {
-			return book.Entry{Defect: defect.New(defect.Forgotten, "puts up to %d are forgotten in part, and %d was asked for", g.gone, *a.After), Kept: g}
+			return operation.Result{Failure: failure.New(failure.Forgotten, "puts up to %d are forgotten in part, and %d was asked for", g.gone, *a.After), Decoded: g}
 		}
 		for _, p := range g.after(*a.After) {
 			out.Events = append(out.Events, p.put())
 		}
 	}
-	return book.Entry{Body: book.JSON(out), Kept: g}
+	return operation.Result{Body: operation.Encode(out), Decoded: g}
 }
 
-func (k keeping) put(turn proposer.Context, state, raw json.RawMessage) book.Entry {
-	g, a, d := begin(turn, state, raw)
+func (k keeping) put(context proposer.Context, state, raw json.RawMessage) operation.Result {
+	g, a, d := begin(context, state, raw)
 	if d != nil {
-		return book.Turned(d)
+		return operation.Rejected(d)
 	}
-	turned := func(kind defect.Kind, form string, args ...any) book.Entry {
-		return book.Entry{Defect: defect.New(kind, form, args...), Kept: g}
+	turned := func(kind failure.Kind, form string, args ...any) operation.Result {
+		return operation.Result{Failure: failure.New(kind, form, args...), Decoded: g}
 	}
 	if len(a.Value) == 0 {
-		return turned(defect.Invalid, "a put needs a value")
+		return turned(failure.Invalid, "a put needs a value")
 	}
 	if len(a.Value) > valueMax || len(a.Name) > nameMax {
-		return turned(defect.Oversize, "a value is at most %d bytes, a name %d", valueMax, nameMax)
+		return turned(failure.Oversize, "a value is at most %d bytes, a name %d", valueMax, nameMax)
 	}
 	// One form for one value, so that a repeat is known whichever way it came.
-	a.Value = book.JSON(a.Value)
-	if p := g.known[id{a.Name, string(a.Value)}]; p != nil && !p.over(turn.Now, time.Duration(k)) {
-		return book.Entry{Body: book.JSON(p.put()), Kept: g}
+	a.Value = operation.Encode(a.Value)
+	if p := g.known[id{a.Name, string(a.Value)}]; p != nil && !p.over(context.Now, time.Duration(k)) {
+		return operation.Result{Body: operation.Encode(p.put()), Decoded: g}
 	}
 	have := ident.Revision(0)
 	if p := g.now[a.Name]; p != nil {
 		have = p.rev
 	}
 	if a.If != nil && *a.If != have {
-		e := turned(defect.Conflict, "the cell is at revision %d", have)
+		e := turned(failure.Conflict, "the cell is at revision %d", have)
 		at := uint64(have)
-		e.Defect.At = &at
+		e.Failure.CurrentRevision = &at
 		return e
 	}
 	if g.top == math.MaxUint64 {
-		return turned(defect.Full, "no revision is left")
+		return turned(failure.Full, "no revision is left")
 	}
-	p := newPast(a.Name, a.Value, g.top+1, turn.Now)
-	n, bulk := g.old(turn.Now, time.Duration(k))
+	p := newPast(a.Name, a.Value, g.top+1, context.Now)
+	n, bulk := g.old(context.Now, time.Duration(k))
 	if len(g.list)-n >= listMax || g.bytes-bulk+len(p.raw) > bytesMax {
-		e := turned(defect.Busy, "the group is full: puts come faster than watches may forget them")
-		e.Defect.Later(1)
+		e := turned(failure.Busy, "the group is full: puts come faster than watches may forget them")
+		e.Failure.Later(1)
 		return e
 	}
 	if bulk > 0 && (bulk*forgetPart >= g.bytes || len(g.list) >= listMax || g.bytes+len(p.raw) > bytesMax) {
-		g.forget(turn.Now, time.Duration(k))
+		g.forget(context.Now, time.Duration(k))
 	}
 	g.add(p)
-	return book.Entry{State: g.encode(), Body: book.JSON(p.put()), Kept: g}
+	return operation.Result{State: g.encode(), Body: operation.Encode(p.put()), Decoded: g}
 }
--- a/control/coordination/group/group_test.go
+++ b/control/coordination/group/group_test.go
@@ -8,36 +8,36 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/group"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // cell is a group under one proposer after another, as a term serves it.
 type cell struct {
 	value json.RawMessage
 	kept  any
-	book  book.Book
+	book  operation.Table
 }
 
-func newCell(history time.Duration) *cell { return &cell{book: group.Deeds(history)} }
+func newCell(history time.Duration) *cell { return &cell{book: group.Handlers(history)} }
 
-func (c *cell) do(now moment.Moment, kind string, a group.Args) (json.RawMessage, *defect.Defect) {
-	v := c.book.Apply(proposer.Context{Now: now, Decoded: c.kept}, c.value, proposer.Operation{Op: "op", Kind: kind, Args: book.JSON(a)})
+func (c *cell) do(now monotime.Time, kind string, a group.Args) (json.RawMessage, *failure.Error) {
+	v := c.book.Apply(proposer.Context{Now: now, Decoded: c.kept}, c.value, proposer.Operation{Op: "op", Kind: kind, Args: operation.Encode(a)})
 	if v.Changed {
 		c.value, c.kept = v.Value, nil
 	}
 	if v.Decoded != nil {
 		c.kept = v.Decoded
 	}
-	return v.Body, v.Defect
+	return v.Body, v.Failure
 }
 
-func (c *cell) put(now moment.Moment, name, val string, base ...ident.Revision) (ident.Revision, *defect.Defect) {
-	a := group.Args{Name: name, Value: book.JSON(val)}
+func (c *cell) put(now monotime.Time, name, val string, base ...ident.Revision) (ident.Revision, *failure.Error) {
+	a := group.Args{Name: name, Value: operation.Encode(val)}
 	if len(base) > 0 {
 		a.If = &base[0]
 	}
@@ -47,21 +47,21 @@
 	return p.Revision, d
 }
 
-func (c *cell) since(now moment.Moment, after ident.Revision) (group.News, *defect.Defect) {
+func (c *cell) since(now monotime.Time, after ident.Revision) (group.News, *failure.Error) {
 	body, d := c.do(now, "group/since", group.Args{After: &after})
 	var n group.News
 	_ = json.Unmarshal(body, &n)
 	return n, d
 }
 
-func (c *cell) read(now moment.Moment, name string) (group.Put, *defect.Defect) {
+func (c *cell) read(now monotime.Time, name string) (group.Put, *failure.Error) {
 	body, d := c.do(now, "group/read", group.Args{Name: name})
 	var p group.Put
 	_ = json.Unmarshal(body, &p)
 	return p, d
 }
 
-func at(s float64) moment.Moment { return moment.Moment(s * float64(time.Second)) }
+func at(s float64) monotime.Time { return monotime.Time(s * float64(time.Second)) }
 
 // Keys part at the first dot; what has none is a group of its own.
 func TestKeysPartAtTheFirstDot(t *testing.T) {
@@ -101,8 +101,8 @@
 			rev, d := c.put(at(2+float64(i)), x.name, x.val, x.base...)
 			if x.have >= 0 {
 				must.NotNil(t, d, must.Sprint(i))
-				must.Eq(t, defect.Conflict, d.Kind, must.Sprint(i))
-				must.Eq(t, uint64(x.have), *d.At, must.Sprint(i))
+				must.Eq(t, failure.Conflict, d.Kind, must.Sprint(i))
+				must.Eq(t, uint64(x.have), *d.CurrentRevision, must.Sprint(i))
 				continue
 			}
 			must.Nil(t, d, must.Sprint(i))
@@ -110,9 +110,9 @@
 		}
 		p, d := c.read(at(20), "a")
 		must.Nil(t, d)
-		must.Eq(t, group.Put{Name: "a", Value: book.JSON("<&>"), Revision: 5}, p)
+		must.Eq(t, group.Put{Name: "a", Value: operation.Encode("<&>"), Revision: 5}, p)
 		_, d = c.read(at(20), "z")
-		must.Eq(t, defect.Missing, d.Kind)
+		must.Eq(t, failure.Missing, d.Kind)
 	}
 }
 
@@ -123,7 +123,7 @@
 	const history = 20 * time.Second
 	c := newCell(history)
 	type given struct {
-		at  moment.Moment
+		at  monotime.Time
 		rev ident.Revision
 	}
 	var all []given
@@ -144,7 +144,7 @@
 			g := all[i-back]
 			n, d := c.since(now, g.rev)
 			if d != nil {
-				must.Eq(t, defect.Forgotten, d.Kind)
+				must.Eq(t, failure.Forgotten, d.Kind)
 				must.Greater(t, history, now.Since(g.at))
 				forgotten++
 				continue
@@ -172,7 +172,7 @@
 	must.Len(t, 49, n.Events)
 }
 
-// When the history is full, writes are turned away rather than history forgotten, and go
+// When the history is full, writes are rejected rather than history forgotten, and go
 // on once it is old.
 func TestFullHistoryTurnsPutsAway(t *testing.T) {
 	c := newCell(0)
@@ -180,8 +180,8 @@
 	n := 0
 	for ; n < 2000; n++ {
 		if _, d := c.put(at(2), "a", fmt.Sprint(n, big)); d != nil {
-			must.Eq(t, defect.Busy, d.Kind)
-			must.Eq(t, defect.FateNo, d.Fate)
+			must.Eq(t, failure.Busy, d.Kind)
+			must.Eq(t, failure.NotExecuted, d.Outcome)
 			break
 		}
 	}
@@ -192,10 +192,10 @@
 	_, d = c.put(at(100), "a", big)
 	must.Nil(t, d)
 	_, d = c.since(at(100), 1)
-	must.Eq(t, defect.Forgotten, d.Kind)
+	must.Eq(t, failure.Forgotten, d.Kind)
 }
 
-// The kept form changes nothing: the same deeds with and without it store the same.
+// The kept form changes nothing: the same operations with and without it store the same.
 func TestKeptFormIsTheState(t *testing.T) {
 	with, without := newCell(0), newCell(0)
 	for i := range 300 {
@@ -248,7 +248,7 @@
 	for range 2 {
 		p, d := c.read(at(101), "a")
 		must.Nil(t, d)
-		must.Eq(t, group.Put{Name: "a", Value: book.JSON("1"), Revision: 23}, p)
+		must.Eq(t, group.Put{Name: "a", Value: operation.Encode("1"), Revision: 23}, p)
 		rev, d = c.put(at(101), "a", "1")
 		must.Nil(t, d)
 		must.Eq(t, ident.Revision(23), rev)
@@ -260,7 +260,7 @@
 		must.Nil(t, d)
 	}
 	_, d = c.since(at(240), 20)
-	must.Eq(t, defect.Forgotten, d.Kind)
+	must.Eq(t, failure.Forgotten, d.Kind)
 	rev, d = c.put(at(240), "a", "1")
 	must.Nil(t, d)
 	must.Eq(t, ident.Revision(23), rev)
@@ -274,7 +274,7 @@
 	must.Nil(t, d)
 	must.Eq(t, group.Put{Name: "a", Value: json.RawMessage(`{"k":[1]}`), Revision: 7}, p)
 	_, d = c.since(at(1), 2)
-	must.Eq(t, defect.Forgotten, d.Kind)
+	must.Eq(t, failure.Forgotten, d.Kind)
 	n, d := c.since(at(1), 3)
 	must.Nil(t, d)
 	must.Len(t, 2, n.Events)
@@ -329,7 +329,7 @@
 		must.Eq(t, ident.Revision(i+1), rev)
 	}
 	_, d := c.put(at(200), name(0), val(0), base(0))
-	must.Eq(t, defect.Conflict, d.Kind)
+	must.Eq(t, failure.Conflict, d.Kind)
 	rev, d := c.put(at(200), name(0), val(0))
 	must.Nil(t, d)
 	must.Eq(t, ident.Revision(puts+1), rev)
--- a/control/coordination/group/state.go
+++ b/control/coordination/group/state.go
@@ -6,11 +6,11 @@
 	"strconv"
 	"time"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // stored is the state on the disks. Invariants: List is in rising order of revision and
@@ -30,28 +30,28 @@
 // writes the list anew, and so has to be rare, and what is over takes room.
 const forgetPart = 4
 
-// past is one put. Invariant: seen is the moment at which this term first knew of it, so
+// past is one put. Invariant: seen is the time at which this term first knew of it, so
 // it is never younger than it looks; beaten says that another put of its cell followed.
 type past struct {
 	name   string
 	value  json.RawMessage
 	rev    ident.Revision
 	raw    json.RawMessage // as stored
-	seen   moment.Moment
+	seen   monotime.Time
 	beaten bool
 }
 
 type id struct{ name, value string }
 
-func newPast(name string, value json.RawMessage, rev ident.Revision, now moment.Moment) *past {
-	raw := append(append(json.RawMessage{'['}, book.JSON(name)...), ',')
+func newPast(name string, value json.RawMessage, rev ident.Revision, now monotime.Time) *past {
+	raw := append(append(json.RawMessage{'['}, operation.Encode(name)...), ',')
 	raw = append(append(raw, value...), ',')
 	return &past{name: name, value: value, rev: rev, raw: append(strconv.AppendUint(raw, uint64(rev), 10), ']'), seen: now}
 }
 
 func (p *past) put() Put { return Put{p.name, p.value, p.rev} }
 
-// decoded is the state as a term keeps it between deeds. Invariants: now holds the
+// decoded is the state as a term keeps it between operations. Invariants: now holds the
 // newest put of each cell, known the newest put in list of each cell and value, bytes what
 // the list takes when stored; it changes only together with the value that it is the decoded form of.
 type decoded struct {
@@ -63,21 +63,21 @@
 }
 
 // begin gives the state as kept, or decodes it, and reads the args.
-func begin(turn proposer.Context, state, raw json.RawMessage) (*decoded, Args, *defect.Defect) {
+func begin(context proposer.Context, state, raw json.RawMessage) (*decoded, Args, *failure.Error) {
 	var a Args
-	g, ok := turn.Decoded.(*decoded)
+	g, ok := context.Decoded.(*decoded)
 	if ok {
-		return g, a, book.Read(nil, raw, nil, &a)
+		return g, a, operation.Decode(nil, raw, nil, &a)
 	}
 	var s stored
-	if d := book.Read(state, raw, &s, &a); d != nil {
+	if d := operation.Decode(state, raw, &s, &a); d != nil {
 		return nil, a, d
 	}
 	g = &decoded{top: s.Top, gone: s.Gone, now: map[string]*past{}, known: map[id]*past{}}
 	for _, raw := range s.List {
-		p := &past{raw: raw, seen: turn.Now}
+		p := &past{raw: raw, seen: context.Now}
 		if err := json.Unmarshal(raw, &[]any{&p.name, &p.value, &p.rev}); err != nil {
-			return nil, a, defect.New(defect.Damaged, "put: %v", err)
+			return nil, a, failure.New(failure.Damaged, "put: %v", err)
 		}
 		if p.value == nil {
 			p.value = json.RawMessage("null")
@@ -103,12 +103,12 @@
 
 // over tells whether a put may be forgotten; whether it has been yet is nobody's matter but
 // that of watches, which are told more while it has not.
-func (p *past) over(now moment.Moment, age time.Duration) bool {
+func (p *past) over(now monotime.Time, age time.Duration) bool {
 	return p.beaten && now.Since(p.seen) > age
 }
 
 // old counts what may be forgotten, with its bytes.
-func (g *decoded) old(now moment.Moment, age time.Duration) (n, bulk int) {
+func (g *decoded) old(now monotime.Time, age time.Duration) (n, bulk int) {
 	for _, p := range g.list {
 		if now.Since(p.seen) <= age {
 			break
@@ -122,7 +122,7 @@
 }
 
 // forget lets go of all that may be forgotten.
-func (g *decoded) forget(now moment.Moment, age time.Duration) {
+func (g *decoded) forget(now monotime.Time, age time.Duration) {
 	g.list = slices.DeleteFunc(g.list, func(p *past) bool {
 		if !p.over(now, age) {
 			return false
--- a/control/coordination/key/key.go
+++ b/control/coordination/key/key.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"time"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -29,7 +29,7 @@
 
 // Key is the state. Invariants: Past is in order of revision without gaps and ends
 // with the present state; an entry leaves Past only when this term has seen it
-// grow older than Kept; when Past is full of younger ones, writes are turned away.
+// grow older than Kept; when Past is full of younger ones, writes are rejected.
 // A deleted key keeps its cell, so its revisions never begin anew.
 type Key struct {
 	Past []Change `json:"past"`
@@ -43,7 +43,7 @@
 	return k.Past[len(k.Past)-1]
 }
 
-// Args are those of every key deed.
+// Args are those of every key operation.
 type Args struct {
 	Value json.RawMessage `json:"value,omitempty"`
 	// If, when given, is the revision the key must be at; 0 means it must not exist.
@@ -52,7 +52,7 @@
 	Since *ident.Revision `json:"since,omitempty"`
 }
 
-// Reading is the return of a read.
+// Reading is the response to a read.
 type Reading struct {
 	Revision ident.Revision  `json:"revision"`
 	Value    json.RawMessage `json:"value,omitempty"`
@@ -62,16 +62,16 @@
 	Cut bool `json:"cut,omitempty"`
 }
 
-// Deeds are the handlers.
-func Deeds() book.Book {
-	return book.Book{"key/read": read, "key/write": write, "key/delete": remove}
+// Handlers are the handlers.
+func Handlers() operation.Table {
+	return operation.Table{"key/read": read, "key/write": write, "key/delete": remove}
 }
 
-func read(_ proposer.Context, state, raw json.RawMessage) book.Entry {
+func read(_ proposer.Context, state, raw json.RawMessage) operation.Result {
 	var k Key
 	var a Args
-	if d := book.Read(state, raw, &k, &a); d != nil {
-		return book.Turned(d)
+	if d := operation.Decode(state, raw, &k, &a); d != nil {
+		return operation.Rejected(d)
 	}
 	now := k.Now()
 	out := Reading{Revision: now.Revision, Value: now.Value, Deleted: now.Deleted}
@@ -83,37 +83,37 @@
 		}
 		out.Cut = len(k.Past) > 0 && k.Past[0].Revision > *a.Since+1
 	}
-	return book.Entry{Body: book.JSON(out)}
+	return operation.Result{Body: operation.Encode(out)}
 }
 
-func write(turn proposer.Context, state, raw json.RawMessage) book.Entry {
+func write(context proposer.Context, state, raw json.RawMessage) operation.Result {
 	var a Args
 	var k Key
-	if d := book.Read(state, raw, &k, &a); d != nil {
-		return book.Turned(d)
+	if d := operation.Decode(state, raw, &k, &a); d != nil {
+		return operation.Rejected(d)
 	}
 	if len(a.Value) == 0 {
-		return book.Turned(defect.New(defect.Invalid, "a write needs a value"))
+		return operation.Rejected(failure.New(failure.Invalid, "a write needs a value"))
 	}
 	if len(a.Value) > valueMax {
-		return book.Turned(defect.New(defect.Oversize, "a value is at most %d bytes", valueMax))
+		return operation.Rejected(failure.New(failure.Oversize, "a value is at most %d bytes", valueMax))
 	}
-	return k.change(turn, a, Change{Value: a.Value})
+	return k.change(context, a, Change{Value: a.Value})
 }
 
-func remove(turn proposer.Context, state, raw json.RawMessage) book.Entry {
+func remove(context proposer.Context, state, raw json.RawMessage) operation.Result {
 	var a Args
 	var k Key
-	if d := book.Read(state, raw, &k, &a); d != nil {
-		return book.Turned(d)
+	if d := operation.Decode(state, raw, &k, &a); d != nil {
+		return operation.Rejected(d)
 	}
 	if k.Now().Deleted {
-		return book.Turned(defect.New(defect.Missing, "there is no such key"))
+		return operation.Rejected(failure.New(failure.Missing, "there is no such key"))
 	}
-	return k.change(turn, a, Change{Deleted: true})
+	return k.change(context, a, Change{Deleted: true})
 }
 
-func (k Key) change(turn proposer.Context, a Args, c Change) book.Entry {
+func (k Key) change(context proposer.Context, a Args, c Change) operation.Result {
 	now := k.Now()
 	if a.If != nil {
 		have := now.Revision
@@ -121,32 +121,32 @@
 			have = 0
 		}
 		if have != *a.If {
-			return book.Turned(defect.New(defect.Conflict, "the key is at revision %d", have))
+			return operation.Rejected(failure.New(failure.Conflict, "the key is at revision %d", have))
 		}
 	}
-	c.Revision = turn.Revision + 1
+	c.Revision = context.Revision + 1
 	bulk := 0
 	for _, p := range k.Past {
 		bulk += len(p.Value) + 40
 	}
 	for len(k.Past) > 1 {
-		seen, ok := turn.TermMemory[mark(k.Past[1].Revision)]
+		seen, ok := context.TermMemory[mark(k.Past[1].Revision)]
 		if !ok {
-			seen = turn.TermBegan
+			seen = context.TermBegan
 		}
-		if turn.Now.Since(seen) <= Kept {
+		if context.Now.Since(seen) <= Kept {
 			break
 		}
-		delete(turn.TermMemory, mark(k.Past[0].Revision))
+		delete(context.TermMemory, mark(k.Past[0].Revision))
 		bulk -= len(k.Past[0].Value) + 40
 		k.Past = k.Past[1:]
 	}
 	if len(k.Past) >= historyMx || bulk+len(c.Value) > bytesMax {
-		return book.Turned(defect.New(defect.Busy, "changes come faster than watches may forget them").Later(10))
+		return operation.Rejected(failure.New(failure.Busy, "changes come faster than watches may forget them").Later(10))
 	}
 	k.Past = append(k.Past, c)
-	turn.Remember(mark(c.Revision))
-	return book.Entry{State: book.JSON(k), Body: book.JSON(Reading{Revision: c.Revision, Value: c.Value, Deleted: c.Deleted})}
+	context.Remember(mark(c.Revision))
+	return operation.Result{State: operation.Encode(k), Body: operation.Encode(Reading{Revision: c.Revision, Value: c.Value, Deleted: c.Deleted})}
 }
 
 func mark(r ident.Revision) string { return fmt.Sprintf("r%d", r) }
--- a/control/coordination/key/key_test.go
+++ b/control/coordination/key/key_test.go
@@ -8,44 +8,44 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/key"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/coordination/watch"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 type cell struct {
 	value  json.RawMessage
 	rev    ident.Revision
-	since  moment.Moment
-	memory map[string]moment.Moment
+	since  monotime.Time
+	memory map[string]monotime.Time
 }
 
-func (c *cell) do(now moment.Moment, kind string, a key.Args) (key.Reading, *defect.Defect) {
-	v := key.Deeds().Apply(proposer.Context{Now: now, TermBegan: c.since, Revision: c.rev, TermMemory: c.memory, Remember: func(m string) { c.memory[m] = now }}, c.value, proposer.Operation{Kind: kind, Args: book.JSON(a)})
+func (c *cell) do(now monotime.Time, kind string, a key.Args) (key.Reading, *failure.Error) {
+	v := key.Handlers().Apply(proposer.Context{Now: now, TermBegan: c.since, Revision: c.rev, TermMemory: c.memory, Remember: func(m string) { c.memory[m] = now }}, c.value, proposer.Operation{Kind: kind, Args: operation.Encode(a)})
 	if v.Changed {
 		c.value = v.Value
 		c.rev++
 	}
 	var r key.Reading
 	_ = json.Unmarshal(v.Body, &r)
-	return r, v.Defect
+	return r, v.Failure
 }
 
-func at(s float64) moment.Moment { return moment.Moment(s * float64(time.Second)) }
+func at(s float64) monotime.Time { return monotime.Time(s * float64(time.Second)) }
 
 // A watcher that comes back within a minute is told every change, also when proposers
 // changed meanwhile; later it is told that its place is forgotten, never a gap.
 func TestHistoryOutlivesOwners(t *testing.T) {
-	c := &cell{since: at(1), memory: map[string]moment.Moment{}}
+	c := &cell{since: at(1), memory: map[string]monotime.Time{}}
 	place := watch.Place{"k": 0}
 	for i := range 300 {
 		now := 1 + float64(i)
 		if i%70 == 69 { // a new proposer, which knows no times
-			c.since, c.memory = at(now), map[string]moment.Moment{}
+			c.since, c.memory = at(now), map[string]monotime.Time{}
 		}
 		_, d := c.do(at(now), "key/write", key.Args{Value: json.RawMessage(fmt.Sprint(i))})
 		must.Nil(t, d)
@@ -65,19 +65,19 @@
 	must.True(t, r.Cut)
 	_, d = old.Tell("k", r)
 	must.NotNil(t, d)
-	must.Eq(t, defect.Forgotten, d.Kind)
+	must.Eq(t, failure.Forgotten, d.Kind)
 }
 
-// When changes come faster than they may be forgotten, writes are turned away; the
+// When changes come faster than they may be forgotten, writes are rejected; the
 // history is not.
 func TestFullHistoryTurnsWritesAway(t *testing.T) {
-	c := &cell{since: at(1), memory: map[string]moment.Moment{}}
+	c := &cell{since: at(1), memory: map[string]monotime.Time{}}
 	big, _ := json.Marshal(string(make([]byte, 5000)))
 	n := 0
 	for ; n < 1000; n++ {
 		if _, d := c.do(at(2), "key/write", key.Args{Value: big}); d != nil {
-			must.Eq(t, defect.Busy, d.Kind)
-			must.Positive(t, d.Retry)
+			must.Eq(t, failure.Busy, d.Kind)
+			must.Positive(t, d.RetryAfter)
 			break
 		}
 	}
@@ -91,23 +91,23 @@
 
 // Revisions go on over a delete; ifRevision 0 means that the key must not exist.
 func TestRevisionsGoOnOverADelete(t *testing.T) {
-	c := &cell{since: at(1), memory: map[string]moment.Moment{}}
+	c := &cell{since: at(1), memory: map[string]monotime.Time{}}
 	none, three := ident.Revision(0), ident.Revision(3)
 	v := json.RawMessage(`1`)
 	for i, x := range []struct {
 		kind string
 		a    key.Args
-		bad  defect.Kind
+		bad  failure.Kind
 		rev  ident.Revision
 	}{
-		{"key/delete", key.Args{}, defect.Missing, 0},
+		{"key/delete", key.Args{}, failure.Missing, 0},
 		{"key/write", key.Args{Value: v, If: &none}, "", 1},
-		{"key/write", key.Args{Value: v, If: &none}, defect.Conflict, 0},
+		{"key/write", key.Args{Value: v, If: &none}, failure.Conflict, 0},
 		{"key/delete", key.Args{}, "", 2},
-		{"key/write", key.Args{Value: v, If: &three}, defect.Conflict, 0},
+		{"key/write", key.Args{Value: v, If: &three}, failure.Conflict, 0},
 		{"key/write", key.Args{Value: v, If: &none}, "", 3},
 		{"key/delete", key.Args{If: &three}, "", 4},
-		{"key/write", key.Args{}, defect.Invalid, 0},
+		{"key/write", key.Args{}, failure.Invalid, 0},
 	} {
 		r, d := c.do(at(2), x.kind, x.a)
 		if x.bad != "" {
--- a/control/coordination/lock/batch_test.go
+++ b/control/coordination/lock/batch_test.go
@@ -8,16 +8,16 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/register/acceptor"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // one is a proposer with one disk; what it asks is answered when flush is called, so that
-// deeds which come meanwhile share the next round.
+// operations which come meanwhile share the next round.
 type one struct {
 	o    *proposer.Proposer
 	r    *acceptor.Acceptor
@@ -25,8 +25,8 @@
 	ends []proposer.Outcome
 }
 
-func newOne(now moment.Moment) *one {
-	x := &one{o: proposer.New("m", Deeds()), r: acceptor.New("d")}
+func newOne(now monotime.Time) *one {
+	x := &one{o: proposer.New("m", Handlers()), r: acceptor.New("d")}
 	x.take(x.o.SetMembership(now, quorum.Membership{Epoch: 1, Voters: []quorum.Voter{{Disk: "d", Addr: "d:1", Counted: true}}}))
 	return x
 }
@@ -38,7 +38,7 @@
 	x.ends = append(x.ends, fx.Outcomes...)
 }
 
-func (x *one) flush(now moment.Moment) {
+func (x *one) flush(now monotime.Time) {
 	for len(x.asks) > 0 {
 		a := x.asks[0]
 		x.asks = x.asks[1:]
@@ -48,8 +48,8 @@
 	}
 }
 
-func (x *one) send(now moment.Moment, kind string, a Args) {
-	x.take(x.o.Submit(now, proposer.Operation{Key: "lock/l", Kind: kind, Op: ident.Op(fmt.Sprint(now, kind, a)), Args: book.JSON(a)}))
+func (x *one) send(now monotime.Time, kind string, a Args) {
+	x.take(x.o.Submit(now, proposer.Operation{Key: "lock/l", Kind: kind, Op: ident.Op(fmt.Sprint(now, kind, a)), Args: operation.Encode(a)}))
 }
 
 // Claims, renewals and releases of three callers share one round, in every order, after
@@ -76,7 +76,7 @@
 			told := map[string]bool{}
 			for _, e := range x.ends {
 				var g Grant
-				if e.Defect == nil && e.Operation.Kind == "lock/claim" && json.Unmarshal(e.Body, &g) == nil {
+				if e.Failure == nil && e.Operation.Kind == "lock/claim" && json.Unmarshal(e.Body, &g) == nil {
 					told[g.Holder] = true
 				}
 			}
@@ -89,7 +89,7 @@
 // every order of a claim, its release, and another claim by the same caller.
 func TestLateReleaseLetsNothingGo(t *testing.T) {
 	for _, late := range []bool{false, true} {
-		x := &tenure{since: sec(1), memory: map[string]moment.Moment{}}
+		x := &tenure{since: sec(1), memory: map[string]monotime.Time{}}
 		first, d := x.do(sec(1), "lock/claim", Args{Holder: "a", TTL: 5000})
 		must.Nil(t, d)
 		release := func() { _, _ = x.do(sec(1.5), "lock/release", Args{Holder: "a", Fence: first.Fence}) }
@@ -107,17 +107,17 @@
 	}
 }
 
-// A claim that is repeated under its old operation, as after an unknown fate, is a claim
+// A claim that is repeated under its old operation, as after an unknown outcome, is a claim
 // of now: who counts its time from the repeat is not overtaken, in whatever round of its
 // time the repeat comes.
 func TestRepeatedClaimHoldsFromTheRepeat(t *testing.T) {
 	for _, after := range []time.Duration{0, time.Second, 3 * time.Second, 5 * time.Second, 8 * time.Second} {
 		x, now := newOne(sec(1)), sec(1)
-		claim := func(at moment.Moment, who, op string) bool {
+		claim := func(at monotime.Time, who, op string) bool {
 			x.ends = nil
-			x.take(x.o.Submit(at, proposer.Operation{Key: "lock/l", Kind: "lock/claim", Op: ident.Op(op), Args: book.JSON(Args{Holder: who, TTL: 5000})}))
+			x.take(x.o.Submit(at, proposer.Operation{Key: "lock/l", Kind: "lock/claim", Op: ident.Op(op), Args: operation.Encode(Args{Holder: who, TTL: 5000})}))
 			x.flush(at)
-			return x.ends[0].Defect == nil
+			return x.ends[0].Failure == nil
 		}
 		must.True(t, claim(now, "a", "op1"))
 		again := now.Add(after)
--- a/control/coordination/lock/keep_test.go
+++ b/control/coordination/lock/keep_test.go
@@ -6,34 +6,34 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
-func fresh(at float64) *tenure { return &tenure{since: sec(at), memory: map[string]moment.Moment{}} }
+func fresh(at float64) *tenure { return &tenure{since: sec(at), memory: map[string]monotime.Time{}} }
 
 // A claim that keeps gives its holder the very fence with further time, from whatever
 // proposer; once the claim is over it gives a higher one, and so it does to another caller.
 func TestKeptClaimKeepsItsFence(t *testing.T) {
 	for _, moved := range []bool{false, true} {
 		x := fresh(1)
-		keep := func(at float64, who string) (Grant, *defect.Defect) {
+		keep := func(at float64, who string) (Grant, *failure.Error) {
 			return x.do(sec(at), "lock/claim", Args{Holder: who, TTL: 5000, Keep: true})
 		}
 		g, d := keep(1, "a")
 		must.Nil(t, d)
 		must.Eq(t, 1, g.Fence)
 		if moved {
-			x.since, x.memory = sec(3), map[string]moment.Moment{}
+			x.since, x.memory = sec(3), map[string]monotime.Time{}
 		}
 		g, d = keep(4, "a")
 		must.Nil(t, d)
 		must.Eq(t, 1, g.Fence)
 		_, d = keep(8.9, "b") // a counts on it until 9
-		must.Eq(t, defect.Held, d.Kind)
+		must.Eq(t, failure.Held, d.Kind)
 		g, d = keep(10.1, "a")
 		must.Nil(t, d)
 		must.Eq(t, 2, g.Fence)
@@ -81,7 +81,7 @@
 			}
 			end := 11.0
 			if moved {
-				x.since, x.memory = sec(4), map[string]moment.Moment{}
+				x.since, x.memory = sec(4), map[string]monotime.Time{}
 				end = 14
 			}
 			_, d = x.do(sec(end-0.1), "lock/claim", Args{Holder: "b", TTL: 1000})
@@ -98,7 +98,7 @@
 	}
 }
 
-// A release is a read of the grant and a deed that names it. In every order of the two and
+// A release is a read of the grant and an operation that names it. In every order of the two and
 // of its caller's next claim, under the same fence: if the release was begun before the
 // claim, the claim stands.
 func TestReleaseOfAnEarlierGrantLetsNothingGo(t *testing.T) {
@@ -131,7 +131,7 @@
 	}
 }
 
-// A deed whose time is over is not begun: a release that waits behind a round until its
+// A operation whose time is over is not begun: a release that waits behind a round until its
 // caller has moved on lets nothing go, and says that it did nothing.
 func TestDeedIsNotBegunAfterItsTime(t *testing.T) {
 	for _, late := range []time.Duration{0, 899 * time.Millisecond, 901 * time.Millisecond, 1100 * time.Millisecond} {
@@ -140,7 +140,7 @@
 		x.flush(now)
 		x.ends = nil
 		x.send(now, "lock/read", Args{}) // this round is out while the release waits
-		x.take(x.o.Submit(now, proposer.Operation{Key: "lock/l", Kind: "lock/release", Op: ident.Op("op"), Deadline: now.Add(900 * time.Millisecond), Args: book.JSON(Args{Holder: "a", Fence: 1})}))
+		x.take(x.o.Submit(now, proposer.Operation{Key: "lock/l", Kind: "lock/release", Op: ident.Op("op"), Deadline: now.Add(900 * time.Millisecond), Args: operation.Encode(Args{Holder: "a", Fence: 1})}))
 		x.flush(now.Add(late))
 		must.Len(t, 2, x.ends)
 		begun := late < 900*time.Millisecond
@@ -149,6 +149,6 @@
 		x.ends = nil
 		x.send(now.Add(1200*time.Millisecond), "lock/claim", Args{Holder: "b", TTL: 5000})
 		x.flush(now.Add(1200 * time.Millisecond))
-		must.Eq(t, begun, x.ends[0].Defect == nil, must.Sprint(late))
+		must.Eq(t, begun, x.ends[0].Failure == nil, must.Sprint(late))
 	}
 }
--- a/control/coordination/lock/lock.go
+++ b/control/coordination/lock/lock.go
@@ -5,10 +5,10 @@
 	"encoding/json"
 	"time"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/failure"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 const (
@@ -44,7 +44,7 @@
 	Grants uint64 `json:"grants,omitempty"`
 }
 
-// Args are those of every lock deed.
+// Args are those of every lock operation.
 type Args struct {
 	Holder string `json:"holder"`
 	Fence  uint64 `json:"fence,omitempty"`
@@ -56,7 +56,7 @@
 	Grant uint64 `json:"grant,omitempty"`
 }
 
-// Grant is the return to a holder.
+// Grant is the response to a holder.
 type Grant struct {
 	Holder string `json:"holder"`
 	Fence  uint64 `json:"fence"`
@@ -65,151 +65,151 @@
 	Grant  uint64 `json:"grant,omitempty"` // told by a read alone
 }
 
-// Deeds are the handlers.
-func Deeds() book.Book {
-	return book.Book{"lock/claim": claim, "lock/renew": renew, "lock/release": release, "lock/pass": pass, "lock/read": read}
+// Handlers are the handlers.
+func Handlers() operation.Table {
+	return operation.Table{"lock/claim": claim, "lock/renew": renew, "lock/release": release, "lock/pass": pass, "lock/read": read}
 }
 
-func (l Lock) over(turn proposer.Context) bool {
+func (l Lock) over(context proposer.Context) bool {
 	if l.Holder == "" {
 		return true
 	}
-	return ran(turn, mark, l.TTL) && (l.Long == 0 || ran(turn, past, l.Long))
+	return ran(context, mark, l.TTL) && (l.Long == 0 || ran(context, past, l.Long))
 }
 
 // ran tells whether a time that was given at a time of this term, or at its beginning at
 // the latest, is over with its slack.
-func ran(turn proposer.Context, at string, ttl int64) bool {
+func ran(context proposer.Context, at string, ttl int64) bool {
 	span := time.Duration(ttl) * time.Millisecond
-	return turn.Now.Since(given(turn, at)) > span+min(max(slackMin, span/10), slackMax)
+	return context.Now.Since(given(context, at)) > span+min(max(slackMin, span/10), slackMax)
 }
 
-func given(turn proposer.Context, at string) moment.Moment {
-	from, ok := turn.TermMemory[at]
-	if !ok || turn.TermBegan.After(from) {
-		return turn.TermBegan
+func given(context proposer.Context, at string) monotime.Time {
+	from, ok := context.TermMemory[at]
+	if !ok || context.TermBegan.After(from) {
+		return context.TermBegan
 	}
 	return from
 }
 
 // extend gives the fence ttl from now on and tells whether the state changed by it.
-func (l *Lock) extend(turn proposer.Context, ttl int64) bool {
+func (l *Lock) extend(context proposer.Context, ttl int64) bool {
 	was := *l
-	end := func(at string, ttl int64) moment.Moment {
-		return given(turn, at).Add(time.Duration(ttl) * time.Millisecond)
+	end := func(at string, ttl int64) monotime.Time {
+		return given(context, at).Add(time.Duration(ttl) * time.Millisecond)
 	}
-	fresh := turn.Now.Add(time.Duration(ttl) * time.Millisecond)
+	fresh := context.Now.Add(time.Duration(ttl) * time.Millisecond)
 	if l.Long > 0 && end(past, l.Long) <= end(mark, l.TTL) {
 		l.Long = 0
 	}
 	if l.Long == 0 && end(mark, l.TTL) > fresh {
 		l.Long = l.TTL
-		turn.TermMemory[past] = given(turn, mark)
+		context.TermMemory[past] = given(context, mark)
 	}
 	if l.Long > 0 && end(past, l.Long) <= fresh {
 		l.Long = 0
 	}
 	l.TTL = ttl
-	turn.Remember(mark)
+	context.Remember(mark)
 	return *l != was
 }
 
 func (l Lock) grant() json.RawMessage {
-	return book.JSON(Grant{Holder: l.Holder, Fence: l.Fence, TTL: l.TTL, Held: l.Holder != ""})
+	return operation.Encode(Grant{Holder: l.Holder, Fence: l.Fence, TTL: l.TTL, Held: l.Holder != ""})
 }
 
 func proper(ttl int64) bool { return ttl >= ttlMin && ttl <= ttlMax }
 
-func claim(turn proposer.Context, state, args json.RawMessage) book.Entry {
+func claim(context proposer.Context, state, args json.RawMessage) operation.Result {
 	var l Lock
 	var a Args
-	if d := book.Read(state, args, &l, &a); d != nil {
-		return book.Turned(d)
+	if d := operation.Decode(state, args, &l, &a); d != nil {
+		return operation.Rejected(d)
 	}
 	if a.Holder == "" || !proper(a.TTL) {
-		return book.Turned(defect.New(defect.Invalid, "a claim needs a holder and ttlMs from %d to %d", ttlMin, ttlMax))
+		return operation.Rejected(failure.New(failure.Invalid, "a claim needs a holder and ttlMs from %d to %d", ttlMin, ttlMax))
 	}
-	over := l.over(turn)
+	over := l.over(context)
 	if !over && l.Holder != a.Holder {
-		d := defect.New(defect.Held, "held by %q", l.Holder)
-		return book.Turned(d.Later(1))
+		d := failure.New(failure.Held, "held by %q", l.Holder)
+		return operation.Rejected(d.Later(1))
 	}
 	l.Grants++
 	if !over && a.Keep {
-		l.extend(turn, a.TTL)
-		return book.Entry{State: book.JSON(l), Body: l.grant()}
+		l.extend(context, a.TTL)
+		return operation.Result{State: operation.Encode(l), Body: l.grant()}
 	}
 	l.Holder, l.TTL, l.Long = a.Holder, a.TTL, 0
 	l.Fence++
-	turn.Remember(mark)
-	return book.Entry{State: book.JSON(l), Body: l.grant()}
+	context.Remember(mark)
+	return operation.Result{State: operation.Encode(l), Body: l.grant()}
 }
 
-// mine checks that the deed comes from the holder.
-func mine(state, args json.RawMessage) (l Lock, a Args, d *defect.Defect) {
-	if d = book.Read(state, args, &l, &a); d != nil {
+// mine checks that the operation comes from the holder.
+func mine(state, args json.RawMessage) (l Lock, a Args, d *failure.Error) {
+	if d = operation.Decode(state, args, &l, &a); d != nil {
 		return
 	}
 	if l.Holder == "" || l.Holder != a.Holder || l.Fence != a.Fence {
-		d = defect.New(defect.NotHolder, "holder %q fence %d does not hold it", a.Holder, a.Fence)
+		d = failure.New(failure.NotHolder, "holder %q fence %d does not hold it", a.Holder, a.Fence)
 	}
 	return
 }
 
 // renew gives the fence its time again from now on, or another time when it names one.
 // It costs no disk unless the time is another.
-func renew(turn proposer.Context, state, args json.RawMessage) book.Entry {
+func renew(context proposer.Context, state, args json.RawMessage) operation.Result {
 	l, a, d := mine(state, args)
 	if d != nil {
-		return book.Turned(d)
+		return operation.Rejected(d)
 	}
 	if a.TTL == 0 {
 		a.TTL = l.TTL
 	}
 	if !proper(a.TTL) {
-		return book.Turned(defect.New(defect.Invalid, "a renewal's ttlMs is from %d to %d", ttlMin, ttlMax))
+		return operation.Rejected(failure.New(failure.Invalid, "a renewal's ttlMs is from %d to %d", ttlMin, ttlMax))
 	}
-	if l.extend(turn, a.TTL) {
-		return book.Entry{State: book.JSON(l), Body: l.grant()}
+	if l.extend(context, a.TTL) {
+		return operation.Result{State: operation.Encode(l), Body: l.grant()}
 	}
-	return book.Entry{Body: l.grant()}
+	return operation.Result{Body: l.grant()}
 }
 
-func release(_ proposer.Context, state, args json.RawMessage) book.Entry {
+func release(_ proposer.Context, state, args json.RawMessage) operation.Result {
 	l, a, d := mine(state, args)
 	if d != nil {
-		return book.Turned(d)
+		return operation.Rejected(d)
 	}
 	if a.Grant != 0 && a.Grant != l.Grants {
-		return book.Turned(defect.New(defect.NotHolder, "grant %d was followed by %d", a.Grant, l.Grants))
+		return operation.Rejected(failure.New(failure.NotHolder, "grant %d was followed by %d", a.Grant, l.Grants))
 	}
 	l.Holder = ""
-	return book.Entry{State: book.JSON(l), Body: l.grant()}
+	return operation.Result{State: operation.Encode(l), Body: l.grant()}
 }
 
 // pass names the successor, as a duty's holder does when it can.
-func pass(turn proposer.Context, state, args json.RawMessage) book.Entry {
+func pass(context proposer.Context, state, args json.RawMessage) operation.Result {
 	l, a, d := mine(state, args)
 	if d != nil {
-		return book.Turned(d)
+		return operation.Rejected(d)
 	}
 	if a.To == "" {
-		return book.Turned(defect.New(defect.Invalid, "a pass needs a successor"))
+		return operation.Rejected(failure.New(failure.Invalid, "a pass needs a successor"))
 	}
 	l.Holder, l.Fence, l.Long = a.To, l.Fence+1, 0
 	l.Grants++
-	turn.Remember(mark)
-	return book.Entry{State: book.JSON(l), Body: l.grant()}
+	context.Remember(mark)
+	return operation.Result{State: operation.Encode(l), Body: l.grant()}
 }
 
-func read(turn proposer.Context, state, args json.RawMessage) book.Entry {
+func read(context proposer.Context, state, args json.RawMessage) operation.Result {
 	var l Lock
 	var a Args
-	if d := book.Read(state, args, &l, &a); d != nil {
-		return book.Turned(d)
+	if d := operation.Decode(state, args, &l, &a); d != nil {
+		return operation.Rejected(d)
 	}
-	if l.over(turn) {
+	if l.over(context) {
 		l.Holder, l.TTL, l.Long = "", 0, 0
 	}
-	return book.Entry{Body: book.JSON(Grant{Holder: l.Holder, Fence: l.Fence, TTL: l.TTL, Held: l.Holder != "", Grant: l.Grants})}
+	return operation.Result{Body: operation.Encode(Grant{Holder: l.Holder, Fence: l.Fence, TTL: l.TTL, Held: l.Holder != "", Grant: l.Grants})}
 }
--- a/control/coordination/number/number.go
+++ b/control/coordination/number/number.go
@@ -4,9 +4,9 @@
 import (
 	"encoding/json"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 // Number is the state. Invariant: N only rises; a number handed out is never
@@ -19,29 +19,29 @@
 	By uint64 `json:"by,omitempty"`
 }
 
-// Deeds are the handlers.
-func Deeds() book.Book {
-	return book.Book{"number/next": next, "number/read": read}
+// Handlers are the handlers.
+func Handlers() operation.Table {
+	return operation.Table{"number/next": next, "number/read": read}
 }
 
-func next(_ proposer.Context, state, raw json.RawMessage) book.Entry {
+func next(_ proposer.Context, state, raw json.RawMessage) operation.Result {
 	var n Number
 	a := args{By: 1}
-	if d := book.Read(state, raw, &n, &a); d != nil {
-		return book.Turned(d)
+	if d := operation.Decode(state, raw, &n, &a); d != nil {
+		return operation.Rejected(d)
 	}
 	if a.By == 0 || a.By > 1<<32 || n.N+a.By < n.N {
-		return book.Turned(defect.New(defect.Invalid, "by must be from 1 to 2^32"))
+		return operation.Rejected(failure.New(failure.Invalid, "by must be from 1 to 2^32"))
 	}
 	n.N += a.By
-	return book.Entry{State: book.JSON(n), Body: book.JSON(n)}
+	return operation.Result{State: operation.Encode(n), Body: operation.Encode(n)}
 }
 
-func read(_ proposer.Context, state, raw json.RawMessage) book.Entry {
+func read(_ proposer.Context, state, raw json.RawMessage) operation.Result {
 	var n Number
 	var a args
-	if d := book.Read(state, raw, &n, &a); d != nil {
-		return book.Turned(d)
+	if d := operation.Decode(state, raw, &n, &a); d != nil {
+		return operation.Rejected(d)
 	}
-	return book.Entry{Body: book.JSON(n)}
+	return operation.Result{Body: operation.Encode(n)}
 }
--- a/control/coordination/book/book_test.go
+++ b/control/coordination/operation/operation_test.go
@@ -1,4 +1,4 @@
-package book_test
+package operation_test
 
 import (
 	"encoding/json"
@@ -7,14 +7,14 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/number"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
 // A repeated operation acts once and a loose one again, of which nothing is stored; with
-// and without the form kept from the turn before, the same is stored and said.
+// and without the form kept from the operation before, the same is stored and said.
 func TestRepeats(t *testing.T) {
 	for _, keep := range []bool{false, true} {
 		var value json.RawMessage
@@ -24,8 +24,8 @@
 			loose bool
 			want  string
 		}{{"a", false, "1"}, {"a", false, "1"}, {"b", true, "2"}, {"b", true, "3"}, {"a", false, "1"}, {"c", false, "4"}, {"c", false, "4"}} {
-			v := number.Deeds().Apply(proposer.Context{Decoded: kept}, value, proposer.Operation{Op: x.op, Kind: "number/next", Repeatable: x.loose})
-			must.Nil(t, v.Defect)
+			v := number.Handlers().Apply(proposer.Context{Decoded: kept}, value, proposer.Operation{Op: x.op, Kind: "number/next", Repeatable: x.loose})
+			must.Nil(t, v.Failure)
 			must.Eq(t, `{"number":`+x.want+`}`, string(v.Body), must.Sprint(i))
 			if v.Changed {
 				value = v.Value
@@ -34,7 +34,7 @@
 				kept = v.Decoded
 			}
 		}
-		must.Eq(t, `{"number":4}`, string(book.State(value)))
+		must.Eq(t, `{"number":4}`, string(operation.State(value)))
 		must.False(t, strings.Contains(string(value), `"b"`))
 		must.True(t, json.Valid(value))
 	}
--- a/control/coordination/share/enter.go
+++ b/control/coordination/share/enter.go
@@ -3,16 +3,16 @@
 import (
 	"encoding/json"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
 const (
 	// Key is the key that holds the shares and the claims.
 	Key ident.Key = "share"
-	// EnterKind is the deed that gives a batch of nodes their claims and shares at once.
+	// EnterKind is the operation that gives a batch of nodes their claims and shares at once.
 	EnterKind = "share/enter"
 	// EnterMost bounds the nodes of one batch.
 	EnterMost = 256
@@ -50,14 +50,14 @@
 
 // enter gives each node of a batch a claim above every one that was given before, and its
 // share. The claims are noted first, so that the fair share is that of all of them.
-func enter(_ proposer.Context, state, raw json.RawMessage) book.Entry {
+func enter(_ proposer.Context, state, raw json.RawMessage) operation.Result {
 	var s Shares
 	var a EnterArgs
-	if d := book.Read(state, raw, &s, &a); d != nil {
-		return book.Turned(d)
+	if d := operation.Decode(state, raw, &s, &a); d != nil {
+		return operation.Rejected(d)
 	}
 	if d := a.check(); d != nil {
-		return book.Turned(d)
+		return operation.Rejected(d)
 	}
 	if s.Nodes == nil {
 		s.Nodes = map[ident.Node]Grant{}
@@ -73,23 +73,23 @@
 		told := s.grant(e.Node)
 		out[i] = Entered{Claim: s.Nodes[e.Node].Claim, Share: told}
 	}
-	return book.Entry{State: book.JSON(s), Body: book.JSON(out)}
+	return operation.Result{State: operation.Encode(s), Body: operation.Encode(out)}
 }
 
 // check tells what is wrong with a batch.
-func (a EnterArgs) check() *defect.Defect {
+func (a EnterArgs) check() *failure.Error {
 	if len(a.Nodes) == 0 || len(a.Nodes) > EnterMost {
-		return defect.New(defect.Invalid, "a batch has from 1 to %d nodes", EnterMost)
+		return failure.New(failure.Invalid, "a batch has from 1 to %d nodes", EnterMost)
 	}
 	seen := map[ident.Node]bool{}
 	for _, e := range a.Nodes {
 		switch {
 		case e.Node == "":
-			return defect.New(defect.Invalid, "a join needs a node")
+			return failure.New(failure.Invalid, "a join needs a node")
 		case len(e.Run) > RunMost:
-			return defect.New(defect.Invalid, "the mark of a run has at most %d bytes", RunMost)
+			return failure.New(failure.Invalid, "the mark of a run has at most %d bytes", RunMost)
 		case seen[e.Node]:
-			return defect.New(defect.Invalid, "node %q is twice in a batch", e.Node)
+			return failure.New(failure.Invalid, "node %q is twice in a batch", e.Node)
 		}
 		seen[e.Node] = true
 	}
--- a/control/coordination/share/enter_test.go
+++ b/control/coordination/share/enter_test.go
@@ -8,14 +8,14 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
 func (d *desk) enter(all ...Entrant) []Entered {
-	v := Deeds().Apply(proposer.Context{}, d.value, proposer.Operation{Op: "same", Kind: EnterKind, Args: book.JSON(EnterArgs{all})})
-	must.Nil(d.t, v.Defect)
+	v := Handlers().Apply(proposer.Context{}, d.value, proposer.Operation{Op: "same", Kind: EnterKind, Args: operation.Encode(EnterArgs{all})})
+	must.Nil(d.t, v.Failure)
 	d.value = v.Value
 	var out []Entered
 	must.NoError(d.t, json.Unmarshal(v.Body, &out))
@@ -35,7 +35,7 @@
 	must.Eq(t, claimsFrom+4, d.enter(Entrant{Node: "b"}, Entrant{Node: "a"})[1].Claim)
 	s, _ := d.shares()
 	s.Claims = 0
-	d.value = book.JSON(book.Page{State: book.JSON(s)})
+	d.value = operation.Encode(operation.Value{State: operation.Encode(s)})
 	must.Eq(t, claimsFrom+5, d.enter(Entrant{Node: "c"})[0].Claim)
 	must.Eq(t, 5000001+claimsFrom, d.enter(Entrant{Node: "d", Above: claimsFrom + 5000000})[0].Claim)
 	must.Eq(t, 5000002+claimsFrom, d.enter(Entrant{Node: "d", Above: 1<<64 - 1})[0].Claim)
@@ -54,9 +54,9 @@
 	must.Less(t, d.enter(Entrant{Node: "a", Run: "one", Above: claim + 5})[0].Claim, claim+5)
 	two := d.enter(Entrant{Node: "a", Run: "two"})[0].Claim
 	must.Less(t, d.enter(one)[0].Claim, two)
-	var page book.Page
+	var page operation.Value
 	must.NoError(t, json.Unmarshal(d.value, &page))
-	must.Len(t, 0, page.Ops)
+	must.Len(t, 0, page.Past)
 }
 
 // Nodes of a cold start are granted the fair share of all of them, not the first of them
@@ -122,8 +122,8 @@
 // What is no batch is refused and changes nothing.
 func TestWrongBatchesAreRefused(t *testing.T) {
 	for _, a := range []EnterArgs{{}, {[]Entrant{{}}}, {[]Entrant{{Node: "a"}, {Node: "a"}}}, {make([]Entrant, EnterMost+1)}, {[]Entrant{{Node: "a", Run: string(make([]byte, RunMost+1))}}}} {
-		v := Deeds().Apply(proposer.Context{}, nil, proposer.Operation{Kind: EnterKind, Args: book.JSON(a)})
-		must.NotNil(t, v.Defect)
+		v := Handlers().Apply(proposer.Context{}, nil, proposer.Operation{Kind: EnterKind, Args: operation.Encode(a)})
+		must.NotNil(t, v.Failure)
 		must.False(t, v.Changed)
 	}
 }
--- a/control/coordination/share/share.go
+++ b/control/coordination/share/share.go
@@ -5,9 +5,9 @@
 import (
 	"encoding/json"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -65,7 +65,7 @@
 	Claims ident.Epoch          `json:"claims,omitempty"`
 }
 
-// Args are those of all deeds. Using, when given, promises that the node has spent at
+// Args are those of all operations. Using, when given, promises that the node has spent at
 // most that much of its share in the last window and will until it is told more.
 type Args struct {
 	Node  ident.Node  `json:"node"`
@@ -77,7 +77,7 @@
 	Total int `json:"total,omitempty"`
 }
 
-// Under gives the same deed under the smaller of its own total and a core's.
+// Under gives the same operation under the smaller of its own total and a core's.
 func (a Args) Under(total int) Args {
 	if total != 0 && (a.Total == 0 || total < a.Total) {
 		a.Total = total
@@ -85,7 +85,7 @@
 	return a
 }
 
-// Told is the return of a take.
+// Told is the response to a take.
 type Told struct {
 	N    int    `json:"n"`
 	Fair int    `json:"fair"`
@@ -94,13 +94,13 @@
 	Total int `json:"total,omitempty"`
 }
 
-// Deeds are the handlers.
-func Deeds() book.Book {
-	return book.Book{"share/take": take, EnterKind: enter, "share/free": free, "share/read": read}
+// Handlers are the handlers.
+func Handlers() operation.Table {
+	return operation.Table{"share/take": take, EnterKind: enter, "share/free": free, "share/read": read}
 }
 
-func load(state, raw json.RawMessage) (s Shares, a Args, d *defect.Defect) {
-	d = book.Read(state, raw, &s, &a)
+func load(state, raw json.RawMessage) (s Shares, a Args, d *failure.Error) {
+	d = operation.Decode(state, raw, &s, &a)
 	if s.Nodes == nil {
 		s.Nodes = map[ident.Node]Grant{}
 	}
@@ -118,25 +118,25 @@
 	return least
 }
 
-func take(_ proposer.Context, state, raw json.RawMessage) book.Entry {
+func take(_ proposer.Context, state, raw json.RawMessage) operation.Result {
 	s, a, d := load(state, raw)
 	if d != nil {
-		return book.Turned(d)
+		return operation.Rejected(d)
 	}
 	g, known := s.Nodes[a.Node]
 	if known && g.Claim > a.Claim {
-		return book.Turned(defect.New(defect.Conflict, "claim %d is newer", g.Claim))
+		return operation.Rejected(failure.New(failure.Conflict, "claim %d is newer", g.Claim))
 	}
 	if g.Claim == a.Claim && a.Seq <= g.Seq && known {
 		of := s.total()
-		return book.Entry{Body: book.JSON(Told{N: g.N, Fair: Fair(of, len(s.Nodes)), Seq: g.Seq, Total: of})}
+		return operation.Result{Body: operation.Encode(Told{N: g.N, Fair: Fair(of, len(s.Nodes)), Seq: g.Seq, Total: of})}
 	}
 	s.note(a)
-	body := book.JSON(s.grant(a.Node))
+	body := operation.Encode(s.grant(a.Node))
 	if known && g == s.Nodes[a.Node] {
-		return book.Entry{Body: body}
+		return operation.Result{Body: body}
 	}
-	return book.Entry{State: book.JSON(s), Body: body}
+	return operation.Result{State: operation.Encode(s), Body: body}
 }
 
 // note writes down the claim, the total and the promise of a node; it gives nothing.
@@ -172,22 +172,22 @@
 
 // free takes a share back. The caller must know from a majority that the node has
 // been silent for longer than a share outlives its last renewal.
-func free(_ proposer.Context, state, raw json.RawMessage) book.Entry {
+func free(_ proposer.Context, state, raw json.RawMessage) operation.Result {
 	s, a, d := load(state, raw)
 	if d != nil {
-		return book.Turned(d)
+		return operation.Rejected(d)
 	}
 	if g, ok := s.Nodes[a.Node]; !ok || g.Claim != a.Claim {
-		return book.Turned(defect.New(defect.Missing, "no such share"))
+		return operation.Rejected(failure.New(failure.Missing, "no such share"))
 	}
 	delete(s.Nodes, a.Node)
-	return book.Entry{State: book.JSON(s), Body: book.JSON(s)}
+	return operation.Result{State: operation.Encode(s), Body: operation.Encode(s)}
 }
 
-func read(_ proposer.Context, state, raw json.RawMessage) book.Entry {
+func read(_ proposer.Context, state, raw json.RawMessage) operation.Result {
 	s, _, d := load(state, raw)
 	if d != nil {
-		return book.Turned(d)
+		return operation.Rejected(d)
 	}
-	return book.Entry{Body: book.JSON(s)}
+	return operation.Result{Body: operation.Encode(s)}
 }
--- a/control/coordination/share/share_test.go
+++ b/control/coordination/share/share_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
@@ -19,18 +19,18 @@
 }
 
 func (d *desk) do(kind string, a Args) (told Told) {
-	v := Deeds().Apply(proposer.Context{}, d.value, proposer.Operation{Kind: kind, Args: book.JSON(a)})
+	v := Handlers().Apply(proposer.Context{}, d.value, proposer.Operation{Kind: kind, Args: operation.Encode(a)})
 	if v.Changed {
 		d.value = v.Value
 	}
-	if kind == "share/take" && v.Defect == nil {
+	if kind == "share/take" && v.Failure == nil {
 		must.NoError(d.t, json.Unmarshal(v.Body, &told))
 	}
 	return told
 }
 
 func (d *desk) shares() (s Shares, sum int) {
-	must.NoError(d.t, json.Unmarshal(book.State(d.value), &s))
+	must.NoError(d.t, json.Unmarshal(operation.State(d.value), &s))
 	for _, g := range s.Nodes {
 		sum += g.N
 	}
--- a/control/coordination/watch/watch.go
+++ b/control/coordination/watch/watch.go
@@ -7,7 +7,7 @@
 	"slices"
 
 	"cottonarch.example/cottonarch/control/coordination/key"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -26,7 +26,7 @@
 }
 
 // Decode reads the opaque form.
-func Decode(s string) (Place, *defect.Defect) {
+func Decode(s string) (Place, *failure.Error) {
 	p := Place{}
 	if s == "" {
 		return p, nil
@@ -36,7 +36,7 @@
 		err = json.Unmarshal(raw, &p)
 	}
 	if err != nil {
-		return nil, defect.New(defect.Malformed, "that is not a place of ours")
+		return nil, failure.New(failure.Malformed, "that is not a place of ours")
 	}
 	return p, nil
 }
@@ -59,12 +59,12 @@
 	return out
 }
 
-// Tell makes events of a reading and moves the place on. A Forgotten defect says
+// Tell makes events of a reading and moves the place on. A Forgotten failure says
 // that changes were missed; the history is kept so that this takes over a minute.
-func (p Place) Tell(k ident.Key, r key.Reading) ([]Event, *defect.Defect) {
+func (p Place) Tell(k ident.Key, r key.Reading) ([]Event, *failure.Error) {
 	if r.Cut {
 		if _, known := p[k]; known {
-			return nil, defect.New(defect.Forgotten, "changes of %s after revision %d are forgotten", k, p[k])
+			return nil, failure.New(failure.Forgotten, "changes of %s after revision %d are forgotten", k, p[k])
 		}
 	}
 	var out []Event
--- a/control/core/admission/admission.go
+++ b/control/core/admission/admission.go
@@ -7,9 +7,9 @@
 	"slices"
 	"time"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 const (
@@ -34,19 +34,19 @@
 
 // Refusal ends one waiting join.
 type Refusal struct {
-	Ticket uint64
-	Defect *defect.Defect
+	Ticket  uint64
+	Failure *failure.Error
 }
 
 // waiter is one caller that waits for a join, at most until its deadline.
 type waiter struct {
 	ticket uint64
-	until  moment.Moment
+	until  monotime.Time
 }
 
 type join struct {
 	Request
-	came    moment.Moment
+	came    monotime.Time
 	waiters []waiter
 }
 
@@ -55,7 +55,7 @@
 type Queue struct {
 	waiting []*join
 	out     []*join
-	began   moment.Moment
+	began   monotime.Time
 	span    time.Duration // of the last batch
 }
 
@@ -66,7 +66,7 @@
 func (q *Queue) Out() bool { return len(q.out) > 0 }
 
 // Add queues a join until a deadline, or tells why it is refused.
-func (q *Queue) Add(now moment.Moment, ticket uint64, r Request, until moment.Moment) *defect.Defect {
+func (q *Queue) Add(now monotime.Time, ticket uint64, r Request, until monotime.Time) *failure.Error {
 	w := waiter{ticket, until}
 	if j := q.find(r); j != nil {
 		j.waiters = append(j.waiters, w)
@@ -95,7 +95,7 @@
 }
 
 // Begin takes the next batch out; it has none while one is out.
-func (q *Queue) Begin(now moment.Moment) []Request {
+func (q *Queue) Begin(now monotime.Time) []Request {
 	if len(q.out) > 0 {
 		return nil
 	}
@@ -116,7 +116,7 @@
 
 // End ends the batch that is out; one that went well shows how long a batch takes. It gives
 // the tickets that wait for each of its joins, in the order of the batch.
-func (q *Queue) End(now moment.Moment, well bool) [][]uint64 {
+func (q *Queue) End(now monotime.Time, well bool) [][]uint64 {
 	out := make([][]uint64, len(q.out))
 	for i, j := range q.out {
 		for _, w := range j.waiters {
@@ -132,22 +132,22 @@
 
 // Expire refuses the joins whose deadline is over. One whose batch is out may yet be
 // granted.
-func (q *Queue) Expire(now moment.Moment) []Refusal {
+func (q *Queue) Expire(now monotime.Time) []Refusal {
 	var all []Refusal
 	for _, j := range q.waiting {
 		all = append(all, q.expire(now, j, q.busy(j.Request, "its time was over before its batch began"))...)
 	}
 	q.waiting = slices.DeleteFunc(q.waiting, func(j *join) bool { return len(j.waiters) == 0 })
 	for _, j := range q.out {
-		late := defect.Unsure(defect.Unknown, "the batch did not end in time")
-		late.Retry = q.busy(j.Request, "").Retry
+		late := failure.Unsure(failure.UnknownOutcome, "the batch did not end in time")
+		late.RetryAfter = q.busy(j.Request, "").RetryAfter
 		all = append(all, q.expire(now, j, late)...)
 	}
 	return all
 }
 
 // expire takes the waiters out whose time is over.
-func (q *Queue) expire(now moment.Moment, j *join, d *defect.Defect) (all []Refusal) {
+func (q *Queue) expire(now monotime.Time, j *join, d *failure.Error) (all []Refusal) {
 	j.waiters = slices.DeleteFunc(j.waiters, func(w waiter) bool {
 		if !now.After(w.until) {
 			return false
@@ -159,13 +159,13 @@
 }
 
 // Refuse refuses those that wait, are in no batch and came no later than a moment.
-func (q *Queue) Refuse(came moment.Moment, kind defect.Kind, why string) []Refusal {
+func (q *Queue) Refuse(came monotime.Time, kind failure.Kind, why string) []Refusal {
 	var all []Refusal
 	q.waiting = slices.DeleteFunc(q.waiting, func(j *join) bool {
 		if j.came.After(came) {
 			return false
 		}
-		d := defect.New(kind, "%s", why).Later(q.RetryAfter(j.Request).Seconds())
+		d := failure.New(kind, "%s", why).Later(q.RetryAfter(j.Request).Seconds())
 		for _, w := range j.waiters {
 			all = append(all, Refusal{w.ticket, d})
 		}
@@ -174,8 +174,8 @@
 	return all
 }
 
-func (q *Queue) busy(r Request, form string, args ...any) *defect.Defect {
-	return defect.New(defect.Busy, form, args...).Later(q.RetryAfter(r).Seconds())
+func (q *Queue) busy(r Request, form string, args ...any) *failure.Error {
+	return failure.New(failure.Busy, form, args...).Later(q.RetryAfter(r).Seconds())
 }
 
 // RetryAfter is when a refused join may come back: once the batches before it have ended,
--- a/control/core/admission/admission_test.go
+++ b/control/core/admission/admission_test.go
@@ -7,12 +7,12 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
-const start = moment.Moment(time.Second)
+const start = monotime.Time(time.Second)
 
 func request(n int) Request {
 	return Request{Node: ident.Node(fmt.Sprint("node-", n)), Run: "run"}
@@ -63,9 +63,9 @@
 	for n := range 100 {
 		d := q.Add(start, uint64(QueueMost+n), request(QueueMost+n), start.Add(time.Second))
 		must.NotNil(t, d)
-		must.Eq(t, defect.Busy, d.Kind)
-		must.Positive(t, d.Retry)
-		waits[d.Retry] = true
+		must.Eq(t, failure.Busy, d.Kind)
+		must.Positive(t, d.RetryAfter)
+		waits[d.RetryAfter] = true
 	}
 	must.Greater(t, 80, len(waits))
 	must.Greater(t, early, q.RetryAfter(request(-1)))
@@ -86,14 +86,14 @@
 	must.Nil(t, q.Add(start, 3, request(3), soon))
 	must.Nil(t, q.Add(start, 4, request(4), later))
 	must.Len(t, 0, q.Expire(soon))
-	got := map[uint64]defect.Fate{}
+	got := map[uint64]failure.Outcome{}
 	for _, r := range q.Expire(soon.Add(time.Millisecond)) {
-		must.Positive(t, r.Defect.Retry)
-		got[r.Ticket] = r.Defect.Fate
+		must.Positive(t, r.Failure.RetryAfter)
+		got[r.Ticket] = r.Failure.Outcome
 	}
-	must.Eq(t, map[uint64]defect.Fate{1: defect.FateUnknown, 3: defect.FateNo}, got)
-	must.Len(t, 0, q.Refuse(start-1, defect.Stopping, "the core stops"))
-	refused := q.Refuse(start, defect.Stopping, "the core stops")
+	must.Eq(t, map[uint64]failure.Outcome{1: failure.OutcomeUnknown, 3: failure.NotExecuted}, got)
+	must.Len(t, 0, q.Refuse(start-1, failure.Stopping, "the core stops"))
+	refused := q.Refuse(start, failure.Stopping, "the core stops")
 	must.Len(t, 1, refused)
 	must.Eq(t, 4, refused[0].Ticket)
 	must.Eq(t, [][]uint64{nil, {2}}, q.End(soon, true))
--- a/control/core/membership/cluster_test.go
+++ b/control/core/membership/cluster_test.go
@@ -18,7 +18,7 @@
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/storage/ring"
 )
 
@@ -38,20 +38,20 @@
 	addr    ident.Addr
 	node    *node.Node
 	up      bool
-	back    moment.Moment // when the machine was last there again
-	started moment.Moment
+	back    monotime.Time // when the machine was last there again
+	started monotime.Time
 	run     int
 	synced  map[string]ring.Record
 	holds   map[ident.Key]ident.Revision // of what is synced
 	roster  acceptor.State               // as synced
 	queue   []node.Effects               // not synced yet
 	syncing []node.Effects
-	syncAt  moment.Moment
+	syncAt  monotime.Time
 	slow    time.Duration // a sync's
 }
 
 type parcel struct {
-	at moment.Moment
+	at monotime.Time
 	to ident.Addr
 	m  message.Message
 }
@@ -61,7 +61,7 @@
 // whether what may still be lost could be lost: see spare.
 type cluster struct {
 	t        *testing.T
-	now      moment.Moment
+	now      monotime.Time
 	members  map[ident.Addr]*member
 	sorted   []*member // by address
 	canLose  int
@@ -90,7 +90,7 @@
 // newCluster gives so many members, the first three or five of them voters whose disks hold
 // so many cells; the others have just come.
 func newCluster(t *testing.T, members, slots, canLose, cells int) *cluster {
-	c := &cluster{t: t, now: moment.Moment(time.Second), members: map[ident.Addr]*member{}, canLose: canLose, voters: max(5, 2*canLose+1),
+	c := &cluster{t: t, now: monotime.Time(time.Second), members: map[ident.Addr]*member{}, canLose: canLose, voters: max(5, 2*canLose+1),
 		confirmed: map[ident.Key]ident.Revision{}, tickets: map[uint64]ident.Key{}, removed: map[ident.Addr]ident.Addr{}}
 	first := quorum.Membership{Epoch: 1}
 	for i := range slots {
@@ -240,7 +240,7 @@
 	}
 	for _, e := range fx.Ends {
 		k, mine := c.tickets[e.Ticket]
-		if delete(c.tickets, e.Ticket); mine && e.Defect == nil {
+		if delete(c.tickets, e.Ticket); mine && e.Failure == nil {
 			c.confirmed[k] = max(c.confirmed[k], e.Revision)
 			c.look()
 		}
@@ -250,7 +250,7 @@
 // run lets time go by.
 func (c *cluster) run(d time.Duration) {
 	for end := c.now.Add(d); c.now < end; c.now = c.now.Add(time.Millisecond) {
-		ms := int(c.now / moment.Moment(time.Millisecond))
+		ms := int(c.now / monotime.Time(time.Millisecond))
 		if c.writing && ms%40 == 0 {
 			c.write(ms / 40)
 		}
--- a/control/core/membership/membership_test.go
+++ b/control/core/membership/membership_test.go
@@ -11,7 +11,7 @@
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // change is one change of the members. It ends when no machine counts as lost any more.
@@ -296,11 +296,11 @@
 // loss is one loss; do gives the moment from which the users count catchUpS.
 type loss struct {
 	name string
-	do   func(c *cluster, a ident.Addr) moment.Moment
+	do   func(c *cluster, a ident.Addr) monotime.Time
 }
 
 func losses() []loss {
-	after := func(c *cluster, gone time.Duration, a ident.Addr) moment.Moment {
+	after := func(c *cluster, gone time.Duration, a ident.Addr) monotime.Time {
 		c.run(gone - 100*time.Millisecond)
 		c.writing = false // no later write brings the new copies of its key
 		c.run(100 * time.Millisecond)
@@ -308,7 +308,7 @@
 		c.boot(a)
 		return back
 	}
-	cut := func(c *cluster, span time.Duration, a ident.Addr) moment.Moment {
+	cut := func(c *cluster, span time.Duration, a ident.Addr) monotime.Time {
 		c.drop = func(to ident.Addr, m message.Message) bool { return (to == a) != (m.From == a) }
 		c.run(span - 100*time.Millisecond)
 		c.writing = false
@@ -317,24 +317,24 @@
 		return c.now
 	}
 	return []loss{
-		{"cut off for 1 s", func(c *cluster, a ident.Addr) moment.Moment { return cut(c, time.Second, a) }},
-		{"cut off for 10 s", func(c *cluster, a ident.Addr) moment.Moment { return cut(c, 10*time.Second, a) }},
-		{"power, down for 0.5 s", func(c *cluster, a ident.Addr) moment.Moment { c.kill(a); return after(c, 500*time.Millisecond, a) }},
-		{"power, down for 10 s", func(c *cluster, a ident.Addr) moment.Moment { c.kill(a); return after(c, 10*time.Second, a) }},
-		{"disk lost, down for 0.5 s", func(c *cluster, a ident.Addr) moment.Moment {
+		{"cut off for 1 s", func(c *cluster, a ident.Addr) monotime.Time { return cut(c, time.Second, a) }},
+		{"cut off for 10 s", func(c *cluster, a ident.Addr) monotime.Time { return cut(c, 10*time.Second, a) }},
+		{"power, down for 0.5 s", func(c *cluster, a ident.Addr) monotime.Time { c.kill(a); return after(c, 500*time.Millisecond, a) }},
+		{"power, down for 10 s", func(c *cluster, a ident.Addr) monotime.Time { c.kill(a); return after(c, 10*time.Second, a) }},
+		{"disk lost, down for 0.5 s", func(c *cluster, a ident.Addr) monotime.Time {
 			c.kill(a)
 			c.empty(a)
 			return after(c, 500*time.Millisecond, a)
 		}},
-		{"replaced at another address 0.5 s later", func(c *cluster, a ident.Addr) moment.Moment {
+		{"replaced at another address 0.5 s later", func(c *cluster, a ident.Addr) monotime.Time {
 			c.kill(a)
 			return after(c, 500*time.Millisecond, newcomer)
 		}},
-		{"planned stop, started again 0.5 s later", func(c *cluster, a ident.Addr) moment.Moment {
+		{"planned stop, started again 0.5 s later", func(c *cluster, a ident.Addr) monotime.Time {
 			c.leave(a)
 			return after(c, 500*time.Millisecond, a)
 		}},
-		{"planned stop, its successor 4 s beforehand", func(c *cluster, a ident.Addr) moment.Moment {
+		{"planned stop, its successor 4 s beforehand", func(c *cluster, a ident.Addr) monotime.Time {
 			c.boot(newcomer)
 			c.run(catchUp)
 			c.writing = false
--- a/control/core/message/message.go
+++ b/control/core/message/message.go
@@ -8,7 +8,7 @@
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/control/rollout/drive"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/mesh/lease/table"
 )
@@ -124,7 +124,7 @@
 type Carried struct {
 	Ticket             uint64         `json:"ticket"`
 	Body               []byte         `json:"body,omitempty"`
-	Defect             *defect.Defect `json:"defect,omitempty"`
+	Failure            *failure.Error `json:"defect,omitempty"`
 	Revision           ident.Revision `json:"revision"`
 	Abandoned          bool           `json:"lost,omitempty"`
 	MayHaveTakenEffect bool           `json:"risk,omitempty"`
--- a/control/core/node/bytes_test.go
+++ b/control/core/node/bytes_test.go
@@ -9,21 +9,21 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/group"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // wired is three nodes whose messages travel as JSON; bytes counts what goes from one to
 // another, hellos aside.
 type wired struct {
 	nodes map[ident.Addr]*node.Node
-	now   moment.Moment
+	now   monotime.Time
 	post  []mail
 	ends  map[uint64]node.End
 	bytes map[string]int
@@ -33,7 +33,7 @@
 }
 
 func newWired(t testing.TB, history time.Duration) *wired {
-	x := &wired{nodes: map[ident.Addr]*node.Node{}, now: moment.Moment(time.Second), ends: map[uint64]node.End{}, bytes: map[string]int{}}
+	x := &wired{nodes: map[ident.Addr]*node.Node{}, now: monotime.Time(time.Second), ends: map[uint64]node.End{}, bytes: map[string]int{}}
 	for _, a := range three {
 		n, _, err := node.New(x.now, node.Boot{Addr: a, Founders: three, Mark: "0123456789abcdef0123456789abcdef", History: history,
 			NewDisk: func() ident.Disk { return ident.Disk("0123456789abcdef0123456789abc" + string(a)) }}, nil)
@@ -107,10 +107,10 @@
 	x.step(t)
 	x.step(t)
 	at := three[x.n%3]
-	a := group.Args{Name: fmt.Sprintf("%x", x.n*7919%cells), Value: book.JSON(fmt.Sprintf("%016x", x.n*0x9e3779b97f4a7c1))}
-	x.out(t, at, x.nodes[at].Submit(x.now, uint64(x.n), proposer.Operation{Key: "group/g.", Kind: "group/put", Args: book.JSON(a)}, time.Second))
+	a := group.Args{Name: fmt.Sprintf("%x", x.n*7919%cells), Value: operation.Encode(fmt.Sprintf("%016x", x.n*0x9e3779b97f4a7c1))}
+	x.out(t, at, x.nodes[at].Submit(x.now, uint64(x.n), proposer.Operation{Key: "group/g.", Kind: "group/put", Args: operation.Encode(a)}, time.Second))
 	x.drain(t)
-	must.Nil(t, x.ends[uint64(x.n)].Defect)
+	must.Nil(t, x.ends[uint64(x.n)].Failure)
 	delete(x.ends, uint64(x.n))
 }
 
--- a/control/core/node/catchup.go
+++ b/control/core/node/catchup.go
@@ -6,7 +6,7 @@
 
 	"cottonarch.example/cottonarch/control/register/quorumread"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 const (
@@ -23,12 +23,12 @@
 	done  bool
 	busy  bool
 	tries int
-	next  moment.Moment
+	next  monotime.Time
 }
 
 // catchUp compares this disk's copies with those of the others, by digests first, and has
 // repaired what is behind here.
-func (n *Node) catchUp(now moment.Moment, fx *Effects) {
+func (n *Node) catchUp(now monotime.Time, fx *Effects) {
 	if !n.Votes() || n.leaving || !n.majority(now, silentMajorityAge) {
 		n.missed = &catchUp{}
 		return
@@ -38,7 +38,7 @@
 		return
 	}
 	c.busy = true
-	n.quorumRead(now, &reading{until: now.Add(proofWait), all: n.allHeard(now, ""), buckets: buckets(n.Records()), done: func(now moment.Moment, s *quorumread.Reader, fx *Effects) {
+	n.quorumRead(now, &reading{until: now.Add(proofWait), all: n.allHeard(now, ""), buckets: buckets(n.Records()), done: func(now monotime.Time, s *quorumread.Reader, fx *Effects) {
 		c.busy, c.next = false, now.Add(catchUpPause)
 		c.tries++
 		if s == nil {
--- a/control/core/node/change_test.go
+++ b/control/core/node/change_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/proposer"
@@ -25,10 +25,10 @@
 		x.step(t)
 	}
 	at := three[x.n%3]
-	args := book.JSON(offer.Args{Kind: kind, BaseRelease: &base, Loose: true, Body: json.RawMessage(body)})
+	args := operation.Encode(offer.Args{Kind: kind, BaseRelease: &base, Loose: true, Body: json.RawMessage(body)})
 	x.out(t, at, x.nodes[at].Submit(x.now, uint64(x.n), proposer.Operation{Key: offer.Key, Kind: "manifest/offer", Args: args, Repeatable: true}, time.Second))
 	x.drain(t)
-	must.Nil(t, x.ends[uint64(x.n)].Defect)
+	must.Nil(t, x.ends[uint64(x.n)].Failure)
 	delete(x.ends, uint64(x.n))
 }
 
@@ -38,7 +38,7 @@
 	x.out(t, three[0], x.nodes[three[0]].QuorumRead(x.now, uint64(x.n), "audit/", true, time.Second))
 	x.drain(t)
 	end := x.ends[uint64(x.n)]
-	must.Nil(t, end.Defect)
+	must.Nil(t, end.Failure)
 	leaves, ok := node.Leaves(end.Found)
 	must.True(t, ok)
 	return leaves
--- a/control/core/node/copy_test.go
+++ b/control/core/node/copy_test.go
@@ -11,7 +11,7 @@
 	"cottonarch.example/cottonarch/control/membership/acceptor"
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/storage/ring"
 )
 
@@ -24,7 +24,7 @@
 	roster.Adopt(quorum.Membership{Epoch: 2, Voters: []quorum.Voter{{Disk: "d1", Addr: "a:1", Counted: true}, {Disk: "d4", Addr: "b:1"}, {Disk: "d3", Addr: "c:1", Counted: true}}})
 	n, _, err := node.New(1, node.Boot{Addr: "b:1", Mark: "run1"}, []ring.Record{{Tag: "disk", Data: []byte("d4")}, roster.Record()})
 	must.NoError(t, err)
-	now := moment.Moment(time.Second)
+	now := monotime.Time(time.Second)
 	counts := func(fx node.Effects) (asks int) {
 		for _, s := range fx.Sends {
 			if s.Msg.MembershipRequest != nil {
--- a/control/core/node/cut_test.go
+++ b/control/core/node/cut_test.go
@@ -7,15 +7,15 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/group"
 	"cottonarch.example/cottonarch/control/coordination/lock"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 )
@@ -32,7 +32,7 @@
 }
 
 // call runs an operation at a core until it has ended.
-func (x *trio) call(at ident.Addr, d proposer.Operation, budget time.Duration) (e defectOrBody) {
+func (x *trio) call(at ident.Addr, d proposer.Operation, budget time.Duration) (e failureOrBody) {
 	x.tickets++
 	ticket, began := x.tickets, x.now
 	x.out(at, x.nodes[at].Submit(x.now, ticket, d, budget))
@@ -40,54 +40,54 @@
 		x.run(10 * time.Millisecond)
 	}
 	if end := x.end(ticket); end != nil {
-		return defectOrBody{string(end.Body), end.Defect, x.now.Since(began)}
+		return failureOrBody{string(end.Body), end.Failure, x.now.Since(began)}
 	}
-	return defectOrBody{took: -1}
+	return failureOrBody{took: -1}
 }
 
-type defectOrBody struct {
-	body   string
-	defect *defect.Defect
-	took   time.Duration
+type failureOrBody struct {
+	body    string
+	failure *failure.Error
+	took    time.Duration
 }
 
-func (e defectOrBody) kind() defect.Kind {
-	if e.defect == nil {
+func (e failureOrBody) kind() failure.Kind {
+	if e.failure == nil {
 		return ""
 	}
-	return e.defect.Kind
+	return e.failure.Kind
 }
 
 func operationOf(key ident.Key, kind string, args any) proposer.Operation {
-	return proposer.Operation{Key: key, Kind: kind, Args: book.JSON(args), Repeatable: true}
+	return proposer.Operation{Key: key, Kind: kind, Args: operation.Encode(args), Repeatable: true}
 }
 
 // known are calls that a core which owns every key answers, or refuses, when it is well:
 // each names the answer, which it knows from its own term's memory.
 var known = []struct {
 	operation proposer.Operation
-	says      defect.Kind // "" for a yes
+	says      failure.Kind // "" for a yes
 }{
-	{operationOf("lock/l", "lock/claim", lock.Args{Holder: "other", TTL: 60000}), defect.Held},
+	{operationOf("lock/l", "lock/claim", lock.Args{Holder: "other", TTL: 60000}), failure.Held},
 	{operationOf("lock/l", "lock/claim", lock.Args{Holder: "me", TTL: 60000, Keep: true}), ""},
 	{operationOf("lock/l", "lock/renew", lock.Args{Holder: "me", Fence: 1, TTL: 60000}), ""},
-	{operationOf("lock/l", "lock/renew", lock.Args{Holder: "me", Fence: 7}), defect.NotHolder},
-	{operationOf("lock/l", "lock/release", lock.Args{Holder: "other", Fence: 1}), defect.NotHolder},
+	{operationOf("lock/l", "lock/renew", lock.Args{Holder: "me", Fence: 7}), failure.NotHolder},
+	{operationOf("lock/l", "lock/release", lock.Args{Holder: "other", Fence: 1}), failure.NotHolder},
 	{operationOf("lock/l", "lock/read", lock.Args{}), ""},
 	{operationOf("number/n", "number/next", map[string]int{}), ""},
 	{operationOf("number/n", "number/read", map[string]int{}), ""},
 	{operationOf(group.Key("g."), "group/read", group.Args{Name: "a"}), ""},
-	{operationOf(group.Key("g."), "group/read", group.Args{Name: "none"}), defect.Missing},
+	{operationOf(group.Key("g."), "group/read", group.Args{Name: "none"}), failure.Missing},
 	{operationOf(group.Key("g."), "group/put", group.Args{Name: "a", Value: []byte(`"1"`)}), ""},
-	{operationOf(group.Key("g."), "group/put", group.Args{Name: "a", Value: []byte(`"2"`), If: new(ident.Revision)}), defect.Conflict},
+	{operationOf(group.Key("g."), "group/put", group.Args{Name: "a", Value: []byte(`"2"`), If: new(ident.Revision)}), failure.Conflict},
 	{operationOf(group.Key("g."), "group/since", group.Args{After: new(ident.Revision)}), ""},
 	{operationOf(offer.Key, "manifest/epoch", nil), ""},
 	{operationOf(offer.Key, "manifest/read", nil), ""},
-	{operationOf(offer.Key, "manifest/offer", offer.Args{BaseRelease: new(uint64), Loose: true, Body: []byte(`{"release":9}`)}), defect.Conflict},
-	{operationOf(offer.Key, "manifest/offer", offer.Args{Body: []byte(`{"ways":{"w":{"host":"h","service":"none"}}}`)}), defect.Invalid},
-	{operationOf("share", "share/take", share.Args{Node: "s", Claim: 1}), defect.Conflict},
+	{operationOf(offer.Key, "manifest/offer", offer.Args{BaseRelease: new(uint64), Loose: true, Body: []byte(`{"release":9}`)}), failure.Conflict},
+	{operationOf(offer.Key, "manifest/offer", offer.Args{Body: []byte(`{"ways":{"w":{"host":"h","service":"none"}}}`)}), failure.Invalid},
+	{operationOf("share", "share/take", share.Args{Node: "s", Claim: 1}), failure.Conflict},
 	{operationOf("share", "share/read", nil), ""},
-	{operationOf("number/n", "no/such", nil), defect.Malformed},
+	{operationOf("number/n", "no/such", nil), failure.Malformed},
 }
 
 // fill gives every key of the table a state, and has one core own them all.
@@ -131,17 +131,17 @@
 				x.run(after)
 				at := fmt.Sprintf("call %d, %s, cut %s, %v after it", i, c.operation.Kind, way, after)
 				got := x.call("a:1", c.operation, budget)
-				must.NotNil(t, got.defect, must.Sprint(at, got.body))
-				must.SliceContains(t, []defect.Kind{defect.NoMajority, defect.Unknown}, got.kind(), must.Sprint(at))
-				must.Eq(t, got.kind() == defect.NoMajority, got.defect.Fate == defect.FateNo, must.Sprint(at))
+				must.NotNil(t, got.failure, must.Sprint(at, got.body))
+				must.SliceContains(t, []failure.Kind{failure.NoMajority, failure.UnknownOutcome}, got.kind(), must.Sprint(at))
+				must.Eq(t, got.kind() == failure.NoMajority, got.failure.Outcome == failure.NotExecuted, must.Sprint(at))
 				must.Between(t, 0, got.took, budget+50*time.Millisecond, must.Sprint(at))
 				if way != "out" && after > 1200*time.Millisecond || after > 3*time.Second {
-					must.Eq(t, defect.NoMajority, got.kind(), must.Sprint(at))
+					must.Eq(t, failure.NoMajority, got.kind(), must.Sprint(at))
 					must.Less(t, 50*time.Millisecond, got.took, must.Sprint(at))
 				}
 				x.lost = nil
 				x.run(time.Second)
-				if c.operation.Kind == "number/next" && got.defect.Fate == defect.FateNo {
+				if c.operation.Kind == "number/next" && got.failure.Outcome == failure.NotExecuted {
 					must.Eq(t, `{"number":3}`, x.call("b:1", operationOf("number/n", "number/read", nil), budget).body, must.Sprint(at))
 				}
 			}
@@ -151,7 +151,7 @@
 
 // What waits at a core when it loses the majority is answered then and not at the end of
 // its time: a read at once, and a change that was not begun at once too; both as not run.
-// A change that was begun has an unknown fate, and is answered with its end if the majority
+// A change that was begun has an unknown outcome, and is answered with its end if the majority
 // is back in time.
 func TestWaitingCallsEndWithTheMajority(t *testing.T) {
 	const budget = 4 * time.Second
@@ -167,7 +167,7 @@
 	for _, way := range []string{"both", "in"} {
 		x := start(way)
 		got := x.call("a:1", read, budget)
-		must.Eq(t, defect.NoMajority, got.kind())
+		must.Eq(t, failure.NoMajority, got.kind())
 		must.Less(t, 1300*time.Millisecond, got.took)
 
 		// The first change is in a round; the ones behind it are not begun.
@@ -179,11 +179,11 @@
 		must.Nil(t, x.end(1))
 		for ticket := uint64(2); ticket <= 3; ticket++ {
 			must.NotNil(t, x.end(ticket))
-			must.Eq(t, defect.FateNo, x.end(ticket).Defect.Fate)
+			must.Eq(t, failure.NotExecuted, x.end(ticket).Failure.Outcome)
 		}
 		x.lost = nil
 		x.run(budget)
-		must.Nil(t, x.end(1).Defect)
+		must.Nil(t, x.end(1).Failure)
 		must.Eq(t, `{"number":3}`, x.call("b:1", next, budget).body, must.Sprint("one of three took effect"))
 	}
 }
@@ -195,7 +195,7 @@
 	x.dead["c:1"] = true
 	x.start(t, "c:1", "", three)
 	got := x.call("c:1", operationOf("number/n", "number/next", map[string]int{}), 2*time.Second)
-	must.Nil(t, got.defect)
+	must.Nil(t, got.failure)
 }
 
 // hold has a core hold the manifest of an epoch, as the daemon does once it has read it.
@@ -258,12 +258,12 @@
 		x.cut("a:1", way)
 		for began := x.now; x.now.Since(began) < 20*time.Second; {
 			if got := x.call("b:1", next, budget); x.now.Since(began) > 4*time.Second {
-				must.Nil(t, got.defect, must.Sprint(way, ": a core that has a majority serves not, after ", x.now.Since(began)))
+				must.Nil(t, got.failure, must.Sprint(way, ": a core that has a majority serves not, after ", x.now.Since(began)))
 			}
 			for _, d := range []proposer.Operation{read, next, known[0].operation, known[9].operation, known[15].operation} {
 				got := x.call("a:1", d, budget)
-				must.NotNil(t, got.defect, must.Sprint(way, d.Kind, got.body))
-				must.SliceContains(t, []defect.Kind{defect.NoMajority, defect.Unknown}, got.kind(), must.Sprint(way, d.Kind))
+				must.NotNil(t, got.failure, must.Sprint(way, d.Kind, got.body))
+				must.SliceContains(t, []failure.Kind{failure.NoMajority, failure.UnknownOutcome}, got.kind(), must.Sprint(way, d.Kind))
 			}
 		}
 		if way != "in" { // else the others hear it
@@ -277,6 +277,6 @@
 			must.NotEq(t, disk, x.nodes["a:1"].Disk, must.Sprint(way))
 		}
 		must.Eq(t, top, x.call("a:1", read, budget).body, must.Sprint(way))
-		must.Eq(t, defect.Held, x.call("a:1", known[0].operation, budget).kind(), must.Sprint(way))
+		must.Eq(t, failure.Held, x.call("a:1", known[0].operation, budget).kind(), must.Sprint(way))
 	}
 }
--- a/control/core/node/duties.go
+++ b/control/core/node/duties.go
@@ -5,14 +5,14 @@
 	"time"
 
 	"cottonarch.example/cottonarch/control/audit/chunk"
-	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/lock"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/control/register/quorumread"
 	rollout "cottonarch.example/cottonarch/control/rollout/state"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // dutyKey is the claim on the anti-entropy duty. Its holder names a successor when it
@@ -27,12 +27,12 @@
 )
 
 // internal runs an operation of the core's own.
-func (n *Node) internal(now moment.Moment, d proposer.Operation, fx *Effects, done func(moment.Moment, End, *Effects)) {
+func (n *Node) internal(now monotime.Time, d proposer.Operation, fx *Effects, done func(monotime.Time, End, *Effects)) {
 	n.begin(now, &pending{operation: d, until: now.Add(2 * time.Second), done: done}, fx)
 }
 
 // duties claims the anti-entropy duty and does it while it is held.
-func (n *Node) duties(now moment.Moment, fx *Effects) {
+func (n *Node) duties(now monotime.Time, fx *Effects) {
 	if !n.holds {
 		n.passFound = Pass{}
 	}
@@ -42,13 +42,13 @@
 	}
 	if now.Since(n.dutied) >= dutyEvery && (n.holds || !n.served(now)) {
 		n.dutied = now
-		d := proposer.Operation{Key: dutyKey, Kind: "lock/claim", Args: book.JSON(lock.Args{Holder: string(n.Disk), TTL: dutyTTL})}
+		d := proposer.Operation{Key: dutyKey, Kind: "lock/claim", Args: operation.Encode(lock.Args{Holder: string(n.Disk), TTL: dutyTTL})}
 		if n.holds { // costs no disk
-			d.Kind, d.Args = "lock/renew", book.JSON(lock.Args{Holder: string(n.Disk), Fence: n.fence})
+			d.Kind, d.Args = "lock/renew", operation.Encode(lock.Args{Holder: string(n.Disk), Fence: n.fence})
 		}
-		n.internal(now, d, fx, func(_ moment.Moment, e End, _ *Effects) {
+		n.internal(now, d, fx, func(_ monotime.Time, e End, _ *Effects) {
 			var g lock.Grant
-			n.holds = e.Defect == nil && book.Read(nil, e.Body, nil, &g) == nil && g.Holder == string(n.Disk)
+			n.holds = e.Failure == nil && operation.Decode(nil, e.Body, nil, &g) == nil && g.Holder == string(n.Disk)
 			n.fence = g.Fence
 		})
 	}
@@ -69,7 +69,7 @@
 }
 
 // served tells whether another core that lives says that it holds the duty.
-func (n *Node) served(now moment.Moment) bool {
+func (n *Node) served(now monotime.Time) bool {
 	for _, p := range n.peers {
 		if p.hello.Duty && !p.hello.Leaving && p.live(now) {
 			return true
@@ -79,21 +79,21 @@
 }
 
 // roll carries every roll-out one operation further.
-func (n *Node) roll(now moment.Moment, s *quorumread.Reader, fx *Effects) {
+func (n *Node) roll(now monotime.Time, s *quorumread.Reader, fx *Effects) {
 	if s == nil {
 		return
 	}
 	all := s.Found()
 	for _, k := range sortedKeys(all) {
 		var r rollout.Rollout
-		if st := book.State(all[k].Record.Value); !all[k].Agreed || len(st) == 0 || json.Unmarshal(st, &r) != nil {
+		if st := operation.State(all[k].Record.Value); !all[k].Agreed || len(st) == 0 || json.Unmarshal(st, &r) != nil {
 			continue
 		}
 		if r.Phase == rollout.Running || r.Phase == rollout.Backing {
 			n.rolling = now
 		}
 		if d, due := n.rolls.Plan(now, r, n.Leases.InForce(), n.Leases.Ends); due {
-			n.internal(now, d, fx, func(moment.Moment, End, *Effects) {})
+			n.internal(now, d, fx, func(monotime.Time, End, *Effects) {})
 		}
 	}
 }
@@ -108,7 +108,7 @@
 }
 
 // audit adds to the audit log what the newest manifests brought.
-func (n *Node) audit(now moment.Moment, s *quorumread.Reader, fx *Effects) {
+func (n *Node) audit(now monotime.Time, s *quorumread.Reader, fx *Effects) {
 	if s == nil {
 		return
 	}
@@ -130,9 +130,9 @@
 	if part && len(leaves) == chunk.Size {
 		return // another core may have begun the next chunk: look there first
 	}
-	n.internal(now, proposer.Operation{Key: offer.Key, Kind: "manifest/lines", Args: book.JSON(offer.LinesArgs{After: n.audited})}, fx, func(now moment.Moment, e End, fx *Effects) {
+	n.internal(now, proposer.Operation{Key: offer.Key, Kind: "manifest/lines", Args: operation.Encode(offer.LinesArgs{After: n.audited})}, fx, func(now monotime.Time, e End, fx *Effects) {
 		var lines []offer.Line
-		if e.Defect != nil || json.Unmarshal(e.Body, &lines) != nil {
+		if e.Failure != nil || json.Unmarshal(e.Body, &lines) != nil {
 			return
 		}
 		n.append(now, n.leaves, n.audited, lines, fx)
@@ -140,16 +140,16 @@
 }
 
 // append adds the lines after an epoch, one after the other.
-func (n *Node) append(now moment.Moment, at int, last ident.Epoch, lines []offer.Line, fx *Effects) {
+func (n *Node) append(now monotime.Time, at int, last ident.Epoch, lines []offer.Line, fx *Effects) {
 	for len(lines) > 0 && lines[0].Epoch <= last {
 		lines = lines[1:]
 	}
 	if len(lines) == 0 {
 		return
 	}
-	args := book.JSON(chunk.Append{Index: at, Leaf: lines[0]})
-	n.internal(now, proposer.Operation{Key: chunk.Key(at), Kind: "audit/append", Args: args}, fx, func(now moment.Moment, e End, fx *Effects) {
-		if e.Defect != nil {
+	args := operation.Encode(chunk.Append{Index: at, Leaf: lines[0]})
+	n.internal(now, proposer.Operation{Key: chunk.Key(at), Kind: "audit/append", Args: args}, fx, func(now monotime.Time, e End, fx *Effects) {
+		if e.Failure != nil {
 			return
 		}
 		n.audited, n.leaves = lines[0].Epoch, at+1
@@ -162,7 +162,7 @@
 func Leaves(all map[ident.Key]quorumread.Found) (leaves []offer.Line, ok bool) {
 	for _, k := range sortedKeys(all) {
 		var c chunk.Chunk
-		if st := book.State(all[k].Record.Value); len(st) > 0 && json.Unmarshal(st, &c) != nil {
+		if st := operation.State(all[k].Record.Value); len(st) > 0 && json.Unmarshal(st, &c) != nil {
 			return nil, false
 		}
 		if !all[k].Agreed {
@@ -186,7 +186,7 @@
 // Read were compared, and on one of these at least Behind keys were behind; At is 0 when
 // there was none.
 type Pass struct {
-	At       moment.Moment
+	At       monotime.Time
 	Read, Of int
 	Behind   int
 }
@@ -195,7 +195,7 @@
 func (n *Node) LastPass() (Pass, bool) { return n.passFound, n.holds && n.passFound.At != 0 }
 
 // antiEntropy reads every key whose copies differ; the read repairs them.
-func (n *Node) antiEntropy(now moment.Moment, s *quorumread.Reader, fx *Effects) {
+func (n *Node) antiEntropy(now monotime.Time, s *quorumread.Reader, fx *Effects) {
 	if s == nil {
 		return
 	}
@@ -208,6 +208,6 @@
 		}
 		n.passFound.Behind++
 		n.Repaired++
-		n.internal(now, proposer.Operation{Key: k, Kind: proposer.Repair}, fx, func(moment.Moment, End, *Effects) {})
+		n.internal(now, proposer.Operation{Key: k, Kind: proposer.Repair}, fx, func(monotime.Time, End, *Effects) {})
 	}
 }
--- a/control/core/node/example_test.go
+++ b/control/core/node/example_test.go
@@ -4,12 +4,12 @@
 	"fmt"
 	"time"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/lock"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/storage/ring"
 )
 
@@ -33,7 +33,7 @@
 		}
 		nodes[a], rings[a] = n, disk
 	}
-	now := moment.Moment(time.Second)
+	now := monotime.Time(time.Second)
 	var ends []node.End
 	var post []func() (ident.Addr, node.Effects)
 	out := func(at ident.Addr, fx node.Effects) {
@@ -60,7 +60,7 @@
 	}
 	run(2 * time.Second)
 	fmt.Println("membership epoch", nodes["a:1"].Membership().Epoch, "votes", nodes["a:1"].Votes())
-	out("b:1", nodes["b:1"].Submit(now, 7, proposer.Operation{Key: "lock/mine", Kind: "lock/claim", Args: book.JSON(lock.Args{Holder: "me", TTL: 5000})}, time.Second))
+	out("b:1", nodes["b:1"].Submit(now, 7, proposer.Operation{Key: "lock/mine", Kind: "lock/claim", Args: operation.Encode(lock.Args{Holder: "me", TTL: 5000})}, time.Second))
 	run(time.Second)
 	for _, e := range ends {
 		if e.Ticket == 7 {
--- a/control/core/node/freshness.go
+++ b/control/core/node/freshness.go
@@ -8,9 +8,9 @@
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/placement"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 )
 
@@ -31,7 +31,7 @@
 // refreshNewest keeps this core informed of the newest confirmed manifest. Invariant: nothing newer
 // than Epoch was confirmed before freshAsOf, for a read through the key's proposer began then,
 // here or at the core whose hello told of it.
-func (n *Node) refreshNewest(now moment.Moment, fx *Effects) {
+func (n *Node) refreshNewest(now monotime.Time, fx *Effects) {
 	if n.refreshing != 0 || now.Since(n.freshAsOf) < refreshAge && n.freshAsOf != 0 || n.leaving || !n.Majority(now) {
 		return
 	}
@@ -40,11 +40,11 @@
 		return
 	}
 	n.refreshing = now
-	n.begin(now, &pending{operation: proposer.Operation{Key: offer.Key, Kind: "manifest/epoch"}, until: now.Add(time.Second), done: func(now moment.Moment, e End, fx *Effects) {
+	n.begin(now, &pending{operation: proposer.Operation{Key: offer.Key, Kind: "manifest/epoch"}, until: now.Add(time.Second), done: func(now monotime.Time, e End, fx *Effects) {
 		began := n.refreshing
 		n.refreshing = 0
 		var yes offer.Yes
-		if e.Defect != nil || json.Unmarshal(e.Body, &yes) != nil {
+		if e.Failure != nil || json.Unmarshal(e.Body, &yes) != nil {
 			return
 		}
 		if yes.Epoch > n.Epoch {
@@ -55,12 +55,12 @@
 }
 
 // stale tells whether this core can't tell what the newest manifest is, or can't get it.
-func (n *Node) stale(now moment.Moment) bool {
+func (n *Node) stale(now monotime.Time) bool {
 	return n.freshAsOf == 0 || now.Since(n.freshAsOf) > staleAge || !n.majority(now, silentMajorityAge) || n.behind != 0 && now.Since(n.behind) > behindAge
 }
 
 // lag notes since when a newer manifest is known of here than the one held.
-func (n *Node) lag(now moment.Moment) {
+func (n *Node) lag(now monotime.Time) {
 	held := ident.Epoch(0)
 	if m := n.Leases.InForce(); m != nil {
 		held = m.Epoch
@@ -74,13 +74,13 @@
 }
 
 // StaleAt is the same for those who ask.
-func (n *Node) StaleAt(now moment.Moment) bool { return n.stale(now) }
+func (n *Node) StaleAt(now monotime.Time) bool { return n.stale(now) }
 
 // Stale is the same as of the last tick; that it changed is news to those who follow.
 func (n *Node) Stale() bool { return n.wasStale }
 
 // Renew takes a sidecar's renewal.
-func (n *Node) Renew(now moment.Moment, r record.Renewal) (record.Renewed, Effects, *defect.Defect) {
+func (n *Node) Renew(now monotime.Time, r record.Renewal) (record.Renewed, Effects, *failure.Error) {
 	got, d := n.Leases.Renew(now, r)
 	if d != nil {
 		return record.Renewed{}, Effects{}, d
@@ -90,7 +90,7 @@
 }
 
 // Places lists the cores that this one stands for, with their districts.
-func (n *Node) Places(now moment.Moment) []record.Place {
+func (n *Node) Places(now monotime.Time) []record.Place {
 	var out []record.Place
 	for _, a := range n.Fresh(now) {
 		at := record.Place{Addr: a}
--- a/control/core/node/handover.go
+++ b/control/core/node/handover.go
@@ -9,9 +9,9 @@
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/control/register/quorumread"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 const (
@@ -28,14 +28,14 @@
 // vote is an accept that this disk said yes to.
 type vote struct {
 	key ident.Key
-	at  moment.Moment
+	at  monotime.Time
 }
 
 // departure is a voter's planned leave. Invariants: while silent is set, this disk answers
 // no proposer, so every majority is one of those that stay; resolved is set only when every
 // round that an earlier vote of this disk may have ended is over.
 type departure struct {
-	began    moment.Moment
+	began    monotime.Time
 	silent   bool
 	asked    bool
 	open     int // operations out that end the rounds in doubt
@@ -53,13 +53,13 @@
 	busy     bool
 	compared bool
 	behind   map[ident.Key]quorum.Record
-	next     moment.Moment
+	next     monotime.Time
 }
 
 func (p *proof) holds() bool { return p.compared && len(p.behind) == 0 }
 
 // voted remembers the keys that this disk took an accept for.
-func (n *Node) voted(now moment.Moment, key ident.Key) {
+func (n *Node) voted(now monotime.Time, key ident.Key) {
 	for len(n.votes) > 0 && now.Since(n.votes[0].at) > inDoubt {
 		n.votes = n.votes[1:]
 	}
@@ -73,7 +73,7 @@
 //     dropped then, so that at no step a majority is of fewer than before.
 //   - Else this disk stops voting, and goes once a majority of those that stay holds
 //     everything.
-func (n *Node) handOver(now moment.Moment, fx *Effects) bool {
+func (n *Node) handOver(now monotime.Time, fx *Effects) bool {
 	r := n.membership.Current
 	if n.broken || !r.Counts(n.Disk) {
 		return true
@@ -100,7 +100,7 @@
 
 // staying counts the other voters that are heard and stay; may tells whether there are any
 // that have not said that they leave, heard or not.
-func (n *Node) staying(now moment.Moment, r quorum.Membership) (stay int, may bool) {
+func (n *Node) staying(now monotime.Time, r quorum.Membership) (stay int, may bool) {
 	near := n.healthy(now)
 	for _, v := range r.Voters {
 		if !v.Counted || v.Disk == n.Disk {
@@ -126,7 +126,7 @@
 
 // leaver tells whether a counted voter that is heard leaves as planned, while all others
 // that have a slot are well.
-func (n *Node) leaver(now moment.Moment, r quorum.Membership) bool {
+func (n *Node) leaver(now monotime.Time, r quorum.Membership) bool {
 	near, found := n.healthy(now), false
 	for _, v := range r.Voters {
 		if v.Joining || slices.Contains(near, v.Disk) && (v.Disk != n.Disk || !n.leaving) {
@@ -144,7 +144,7 @@
 // successor is the disk that is to be counted in for a voter that leaves: one that has
 // joined already, else the first by address of the cores without a slot. There is none
 // while another slot is not well, which is to be filled first.
-func (n *Node) successor(now moment.Moment, r quorum.Membership) ident.Disk {
+func (n *Node) successor(now monotime.Time, r quorum.Membership) ident.Disk {
 	if !n.leaver(now, r) {
 		return ""
 	}
@@ -169,14 +169,14 @@
 }
 
 // relieves tells whether this disk is to follow a voter that leaves.
-func (n *Node) relieves(now moment.Moment, r quorum.Membership) bool {
+func (n *Node) relieves(now monotime.Time, r quorum.Membership) bool {
 	return r.Size()%2 != 0 && !n.leaving && n.successor(now, r) == n.Disk
 }
 
 // resolves ends the rounds that this disk voted for before it fell silent. A round's proposer
 // may have this disk's yes and wait for one more, so what it writes may be confirmed after
 // the copies were compared. A operation of the same key, run by its proposer, ends only after that.
-func (n *Node) resolves(now moment.Moment, fx *Effects) bool {
+func (n *Node) resolves(now monotime.Time, fx *Effects) bool {
 	d := n.away
 	if d.resolved || d.asked && d.open > 0 {
 		return d.resolved
@@ -194,9 +194,9 @@
 	}
 	d.open = len(keys)
 	for _, k := range keys {
-		n.internal(now, proposer.Operation{Key: k, Kind: proposer.Repair}, fx, func(_ moment.Moment, e End, _ *Effects) {
+		n.internal(now, proposer.Operation{Key: k, Kind: proposer.Repair}, fx, func(_ monotime.Time, e End, _ *Effects) {
 			d.open--
-			d.failed = d.failed || e.Defect != nil && e.Defect.Kind != defect.Malformed // what an older release says to it, after its round
+			d.failed = d.failed || e.Failure != nil && e.Failure.Kind != failure.Malformed // what an older release says to it, after its round
 		})
 	}
 	return false
@@ -204,7 +204,7 @@
 
 // proves compares the copies of all voters but skip, and repairs what is behind, until every
 // value is held by a majority of the voters that are left without one of them.
-func (n *Node) proves(now moment.Moment, without, skip ident.Disk, fx *Effects) bool {
+func (n *Node) proves(now monotime.Time, without, skip ident.Disk, fx *Effects) bool {
 	if n.proof == nil || n.proof.without != without || n.proof.skip != skip {
 		n.proof = &proof{without: without, skip: skip}
 	}
@@ -213,7 +213,7 @@
 		return p.holds()
 	}
 	p.busy = true
-	n.quorumRead(now, &reading{until: now.Add(proofWait), all: n.allHeard(now, skip), buckets: buckets(n.Records()), done: func(now moment.Moment, s *quorumread.Reader, fx *Effects) {
+	n.quorumRead(now, &reading{until: now.Add(proofWait), all: n.allHeard(now, skip), buckets: buckets(n.Records()), done: func(now monotime.Time, s *quorumread.Reader, fx *Effects) {
 		p.busy, p.next = false, now.Add(proofPause)
 		if s != nil {
 			p.compare(s)
@@ -240,14 +240,14 @@
 }
 
 // mendAll reads keys through their owners, which repairs their copies.
-func (n *Node) mendAll(now moment.Moment, keys []ident.Key, fx *Effects) {
+func (n *Node) mendAll(now monotime.Time, keys []ident.Key, fx *Effects) {
 	for _, k := range keys {
-		n.internal(now, proposer.Operation{Key: k, Kind: proposer.Repair}, fx, func(moment.Moment, End, *Effects) {})
+		n.internal(now, proposer.Operation{Key: k, Kind: proposer.Repair}, fx, func(monotime.Time, End, *Effects) {})
 	}
 }
 
 // allHeard tells whether all counted voters but one are heard.
-func (n *Node) allHeard(now moment.Moment, skip ident.Disk) bool {
+func (n *Node) allHeard(now monotime.Time, skip ident.Disk) bool {
 	near := n.heard(now, heartbeatTimeout)
 	return !slices.ContainsFunc(n.membership.Current.Voters, func(v quorum.Voter) bool {
 		return v.Counted && v.Disk != skip && !slices.Contains(near, v.Disk)
@@ -257,7 +257,7 @@
 // sheds drops the slot of a voter that is held for dead where the number of slots is even:
 // with one fewer the mesh bears the next loss, which it would not with an empty one. The
 // first counted voter that is well does it.
-func (n *Node) sheds(now moment.Moment, r quorum.Membership, fx *Effects) {
+func (n *Node) sheds(now monotime.Time, r quorum.Membership, fx *Effects) {
 	if r.Size()%2 != 0 || now.Since(n.began) <= deadAfter {
 		return
 	}
--- a/control/core/node/hello.go
+++ b/control/core/node/hello.go
@@ -8,7 +8,7 @@
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 const (
@@ -21,7 +21,7 @@
 )
 
 // hello tells the cores whose turn it is that this one lives: all of them when all is set.
-func (n *Node) hello(now moment.Moment, all bool, fx *Effects) {
+func (n *Node) hello(now monotime.Time, all bool, fx *Effects) {
 	for _, a := range n.peerAddrs() {
 		if now.Since(n.peers[a].heard) > time.Minute {
 			delete(n.peers, a)
@@ -65,7 +65,7 @@
 }
 
 // greet says hello to some cores.
-func (n *Node) greet(now moment.Moment, to []ident.Addr, fx *Effects) {
+func (n *Node) greet(now monotime.Time, to []ident.Addr, fx *Effects) {
 	n.no++
 	n.stamped(now)
 	n.Leases.StampHeartbeat(n.no)
@@ -101,7 +101,7 @@
 	}
 }
 
-func (n *Node) onHello(now moment.Moment, m message.Message, fx *Effects) bool {
+func (n *Node) onHello(now monotime.Time, m message.Message, fx *Effects) bool {
 	if m.Hello == nil {
 		return false
 	}
@@ -168,7 +168,7 @@
 }
 
 // heardOf takes what a hello says of the manifest.
-func (n *Node) heardOf(now moment.Moment, h *message.Hello, fx *Effects) {
+func (n *Node) heardOf(now monotime.Time, h *message.Hello, fx *Effects) {
 	if h.Manifest > n.Epoch {
 		n.learn(now, message.Learned{Key: offer.Key, Revision: ident.Revision(h.Manifest)}, fx)
 	}
@@ -178,13 +178,13 @@
 }
 
 // Rolling tells whether a roll-out is known to run.
-func (n *Node) Rolling(now moment.Moment) bool {
+func (n *Node) Rolling(now monotime.Time) bool {
 	return n.rolling != 0 && now.Since(n.rolling) < rollingFor
 }
 
 // sendLeaseUpdates tells the other cores what changed among the sidecars registered here, and all of it to
 // those that asked.
-func (n *Node) sendLeaseUpdates(now moment.Moment, fx *Effects) {
+func (n *Node) sendLeaseUpdates(now monotime.Time, fx *Effects) {
 	if k, due := n.Leases.PendingUpdate(); due {
 		for _, a := range n.peerAddrs() {
 			if n.peers[a].live(now) {
@@ -203,7 +203,7 @@
 	}
 }
 
-func (n *Node) onLeaseUpdate(now moment.Moment, m message.Message, fx *Effects) bool {
+func (n *Node) onLeaseUpdate(now monotime.Time, m message.Message, fx *Effects) bool {
 	if m.LeaseUpdate == nil {
 		return false
 	}
@@ -220,7 +220,7 @@
 	return true
 }
 
-func (n *Node) onWant(now moment.Moment, m message.Message, fx *Effects) bool {
+func (n *Node) onWant(now monotime.Time, m message.Message, fx *Effects) bool {
 	if m.Want == nil {
 		return false
 	}
--- a/control/core/node/join.go
+++ b/control/core/node/join.go
@@ -4,15 +4,15 @@
 	"encoding/json"
 	"time"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/core/admission"
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 const (
@@ -36,40 +36,40 @@
 // joinBatch is the batch that is out: its two operations run beside each other, and it ends with
 // the later of them.
 type joinBatch struct {
-	began  moment.Moment
-	size   int
-	open   int
-	given  []share.Entered
-	epoch  ident.Epoch
-	defect *defect.Defect
+	began   monotime.Time
+	size    int
+	open    int
+	given   []share.Entered
+	epoch   ident.Epoch
+	failure *failure.Error
 }
 
 // Join takes a sidecar's wish to join; its End carries the ticket and a Joined. It costs
 // nothing before the next tick, so what else a core has to answer goes first.
-func (n *Node) Join(now moment.Moment, ticket uint64, r admission.Request, budget time.Duration) (fx Effects) {
-	d := defect.New(defect.Stopping, "the core stops").Later(0.1)
+func (n *Node) Join(now monotime.Time, ticket uint64, r admission.Request, budget time.Duration) (fx Effects) {
+	d := failure.New(failure.Stopping, "the core stops").Later(0.1)
 	if !n.leaving {
 		d = n.joins.Add(now, ticket, r, now.Add(budget))
 	}
 	if d != nil {
 		n.JoinsRefused++
-		fx.Ends = append(fx.Ends, End{Ticket: ticket, Defect: d})
+		fx.Ends = append(fx.Ends, End{Ticket: ticket, Failure: d})
 	}
 	return fx
 }
 
 // admit is the part of a tick that ends late joins and begins the next batch.
-func (n *Node) admit(now moment.Moment, fx *Effects) {
+func (n *Node) admit(now monotime.Time, fx *Effects) {
 	n.refuse(n.joins.Expire(now), fx)
 	if n.leaving {
-		n.refuse(n.joins.Refuse(now, defect.Stopping, "the core stops"), fx)
+		n.refuse(n.joins.Refuse(now, failure.Stopping, "the core stops"), fx)
 		return
 	}
 	if n.joins.Len() == 0 {
 		return
 	}
 	if !n.Majority(now) {
-		n.refuse(n.joins.Refuse(now.Add(-majorityWait), defect.NoMajority, "this core sees no majority"), fx)
+		n.refuse(n.joins.Refuse(now.Add(-majorityWait), failure.NoMajority, "this core sees no majority"), fx)
 		return
 	}
 	if batch := n.joins.Begin(now); len(batch) > 0 {
@@ -80,23 +80,23 @@
 func (n *Node) refuse(all []admission.Refusal, fx *Effects) {
 	for _, r := range all {
 		n.JoinsRefused++
-		fx.Ends = append(fx.Ends, End{Ticket: r.Ticket, Defect: r.Defect})
+		fx.Ends = append(fx.Ends, End{Ticket: r.Ticket, Failure: r.Failure})
 	}
 }
 
 // beginBatch sends the operations of a batch: one for all claims and shares, and one read of the
 // newest manifest epoch, which begins after all of its joins came in.
-func (n *Node) beginBatch(now moment.Moment, batch []admission.Request, fx *Effects) {
+func (n *Node) beginBatch(now monotime.Time, batch []admission.Request, fx *Effects) {
 	b := &joinBatch{began: now, size: len(batch), open: 2}
 	n.JoinBatches++
 	until := now.Add(batchBudget)
-	n.begin(now, &pending{operation: proposer.Operation{Key: share.Key, Kind: share.EnterKind, Args: book.JSON(n.entrants(batch))}, until: until,
-		done: func(now moment.Moment, e End, fx *Effects) {
+	n.begin(now, &pending{operation: proposer.Operation{Key: share.Key, Kind: share.EnterKind, Args: operation.Encode(n.entrants(batch))}, until: until,
+		done: func(now monotime.Time, e End, fx *Effects) {
 			b.take(e, &b.given)
 			n.endPart(now, b, fx)
 		}}, fx)
 	n.begin(now, &pending{operation: proposer.Operation{Key: offer.Key, Kind: "manifest/epoch"}, until: until,
-		done: func(now moment.Moment, e End, fx *Effects) {
+		done: func(now monotime.Time, e End, fx *Effects) {
 			var yes offer.Yes
 			b.take(e, &yes)
 			b.epoch = yes.Epoch
@@ -115,29 +115,29 @@
 
 // take reads the return of one of the operations.
 func (b *joinBatch) take(e End, into any) {
-	d := e.Defect
+	d := e.Failure
 	if d == nil {
 		if err := json.Unmarshal(e.Body, into); err != nil {
-			d = defect.New(defect.Damaged, "join: %v", err)
+			d = failure.New(failure.Damaged, "join: %v", err)
 		}
 	}
-	if d != nil && b.defect == nil {
-		b.defect = d
+	if d != nil && b.failure == nil {
+		b.failure = d
 	}
 }
 
 // endPart ends the batch once both of its operations have.
-func (n *Node) endPart(now moment.Moment, b *joinBatch, fx *Effects) {
+func (n *Node) endPart(now monotime.Time, b *joinBatch, fx *Effects) {
 	if b.open--; b.open > 0 {
 		return
 	}
-	if b.defect == nil && len(b.given) != b.size {
-		b.defect = defect.New(defect.Damaged, "%d claims for %d joins", len(b.given), b.size)
+	if b.failure == nil && len(b.given) != b.size {
+		b.failure = failure.New(failure.Damaged, "%d claims for %d joins", len(b.given), b.size)
 	}
-	if b.defect == nil {
+	if b.failure == nil {
 		n.sureOf(now, b, fx)
 	}
-	for i, tickets := range n.joins.End(now, b.defect == nil) {
+	for i, tickets := range n.joins.End(now, b.failure == nil) {
 		for _, ticket := range tickets {
 			fx.Ends = append(fx.Ends, b.end(ticket, i))
 		}
@@ -145,7 +145,7 @@
 }
 
 // sureOf takes the epoch that the batch has read as known here too.
-func (n *Node) sureOf(now moment.Moment, b *joinBatch, fx *Effects) {
+func (n *Node) sureOf(now monotime.Time, b *joinBatch, fx *Effects) {
 	if b.epoch > n.Epoch {
 		n.learn(now, message.Learned{Key: offer.Key, Revision: ident.Revision(b.epoch)}, fx)
 	}
@@ -154,11 +154,11 @@
 
 // end is what one caller of the batch is told.
 func (b *joinBatch) end(ticket uint64, at int) End {
-	if b.defect != nil {
-		d := *b.defect
-		d.Retry = max(d.Retry, 0.1)
-		return End{Ticket: ticket, Defect: &d}
+	if b.failure != nil {
+		d := *b.failure
+		d.RetryAfter = max(d.RetryAfter, 0.1)
+		return End{Ticket: ticket, Failure: &d}
 	}
 	g := b.given[at]
-	return End{Ticket: ticket, Body: book.JSON(Joined{Claim: g.Claim, Share: g.Share, Manifest: b.epoch})}
+	return End{Ticket: ticket, Body: operation.Encode(Joined{Claim: g.Claim, Share: g.Share, Manifest: b.epoch})}
 }
--- a/control/core/node/join_test.go
+++ b/control/core/node/join_test.go
@@ -11,7 +11,7 @@
 	"cottonarch.example/cottonarch/control/core/admission"
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/core/node"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -27,7 +27,7 @@
 func (x *trio) joined(t *testing.T, ticket uint64) (j node.Joined) {
 	e := x.end(ticket)
 	must.NotNil(t, e, must.Sprint(ticket))
-	must.Nil(t, e.Defect, must.Sprint(ticket))
+	must.Nil(t, e.Failure, must.Sprint(ticket))
 	must.NoError(t, json.Unmarshal(e.Body, &j))
 	return j
 }
@@ -96,9 +96,9 @@
 	x.run(time.Second)
 	e := x.end(1)
 	must.NotNil(t, e)
-	must.Eq(t, defect.NoMajority, e.Defect.Kind)
-	must.Eq(t, defect.FateNo, e.Defect.Fate)
-	must.Positive(t, e.Defect.Retry)
+	must.Eq(t, failure.NoMajority, e.Failure.Kind)
+	must.Eq(t, failure.NotExecuted, e.Failure.Outcome)
+	must.Positive(t, e.Failure.RetryAfter)
 	x.join("a:1", 2, joining(1, "run"))
 	x.lost = nil
 	x.run(1500 * time.Millisecond)
@@ -114,7 +114,7 @@
 	x.run(100 * time.Millisecond)
 	for _, ticket := range []uint64{1, 2} {
 		must.NotNil(t, x.end(ticket))
-		must.Eq(t, defect.Stopping, x.end(ticket).Defect.Kind)
+		must.Eq(t, failure.Stopping, x.end(ticket).Failure.Kind)
 	}
 	must.Eq(t, 2, x.nodes["a:1"].JoinsRefused)
 }
--- a/control/core/node/late_test.go
+++ b/control/core/node/late_test.go
@@ -59,7 +59,7 @@
 // What a caller is told of an operation with a budget is true, and said in time, whichever
 // messages between the cores are lost for how long: no one is told of a no that comes
 // about, and nothing is begun after the budget.
-func TestFateWithinTheBudget(t *testing.T) {
+func TestOutcomeWithinTheBudget(t *testing.T) {
 	const budget = 900 * time.Millisecond
 	kinds := map[string]func(message.Message) bool{
 		"forward": func(m message.Message) bool { return m.Forward != nil },
@@ -85,10 +85,10 @@
 			x.run(500 * time.Millisecond)
 			end, now := x.end(2), string(x.end(3).Body)
 			switch {
-			case end.Defect == nil:
+			case end.Failure == nil:
 				told["yes"]++
 				must.Eq(t, `{"number":2}`, now, must.Sprint(what, span))
-			case end.Defect.Fate == "no":
+			case end.Failure.Outcome == "no":
 				told["no"]++
 				must.Eq(t, `{"number":1}`, now, must.Sprint(what, span))
 			default:
--- a/control/core/node/leases_test.go
+++ b/control/core/node/leases_test.go
@@ -7,19 +7,19 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 )
 
 // renew renews for a while at one core, and gives when the newest renewal that a majority
 // is said to have taken was sent.
-func (x *trio) renew(t *testing.T, at ident.Addr, beat *uint64, sent map[uint64]moment.Moment, d time.Duration) (took moment.Moment) {
+func (x *trio) renew(t *testing.T, at ident.Addr, beat *uint64, sent map[uint64]monotime.Time, d time.Duration) (took monotime.Time) {
 	for end := x.now.Add(d); x.now < end; x.run(400 * time.Millisecond) {
 		*beat++
 		sent[*beat] = x.now
@@ -41,7 +41,7 @@
 		for n := 0; n < 30 && x.end(x.tickets) == nil; n++ {
 			x.run(100 * time.Millisecond)
 		}
-		if e := x.end(x.tickets); e != nil && e.Defect == nil {
+		if e := x.end(x.tickets); e != nil && e.Failure == nil {
 			must.NoError(t, json.Unmarshal(e.Body, &s))
 			return s
 		}
@@ -61,20 +61,20 @@
 		"the hellos that it is told":  func(k, to ident.Addr, m message.Message) bool { return to == k && m.Hello != nil },
 	} {
 		x := newTrio(t)
-		x.out("b:1", x.nodes["b:1"].Submit(x.now, 1, proposer.Operation{Key: "share", Kind: "share/take", Args: book.JSON(share.Args{Node: "n", Claim: 1})}, 4*time.Second))
+		x.out("b:1", x.nodes["b:1"].Submit(x.now, 1, proposer.Operation{Key: "share", Kind: "share/take", Args: operation.Encode(share.Args{Node: "n", Claim: 1})}, 4*time.Second))
 		x.run(32 * time.Second) // a core that was just started takes nothing back
 		registrar := three[0]
 		if x.nodes[registrar].Duty() {
 			registrar = three[2] // the one with the duty asks only of those that it does not hear itself
 		}
-		beat, sent := uint64(0), map[uint64]moment.Moment{}
+		beat, sent := uint64(0), map[uint64]monotime.Time{}
 		if name != "its lists" {
 			took := x.renew(t, registrar, &beat, sent, 40*time.Second)
 			must.Less(t, 1500*time.Millisecond, x.now.Since(took), must.Sprint(name))
 			must.MapContainsKey(t, x.shares(t).Nodes, ident.Node("n"), must.Sprint(name))
 		}
 		x.lost = func(to ident.Addr, m message.Message) bool { return lost(registrar, to, m) }
-		took, freed := moment.Moment(0), false
+		took, freed := monotime.Time(0), false
 		for range 30 {
 			took = max(took, x.renew(t, registrar, &beat, sent, 2*time.Second))
 			if _, has := x.shares(t).Nodes["n"]; !has {
@@ -93,7 +93,7 @@
 func TestCoresTellEachOtherOfSidecars(t *testing.T) {
 	for n := range 3 {
 		x := newTrio(t)
-		beat, sent := uint64(0), map[uint64]moment.Moment{}
+		beat, sent := uint64(0), map[uint64]monotime.Time{}
 		x.renew(t, three[n], &beat, sent, time.Second)
 		for _, a := range three {
 			must.Eq(t, 1, x.nodes[a].Leases.Live(), must.Sprintf("%s of %s", a, three[n]))
--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -7,11 +7,11 @@
 	"time"
 
 	"cottonarch.example/cottonarch/control/audit/chunk"
-	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/group"
 	"cottonarch.example/cottonarch/control/coordination/key"
 	"cottonarch.example/cottonarch/control/coordination/lock"
 	"cottonarch.example/cottonarch/control/coordination/number"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/core/admission"
 	"cottonarch.example/cottonarch/control/core/message"
@@ -25,9 +25,9 @@
 	"cottonarch.example/cottonarch/control/register/quorumread"
 	"cottonarch.example/cottonarch/control/rollout/drive"
 	rollout "cottonarch.example/cottonarch/control/rollout/state"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/lease/table"
 	"cottonarch.example/cottonarch/storage/ring"
 )
@@ -85,7 +85,7 @@
 	Changed bool // the lease table has news
 	// Confirmed is a manifest, as held, that was just learned to be confirmed.
 	Confirmed json.RawMessage
-	Exit      *defect.Defect
+	Exit      *failure.Error
 }
 
 // Gate splits off the records and the messages that rest on this disk. A question about the
@@ -115,7 +115,7 @@
 type End struct {
 	Ticket   uint64
 	Body     json.RawMessage
-	Defect   *defect.Defect
+	Failure  *failure.Error
 	Revision ident.Revision
 	Found    map[ident.Key]quorumread.Found
 }
@@ -124,7 +124,7 @@
 type Node struct {
 	boot         Boot
 	Disk         ident.Disk
-	began        moment.Moment
+	began        monotime.Time
 	membership   *membership.Acceptor
 	acceptor     *acceptor.Acceptor
 	proposer     *proposer.Proposer
@@ -132,7 +132,7 @@
 	bootstrap    *bootstrap.Bootstrap
 	Leases       *table.Table
 	peers        map[ident.Addr]*peer
-	known        map[ident.Addr]moment.Moment // told of by others, and when last
+	known        map[ident.Addr]monotime.Time // told of by others, and when last
 	pend         map[uint64]*pending          // by out
 	wait         []*pending                   // no copy out
 	guests       map[uint64]guest
@@ -143,7 +143,7 @@
 	reads        map[uint64]*reading
 	first        uint64 // where the numbers of this run begin, see ident.FirstNumber
 	count        uint64
-	said         moment.Moment
+	said         monotime.Time
 	joined       bool // this run has heard a majority
 	leaving      bool
 	away         *departure
@@ -154,62 +154,62 @@
 	copyingState bool
 	copiedAt     ident.Epoch // the membership epoch whose cells were copied and synced
 	copy         uint64      // the turn of the word that a copy is synced, 0 if none is awaited
-	copyAt       moment.Moment
-	lastPass     moment.Moment
+	copyAt       monotime.Time
+	lastPass     monotime.Time
 	passFound    Pass
-	dutied       moment.Moment
+	dutied       monotime.Time
 	fence        uint64
 	holds        bool
 	rolls        *drive.Drive
-	rolled       moment.Moment
+	rolled       monotime.Time
 	// audited is the newest epoch in the audit log and leaves their number, as this core
 	// last read or wrote it. Both only rise, for the log only grows.
 	audited           ident.Epoch
 	leaves            int
-	auditAt           moment.Moment
+	auditAt           monotime.Time
 	AntiEntropyPasses uint64
 	Repaired          uint64
 	Epoch             ident.Epoch   // newest manifest epoch learned
 	no                uint64        // of the last hello
 	stamps            []stamp       // when the last hellos were sent, in order of their numbers
-	called            moment.Moment // when those that were never heard were last told hello
+	called            monotime.Time // when those that were never heard were last told hello
 	wants             []ident.Addr
-	freshAsOf         moment.Moment // nothing newer than Epoch was confirmed before this
-	refreshing        moment.Moment // when the read that is out began, 0 if none is
+	freshAsOf         monotime.Time // nothing newer than Epoch was confirmed before this
+	refreshing        monotime.Time // when the read that is out began, 0 if none is
 	wasStale          bool          // see Stale
-	behind            moment.Moment // since when a newer manifest than the one held is known of, 0 if none is
-	rolling           moment.Moment // when a roll-out was last known to run
+	behind            monotime.Time // since when a newer manifest than the one held is known of, 0 if none is
+	rolling           monotime.Time // when a roll-out was last known to run
 	silence           silenceRound
 	joins             admission.Queue
 	// JoinBatches counts the batches of joins that were begun here, JoinsRefused the joins
 	// that were told to come back.
 	JoinBatches  uint64
 	JoinsRefused uint64
-	in           []func(*Node, moment.Moment, message.Message, *Effects) bool
+	in           []func(*Node, monotime.Time, message.Message, *Effects) bool
 }
 
 // Handlers is the table of every operation that the control state knows; history is as in Boot.
-func Handlers(history time.Duration) book.Book {
-	all := book.Book{}
-	for _, b := range []book.Book{lock.Deeds(), number.Deeds(), key.Deeds(), group.Deeds(history), share.Deeds(), offer.Deeds(), rollout.Deeds(), chunk.Deeds()} {
+func Handlers(history time.Duration) operation.Table {
+	all := operation.Table{}
+	for _, b := range []operation.Table{lock.Handlers(), number.Handlers(), key.Handlers(), group.Handlers(history), share.Handlers(), offer.Handlers(), rollout.Handlers(), chunk.Handlers()} {
 		for kind, h := range b {
 			all[kind] = h
 		}
 	}
-	all[proposer.Repair] = func(proposer.Context, json.RawMessage, json.RawMessage) book.Entry { return book.Entry{} }
+	all[proposer.Repair] = func(proposer.Context, json.RawMessage, json.RawMessage) operation.Result { return operation.Result{} }
 	return all
 }
 
 // New builds a node from what its disk holds; the records it returns must be synced
 // before anything else.
-func New(now moment.Moment, boot Boot, recs []ring.Record) (*Node, []ring.Record, error) {
+func New(now monotime.Time, boot Boot, recs []ring.Record) (*Node, []ring.Record, error) {
 	if boot.Machine == nil {
 		boot.Machine = Handlers(boot.History)
 	}
 	if boot.Voters == 0 {
 		boot.Voters = 5
 	}
-	n := &Node{boot: boot, began: now, peers: map[ident.Addr]*peer{}, known: map[ident.Addr]moment.Moment{}, pend: map[uint64]*pending{}, guests: map[uint64]guest{},
+	n := &Node{boot: boot, began: now, peers: map[ident.Addr]*peer{}, known: map[ident.Addr]monotime.Time{}, pend: map[uint64]*pending{}, guests: map[uint64]guest{},
 		seen: map[string]*message.Carried{}, reads: map[uint64]*reading{}, Leases: table.New()}
 	var write []ring.Record
 	for _, rec := range recs {
@@ -251,7 +251,7 @@
 	return created
 }
 
-func (n *Node) start(now moment.Moment) {
+func (n *Node) start(now monotime.Time) {
 	n.proposer = n.newProposer()
 	n.reconfigurer = reconfiguration.New(n.Disk, n.boot.Mark)
 	n.bootstrap = bootstrap.New(n.Disk, n.boot.Addr, n.boot.Founders)
@@ -304,7 +304,7 @@
 }
 
 // Step takes one message.
-func (n *Node) Step(now moment.Moment, m message.Message) (fx Effects) {
+func (n *Node) Step(now monotime.Time, m message.Message) (fx Effects) {
 	if m.To != "" && m.To != n.boot.Mark {
 		return fx
 	}
@@ -317,10 +317,10 @@
 }
 
 // inbox is the table of what to do with each part of a message.
-var inbox []func(*Node, moment.Moment, message.Message, *Effects) bool
+var inbox []func(*Node, monotime.Time, message.Message, *Effects) bool
 
 func init() {
-	inbox = []func(*Node, moment.Moment, message.Message, *Effects) bool{
+	inbox = []func(*Node, monotime.Time, message.Message, *Effects) bool{
 		(*Node).onHello, (*Node).onRequest, (*Node).onResponse, (*Node).onForward, (*Node).onCarried, (*Node).onScan,
 		(*Node).onScanResponse, (*Node).onLearned, (*Node).onMembershipRequest, (*Node).onMembershipResponse, (*Node).onHandover,
 		(*Node).onLeaseUpdate, (*Node).onWant, (*Node).onSilence,
