--- a/control/core/node/node_test.go
+++ b/control/core/node/node_test.go
@@ -13,14 +13,14 @@
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/storage/ring"
 )
 
 // trio is three nodes without disks that are always up, but for those in dead.
 type trio struct {
 	nodes map[ident.Addr]*node.Node
-	now   moment.Moment
+	now   monotime.Time
 	ends  []node.End
 	post  []mail
 	dead  map[ident.Addr]bool
@@ -39,7 +39,7 @@
 var three = []ident.Addr{"a:1", "b:1", "c:1"}
 
 func newTrio(t *testing.T) *trio {
-	x := &trio{tickets: 1000, nodes: map[ident.Addr]*node.Node{}, now: moment.Moment(time.Second), dead: map[ident.Addr]bool{}, disks: map[ident.Addr]map[string]ring.Record{}}
+	x := &trio{tickets: 1000, nodes: map[ident.Addr]*node.Node{}, now: monotime.Time(time.Second), dead: map[ident.Addr]bool{}, disks: map[ident.Addr]map[string]ring.Record{}}
 	for _, a := range three {
 		x.start(t, a, ident.Disk("disk-"+a), three)
 	}
@@ -136,7 +136,7 @@
 	x := newTrio(t)
 	x.submit("a:1", 1, "number/next", "number/n")
 	x.run(200 * time.Millisecond)
-	must.Nil(t, x.end(1).Defect)
+	must.Nil(t, x.end(1).Failure)
 	created := x.ownerOf("number/n")
 	x.dead[created] = true
 	at := three[0]
@@ -252,14 +252,14 @@
 		must.NotNil(t, end)
 		x.submit(at, 3, "number/read", "number/n")
 		x.run(500 * time.Millisecond)
-		must.Nil(t, x.end(3).Defect)
+		must.Nil(t, x.end(3).Failure)
 		now := string(x.end(3).Body)
 		switch {
-		case end.Defect == nil:
+		case end.Failure == nil:
 			told++
 			must.Eq(t, `{"number":2}`, string(end.Body), must.Sprintf("seed %d", seed))
 			must.Eq(t, `{"number":2}`, now, must.Sprintf("seed %d", seed))
-		case end.Defect.Fate == "no":
+		case end.Failure.Outcome == "no":
 			must.Eq(t, `{"number":1}`, now, must.Sprintf("seed %d", seed))
 		default:
 			must.True(t, now == `{"number":1}` || now == `{"number":2}`)
--- a/control/core/node/operations.go
+++ b/control/core/node/operations.go
@@ -5,15 +5,15 @@
 	"slices"
 	"time"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/placement"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	rollout "cottonarch.example/cottonarch/control/rollout/state"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // pending is one operation that this core has to answer. Invariants: at most one copy is
@@ -22,15 +22,15 @@
 type pending struct {
 	ticket             uint64
 	operation          proposer.Operation
-	until              moment.Moment
-	pause              moment.Moment
+	until              monotime.Time
+	pause              monotime.Time
 	out                uint64 // the forward ticket or local tag, 0 when none
-	sent               moment.Moment
+	sent               monotime.Time
 	at                 ident.Addr
 	instance           string
 	givenUp            int
 	mayHaveTakenEffect bool
-	done               func(moment.Moment, End, *Effects)
+	done               func(monotime.Time, End, *Effects)
 }
 
 // mayAct tells whether some copy of the operation may have changed something, or may yet.
@@ -52,21 +52,21 @@
 var harmless = map[string]bool{"lock/read": true, "number/read": true, "key/read": true, "share/read": true, "manifest/read": true, "manifest/epoch": true, "rollout/read": true, "manifest/lines": true, "group/read": true, "group/since": true, proposer.Repair: true}
 
 // Submit takes a local request; its End carries the ticket.
-func (n *Node) Submit(now moment.Moment, ticket uint64, d proposer.Operation, budget time.Duration) (fx Effects) {
+func (n *Node) Submit(now monotime.Time, ticket uint64, d proposer.Operation, budget time.Duration) (fx Effects) {
 	n.begin(now, &pending{ticket: ticket, operation: d, until: now.Add(budget)}, &fx)
 	return fx
 }
 
-func (n *Node) begin(now moment.Moment, p *pending, fx *Effects) {
+func (n *Node) begin(now monotime.Time, p *pending, fx *Effects) {
 	if p.operation.Op == "" {
 		p.operation.Op = ident.Op(fmt.Sprintf("%s.%s.%d", n.Disk, n.boot.Mark, n.next()-n.first))
 	}
 	if grows[p.operation.Kind] && n.boot.Full != nil && n.boot.Full() {
-		n.finish(now, p, End{Defect: defect.New(defect.Full, "the disk has no room for more control state")}, fx)
+		n.finish(now, p, End{Failure: failure.New(failure.Full, "the disk has no room for more control state")}, fx)
 		return
 	}
 	if len(n.pend)+len(n.wait) >= pendMax {
-		n.finish(now, p, End{Defect: defect.New(defect.Busy, "too many deeds are in hand").Later(1)}, fx)
+		n.finish(now, p, End{Failure: failure.New(failure.Busy, "too many deeds are in hand").Later(1)}, fx)
 		return
 	}
 	n.dispatch(now, p, fx)
@@ -79,7 +79,7 @@
 var grows = map[string]bool{"key/write": true, "manifest/offer": true, "lock/claim": true, "number/next": true, "rollout/begin": true, "group/put": true}
 
 // dispatch sends the one copy of a pending operation to the key's proposer.
-func (n *Node) dispatch(now moment.Moment, p *pending, fx *Effects) {
+func (n *Node) dispatch(now monotime.Time, p *pending, fx *Effects) {
 	if n.cutOff(now) && !p.mayAct() {
 		n.late(now, p, fx)
 		return
@@ -106,19 +106,19 @@
 
 // forward sends the copy that is out, or sends it again: the receiver, which is one
 // process named by its mark, takes repeats of one ticket as one.
-func (n *Node) forward(now moment.Moment, p *pending, fx *Effects) {
+func (n *Node) forward(now monotime.Time, p *pending, fx *Effects) {
 	p.sent = now
 	left := max(1, p.until.Since(now).Milliseconds())
 	fx.Sends = append(fx.Sends, Send{p.at, message.Message{To: p.instance, Forward: &message.Forward{Ticket: p.out, Operation: p.operation, LeftMs: left}}})
 }
 
-func (n *Node) finish(now moment.Moment, p *pending, e End, fx *Effects) {
+func (n *Node) finish(now monotime.Time, p *pending, e End, fx *Effects) {
 	e.Ticket = p.ticket
-	if e.Defect != nil && p.mayAct() && e.Defect.Fate == defect.FateNo {
+	if e.Failure != nil && p.mayAct() && e.Failure.Outcome == failure.NotExecuted {
 		// Another copy may still take effect: a no would not be sure.
-		d := *e.Defect
-		d.Fate = defect.FateUnknown
-		e.Defect = &d
+		d := *e.Failure
+		d.Outcome = failure.OutcomeUnknown
+		e.Failure = &d
 	}
 	if p.done != nil {
 		p.done(now, e, fx)
@@ -128,11 +128,11 @@
 }
 
 // ended takes the end of the copy that is out.
-func (n *Node) ended(now moment.Moment, p *pending, c message.Carried, fx *Effects) {
+func (n *Node) ended(now monotime.Time, p *pending, c message.Carried, fx *Effects) {
 	delete(n.pend, p.out)
 	p.out = 0
 	if !c.Abandoned {
-		n.finish(now, p, End{Body: c.Body, Defect: c.Defect, Revision: c.Revision}, fx)
+		n.finish(now, p, End{Body: c.Body, Failure: c.Failure, Revision: c.Revision}, fx)
 		return
 	}
 	p.mayHaveTakenEffect = p.mayHaveTakenEffect || c.MayHaveTakenEffect
@@ -141,13 +141,13 @@
 }
 
 // applyProposer carries out what the proposer wants.
-func (n *Node) applyProposer(now moment.Moment, o proposer.Effects, fx *Effects) {
+func (n *Node) applyProposer(now monotime.Time, o proposer.Effects, fx *Effects) {
 	for _, s := range o.Sends {
 		ask := s.Request
 		n.send(s.To, message.Message{Request: &ask}, fx)
 	}
 	for _, out := range o.Outcomes {
-		c := message.Carried{Body: out.Body, Defect: out.Defect, Revision: out.Revision, Abandoned: out.Abandoned, MayHaveTakenEffect: out.MayHaveTakenEffect}
+		c := message.Carried{Body: out.Body, Failure: out.Failure, Revision: out.Revision, Abandoned: out.Abandoned, MayHaveTakenEffect: out.MayHaveTakenEffect}
 		if out.Changed && !out.Abandoned {
 			l := message.Learned{Key: out.Operation.Key, Revision: out.Revision, Ballot: out.Ballot}
 			n.learn(now, l, fx)
@@ -174,7 +174,7 @@
 	}
 }
 
-func (n *Node) learn(now moment.Moment, l message.Learned, fx *Effects) {
+func (n *Node) learn(now monotime.Time, l message.Learned, fx *Effects) {
 	fx.Learned = append(fx.Learned, l)
 	if l.Key.Under(rollout.Prefix) {
 		n.rolling = now
@@ -183,13 +183,13 @@
 		n.Epoch = max(n.Epoch, ident.Epoch(l.Revision))
 		// The value itself lies here already when this disk took part in the round.
 		if c := n.acceptor.Peek(l.Key); !l.Ballot.Zero() && c.Accepted == l.Ballot && c.Revision == l.Revision {
-			fx.Confirmed = book.State(c.Value)
+			fx.Confirmed = operation.State(c.Value)
 		}
 	}
 }
 
 // abandonCopies gives up the copies that are out at a process that is no more.
-func (n *Node) abandonCopies(now moment.Moment, addr ident.Addr, mark string) {
+func (n *Node) abandonCopies(now monotime.Time, addr ident.Addr, mark string) {
 	for _, out := range n.outs() {
 		p := n.pend[out]
 		if p.at == addr && p.instance == mark {
@@ -209,7 +209,7 @@
 	return out
 }
 
-func (n *Node) onForward(now moment.Moment, m message.Message, fx *Effects) bool {
+func (n *Node) onForward(now monotime.Time, m message.Message, fx *Effects) bool {
 	if m.Forward == nil {
 		return false
 	}
@@ -252,7 +252,7 @@
 	return true
 }
 
-func (n *Node) onCarried(now moment.Moment, m message.Message, fx *Effects) bool {
+func (n *Node) onCarried(now monotime.Time, m message.Message, fx *Effects) bool {
 	if m.Carried == nil {
 		return false
 	}
@@ -262,7 +262,7 @@
 	return true
 }
 
-func (n *Node) onLearned(now moment.Moment, m message.Message, fx *Effects) bool {
+func (n *Node) onLearned(now monotime.Time, m message.Message, fx *Effects) bool {
 	if m.Learned == nil {
 		return false
 	}
--- a/control/core/node/peers.go
+++ b/control/core/node/peers.go
@@ -8,7 +8,7 @@
 
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // peer is another core as last heard. Invariant: down is only a hint that it takes no
@@ -19,37 +19,37 @@
 // when the newest hello of ours was sent that it is known to have taken.
 type peer struct {
 	hello  message.Hello
-	since  moment.Moment
-	echo   moment.Moment
-	heard  moment.Moment
+	since  monotime.Time
+	echo   monotime.Time
+	heard  monotime.Time
 	down   bool
 	fits   uint64
 	acked  uint64
 	told   string
-	toldAt moment.Moment
-	saidAt moment.Moment // when the last hello to it went out
-	wanted moment.Moment
+	toldAt monotime.Time
+	saidAt monotime.Time // when the last hello to it went out
+	wanted monotime.Time
 }
 
 // live tells whether the peer counts as one that can be asked.
-func (p *peer) live(now moment.Moment) bool {
+func (p *peer) live(now monotime.Time) bool {
 	return !p.down && now.Since(p.heard) <= heartbeatTimeout && p.hears(now)
 }
 
 // hears tells whether the peer hears this core, as far as can be told: it may be heard
 // itself, over a link that is cut one way.
-func (p *peer) hears(now moment.Moment) bool {
+func (p *peer) hears(now monotime.Time) bool {
 	return !p.hello.Echo || now.Since(max(p.since, p.echo)) <= echoAge
 }
 
 // stamp is when a hello was sent.
 type stamp struct {
 	no uint64
-	at moment.Moment
+	at monotime.Time
 }
 
 // stamped notes that a hello is sent now, and forgets those that say nothing any more.
-func (n *Node) stamped(now moment.Moment) {
+func (n *Node) stamped(now monotime.Time) {
 	old := 0
 	for old < len(n.stamps) && now.Since(n.stamps[old].at) > echoAge {
 		old++
@@ -58,7 +58,7 @@
 }
 
 // sentAt is when the hello of a number was sent, 0 if that is long ago.
-func (n *Node) sentAt(no uint64) moment.Moment {
+func (n *Node) sentAt(no uint64) monotime.Time {
 	at, found := slices.BinarySearchFunc(n.stamps, no, func(s stamp, no uint64) int { return cmp.Compare(s.no, no) })
 	if !found {
 		return 0
@@ -94,7 +94,7 @@
 
 // Know takes addresses of cores that others told of; they are forgotten when nobody
 // tells of them any more.
-func (n *Node) Know(now moment.Moment, cores []ident.Addr) {
+func (n *Node) Know(now monotime.Time, cores []ident.Addr) {
 	for _, a := range cores {
 		if len(n.known) < 64 {
 			n.known[a] = now
@@ -104,7 +104,7 @@
 
 // Fresh lists the cores that this one stands for: itself, the voters, and whom it
 // hears.
-func (n *Node) Fresh(now moment.Moment) []ident.Addr {
+func (n *Node) Fresh(now monotime.Time) []ident.Addr {
 	out := []ident.Addr{n.boot.Addr}
 	for _, v := range n.membership.Current.Voters {
 		if !slices.Contains(out, v.Addr) {
@@ -120,7 +120,7 @@
 }
 
 // live lists the disks of counted voters that are heard and stay, this one included.
-func (n *Node) live(now moment.Moment) (disks []ident.Disk, at map[ident.Disk]ident.Addr) {
+func (n *Node) live(now monotime.Time) (disks []ident.Disk, at map[ident.Disk]ident.Addr) {
 	at = map[ident.Disk]ident.Addr{}
 	for _, v := range n.membership.Current.Voters {
 		if !v.Counted {
@@ -152,7 +152,7 @@
 }
 
 // heard lists the disks heard within span, this one included.
-func (n *Node) heard(now moment.Moment, span time.Duration) []ident.Disk {
+func (n *Node) heard(now monotime.Time, span time.Duration) []ident.Disk {
 	out := []ident.Disk{n.Disk}
 	for _, a := range n.peerAddrs() {
 		if p := n.peers[a]; now.Since(p.heard) <= span {
@@ -163,14 +163,14 @@
 }
 
 // Majority tells whether enough voters are heard to serve.
-func (n *Node) Majority(now moment.Moment) bool { return n.majority(now, heartbeatTimeout) }
+func (n *Node) Majority(now monotime.Time) bool { return n.majority(now, heartbeatTimeout) }
 
 // cutOff tells whether this core heard a majority and hears none now. One that has just
 // started and has heard none yet is not: those that live may not have said so.
-func (n *Node) cutOff(now moment.Moment) bool { return n.joined && !n.Majority(now) }
+func (n *Node) cutOff(now monotime.Time) bool { return n.joined && !n.Majority(now) }
 
 // majority tells whether enough voters were heard within a span.
-func (n *Node) majority(now moment.Moment, span time.Duration) bool {
+func (n *Node) majority(now monotime.Time, span time.Duration) bool {
 	got := 0
 	near := []ident.Disk{n.Disk}
 	for _, p := range n.peers {
@@ -189,7 +189,7 @@
 // Down takes a hint that the process at an address is gone: it takes no connection.
 // A hint only: its keys are taken by others, which is safe if it lives after all; the
 // next hello brings it back.
-func (n *Node) Down(now moment.Moment, addr ident.Addr) (fx Effects) {
+func (n *Node) Down(now monotime.Time, addr ident.Addr) (fx Effects) {
 	p := n.peers[addr]
 	if p == nil || p.down {
 		return fx
@@ -202,7 +202,7 @@
 
 // near lists the counted voters that are heard, this disk first, then those of its own
 // district, which nearCount counts, then the rest.
-func (n *Node) near(now moment.Moment) (out []ident.Disk, nearCount int) {
+func (n *Node) near(now monotime.Time) (out []ident.Disk, nearCount int) {
 	disks, at := n.live(now)
 	if !slices.Contains(disks, n.Disk) {
 		return nil, 0
--- a/control/core/node/placement.go
+++ b/control/core/node/placement.go
@@ -9,14 +9,14 @@
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/control/register/quorumread"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // copyAgain is how long the word that a copy is synced is awaited before all is copied anew.
 const copyAgain = 2 * time.Second
 
 // seekMembership works towards this disk being a counted voter.
-func (n *Node) seekMembership(now moment.Moment, fx *Effects) {
+func (n *Node) seekMembership(now monotime.Time, fx *Effects) {
 	r := n.membership.Current
 	if r.Epoch == 0 {
 		if !slices.Contains(n.boot.Founders, n.boot.Addr) {
@@ -63,7 +63,7 @@
 // number is even. A core more than an odd number adds to no majority's strength; it stands
 // by, and takes the next empty slot. Had it been counted in, and the voter whose successor
 // it was to be then gone for good, every later loss would be one too many.
-func (n *Node) canGrow(now moment.Moment, r quorum.Membership) bool {
+func (n *Node) canGrow(now monotime.Time, r quorum.Membership) bool {
 	near := n.healthy(now)
 	others := 0
 	for _, v := range r.Voters {
@@ -78,7 +78,7 @@
 }
 
 // healthy lists the disks that are heard, work and stay, this one included.
-func (n *Node) healthy(now moment.Moment) []ident.Disk {
+func (n *Node) healthy(now monotime.Time) []ident.Disk {
 	out := []ident.Disk{n.Disk}
 	for _, a := range n.peerAddrs() {
 		if p := n.peers[a]; p.live(now) && !p.hello.Leaving && !p.hello.Broken {
@@ -92,7 +92,7 @@
 // not heard here, or it may grow the membership, which has fewer voters than there should be.
 // Who can have none does not ask: each question outbids those that would be agreed to. Only then is a majority asked, and what its disks have heard decides; so a
 // core that has just come need not itself wait for a voter's silence to be long.
-func (n *Node) mayTakeSlot(now moment.Moment, r quorum.Membership) bool {
+func (n *Node) mayTakeSlot(now monotime.Time, r quorum.Membership) bool {
 	if slices.ContainsFunc(r.Voters, func(v quorum.Voter) bool { return v.Addr == n.boot.Addr && v.Disk != n.Disk }) {
 		return true
 	}
@@ -109,14 +109,14 @@
 // mayGrow tells whether this disk may ask for a slot of its own. A core that replaces
 // another is given time to find the empty slot first; where there are too few slots to bear
 // what may be lost at once, it waits no longer than it takes to hear the others.
-func (n *Node) mayGrow(now moment.Moment, r quorum.Membership) bool {
+func (n *Node) mayGrow(now monotime.Time, r quorum.Membership) bool {
 	ran := now.Since(n.began)
 	return ran > growAfter || r.Size() < 2*n.boot.CanLose+1 && ran > heartbeatTimeout
 }
 
 // presumedAlive lists the disks that this one does not hold for dead: those heard lately and,
 // as long as it has not listened for that long itself, all that vote.
-func (n *Node) presumedAlive(now moment.Moment) []ident.Disk {
+func (n *Node) presumedAlive(now monotime.Time) []ident.Disk {
 	out := n.heard(now, deadAfter)
 	if now.Since(n.began) > deadAfter {
 		return out
@@ -132,8 +132,8 @@
 // takeCopies takes every key that a majority of the counted voters held at the epoch. The
 // copy is done only once it is synced: the word of that waits at the gate behind its
 // records. A disk that counted sooner and then lost power would count and know nothing.
-func (n *Node) takeCopies(at ident.Epoch) func(moment.Moment, *quorumread.Reader, *Effects) {
-	return func(now moment.Moment, s *quorumread.Reader, fx *Effects) {
+func (n *Node) takeCopies(at ident.Epoch) func(monotime.Time, *quorumread.Reader, *Effects) {
+	return func(now monotime.Time, s *quorumread.Reader, fx *Effects) {
 		if s == nil || n.membership.Current.Epoch != at {
 			n.copyingState = false
 			return
--- a/control/core/node/placement_test.go
+++ b/control/core/node/placement_test.go
@@ -29,7 +29,7 @@
 		x := newTrio(t)
 		x.submit("a:1", 1, "number/next", "number/n")
 		x.run(200 * time.Millisecond)
-		must.Nil(t, x.end(1).Defect)
+		must.Nil(t, x.end(1).Failure)
 		x.dead["c:1"] = true
 		x.run(1900 * time.Millisecond) // the machine comes, its process starts
 		delete(x.disks, "c:1")
@@ -88,7 +88,7 @@
 			x.submit("c:1", 2, "number/next", "number/n")
 			x.run(2 * time.Second)
 			must.NotNil(t, x.end(2), must.Sprint(at, stop))
-			must.Nil(t, x.end(2).Defect, must.Sprint(at, stop))
+			must.Nil(t, x.end(2).Failure, must.Sprint(at, stop))
 		}
 	}
 }
@@ -126,7 +126,7 @@
 			}
 			x.run(time.Duration(luck.IntN(300)) * time.Millisecond)
 			e := x.end(ticket)
-			if e == nil || e.Defect != nil {
+			if e == nil || e.Failure != nil {
 				return false
 			}
 			var got struct{ Number uint64 }
--- a/control/core/node/quorumread.go
+++ b/control/core/node/quorumread.go
@@ -6,7 +6,7 @@
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/register/quorumread"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 type reading struct {
@@ -15,17 +15,17 @@
 	// buckets, when set, has digests compared first.
 	buckets int
 	*quorumread.Reader
-	until moment.Moment
-	done  func(moment.Moment, *quorumread.Reader, *Effects)
+	until monotime.Time
+	done  func(monotime.Time, *quorumread.Reader, *Effects)
 }
 
 // QuorumRead reads all records below a prefix from a majority.
-func (n *Node) QuorumRead(now moment.Moment, ticket uint64, prefix string, values bool, budget time.Duration) (fx Effects) {
+func (n *Node) QuorumRead(now monotime.Time, ticket uint64, prefix string, values bool, budget time.Duration) (fx Effects) {
 	n.quorumRead(now, &reading{ticket: ticket, until: now.Add(budget)}, prefix, values, "", &fx)
 	return fx
 }
 
-func (n *Node) quorumRead(now moment.Moment, r *reading, prefix string, values bool, skip ident.Disk, fx *Effects) {
+func (n *Node) quorumRead(now monotime.Time, r *reading, prefix string, values bool, skip ident.Disk, fx *Effects) {
 	turn := n.next()
 	r.Reader = quorumread.Begin(turn, n.membership.Current, prefix, values, skip)
 	r.Reader.All, r.Reader.Buckets = r.all, r.buckets
@@ -40,7 +40,7 @@
 	}
 }
 
-func (n *Node) onScan(_ moment.Moment, m message.Message, fx *Effects) bool {
+func (n *Node) onScan(_ monotime.Time, m message.Message, fx *Effects) bool {
 	if m.Scan == nil {
 		return false
 	}
@@ -53,7 +53,7 @@
 	return true
 }
 
-func (n *Node) onScanResponse(now moment.Moment, m message.Message, fx *Effects) bool {
+func (n *Node) onScanResponse(now monotime.Time, m message.Message, fx *Effects) bool {
 	if m.ScanResponse == nil {
 		return false
 	}
--- a/control/core/node/restart_test.go
+++ b/control/core/node/restart_test.go
@@ -10,7 +10,7 @@
 	"cottonarch.example/cottonarch/control/membership/acceptor"
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/storage/ring"
 )
 
@@ -23,7 +23,7 @@
 	scan := func(mark string) uint64 {
 		n, _, err := node.New(1, node.Boot{Addr: "a:1", Founders: []ident.Addr{"a:1"}, Mark: mark}, records)
 		must.NoError(t, err)
-		now := moment.Moment(time.Second)
+		now := monotime.Time(time.Second)
 		fx := n.QuorumRead(now, 1, "", true, time.Second)
 		for _, s := range fx.Sends {
 			if s.Msg.Scan != nil {
--- a/control/core/node/run_test.go
+++ b/control/core/node/run_test.go
@@ -20,7 +20,7 @@
 		x.out("a:1", x.nodes["a:1"].Submit(x.now, ticket, proposer.Operation{Key: "key/k", Kind: "key/write", Args: []byte(`{"value":` + value + `}`)}, 4*time.Second))
 		x.run(2500 * time.Millisecond)
 		must.NotNil(t, x.end(ticket))
-		must.Nil(t, x.end(ticket).Defect)
+		must.Nil(t, x.end(ticket).Failure)
 	}
 	put(1, "1")
 	x.start(t, "c:1", "", three)
--- a/control/core/node/silence.go
+++ b/control/core/node/silence.go
@@ -4,12 +4,12 @@
 	"maps"
 	"slices"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/lease/table"
 )
 
@@ -25,10 +25,10 @@
 
 // reclaimShares takes back the shares of nodes that a majority has long not heard. The voters
 // are asked only of those that this core has not heard.
-func (n *Node) reclaimShares(now moment.Moment, fx *Effects) {
-	n.internal(now, proposer.Operation{Key: shareKey, Kind: "share/read"}, fx, func(now moment.Moment, e End, fx *Effects) {
+func (n *Node) reclaimShares(now monotime.Time, fx *Effects) {
+	n.internal(now, proposer.Operation{Key: shareKey, Kind: "share/read"}, fx, func(now monotime.Time, e End, fx *Effects) {
 		var s share.Shares
-		if e.Defect != nil || book.Read(nil, e.Body, nil, &s) != nil {
+		if e.Failure != nil || operation.Decode(nil, e.Body, nil, &s) != nil {
 			return
 		}
 		silent := n.Leases.Silent(now, slices.Sorted(maps.Keys(s.Nodes)))
@@ -48,7 +48,7 @@
 // onSilence answers the question, or takes a voter's answer. Invariant: a core says that a
 // node is silent only when it has itself been up for longer than table.SilentAfter; a share is
 // taken back only when a majority of the voters said so.
-func (n *Node) onSilence(now moment.Moment, m message.Message, fx *Effects) bool {
+func (n *Node) onSilence(now monotime.Time, m message.Message, fx *Effects) bool {
 	q := m.Quiet
 	if q == nil {
 		return false
@@ -69,8 +69,8 @@
 		}
 		says[q.Says] = true
 		if len(says) == n.membership.Current.Majority() {
-			args := book.JSON(share.Args{Node: node, Claim: n.silence.claims[node]})
-			n.internal(now, proposer.Operation{Key: shareKey, Kind: "share/free", Args: args}, fx, func(moment.Moment, End, *Effects) {})
+			args := operation.Encode(share.Args{Node: node, Claim: n.silence.claims[node]})
+			n.internal(now, proposer.Operation{Key: shareKey, Kind: "share/free", Args: args}, fx, func(monotime.Time, End, *Effects) {})
 		}
 	}
 	return true
--- a/control/core/node/tick.go
+++ b/control/core/node/tick.go
@@ -3,21 +3,21 @@
 import (
 	"time"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/lock"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/register/placement"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // forwardAgain is how long a forwarded operation may be out before it is sent again.
 const forwardAgain = 350 * time.Millisecond
 
 // Tick is called many times a second.
-func (n *Node) Tick(now moment.Moment) (fx Effects) {
+func (n *Node) Tick(now monotime.Time) (fx Effects) {
 	n.sendLeaseUpdates(now, &fx)
 	if n.said == 0 || now.Since(n.said) >= helloLook {
 		n.said = now
@@ -48,7 +48,7 @@
 // pendings routes what waits and ends what is late. While this core is cut off it ends at
 // once whatever has certainly changed nothing; a change that may have been begun stays until
 // its time is over, as its fate may yet be learned.
-func (n *Node) pendings(now moment.Moment, fx *Effects) {
+func (n *Node) pendings(now monotime.Time, fx *Effects) {
 	n.joined = n.joined || n.Majority(now)
 	cut := n.cutOff(now)
 	n.applyProposer(now, n.proposer.Withdraw(func(d proposer.Operation) bool { return cut || d.Deadline != 0 && now.After(d.Deadline) }), fx)
@@ -84,15 +84,15 @@
 	}
 }
 
-func (n *Node) late(now moment.Moment, p *pending, fx *Effects) {
-	d := defect.New(defect.NoMajority, "no majority of the core answered in time").Later(1)
+func (n *Node) late(now monotime.Time, p *pending, fx *Effects) {
+	d := failure.New(failure.NoMajority, "no majority of the core answered in time").Later(1)
 	if p.mayAct() {
-		d = defect.Unsure(defect.Unknown, "the change was sent on and no return came in time")
+		d = failure.Unsure(failure.UnknownOutcome, "the change was sent on and no return came in time")
 	}
-	n.finish(now, p, End{Defect: d}, fx)
+	n.finish(now, p, End{Failure: d}, fx)
 }
 
-func (n *Node) readings(now moment.Moment, fx *Effects) {
+func (n *Node) readings(now monotime.Time, fx *Effects) {
 	for _, turn := range n.readRounds() {
 		rd := n.reads[turn]
 		if now > rd.until || rd.done == nil && n.cutOff(now) {
@@ -102,7 +102,7 @@
 				continue
 			}
 			if rd.done == nil {
-				fx.Ends = append(fx.Ends, End{Ticket: rd.ticket, Defect: defect.New(defect.NoMajority, "no majority of the core answered in time").Later(1)})
+				fx.Ends = append(fx.Ends, End{Ticket: rd.ticket, Failure: failure.New(failure.NoMajority, "no majority of the core answered in time").Later(1)})
 			} else {
 				rd.done(now, nil, fx)
 			}
@@ -114,7 +114,7 @@
 
 // Leave begins a planned stop: no key is owned any more, successors are named. It is
 // done once Left says so.
-func (n *Node) Leave(now moment.Moment) (fx Effects) {
+func (n *Node) Leave(now monotime.Time) (fx Effects) {
 	if n.leaving {
 		return fx
 	}
@@ -124,8 +124,8 @@
 	disks, at := n.live(now)
 	if n.holds {
 		if next, _ := placement.Proposer(dutyKey, disks); next != "" {
-			args := book.JSON(lock.Args{Holder: string(n.Disk), Fence: n.fence, To: string(next)})
-			n.internal(now, proposer.Operation{Key: dutyKey, Kind: "lock/pass", Args: args}, &fx, func(moment.Moment, End, *Effects) {})
+			args := operation.Encode(lock.Args{Holder: string(n.Disk), Fence: n.fence, To: string(next)})
+			n.internal(now, proposer.Operation{Key: dutyKey, Kind: "lock/pass", Args: args}, &fx, func(monotime.Time, End, *Effects) {})
 		}
 		n.holds = false
 	}
@@ -145,7 +145,7 @@
 
 // Left lets go of what has no round out; it is true when nothing is in hand and all that
 // was confirmed is on a majority of the voters that stay.
-func (n *Node) Left(now moment.Moment) (bool, Effects) {
+func (n *Node) Left(now monotime.Time) (bool, Effects) {
 	var fx Effects
 	done, o := n.proposer.Release()
 	n.applyProposer(now, o, &fx)
--- a/control/core/node/voting.go
+++ b/control/core/node/voting.go
@@ -9,11 +9,11 @@
 	"cottonarch.example/cottonarch/control/membership/reconfiguration"
 	"cottonarch.example/cottonarch/control/register/acceptor"
 	"cottonarch.example/cottonarch/control/register/quorum"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/storage/ring"
 )
 
-func (n *Node) adopt(now moment.Moment, r quorum.Membership, fx *Effects) {
+func (n *Node) adopt(now monotime.Time, r quorum.Membership, fx *Effects) {
 	_, was := n.membership.Current.Find(n.Disk)
 	r.Need = n.boot.Need
 	recs, newer := n.membership.Adopt(r)
@@ -48,7 +48,7 @@
 }
 
 // wipe makes this a new disk: its slot was taken while it was away.
-func (n *Node) wipe(now moment.Moment, fx *Effects) {
+func (n *Node) wipe(now monotime.Time, fx *Effects) {
 	now2 := n.membership.Current
 	for _, tag := range n.acceptor.Tags() {
 		fx.Records = append(fx.Records, ring.Record{Tag: tag})
@@ -64,7 +64,7 @@
 	n.copiedAt = 0
 }
 
-func (n *Node) onRequest(now moment.Moment, m message.Message, fx *Effects) bool {
+func (n *Node) onRequest(now monotime.Time, m message.Message, fx *Effects) bool {
 	if m.Request == nil {
 		return false
 	}
@@ -85,7 +85,7 @@
 	return true
 }
 
-func (n *Node) onResponse(now moment.Moment, m message.Message, fx *Effects) bool {
+func (n *Node) onResponse(now monotime.Time, m message.Message, fx *Effects) bool {
 	if m.Response == nil {
 		return false
 	}
@@ -93,7 +93,7 @@
 	return true
 }
 
-func (n *Node) onMembershipRequest(now moment.Moment, m message.Message, fx *Effects) bool {
+func (n *Node) onMembershipRequest(now monotime.Time, m message.Message, fx *Effects) bool {
 	if m.MembershipRequest == nil {
 		return false
 	}
@@ -108,7 +108,7 @@
 	return true
 }
 
-func (n *Node) onMembershipResponse(now moment.Moment, m message.Message, fx *Effects) bool {
+func (n *Node) onMembershipResponse(now monotime.Time, m message.Message, fx *Effects) bool {
 	if m.MembershipResponse == nil {
 		return false
 	}
@@ -135,7 +135,7 @@
 	}
 }
 
-func (n *Node) onHandover(now moment.Moment, m message.Message, fx *Effects) bool {
+func (n *Node) onHandover(now monotime.Time, m message.Message, fx *Effects) bool {
 	if m.Handover == nil {
 		return false
 	}
--- a/control/manifest/change/change.go
+++ b/control/manifest/change/change.go
@@ -5,14 +5,14 @@
 	"maps"
 
 	"cottonarch.example/cottonarch/control/manifest/walk"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 // Apply gives base with the items of "remove" taken away and those of "upsert" put in,
 // whole and by name, under the change's own "release". A missing name to remove is no
 // fault. With loose, fields beside these three are passed over. Neither input is
-// changed; a defect is Invalid.
-func Apply(base, part map[string]any, loose bool) (map[string]any, *defect.Defect) {
+// changed; a failure is Invalid.
+func Apply(base, part map[string]any, loose bool) (map[string]any, *failure.Error) {
 	f := &walk.Faults{Loose: loose}
 	top := walk.Top(part, f)
 	top.Only("release", "upsert", "remove")
@@ -42,5 +42,5 @@
 		maps.Copy(next, items.All())
 		out[kind] = next
 	}
-	return out, f.Defect(defect.Invalid)
+	return out, f.Defect(failure.Invalid)
 }
--- a/control/manifest/check/check.go
+++ b/control/manifest/check/check.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/control/manifest/walk"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -70,16 +70,16 @@
 )
 
 // Read checks a whole manifest and knows every field of it.
-func Read(m map[string]any) (*Manifest, *defect.Defect) { return read(m, strict, &walk.Faults{}) }
+func Read(m map[string]any) (*Manifest, *failure.Error) { return read(m, strict, &walk.Faults{}) }
 
 // Loose checks a whole manifest that may have fields beyond those known here, and
 // freer names. Invariant: what Read takes, Loose takes, and as the same; so whoever gets
 // a confirmed manifest reads it loosely.
-func Loose(m map[string]any) (*Manifest, *defect.Defect) {
+func Loose(m map[string]any) (*Manifest, *failure.Error) {
 	return read(m, free, &walk.Faults{Loose: true})
 }
 
-func read(m map[string]any, by form, f *walk.Faults) (*Manifest, *defect.Defect) {
+func read(m map[string]any, by form, f *walk.Faults) (*Manifest, *failure.Error) {
 	top := walk.Top(m, f)
 	top.Only("release", "limits", "services", "ways")
 	out := &Manifest{Release: uint64(top.Whole("release", 0, 0, exact)), Limits: limits(top)}
@@ -87,7 +87,7 @@
 	hosts := all.Names()
 	if len(hosts) > servicesMax {
 		f.Add("services", "at most %d services", servicesMax)
-		return nil, f.Defect(defect.Invalid)
+		return nil, f.Defect(failure.Invalid)
 	}
 	out.Services = make(map[ident.Service]Service, len(hosts))
 	for _, host := range hosts {
@@ -100,7 +100,7 @@
 	names := ways.Names()
 	if len(names) > waysMax {
 		f.Add("ways", "at most %d ways", waysMax)
-		return nil, f.Defect(defect.Invalid)
+		return nil, f.Defect(failure.Invalid)
 	}
 	out.Ways = make([]Way, 0, len(names))
 	taken := make(map[[2]string]string, len(names))
@@ -117,7 +117,7 @@
 		taken[spot] = n
 		out.Ways = append(out.Ways, way)
 	}
-	if d := f.Defect(defect.Invalid); d != nil {
+	if d := f.Defect(failure.Invalid); d != nil {
 		return nil, d
 	}
 	return out, nil
--- a/control/manifest/check/check_test.go
+++ b/control/manifest/check/check_test.go
@@ -10,7 +10,7 @@
 
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/manifest/walk"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -18,7 +18,7 @@
 	`"r-s989anu":{"host":"hulo84.example","pathStart":"/xapu221/ny95/","repeat":"one_shot","timeoutMs":600,"aimMs":250,"rank":1,"service":"wuno96b","tries":2}},` +
 	`"services":{"huvo11a":{"checkPath":"/health","connections":100,"protocol":"h1","encrypted":false},"wuno96b":{},"kafi81c":{}},"limits":{"headBytes":16384,"bodyBytes":67108864,"headMs":3000,"idleMs":15000}}`
 
-func loose(t *testing.T, body string) (*check.Manifest, *defect.Defect) {
+func loose(t *testing.T, body string) (*check.Manifest, *failure.Error) {
 	t.Helper()
 	tree, d := walk.Parse([]byte(body))
 	must.Nil(t, d)
@@ -70,7 +70,7 @@
 			must.Nil(t, d, must.Sprint(b))
 			_, d = check.Loose(tree)
 			must.NotNil(t, d, must.Sprint(b))
-			must.Eq(t, defect.Invalid, d.Kind)
+			must.Eq(t, failure.Invalid, d.Kind)
 			_, d = check.Read(tree)
 			must.NotNil(t, d, must.Sprint(b))
 		}
--- a/control/manifest/delta/delta.go
+++ b/control/manifest/delta/delta.go
@@ -8,10 +8,10 @@
 	"encoding/json"
 	"reflect"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/manifest/merge"
 	"cottonarch.example/cottonarch/control/manifest/walk"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -48,7 +48,7 @@
 	if !reflect.DeepEqual(merge.Merge(from.Tree, patch), to.Tree) {
 		return Delta{}, false
 	}
-	raw := book.JSON(patch)
+	raw := operation.Encode(patch)
 	if len(raw) >= len(to.Raw) {
 		return Delta{}, false
 	}
@@ -86,7 +86,7 @@
 
 // Apply lays the delta over the stored form of the configuration of From. It gives the
 // stored and the parsed form of the configuration of To.
-func (d Delta) Apply(base json.RawMessage) (Version, *defect.Defect) {
+func (d Delta) Apply(base json.RawMessage) (Version, *failure.Error) {
 	tree, fault := walk.Parse(base)
 	if fault != nil {
 		return Version{}, fault
@@ -96,9 +96,9 @@
 		return Version{}, fault
 	}
 	out := Version{Epoch: d.To, Tree: merge.Merge(tree, patch)}
-	out.Raw = book.JSON(out.Tree)
+	out.Raw = operation.Encode(out.Tree)
 	if Digest(out.Raw) != d.Digest {
-		return Version{}, defect.New(defect.BadReturn, "the delta from revision %d to %d does not give what its digest says", d.From, d.To)
+		return Version{}, failure.New(failure.BadResponse, "the delta from revision %d to %d does not give what its digest says", d.From, d.To)
 	}
 	return out, nil
 }
--- a/control/manifest/delta/delta_test.go
+++ b/control/manifest/delta/delta_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/manifest/walk"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
@@ -19,7 +19,7 @@
 	t.Helper()
 	tree, d := walk.Parse([]byte(raw))
 	must.Nil(t, d)
-	return Version{Epoch: epoch, Tree: tree, Raw: book.JSON(tree)}
+	return Version{Epoch: epoch, Tree: tree, Raw: operation.Encode(tree)}
 }
 
 // many makes a configuration of routes, one of which has its own timeout.
@@ -29,7 +29,7 @@
 		ways[fmt.Sprintf("route-%d", i)] = map[string]any{"host": "a.example", "pathStart": fmt.Sprintf("/p%d/", i), "service": "s", "timeoutMs": 500}
 	}
 	ways["route-0"].(map[string]any)["timeoutMs"] = timeout
-	return version(t, epoch, string(book.JSON(map[string]any{"release": epoch, "ways": ways})))
+	return version(t, epoch, string(operation.Encode(map[string]any{"release": epoch, "ways": ways})))
 }
 
 // What a delta makes of the configuration before is, to the byte, the one after it: for
@@ -83,7 +83,7 @@
 	for _, routes := range []int{10, 100, 1000} {
 		d, ok := Between(many(t, 1, routes, 500), many(t, 2, routes, 900))
 		must.True(t, ok)
-		sizes[routes] = len(book.JSON(d))
+		sizes[routes] = len(operation.Encode(d))
 	}
 	must.Eq(t, sizes[10], sizes[1000])
 	must.Eq(t, sizes[100], sizes[1000])
--- a/control/manifest/delta/packed.go
+++ b/control/manifest/delta/packed.go
@@ -7,7 +7,7 @@
 	"io"
 	"sync"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 // Packed is a whole configuration, compressed once for all who ask for it.
@@ -39,13 +39,13 @@
 }
 
 // Unpack gives the configuration back, of at most most bytes.
-func Unpack(data []byte, most int) (json.RawMessage, *defect.Defect) {
+func Unpack(data []byte, most int) (json.RawMessage, *failure.Error) {
 	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), int64(most)+1))
 	if err != nil {
-		return nil, defect.New(defect.BadReturn, "a packed configuration: %v", err)
+		return nil, failure.New(failure.BadResponse, "a packed configuration: %v", err)
 	}
 	if len(raw) > most {
-		return nil, defect.New(defect.BadReturn, "a packed configuration of more than %d bytes", most)
+		return nil, failure.New(failure.BadResponse, "a packed configuration of more than %d bytes", most)
 	}
 	return raw, nil
 }
--- a/control/manifest/offer/fuzz_test.go
+++ b/control/manifest/offer/fuzz_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/manifest/walk"
@@ -14,7 +14,7 @@
 
 // held is the state as it is stored.
 func (s *state) held(t *testing.T) (h offer.Held) {
-	must.NoError(t, json.Unmarshal(book.State(s.value), &h))
+	must.NoError(t, json.Unmarshal(operation.State(s.value), &h))
 	return h
 }
 
@@ -36,7 +36,7 @@
 			}
 			first := s.build(one.kind, before.Release, one.body)
 			after := s.held(t)
-			if first.Defect != nil {
+			if first.Failure != nil {
 				must.Eq(t, before, after)
 				continue
 			}
@@ -50,10 +50,10 @@
 			}
 			must.Greater(t, before.Release, after.Release)
 			again := s.build(one.kind, before.Release, one.body)
-			must.Nil(t, again.Defect)
+			must.Nil(t, again.Failure)
 			must.False(t, again.Changed)
 			must.Eq(t, string(first.Body), string(again.Body))
-			must.NotNil(t, s.build(offer.Whole, before.Release, whole(int(after.Release)+1, `,"late":1`)).Defect)
+			must.NotNil(t, s.build(offer.Whole, before.Release, whole(int(after.Release)+1, `,"late":1`)).Failure)
 			must.Eq(t, after, s.held(t))
 		}
 	})
--- a/control/manifest/offer/offer.go
+++ b/control/manifest/offer/offer.go
@@ -8,14 +8,14 @@
 	"fmt"
 	"slices"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/manifest/chain"
 	"cottonarch.example/cottonarch/control/manifest/change"
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/manifest/merge"
 	"cottonarch.example/cottonarch/control/manifest/walk"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -33,9 +33,9 @@
 )
 
 // forms make a whole manifest of the newest one and a body.
-var forms = map[Kind]func(base, body map[string]any, loose bool) (map[string]any, *defect.Defect){
-	Whole: func(_, body map[string]any, _ bool) (map[string]any, *defect.Defect) { return body, nil },
-	Part: func(base, body map[string]any, _ bool) (map[string]any, *defect.Defect) {
+var forms = map[Kind]func(base, body map[string]any, loose bool) (map[string]any, *failure.Error){
+	Whole: func(_, body map[string]any, _ bool) (map[string]any, *failure.Error) { return body, nil },
+	Part: func(base, body map[string]any, _ bool) (map[string]any, *failure.Error) {
 		return merge.Merge(base, body), nil
 	},
 	Change: change.Apply,
@@ -106,57 +106,57 @@
 	Release uint64      `json:"release,omitempty"`
 }
 
-// Deeds are the handlers.
-func Deeds() book.Book {
-	return book.Book{"manifest/offer": offer, "manifest/read": read, "manifest/epoch": epoch, "manifest/lines": lines}
+// Handlers are the handlers.
+func Handlers() operation.Table {
+	return operation.Table{"manifest/offer": offer, "manifest/read": read, "manifest/epoch": epoch, "manifest/lines": lines}
 }
 
-func offer(turn proposer.Context, state, raw json.RawMessage) book.Entry {
+func offer(context proposer.Context, state, raw json.RawMessage) operation.Result {
 	var h Held
 	var a Args
-	if d := book.Read(state, raw, &h, &a); d != nil {
-		return book.Turned(d)
+	if d := operation.Decode(state, raw, &h, &a); d != nil {
+		return operation.Rejected(d)
 	}
 	body, d := walk.Parse(a.Body)
 	if d != nil {
-		return book.Turned(d)
+		return operation.Rejected(d)
 	}
-	sent := book.JSON(body)
+	sent := operation.Encode(body)
 	history := h.Chain.Continue(h.Epoch, h.Release)
 	mark := a.mark(sent)
 	if entry, ok := h.answered(a, history, mark, sent); ok {
 		return entry
 	}
-	next, d := h.follow(turn, a, body)
+	next, d := h.follow(context, a, body)
 	if d != nil {
-		return book.Turned(a.surely(history, d))
+		return operation.Rejected(a.surely(history, d))
 	}
 	history = history.Add(next.Release, mark)
 	next.Chain = &history
-	return book.Entry{State: book.JSON(next), Body: book.JSON(Yes{next.Epoch, next.Release}), Kept: turn.Decoded}
+	return operation.Result{State: operation.Encode(next), Body: operation.Encode(Yes{next.Epoch, next.Release}), Decoded: context.Decoded}
 }
 
 // answered is the return to a proposal that need not be judged, or must not be any more. A
 // repeat of a taken one is told the first yes again, and so is the whole manifest that is
 // the newest. A conflict is said only where it is proved that this proposal was not taken;
 // where that is forgotten its fate is unknown.
-func (h *Held) answered(a Args, history chain.Chain, mark chain.Mark, sent json.RawMessage) (book.Entry, bool) {
+func (h *Held) answered(a Args, history chain.Chain, mark chain.Mark, sent json.RawMessage) (operation.Result, bool) {
 	fate, change := a.fate(history, mark)
 	if fate == chain.Taken {
-		return book.Entry{Body: book.JSON(Yes{change.Epoch, change.Release})}, true
+		return operation.Result{Body: operation.Encode(Yes{change.Epoch, change.Release})}, true
 	}
 	if a.BaseRelease != nil && h.isNewest(a, sent) {
-		return book.Entry{Body: book.JSON(Yes{h.Epoch, h.Release})}, true
+		return operation.Result{Body: operation.Encode(Yes{h.Epoch, h.Release})}, true
 	}
 	switch {
 	case fate == chain.Open || a.BaseRelease == nil && a.Base == nil:
-		return book.Entry{}, false
+		return operation.Result{}, false
 	case fate == chain.Forgotten:
-		return book.Turned(defect.Unsure(defect.Unknown, "the manifest is at epoch %d and release %d; whether this was taken long before is not known any more", h.Epoch, h.Release)), true
+		return operation.Rejected(failure.Unsure(failure.UnknownOutcome, "the manifest is at epoch %d and release %d; whether this was taken long before is not known any more", h.Epoch, h.Release)), true
 	case a.BaseRelease != nil:
-		return book.Turned(defect.New(defect.Conflict, "the manifest is at release %d, not %d", h.Release, *a.BaseRelease)), true
+		return operation.Rejected(failure.New(failure.Conflict, "the manifest is at release %d, not %d", h.Release, *a.BaseRelease)), true
 	default:
-		return book.Turned(defect.New(defect.Conflict, "the manifest is at epoch %d, not %d", h.Epoch, *a.Base)), true
+		return operation.Rejected(failure.New(failure.Conflict, "the manifest is at epoch %d, not %d", h.Epoch, *a.Base)), true
 	}
 }
 
@@ -177,15 +177,15 @@
 
 // surely leaves a refusal's fate unknown where the proposal may have been taken before: it
 // names itself and no base, and the chain has forgotten changes.
-func (a Args) surely(history chain.Chain, d *defect.Defect) *defect.Defect {
+func (a Args) surely(history chain.Chain, d *failure.Error) *failure.Error {
 	if fate, _ := a.fate(history, ""); fate == chain.Forgotten {
-		d.Fate = defect.FateUnknown
+		d.Outcome = failure.OutcomeUnknown
 	}
 	return d
 }
 
 // follow judges a proposal on the newest manifest and gives the state after it.
-func (h *Held) follow(turn proposer.Context, a Args, body map[string]any) (next Held, d *defect.Defect) {
+func (h *Held) follow(context proposer.Context, a Args, body map[string]any) (next Held, d *failure.Error) {
 	whole, d := h.lay(a, body)
 	if d != nil {
 		return next, d
@@ -202,12 +202,12 @@
 	if d := h.rises(a, body, m.Release); d != nil {
 		return next, d
 	}
-	kept := book.JSON(whole)
+	kept := operation.Encode(whole)
 	if len(kept) > check.BytesMax {
-		return next, defect.New(defect.Oversize, "a manifest is at most %d bytes", check.BytesMax)
+		return next, failure.New(failure.Oversize, "a manifest is at most %d bytes", check.BytesMax)
 	}
-	next = Held{Epoch: ident.Epoch(turn.Revision) + 1, Release: max(h.Release, m.Release), Loose: loose, Manifest: kept}
-	next.Lines = newest(append(h.unaudited(turn), Line{Epoch: next.Epoch, Sum: sum(kept), Partial: a.kind() != Whole}))
+	next = Held{Epoch: ident.Epoch(context.Revision) + 1, Release: max(h.Release, m.Release), Loose: loose, Manifest: kept}
+	next.Lines = newest(append(h.unaudited(context), Line{Epoch: next.Epoch, Sum: sum(kept), Partial: a.kind() != Whole}))
 	return next, nil
 }
 
@@ -231,14 +231,14 @@
 }
 
 // lay makes the whole manifest that is offered.
-func (h *Held) lay(a Args, body map[string]any) (map[string]any, *defect.Defect) {
+func (h *Held) lay(a Args, body map[string]any) (map[string]any, *failure.Error) {
 	form, ok := forms[a.kind()]
 	if !ok {
-		return nil, defect.New(defect.Malformed, "no kind of offer %q", a.Kind)
+		return nil, failure.New(failure.Malformed, "no kind of offer %q", a.Kind)
 	}
 	base := map[string]any{}
 	if a.kind() != Whole && len(h.Manifest) > 0 {
-		var d *defect.Defect
+		var d *failure.Error
 		if base, d = walk.Parse(h.Manifest); d != nil {
 			return nil, d
 		}
@@ -248,19 +248,19 @@
 
 // rises looks at the release: with a base release it must be given and above the one in
 // force, else it must not be below it.
-func (h *Held) rises(a Args, body map[string]any, n uint64) *defect.Defect {
+func (h *Held) rises(a Args, body map[string]any, n uint64) *failure.Error {
 	_, given := body["release"]
 	if a.BaseRelease != nil && (!given || n <= h.Release) || given && n < h.Release {
-		d := defect.New(defect.Invalid, "1 faults")
-		d.All = []defect.Fault{{Path: "release", Note: fmt.Sprintf("must be above %d", h.Release)}}
+		d := failure.New(failure.Invalid, "1 faults")
+		d.Faults = []failure.Fault{{Path: "release", Note: fmt.Sprintf("must be above %d", h.Release)}}
 		return d
 	}
 	return nil
 }
 
 // unaudited are the lines that the audit log is not known to hold.
-func (h *Held) unaudited(turn proposer.Context) []Line {
-	upTo, _ := turn.Decoded.(audited)
+func (h *Held) unaudited(context proposer.Context) []Line {
+	upTo, _ := context.Decoded.(audited)
 	return slices.DeleteFunc(h.Lines, func(l Line) bool { return l.Epoch <= ident.Epoch(upTo) })
 }
 
@@ -271,28 +271,28 @@
 
 func newest[T any](all []T) []T { return all[max(0, len(all)-linesMax):] }
 
-func read(_ proposer.Context, state, raw json.RawMessage) book.Entry {
+func read(_ proposer.Context, state, raw json.RawMessage) operation.Result {
 	var h Held
 	var a Args
-	if d := book.Read(state, raw, &h, &a); d != nil {
-		return book.Turned(d)
+	if d := operation.Decode(state, raw, &h, &a); d != nil {
+		return operation.Rejected(d)
 	}
 	h.Lines, h.Chain = nil, nil
-	return book.Entry{Body: book.JSON(h)}
+	return operation.Result{Body: operation.Encode(h)}
 }
 
 // lines tells the lines that wait for the audit log, and learns up to where it has them.
-func lines(turn proposer.Context, state, raw json.RawMessage) book.Entry {
+func lines(context proposer.Context, state, raw json.RawMessage) operation.Result {
 	var h Held
 	var a LinesArgs
-	if d := book.Read(state, raw, &h, &a); d != nil {
-		return book.Turned(d)
+	if d := operation.Decode(state, raw, &h, &a); d != nil {
+		return operation.Rejected(d)
 	}
-	known, _ := turn.Decoded.(audited)
-	return book.Entry{Body: book.JSON(h.Lines), Kept: max(known, audited(a.After))}
+	known, _ := context.Decoded.(audited)
+	return operation.Result{Body: operation.Encode(h.Lines), Decoded: max(known, audited(a.After))}
 }
 
 // epoch tells the newest epoch, which is the key's revision.
-func epoch(turn proposer.Context, _, _ json.RawMessage) book.Entry {
-	return book.Entry{Body: book.JSON(Yes{Epoch: ident.Epoch(turn.Revision)})}
+func epoch(context proposer.Context, _, _ json.RawMessage) operation.Result {
+	return operation.Result{Body: operation.Encode(Yes{Epoch: ident.Epoch(context.Revision)})}
 }
--- a/control/manifest/offer/offer_test.go
+++ b/control/manifest/offer/offer_test.go
@@ -8,10 +8,10 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -23,8 +23,8 @@
 }
 
 func (s *state) offer(op, body string, part bool, base *ident.Epoch) proposer.Result {
-	v := offer.Deeds().Apply(proposer.Context{Revision: s.rev}, s.value, proposer.Operation{Op: ident.Op(op), Key: offer.Key, Kind: "manifest/offer",
-		Args: book.JSON(offer.Args{Partial: part, Base: base, Body: json.RawMessage(body)})})
+	v := offer.Handlers().Apply(proposer.Context{Revision: s.rev}, s.value, proposer.Operation{Op: ident.Op(op), Key: offer.Key, Kind: "manifest/offer",
+		Args: operation.Encode(offer.Args{Partial: part, Base: base, Body: json.RawMessage(body)})})
 	if v.Changed {
 		s.value = v.Value
 		s.rev++
@@ -34,7 +34,7 @@
 
 func (s *state) read() offer.Held {
 	var h offer.Held
-	_ = json.Unmarshal(book.State(s.value), &h)
+	_ = json.Unmarshal(operation.State(s.value), &h)
 	return h
 }
 
@@ -43,18 +43,18 @@
 func TestRaceHasOneWinner(t *testing.T) {
 	for first := range 3 {
 		s := &state{}
-		must.Nil(t, s.offer("0", good, false, nil).Defect)
+		must.Nil(t, s.offer("0", good, false, nil).Failure)
 		base := s.read().Epoch
 		won := 0
 		for i := range 3 {
 			n := (first + i) % 3
 			v := s.offer(fmt.Sprint("op", n), fmt.Sprintf(`{"services":{"a.x":{"namespace":"n%d"}}}`, n), true, &base)
-			if v.Defect == nil {
+			if v.Failure == nil {
 				won++
 				continue
 			}
-			must.Eq(t, defect.Conflict, v.Defect.Kind)
-			must.Eq(t, defect.FateNo, v.Defect.Fate)
+			must.Eq(t, failure.Conflict, v.Failure.Kind)
+			must.Eq(t, failure.NotExecuted, v.Failure.Outcome)
 		}
 		must.Eq(t, 1, won)
 		must.StrContains(t, string(s.read().Manifest), fmt.Sprintf(`"n%d"`, first))
@@ -80,10 +80,10 @@
 		`{"services":{"a.x":{}},"ways":{"v":{"host":"h","service":"a.x"},"w":{"host":"H","service":"a.x"}}}`: "ways.w.pathStart",
 	} {
 		s := &state{}
-		must.Nil(t, s.offer("0", good, false, nil).Defect)
+		must.Nil(t, s.offer("0", good, false, nil).Failure)
 		v := s.offer("1", body, false, nil)
-		must.NotNil(t, v.Defect, must.Sprint(body))
-		must.StrContains(t, v.Defect.Error(), want)
+		must.NotNil(t, v.Failure, must.Sprint(body))
+		must.StrContains(t, v.Failure.Error(), want)
 		must.Eq(t, ident.Epoch(1), s.read().Epoch)
 	}
 	s := &state{}
@@ -92,24 +92,24 @@
 		many += fmt.Sprintf(`"w%d":{"host":"h","service":"none"},`, i)
 	}
 	v := s.offer("1", strings.TrimSuffix(many, ",")+"}}", false, nil)
-	must.NotNil(t, v.Defect)
-	must.Eq(t, 100, len(v.Defect.All))
+	must.NotNil(t, v.Failure)
+	must.Eq(t, 100, len(v.Failure.Faults))
 }
 
 // A repeat of an operation gives the first return and changes nothing; a part takes
 // fields away with null; a dangling part is refused.
 func TestRepeatsAndParts(t *testing.T) {
 	s := &state{}
-	must.Nil(t, s.offer("0", good, false, nil).Defect)
+	must.Nil(t, s.offer("0", good, false, nil).Failure)
 	a := s.offer("1", `{"services":{"b.x":{}},"ways":{"v":{"host":"v.x","service":"b.x"}}}`, true, nil)
-	must.Nil(t, a.Defect)
+	must.Nil(t, a.Failure)
 	b := s.offer("1", `{"services":{"b.x":{}},"ways":{"v":{"host":"v.x","service":"b.x"}}}`, true, nil)
 	must.Eq(t, string(a.Body), string(b.Body))
 	must.False(t, b.Changed)
 	v := s.offer("2", `{"services":{"b.x":null}}`, true, nil)
-	must.NotNil(t, v.Defect)
-	must.StrContains(t, v.Defect.Error(), "ways.v.service")
-	must.Nil(t, s.offer("3", `{"services":{"b.x":null},"ways":{"v":null}}`, true, nil).Defect)
+	must.NotNil(t, v.Failure)
+	must.StrContains(t, v.Failure.Error(), "ways.v.service")
+	must.Nil(t, s.offer("3", `{"services":{"b.x":null},"ways":{"v":null}}`, true, nil).Failure)
 	must.StrNotContains(t, string(s.read().Manifest), "b.x")
 	must.Eq(t, ident.Epoch(3), s.read().Epoch)
 }
--- a/control/manifest/offer/release_test.go
+++ b/control/manifest/offer/release_test.go
@@ -8,18 +8,18 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/manifest/chain"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
 // build offers on a base release, as the users' platform does.
 func (s *state) build(kind offer.Kind, base uint64, body string) proposer.Result {
-	v := offer.Deeds().Apply(proposer.Context{Revision: s.rev}, s.value, proposer.Operation{Key: offer.Key, Kind: "manifest/offer",
-		Args: book.JSON(offer.Args{Kind: kind, BaseRelease: &base, Loose: true, Body: json.RawMessage(body)})})
+	v := offer.Handlers().Apply(proposer.Context{Revision: s.rev}, s.value, proposer.Operation{Key: offer.Key, Kind: "manifest/offer",
+		Args: operation.Encode(offer.Args{Kind: kind, BaseRelease: &base, Loose: true, Body: json.RawMessage(body)})})
 	if v.Changed {
 		s.value = v.Value
 		s.rev++
@@ -33,7 +33,7 @@
 
 func begun(t *testing.T) *state {
 	s := &state{}
-	must.Nil(t, s.build(offer.Whole, 0, whole(7, "")).Defect)
+	must.Nil(t, s.build(offer.Whole, 0, whole(7, "")).Failure)
 	return s
 }
 
@@ -71,19 +71,19 @@
 				b, before := bids[i], string(s.value)
 				v := s.build(b.kind, b.base, b.body)
 				if past, ok := won[i]; ok {
-					must.Nil(t, v.Defect)
+					must.Nil(t, v.Failure)
 					must.Eq(t, past, string(v.Body))
 					must.Eq(t, before, string(s.value))
 					continue
 				}
 				if b.base != now {
-					must.NotNil(t, v.Defect)
-					must.Eq(t, defect.Conflict, v.Defect.Kind)
-					must.Eq(t, defect.FateNo, v.Defect.Fate)
+					must.NotNil(t, v.Failure)
+					must.Eq(t, failure.Conflict, v.Failure.Kind)
+					must.Eq(t, failure.NotExecuted, v.Failure.Outcome)
 					must.Eq(t, before, string(s.value))
 					continue
 				}
-				must.Nil(t, v.Defect, must.Sprint(order, round, i))
+				must.Nil(t, v.Failure, must.Sprint(order, round, i))
 				var yes offer.Yes
 				must.NoError(t, json.Unmarshal(v.Body, &yes))
 				must.Eq(t, offer.Yes{Epoch: s.read().Epoch, Release: s.read().Release}, yes)
@@ -109,23 +109,23 @@
 	s := begun(t)
 	for _, base := range []uint64{0, 7, 3} {
 		v := s.build(offer.Whole, base, `{"ways":{"w":{"service":"a","host":"h"},"v":{"host":"v","service":"a"}}, "services":{"b":{},"a":{}}, "release":7}`)
-		must.Nil(t, v.Defect)
+		must.Nil(t, v.Failure)
 		must.Eq(t, `{"epoch":1,"release":7}`, string(v.Body), must.Sprint(base))
 	}
 	must.Eq(t, 1, s.rev)
-	must.Eq(t, defect.Conflict, s.build(offer.Whole, 0, whole(7, `,"x":1`)).Defect.Kind)
-	must.Eq(t, defect.Invalid, s.build(offer.Whole, 7, whole(7, `,"x":1`)).Defect.Kind)
+	must.Eq(t, failure.Conflict, s.build(offer.Whole, 0, whole(7, `,"x":1`)).Failure.Kind)
+	must.Eq(t, failure.Invalid, s.build(offer.Whole, 7, whole(7, `,"x":1`)).Failure.Kind)
 	// Taken and then overtaken: a repeat is still a yes, and changes nothing.
-	must.Nil(t, s.build(offer.Change, 7, `{"release":8,"upsert":{"services":{"c":{}}}}`).Defect)
-	must.Nil(t, s.build(offer.Change, 8, `{"release":9,"remove":{"services":["c"]}}`).Defect)
+	must.Nil(t, s.build(offer.Change, 7, `{"release":8,"upsert":{"services":{"c":{}}}}`).Failure)
+	must.Nil(t, s.build(offer.Change, 8, `{"release":9,"remove":{"services":["c"]}}`).Failure)
 	for _, b := range []bid{{offer.Whole, 0, whole(7, "")}, {offer.Change, 7, `{"upsert":{"services":{"c":{}}},"release":8}`}} {
 		v := s.build(b.kind, b.base, b.body)
-		must.Nil(t, v.Defect)
+		must.Nil(t, v.Failure)
 		must.False(t, v.Changed)
 	}
 	// The same change on another base, or as another kind, is another change.
-	must.Eq(t, defect.Conflict, s.build(offer.Change, 6, `{"release":8,"upsert":{"services":{"c":{}}}}`).Defect.Kind)
-	must.Eq(t, defect.Conflict, s.build(offer.Part, 7, `{"release":8,"upsert":{"services":{"c":{}}}}`).Defect.Kind)
+	must.Eq(t, failure.Conflict, s.build(offer.Change, 6, `{"release":8,"upsert":{"services":{"c":{}}}}`).Failure.Kind)
+	must.Eq(t, failure.Conflict, s.build(offer.Part, 7, `{"release":8,"upsert":{"services":{"c":{}}}}`).Failure.Kind)
 	must.Eq(t, 9, s.read().Release)
 	must.Eq(t, 3, s.rev)
 }
@@ -135,14 +135,14 @@
 func TestMemoryOfTakenIsBounded(t *testing.T) {
 	s := begun(t)
 	for i := uint64(8); i < 8+300; i++ {
-		must.Nil(t, s.build(offer.Change, i-1, fmt.Sprintf(`{"release":%d}`, i)).Defect)
+		must.Nil(t, s.build(offer.Change, i-1, fmt.Sprintf(`{"release":%d}`, i)).Failure)
 	}
-	must.Nil(t, s.build(offer.Change, 7+300-chain.Window, fmt.Sprintf(`{"release":%d}`, 8+300-chain.Window)).Defect)
-	must.Eq(t, defect.Conflict, s.build(offer.Change, 7+300-chain.Window, fmt.Sprintf(`{"release":%d}`, 9+300-chain.Window)).Defect.Kind)
+	must.Nil(t, s.build(offer.Change, 7+300-chain.Window, fmt.Sprintf(`{"release":%d}`, 8+300-chain.Window)).Failure)
+	must.Eq(t, failure.Conflict, s.build(offer.Change, 7+300-chain.Window, fmt.Sprintf(`{"release":%d}`, 9+300-chain.Window)).Failure.Kind)
 	for _, release := range []int{8, 9} {
 		v := s.build(offer.Change, 7+299-chain.Window, fmt.Sprintf(`{"release":%d}`, release+299-chain.Window))
-		must.Eq(t, defect.Unknown, v.Defect.Kind)
-		must.Eq(t, defect.FateUnknown, v.Defect.Fate)
+		must.Eq(t, failure.UnknownOutcome, v.Failure.Kind)
+		must.Eq(t, failure.OutcomeUnknown, v.Failure.Outcome)
 		must.False(t, v.Changed)
 	}
 	must.Eq(t, 301, s.rev)
@@ -168,9 +168,9 @@
 		s := begun(t)
 		before := string(s.value)
 		v := s.build(b.kind, b.base, b.body)
-		must.NotNil(t, v.Defect, must.Sprint(b))
-		must.True(t, v.Defect.Kind == defect.Invalid || v.Defect.Kind == defect.Malformed, must.Sprint(b, v.Defect))
-		must.Eq(t, defect.FateNo, v.Defect.Fate)
+		must.NotNil(t, v.Failure, must.Sprint(b))
+		must.True(t, v.Failure.Kind == failure.Invalid || v.Failure.Kind == failure.Malformed, must.Sprint(b, v.Failure))
+		must.Eq(t, failure.NotExecuted, v.Failure.Outcome)
 		must.Eq(t, before, string(s.value))
 	}
 }
@@ -179,8 +179,8 @@
 // and leaves everything else as it was sent.
 func TestChange(t *testing.T) {
 	s := &state{}
-	must.Nil(t, s.build(offer.Whole, 0, `{"release":1,"note":[1.50,null],"services":{"a":{"x":{"y":1e3}},"b":{}},"ways":{"v":{"host":"v","service":"a","tries":1},"w":{"host":"h","service":"b"}},"limits":{"headMs":5}}`).Defect)
-	must.Nil(t, s.build(offer.Change, 1, `{"release":4,"other":1,"upsert":{"ways":{"v":{"host":"v","service":"a","hue":"<"},"new":{"host":"v","pathStart":"/n/","service":"a"}},"limits":{"idleMs":6}},"remove":{"ways":["w","none"],"services":["b"],"things":["t"]}}`).Defect)
+	must.Nil(t, s.build(offer.Whole, 0, `{"release":1,"note":[1.50,null],"services":{"a":{"x":{"y":1e3}},"b":{}},"ways":{"v":{"host":"v","service":"a","tries":1},"w":{"host":"h","service":"b"}},"limits":{"headMs":5}}`).Failure)
+	must.Nil(t, s.build(offer.Change, 1, `{"release":4,"other":1,"upsert":{"ways":{"v":{"host":"v","service":"a","hue":"<"},"new":{"host":"v","pathStart":"/n/","service":"a"}},"limits":{"idleMs":6}},"remove":{"ways":["w","none"],"services":["b"],"things":["t"]}}`).Failure)
 	var got, want any
 	must.NoError(t, json.Unmarshal(s.read().Manifest, &got))
 	must.NoError(t, json.Unmarshal([]byte(`{"release":4,"note":[1.5,null],"services":{"a":{"x":{"y":1000}}},"ways":{"v":{"host":"v","service":"a","hue":"<"},"new":{"host":"v","pathStart":"/n/","service":"a"}},"limits":{"headMs":5,"idleMs":6}}`), &want))
@@ -192,24 +192,24 @@
 // looked at loosely; a release below the one in force is refused there as well.
 func TestOwnInterfaceBesidesReleases(t *testing.T) {
 	s := &state{}
-	must.Nil(t, s.build(offer.Whole, 0, whole(7, `,"x":1`)).Defect)
-	must.Nil(t, s.offer("1", `{"ways":{"w":{"service":"b"}}}`, true, nil).Defect)
+	must.Nil(t, s.build(offer.Whole, 0, whole(7, `,"x":1`)).Failure)
+	must.Nil(t, s.offer("1", `{"ways":{"w":{"service":"b"}}}`, true, nil).Failure)
 	must.Eq(t, 7, s.read().Release)
 	must.StrContains(t, string(s.read().Manifest), `"x":1`)
-	must.NotNil(t, s.offer("2", `{"release":6}`, true, nil).Defect)
-	must.NotNil(t, s.offer("3", whole(8, `,"x":1`), false, nil).Defect)
-	must.Nil(t, s.offer("4", good, false, nil).Defect)
+	must.NotNil(t, s.offer("2", `{"release":6}`, true, nil).Failure)
+	must.NotNil(t, s.offer("3", whole(8, `,"x":1`), false, nil).Failure)
+	must.Nil(t, s.offer("4", good, false, nil).Failure)
 	must.Eq(t, 7, s.read().Release)
 	must.Eq(t, ident.Epoch(3), s.read().Epoch)
-	must.Eq(t, defect.Invalid, s.build(offer.Whole, 7, whole(7, "")).Defect.Kind)
-	must.Nil(t, s.build(offer.Whole, 7, whole(8, "")).Defect)
+	must.Eq(t, failure.Invalid, s.build(offer.Whole, 7, whole(7, "")).Failure.Kind)
+	must.Nil(t, s.build(offer.Whole, 7, whole(8, "")).Failure)
 }
 
 // The epoch that is told is that of the newest manifest, after every offer of any fate.
 func TestEpochIsThatOfTheNewest(t *testing.T) {
 	s := &state{}
 	tell := func() ident.Epoch {
-		v := offer.Deeds().Apply(proposer.Context{Revision: s.rev}, s.value, proposer.Operation{Op: "x", Key: offer.Key, Kind: "manifest/epoch"})
+		v := offer.Handlers().Apply(proposer.Context{Revision: s.rev}, s.value, proposer.Operation{Op: "x", Key: offer.Key, Kind: "manifest/epoch"})
 		must.False(t, v.Changed)
 		var yes offer.Yes
 		must.NoError(t, json.Unmarshal(v.Body, &yes))
@@ -219,17 +219,17 @@
 	for i := range 20 {
 		now := s.read().Release
 		v := s.build(offer.Change, now, fmt.Sprintf(`{"release":%d}`, now+uint64(i%3)))
-		must.Eq(t, i%3 == 0, v.Defect != nil)
+		must.Eq(t, i%3 == 0, v.Failure != nil)
 		must.Eq(t, s.read().Epoch, tell())
 	}
 	must.Eq(t, 13, tell())
 }
 
 func BenchmarkEpoch500(b *testing.B) {
-	s := &state{value: book.JSON(book.Page{State: book.JSON(offer.Held{Epoch: 1, Manifest: book.JSON(strings.Repeat("x", 100_000))})}), rev: 1}
+	s := &state{value: operation.Encode(operation.Value{State: operation.Encode(offer.Held{Epoch: 1, Manifest: operation.Encode(strings.Repeat("x", 100_000))})}), rev: 1}
 	for b.Loop() {
-		if v := offer.Deeds().Apply(proposer.Context{Revision: s.rev}, s.value, proposer.Operation{Key: offer.Key, Kind: "manifest/epoch"}); v.Defect != nil {
-			b.Fatal(v.Defect)
+		if v := offer.Handlers().Apply(proposer.Context{Revision: s.rev}, s.value, proposer.Operation{Key: offer.Key, Kind: "manifest/epoch"}); v.Failure != nil {
+			b.Fatal(v.Failure)
 		}
 	}
 }
@@ -240,14 +240,14 @@
 	for i := range 500 {
 		ways = append(ways, fmt.Sprintf(`"r-%07x":{"host":"jepu%d.example","pathStart":"/lepu%d/ny%d/","repeat":"repeatable","timeoutMs":500,"aimMs":200,"rank":2,"split":[{"service":"a","weight":90},{"service":"b","weight":10}],"tries":2}`, i*7919, i%9, i, i))
 	}
-	if v := s.build(offer.Whole, 0, `{"release":1,"services":{"a":{},"b":{}},"ways":{`+strings.Join(ways, ",")+`}}`); v.Defect != nil {
-		b.Fatal(v.Defect)
+	if v := s.build(offer.Whole, 0, `{"release":1,"services":{"a":{},"b":{}},"ways":{`+strings.Join(ways, ",")+`}}`); v.Failure != nil {
+		b.Fatal(v.Failure)
 	}
 	n := uint64(1)
 	for b.Loop() {
 		n++
-		if v := s.build(offer.Change, n-1, fmt.Sprintf(`{"release":%d,"remove":{"ways":["r-0001eef"]}}`, n)); v.Defect != nil {
-			b.Fatal(v.Defect)
+		if v := s.build(offer.Change, n-1, fmt.Sprintf(`{"release":%d,"remove":{"ways":["r-0001eef"]}}`, n)); v.Failure != nil {
+			b.Fatal(v.Failure)
 		}
 	}
 }
--- a/control/manifest/offer/resend_test.go
+++ b/control/manifest/offer/resend_test.go
@@ -8,17 +8,17 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/manifest/chain"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
 // propose sends a proposal as an operation, as a core does.
 func (s *state) propose(op string, a offer.Args) proposer.Result {
-	v := offer.Deeds().Apply(proposer.Context{Revision: s.rev}, s.value, proposer.Operation{Op: ident.Op(op), Key: offer.Key, Kind: "manifest/offer", Args: book.JSON(a), Repeatable: op == ""})
+	v := offer.Handlers().Apply(proposer.Context{Revision: s.rev}, s.value, proposer.Operation{Op: ident.Op(op), Key: offer.Key, Kind: "manifest/offer", Args: operation.Encode(a), Repeatable: op == ""})
 	if v.Changed {
 		s.value = v.Value
 		s.rev++
@@ -39,11 +39,11 @@
 func resent(t *testing.T, s *state, v proposer.Result, first string, mayForget bool, note ...any) {
 	t.Helper()
 	must.False(t, v.Changed, must.Sprint(note...))
-	if v.Defect == nil {
+	if v.Failure == nil {
 		must.Eq(t, first, string(v.Body), must.Sprint(note...))
 		return
 	}
-	must.Eq(t, defect.FateUnknown, v.Defect.Fate, must.Sprint(append(note, v.Defect)...))
+	must.Eq(t, failure.OutcomeUnknown, v.Failure.Outcome, must.Sprint(append(note, v.Failure)...))
 	must.True(t, mayForget, must.Sprint(note...))
 }
 
@@ -65,7 +65,7 @@
 				*a.BaseRelease = 0
 			}
 			v := s.propose("", a)
-			must.Nil(t, v.Defect, must.Sprint(i))
+			must.Nil(t, v.Failure, must.Sprint(i))
 			sent, said = append(sent, a), append(said, string(v.Body))
 			if i%300 == 299 {
 				for j := range sent {
@@ -81,7 +81,7 @@
 	const changes = 600
 	for _, named := range []bool{false, true} {
 		s := &state{}
-		must.Nil(t, s.offer("begin", good, false, nil).Defect)
+		must.Nil(t, s.offer("begin", good, false, nil).Failure)
 		var sent []offer.Args
 		var ops, said []string
 		for i := range changes {
@@ -91,7 +91,7 @@
 				a.Base, a.Op = nil, op
 			}
 			v := s.propose(op, a)
-			must.Nil(t, v.Defect, must.Sprint(i))
+			must.Nil(t, v.Failure, must.Sprint(i))
 			sent, ops, said = append(sent, a), append(ops, op), append(said, string(v.Body))
 		}
 		for j := range sent {
@@ -106,7 +106,7 @@
 	const changes = 400
 	rng := rand.New(rand.NewPCG(1, 1))
 	s := &state{}
-	must.Nil(t, s.propose("", onRelease(offer.Whole, 0, whole(1, ""))).Defect)
+	must.Nil(t, s.propose("", onRelease(offer.Whole, 0, whole(1, ""))).Failure)
 	var losers []offer.Args
 	for i := range uint64(changes) {
 		pair := []offer.Args{
@@ -114,22 +114,22 @@
 			onRelease(offer.Change, 1+i, fmt.Sprintf(`{"release":%d,"upsert":{"services":{"y":{"n":%d}}}}`, i+2, i)),
 		}
 		first := rng.IntN(2)
-		must.Nil(t, s.propose("", pair[first]).Defect)
+		must.Nil(t, s.propose("", pair[first]).Failure)
 		v := s.propose("", pair[1-first])
-		must.NotNil(t, v.Defect)
-		must.Eq(t, defect.Conflict, v.Defect.Kind)
-		must.Eq(t, defect.FateNo, v.Defect.Fate)
+		must.NotNil(t, v.Failure)
+		must.Eq(t, failure.Conflict, v.Failure.Kind)
+		must.Eq(t, failure.NotExecuted, v.Failure.Outcome)
 		losers = append(losers, pair[1-first])
 	}
 	for i, a := range losers {
 		v := s.propose("", a)
-		must.NotNil(t, v.Defect)
+		must.NotNil(t, v.Failure)
 		must.False(t, v.Changed)
 		if changes-i <= chain.Window {
-			must.Eq(t, defect.Conflict, v.Defect.Kind, must.Sprint(i))
-			must.Eq(t, defect.FateNo, v.Defect.Fate, must.Sprint(i))
+			must.Eq(t, failure.Conflict, v.Failure.Kind, must.Sprint(i))
+			must.Eq(t, failure.NotExecuted, v.Failure.Outcome, must.Sprint(i))
 		} else {
-			must.Eq(t, defect.FateUnknown, v.Defect.Fate, must.Sprint(i))
+			must.Eq(t, failure.OutcomeUnknown, v.Failure.Outcome, must.Sprint(i))
 		}
 	}
 }
@@ -147,7 +147,7 @@
 	for seed := range uint64(seeds) {
 		rng := rand.New(rand.NewPCG(9, seed))
 		s := &state{}
-		must.Nil(t, s.propose("", onRelease(offer.Whole, 0, whole(1, ""))).Defect)
+		must.Nil(t, s.propose("", onRelease(offer.Whole, 0, whole(1, ""))).Failure)
 		current := make([]*order, operators)
 		var past []*order
 		winners := map[uint64]*order{}
@@ -155,15 +155,15 @@
 			v := s.propose("", o.args)
 			base := *o.args.BaseRelease
 			switch {
-			case v.Defect == nil && v.Changed:
+			case v.Failure == nil && v.Changed:
 				must.False(t, o.taken, must.Sprint(seed, base))
 				must.Nil(t, winners[base], must.Sprint(seed, base))
 				o.taken, o.body, winners[base] = true, string(v.Body), o
-			case v.Defect == nil:
+			case v.Failure == nil:
 				must.True(t, o.taken, must.Sprint(seed, base))
 				must.Eq(t, o.body, string(v.Body))
-			case v.Defect.Fate == defect.FateNo:
-				must.False(t, o.taken, must.Sprint(seed, base, v.Defect))
+			case v.Failure.Outcome == failure.NotExecuted:
+				must.False(t, o.taken, must.Sprint(seed, base, v.Failure))
 			}
 			return v
 		}
@@ -177,7 +177,7 @@
 				current[who] = &order{args: onRelease(offer.Change, base, fmt.Sprintf(`{"release":%d,"upsert":{"services":{"s%d":{"n":%d}}}}`, base+1+rng.Uint64N(3), who, step))}
 				past = append(past, current[who])
 			}
-			if v := send(current[who]); rng.IntN(2) == 0 && (v.Defect == nil || v.Defect.Fate == defect.FateNo) {
+			if v := send(current[who]); rng.IntN(2) == 0 && (v.Failure == nil || v.Failure.Outcome == failure.NotExecuted) {
 				current[who] = nil // it heard its answer
 			}
 			send(past[rng.IntN(len(past))])
@@ -189,13 +189,13 @@
 // A state of a release that knew no chain remembers nothing: what was taken before is left
 // without a clear answer, and what comes after is remembered.
 func TestStateWithoutChain(t *testing.T) {
-	s := &state{value: book.JSON(book.Page{State: json.RawMessage(`{"epoch":9,"release":40,"manifest":{"release":40},"taken":[{"e":9,"r":40,"m":"x"}]}`)}), rev: 9}
-	must.Eq(t, defect.FateUnknown, s.propose("", onRelease(offer.Change, 39, `{"release":40}`)).Defect.Fate)
+	s := &state{value: operation.Encode(operation.Value{State: json.RawMessage(`{"epoch":9,"release":40,"manifest":{"release":40},"taken":[{"e":9,"r":40,"m":"x"}]}`)}), rev: 9}
+	must.Eq(t, failure.OutcomeUnknown, s.propose("", onRelease(offer.Change, 39, `{"release":40}`)).Failure.Outcome)
 	a := onRelease(offer.Change, 40, `{"release":41}`)
 	v := s.propose("", a)
-	must.Nil(t, v.Defect)
-	must.Nil(t, s.propose("", onRelease(offer.Change, 41, `{"release":42}`)).Defect)
+	must.Nil(t, v.Failure)
+	must.Nil(t, s.propose("", onRelease(offer.Change, 41, `{"release":42}`)).Failure)
 	resent(t, s, s.propose("", a), string(v.Body), false)
-	must.Eq(t, defect.Conflict, s.propose("", onRelease(offer.Change, 40, `{"release":42}`)).Defect.Kind)
-	must.Eq(t, defect.FateUnknown, s.propose("", onRelease(offer.Change, 39, `{"release":40}`)).Defect.Fate)
+	must.Eq(t, failure.Conflict, s.propose("", onRelease(offer.Change, 40, `{"release":42}`)).Failure.Kind)
+	must.Eq(t, failure.OutcomeUnknown, s.propose("", onRelease(offer.Change, 39, `{"release":40}`)).Failure.Outcome)
 }
--- a/control/manifest/offer/size_test.go
+++ b/control/manifest/offer/size_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/manifest/chain"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/proposer"
@@ -16,14 +16,14 @@
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
-// term is one owner's, with what it keeps between deeds.
+// term is one owner's, with what it keeps between operations.
 type tenure struct {
 	state
 	kept any
 }
 
 func (n *tenure) do(kind string, args any) proposer.Result {
-	v := offer.Deeds().Apply(proposer.Context{Revision: n.rev, Decoded: n.kept}, n.value, proposer.Operation{Key: offer.Key, Kind: kind, Args: book.JSON(args), Repeatable: true})
+	v := offer.Handlers().Apply(proposer.Context{Revision: n.rev, Decoded: n.kept}, n.value, proposer.Operation{Key: offer.Key, Kind: kind, Args: operation.Encode(args), Repeatable: true})
 	if v.Changed {
 		n.value, n.kept = v.Value, nil
 		n.rev++
@@ -44,14 +44,14 @@
 		auditPace = 3 // changes between two looks of the audit log's duty
 	)
 	n := &tenure{}
-	must.Nil(t, n.do("manifest/offer", onRelease(offer.Whole, 0, whole(1, ""))).Defect)
+	must.Nil(t, n.do("manifest/offer", onRelease(offer.Whole, 0, whole(1, ""))).Failure)
 	release := uint64(1)
 	for _, changes := range []uint64{0, 300, 1000} {
 		for ; release < 1+changes; release++ {
 			if release%auditPace == 0 {
-				must.Nil(t, n.do("manifest/lines", offer.LinesArgs{After: ident.Epoch(n.rev)}).Defect)
+				must.Nil(t, n.do("manifest/lines", offer.LinesArgs{After: ident.Epoch(n.rev)}).Failure)
 			}
-			must.Nil(t, n.do("manifest/offer", onRelease(offer.Change, release, fmt.Sprintf(`{"release":%d}`, release+1))).Defect)
+			must.Nil(t, n.do("manifest/offer", onRelease(offer.Change, release, fmt.Sprintf(`{"release":%d}`, release+1))).Failure)
 		}
 		beside := len(n.value) - len(n.read().Manifest)
 		t.Logf("after %d changes: %d bytes beside a manifest of %d", changes, beside, len(n.read().Manifest))
@@ -63,10 +63,10 @@
 // of it; the newest line always stays, for the exact repeat.
 func TestLinesWaitForTheAuditLog(t *testing.T) {
 	n := &tenure{}
-	must.Nil(t, n.do("manifest/offer", onRelease(offer.Whole, 0, whole(1, ""))).Defect)
+	must.Nil(t, n.do("manifest/offer", onRelease(offer.Whole, 0, whole(1, ""))).Failure)
 	change := func() {
 		release := n.read().Release
-		must.Nil(t, n.do("manifest/offer", onRelease(offer.Change, release, fmt.Sprintf(`{"release":%d}`, release+1))).Defect)
+		must.Nil(t, n.do("manifest/offer", onRelease(offer.Change, release, fmt.Sprintf(`{"release":%d}`, release+1))).Failure)
 	}
 	lines := func(after ident.Epoch) (out []ident.Epoch) {
 		v := n.do("manifest/lines", offer.LinesArgs{After: after})
@@ -90,7 +90,7 @@
 	n.kept = nil // a new owner
 	change()
 	must.Eq(t, []ident.Epoch{4, 5, 6, 7}, lines(7))
-	must.Nil(t, n.do("manifest/offer", onRelease(offer.Whole, 0, string(n.read().Manifest))).Defect)
+	must.Nil(t, n.do("manifest/offer", onRelease(offer.Whole, 0, string(n.read().Manifest))).Failure)
 	change()
 	must.Eq(t, []ident.Epoch{8}, lines(0))
 }
@@ -109,24 +109,24 @@
 func TestBytesSentForAChange(t *testing.T) {
 	const mostBytes = 1200
 	n := &tenure{}
-	must.Nil(t, n.do("manifest/offer", onRelease(offer.Whole, 0, `{"release":1,"services":{"a":{},"b":{}},"ways":{`+ways(500)+`}}`)).Defect)
+	must.Nil(t, n.do("manifest/offer", onRelease(offer.Whole, 0, `{"release":1,"services":{"a":{},"b":{}},"ways":{`+ways(500)+`}}`)).Failure)
 	var ballot ident.Ballot
 	release := uint64(1)
 	for _, changes := range []uint64{1, 40, 300} {
 		sent := 0
 		for ; release < 1+changes; release++ {
 			if release%3 == 0 {
-				must.Nil(t, n.do("manifest/lines", offer.LinesArgs{After: ident.Epoch(n.rev)}).Defect)
+				must.Nil(t, n.do("manifest/lines", offer.LinesArgs{After: ident.Epoch(n.rev)}).Failure)
 			}
 			base := quorum.Record{Accepted: ballot, Revision: n.rev, Value: n.value}
 			change := fmt.Sprintf(`{"release":%d,"upsert":{"ways":{"r-%07x":{"host":"new%d.example","timeoutMs":500,"service":"a"}}}}`, release+1, release%500*7919, release)
-			must.Nil(t, n.do("manifest/offer", onRelease(offer.Change, release, change)).Defect)
+			must.Nil(t, n.do("manifest/offer", onRelease(offer.Change, release, change)).Failure)
 			p := quorum.Diff(base, ballot, n.value)
 			must.NotNil(t, p, must.Sprint(release))
 			got, ok := p.Apply(base, ballot)
 			must.True(t, ok)
 			must.Eq(t, string(n.value), string(got))
-			sent = len(book.JSON(p))
+			sent = len(operation.Encode(p))
 			must.Less(t, mostBytes, sent, must.Sprint(release))
 		}
 		t.Logf("after %d changes: %d bytes sent for one of a value of %d", changes, sent, len(n.value))
--- a/control/manifest/walk/walk.go
+++ b/control/manifest/walk/walk.go
@@ -11,7 +11,7 @@
 	"slices"
 	"unicode/utf8"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 const faultsMax = 100
@@ -19,7 +19,7 @@
 // Faults gathers what is wrong. Invariant: at most faultsMax are kept, the count is
 // of all; with Loose, unknown fields are no faults.
 type Faults struct {
-	All   []defect.Fault
+	All   []failure.Fault
 	Count int
 	Loose bool
 }
@@ -28,37 +28,37 @@
 func (f *Faults) Add(path, form string, args ...any) {
 	f.Count++
 	if len(f.All) < faultsMax {
-		f.All = append(f.All, defect.Fault{Path: path, Note: fmt.Sprintf(form, args...)})
+		f.All = append(f.All, failure.Fault{Path: path, Note: fmt.Sprintf(form, args...)})
 	}
 }
 
 // Defect is nil when nothing is wrong.
-func (f *Faults) Defect(kind defect.Kind) *defect.Defect {
+func (f *Faults) Defect(kind failure.Kind) *failure.Error {
 	if f.Count == 0 {
 		return nil
 	}
-	d := defect.New(kind, "%d faults", f.Count)
-	d.All = f.All
+	d := failure.New(kind, "%d faults", f.Count)
+	d.Faults = f.All
 	return d
 }
 
 // Parse reads one JSON object, refusing anything behind it.
-func Parse(raw []byte) (map[string]any, *defect.Defect) {
+func Parse(raw []byte) (map[string]any, *failure.Error) {
 	// A decoder would put something else in the place of bytes that are no text.
 	if !utf8.Valid(raw) {
-		return nil, defect.New(defect.Malformed, "not a JSON object: not in UTF-8")
+		return nil, failure.New(failure.Malformed, "not a JSON object: not in UTF-8")
 	}
 	dec := json.NewDecoder(bytes.NewReader(raw))
 	dec.UseNumber()
 	var m map[string]any
 	if err := dec.Decode(&m); err != nil {
-		return nil, defect.New(defect.Malformed, "not a JSON object: %v", err)
+		return nil, failure.New(failure.Malformed, "not a JSON object: %v", err)
 	}
 	if _, err := dec.Token(); err != io.EOF {
-		return nil, defect.New(defect.Malformed, "something stands behind the JSON object")
+		return nil, failure.New(failure.Malformed, "something stands behind the JSON object")
 	}
 	if m == nil {
-		return nil, defect.New(defect.Malformed, "not a JSON object")
+		return nil, failure.New(failure.Malformed, "not a JSON object")
 	}
 	return m, nil
 }
--- a/control/manifest/walk/walk_test.go
+++ b/control/manifest/walk/walk_test.go
@@ -6,7 +6,7 @@
 	"github.com/shoenig/test/must"
 
 	"cottonarch.example/cottonarch/control/manifest/walk"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 // Every fault is told with the path it stands at, however deep.
@@ -33,5 +33,5 @@
 	}
 	must.Eq(t, []string{"a.b.c", "a.b.l[1]", "a.b.l[0].x", "a.b.l[2].y", "a.b.l[2].y.z", "l[0].k", "m", "none.at.all"}, got)
 	_, d = walk.Parse([]byte("{\"a\":\"\xff\"}"))
-	must.Eq(t, defect.Malformed, d.Kind)
+	must.Eq(t, failure.Malformed, d.Kind)
 }
--- a/control/membership/acceptor/acceptor.go
+++ b/control/membership/acceptor/acceptor.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"cottonarch.example/cottonarch/control/register/quorum"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/storage/ring"
 )
@@ -75,7 +75,7 @@
 
 // Load reads the state back.
 func (a *Acceptor) Load(data []byte) error {
-	return defect.Wrap(json.Unmarshal(data, &a.State), defect.Damaged, "roster")
+	return failure.Wrap(json.Unmarshal(data, &a.State), failure.Damaged, "roster")
 }
 
 // Record writes the state.
--- a/control/membership/bootstrap/bootstrap.go
+++ b/control/membership/bootstrap/bootstrap.go
@@ -9,7 +9,7 @@
 	"cottonarch.example/cottonarch/control/membership/acceptor"
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 const resend = 250 * time.Millisecond
@@ -23,7 +23,7 @@
 	round    uint64
 	proposed *quorum.Membership
 	agreed   map[ident.Disk]bool
-	sent     moment.Moment
+	sent     monotime.Time
 }
 
 // New makes a bootstrap for the founders' addresses.
@@ -39,7 +39,7 @@
 
 // Tick asks when this is the founder that should: the first by address. empty holds
 // the founders heard lately that say they are empty, with their disks.
-func (b *Bootstrap) Tick(now moment.Moment, empty map[ident.Addr]ident.Disk) []Send {
+func (b *Bootstrap) Tick(now monotime.Time, empty map[ident.Addr]ident.Disk) []Send {
 	if len(b.founders) == 0 || b.founders[0] != b.addr || b.sent != 0 && now.Since(b.sent) < resend {
 		return nil
 	}
--- a/control/membership/reconfiguration/reconfiguration.go
+++ b/control/membership/reconfiguration/reconfiguration.go
@@ -11,7 +11,7 @@
 	"cottonarch.example/cottonarch/control/membership/acceptor"
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 const (
@@ -47,9 +47,9 @@
 	round        uint64
 	request      acceptor.Request
 	responses    map[ident.Disk]acceptor.Response
-	roundBegan   moment.Moment
-	lastSent     moment.Moment
-	pausedUntil  moment.Moment
+	roundBegan   monotime.Time
+	lastSent     monotime.Time
+	pausedUntil  monotime.Time
 	highestEpoch ident.Epoch
 	change       Change
 }
@@ -69,7 +69,7 @@
 func (m *Reconfigurer) Idle() bool { return m.stage == idle }
 
 // Begin starts a change from the membership in force.
-func (m *Reconfigurer) Begin(now moment.Moment, base quorum.Membership, plan Change) []Send {
+func (m *Reconfigurer) Begin(now monotime.Time, base quorum.Membership, plan Change) []Send {
 	if m.stage != idle || m.pausedUntil.After(now) {
 		return nil
 	}
@@ -79,7 +79,7 @@
 	return m.beginRound(now, acceptor.Request{Kind: acceptor.Prepare})
 }
 
-func (m *Reconfigurer) beginRound(now moment.Moment, request acceptor.Request) []Send {
+func (m *Reconfigurer) beginRound(now monotime.Time, request acceptor.Request) []Send {
 	m.round++
 	request.Round, request.Base, request.Ballot, request.Disk = m.round, m.base.Epoch, m.ballot, m.disk
 	m.request, m.responses, m.roundBegan, m.lastSent = request, map[ident.Disk]acceptor.Response{}, now, now
@@ -96,12 +96,12 @@
 	return out
 }
 
-func (m *Reconfigurer) stop(now moment.Moment) {
+func (m *Reconfigurer) stop(now monotime.Time) {
 	m.stage, m.pausedUntil = idle, now.Add(pauseBetween+time.Duration(m.round*37%100)*time.Millisecond)
 }
 
 // outbid pauses for a moment that differs between proposers and from one try to the next.
-func (m *Reconfigurer) outbid(now moment.Moment) {
+func (m *Reconfigurer) outbid(now monotime.Time) {
 	h := fnv.New32a()
 	_, _ = fmt.Fprint(h, m.disk, m.round)
 	m.stage, m.pausedUntil = idle, now.Add(retry+time.Duration(h.Sum32()%100)*time.Millisecond)
@@ -116,7 +116,7 @@
 }
 
 // Step takes one response; the membership is not nil once it is chosen.
-func (m *Reconfigurer) Step(now moment.Moment, r acceptor.Response) ([]Send, *quorum.Membership) {
+func (m *Reconfigurer) Step(now monotime.Time, r acceptor.Response) ([]Send, *quorum.Membership) {
 	if m.stage == idle || r.Round != m.round || r.Base != m.base.Epoch || !m.base.Counts(r.Disk) {
 		return nil, nil
 	}
@@ -160,7 +160,7 @@
 }
 
 // Tick repeats or gives up.
-func (m *Reconfigurer) Tick(now moment.Moment) []Send {
+func (m *Reconfigurer) Tick(now monotime.Time) []Send {
 	if m.stage == idle {
 		return nil
 	}
--- a/control/membership/reconfiguration/reconfiguration_test.go
+++ b/control/membership/reconfiguration/reconfiguration_test.go
@@ -11,7 +11,7 @@
 	"cottonarch.example/cottonarch/control/membership/reconfiguration"
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 type envelope struct {
@@ -33,7 +33,7 @@
 			acceptors[d] = acceptor.New(d)
 			acceptors[d].Adopt(base)
 		}
-		now := moment.Moment(time.Second)
+		now := monotime.Time(time.Second)
 		reconfigurers := map[ident.Disk]*reconfiguration.Reconfigurer{"n1": reconfiguration.New("n1", "m1"), "n2": reconfiguration.New("n2", "m2")}
 		plan := func(n ident.Disk) reconfiguration.Change {
 			return reconfiguration.TakeSlot(quorum.Voter{Disk: n, Addr: ident.Addr(n)}, 3, false)
@@ -117,7 +117,7 @@
 func TestFormingNeedsEveryFounder(t *testing.T) {
 	founders := []ident.Addr{"1", "2", "3"}
 	f := bootstrap.New("d1", "1", founders)
-	now := moment.Moment(time.Second)
+	now := monotime.Time(time.Second)
 	must.SliceEmpty(t, f.Tick(now, map[ident.Addr]ident.Disk{"2": "d2"}))
 	sends := f.Tick(now, map[ident.Addr]ident.Disk{"2": "d2", "3": "d3"})
 	must.Eq(t, 3, len(sends))
--- a/control/membership/reconfiguration/restart_test.go
+++ b/control/membership/reconfiguration/restart_test.go
@@ -9,7 +9,7 @@
 	"cottonarch.example/cottonarch/control/membership/reconfiguration"
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // A return to a proposal of an earlier run is none to the next run's: else a membership could be
@@ -24,7 +24,7 @@
 		disks[v.Disk] = acceptor.New(v.Disk)
 		disks[v.Disk].Adopt(base)
 	}
-	now := moment.Moment(1e9)
+	now := monotime.Time(1e9)
 	plan := reconfiguration.MoveVoter(quorum.Voter{Disk: "d1", Addr: "elsewhere"})
 	old := reconfiguration.New("d1", "run1")
 	var late []acceptor.Response
--- a/control/membership/reconfiguration/run_test.go
+++ b/control/membership/reconfiguration/run_test.go
@@ -10,7 +10,7 @@
 	"cottonarch.example/cottonarch/control/membership/reconfiguration"
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // A newcomer is restarted while the voters' answers to its earlier run are still on their
@@ -24,7 +24,7 @@
 		acceptors[d] = acceptor.New(d)
 		acceptors[d].Adopt(base)
 	}
-	now := moment.Moment(time.Second)
+	now := monotime.Time(time.Second)
 	take := func(n ident.Disk) reconfiguration.Change {
 		return reconfiguration.TakeSlot(quorum.Voter{Disk: n, Addr: ident.Addr(n)}, 3, false)
 	}
--- a/control/register/acceptor/acceptor.go
+++ b/control/register/acceptor/acceptor.go
@@ -9,7 +9,7 @@
 	"github.com/google/btree"
 
 	"cottonarch.example/cottonarch/control/register/quorum"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/storage/ring"
 )
@@ -50,7 +50,7 @@
 	if key, ok := strings.CutPrefix(rec.Tag, promiseTag); ok {
 		var b ident.Ballot
 		if err := json.Unmarshal(rec.Data, &b); err != nil {
-			return true, defect.Wrap(err, defect.Damaged, "promise of "+key)
+			return true, failure.Wrap(err, failure.Damaged, "promise of "+key)
 		}
 		it := a.at(ident.Key(key))
 		if it.Promised.Less(b) {
@@ -61,7 +61,7 @@
 	if key, ok := strings.CutPrefix(rec.Tag, acceptTag); ok {
 		var c quorum.Record
 		if err := json.Unmarshal(rec.Data, &c); err != nil {
-			return true, defect.Wrap(err, defect.Damaged, "cell of "+key)
+			return true, failure.Wrap(err, failure.Damaged, "cell of "+key)
 		}
 		it := a.at(ident.Key(key))
 		it.Accepted, it.Revision, it.Value = c.Accepted, c.Revision, c.Value
--- a/control/register/proposer/few_test.go
+++ b/control/register/proposer/few_test.go
@@ -11,7 +11,7 @@
 	"cottonarch.example/cottonarch/control/register/acceptor"
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // A confirming round asks only as many as it needs, near ones first, and the others when
@@ -29,7 +29,7 @@
 	}
 	for x := range disks {
 		for y := range x {
-			now := moment.Moment(time.Second)
+			now := monotime.Time(time.Second)
 			o := New("m", echo{})
 			var post []Send
 			ends := 0
--- a/control/register/proposer/proposer.go
+++ b/control/register/proposer/proposer.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"cottonarch.example/cottonarch/control/register/quorum"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 const (
@@ -33,7 +33,7 @@
 // is the same for every copy of the operation.
 type Operation struct {
 	Ticket   uint64          `json:"-"`
-	Deadline moment.Moment   `json:"-"`
+	Deadline monotime.Time   `json:"-"`
 	Op       ident.Op        `json:"op"`
 	Key      ident.Key       `json:"key"`
 	Kind     string          `json:"kind"`
@@ -45,10 +45,10 @@
 
 // Context is what a state machine may know beyond the value.
 type Context struct {
-	Now        moment.Moment
-	TermBegan  moment.Moment            // when this term began
+	Now        monotime.Time
+	TermBegan  monotime.Time            // when this term began
 	Revision   ident.Revision           // of the value given
-	TermMemory map[string]moment.Moment // of this term only
+	TermMemory map[string]monotime.Time // of this term only
 	Remember   func(instance string)    // set TermMemory[mark] when the round is over
 	// Decoded is what the machine made, in this term, of the very value given: its decoded
 	// form. It is nil in a new term; a machine that finds nil decodes the value and must
@@ -61,7 +61,7 @@
 	Value   json.RawMessage
 	Changed bool
 	Body    json.RawMessage
-	Defect  *defect.Defect
+	Failure *failure.Error
 	Decoded any // for the next Context, when it is not nil
 }
 
@@ -76,7 +76,7 @@
 type Outcome struct {
 	Operation          Operation
 	Body               json.RawMessage
-	Defect             *defect.Defect
+	Failure            *failure.Error
 	Revision           ident.Revision
 	Changed            bool
 	Value              json.RawMessage
@@ -119,10 +119,10 @@
 	round          uint64
 	request        quorum.Request
 	responses      map[ident.Disk]quorum.Response
-	roundBegan     moment.Moment
-	lastSent       moment.Moment
-	began          moment.Moment
-	pausedUntil    moment.Moment
+	roundBegan     monotime.Time
+	lastSent       monotime.Time
+	began          monotime.Time
+	pausedUntil    monotime.Time
 	tries          int
 	highestEpoch   ident.Epoch
 	acceptedBallot ident.Ballot // under which revision and value were accepted
@@ -132,7 +132,7 @@
 	proposed       quorum.Record
 	waiting        []Operation
 	batch          []Outcome
-	memory         map[string]moment.Moment
+	memory         map[string]monotime.Time
 	remembered     []string
 	// baseHolders lists the disks known, by a response in this term, to hold the base of what is
 	// sent next, or to be about to: each was sent every round since. It is a guess that
@@ -176,7 +176,7 @@
 func (p *Proposer) SetPatchCapable(disk ident.Disk, patches bool) { p.patchCapable[disk] = patches }
 
 // SetMembership moves to a newer membership; every hold begins anew under it.
-func (p *Proposer) SetMembership(now moment.Moment, r quorum.Membership) (fx Effects) {
+func (p *Proposer) SetMembership(now monotime.Time, r quorum.Membership) (fx Effects) {
 	if r.Epoch <= p.membership.Epoch {
 		return fx
 	}
@@ -197,10 +197,10 @@
 }
 
 // Submit takes one operation.
-func (p *Proposer) Submit(now moment.Moment, d Operation) (fx Effects) {
+func (p *Proposer) Submit(now monotime.Time, d Operation) (fx Effects) {
 	t := p.term(d.Key)
 	if len(t.waiting) >= maxQueue {
-		fx.Outcomes = append(fx.Outcomes, Outcome{Operation: d, Defect: defect.New(defect.Busy, "too many deeds wait for %s", d.Key).Later(1)})
+		fx.Outcomes = append(fx.Outcomes, Outcome{Operation: d, Failure: failure.New(failure.Busy, "too many deeds wait for %s", d.Key).Later(1)})
 		return fx
 	}
 	t.waiting = append(t.waiting, d)
@@ -209,7 +209,7 @@
 }
 
 // Prepare prepares a key ahead of need, as the named successor does.
-func (p *Proposer) Prepare(now moment.Moment, key ident.Key) (fx Effects) {
+func (p *Proposer) Prepare(now monotime.Time, key ident.Key) (fx Effects) {
 	if t := p.term(key); t.stage == idle {
 		p.prepare(now, t, &fx)
 	}
@@ -261,7 +261,7 @@
 }
 
 // advance moves a term on when no round is out.
-func (p *Proposer) advance(now moment.Moment, t *term, fx *Effects) {
+func (p *Proposer) advance(now monotime.Time, t *term, fx *Effects) {
 	if len(t.waiting) == 0 || p.membership.Epoch == 0 {
 		if len(t.waiting) > 0 {
 			p.active[t.key] = t
@@ -279,11 +279,11 @@
 	}
 }
 
-func (p *Proposer) prepare(now moment.Moment, t *term, fx *Effects) {
+func (p *Proposer) prepare(now monotime.Time, t *term, fx *Effects) {
 	t.highestEpoch++
 	t.ballot = ident.Ballot{Epoch: t.highestEpoch, Owner: p.instance}
 	t.membership, t.stage = p.membership.Epoch, preparing
-	t.memory, t.remembered, t.decoded, t.baseHolders = map[string]moment.Moment{}, nil, nil, map[ident.Disk]bool{}
+	t.memory, t.remembered, t.decoded, t.baseHolders = map[string]monotime.Time{}, nil, nil, map[ident.Disk]bool{}
 	p.active[t.key] = t
 	p.Prepares++
 	a := quorum.Request{Kind: quorum.Prepare, Ballot: t.ballot}
@@ -295,7 +295,7 @@
 	t.prepareRound = t.round
 }
 
-func (p *Proposer) beginRound(now moment.Moment, t *term, a quorum.Request, fx *Effects) {
+func (p *Proposer) beginRound(now monotime.Time, t *term, a quorum.Request, fx *Effects) {
 	p.round++
 	p.Rounds++
 	a.Round, a.Membership, a.Key = p.round, t.membership, t.key
@@ -307,7 +307,7 @@
 
 // accept begins the round that writes a value; base is an accepted state that the disks in
 // baseHolders hold.
-func (p *Proposer) accept(now moment.Moment, t *term, base quorum.Record, revision ident.Revision, value json.RawMessage, fx *Effects) {
+func (p *Proposer) accept(now monotime.Time, t *term, base quorum.Record, revision ident.Revision, value json.RawMessage, fx *Effects) {
 	a := quorum.Request{Kind: quorum.Accept, Ballot: t.ballot, Revision: revision, Value: value}
 	if slices.ContainsFunc(p.membership.Voters, func(v quorum.Voter) bool { return t.baseHolders[v.Disk] && p.patchCapable[v.Disk] }) {
 		a.Patch = quorum.Diff(base, t.ballot, value)
@@ -379,7 +379,7 @@
 }
 
 // apply applies waiting operations and starts the round that makes their results sure.
-func (p *Proposer) apply(now moment.Moment, t *term, fx *Effects) {
+func (p *Proposer) apply(now monotime.Time, t *term, fx *Effects) {
 	n := min(len(t.waiting), maxBatch)
 	value, revision := t.value, t.revision
 	t.remembered, t.repairing = nil, false
@@ -403,7 +403,7 @@
 		if v.Decoded != nil {
 			t.decoded = v.Decoded
 		}
-		t.batch = append(t.batch, Outcome{Operation: d, Body: v.Body, Defect: v.Defect, Changed: v.Changed, Revision: revision, Value: value})
+		t.batch = append(t.batch, Outcome{Operation: d, Body: v.Body, Failure: v.Failure, Changed: v.Changed, Revision: revision, Value: value})
 	}
 	t.waiting = slices.Clone(t.waiting[n:])
 	if len(t.batch) == 0 {
@@ -435,7 +435,7 @@
 }
 
 // Step takes one response in.
-func (p *Proposer) Step(now moment.Moment, r quorum.Response) (fx Effects) {
+func (p *Proposer) Step(now monotime.Time, r quorum.Response) (fx Effects) {
 	t := p.terms[r.Key]
 	if t != nil {
 		p.learnBase(t, r, &fx)
@@ -479,15 +479,15 @@
 }
 
 // roundEnds says how each round ends once a majority has answered.
-var roundEnds map[stage]func(*Proposer, moment.Moment, *term, *Effects)
+var roundEnds map[stage]func(*Proposer, monotime.Time, *term, *Effects)
 
 func init() {
-	roundEnds = map[stage]func(*Proposer, moment.Moment, *term, *Effects){
+	roundEnds = map[stage]func(*Proposer, monotime.Time, *term, *Effects){
 		preparing: (*Proposer).prepared, settling: (*Proposer).settled, writing: (*Proposer).written, confirming: (*Proposer).confirmed,
 	}
 }
 
-func (p *Proposer) prepared(now moment.Moment, t *term, fx *Effects) {
+func (p *Proposer) prepared(now monotime.Time, t *term, fx *Effects) {
 	var best quorum.Record
 	first, agreed := true, true
 	for _, r := range t.responses {
@@ -520,17 +520,17 @@
 	p.accept(now, t, best, t.revision, t.value, fx)
 }
 
-func (p *Proposer) settled(now moment.Moment, t *term, fx *Effects) {
+func (p *Proposer) settled(now monotime.Time, t *term, fx *Effects) {
 	t.stage, t.began, t.tries = established, now, 0
 	p.proceed(now, t, fx)
 }
 
-func (p *Proposer) written(now moment.Moment, t *term, fx *Effects) {
+func (p *Proposer) written(now monotime.Time, t *term, fx *Effects) {
 	t.acceptedBallot, t.revision, t.value = t.ballot, t.proposed.Revision, t.proposed.Value
 	p.finish(now, t, fx)
 }
 
-func (p *Proposer) confirmed(now moment.Moment, t *term, fx *Effects) {
+func (p *Proposer) confirmed(now monotime.Time, t *term, fx *Effects) {
 	for _, v := range p.membership.Voters {
 		if r, ok := t.responses[v.Disk]; ok {
 			p.repair(t, v, r, fx)
@@ -547,7 +547,7 @@
 	}
 }
 
-func (p *Proposer) finish(now moment.Moment, t *term, fx *Effects) {
+func (p *Proposer) finish(now monotime.Time, t *term, fx *Effects) {
 	for _, m := range t.remembered {
 		t.memory[m] = now
 	}
@@ -559,13 +559,13 @@
 	p.proceed(now, t, fx)
 }
 
-func (p *Proposer) proceed(now moment.Moment, t *term, fx *Effects) {
+func (p *Proposer) proceed(now monotime.Time, t *term, fx *Effects) {
 	delete(p.active, t.key)
 	p.advance(now, t, fx)
 }
 
 // Tick sends again what is out and gives up what is out too long.
-func (p *Proposer) Tick(now moment.Moment) (fx Effects) {
+func (p *Proposer) Tick(now monotime.Time) (fx Effects) {
 	for _, key := range p.sortedKeys(p.active) {
 		t := p.active[key]
 		switch {
--- a/control/register/proposer/proposer_test.go
+++ b/control/register/proposer/proposer_test.go
@@ -12,7 +12,7 @@
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // put is a machine that writes its args as the value; "read" changes nothing.
@@ -33,7 +33,7 @@
 	proposers  map[string]*proposer.Proposer
 	ends       map[string][]proposer.Outcome
 	requests   []envelope
-	now        moment.Moment
+	now        monotime.Time
 }
 
 type envelope struct {
@@ -43,7 +43,7 @@
 }
 
 func newBench(t *testing.T, proposers ...string) *bench {
-	b := &bench{t: t, acceptors: map[ident.Disk]*acceptor.Acceptor{}, proposers: map[string]*proposer.Proposer{}, ends: map[string][]proposer.Outcome{}, now: moment.Moment(time.Second)}
+	b := &bench{t: t, acceptors: map[ident.Disk]*acceptor.Acceptor{}, proposers: map[string]*proposer.Proposer{}, ends: map[string][]proposer.Outcome{}, now: monotime.Time(time.Second)}
 	b.membership.Epoch = 1
 	for _, d := range []ident.Disk{"d1", "d2", "d3"} {
 		b.membership.Voters = append(b.membership.Voters, quorum.Voter{Disk: d, Counted: true})
--- a/control/register/quorumread/quorumread.go
+++ b/control/register/quorumread/quorumread.go
@@ -7,7 +7,7 @@
 
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // resendAfter is how long a page may stay out before it is asked for again.
@@ -27,7 +27,7 @@
 	rows     map[ident.Key]quorum.Record
 	lastKey  ident.Key
 	done     bool
-	lastSent moment.Moment
+	lastSent monotime.Time
 }
 
 // Reader is one quorum read. Invariant: it belongs to one membership epoch; the caller
@@ -47,7 +47,7 @@
 	Buckets   int
 	differing []int
 	compared  bool
-	began     moment.Moment
+	began     monotime.Time
 	replies   map[ident.Disk]*reply
 }
 
@@ -67,7 +67,7 @@
 }
 
 // Tick asks, and asks again, for what is out.
-func (s *Reader) Tick(now moment.Moment) []Send {
+func (s *Reader) Tick(now monotime.Time) []Send {
 	var out []Send
 	if s.began == 0 {
 		s.began = now
@@ -92,7 +92,7 @@
 	return out
 }
 
-func (s *Reader) scan(now moment.Moment, v quorum.Voter, st *reply) Send {
+func (s *Reader) scan(now monotime.Time, v quorum.Voter, st *reply) Send {
 	st.lastSent = now
 	return Send{v, quorum.Scan{Round: s.Round, Membership: s.Membership.Epoch, Prefix: s.Prefix, After: st.lastKey, Values: s.Values, Buckets: s.Buckets, OnlyBuckets: s.differing}}
 }
@@ -139,7 +139,7 @@
 }
 
 // Step takes one page in; done is true once a majority has been read whole.
-func (s *Reader) Step(now moment.Moment, r quorum.ScanResponse) (out []Send, done bool) {
+func (s *Reader) Step(now monotime.Time, r quorum.ScanResponse) (out []Send, done bool) {
 	v, ok := s.Membership.Find(r.Disk)
 	st := s.replies[r.Disk]
 	if r.Round != s.Round || r.Membership != s.Membership.Epoch || !ok || !v.Counted || st == nil || st.done || r.After != st.lastKey {
--- a/control/register/quorumread/quorumread_test.go
+++ b/control/register/quorumread/quorumread_test.go
@@ -12,7 +12,7 @@
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/control/register/quorumread"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // Four disks with a few hundred keys, some of which differ: a quorum read that compares digests
@@ -51,12 +51,12 @@
 			s := quorumread.Begin(1, membership, "", false, "")
 			s.All, s.Buckets = true, buckets
 			type late struct {
-				at moment.Moment
+				at monotime.Time
 				r  quorum.ScanResponse
 			}
 			var post []late
 			done := false
-			send := func(now moment.Moment, list []quorumread.Send) {
+			send := func(now monotime.Time, list []quorumread.Send) {
 				for _, out := range list {
 					r, ok := disks[out.To.Disk].Scan(4, out.Scan)
 					must.True(t, ok)
@@ -70,7 +70,7 @@
 					post = append(post, late{now.Add(wait), r})
 				}
 			}
-			for now := moment.Moment(time.Second); now < moment.Moment(2*time.Second) && !done; now = now.Add(5 * time.Millisecond) {
+			for now := monotime.Time(time.Second); now < monotime.Time(2*time.Second) && !done; now = now.Add(5 * time.Millisecond) {
 				send(now, s.Tick(now))
 				list := post
 				post = nil
--- a/control/rollout/drive/drive.go
+++ b/control/rollout/drive/drive.go
@@ -1,5 +1,5 @@
 // Package drive works out the difference between a roll-out's wanted state and the
-// manifest in force, one deed at a time.
+// manifest in force, one operation at a time.
 package drive
 
 import (
@@ -7,19 +7,19 @@
 	"fmt"
 	"time"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/control/rollout/state"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // leastCalls is how many ended calls a verdict on a step rests on.
 const leastCalls = 20
 
-// Ends counts a service's ended calls and those of them that ended in a defect.
+// Ends counts a service's ended calls and those of them that ended in a failure.
 type Ends struct {
 	All uint64 `json:"all"`
 	Bad uint64 `json:"bad"`
@@ -31,7 +31,7 @@
 type seat struct {
 	round uint64
 	at    int
-	began moment.Moment
+	began monotime.Time
 	base  Ends
 }
 
@@ -41,8 +41,8 @@
 // New makes one without memory.
 func New() *Drive { return &Drive{seats: map[string]seat{}} }
 
-// Plan gives the next deed for a roll-out, if one is due.
-func (d *Drive) Plan(now moment.Moment, r state.Rollout, m *check.Manifest, ends func(ident.Service) Ends) (proposer.Operation, bool) {
+// Plan gives the next operation for a roll-out, if one is due.
+func (d *Drive) Plan(now monotime.Time, r state.Rollout, m *check.Manifest, ends func(ident.Service) Ends) (proposer.Operation, bool) {
 	if m == nil || r.Phase != state.Running && r.Phase != state.Backing {
 		delete(d.seats, r.Way)
 		return proposer.Operation{}, false
@@ -109,7 +109,7 @@
 }
 
 func move(r state.Rollout, p state.Phase, at int, why string) (proposer.Operation, bool) {
-	return proposer.Operation{Key: state.Key(r.Way), Kind: "rollout/move", Args: book.JSON(state.Move{
+	return proposer.Operation{Key: state.Key(r.Way), Kind: "rollout/move", Args: operation.Encode(state.Move{
 		Round: r.Round, At: r.At, Phase: r.Phase, NextAt: at, NextPhase: p, Why: why})}, true
 }
 
@@ -125,5 +125,5 @@
 	}
 	base := m.Epoch
 	body, _ := json.Marshal(map[string]any{"ways": map[string]any{r.Way: way}})
-	return proposer.Operation{Key: offer.Key, Kind: "manifest/offer", Args: book.JSON(offer.Args{Partial: true, Base: &base, Body: body})}, true
+	return proposer.Operation{Key: offer.Key, Kind: "manifest/offer", Args: operation.Encode(offer.Args{Partial: true, Base: &base, Body: body})}, true
 }
--- a/control/rollout/state/state.go
+++ b/control/rollout/state/state.go
@@ -5,9 +5,9 @@
 	"encoding/json"
 	"slices"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -58,18 +58,18 @@
 // next lists which phase may follow which.
 var next = map[Phase][]Phase{Running: {Running, Backing, Done}, Backing: {Back}}
 
-// Deeds are the handlers.
-func Deeds() book.Book {
-	return book.Book{"rollout/begin": begin, "rollout/move": move, "rollout/read": read}
+// Handlers are the handlers.
+func Handlers() operation.Table {
+	return operation.Table{"rollout/begin": begin, "rollout/move": move, "rollout/read": read}
 }
 
-func begin(_ proposer.Context, state, args json.RawMessage) book.Entry {
+func begin(_ proposer.Context, state, args json.RawMessage) operation.Result {
 	var r, a Rollout
-	if d := book.Read(state, args, &r, &a); d != nil {
-		return book.Turned(d)
+	if d := operation.Decode(state, args, &r, &a); d != nil {
+		return operation.Rejected(d)
 	}
 	if r.Phase == Running || r.Phase == Backing {
-		return book.Turned(defect.New(defect.Conflict, "a roll-out of %q is %s", r.Way, r.Phase))
+		return operation.Rejected(failure.New(failure.Conflict, "a roll-out of %q is %s", r.Way, r.Phase))
 	}
 	if len(a.Steps) == 0 {
 		a.Steps = []int{5, 25, 50, 100}
@@ -82,42 +82,42 @@
 	}
 	rising := slices.IsSorted(a.Steps) && len(slices.Compact(slices.Clone(a.Steps))) == len(a.Steps)
 	if !rising || a.Steps[0] < 1 || a.Steps[len(a.Steps)-1] != 100 || len(a.Steps) > 50 {
-		return book.Turned(defect.New(defect.Invalid, "steps must rise from 1 at least to 100"))
+		return operation.Rejected(failure.New(failure.Invalid, "steps must rise from 1 at least to 100"))
 	}
 	if a.Way == "" || a.From == "" || a.To == "" || a.From == a.To || a.StepS < 0.5 || a.StepS > 86400 || a.Most < 0 || a.Most > 1 {
-		return book.Turned(defect.New(defect.Invalid, "a roll-out needs a way, a service other than the way's, stepS from 0.5 to 86400 and mostDefects from 0 to 1"))
+		return operation.Rejected(failure.New(failure.Invalid, "a roll-out needs a way, a service other than the way's, stepS from 0.5 to 86400 and mostDefects from 0 to 1"))
 	}
 	a.At, a.Phase, a.Why, a.Round = 0, Running, "", r.Round+1
-	return book.Entry{State: book.JSON(a), Body: book.JSON(a)}
+	return operation.Result{State: operation.Encode(a), Body: operation.Encode(a)}
 }
 
-func move(_ proposer.Context, state, args json.RawMessage) book.Entry {
+func move(_ proposer.Context, state, args json.RawMessage) operation.Result {
 	var r Rollout
 	var m Move
-	if d := book.Read(state, args, &r, &m); d != nil {
-		return book.Turned(d)
+	if d := operation.Decode(state, args, &r, &m); d != nil {
+		return operation.Rejected(d)
 	}
 	if r.Round != m.Round || r.At != m.At || r.Phase != m.Phase {
-		return book.Turned(defect.New(defect.Conflict, "the roll-out is at step %d, %s", r.At, r.Phase))
+		return operation.Rejected(failure.New(failure.Conflict, "the roll-out is at step %d, %s", r.At, r.Phase))
 	}
 	if !slices.Contains(next[r.Phase], m.NextPhase) || m.NextAt < r.At || m.NextAt >= len(r.Steps) {
-		return book.Turned(defect.New(defect.Invalid, "no way from %s to %s", r.Phase, m.NextPhase))
+		return operation.Rejected(failure.New(failure.Invalid, "no way from %s to %s", r.Phase, m.NextPhase))
 	}
 	r.At, r.Phase = m.NextAt, m.NextPhase
 	if m.Why != "" {
 		r.Why = m.Why
 	}
-	return book.Entry{State: book.JSON(r), Body: book.JSON(r)}
+	return operation.Result{State: operation.Encode(r), Body: operation.Encode(r)}
 }
 
-func read(_ proposer.Context, state, args json.RawMessage) book.Entry {
+func read(_ proposer.Context, state, args json.RawMessage) operation.Result {
 	var r Rollout
 	var a struct{}
-	if d := book.Read(state, args, &r, &a); d != nil {
-		return book.Turned(d)
+	if d := operation.Decode(state, args, &r, &a); d != nil {
+		return operation.Rejected(d)
 	}
 	if r.Way == "" {
-		return book.Turned(defect.New(defect.Missing, "there was no roll-out"))
+		return operation.Rejected(failure.New(failure.Missing, "there was no roll-out"))
 	}
-	return book.Entry{Body: book.JSON(r)}
+	return operation.Result{Body: operation.Encode(r)}
 }
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -20,9 +20,9 @@
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/count"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/kernel/queue"
 	"cottonarch.example/cottonarch/mesh/lease/table"
 	"cottonarch.example/cottonarch/mesh/registry/record"
@@ -49,12 +49,12 @@
 	Boot     boot.Core
 	Log      *zap.Logger
 	Board    *count.Board
-	clock    moment.Clock
+	clock    monotime.Clock
 	node     *node.Node
 	ring     *ring.Ring
 	dir      Folder
 	pool     *client.Pool
-	inbox    *queue.Ring[func(moment.Moment) node.Effects]
+	inbox    *queue.Ring[func(monotime.Time) node.Effects]
 	disk     *queue.Ring[node.Effects]
 	done     chan struct{}
 	ticket   atomic.Uint64
@@ -114,8 +114,8 @@
 
 // Open recovers the core from its data folder, which it closes when it ends.
 func Open(b boot.Core, log *zap.Logger, dir Folder) (*Core, error) {
-	c := &Core{Boot: b, Log: log, Board: count.New(), clock: moment.Watched(moment.Process()), pool: client.New(b.Addr), done: make(chan struct{}),
-		inbox: queue.Make[func(moment.Moment) node.Effects](inboxSize), disk: queue.Make[node.Effects](diskSize),
+	c := &Core{Boot: b, Log: log, Board: count.New(), clock: monotime.Watched(monotime.Process()), pool: client.New(b.Addr), done: make(chan struct{}),
+		inbox: queue.Make[func(monotime.Time) node.Effects](inboxSize), disk: queue.Make[node.Effects](diskSize),
 		waits: map[uint64]chan node.End{}, moved: map[ident.Key]chan struct{}{}, peers: map[ident.Addr]*line{},
 		signal: make(chan struct{}), feed: make(chan struct{}), wake: make(chan struct{}, 1), fresh: make(chan json.RawMessage, 4), stop: make(chan struct{})}
 	var err error
@@ -157,7 +157,7 @@
 }
 
 // Do runs a step in the loop; it is turned away when the inbox is full.
-func (c *Core) Do(step func(moment.Moment) node.Effects) bool {
+func (c *Core) Do(step func(monotime.Time) node.Effects) bool {
 	if c.inbox.Offer(step) {
 		return true
 	}
@@ -178,7 +178,7 @@
 			now := c.clock()
 			// A disk that stalls is left out until it goes on; one that failed for good.
 			at := c.busy.Load()
-			stall := at != 0 && now.Since(moment.Moment(at)) > stallAfter
+			stall := at != 0 && now.Since(monotime.Time(at)) > stallAfter
 			if c.node.Break(stall || c.failed.Load()) {
 				c.Log.Warn("disk", zap.Bool("stalled", stall), zap.Bool("failed", c.failed.Load()))
 			}
@@ -211,7 +211,7 @@
 func (c *Core) synced() bool { return c.unsynced.Load() == 0 && !c.failed.Load() }
 
 // look copies what pages show, and logs changes of state.
-func (c *Core) look(now moment.Moment) {
+func (c *Core) look(now monotime.Time) {
 	n := c.node
 	v := &View{Disk: n.Disk, Roster: n.Membership(), Votes: n.Votes(), Voters: len(n.Membership().Voters), Majority: n.Majority(now), Owned: len(n.HeldKeys()), Cells: n.Records(),
 		Duty: n.Duty(), Cores: n.Fresh(now), Places: n.Places(now), Members: n.Leases.Members()}
@@ -282,7 +282,7 @@
 func (c *Core) Done() <-chan struct{} { return c.done }
 
 // await runs a step that begins a request and waits for its end.
-func (c *Core) await(ctx context.Context, begin func(now moment.Moment, ticket uint64) node.Effects) node.End {
+func (c *Core) await(ctx context.Context, begin func(now monotime.Time, ticket uint64) node.Effects) node.End {
 	ticket := c.ticket.Add(1)
 	ch := make(chan node.End, 1)
 	c.mu.Lock()
@@ -293,34 +293,34 @@
 		delete(c.waits, ticket)
 		c.mu.Unlock()
 	}
-	if !c.Do(func(now moment.Moment) node.Effects { return begin(now, ticket) }) {
+	if !c.Do(func(now monotime.Time) node.Effects { return begin(now, ticket) }) {
 		drop()
-		return node.End{Defect: defect.New(defect.Busy, "the core's inbox is full").Later(1)}
+		return node.End{Failure: failure.New(failure.Busy, "the core's inbox is full").Later(1)}
 	}
 	select {
 	case e := <-ch:
 		return e
 	case <-ctx.Done():
 		drop()
-		return node.End{Defect: defect.Unsure(defect.Unknown, "no return came in time")}
+		return node.End{Failure: failure.Unsure(failure.UnknownOutcome, "no return came in time")}
 	case <-c.done:
 		drop()
-		return node.End{Defect: defect.Unsure(defect.Stopping, "the core stops")}
+		return node.End{Failure: failure.Unsure(failure.Stopping, "the core stops")}
 	}
 }
 
-// Deed runs one deed and waits for its end, at most budget; what it waits for the loop
+// Deed runs one operation and waits for its end, at most budget; what it waits for the loop
 // counts, so a process that was held up begins nothing that nobody waits for any more.
 func (c *Core) Deed(ctx context.Context, d proposer.Operation, budget time.Duration) node.End {
 	c.Board.Add("deeds", 1)
 	ctx, stop := context.WithTimeout(ctx, budget+time.Second)
 	defer stop()
-	came := moment.Process()
+	came := monotime.Process()
 	began := came()
-	return c.await(ctx, func(now moment.Moment, t uint64) node.Effects {
+	return c.await(ctx, func(now monotime.Time, t uint64) node.Effects {
 		left := budget - came().Since(began)
 		if left <= 0 {
-			return node.Effects{Ends: []node.End{{Ticket: t, Defect: defect.New(defect.Busy, "its time was over before it was begun").Later(1)}}}
+			return node.Effects{Ends: []node.End{{Ticket: t, Failure: failure.New(failure.Busy, "its time was over before it was begun").Later(1)}}}
 		}
 		return c.node.Submit(now, t, d, left)
 	})
@@ -330,9 +330,9 @@
 func (c *Core) Join(ctx context.Context, r admission.Request) node.End {
 	ctx, stop := context.WithTimeout(ctx, node.JoinBudget+time.Second)
 	defer stop()
-	came := moment.Process()
+	came := monotime.Process()
 	began := came()
-	return c.await(ctx, func(now moment.Moment, t uint64) node.Effects {
+	return c.await(ctx, func(now monotime.Time, t uint64) node.Effects {
 		return c.node.Join(now, t, r, node.JoinBudget-came().Since(began))
 	})
 }
@@ -342,7 +342,7 @@
 	c.Board.Add("surveys", 1)
 	ctx, stop := context.WithTimeout(ctx, budget+time.Second)
 	defer stop()
-	return c.await(ctx, func(now moment.Moment, t uint64) node.Effects {
+	return c.await(ctx, func(now monotime.Time, t uint64) node.Effects {
 		return c.node.QuorumRead(now, t, prefix, values, budget)
 	})
 }
@@ -368,7 +368,7 @@
 			ctx, stop := context.WithTimeout(context.Background(), 500*time.Millisecond)
 			var got Known
 			if c.pool.Ask(ctx, a, "GET", "/cottonarch/v1/cores", nil, &got) == nil {
-				c.Do(func(now moment.Moment) node.Effects { c.node.Know(now, got.Cores); return node.Effects{} })
+				c.Do(func(now monotime.Time) node.Effects { c.node.Know(now, got.Cores); return node.Effects{} })
 			}
 			stop()
 		}
@@ -390,14 +390,14 @@
 	}
 	c.Log.Info("stopping")
 	close(c.stop)
-	c.Do(func(now moment.Moment) node.Effects { return c.node.Leave(now) })
+	c.Do(func(now monotime.Time) node.Effects { return c.node.Leave(now) })
 	until := time.Now().Add(limit)
 	t := time.NewTicker(30 * time.Millisecond)
 	defer t.Stop()
 	for time.Now().Before(until) {
 		<-t.C
 		ok := make(chan bool, 1)
-		if !c.Do(func(now moment.Moment) node.Effects {
+		if !c.Do(func(now monotime.Time) node.Effects {
 			left, fx := c.node.Left(now)
 			ok <- left
 			return fx
--- a/daemon/core/journal.go
+++ b/daemon/core/journal.go
@@ -6,7 +6,7 @@
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // journal is the disk's duty: it writes the records of a batch of steps, syncs once
@@ -58,7 +58,7 @@
 		s.Msg.From = c.Boot.Addr
 		if s.To == c.Boot.Addr {
 			m := s.Msg
-			c.Do(func(now moment.Moment) node.Effects { return c.node.Step(now, m) })
+			c.Do(func(now monotime.Time) node.Effects { return c.node.Step(now, m) })
 			continue
 		}
 		if !c.peer(s.To).offer(s.Msg) {
--- a/daemon/core/manifest.go
+++ b/daemon/core/manifest.go
@@ -14,9 +14,9 @@
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/manifest/walk"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // Manifest is a confirmed manifest. Invariant: Held only moves to higher epochs.
@@ -59,14 +59,14 @@
 
 // Newest reads the manifest through its proposer, so it is not older than any confirmed
 // before the call.
-func (c *Core) Newest(ctx context.Context, budget time.Duration) (*Manifest, *defect.Defect) {
+func (c *Core) Newest(ctx context.Context, budget time.Duration) (*Manifest, *failure.Error) {
 	e := c.Deed(ctx, proposer.Operation{Key: offer.Key, Kind: "manifest/epoch"}, budget)
-	if e.Defect != nil {
-		return nil, e.Defect
+	if e.Failure != nil {
+		return nil, e.Failure
 	}
 	var yes offer.Yes
 	if err := json.Unmarshal(e.Body, &yes); err != nil {
-		return nil, defect.New(defect.Damaged, "epoch: %v", err)
+		return nil, failure.New(failure.Damaged, "epoch: %v", err)
 	}
 	if have := c.held.Load(); have != nil && have.Epoch >= yes.Epoch {
 		return have, nil
@@ -75,17 +75,17 @@
 		return &Manifest{Parsed: &check.Manifest{}}, nil
 	}
 	e = c.Deed(ctx, proposer.Operation{Key: offer.Key, Kind: "manifest/read"}, budget)
-	if e.Defect != nil {
-		return nil, e.Defect
+	if e.Failure != nil {
+		return nil, e.Failure
 	}
 	return c.install(e.Body)
 }
 
 // install takes a confirmed manifest in, unless a newer one is known.
-func (c *Core) install(raw json.RawMessage) (*Manifest, *defect.Defect) {
+func (c *Core) install(raw json.RawMessage) (*Manifest, *failure.Error) {
 	var h offer.Held
 	if err := json.Unmarshal(raw, &h); err != nil {
-		return nil, defect.New(defect.Damaged, "manifest: %v", err)
+		return nil, failure.New(failure.Damaged, "manifest: %v", err)
 	}
 	h.Lines, h.Chain = nil, nil
 	if have := c.held.Load(); have != nil && have.Epoch >= h.Epoch {
@@ -113,7 +113,7 @@
 	}
 	c.Log.Info("manifest", zap.Uint64("epoch", uint64(m.Epoch)), zap.Int("ways", len(parsed.Ways)), zap.Int("services", len(parsed.Services)))
 	c.Board.Set("manifest_epoch", int64(m.Epoch))
-	c.Do(func(moment.Moment) node.Effects {
+	c.Do(func(monotime.Time) node.Effects {
 		return node.Effects{Changed: c.node.Leases.Manifest(parsed)}
 	})
 	return m, nil
--- a/daemon/core/post.go
+++ b/daemon/core/post.go
@@ -10,7 +10,7 @@
 	"cottonarch.example/cottonarch/control/core/message"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/kernel/queue"
 )
 
@@ -103,13 +103,13 @@
 			if err := c.pool.Ask(ctx, addr, "POST", "/cottonarch/v1/messages", Batch{c.Boot.Addr, held[:n]}, &back); err != nil {
 				c.Board.Add("posts_failed", 1)
 				if errors.Is(err, syscall.ECONNREFUSED) {
-					c.Do(func(now moment.Moment) node.Effects { return c.node.Down(now, addr) })
+					c.Do(func(now monotime.Time) node.Effects { return c.node.Down(now, addr) })
 				}
 			}
 			stop()
 			for _, m := range back.Messages {
 				m.From = addr
-				c.Do(func(now moment.Moment) node.Effects { return c.node.Step(now, m) })
+				c.Do(func(now monotime.Time) node.Effects { return c.node.Step(now, m) })
 			}
 			c.Board.Add("posts", 1)
 			held = held[n:]
@@ -145,7 +145,7 @@
 		if m.From == "" {
 			m.From = b.From
 		}
-		if c.Do(func(now moment.Moment) node.Effects {
+		if c.Do(func(now monotime.Time) node.Effects {
 			fx := c.node.Step(now, m)
 			last <- c.say(m.From, &fx)
 			return fx
--- a/daemon/proof/apps_test.go
+++ b/daemon/proof/apps_test.go
@@ -11,7 +11,7 @@
 
 	"cottonarch.example/cottonarch/adapter/coordination"
 	"cottonarch.example/cottonarch/daemon/core"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -29,7 +29,7 @@
 	// a put that was done keeps its revision.
 	put := func(at *core.Core, name string, v json.RawMessage) (p coordination.Cell) {
 		eventually(t, "a put", func() bool {
-			var d *defect.Defect
+			var d *failure.Error
 			p, d = coordination.Put(ctx, at, name, v, nil, budget)
 			return d == nil
 		})
@@ -43,7 +43,7 @@
 		for _, o := range c.procs {
 			var got coordination.Cell
 			eventually(t, "a read", func() bool {
-				var d *defect.Defect
+				var d *failure.Error
 				got, d = coordination.Read(ctx, o.core, "g.a", budget)
 				return d == nil
 			})
@@ -55,7 +55,7 @@
 		told := make(chan coordination.Told, 1)
 		go func() {
 			var out coordination.Told
-			for d := (*defect.Defect)(nil); ctx.Err() == nil; {
+			for d := (*failure.Error)(nil); ctx.Err() == nil; {
 				if out, d = coordination.Follow(ctx, c.procs[i].core, "g.", last, patience, budget); d == nil {
 					break
 				}
@@ -72,14 +72,14 @@
 	c.lose(1)
 	var p coordination.Cell
 	eventually(t, "a put after the loss", func() bool {
-		var d *defect.Defect
+		var d *failure.Error
 		p, d = coordination.Put(ctx, c.procs[0].core, "g.a", val(200), nil, budget)
 		return d == nil
 	})
 	must.Eq(t, last+1, p.Revision)
 	var all coordination.Told
 	eventually(t, "a watch after the loss", func() bool {
-		var d *defect.Defect
+		var d *failure.Error
 		all, d = coordination.Follow(ctx, c.procs[2].core, "g.", 3, time.Second, budget)
 		return d == nil
 	})
--- a/daemon/proof/disk_test.go
+++ b/daemon/proof/disk_test.go
@@ -10,7 +10,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// A slow disk on one of three cores: every deed still gets its yes.
+// A slow disk on one of three cores: every operation still gets its yes.
 func TestSlowDisk(t *testing.T) {
 	t.Parallel()
 	c := upCores(t, 3)
@@ -23,7 +23,7 @@
 	must.GreaterEq(t, 12, top)
 }
 
-// A disk that stalls in the middle of a batch loses its vote, not its core: deeds get
+// A disk that stalls in the middle of a batch loses its vote, not its core: operations get
 // their yes at all three, also at the stalled one, and it votes again when it goes on.
 func TestStalledDisk(t *testing.T) {
 	t.Parallel()
@@ -67,7 +67,7 @@
 	}
 }
 
-// Every core loses power in the middle of deeds, again and again: no number comes twice,
+// Every core loses power in the middle of operations, again and again: no number comes twice,
 // and none below one that was told.
 func TestPowerLossOfAll(t *testing.T) {
 	t.Parallel()
--- a/daemon/proof/rig_test.go
+++ b/daemon/proof/rig_test.go
@@ -29,14 +29,14 @@
 	"cottonarch.example/cottonarch/wire/server"
 )
 
-// disk is a folder in memory whose deeds can be made slow, stalled or failing, and that
+// disk is a folder in memory whose operations can be made slow, stalled or failing, and that
 // can lose power. Invariant: once power is off nothing of the old process reaches it.
 type disk struct {
 	mu   sync.Mutex
 	mem  *ring.Mem
 	off  bool
 	slow time.Duration
-	hold chan struct{} // deeds wait for its closing, nil when they need not
+	hold chan struct{} // operations wait for its closing, nil when they need not
 	fail error
 }
 
@@ -44,7 +44,7 @@
 
 func (d *disk) set(do func(*disk)) { d.mu.Lock(); defer d.mu.Unlock(); do(d) }
 
-// turn waits as the fault says and runs a deed on the disk.
+// turn waits as the fault says and runs an operation on the disk.
 func (d *disk) turn(deed func() error) error {
 	d.mu.Lock()
 	slow, hold := d.slow, d.hold
--- a/daemon/proof/stop_test.go
+++ b/daemon/proof/stop_test.go
@@ -153,7 +153,7 @@
 	must.Positive(t, served)
 }
 
-// A core's planned stop: a watch, a sidecar's long poll and deeds in hand all get a whole
+// A core's planned stop: a watch, a sidecar's long poll and operations in hand all get a whole
 // return, and what was told a yes holds at the others.
 func TestCoreStopWithWatchesAndDeedsInHand(t *testing.T) {
 	t.Parallel()
--- a/daemon/sidecar/bay.go
+++ b/daemon/sidecar/bay.go
@@ -5,9 +5,9 @@
 	"strings"
 	"time"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/bay"
 	"cottonarch.example/cottonarch/mesh/burden"
 	"cottonarch.example/cottonarch/mesh/gate"
@@ -28,7 +28,7 @@
 }
 
 // wanted tells what a call wants at its chosen endpoint.
-func wanted(now, began moment.Moment, call *path.Call, c path.Choice) want {
+func wanted(now, began monotime.Time, call *path.Call, c path.Choice) want {
 	aim := call.Way.Aim
 	if aim <= 0 {
 		aim = call.Until.Since(began)
@@ -65,7 +65,7 @@
 }
 
 // ask makes the bay's question of it; a span of nought is never.
-func (w want) ask(now moment.Moment, id uint64, until moment.Moment) bay.Ask {
+func (w want) ask(now monotime.Time, id uint64, until monotime.Time) bay.Ask {
 	return bay.Ask{ID: id, Rank: w.rank, Work: w.work, Early: now.Add(w.early), Aim: now.Add(w.aim), Until: until, Peers: w.peers, Must: w.must}
 }
 
@@ -81,7 +81,7 @@
 
 // berth waits until the endpoint has room for the request, or the bay turns it away. The
 // caller must call leave when it was let in.
-func (s *Sidecar) berth(until time.Time, server ident.Server, w want) (id uint64, d *defect.Defect) {
+func (s *Sidecar) berth(until time.Time, server ident.Server, w want) (id uint64, d *failure.Error) {
 	ch := make(chan bay.Act, 1)
 	s.mu.Lock()
 	now := s.clock()
@@ -96,7 +96,7 @@
 		if delete(s.berths, id); len(ch) == 0 {
 			s.acts(s.bay.Quit(s.clock(), server, id))
 			s.mu.Unlock()
-			return 0, defect.New(defect.Late, "no room in time")
+			return 0, failure.New(failure.Late, "no room in time")
 		}
 		s.mu.Unlock()
 		a = <-ch
@@ -105,7 +105,7 @@
 		return id, nil
 	}
 	s.Board.Add("bay_turned_away_"+string(a.Why), 1)
-	return 0, defect.New(defect.Busy, "server %q: %s", server, a.Why).Later(max(0.01, a.Retry.Seconds()))
+	return 0, failure.New(failure.Busy, "server %q: %s", server, a.Why).Later(max(0.01, a.Retry.Seconds()))
 }
 
 // turn waits for the bay's word until the request's time is over.
@@ -150,7 +150,7 @@
 }
 
 // beaten takes what a beat says of an endpoint's room; mu is held.
-func (s *Sidecar) beaten(now moment.Moment, b gate.Beat) {
+func (s *Sidecar) beaten(now monotime.Time, b gate.Beat) {
 	if b.State == gate.Alive && b.Slots > 0 {
 		s.moored[b.Server] = true
 		s.acts(s.bay.Tell(now, b.Server, b.Slots, time.Duration(b.Cold*float64(time.Millisecond))))
--- a/daemon/sidecar/early_test.go
+++ b/daemon/sidecar/early_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"cottonarch.example/cottonarch/control/manifest/check"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/wire/reply"
 )
 
@@ -34,7 +34,7 @@
 			s.Intake(w, r)
 			say := must.Sprintf("round %d, %d bytes: %s", round, size, w.Body)
 			must.Eq(t, http.StatusServiceUnavailable, w.Code, say)
-			must.Eq(t, string(defect.FateNo), w.Header().Get(reply.FateHeader), say)
+			must.Eq(t, string(failure.NotExecuted), w.Header().Get(reply.FateHeader), say)
 		}
 		st.peer.Store(open)
 		must.Eq(t, http.StatusOK, s.asks("/once/y", "1-small", patientLimit).Code)
--- a/daemon/sidecar/follow.go
+++ b/daemon/sidecar/follow.go
@@ -11,7 +11,7 @@
 
 	"cottonarch.example/cottonarch/adapter/mesh"
 	"cottonarch.example/cottonarch/control/coordination/share"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/mesh/lease/holder"
 	"cottonarch.example/cottonarch/mesh/registry/record"
@@ -138,7 +138,7 @@
 	var told share.Told
 	if err := s.pool.Ask(ctx, core, "POST", "/cottonarch/v1/share", ask, &told); err != nil {
 		s.Board.Add("shares_failed", 1)
-		if d := (*defect.Defect)(nil); defect.Find(err, &d) && d.Kind == defect.Conflict {
+		if d := (*failure.Error)(nil); failure.Find(err, &d) && d.Kind == failure.Conflict {
 			s.superseded(ask.Claim, err)
 		}
 		return
@@ -173,7 +173,7 @@
 	defer s.kick(s.push) // there may be more to say
 	if err != nil {
 		s.Board.Add("renewals_failed", 1)
-		if d := (*defect.Defect)(nil); defect.Find(err, &d) && d.Kind == defect.Conflict {
+		if d := (*failure.Error)(nil); failure.Find(err, &d) && d.Kind == failure.Conflict {
 			s.lease.Ended()
 			if r.LeaseEpoch == s.leaseEpoch {
 				s.Log.Warn("claim superseded", zap.Error(err))
--- a/daemon/sidecar/head_test.go
+++ b/daemon/sidecar/head_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/mesh/path"
 	"cottonarch.example/cottonarch/wire/exchange"
 	"cottonarch.example/cottonarch/wire/reply"
@@ -26,7 +26,7 @@
 			ret, end := read(j, &exchange.Return{Status: 503, Header: http.Header{GateHeader: {word}}})
 			must.Nil(t, ret)
 			must.Eq(t, want, end.Verdict, must.Sprint(method, word))
-			must.Eq(t, want == path.NotRun, end.Defect.Fate == defect.FateNo)
+			must.Eq(t, want == path.NotRun, end.Failure.Outcome == failure.NotExecuted)
 		}
 	}
 }
@@ -43,5 +43,5 @@
 	w := httptest.NewRecorder()
 	s.Intake(w, r)
 	must.Eq(t, http.StatusServiceUnavailable, w.Code)
-	must.Eq(t, string(defect.FateNo), w.Header().Get(reply.FateHeader))
+	must.Eq(t, string(failure.NotExecuted), w.Header().Get(reply.FateHeader))
 }
--- a/daemon/sidecar/intake.go
+++ b/daemon/sidecar/intake.go
@@ -12,9 +12,9 @@
 
 	"cottonarch.example/cottonarch/boot"
 	"cottonarch.example/cottonarch/control/manifest/check"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/bay"
 	"cottonarch.example/cottonarch/mesh/path"
 	"cottonarch.example/cottonarch/wire/exchange"
@@ -70,7 +70,7 @@
 // request may be sent; who waits for it then walks with it.
 type job struct {
 	call   *path.Call
-	began  moment.Moment
+	began  monotime.Time
 	req    exchange.Call
 	urgent bool
 	turn   chan struct{}
@@ -79,7 +79,7 @@
 // ending is how a walk ended. Invariant: without ret there is d.
 type ending struct {
 	ret *exchange.Return
-	d   *defect.Defect
+	d   *failure.Error
 }
 
 // strip takes the mesh's own headers out; the exchange leaves out those that belong to one
@@ -93,7 +93,7 @@
 
 // whole takes a request whole within the manifest's limits and the room for bodies; free
 // must be called when it is over.
-func (s *Sidecar) whole(r *http.Request) (body []byte, free func(), d *defect.Defect) {
+func (s *Sidecar) whole(r *http.Request) (body []byte, free func(), d *failure.Error) {
 	most := check.Usual
 	if l := s.limits.Load(); l != nil {
 		most = *l
@@ -105,17 +105,17 @@
 		}
 	}
 	if head > most.HeadBytes+ownHeads {
-		return nil, nil, defect.New(defect.Oversize, "a head is at most %d bytes", most.HeadBytes)
+		return nil, nil, failure.New(failure.Oversize, "a head is at most %d bytes", most.HeadBytes)
 	}
 	// What comes in pieces may be as large as the limit; it is counted as it is read.
 	size := max(0, r.ContentLength)
 	if size > most.BodyBytes {
-		return nil, nil, defect.New(defect.Oversize, "a body is at most %d bytes", most.BodyBytes)
+		return nil, nil, failure.New(failure.Oversize, "a body is at most %d bytes", most.BodyBytes)
 	}
 	if s.bulk.Add(size) > s.Boot.Bulk && s.Boot.Bulk > 0 && size > 0 {
 		s.bulk.Add(-size)
 		s.Board.Add("bodies_turned_away", 1)
-		return nil, nil, defect.New(defect.Busy, "too many bytes are in hand").Later(soon)
+		return nil, nil, failure.New(failure.Busy, "too many bytes are in hand").Later(soon)
 	}
 	limit := most.BodyBytes
 	if s.Boot.Bulk > 0 {
@@ -123,8 +123,8 @@
 	}
 	if body, d = reply.Read(r, limit); d != nil {
 		s.bulk.Add(-size)
-		if d.Kind == defect.Oversize && limit < most.BodyBytes {
-			d = defect.New(defect.Busy, "too many bytes are in hand").Later(soon)
+		if d.Kind == failure.Oversize && limit < most.BodyBytes {
+			d = failure.New(failure.Busy, "too many bytes are in hand").Later(soon)
 		}
 		return nil, nil, d
 	}
@@ -188,12 +188,12 @@
 	s.mu.Unlock()
 	if !taken {
 		s.Board.Add("turned_away", 1)
-		s.say(w, defect.New(defect.Busy, "too many requests are in hand").Later(soon))
+		s.say(w, failure.New(failure.Busy, "too many requests are in hand").Later(soon))
 		return
 	}
 	if !s.comesUp(j) {
 		s.Board.Add("late_in_line", 1)
-		s.say(w, defect.New(defect.Late, "its time was over before its turn").Later(soon))
+		s.say(w, failure.New(failure.Late, "its time was over before its turn").Later(soon))
 		return
 	}
 	sent := s.clock()
@@ -211,8 +211,8 @@
 	give(w, end.ret)
 }
 
-// say tells a caller of a defect, as this surface speaks.
-func (s *Sidecar) say(w http.ResponseWriter, d *defect.Defect) {
+// say tells a caller of a failure, as this surface speaks.
+func (s *Sidecar) say(w http.ResponseWriter, d *failure.Error) {
 	if s.Boot.Headers.Fractions {
 		reply.Fine(w, d)
 		return
@@ -284,8 +284,8 @@
 		s.mu.Lock()
 		choice := s.path.Next(s.clock(), j.call)
 		s.mu.Unlock()
-		if choice.Defect != nil {
-			return ending{ret: last, d: choice.Defect}
+		if choice.Failure != nil {
+			return ending{ret: last, d: choice.Failure}
 		}
 		ret, end := s.try(j, choice)
 		s.mu.Lock()
@@ -330,9 +330,9 @@
 	ret, sent, d := s.peers.Do(context.Background(), c.Entry.Gate, req)
 	if d != nil {
 		if !sent {
-			return nil, path.End{Verdict: path.NotRun, Defect: d, Lost: true}
+			return nil, path.End{Verdict: path.NotRun, Failure: d, Lost: true}
 		}
-		return nil, path.End{Verdict: path.Unsure, Defect: d, Lost: d.Kind == defect.LostReturn}
+		return nil, path.End{Verdict: path.Unsure, Failure: d, Lost: d.Kind == failure.LostResponse}
 	}
 	return read(j, ret)
 }
@@ -356,23 +356,23 @@
 		micro, _ := strconv.ParseInt(ret.Header.Get(TookHeader), 10, 64)
 		return sized(j, ret, path.End{Verdict: path.Ran, Told: told, Took: time.Duration(max(0, micro)) * time.Microsecond})
 	}
-	d := &defect.Defect{}
+	d := &failure.Error{}
 	if _, known := verdicts[word]; known && j.req.Method == http.MethodHead {
 		d = bodiless(word)
 	} else if err := json.Unmarshal(ret.Body, d); err != nil || d.Kind == "" || word == "" {
-		return nil, path.End{Verdict: path.Unsure, Defect: defect.Unsure(defect.BadReturn, "the gate's return can't be read")}
+		return nil, path.End{Verdict: path.Unsure, Failure: failure.Unsure(failure.BadResponse, "the gate's return can't be read")}
 	}
 	end := verdict(d, word)
 	end.Told = told
 	return nil, end
 }
 
-// bodiless is the defect behind a gate's word that came without one.
-func bodiless(word string) *defect.Defect {
+// bodiless is the failure behind a gate's word that came without one.
+func bodiless(word string) *failure.Error {
 	if verdicts[word].Verdict == path.NotRun {
-		return defect.New(defect.Busy, "a gate turned it away").Later(soon)
+		return failure.New(failure.Busy, "a gate turned it away").Later(soon)
 	}
-	return defect.Unsure(defect.LostReturn, "a gate can't tell what became of it")
+	return failure.Unsure(failure.LostResponse, "a gate can't tell what became of it")
 }
 
 // verdicts says what each word of a gate means.
@@ -384,12 +384,12 @@
 	gateUnsure: {Verdict: path.Unsure},
 }
 
-func verdict(d *defect.Defect, word string) path.End {
+func verdict(d *failure.Error, word string) path.End {
 	end, ok := verdicts[word]
 	if !ok {
 		end = verdicts[gateUnsure]
 	}
-	end.Defect = d
+	end.Failure = d
 	return end
 }
 
@@ -400,7 +400,7 @@
 	if server == "" || service == "" {
 		return false
 	}
-	turn := func(word string, d *defect.Defect) {
+	turn := func(word string, d *failure.Error) {
 		w.Header().Set(GateHeader, word)
 		reply.Defect(w, d)
 	}
@@ -415,7 +415,7 @@
 	}
 	s.mu.Unlock()
 	if full {
-		turn(gateTurned, defect.New(defect.Busy, "too many requests are in hand at %s", s.Boot.Node))
+		turn(gateTurned, failure.New(failure.Busy, "too many requests are in hand at %s", s.Boot.Node))
 		return true
 	}
 	defer func() {
@@ -431,7 +431,7 @@
 	defer free()
 	ms, err := strconv.Atoi(r.Header.Get(LimitHeader))
 	if err != nil || ms <= 0 {
-		turn(gateTurned, defect.New(defect.Late, "no time is left"))
+		turn(gateTurned, failure.New(failure.Late, "no time is left"))
 		return true
 	}
 	until := time.Now().Add(time.Duration(ms) * time.Millisecond)
@@ -465,7 +465,7 @@
 type passed struct {
 	ret  *exchange.Return
 	word string
-	d    *defect.Defect
+	d    *failure.Error
 	told string        // the endpoint's burden, as text
 	took time.Duration // how long the endpoint had it
 }
@@ -475,7 +475,7 @@
 // of the request: gateTurned and gateBay that certainly nothing of it left for the
 // endpoint, gateShed that the endpoint said itself that it did not run it.
 func (s *Sidecar) pass(until time.Time, server ident.Server, service ident.Service, req exchange.Call, again float64, w want) (out passed) {
-	turn := func(word string, d *defect.Defect) passed {
+	turn := func(word string, d *failure.Error) passed {
 		return passed{word: word, d: d, told: s.burden(server)}
 	}
 	s.mu.Lock()
@@ -496,7 +496,7 @@
 	s.mu.Lock()
 	addr, _, d := s.gate.Pass(s.clock(), server, service)
 	if d == nil && !s.path.Tree.Begin(s.clock(), again) {
-		d = defect.New(defect.Busy, "a repeat has no room below").Later(soon)
+		d = failure.New(failure.Busy, "a repeat has no room below").Later(soon)
 	}
 	if d == nil {
 		s.gate.Hand(server, 1)
@@ -516,25 +516,25 @@
 	}()
 	heads := s.Boot.Headers
 	req = toEndpoint(heads, req, server, until)
-	req.Last = func() *defect.Defect {
+	req.Last = func() *failure.Error {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		now, _, d := s.gate.Pass(s.clock(), server, service)
 		if d == nil && now != addr {
-			d = defect.New(defect.Gate, "server %q has moved", server)
+			d = failure.New(failure.Gate, "server %q has moved", server)
 		}
 		return d
 	}
 	began := s.clock()
 	ret, sent, d := s.ends.Do(context.Background(), addr, req)
-	if d != nil && d.Kind == defect.Unreached {
+	if d != nil && d.Kind == failure.Unreached {
 		s.mu.Lock()
 		s.changed(s.gate.Failed(s.clock(), server))
 		s.mu.Unlock()
 	}
 	switch {
 	case d != nil && sent:
-		if end = bay.Failed; d.Kind == defect.Late {
+		if end = bay.Failed; d.Kind == failure.Late {
 			end, took = bay.Over, s.clock().Since(began)
 		}
 		return turn(gateUnsure, d)
@@ -576,9 +576,9 @@
 
 // judge tells an endpoint's return from its word that it did not run the request. That it
 // is a return to this request, sealed and whole, the exchange has seen to.
-func judge(heads boot.Headers, ret *exchange.Return) (*exchange.Return, string, *defect.Defect) {
+func judge(heads boot.Headers, ret *exchange.Return) (*exchange.Return, string, *failure.Error) {
 	if ret.Status == http.StatusMisdirectedRequest || heads.NotRun != "" && first(ret.Header, heads.NotRun) != "" {
-		return nil, gateShed, defect.New(defect.Busy, "the endpoint turned it away").Later(soon)
+		return nil, gateShed, failure.New(failure.Busy, "the endpoint turned it away").Later(soon)
 	}
 	return ret, gateReturn, nil
 }
--- a/daemon/sidecar/join.go
+++ b/daemon/sidecar/join.go
@@ -8,7 +8,7 @@
 
 	"cottonarch.example/cottonarch/adapter/mesh"
 	"cottonarch.example/cottonarch/daemon/core"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/mesh/claim/joiner"
 )
@@ -57,14 +57,14 @@
 // joinFailed takes a refusal, or the silence of a core.
 func (s *Sidecar) joinFailed(at ident.Addr, err error) {
 	s.Board.Add("claims_failed", 1)
-	d := (*defect.Defect)(nil)
-	if defect.Find(err, &d) && d.Kind == defect.Busy && d.Retry > 0 {
-		s.joiner.Refused(s.clock(), at, time.Duration(d.Retry*float64(time.Second)))
+	d := (*failure.Error)(nil)
+	if failure.Find(err, &d) && d.Kind == failure.Busy && d.RetryAfter > 0 {
+		s.joiner.Refused(s.clock(), at, time.Duration(d.RetryAfter*float64(time.Second)))
 	} else {
 		s.joiner.Failed(s.clock(), at)
 	}
-	side := d != nil && d.Kind == defect.Missing // a sidecar: it knows cores
-	answered := d != nil && d.Kind != defect.LostReturn
+	side := d != nil && d.Kind == failure.Missing // a sidecar: it knows cores
+	answered := d != nil && d.Kind != failure.LostResponse
 	if answered {
 		s.mu.Lock()
 		s.sides[at] = side
--- a/daemon/sidecar/join_test.go
+++ b/daemon/sidecar/join_test.go
@@ -17,9 +17,9 @@
 	"cottonarch.example/cottonarch/boot"
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/daemon/core"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/wire/reply"
 )
 
@@ -29,7 +29,7 @@
 	mu    sync.Mutex
 	cores []ident.Addr
 	core  bool
-	say   func(mesh.JoinRequest) (mesh.Entry, *defect.Defect)
+	say   func(mesh.JoinRequest) (mesh.Entry, *failure.Error)
 	asked []mesh.JoinRequest
 	parts int
 }
@@ -59,16 +59,16 @@
 		}
 	default:
 		f.parts++
-		reply.Defect(w, defect.New(defect.Missing, "none"))
+		reply.Defect(w, failure.New(failure.Missing, "none"))
 	}
 }
 
-func granted(mesh.JoinRequest) (mesh.Entry, *defect.Defect) {
+func granted(mesh.JoinRequest) (mesh.Entry, *failure.Error) {
 	return mesh.Entry{Claim: 7, Share: share.Told{N: 2, Fair: 2}}, nil
 }
 
-func busy(mesh.JoinRequest) (mesh.Entry, *defect.Defect) {
-	return mesh.Entry{}, defect.New(defect.Busy, "full").Later(0.3)
+func busy(mesh.JoinRequest) (mesh.Entry, *failure.Error) {
+	return mesh.Entry{}, failure.New(failure.Busy, "full").Later(0.3)
 }
 
 func (f *fakeCore) joins() int {
@@ -134,8 +134,8 @@
 	f, side := newFakeCore(t), newFakeCore(t)
 	f.say = granted
 	side.cores = []ident.Addr{f.addr}
-	side.say = func(mesh.JoinRequest) (mesh.Entry, *defect.Defect) {
-		return mesh.Entry{}, defect.New(defect.Missing, "no such path")
+	side.say = func(mesh.JoinRequest) (mesh.Entry, *failure.Error) {
+		return mesh.Entry{}, failure.New(failure.Missing, "no such path")
 	}
 	s := newJoining(closed(t), side.addr)
 	for n := 0; n < 8 && !s.entered.Load(); n++ {
@@ -150,14 +150,14 @@
 // that the join proved is kept.
 func TestJoinFetchesOnlyWhatIsNewer(t *testing.T) {
 	f := newFakeCore(t)
-	f.say = func(mesh.JoinRequest) (mesh.Entry, *defect.Defect) { return mesh.Entry{Claim: 7, Manifest: 5}, nil }
+	f.say = func(mesh.JoinRequest) (mesh.Entry, *failure.Error) { return mesh.Entry{Claim: 7, Manifest: 5}, nil }
 	s := newJoining(f.addr)
 	must.NoError(t, s.enforce(5, []byte(`{"services":{},"ways":{}}`)))
 	s.askToJoin()
 	must.True(t, s.entered.Load())
 	must.Eq(t, 5, s.floor())
 	must.Eq(t, 0, f.parts)
-	f.say = func(mesh.JoinRequest) (mesh.Entry, *defect.Defect) { return mesh.Entry{Claim: 8, Manifest: 6}, nil }
+	f.say = func(mesh.JoinRequest) (mesh.Entry, *failure.Error) { return mesh.Entry{Claim: 8, Manifest: 6}, nil }
 	s.askToJoin()
 	must.Eq(t, 6, s.floor())
 	must.Eq(t, 1, f.parts)
@@ -169,7 +169,7 @@
 	f := newFakeCore(t)
 	s := newJoining(f.addr)
 	must.False(t, s.seedPeer(f.addr)) // it may yet answer as a core
-	s.noPeer = map[ident.Addr]moment.Moment{}
+	s.noPeer = map[ident.Addr]monotime.Time{}
 	must.True(t, s.seedPeer(f.addr))
 	must.False(t, s.seedPeer(f.addr))
 	s.askPeer(f.addr) // says that it has no such path, as a core does
@@ -188,7 +188,7 @@
 		f := newFakeCore(t)
 		f.cores, f.core = []ident.Addr{"127.0.0.1:1", f.addr}, isCore
 		s := newJoining(f.addr, "127.0.0.1:1")
-		s.noPeer = map[ident.Addr]moment.Moment{}
+		s.noPeer = map[ident.Addr]monotime.Time{}
 		must.True(t, s.learnCores(f.addr))
 		must.Eq(t, !isCore, s.seedPeer("127.0.0.1:1"))
 		must.Eq(t, !isCore, s.seedPeer(f.addr))
--- a/daemon/sidecar/link.go
+++ b/daemon/sidecar/link.go
@@ -1,13 +1,13 @@
 package sidecar
 
 import (
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/wire/exchange"
 )
 
 // linkAdmits decides whether this machine's link has room for the answer to another
 // sidecar's request. What it admits must be ended with linkSent.
-func (s *Sidecar) linkAdmits(w want) *defect.Defect {
+func (s *Sidecar) linkAdmits(w want) *failure.Error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	retryAfter, ok := s.link.Admit(s.clock(), w.bytes, w.must)
@@ -15,7 +15,7 @@
 		return nil
 	}
 	s.Board.Add("link_turned_away", 1)
-	return defect.New(defect.Busy, "the link of %s is full", s.Boot.Node).Later(retryAfter.Seconds())
+	return failure.New(failure.Busy, "the link of %s is full", s.Boot.Node).Later(retryAfter.Seconds())
 }
 
 // linkSent counts the answer that goes out now; there is none if ret is nil.
--- a/daemon/sidecar/manifest.go
+++ b/daemon/sidecar/manifest.go
@@ -12,7 +12,7 @@
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/manifest/delta"
 	"cottonarch.example/cottonarch/control/manifest/walk"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/mesh/witness"
 )
@@ -67,7 +67,7 @@
 }
 
 // apply lays a delta over what is held here.
-func (s *Sidecar) apply(change delta.Delta) *defect.Defect {
+func (s *Sidecar) apply(change delta.Delta) *failure.Error {
 	s.mu.Lock()
 	have, base := s.holds()
 	s.mu.Unlock()
@@ -75,7 +75,7 @@
 		return nil
 	}
 	if change.From != have {
-		return defect.New(defect.BadReturn, "a delta from revision %d, not from %d", change.From, have)
+		return failure.New(failure.BadResponse, "a delta from revision %d, not from %d", change.From, have)
 	}
 	v, d := change.Apply(base.raw)
 	if d != nil {
@@ -97,7 +97,7 @@
 }
 
 // take holds a confirmed manifest and tells peers of it; change is the delta that it came by.
-func (s *Sidecar) take(v delta.Version, change *delta.Delta) *defect.Defect {
+func (s *Sidecar) take(v delta.Version, change *delta.Delta) *failure.Error {
 	m, d := check.Loose(v.Tree)
 	if d != nil {
 		return d
--- a/daemon/sidecar/once_test.go
+++ b/daemon/sidecar/once_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/wire/reply"
 )
 
@@ -109,7 +109,7 @@
 	if strings.HasPrefix(path, "/once/") {
 		must.LessEq(t, 1, ran, say)
 	}
-	fate := defect.Fate(got.Header().Get(reply.FateHeader))
+	fate := failure.Outcome(got.Header().Get(reply.FateHeader))
 	if fate == "" { // an endpoint's own
 		must.Eq(t, ownBody(id), got.Body.String(), say)
 		must.Eq(t, []string{id}, got.Header()[testId], say)
@@ -118,11 +118,11 @@
 		return
 	}
 	must.False(t, got.Code < 300, say)
-	must.Eq(t, fate == defect.FateNo, promises[got.Code], say)
-	if fate == defect.FateNo {
+	must.Eq(t, fate == failure.NotExecuted, promises[got.Code], say)
+	if fate == failure.NotExecuted {
 		must.Eq(t, 0, ran, say)
 	} else {
-		must.Eq(t, defect.FateUnknown, fate, say)
+		must.Eq(t, failure.OutcomeUnknown, fate, say)
 		must.True(t, unproved || j.ended, say) // not unsure without a cause
 	}
 }
--- a/daemon/sidecar/parts.go
+++ b/daemon/sidecar/parts.go
@@ -6,7 +6,7 @@
 	"cottonarch.example/cottonarch/adapter/mesh"
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/manifest/delta"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -40,26 +40,26 @@
 func (p *parts) done() bool { return p.epoch != 0 && len(p.data) == p.size }
 
 // take takes the next part; one of another epoch, or in another form, begins anew.
-func (p *parts) take(in mesh.Part) *defect.Defect {
+func (p *parts) take(in mesh.Part) *failure.Error {
 	if in.Epoch != p.epoch || in.Packed != p.packed {
 		if in.At != 0 {
 			*p = parts{}
 			return nil
 		}
 		if in.Epoch == 0 || in.Size <= 0 || in.Size > manifestMost {
-			return defect.New(defect.BadReturn, "a manifest of %d bytes", in.Size)
+			return failure.New(failure.BadResponse, "a manifest of %d bytes", in.Size)
 		}
 		*p = parts{epoch: in.Epoch, packed: in.Packed, size: in.Size, data: make([]byte, 0, in.Size)}
 	}
 	if in.At != len(p.data) || in.Size != p.size || len(in.Data) == 0 || len(p.data)+len(in.Data) > p.size {
-		return defect.New(defect.BadReturn, "a part of the manifest does not fit")
+		return failure.New(failure.BadResponse, "a part of the manifest does not fit")
 	}
 	p.data = append(p.data, in.Data...)
 	return nil
 }
 
 // raw gives the manifest as it is stored.
-func (p *parts) raw() (json.RawMessage, *defect.Defect) {
+func (p *parts) raw() (json.RawMessage, *failure.Error) {
 	if !p.packed {
 		return p.data, nil
 	}
--- a/daemon/sidecar/parts_test.go
+++ b/daemon/sidecar/parts_test.go
@@ -13,7 +13,7 @@
 
 	"cottonarch.example/cottonarch/adapter/mesh"
 	"cottonarch.example/cottonarch/boot"
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/manifest/delta"
 	"cottonarch.example/cottonarch/control/manifest/walk"
 	"cottonarch.example/cottonarch/kernel/ident"
@@ -51,7 +51,7 @@
 		all[fmt.Sprintf("route-%d", i)] = map[string]any{"host": "a.example", "pathStart": fmt.Sprintf("/%d/", i), "service": "s.prairie", "timeoutMs": 500}
 	}
 	all["route-0"].(map[string]any)["timeoutMs"] = timeout
-	raw := book.JSON(map[string]any{"services": map[string]any{"s.prairie": map[string]any{}}, "ways": all})
+	raw := operation.Encode(map[string]any{"services": map[string]any{"s.prairie": map[string]any{}}, "ways": all})
 	tree, d := walk.Parse(raw)
 	must.Nil(t, d)
 	g.source.Epoch, g.source.Raw, g.source.Packed = epoch, raw, delta.Pack(raw)
--- a/daemon/sidecar/paths.go
+++ b/daemon/sidecar/paths.go
@@ -6,7 +6,7 @@
 
 	"cottonarch.example/cottonarch/adapter/mesh"
 	"cottonarch.example/cottonarch/daemon/core"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/mesh/gate"
 	"cottonarch.example/cottonarch/wire/reply"
@@ -49,7 +49,7 @@
 	epoch, raw = s.path.Epoch(), s.shown.raw
 	s.mu.Unlock()
 	if epoch == 0 {
-		reply.Defect(w, defect.New(defect.Missing, "no manifest is in force yet"))
+		reply.Defect(w, failure.New(failure.Missing, "no manifest is in force yet"))
 	}
 	return
 }
@@ -67,7 +67,7 @@
 	a, ok := s.path.Index.Look(k)
 	s.mu.Unlock()
 	if !ok {
-		reply.Defect(w, defect.New(defect.Missing, "no address %q", k))
+		reply.Defect(w, failure.New(failure.Missing, "no address %q", k))
 		return
 	}
 	reply.JSON(w, http.StatusOK, a)
@@ -89,7 +89,7 @@
 	epoch, held := s.holds()
 	s.mu.Unlock()
 	if epoch == 0 {
-		reply.Defect(w, defect.New(defect.Missing, "no manifest is here yet"))
+		reply.Defect(w, failure.New(failure.Missing, "no manifest is here yet"))
 		return
 	}
 	mesh.GivePart(w, r, mesh.Source{Epoch: epoch, Raw: held.raw, Packed: held.packed, Since: held.since})
--- a/daemon/sidecar/peers.go
+++ b/daemon/sidecar/peers.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 	"cottonarch.example/cottonarch/mesh/witness"
@@ -87,9 +87,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if d := (*defect.Defect)(nil); err == nil {
+	if d := (*failure.Error)(nil); err == nil {
 		s.sides[a] = true
-	} else if defect.Find(err, &d) && d.Kind == defect.Missing {
+	} else if failure.Find(err, &d) && d.Kind == failure.Missing {
 		delete(s.sides, a)
 		s.noPeer[a] = s.clock().Add(coreEvery)
 	}
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -14,9 +14,9 @@
 	"cottonarch.example/cottonarch/boot"
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/kernel/count"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/bay"
 	"cottonarch.example/cottonarch/mesh/claim/joiner"
 	"cottonarch.example/cottonarch/mesh/gate"
@@ -54,8 +54,8 @@
 	Boot  boot.Sidecar
 	Log   *zap.Logger
 	Board *count.Board
-	clock moment.Clock
-	slow  moment.Clock // the same, counting only time that was watched
+	clock monotime.Clock
+	slow  monotime.Clock // the same, counting only time that was watched
 	pool  *client.Pool
 	peers *exchange.Pool // to other sidecars' gates
 	ends  *exchange.Pool // to the endpoints of this machine
@@ -77,16 +77,16 @@
 	seq         uint64
 	news        bool
 	cores       []ident.Addr
-	told        map[ident.Addr]moment.Moment
+	told        map[ident.Addr]monotime.Time
 	sides       map[ident.Addr]bool          // seeds that are sidecars
-	noPeer      map[ident.Addr]moment.Moment // until when a seed is not asked as a peer
+	noPeer      map[ident.Addr]monotime.Time // until when a seed is not asked as a peer
 	lease       *holder.Holder
 	joiner      *joiner.Joiner // only the duty that renews touches it
-	learned     moment.Moment  // when a core last listed the cores to it
+	learned     monotime.Time  // when a core last listed the cores to it
 	run         string         // marks the join that is tried, "" while none is
 	budgetShare holder.BudgetShare
-	lastCore    moment.Moment
-	began       moment.Moment
+	lastCore    monotime.Time
+	began       monotime.Time
 	hand        int
 
 	limits   atomic.Pointer[check.Limits] // of the manifest in force
@@ -102,13 +102,13 @@
 
 // New makes a sidecar.
 func New(b boot.Sidecar, log *zap.Logger) *Sidecar {
-	clock := moment.Process()
+	clock := monotime.Process()
 	h := fnv.New64a()
 	_, _ = fmt.Fprint(h, b.Node, ident.Mark())
 	now := clock()
-	s := &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, slow: moment.Watched(clock), pool: client.New(b.Addr), peers: exchange.New(b.Addr, exchange.Settings{Silence: silence}), ends: exchange.New(b.Addr, exchange.Settings{Silence: silence}),
+	s := &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, slow: monotime.Watched(clock), pool: client.New(b.Addr), peers: exchange.New(b.Addr, exchange.Settings{Silence: silence}), ends: exchange.New(b.Addr, exchange.Settings{Silence: silence}),
 		done: make(chan struct{}), line: line.New[*job](b.Senders, b.Queue),
-		path: path.New(now, b.District, h.Sum64(), b.Terms), gate: gate.New(), bay: bay.New(bay.Usual()), berths: map[uint64]chan bay.Act{}, moored: map[ident.Server]bool{}, link: link.New(b.Link), wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]moment.Moment{}, sides: map[ident.Addr]bool{}, noPeer: map[ident.Addr]moment.Moment{}, lease: holder.New(), joiner: joiner.New(b.Node, b.District), budgetShare: holder.BudgetShare{Terms: b.Terms},
+		path: path.New(now, b.District, h.Sum64(), b.Terms), gate: gate.New(), bay: bay.New(bay.Usual()), berths: map[uint64]chan bay.Act{}, moored: map[ident.Server]bool{}, link: link.New(b.Link), wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]monotime.Time{}, sides: map[ident.Addr]bool{}, noPeer: map[ident.Addr]monotime.Time{}, lease: holder.New(), joiner: joiner.New(b.Node, b.District), budgetShare: holder.BudgetShare{Terms: b.Terms},
 		began: now, lastCore: now, poke: make(chan ident.Addr, 1), push: make(chan struct{}, 1)}
 	for _, a := range b.Seeds {
 		s.noPeer[a] = now.Add(seedFirst)
@@ -215,7 +215,7 @@
 }
 
 // Beat takes an endpoint's report.
-func (s *Sidecar) Beat(b gate.Beat) *defect.Defect {
+func (s *Sidecar) Beat(b gate.Beat) *failure.Error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
--- a/daemon/sidecar/turn_test.go
+++ b/daemon/sidecar/turn_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/mesh/line"
 	"cottonarch.example/cottonarch/wire/reply"
 )
@@ -45,7 +45,7 @@
 	select {
 	case w := <-second:
 		must.Eq(t, http.StatusServiceUnavailable, w.Code)
-		must.Eq(t, string(defect.FateNo), w.Header().Get(reply.FateHeader))
+		must.Eq(t, string(failure.NotExecuted), w.Header().Get(reply.FateHeader))
 	case <-time.After(10 * time.Second):
 		t.Fatal("it was held past its time")
 	}
--- a/daemon/sidecar/whole_test.go
+++ b/daemon/sidecar/whole_test.go
@@ -9,7 +9,7 @@
 
 	"cottonarch.example/cottonarch/boot"
 	"cottonarch.example/cottonarch/control/manifest/check"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 // A request is taken whole within the limits of the manifest and the room for bodies, with
@@ -20,8 +20,8 @@
 	for _, pieces := range []bool{false, true} {
 		for _, c := range []struct {
 			body, head, held int
-			kind             defect.Kind
-		}{{0, 0, 0, ""}, {800, 0, 0, ""}, {801, 0, 0, defect.Oversize}, {0, 9000, 0, defect.Oversize}, {500, 0, 500, ""}, {501, 0, 500, defect.Busy}, {0, 0, 1000, ""}} {
+			kind             failure.Kind
+		}{{0, 0, 0, ""}, {800, 0, 0, ""}, {801, 0, 0, failure.Oversize}, {0, 9000, 0, failure.Oversize}, {500, 0, 500, ""}, {501, 0, 500, failure.Busy}, {0, 0, 1000, ""}} {
 			s.bulk.Store(int64(c.held))
 			r := httptest.NewRequest("POST", "/x", strings.NewReader(strings.Repeat("b", c.body)))
 			if pieces {
@@ -32,7 +32,7 @@
 			if c.kind != "" {
 				must.NotNil(t, d, must.Sprint(pieces, c))
 				must.Eq(t, c.kind, d.Kind, must.Sprint(pieces, c))
-				must.Eq(t, defect.FateNo, d.Fate)
+				must.Eq(t, failure.NotExecuted, d.Outcome)
 				must.Eq(t, int64(c.held), s.bulk.Load())
 				continue
 			}
--- a/explore/breaks_test.go
+++ b/explore/breaks_test.go
@@ -83,5 +83,5 @@
 	o.Members, o.Model, o.Faults = 2, "none", map[cluster.Fault]int{"flood": 1}
 	bad := o.Check()
 	must.NotNil(t, bad)
-	must.Len(t, 4, bad.All)
+	must.Len(t, 4, bad.Faults)
 }
--- a/explore/canon/canon.go
+++ b/explore/canon/canon.go
@@ -11,7 +11,7 @@
 	"slices"
 	"sync"
 
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // Encoder writes values in a canonical form. Invariants: maps are written in the order of
@@ -20,7 +20,7 @@
 // and a zero moment, which means never, stays apart from all others.
 type Encoder struct {
 	// Now is the moment that others are written relative to.
-	Now  moment.Moment
+	Now  monotime.Time
 	plan *Plan
 	buf  bytes.Buffer
 }
@@ -78,7 +78,7 @@
 	return binary.LittleEndian.Uint64(sum[:])
 }
 
-var momentType = reflect.TypeFor[moment.Moment]()
+var momentType = reflect.TypeFor[monotime.Time]()
 
 func (e *Encoder) number(x uint64) {
 	var raw [binary.MaxVarintLen64]byte
--- a/explore/canon/canon_test.go
+++ b/explore/canon/canon_test.go
@@ -7,7 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"cottonarch.example/cottonarch/explore/canon"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 type inner struct {
@@ -18,7 +18,7 @@
 type state struct {
 	table  map[string]*inner
 	list   []inner
-	at     moment.Moment
+	at     monotime.Time
 	note   any
 	do     func()
 	ratio  float64
@@ -26,11 +26,11 @@
 	hidden int
 }
 
-func sample(now moment.Moment) state {
+func sample(now monotime.Time) state {
 	return state{table: map[string]*inner{"a": {"a", 1}, "b": {"b", 2}, "c": nil}, list: []inner{{"x", -1}}, at: now.Add(-time.Second), note: inner{"n", 1}, ratio: 0.5}
 }
 
-func hash(now moment.Moment, s state) uint64 {
+func hash(now monotime.Time, s state) uint64 {
 	e := canon.NewPlan(map[string][]string{"canon_test.state": {"hidden"}}).Encoder()
 	e.Now = now
 	e.Put(s)
--- a/explore/cluster/choices.go
+++ b/explore/cluster/choices.go
@@ -9,7 +9,7 @@
 
 // The kinds of choice beside the faults, which are kinds of the same name.
 const (
-	ask     search.Kind = "ask"     // a client sends a deed to a member
+	ask     search.Kind = "ask"     // a client sends an operation to a member
 	deliver search.Kind = "deliver" // a message arrives; what it wrote is synced and its return arrives
 	sync    search.Kind = "sync"    // a member's disk syncs, its returns leave
 	restart search.Kind = "restart" // a member that is down starts
@@ -44,7 +44,7 @@
 // left tells whether one more fault of a kind is allowed.
 func (c *Cluster) left(f Fault) bool { return c.used[f] < c.set.allowed(f) }
 
-// takers lists the members that take clients' deeds.
+// takers lists the members that take clients' operations.
 func (c *Cluster) takers() []*member {
 	var out []*member
 	for _, m := range c.members[:min(c.set.Owners, len(c.members))] {
--- a/explore/cluster/client.go
+++ b/explore/cluster/client.go
@@ -7,9 +7,9 @@
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/explore/search"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // KeyKind is the kind of a control key.
@@ -35,7 +35,7 @@
 	key() ident.Key
 	// menu lists what a client may ask for.
 	menu(c *client) []string
-	// deed makes the order's kind and arguments; it notes what the asker may count on.
+	// operation makes the order's kind and arguments; it notes what the asker may count on.
 	deed(o *order) (kind string, args json.RawMessage)
 	// told judges the sure end of an order.
 	told(c *Cluster, o *order, out proposer.Outcome)
@@ -45,7 +45,7 @@
 	inspect(c *Cluster, found quorum.Record)
 }
 
-// order is one deed of one client. Invariant: floor is what had been acknowledged of the
+// order is one operation of one client. Invariant: floor is what had been acknowledged of the
 // object when it was sent.
 type order struct {
 	Tag     uint64
@@ -53,7 +53,7 @@
 	Count   int
 	Object  int
 	Name    string
-	Sent    moment.Moment
+	Sent    monotime.Time
 	Floor   uint64
 	Kind    string
 	Args    json.RawMessage
@@ -62,7 +62,7 @@
 	Content string
 }
 
-// client asks for one deed at a time. Invariant: last is its last order on a base release.
+// client asks for one operation at a time. Invariant: last is its last order on a base release.
 type client struct {
 	number int
 	asked  int
@@ -80,7 +80,7 @@
 	cl.bases[object] = base
 }
 
-// ask sends a client's deed to a member.
+// ask sends a client's operation to a member.
 func (c *Cluster) ask(m *member, choice search.Choice) {
 	cl := c.clients[choice.Client-1]
 	cl.asked++
@@ -113,7 +113,7 @@
 	c.owned(m, m.own.Submit(c.clock(m), d))
 }
 
-// ended takes the end of a deed.
+// ended takes the end of an operation.
 func (c *Cluster) ended(m *member, out proposer.Outcome) {
 	o := m.orders[out.Operation.Ticket]
 	if o == nil {
@@ -127,9 +127,9 @@
 	case out.Abandoned && out.MayHaveTakenEffect && c.set.Break != BreakFate:
 		c.unknown(o)
 		return
-	case out.Abandoned, out.Defect != nil && out.Defect.Fate == defect.FateNo && out.Defect.Kind != defect.Forgotten:
+	case out.Abandoned, out.Failure != nil && out.Failure.Outcome == failure.NotExecuted && out.Failure.Kind != failure.Forgotten:
 		c.refused(o, out)
-	case out.Defect != nil && out.Defect.Fate != defect.FateNo:
+	case out.Failure != nil && out.Failure.Outcome != failure.NotExecuted:
 		c.unknown(o)
 		return
 	default:
@@ -142,7 +142,7 @@
 func (c *Cluster) refused(o *order, out proposer.Outcome) {
 	object := c.objects[o.Object]
 	if m, ok := object.(*manifest); ok && !out.Abandoned {
-		m.refused(c, o, out.Defect)
+		m.refused(c, o, out.Failure)
 	}
 	if !o.Again {
 		object.turned(o)
--- a/explore/cluster/cluster.go
+++ b/explore/cluster/cluster.go
@@ -11,7 +11,7 @@
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/explore/search"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/sim/broken"
 	"cottonarch.example/cottonarch/storage/ring"
 )
@@ -39,7 +39,7 @@
 )
 
 // began is the moment of the first state: long after zero, which means never.
-const began = moment.Moment(time.Hour)
+const began = monotime.Time(time.Hour)
 
 // history is how long puts and changes must stay known.
 const history = 60 * time.Second
@@ -47,7 +47,7 @@
 // Cluster is one run.
 type Cluster struct {
 	set     Settings
-	now     moment.Moment
+	now     monotime.Time
 	members []*member
 	net     map[uint64]envelope
 	local   []envelope
@@ -151,7 +151,7 @@
 // end of each step.
 func (c *Cluster) pass(span time.Duration) {
 	for span > 0 {
-		step := min(span, moment.StepMost)
+		step := min(span, monotime.StepMost)
 		span -= step
 		c.now = c.now.Add(step)
 		for _, m := range c.members {
--- a/explore/cluster/locks.go
+++ b/explore/cluster/locks.go
@@ -4,12 +4,12 @@
 	"encoding/json"
 	"fmt"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/lock"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // lockTTL is how long a claim holds.
@@ -19,7 +19,7 @@
 // clock that runs true, until the claim's time is over or it gives it up.
 type hold struct {
 	Fence uint64
-	Until moment.Moment
+	Until monotime.Time
 }
 
 // locks is one lock with what its clients hold. Invariant: Given tells to whom each fence
@@ -61,7 +61,7 @@
 	if kind == "keep" {
 		kind = "claim"
 	}
-	return "lock/" + kind, book.JSON(a)
+	return "lock/" + kind, operation.Encode(a)
 }
 
 func (l *locks) told(c *Cluster, o *order, out proposer.Outcome) {
@@ -96,7 +96,7 @@
 
 func (l *locks) inspect(c *Cluster, found quorum.Record) {
 	var state lock.Lock
-	_ = json.Unmarshal(book.State(found.Value), &state)
+	_ = json.Unmarshal(operation.State(found.Value), &state)
 	if state.Fence < l.Fence {
 		c.breach(RuleLost, "a majority knows %s up to fence %d, %d was given", l.key(), state.Fence, l.Fence)
 	}
--- a/explore/cluster/manifest.go
+++ b/explore/cluster/manifest.go
@@ -6,11 +6,11 @@
 	"maps"
 	"slices"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/control/register/quorum"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -51,7 +51,7 @@
 		base := ident.Epoch(o.Base)
 		a.Base = &base
 	}
-	return orderKind, book.JSON(a)
+	return orderKind, operation.Encode(a)
 }
 
 func (m *manifest) told(c *Cluster, o *order, out proposer.Outcome) {
@@ -109,7 +109,7 @@
 }
 
 // refused judges a sure no to an order that was taken before.
-func (m *manifest) refused(c *Cluster, o *order, d *defect.Defect) {
+func (m *manifest) refused(c *Cluster, o *order, d *failure.Error) {
 	for _, epoch := range slices.Sorted(maps.Keys(m.Taken)) {
 		if o.Again && m.Taken[epoch] == o.Content {
 			c.breach(RuleResend, "%s was taken as epoch %d and, sent again, is refused: %s", o.Content, epoch, d.Note)
@@ -121,7 +121,7 @@
 
 func (m *manifest) inspect(c *Cluster, found quorum.Record) {
 	var h offer.Held
-	_ = json.Unmarshal(book.State(found.Value), &h)
+	_ = json.Unmarshal(operation.State(found.Value), &h)
 	if uint64(h.Epoch) < m.Floor {
 		c.breach(RuleLost, "a majority knows epoch %d, %d was acknowledged", h.Epoch, m.Floor)
 		return
--- a/explore/cluster/member.go
+++ b/explore/cluster/member.go
@@ -11,7 +11,7 @@
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/control/register/quorumread"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/storage/ring"
 )
 
@@ -36,9 +36,9 @@
 	turns   uint64
 	awaits  uint64 // the turn of the word that a copy is synced, 0 if none is awaited
 	gated   []envelope
-	skew    moment.Span
-	watch   moment.Watch
-	// orders are the deeds in hand, by tag.
+	skew    monotime.Span
+	watch   monotime.Watch
+	// orders are the operations in hand, by tag.
 	orders map[uint64]*order
 }
 
@@ -119,7 +119,7 @@
 		c.must(m, m.append([]ring.Record{{Tag: diskTag, Data: []byte(m.disk)}}))
 		c.must(m, m.store.sync())
 	}
-	m.watch = moment.Watch{}
+	m.watch = monotime.Watch{}
 	c.begin(m)
 }
 
@@ -148,7 +148,7 @@
 
 // clock is what the member's steps are told: time that was watched go by, unless that rule
 // is broken.
-func (c *Cluster) clock(m *member) moment.Moment {
+func (c *Cluster) clock(m *member) monotime.Time {
 	raw := c.now.Add(m.skew)
 	if c.set.Break == BreakClock {
 		return raw
@@ -156,7 +156,7 @@
 	return m.watch.Look(raw)
 }
 
-// kill ends the process; the deeds in hand end with an unknown fate.
+// kill ends the process; the operations in hand end with an unknown outcome.
 func (c *Cluster) kill(m *member) {
 	for _, tag := range sortedTags(m.orders) {
 		c.unknown(m.orders[tag])
--- a/explore/cluster/objects.go
+++ b/explore/cluster/objects.go
@@ -7,10 +7,10 @@
 	"slices"
 
 	"cottonarch.example/cottonarch/control/audit/chunk"
-	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/group"
 	"cottonarch.example/cottonarch/control/coordination/key"
 	"cottonarch.example/cottonarch/control/coordination/number"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/control/register/quorum"
@@ -69,9 +69,9 @@
 func (v *value) deed(o *order) (string, json.RawMessage) {
 	o.Floor = v.Floor
 	if o.Name == "read" {
-		return "key/read", book.JSON(key.Args{Since: new(ident.Revision)})
+		return "key/read", operation.Encode(key.Args{Since: new(ident.Revision)})
 	}
-	return "key/write", book.JSON(key.Args{Value: book.JSON(o.Content)})
+	return "key/write", operation.Encode(key.Args{Value: operation.Encode(o.Content)})
 }
 
 func (v *value) told(c *Cluster, o *order, out proposer.Outcome) {
@@ -100,7 +100,7 @@
 
 func (v *value) inspect(c *Cluster, found quorum.Record) {
 	var k key.Key
-	_ = json.Unmarshal(book.State(found.Value), &k)
+	_ = json.Unmarshal(operation.State(found.Value), &k)
 	if uint64(found.Revision) < v.Floor {
 		c.breach(RuleLost, "a majority knows %s up to revision %d, %d was acknowledged", v.key(), found.Revision, v.Floor)
 		return
@@ -151,7 +151,7 @@
 
 func (n *counter) inspect(c *Cluster, found quorum.Record) {
 	var got number.Number
-	_ = json.Unmarshal(book.State(found.Value), &got)
+	_ = json.Unmarshal(operation.State(found.Value), &got)
 	if got.N < n.Floor {
 		c.breach(RuleLost, "a majority knows %s up to %d, %d was given", n.key(), got.N, n.Floor)
 	}
@@ -171,15 +171,15 @@
 	a := group.Args{Name: "x"}
 	switch o.Name {
 	case "put":
-		a.Value = book.JSON(o.Content)
+		a.Value = operation.Encode(o.Content)
 	case "since":
 		a.After = new(ident.Revision)
 	}
-	return "group/" + o.Name, book.JSON(a)
+	return "group/" + o.Name, operation.Encode(a)
 }
 
 func (g *cells) told(c *Cluster, o *order, out proposer.Outcome) {
-	if out.Defect != nil { // forgotten: no run is as long as the history
+	if out.Failure != nil { // forgotten: no run is as long as the history
 		c.breach(RuleHistory, "a watch of %s is told that it is too old", g.key())
 		return
 	}
@@ -236,7 +236,7 @@
 	o.Floor = a.Floor
 	o.Base = a.Floor
 	leaf := offer.Line{Epoch: ident.Epoch(auditPace * (a.Floor + 1)), Sum: o.Content}
-	return "audit/append", book.JSON(chunk.Append{Index: a.Index*chunk.Size + int(a.Floor), Leaf: leaf})
+	return "audit/append", operation.Encode(chunk.Append{Index: a.Index*chunk.Size + int(a.Floor), Leaf: leaf})
 }
 
 func (a *audit) told(c *Cluster, o *order, _ proposer.Outcome) {
@@ -245,7 +245,7 @@
 
 func (a *audit) inspect(c *Cluster, found quorum.Record) {
 	var log chunk.Chunk
-	_ = json.Unmarshal(book.State(found.Value), &log)
+	_ = json.Unmarshal(operation.State(found.Value), &log)
 	for _, at := range slices.Sorted(maps.Keys(a.Values)) {
 		if at > uint64(len(log.Leaves)) || log.Leaves[at-1].Sum != a.Values[at] {
 			c.breach(RuleLost, "a majority does not know leaf %d of %s, which was acknowledged", at, a.key())
--- a/explore/cluster/settings.go
+++ b/explore/cluster/settings.go
@@ -9,7 +9,7 @@
 
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/explore/search"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/sim/broken"
 )
 
@@ -58,7 +58,7 @@
 // Break names a rule that is broken on purpose, as the simulator knows them.
 type Break string
 
-// The breaks that are not handlers of deeds; those are in sim/broken.
+// The breaks that are not handlers of operations; those are in sim/broken.
 const (
 	BreakQuorum  Break = "quorum"
 	BreakReplica Break = "replica"
@@ -75,9 +75,9 @@
 	Members, Spares int
 	// Keys are the kinds of the keys that clients use.
 	Keys []KeyKind
-	// Clients is how many clients there are, Deeds how many deeds each may ask for.
+	// Clients is how many clients there are, Operations how many operations each may ask for.
 	Clients, Deeds int
-	// Owners is how many members, from the first on, take deeds.
+	// Owners is how many members, from the first on, take operations.
 	Owners int
 	// Waits are the spans by which time may pass.
 	Waits  []time.Duration
@@ -96,13 +96,13 @@
 }
 
 // Check finds what is wrong with settings that were read from a file.
-func (s Settings) Check() *defect.Defect {
+func (s Settings) Check() *failure.Error {
 	if s.Members < 1 || s.Members+s.Spares > membersMost || s.Clients < 1 || s.Clients > clientsMost {
-		return defect.New(defect.BadBoot, "a cluster has 1 to %d members and 1 to %d clients", membersMost, clientsMost)
+		return failure.New(failure.BadSettings, "a cluster has 1 to %d members and 1 to %d clients", membersMost, clientsMost)
 	}
 	for _, kind := range s.Keys {
 		if makers[kind] == nil {
-			return defect.New(defect.BadBoot, "there is no kind of key %q", kind)
+			return failure.New(failure.BadSettings, "there is no kind of key %q", kind)
 		}
 	}
 	return nil
--- a/explore/model.go
+++ b/explore/model.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/explore/cluster"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 // Model names what is explored.
@@ -36,7 +36,7 @@
 	Members   int   `json:"members"`
 	Keys      int   `json:"keys"`
 	Operators int   `json:"operators"`
-	// Deeds is how many deeds an operator asks for, if it is not the search's own number.
+	// Operations is how many operations an operator asks for, if it is not the search's own number.
 	Deeds int `json:"deeds,omitempty"`
 	// Waits are the spans by which time may pass, in place of the model's own.
 	Waits []time.Duration `json:"waits,omitempty"`
@@ -158,7 +158,7 @@
 	return s
 }
 
-// A client asks for so many deeds in the breadth-first search, and in walks.
+// A client asks for so many operations in the breadth-first search, and in walks.
 const (
 	deedsBreadth = 2
 	deedsWalked  = 5
@@ -166,10 +166,10 @@
 )
 
 // Check finds what is wrong with the options.
-func (o Options) Check() *defect.Defect {
-	bad := defect.New(defect.BadBoot, "this can't be explored")
+func (o Options) Check() *failure.Error {
+	bad := failure.New(failure.BadSettings, "this can't be explored")
 	add := func(path, form string, args ...any) {
-		bad.All = append(bad.All, defect.Fault{Path: path, Note: fmt.Sprintf(form, args...)})
+		bad.Faults = append(bad.Faults, failure.Fault{Path: path, Note: fmt.Sprintf(form, args...)})
 	}
 	between := func(path string, n, low, high int) {
 		if n < low || n > high {
@@ -194,10 +194,10 @@
 	if _, known := breaks[o.Break]; !known && o.Break != "" {
 		add("break", "there is no break %q; known are %s", o.Break, strings.Join(BreakNames(), ", "))
 	}
-	if len(bad.All) == 0 {
+	if len(bad.Faults) == 0 {
 		return nil
 	}
-	slices.SortFunc(bad.All, func(a, b defect.Fault) int { return strings.Compare(a.Path+a.Note, b.Path+b.Note) })
+	slices.SortFunc(bad.Faults, func(a, b failure.Fault) int { return strings.Compare(a.Path+a.Note, b.Path+b.Note) })
 	return bad
 }
 
@@ -217,7 +217,7 @@
 	model Model
 	keys  []cluster.KeyKind
 	under faults
-	// alone has one client ask for more deeds, one after the other, and waits are the spans
+	// alone has one client ask for more operations, one after the other, and waits are the spans
 	// in place of the model's own.
 	alone bool
 	waits []time.Duration
--- a/explore/trace.go
+++ b/explore/trace.go
@@ -8,7 +8,7 @@
 
 	"cottonarch.example/cottonarch/explore/cluster"
 	"cottonarch.example/cottonarch/explore/search"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 // Trace is a run that can be made again. Invariant: Lines only say in words what Choices
@@ -37,10 +37,10 @@
 }
 
 // Decode reads a file.
-func Decode(raw []byte) (Trace, *defect.Defect) {
+func Decode(raw []byte) (Trace, *failure.Error) {
 	var t Trace
 	if err := json.Unmarshal(raw, &t); err != nil {
-		return t, defect.New(defect.BadBoot, "this is no trace: %v", err)
+		return t, failure.New(failure.BadSettings, "this is no trace: %v", err)
 	}
 	if bad := t.Settings.Check(); bad != nil {
 		return t, bad
@@ -49,11 +49,11 @@
 }
 
 // Replay makes the choices again and says them; the breach is nil when all held.
-func (t Trace) Replay() (lines []string, breach *search.Breach, bad *defect.Defect) {
+func (t Trace) Replay() (lines []string, breach *search.Breach, bad *failure.Error) {
 	s := t.Settings.Factory()()
 	for i, c := range t.Choices {
 		if !slices.Contains(s.Choices(), c) {
-			return lines, nil, defect.New(defect.BadBoot, "choice %d, %s, is not possible in this build", i+1, c.Kind)
+			return lines, nil, failure.New(failure.BadSettings, "choice %d, %s, is not possible in this build", i+1, c.Kind)
 		}
 		lines = append(lines, fmt.Sprintf("%3d  %s", i+1, s.Say(c)))
 		s.Apply(c)
--- a/fleet/run/judge.go
+++ b/fleet/run/judge.go
@@ -8,13 +8,13 @@
 	"time"
 
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/sim/check"
 	"cottonarch.example/cottonarch/stand/caller"
 )
 
 // judge fills the checkers from the books and the ledgers.
-func (f *Fleet) judge(from, until moment.Moment) {
+func (f *Fleet) judge(from, until monotime.Time) {
 	asked := map[string]ident.Service{}
 	unsafe := map[string]bool{}
 	fates := map[caller.Fate]check.Fate{caller.Served: check.Served, caller.NotRun: check.NotRun, caller.Unknown: check.Unknown, caller.Dropped: check.Unknown, caller.Wrong: check.Unknown}
@@ -45,11 +45,11 @@
 		if !ok {
 			continue
 		}
-		var left moment.Moment
+		var left monotime.Time
 		if t, gone := f.left[r.Server]; gone {
 			left = f.at(t)
 		}
-		var lost moment.Moment
+		var lost monotime.Time
 		for _, o := range f.lost[r.Server] {
 			if r.At.After(o.from) && (o.to.IsZero() || r.At.Before(o.to)) {
 				lost = f.at(o.from)
--- a/fleet/run/run.go
+++ b/fleet/run/run.go
@@ -16,7 +16,7 @@
 	"cottonarch.example/cottonarch/fleet/machine"
 	"cottonarch.example/cottonarch/fleet/relay"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/sim/check"
 	"cottonarch.example/cottonarch/sim/plan"
 	"cottonarch.example/cottonarch/stand/caller"
@@ -69,8 +69,8 @@
 	gone bool
 }
 
-func (f *Fleet) at(t time.Time) moment.Moment { return moment.Moment(t.Sub(f.began)) }
-func (f *Fleet) now() moment.Moment           { return f.at(time.Now()) }
+func (f *Fleet) at(t time.Time) monotime.Time { return monotime.Time(t.Sub(f.began)) }
+func (f *Fleet) now() monotime.Time           { return f.at(time.Now()) }
 
 func (f *Fleet) count(name string) { f.mu.Lock(); f.Counts[name]++; f.mu.Unlock() }
 
--- a/kernel/moment/moment.go
+++ b/kernel/monotime/monotime.go
@@ -1,6 +1,6 @@
-// Package moment holds monotonic time. Nothing here can be compared between
+// Package monotime holds monotonic time. Nothing here can be compared between
 // processes: safety rests on no agreed clock.
-package moment
+package monotime
 
 import (
 	"sync"
@@ -9,54 +9,54 @@
 	"golang.org/x/sys/unix"
 )
 
-// Moment is a reading of one process's monotonic clock, in nanoseconds.
-type Moment int64
+// Time is a reading of one process's monotonic clock, in nanoseconds.
+type Time int64
 
 // Span is a length of monotonic time.
 type Span = time.Duration
 
-// Add moves a moment.
-func (m Moment) Add(s Span) Moment { return m + Moment(s) }
+// Add moves a time.
+func (t Time) Add(s Span) Time { return t + Time(s) }
 
-// Since is the span from o to m.
-func (m Moment) Since(o Moment) Span { return Span(m - o) }
+// Since is the span from o to t.
+func (t Time) Since(o Time) Span { return Span(t - o) }
 
-// After tells whether m is later than o.
-func (m Moment) After(o Moment) bool { return m > o }
+// After tells whether t is later than o.
+func (t Time) After(o Time) bool { return t > o }
 
 // Clock reads the time of one process.
-type Clock func() Moment
+type Clock func() Time
 
 // Process gives the clock of this process; it starts at one second so that the zero
-// Moment always means "never". It goes on while the machine is suspended, which the
+// Time always means "never". It goes on while the machine is suspended, which the
 // monotonic clock that Go reads does not: to a process, a machine's sleep then looks
 // like any other time in which it was held up.
 func Process() Clock {
 	base := boottime()
-	return func() Moment { return boottime() - base + Moment(time.Second) }
+	return func() Time { return boottime() - base + Time(time.Second) }
 }
 
-func boottime() Moment {
+func boottime() Time {
 	var t unix.Timespec
 	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &t) != nil {
 		_ = unix.ClockGettime(unix.CLOCK_MONOTONIC, &t)
 	}
-	return Moment(t.Nano())
+	return Time(t.Nano())
 }
 
 // Watch counts time that was watched go by. Invariant: between two looks it moves by
 // StepMost at most, however far the clock moved; so a clock that jumps forward, or a
 // process that was held up, never makes a wait look longer than it was by more.
 type Watch struct {
-	last, seen Moment
+	last, seen Time
 }
 
-// StepMost is the most that one look adds. It is far below every margin that a claim
+// StepMost is the most that one look adds. It is far below every margin that a lease
 // leaves, and far above the time between two ticks of a duty.
 const StepMost = 100 * time.Millisecond
 
 // Look moves the watch to a reading of the clock and gives the time watched so far.
-func (w *Watch) Look(now Moment) Moment {
+func (w *Watch) Look(now Time) Time {
 	switch {
 	case w.last == 0:
 		w.seen = now
@@ -71,7 +71,7 @@
 func Watched(c Clock) Clock {
 	var mu sync.Mutex
 	var w Watch
-	return func() Moment {
+	return func() Time {
 		mu.Lock()
 		defer mu.Unlock()
 		return w.Look(c())
--- a/kernel/moment/moment_test.go
+++ b/kernel/monotime/monotime_test.go
@@ -1,4 +1,4 @@
-package moment
+package monotime
 
 import (
 	"testing"
@@ -18,7 +18,7 @@
 	}
 	for n := range 256 {
 		var w Watch
-		now, real, jumps := Moment(time.Second), time.Duration(0), 0
+		now, real, jumps := Time(time.Second), time.Duration(0), 0
 		from := w.Look(now)
 		last := from
 		for _, i := range []int{n % 4, n / 4 % 4, n / 16 % 4, n / 64} {
@@ -39,6 +39,6 @@
 func TestProcessClock(t *testing.T) {
 	c := Process()
 	a := c()
-	must.GreaterEq(t, Moment(time.Second), a)
+	must.GreaterEq(t, Time(time.Second), a)
 	must.GreaterEq(t, a, c())
 }
--- a/mesh/allowance/allowance.go
+++ b/mesh/allowance/allowance.go
@@ -7,7 +7,7 @@
 
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 const (
@@ -35,9 +35,9 @@
 	terms   Terms
 	slot    time.Duration
 	share   int
-	from    moment.Moment // the share may not be spent before
-	renewed moment.Moment
-	watch   moment.Watch
+	from    monotime.Time // the share may not be spent before
+	renewed monotime.Time
+	watch   monotime.Watch
 	all     map[ident.Service]*branch
 	runs    runs
 	// Free grants everything; only tests of the checkers set it.
@@ -48,7 +48,7 @@
 
 // New makes a tree whose share may be spent only one window after it was made, so
 // that a restart never spends a share twice.
-func New(now moment.Moment, terms Terms) *Tree {
+func New(now monotime.Time, terms Terms) *Tree {
 	terms = terms.Whole()
 	t := &Tree{terms: terms, slot: max(1, terms.Window/parts), from: now.Add(terms.Window + terms.Window/20), all: map[ident.Service]*branch{}}
 	t.watch.Look(now)
@@ -56,17 +56,17 @@
 }
 
 // Tick must be called many times a second: time that nobody watched does not count.
-func (t *Tree) Tick(now moment.Moment) { t.watch.Look(now) }
+func (t *Tree) Tick(now monotime.Time) { t.watch.Look(now) }
 
 // Grant sets the share.
 func (t *Tree) Grant(n int) { t.share = n }
 
 // Renewed says that a majority of the cores has just taken a renewal that was sent
 // at the given moment.
-func (t *Tree) Renewed(at moment.Moment) { t.renewed = max(t.renewed, at) }
+func (t *Tree) Renewed(at monotime.Time) { t.renewed = max(t.renewed, at) }
 
 // Share is what may be spent beyond the part of the calls now.
-func (t *Tree) Share(now moment.Moment) int {
+func (t *Tree) Share(now monotime.Time) int {
 	if t.watch.Look(now) < t.from || t.renewed == 0 || now.Since(t.renewed) > Hold {
 		return 0
 	}
@@ -79,7 +79,7 @@
 // at finds the purses. A purse that this run has not had yet begins with what may be
 // kept of the share, since nothing was spent from it; before the share may be spent
 // that is nothing, for an earlier run may have spent it.
-func (t *Tree) at(now moment.Moment, svc *check.Service, who string) (*branch, *purse) {
+func (t *Tree) at(now monotime.Time, svc *check.Service, who string) (*branch, *purse) {
 	b := t.all[svc.Hostname]
 	if b == nil {
 		_, kept := halves(float64(t.Share(now)))
@@ -96,7 +96,7 @@
 	return b, p
 }
 
-func (t *Tree) caller(now, seen moment.Moment, b *branch, svc *check.Service, who string) *purse {
+func (t *Tree) caller(now, seen monotime.Time, b *branch, svc *check.Service, who string) *purse {
 	if len(b.callers) >= callersMax {
 		for name, old := range b.callers {
 			if old.roll(t.slot, now, seen); old.idle() {
@@ -117,7 +117,7 @@
 }
 
 // note counts a caller as active in this half window.
-func (b *branch) note(t *Tree, now moment.Moment, p *purse) {
+func (b *branch) note(t *Tree, now monotime.Time, p *purse) {
 	half := int64(now) / int64(t.slot*parts/2)
 	if half > b.epoch {
 		b.active[1] = b.active[0]
@@ -136,12 +136,12 @@
 func (b *branch) alone() bool { return max(b.active[0], b.active[1]) <= 1 }
 
 // Call counts a first try.
-func (t *Tree) Call(now moment.Moment, svc check.Service, who string) {
+func (t *Tree) Call(now monotime.Time, svc check.Service, who string) {
 	b, p := t.at(now, &svc, who)
 	t.take(now, b, p, t.part(&svc))
 }
 
-func (t *Tree) take(now moment.Moment, b *branch, p *purse, part float64) {
+func (t *Tree) take(now monotime.Time, b *branch, p *purse, part float64) {
 	b.note(t, now, p)
 	b.total[0]++
 	b.call(part)
@@ -149,7 +149,7 @@
 }
 
 // Again asks for one further try and counts it when it is granted.
-func (t *Tree) Again(now moment.Moment, svc check.Service, who string) bool {
+func (t *Tree) Again(now monotime.Time, svc check.Service, who string) bool {
 	b, p := t.at(now, &svc, who)
 	b.note(t, now, p)
 	share, part := float64(t.Share(now)), t.part(&svc)
