--- a/mesh/allowance/allowance_test.go
+++ b/mesh/allowance/allowance_test.go
@@ -10,7 +10,7 @@
 
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/manifest/check"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 var svc = check.Service{Hostname: "s", Part: 0.2}
@@ -27,9 +27,9 @@
 			tr.Grant(5)
 			trees = append(trees, tr)
 		}
-		var calls, tries []moment.Moment
+		var calls, tries []monotime.Time
 		rate := 300.0
-		for now := moment.Moment(0); now < moment.Moment(60*time.Second); now = now.Add(5 * time.Millisecond) {
+		for now := monotime.Time(0); now < monotime.Time(60*time.Second); now = now.Add(5 * time.Millisecond) {
 			if rng.IntN(400) == 0 {
 				rate = []float64{1, 10, 100, 300, 900, 2300}[rng.IntN(6)]
 			}
@@ -71,20 +71,20 @@
 }
 
 // watch lets the tree see time go by.
-func watch(tr *Tree, from, to time.Duration) moment.Moment {
+func watch(tr *Tree, from, to time.Duration) monotime.Time {
 	for d := from; d <= to; d += 40 * time.Millisecond {
-		tr.Tick(moment.Moment(d))
+		tr.Tick(monotime.Time(d))
 	}
-	return moment.Moment(to)
+	return monotime.Time(to)
 }
 
 // A clock that jumps forward frees no share: what was spent in a window stays spent until
 // the window was watched go by.
 func TestJumpsOfTheClockFreeNothing(t *testing.T) {
-	tr := New(moment.Moment(time.Second), Terms{})
+	tr := New(monotime.Time(time.Second), Terms{})
 	tr.Grant(6)
 	now := watch(tr, time.Second, 14*time.Second)
-	spend := func(now moment.Moment) (n int) {
+	spend := func(now monotime.Time) (n int) {
 		tr.Renewed(now)
 		for i := range 20 {
 			if tr.Again(now, svc, fmt.Sprint(i)) {
@@ -104,7 +104,7 @@
 
 // A share is not spent in the first window of a run, nor when no majority renews it.
 func TestShareNeedsTimeAndRenewal(t *testing.T) {
-	count := func(tr *Tree, now moment.Moment) (n int) {
+	count := func(tr *Tree, now monotime.Time) (n int) {
 		for i := range 20 {
 			if tr.Again(now, svc, fmt.Sprint(i)) {
 				n++
@@ -112,14 +112,14 @@
 		}
 		return
 	}
-	tr := New(moment.Moment(time.Millisecond), Terms{})
+	tr := New(monotime.Time(time.Millisecond), Terms{})
 	tr.Grant(5)
-	tr.Renewed(moment.Moment(time.Second))
+	tr.Renewed(monotime.Time(time.Second))
 	must.Eq(t, 0, count(tr, watch(tr, 0, 2*time.Second)))
-	tr.Renewed(moment.Moment(11 * time.Second))
+	tr.Renewed(monotime.Time(11 * time.Second))
 	must.Eq(t, 3, count(tr, watch(tr, 2*time.Second, 12*time.Second))) // the window's half
-	must.Eq(t, 0, count(tr, moment.Moment(13*time.Second)))
-	must.Eq(t, 0, count(tr, moment.Moment(40*time.Second)))
+	must.Eq(t, 0, count(tr, monotime.Time(13*time.Second)))
+	must.Eq(t, 0, count(tr, monotime.Time(40*time.Second)))
 }
 
 // Where several call, one of them can't take the whole of the share; a named one gets its
@@ -128,7 +128,7 @@
 	named := svc
 	named.Callers = map[string]float64{"big": 4, "small": 1}
 	for who, want := range map[string]int{"big": 4, "small": 1, "other": 2, "alone": 5} {
-		tr := New(moment.Moment(time.Millisecond), Terms{})
+		tr := New(monotime.Time(time.Millisecond), Terms{})
 		tr.Grant(5)
 		now := watch(tr, 0, 12*time.Second)
 		tr.Renewed(now)
@@ -151,7 +151,7 @@
 func TestACrowdThatEndedPaysForNothing(t *testing.T) {
 	spent := 0
 	for range 10 {
-		tr := New(moment.Moment(time.Millisecond), Terms{})
+		tr := New(monotime.Time(time.Millisecond), Terms{})
 		tr.Grant(6)
 		now := watch(tr, 0, 20*time.Second)
 		for range 400 {
@@ -178,7 +178,7 @@
 	for after, most := range map[time.Duration]int{time.Second: 0, 12 * time.Second: extra} {
 		sum := 0
 		for range nodes {
-			tr := New(moment.Moment(time.Millisecond), Terms{Extra: extra})
+			tr := New(monotime.Time(time.Millisecond), Terms{Extra: extra})
 			tr.Grant(share.Fair(extra, nodes))
 			now := watch(tr, 0, after)
 			tr.Renewed(now)
@@ -198,8 +198,8 @@
 		whole := terms.Whole()
 		tr := New(0, terms)
 		tr.Grant(share.Fair(whole.Extra, 1))
-		var tries []moment.Moment
-		for now := moment.Moment(0); now < moment.Moment(50*time.Second); now = now.Add(10 * time.Millisecond) {
+		var tries []monotime.Time
+		for now := monotime.Time(0); now < monotime.Time(50*time.Second); now = now.Add(10 * time.Millisecond) {
 			tr.Tick(now)
 			tr.Renewed(now)
 			tr.Call(now, svc, "c")
@@ -226,7 +226,7 @@
 	tr := New(0, Terms{})
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
-		tr.Call(moment.Moment(i*1000), svc, "10.0.0.1")
+		tr.Call(monotime.Time(i*1000), svc, "10.0.0.1")
 	}
 }
 
@@ -235,6 +235,6 @@
 	tr.Grant(6)
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
-		tr.Again(moment.Moment(i*1000), svc, "10.0.0.1")
+		tr.Again(monotime.Time(i*1000), svc, "10.0.0.1")
 	}
 }
--- a/mesh/allowance/inner_test.go
+++ b/mesh/allowance/inner_test.go
@@ -11,7 +11,7 @@
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 const step = 5 * time.Millisecond
@@ -20,7 +20,7 @@
 // which run is a repeat, which the trees do not.
 type model struct {
 	rng   *rand.Rand
-	now   moment.Moment
+	now   monotime.Time
 	plan  [][]func() // what is to be done, by step
 	trees []*Tree
 	homes [][]int // service: the nodes of its endpoints
@@ -30,7 +30,7 @@
 	early bool // runs make their calls in their first tenth
 	terms Terms
 
-	asked, again [][]moment.Moment // requests and arrivals beyond the first
+	asked, again [][]monotime.Time // requests and arrivals beyond the first
 	runs, bad    int
 }
 
@@ -103,8 +103,8 @@
 }
 
 // over gives the worst of all windows: arrivals beyond the first, less what is allowed.
-func (m *model) over(s int) (worst float64, at moment.Moment) {
-	count := func(list []moment.Moment, from, to moment.Moment) int {
+func (m *model) over(s int) (worst float64, at monotime.Time) {
+	count := func(list []monotime.Time, from, to monotime.Time) int {
 		return sort.Search(len(list), func(i int) bool { return list[i] > to }) - sort.Search(len(list), func(i int) bool { return list[i] > from })
 	}
 	w := m.terms.Window
@@ -177,14 +177,14 @@
 		}
 		m.homes, m.sick = append(m.homes, list), append(m.sick, sick)
 	}
-	m.asked, m.again = make([][]moment.Moment, len(m.homes)), make([][]moment.Moment, len(m.homes))
+	m.asked, m.again = make([][]monotime.Time, len(m.homes)), make([][]monotime.Time, len(m.homes))
 	for range nodes {
 		t := New(0, m.terms)
 		t.Grant(share.Fair(sc.extra, nodes))
 		m.trees = append(m.trees, t)
 	}
 	for i := range m.plan {
-		m.now = moment.Moment(i) * moment.Moment(step)
+		m.now = monotime.Time(i) * monotime.Time(step)
 		if i%8 == 0 {
 			for _, t := range m.trees {
 				t.Tick(m.now)
--- a/mesh/allowance/purse.go
+++ b/mesh/allowance/purse.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 const (
@@ -41,7 +41,7 @@
 	epoch int64 // the half window in which it last called, for counting callers
 }
 
-func (p *purse) roll(slot time.Duration, now, seen moment.Moment) {
+func (p *purse) roll(slot time.Duration, now, seen monotime.Time) {
 	at, slow := int64(now)/int64(slot), int64(seen)/int64(slot)
 	for n := 0; p.at < at && n < fresh; n++ {
 		p.at++
--- a/mesh/allowance/runs.go
+++ b/mesh/allowance/runs.go
@@ -2,7 +2,7 @@
 
 import (
 	"cottonarch.example/cottonarch/control/manifest/check"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // runsMost is after how many runs what was seen of them counts half.
@@ -30,7 +30,7 @@
 // it is one, as the sender's Choice says it. It answers false when a repeat may not be run
 // here, since the calls it would make find no room in the allowance of a service below:
 // then it is turned away before it reaches the endpoint, and End must not be called.
-func (t *Tree) Begin(now moment.Moment, repeat float64) bool {
+func (t *Tree) Begin(now monotime.Time, repeat float64) bool {
 	repeat = min(1, max(0, repeat))
 	if repeat >= 1 && !t.Free && !t.bears(now) {
 		t.Refused++
@@ -50,7 +50,7 @@
 
 // bears tells whether the services below have room for what one repeat more and those in
 // hand will call.
-func (t *Tree) bears(now moment.Moment) bool {
+func (t *Tree) bears(now monotime.Time) bool {
 	r := &t.runs
 	seen, share := t.watch.Look(now), float64(t.Share(now))
 	for _, b := range r.below {
@@ -75,7 +75,7 @@
 
 // Inner counts a first try that this machine's endpoint may have made, and gives the
 // chance that it comes from a repeat, which is spent whether there is room or not.
-func (t *Tree) Inner(now moment.Moment, svc check.Service, who string) (repeat float64) {
+func (t *Tree) Inner(now monotime.Time, svc check.Service, who string) (repeat float64) {
 	r := &t.runs
 	b, p := t.at(now, &svc, who)
 	part := t.part(&svc)
--- a/mesh/bay/bay.go
+++ b/mesh/bay/bay.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/burden"
 )
 
@@ -55,7 +55,7 @@
 	// Early is until when it may be turned away at no price, Aim until when its return is
 	// worth most, and Until when nobody waits for it any more. 0 is never, but Until must
 	// be given.
-	Early, Aim, Until moment.Moment
+	Early, Aim, Until monotime.Time
 	// Peers is the part of runs that fails at the service's other endpoints, as the origin
 	// has heard it.
 	Peers float64
@@ -138,7 +138,7 @@
 // Tell takes what a beat says: how many requests the endpoint works on at once, 0 for
 // unknown, which is as many as come; and for how long it will still be slow from its
 // start. More slots may let waiting requests go.
-func (b *Bay) Tell(now moment.Moment, s ident.Server, slots int, cold time.Duration) []Act {
+func (b *Bay) Tell(now monotime.Time, s ident.Server, slots int, cold time.Duration) []Act {
 	t := b.at(s)
 	t.slots, t.cold = max(slots, 0), now.Add(max(cold, 0))
 	return b.move(now, t)
@@ -146,7 +146,7 @@
 
 // Offer brings a request. Its own word is among the acts unless it waits; others that it
 // displaced may be among them too. The acts are good until the next call.
-func (b *Bay) Offer(now moment.Moment, s ident.Server, a Ask) []Act {
+func (b *Bay) Offer(now monotime.Time, s ident.Server, a Ask) []Act {
 	b.acts = b.acts[:0]
 	t := b.at(s)
 	if why, retry := t.judge(now, a); why != "" {
@@ -167,7 +167,7 @@
 }
 
 // Done says that a request that went is over, and how long the endpoint had it.
-func (b *Bay) Done(now moment.Moment, s ident.Server, id uint64, end End, took time.Duration) []Act {
+func (b *Bay) Done(now monotime.Time, s ident.Server, id uint64, end End, took time.Duration) []Act {
 	t := b.spots[s]
 	if t == nil {
 		return nil
@@ -177,7 +177,7 @@
 }
 
 // Quit says that nobody waits for a request any more that waits here.
-func (b *Bay) Quit(now moment.Moment, s ident.Server, id uint64) []Act {
+func (b *Bay) Quit(now monotime.Time, s ident.Server, id uint64) []Act {
 	t := b.spots[s]
 	if t == nil {
 		return nil
@@ -187,7 +187,7 @@
 }
 
 // Tick turns away what can't be in time any more.
-func (b *Bay) Tick(now moment.Moment) []Act {
+func (b *Bay) Tick(now monotime.Time) []Act {
 	b.acts = b.acts[:0]
 	for _, s := range b.servers() {
 		t := b.spots[s]
@@ -198,7 +198,7 @@
 }
 
 // Due is when Tick next has something to do, and whether there is such a time.
-func (b *Bay) Due(now moment.Moment) (at moment.Moment, ok bool) {
+func (b *Bay) Due(now monotime.Time) (at monotime.Time, ok bool) {
 	for _, t := range b.spots {
 		for i := range t.line {
 			if x := t.look(now, &t.line[i]); !ok || at.After(x) {
@@ -232,7 +232,7 @@
 
 // Burden is what to tell with a return of this endpoint; ok is false when nothing is
 // known.
-func (b *Bay) Burden(now moment.Moment, s ident.Server) (out burden.Burden, ok bool) {
+func (b *Bay) Burden(now monotime.Time, s ident.Server) (out burden.Burden, ok bool) {
 	t := b.spots[s]
 	if t == nil {
 		return out, false
@@ -250,14 +250,14 @@
 }
 
 // move weeds a line and lets go who may go.
-func (b *Bay) move(now moment.Moment, t *spot) []Act {
+func (b *Bay) move(now monotime.Time, t *spot) []Act {
 	b.acts = b.acts[:0]
 	b.weed(now, t)
 	b.let(now, t)
 	return b.acts
 }
 
-func (b *Bay) let(now moment.Moment, t *spot) {
+func (b *Bay) let(now monotime.Time, t *spot) {
 	for len(t.line) > 0 && t.open() {
 		a := t.next(now)
 		b.Passed++
@@ -266,7 +266,7 @@
 	}
 }
 
-func (b *Bay) weed(now moment.Moment, t *spot) {
+func (b *Bay) weed(now monotime.Time, t *spot) {
 	ahead, keep := time.Duration(0), t.line[:0]
 	for i, a := range t.line {
 		// Who goes at once is not weeded: a slot is open, so its wait is over.
--- a/mesh/bay/bay_test.go
+++ b/mesh/bay/bay_test.go
@@ -7,13 +7,13 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/burden"
 )
 
 const ms = time.Millisecond
 
-func at(n int) moment.Moment { return moment.Moment(time.Second + time.Duration(n)*ms) }
+func at(n int) monotime.Time { return monotime.Time(time.Second + time.Duration(n)*ms) }
 
 // ask comes at n ms, of 40 ms work, with an aim of 400 and a deadline of 1200 ms.
 func ask(id uint64, rank, n int) Ask {
@@ -273,7 +273,7 @@
 	must.False(t, ok)
 }
 
-func tell(b *Bay, now moment.Moment) burden.Burden {
+func tell(b *Bay, now monotime.Time) burden.Burden {
 	out, _ := b.Burden(now, "e")
 	return out
 }
--- a/mesh/bay/model_test.go
+++ b/mesh/bay/model_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/bay"
 	"cottonarch.example/cottonarch/mesh/burden"
 	"cottonarch.example/cottonarch/mesh/pick"
@@ -57,16 +57,16 @@
 
 // chooser is a policy at the caller's machine.
 type chooser interface {
-	ChooseFor(now moment.Moment, way string, all []index.Entry, past map[ident.Server]bool) (index.Entry, bool)
+	ChooseFor(now monotime.Time, way string, all []index.Entry, past map[ident.Server]bool) (index.Entry, bool)
 	Sent(ident.Server)
-	Back(now moment.Moment, e index.Entry, doubt, lost bool)
-	TurnedAway(moment.Moment, ident.Server)
+	Back(now monotime.Time, e index.Entry, doubt, lost bool)
+	TurnedAway(monotime.Time, ident.Server)
 }
 
 // blind draws any endpoint.
 type blind struct{ rng *rand.Rand }
 
-func (b blind) ChooseFor(_ moment.Moment, _ string, all []index.Entry, past map[ident.Server]bool) (index.Entry, bool) {
+func (b blind) ChooseFor(_ monotime.Time, _ string, all []index.Entry, past map[ident.Server]bool) (index.Entry, bool) {
 	for range 100 {
 		if e := all[b.rng.IntN(len(all))]; !past[e.UID] {
 			return e, true
@@ -75,8 +75,8 @@
 	return index.Entry{}, false
 }
 func (blind) Sent(ident.Server)                           {}
-func (blind) Back(moment.Moment, index.Entry, bool, bool) {}
-func (blind) TurnedAway(moment.Moment, ident.Server)      {}
+func (blind) Back(monotime.Time, index.Entry, bool, bool) {}
+func (blind) TurnedAway(monotime.Time, ident.Server)      {}
 
 // former is the choice as it was before gates told anything: the better of two by own
 // requests in hand and district, suspects aside.
@@ -84,10 +84,10 @@
 	rng      *rand.Rand
 	district ident.District
 	hand     map[ident.Server]int
-	bad      map[ident.Server]moment.Moment
+	bad      map[ident.Server]monotime.Time
 }
 
-func (f *former) ChooseFor(now moment.Moment, _ string, all []index.Entry, past map[ident.Server]bool) (index.Entry, bool) {
+func (f *former) ChooseFor(now monotime.Time, _ string, all []index.Entry, past map[ident.Server]bool) (index.Entry, bool) {
 	var good, fair []index.Entry
 	for _, e := range all {
 		switch {
@@ -118,13 +118,13 @@
 	return a, true
 }
 func (f *former) Sent(s ident.Server) { f.hand[s]++ }
-func (f *former) Back(now moment.Moment, e index.Entry, doubt, _ bool) {
+func (f *former) Back(now monotime.Time, e index.Entry, doubt, _ bool) {
 	f.hand[e.UID]--
 	if doubt {
 		f.bad[e.UID] = now.Add(time.Second)
 	}
 }
-func (f *former) TurnedAway(now moment.Moment, s ident.Server) { f.bad[s] = now.Add(250 * ms) }
+func (f *former) TurnedAway(now monotime.Time, s ident.Server) { f.bad[s] = now.Add(250 * ms) }
 
 // policy is what a model is run with.
 type policy struct {
@@ -170,7 +170,7 @@
 }
 
 type event struct {
-	at  moment.Moment
+	at  monotime.Time
 	seq int
 	do  func()
 }
@@ -189,7 +189,7 @@
 	kind       *kind
 	work       float64 // nanoseconds at speed 1
 	home       int
-	born, came moment.Moment
+	born, came monotime.Time
 	second     bool
 	early      bool // refused within a quarter of its aim
 	offered    bool
@@ -202,7 +202,7 @@
 	retry      time.Duration
 }
 
-func (c *call) until() moment.Moment { return c.born.Add(c.kind.until) }
+func (c *call) until() monotime.Time { return c.born.Add(c.kind.until) }
 
 // server is one endpoint.
 type server struct {
@@ -213,15 +213,15 @@
 	queue []*call
 	bay   *bay.Bay
 	wait  map[uint64]*call
-	went  map[uint64]moment.Moment
-	tick  moment.Moment
-	start moment.Moment
+	went  map[uint64]monotime.Time
+	tick  monotime.Time
+	start monotime.Time
 }
 
 type model struct {
 	day     day
 	pol     policy
-	now     moment.Moment
+	now     monotime.Time
 	queue   events
 	seq     int
 	rng     *rand.Rand
@@ -243,10 +243,10 @@
 )
 
 func run(d day, p policy, seed uint64) *tally {
-	m := &model{day: d, pol: p, now: moment.Moment(time.Second), rng: rand.New(rand.NewPCG(seed, 7)), coming: rand.New(rand.NewPCG(seed, 8)), byID: map[ident.Server]*server{},
+	m := &model{day: d, pol: p, now: monotime.Time(time.Second), rng: rand.New(rand.NewPCG(seed, 7)), coming: rand.New(rand.NewPCG(seed, 8)), byID: map[ident.Server]*server{},
 		tally: tally{byRank: map[int][2]float64{}, windows: map[int][2]float64{}}}
 	for i := range d.servers {
-		s := &server{n: i, speed: d.speeds[i%len(d.speeds)], wait: map[uint64]*call{}, went: map[uint64]moment.Moment{}}
+		s := &server{n: i, speed: d.speeds[i%len(d.speeds)], wait: map[uint64]*call{}, went: map[uint64]monotime.Time{}}
 		id := ident.Server(fmt.Sprintf("e%02d", i))
 		s.entry = index.Entry{Workload: &record.Workload{UID: id, Service: "s", Gate: ident.Addr(fmt.Sprint("g", i)), District: m.district(i), Weight: 1, Status: record.Healthy}}
 		if p.bay {
@@ -268,7 +268,7 @@
 	for i := range d.sides {
 		m.sides = append(m.sides, m.chooser(i, seed))
 	}
-	m.clients(moment.Moment(time.Second))
+	m.clients(monotime.Time(time.Second))
 	for len(m.queue) > 0 {
 		e := heap.Pop(&m.queue).(event)
 		m.now = e.at
@@ -294,7 +294,7 @@
 	case "blind":
 		return blind{rng}
 	case "former":
-		return &former{rng: rng, district: m.district(i), hand: map[ident.Server]int{}, bad: map[ident.Server]moment.Moment{}}
+		return &former{rng: rng, district: m.district(i), hand: map[ident.Server]int{}, bad: map[ident.Server]monotime.Time{}}
 	}
 	p := pick.New(m.district(i), seed*1000+uint64(i))
 	if m.pol.set != nil {
@@ -303,14 +303,14 @@
 	return p
 }
 
-func (m *model) at(t moment.Moment, do func()) {
+func (m *model) at(t monotime.Time, do func()) {
 	m.seq++
 	heap.Push(&m.queue, event{t, m.seq, do})
 }
 func (m *model) in(d time.Duration, do func()) { m.at(m.now.Add(d), do) }
 
 // clients makes the arrivals: a wave, clumps and a burst.
-func (m *model) clients(from moment.Moment) {
+func (m *model) clients(from monotime.Time) {
 	mean := 0.0
 	for _, k := range m.day.kinds {
 		mean += k.share * k.work.Seconds()
@@ -451,7 +451,7 @@
 	fail := m.rng.Float64()
 	end := "ok"
 	for _, t := range m.day.troubles {
-		if x := m.now.Since(moment.Moment(time.Second)); s.n < t.servers && x >= t.from && x < t.to {
+		if x := m.now.Since(monotime.Time(time.Second)); s.n < t.servers && x >= t.from && x < t.to {
 			w *= max(t.slow, 1)
 			if fail < t.fail {
 				w, end = w/10, "fail"
@@ -591,5 +591,5 @@
 		in[at] = [2]float64{x[0] + got, x[1] + k.worth}
 	}
 	add(m.tally.byRank, k.rank)
-	add(m.tally.windows, int(c.born.Since(moment.Moment(time.Second))/(2*time.Second)))
+	add(m.tally.windows, int(c.born.Since(monotime.Time(time.Second))/(2*time.Second)))
 }
--- a/mesh/bay/spot.go
+++ b/mesh/bay/spot.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/burden"
 )
 
@@ -26,7 +26,7 @@
 type spot struct {
 	set   *Settings
 	slots int
-	cold  moment.Moment
+	cold  monotime.Time
 	line  []Ask
 	hand  []held
 	// took over work is the pace; both fade by one in memory with each run. each is the
@@ -34,13 +34,13 @@
 	took, work float64
 	each       float64
 	ill        float64
-	trial      moment.Moment
+	trial      monotime.Time
 }
 
 type held struct {
 	id   uint64
 	work time.Duration
-	at   moment.Moment
+	at   monotime.Time
 }
 
 func newSpot(s *Settings) *spot {
@@ -70,7 +70,7 @@
 
 // pace is how many times as long the endpoint takes as the service's mean one, its start
 // aside. What has long been at it and has not come back counts too.
-func (t *spot) pace(now moment.Moment) float64 {
+func (t *spot) pace(now monotime.Time) float64 {
 	p := t.took / t.work
 	if len(t.hand) < 2 {
 		return p
@@ -87,7 +87,7 @@
 }
 
 // chill is how many times as long it takes since it has just started.
-func (t *spot) chill(now moment.Moment) float64 {
+func (t *spot) chill(now monotime.Time) float64 {
 	if t.cold.After(now) {
 		return max(t.set.Cold, 1)
 	}
@@ -103,13 +103,13 @@
 }
 
 // need is how long a request will take here.
-func (t *spot) need(now moment.Moment, work time.Duration) time.Duration {
+func (t *spot) need(now monotime.Time, work time.Duration) time.Duration {
 	return time.Duration(float64(t.size(work)) * t.pace(now) * t.chill(now))
 }
 
 // wait is how long one waits that has ahead of work before it in line. Invariant: 0 while
 // a slot is free.
-func (t *spot) wait(now moment.Moment, ahead time.Duration) time.Duration {
+func (t *spot) wait(now monotime.Time, ahead time.Duration) time.Duration {
 	if t.slots == 0 || len(t.hand) < t.slots {
 		return 0
 	}
@@ -124,7 +124,7 @@
 }
 
 // ahead is the work that goes before a request that comes now.
-func (t *spot) ahead(now moment.Moment, a Ask) (sum time.Duration) {
+func (t *spot) ahead(now monotime.Time, a Ask) (sum time.Duration) {
 	p := t.pace(now) * t.chill(now)
 	for _, x := range t.line[:t.place(a)] {
 		sum += t.size(x.Work)
@@ -139,7 +139,7 @@
 	return a.aim() < b.aim()
 }
 
-func (a *Ask) aim() moment.Moment {
+func (a *Ask) aim() monotime.Time {
 	if a.Aim == 0 {
 		return a.Until
 	}
@@ -160,7 +160,7 @@
 func (t *spot) put(a Ask) { t.line = slices.Insert(t.line, t.place(a), a) }
 
 // judge says why a request that comes now is to be turned away, if it is.
-func (t *spot) judge(now moment.Moment, a Ask) (Why, time.Duration) {
+func (t *spot) judge(now monotime.Time, a Ask) (Why, time.Duration) {
 	if t.slots == 0 {
 		return "", 0
 	}
@@ -194,14 +194,14 @@
 }
 
 // misses tells whether a request that begins so much later would miss its aim.
-func (t *spot) misses(now moment.Moment, a *Ask, later time.Duration) bool {
+func (t *spot) misses(now monotime.Time, a *Ask, later time.Duration) bool {
 	return now.Add(later).After(a.aim())
 }
 
 // hopeless says why one that has ahead of work before it is not to wait any longer.
 // While it may be turned away at no price it is once its aim would be missed; after that
 // only when its time would be over, or its aim is.
-func (t *spot) hopeless(now moment.Moment, a *Ask, ahead time.Duration) Why {
+func (t *spot) hopeless(now monotime.Time, a *Ask, ahead time.Duration) Why {
 	wait, work := t.wait(now, ahead), t.need(now, a.Work)
 	switch {
 	case now.Add(work / 4).After(a.Until), now >= a.aim():
@@ -216,7 +216,7 @@
 
 // look is when a waiting request must be looked at again: at the end of the time in which
 // it may be turned away at no price, and when it is late.
-func (t *spot) look(now moment.Moment, a *Ask) moment.Moment {
+func (t *spot) look(now monotime.Time, a *Ask) monotime.Time {
 	at := min(a.aim(), a.Until.Add(-t.need(now, a.Work)/4))
 	if a.Early.After(now) {
 		at = min(at, a.Early)
@@ -226,7 +226,7 @@
 
 // back is when a request that was turned away may come back: when what waits now has
 // gone. The ends of many are spread by their names, so that they don't come together.
-func (t *spot) back(now moment.Moment, a Ask) time.Duration {
+func (t *spot) back(now monotime.Time, a Ask) time.Duration {
 	sum := time.Duration(0)
 	for _, x := range t.line {
 		sum += t.size(x.Work)
@@ -239,7 +239,7 @@
 // next takes who goes now. While few wait it is, of those who can still be in time, the one
 // with the least time to spare, unless somebody of a higher rank would miss an aim for it.
 // Otherwise it is the first in line who can be in time, and if nobody can, the first.
-func (t *spot) next(now moment.Moment) Ask {
+func (t *spot) next(now monotime.Time) Ask {
 	p := t.pace(now) * t.chill(now)
 	need := func(a *Ask) time.Duration { return time.Duration(float64(t.size(a.Work)) * p) }
 	first, at, least := -1, -1, time.Duration(0)
@@ -265,7 +265,7 @@
 }
 
 // yields tells whether all of a higher rank than one in line can let it go first.
-func (t *spot) yields(now moment.Moment, at int, need func(*Ask) time.Duration) bool {
+func (t *spot) yields(now monotime.Time, at int, need func(*Ask) time.Duration) bool {
 	ahead := need(&t.line[at])
 	for i := range t.line[:at] {
 		a := &t.line[i]
@@ -284,11 +284,11 @@
 // verdicts is what each end tells of the endpoint's health; Over tells nothing.
 var verdicts = map[End]float64{Served: 0, Failed: 1}
 
-func (t *spot) begin(now moment.Moment, a Ask) {
+func (t *spot) begin(now monotime.Time, a Ask) {
 	t.hand = append(t.hand, held{a.ID, t.size(a.Work), now})
 }
 
-func (t *spot) done(now moment.Moment, id uint64, end End, took time.Duration) {
+func (t *spot) done(now monotime.Time, id uint64, end End, took time.Duration) {
 	i := slices.IndexFunc(t.hand, func(h held) bool { return h.id == id })
 	if i < 0 {
 		return
@@ -312,7 +312,7 @@
 // sick tells whether it fails more than its peers do.
 func (t *spot) sick(peers float64) bool { return t.ill > t.set.IllMost+1.5*peers }
 
-func (t *spot) burden(now moment.Moment) burden.Burden {
+func (t *spot) burden(now monotime.Time) burden.Burden {
 	sum := time.Duration(0)
 	for _, x := range t.line {
 		sum += t.size(x.Work)
--- a/mesh/burden/burden.go
+++ b/mesh/burden/burden.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 // Burden is the state of one endpoint as its gate sees it. Invariant: no field is
@@ -48,14 +48,14 @@
 }
 
 // Parse reads the header form; a text with other fields is malformed.
-func Parse(s string) (Burden, *defect.Defect) {
+func Parse(s string) (Burden, *failure.Error) {
 	var x [6]int
 	rest := s
 	for i := range x {
 		part, tail, more := strings.Cut(rest, ",")
 		n, err := strconv.ParseUint(part, 10, 32)
 		if err != nil || n > most || more != (i < len(x)-1) {
-			return Burden{}, defect.New(defect.Malformed, "a burden is six whole numbers")
+			return Burden{}, failure.New(failure.Malformed, "a burden is six whole numbers")
 		}
 		x[i], rest = int(n), tail
 	}
--- a/mesh/claim/joiner/joiner.go
+++ b/mesh/claim/joiner/joiner.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/lease/holder"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 )
@@ -31,19 +31,19 @@
 type Joiner struct {
 	Node     ident.Node
 	District ident.District
-	failed   map[ident.Addr]moment.Moment
-	next     moment.Moment
+	failed   map[ident.Addr]monotime.Time
+	next     monotime.Time
 	pause    time.Duration
 	tries    uint64
 }
 
 // New makes one for a sidecar.
 func New(node ident.Node, district ident.District) *Joiner {
-	return &Joiner{Node: node, District: district, failed: map[ident.Addr]moment.Moment{}}
+	return &Joiner{Node: node, District: district, failed: map[ident.Addr]monotime.Time{}}
 }
 
 // Wait is how long no join may begin.
-func (j *Joiner) Wait(now moment.Moment) time.Duration { return max(0, j.next.Since(now)) }
+func (j *Joiner) Wait(now monotime.Time) time.Duration { return max(0, j.next.Since(now)) }
 
 // Core chooses the core to ask next, "" if none is known. Places tell the districts of
 // those that a core has told of: the own district goes first.
@@ -69,14 +69,14 @@
 
 // Refused takes a core's word to come back after a while: until then no core is asked, for
 // what keeps one from granting leases keeps the others too.
-func (j *Joiner) Refused(now moment.Moment, core ident.Addr, after time.Duration) {
+func (j *Joiner) Refused(now monotime.Time, core ident.Addr, after time.Duration) {
 	j.tries++
 	j.failed[core] = now
 	j.next = now.Add(after + time.Duration(j.fraction()*float64(after)/4))
 }
 
 // Failed takes the failure of a core that did not say when to come back.
-func (j *Joiner) Failed(now moment.Moment, core ident.Addr) {
+func (j *Joiner) Failed(now monotime.Time, core ident.Addr) {
 	j.tries++
 	j.failed[core] = now
 	j.pause = min(max(2*j.pause, pauseLeast), pauseMost)
--- a/mesh/claim/joiner/joiner_test.go
+++ b/mesh/claim/joiner/joiner_test.go
@@ -8,11 +8,11 @@
 	"github.com/shoenig/test/must"
 
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 )
 
-const start = moment.Moment(time.Minute)
+const start = monotime.Time(time.Minute)
 
 func cores(n int) (all []ident.Addr, places []record.Place) {
 	for i := range n {
--- a/mesh/gate/gate.go
+++ b/mesh/gate/gate.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 )
 
@@ -58,9 +58,9 @@
 
 type entry struct {
 	Beat
-	at      moment.Moment
+	at      monotime.Time
 	gap     time.Duration // between beats, smoothed
-	sick    moment.Moment
+	sick    monotime.Time
 	status  record.Status
 	leaving bool
 	hand    int
@@ -74,9 +74,9 @@
 type Gate struct {
 	all   map[ident.Server]*entry
 	spots map[ident.Addr]ident.Server
-	off   map[ident.Server]moment.Moment
-	tick  moment.Moment
-	shy   moment.Moment
+	off   map[ident.Server]monotime.Time
+	tick  monotime.Time
+	shy   monotime.Time
 	stops bool // the machine stops: whoever beats now leaves with the rest
 	// Fenced says that an endpoint turns away what names another, so an old beat does no
 	// harm and a process that was held up may go on at once.
@@ -91,7 +91,7 @@
 
 // New makes a gate without endpoints.
 func New() *Gate {
-	return &Gate{all: map[ident.Server]*entry{}, spots: map[ident.Addr]ident.Server{}, off: map[ident.Server]moment.Moment{}}
+	return &Gate{all: map[ident.Server]*entry{}, spots: map[ident.Addr]ident.Server{}, off: map[ident.Server]monotime.Time{}}
 }
 
 // Every sets how often endpoints beat, where they keep a pace of their own.
@@ -107,26 +107,26 @@
 }
 
 // states is the table of what each state of a beat does.
-var states = map[State]func(*Gate, moment.Moment, Beat) Change{Alive: (*Gate).alive, Leaving: (*Gate).leave, Gone: (*Gate).signOff}
+var states = map[State]func(*Gate, monotime.Time, Beat) Change{Alive: (*Gate).alive, Leaving: (*Gate).leave, Gone: (*Gate).signOff}
 
 // held tells whether this process was held up just now, so that what it hears may
 // be old. Invariant: an old beat never makes a server well.
-func (g *Gate) held(now moment.Moment) bool {
+func (g *Gate) held(now monotime.Time) bool {
 	return !g.Fenced && (g.shy.After(now) || g.tick != 0 && now.Since(g.tick) > pause)
 }
 
 // Take takes a beat.
-func (g *Gate) Take(now moment.Moment, b Beat) (Change, *defect.Defect) {
+func (g *Gate) Take(now monotime.Time, b Beat) (Change, *failure.Error) {
 	take, ok := states[b.State]
 	if g.held(now) && b.State == Alive {
 		g.Stale++
 		return Change{}, nil
 	}
 	if !ok {
-		return Change{}, defect.New(defect.Invalid, "state must be alive, leaving or gone")
+		return Change{}, failure.New(failure.Invalid, "state must be alive, leaving or gone")
 	}
 	if b.Server == "" || b.State != Gone && (b.Service == "" || b.Addr == "") {
-		return Change{}, defect.New(defect.Invalid, "a beat needs serverId, service and address")
+		return Change{}, failure.New(failure.Invalid, "a beat needs serverId, service and address")
 	}
 	if e := g.all[b.Server]; e != nil && b.Seq != 0 && b.Seq <= e.Seq {
 		return Change{}, nil
@@ -134,7 +134,7 @@
 	return take(g, now, b), nil
 }
 
-func (g *Gate) alive(now moment.Moment, b Beat) (c Change) {
+func (g *Gate) alive(now monotime.Time, b Beat) (c Change) {
 	if at, off := g.off[b.Server]; off && now.Since(at) < gone {
 		return c
 	}
@@ -172,7 +172,7 @@
 
 func far(a, b float64) bool { return a-b > 0.1 || b-a > 0.1 }
 
-func (g *Gate) leave(now moment.Moment, b Beat) Change {
+func (g *Gate) leave(now monotime.Time, b Beat) Change {
 	var c Change
 	if !g.held(now) {
 		c = g.alive(now, b)
@@ -188,7 +188,7 @@
 	return c
 }
 
-func (g *Gate) signOff(now moment.Moment, b Beat) Change {
+func (g *Gate) signOff(now monotime.Time, b Beat) Change {
 	g.off[b.Server] = now
 	if g.all[b.Server] == nil {
 		return Change{}
@@ -216,7 +216,7 @@
 	return min(SilentMost, max(Silent, e.gap*9/5))
 }
 
-func (e *entry) well(now moment.Moment) record.Status {
+func (e *entry) well(now monotime.Time) record.Status {
 	switch {
 	case !e.open && (now.Since(e.at) > e.silent() || e.sick.After(now)):
 		return record.Unhealthy
@@ -227,7 +227,7 @@
 }
 
 // Tick forgets the silent.
-func (g *Gate) Tick(now moment.Moment) (c Change) {
+func (g *Gate) Tick(now monotime.Time) (c Change) {
 	if g.tick != 0 && now.Since(g.tick) > pause {
 		g.shy = now.Add(shy)
 		for s, at := range g.off { // time that was not watched, or never was, does not count
@@ -269,20 +269,20 @@
 
 // Pass is asked just before a request goes to the endpoint, and again just before
 // its first byte. Fresh is until when the first byte may go.
-func (g *Gate) Pass(now moment.Moment, s ident.Server, svc ident.Service) (addr ident.Addr, fresh moment.Moment, d *defect.Defect) {
+func (g *Gate) Pass(now monotime.Time, s ident.Server, svc ident.Service) (addr ident.Addr, fresh monotime.Time, d *failure.Error) {
 	e := g.all[s]
 	if g.Open && e != nil {
 		return e.Addr, now.Add(Silent), nil
 	}
 	switch {
 	case g.held(now):
-		d = defect.New(defect.Gate, "this machine was held up")
+		d = failure.New(failure.Gate, "this machine was held up")
 	case e == nil:
-		d = defect.New(defect.Gate, "server %q is not here", s)
+		d = failure.New(failure.Gate, "server %q is not here", s)
 	case e.Service != svc:
-		d = defect.New(defect.Gate, "server %q does not serve %q", s, svc)
+		d = failure.New(failure.Gate, "server %q does not serve %q", s, svc)
 	case e.well(now) != record.Healthy:
-		d = defect.New(defect.Gate, "server %q is %s", s, e.well(now))
+		d = failure.New(failure.Gate, "server %q is %s", s, e.well(now))
 	}
 	if d != nil {
 		g.TurnedAway++
@@ -293,7 +293,7 @@
 }
 
 // Failed says that the endpoint took no connection.
-func (g *Gate) Failed(now moment.Moment, s ident.Server) Change {
+func (g *Gate) Failed(now monotime.Time, s ident.Server) Change {
 	e := g.all[s]
 	if e == nil {
 		return Change{}
@@ -307,7 +307,7 @@
 }
 
 // Leave marks every endpoint as leaving: the machine stops.
-func (g *Gate) Leave(now moment.Moment) Change {
+func (g *Gate) Leave(now monotime.Time) Change {
 	g.stops = true
 	for _, e := range g.all {
 		e.leaving = true
--- a/mesh/gate/gate_test.go
+++ b/mesh/gate/gate_test.go
@@ -7,11 +7,11 @@
 	"github.com/shoenig/test/must"
 
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 )
 
-func at(d time.Duration) moment.Moment { return moment.Moment(time.Second + d) }
+func at(d time.Duration) monotime.Time { return monotime.Time(time.Second + d) }
 
 func beat(s ident.Server, svc ident.Service, addr ident.Addr, st State) Beat {
 	return Beat{Server: s, Service: svc, Addr: addr, State: st}
--- a/mesh/lease/holder/budgetshare.go
+++ b/mesh/lease/holder/budgetshare.go
@@ -5,7 +5,7 @@
 
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/allowance"
 )
 
@@ -24,14 +24,14 @@
 	granted     int
 	usable      int
 	fair        int
-	loweredAt   moment.Moment
+	loweredAt   monotime.Time
 	seq         uint64
 	outstanding bool
-	askedAt     moment.Moment
+	askedAt     monotime.Time
 }
 
 // Begin takes the first grant of a lease.
-func (p *BudgetShare) Begin(now moment.Moment, t share.Told) {
+func (p *BudgetShare) Begin(now monotime.Time, t share.Told) {
 	*p = BudgetShare{Terms: p.Terms, total: p.least(t), granted: t.N, usable: min(t.N, t.Fair), fair: t.Fair, askedAt: now, loweredAt: now}
 }
 
@@ -49,13 +49,13 @@
 
 // Members tells how many sidecars a core sees now; more of them lower what is used at
 // once.
-func (p *BudgetShare) Members(now moment.Moment, n int) {
+func (p *BudgetShare) Members(now monotime.Time, n int) {
 	p.fair = share.Fair(p.total, n)
 	p.lower(now)
 }
 
 // lower uses no more than the fair share, from now on.
-func (p *BudgetShare) lower(now moment.Moment) {
+func (p *BudgetShare) lower(now monotime.Time) {
 	if p.fair < p.usable {
 		p.usable, p.loweredAt = p.fair, now
 	}
@@ -63,7 +63,7 @@
 
 // Ask gives the question to send to a core now, if there is one: a promise to use
 // less, or the wish for more.
-func (p *BudgetShare) Ask(now moment.Moment, node ident.Node, leaseEpoch ident.Epoch) (share.Args, bool) {
+func (p *BudgetShare) Ask(now monotime.Time, node ident.Node, leaseEpoch ident.Epoch) (share.Args, bool) {
 	if p.outstanding && now.Since(p.askedAt) < askTimeout {
 		return share.Args{}, false
 	}
@@ -79,7 +79,7 @@
 }
 
 // Granted takes the response to a question; only that to the newest counts.
-func (p *BudgetShare) Granted(now moment.Moment, t share.Told) {
+func (p *BudgetShare) Granted(now monotime.Time, t share.Told) {
 	if t.Seq != p.seq || !p.outstanding {
 		return
 	}
--- a/mesh/lease/holder/budgetshare_test.go
+++ b/mesh/lease/holder/budgetshare_test.go
@@ -9,11 +9,11 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // Forty sidecars join one after the other; questions and responses are lost, late,
@@ -23,16 +23,16 @@
 	for seed := range uint64(40) {
 		rng := rand.New(rand.NewPCG(seed, 9))
 		var value json.RawMessage
-		mach := share.Deeds()
+		mach := share.Handlers()
 		do := func(a share.Args) (told share.Told, ok bool) {
-			v := mach.Apply(proposer.Context{}, value, proposer.Operation{Kind: "share/take", Args: book.JSON(a)})
+			v := mach.Apply(proposer.Context{}, value, proposer.Operation{Kind: "share/take", Args: operation.Encode(a)})
 			if v.Changed {
 				value = v.Value
 			}
-			return told, v.Defect == nil && json.Unmarshal(v.Body, &told) == nil
+			return told, v.Failure == nil && json.Unmarshal(v.Body, &told) == nil
 		}
 		type late struct {
-			at moment.Moment
+			at monotime.Time
 			do func()
 		}
 		var post []late
@@ -40,7 +40,7 @@
 		peak := map[int][]int{} // what each could use, by tenth of a second
 		const all = 40
 		for tenth := 0; tenth < 3000; tenth++ {
-			now := moment.Moment(tenth+10) * moment.Moment(100*time.Millisecond)
+			now := monotime.Time(tenth+10) * monotime.Time(100*time.Millisecond)
 			if n := len(parts); n < all && tenth%(1+rng.IntN(40)) == 0 {
 				p := &BudgetShare{}
 				told, ok := do(share.Args{Node: ident.Node(fmt.Sprint(n)), Claim: 1})
--- a/mesh/lease/holder/holder.go
+++ b/mesh/lease/holder/holder.go
@@ -10,7 +10,7 @@
 
 	"cottonarch.example/cottonarch/control/rollout/drive"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 )
 
@@ -32,14 +32,14 @@
 
 // avoidance is what is held against a core; silent, that it said nothing at all.
 type avoidance struct {
-	until  moment.Moment
+	until  monotime.Time
 	span   time.Duration
 	silent bool
 }
 
 type sentRenewal struct {
 	renewal uint64
-	at      moment.Moment
+	at      monotime.Time
 }
 
 // Holder renews at one core, the registrar, which tells the others. Invariants: no renewal
@@ -57,12 +57,12 @@
 	view         string
 	avoidances   map[ident.Addr]avoidance
 	others       []ident.Addr
-	tried        map[ident.Addr]moment.Moment
+	tried        map[ident.Addr]monotime.Time
 	outstanding  int
-	lastSent     moment.Moment // when the last renewal was sent
+	lastSent     monotime.Time // when the last renewal was sent
 	renewals     uint64
 	sent         []sentRenewal
-	majorityAsOf moment.Moment
+	majorityAsOf monotime.Time
 	// What the registrar has: reportHeldBy says of whom it has the report, ends what it counted.
 	reportHeldBy ident.Addr
 	leaseEpoch   ident.Epoch
@@ -73,12 +73,12 @@
 
 // New makes one that was never renewed.
 func New() *Holder {
-	return &Holder{avoidances: map[ident.Addr]avoidance{}, tried: map[ident.Addr]moment.Moment{}}
+	return &Holder{avoidances: map[ident.Addr]avoidance{}, tried: map[ident.Addr]monotime.Time{}}
 }
 
 // ChooseRegistrar chooses the core to renew at and to follow, of those known; "" when there is
 // none. Cores of the own district go first, then each sidecar has its own order.
-func (h *Holder) ChooseRegistrar(now moment.Moment, node ident.Node, home ident.District, cores []ident.Addr) ident.Addr {
+func (h *Holder) ChooseRegistrar(now monotime.Time, node ident.Node, home ident.District, cores []ident.Addr) ident.Addr {
 	at := map[ident.Addr]ident.District{}
 	for _, p := range h.places {
 		at[p.Addr] = p.District
@@ -86,7 +86,7 @@
 	type rank struct {
 		addr   ident.Addr
 		bad    int // 1 when it is avoided, 2 when it is silent
-		tried  moment.Moment
+		tried  monotime.Time
 		class  int
 		weight uint64
 	}
@@ -153,18 +153,18 @@
 }
 
 // Due tells whether a renewal is to be sent now.
-func (h *Holder) Due(now moment.Moment, news bool) bool {
+func (h *Holder) Due(now monotime.Time, news bool) bool {
 	return h.outstanding == 0 && (news || h.lastSent == 0 || now.Since(h.lastSent) >= RenewEvery || h.renewNow && !h.avoided)
 }
 
 // Wait is how long nothing is due unless there is news.
-func (h *Holder) Wait(now moment.Moment) time.Duration {
+func (h *Holder) Wait(now monotime.Time) time.Duration {
 	return max(0, RenewEvery-now.Since(h.lastSent))
 }
 
 // Begin makes the renewal that is sent now to the registrar. r.Seq must have risen when
 // there is news.
-func (h *Holder) Begin(now moment.Moment, r record.Report, ends map[ident.Service]drive.Ends) record.Renewal {
+func (h *Holder) Begin(now monotime.Time, r record.Report, ends map[ident.Service]drive.Ends) record.Renewal {
 	h.renewals++
 	h.outstanding, h.renewNow, h.lastSent = 1+len(h.others), false, now
 	for _, a := range h.Targets() {
@@ -199,7 +199,7 @@
 }
 
 // Renewed takes a core's response to the renewal that is out.
-func (h *Holder) Renewed(now moment.Moment, from ident.Addr, got record.Renewed) {
+func (h *Holder) Renewed(now monotime.Time, from ident.Addr, got record.Renewed) {
 	h.outstanding--
 	h.LearnCores(got.View, got.Cores)
 	for _, b := range h.sent {
@@ -227,7 +227,7 @@
 }
 
 // Failed says that the renewal that is out came to nothing at a core.
-func (h *Holder) Failed(now moment.Moment, from ident.Addr) {
+func (h *Holder) Failed(now monotime.Time, from ident.Addr) {
 	h.outstanding--
 	h.reportHeldBy, h.renewNow, h.lastFailed = "", true, true
 	h.avoid(now, from, true)
@@ -242,7 +242,7 @@
 	h.reportHeldBy = ""
 }
 
-func (h *Holder) avoid(now moment.Moment, a ident.Addr, mute bool) {
+func (h *Holder) avoid(now monotime.Time, a ident.Addr, mute bool) {
 	f := h.avoidances[a]
 	f.silent = mute
 	f.span = min(max(2*f.span, minAvoidance), maxAvoidance)
@@ -267,4 +267,4 @@
 
 // MajorityAsOf is the newest time at which a renewal was sent that a majority of the voters
 // has heard of, 0 if none.
-func (h *Holder) MajorityAsOf() moment.Moment { return h.majorityAsOf }
+func (h *Holder) MajorityAsOf() monotime.Time { return h.majorityAsOf }
--- a/mesh/lease/holder/holder_test.go
+++ b/mesh/lease/holder/holder_test.go
@@ -7,7 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/lease/table"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 )
@@ -15,22 +15,22 @@
 // rig drives a holder against cores that answer, refuse, say nothing or are stale.
 type rig struct {
 	holder    *Holder
-	now       moment.Moment
+	now       monotime.Time
 	cores     []ident.Addr
 	behaviour map[ident.Addr]string
 	sent      []ident.Addr
-	lastTaken moment.Moment // last renewal that a core took
+	lastTaken monotime.Time // last renewal that a core took
 	gap       time.Duration // the longest without one
 	out       []end
 }
 
 type end struct {
-	at moment.Moment
+	at monotime.Time
 	do func()
 }
 
 func newRig() *rig {
-	r := &rig{holder: New(), now: moment.Moment(time.Second), cores: []ident.Addr{"a:1", "b:1", "c:1", "d:1"}, behaviour: map[ident.Addr]string{}}
+	r := &rig{holder: New(), now: monotime.Time(time.Second), cores: []ident.Addr{"a:1", "b:1", "c:1", "d:1"}, behaviour: map[ident.Addr]string{}}
 	r.lastTaken = r.now
 	return r
 }
@@ -119,20 +119,20 @@
 // What a majority has taken is reckoned from when that renewal was sent, whatever order
 // the words of it come in.
 func TestMajorityNeverGoesBack(t *testing.T) {
-	sent := []moment.Moment{}
+	sent := []monotime.Time{}
 	h := New()
 	for n := range 4 {
-		now := moment.Moment(time.Second) * moment.Moment(n+1)
+		now := monotime.Time(time.Second) * monotime.Time(n+1)
 		h.ChooseRegistrar(now, "n", "y", []ident.Addr{"a:1"})
 		h.Begin(now, record.Report{Node: "n", LeaseEpoch: 1, Seq: 1}, nil)
 		sent = append(sent, now)
 		h.Renewed(now, "a:1", record.Renewed{})
 	}
-	must.Eq(t, moment.Moment(0), h.MajorityAsOf())
+	must.Eq(t, monotime.Time(0), h.MajorityAsOf())
 	for n := range 256 {
-		x, top := *h, moment.Moment(0)
+		x, top := *h, monotime.Time(0)
 		for _, i := range []int{n % 4, n / 4 % 4, n / 16 % 4, n / 64} {
-			x.Renewed(moment.Moment(time.Minute), "a:1", record.Renewed{Took: uint64(i + 1)})
+			x.Renewed(monotime.Time(time.Minute), "a:1", record.Renewed{Took: uint64(i + 1)})
 			top = max(top, sent[i])
 			must.Eq(t, top, x.MajorityAsOf())
 		}
--- a/mesh/lease/table/ends.go
+++ b/mesh/lease/table/ends.go
@@ -5,7 +5,7 @@
 
 	"cottonarch.example/cottonarch/control/rollout/drive"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 )
 
@@ -39,7 +39,7 @@
 
 // count adds what a node's sums grew by since its last renewal here; a new lease begins
 // at nought, and the first that is heard of a node, or is heard again, only sets the base.
-func (t *Table) count(now moment.Moment, s *entry, r record.Renewal) {
+func (t *Table) count(now monotime.Time, s *entry, r record.Renewal) {
 	if r.Ends == nil {
 		return
 	}
--- a/mesh/lease/table/registrar.go
+++ b/mesh/lease/table/registrar.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 )
 
@@ -31,7 +31,7 @@
 type registrar struct {
 	leases    map[ident.Node]leaseVersion
 	sum       uint64
-	lastHeard moment.Moment
+	lastHeard monotime.Time
 }
 
 func (r *registrar) add(n ident.Node, m leaseVersion) {
@@ -126,7 +126,7 @@
 
 // Heartbeat takes a registrar's heartbeat: all that it lists live. It is false when the list held
 // here is not the one meant.
-func (t *Table) Heartbeat(now moment.Moment, from ident.Addr, sum uint64) bool {
+func (t *Table) Heartbeat(now monotime.Time, from ident.Addr, sum uint64) bool {
 	k := t.registrars[from]
 	if k == nil {
 		k = &registrar{leases: map[ident.Node]leaseVersion{}}
@@ -141,7 +141,7 @@
 
 // ApplyUpdate takes what a registrar tells of its sidecars. It says whether a feed must tell of it,
 // and whether it fitted what is held here.
-func (t *Table) ApplyUpdate(now moment.Moment, from ident.Addr, in Update) (changed, fits bool) {
+func (t *Table) ApplyUpdate(now monotime.Time, from ident.Addr, in Update) (changed, fits bool) {
 	k := t.registrars[from]
 	switch {
 	case k == nil && (in.Whole || in.Base == 0):
@@ -205,7 +205,7 @@
 
 // holds tells whether the node's lease holds: it renewed here, or a registrar that is heard
 // lists it.
-func (t *Table) holds(now moment.Moment, n ident.Node, s *entry) bool {
+func (t *Table) holds(now monotime.Time, n ident.Node, s *entry) bool {
 	if s.lastRenewal != 0 && now.Since(s.lastRenewal) <= LeaseTTL {
 		return true
 	}
@@ -223,7 +223,7 @@
 }
 
 // lastSign is the last sign of the node, by any way.
-func (t *Table) lastSign(n ident.Node, s *entry) moment.Moment {
+func (t *Table) lastSign(n ident.Node, s *entry) monotime.Time {
 	at := max(s.lastHeard, s.lastRenewal)
 	for _, k := range t.registrars {
 		if _, ok := k.leases[n]; ok {
--- a/mesh/lease/table/table.go
+++ b/mesh/lease/table/table.go
@@ -9,9 +9,9 @@
 
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/rollout/drive"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 )
 
@@ -37,8 +37,8 @@
 // sign of it by any way that was written down; registrar is a registrar that lists it.
 type entry struct {
 	report      record.Report
-	lastHeard   moment.Moment
-	lastRenewal moment.Moment
+	lastHeard   monotime.Time
+	lastRenewal monotime.Time
 	registrar   *registrar
 	lapsed      bool
 	changedAt   uint64
@@ -57,7 +57,7 @@
 	services          record.Set
 	servicesChangedAt uint64 // the change at which the manifest's set was last built
 	change            uint64
-	lastCheck         moment.Moment
+	lastCheck         monotime.Time
 	sums              sums
 	local             registrar // the sidecars that renew here
 	pendingUpdates    map[ident.Node]bool
@@ -89,11 +89,11 @@
 }
 
 // Renew takes a renewal.
-func (t *Table) Renew(now moment.Moment, r record.Renewal) (RenewalResult, *defect.Defect) {
+func (t *Table) Renew(now monotime.Time, r record.Renewal) (RenewalResult, *failure.Error) {
 	s := t.entries[r.Node]
 	switch {
 	case s != nil && r.LeaseEpoch < s.report.LeaseEpoch:
-		return RenewalResult{}, defect.New(defect.Conflict, "claim %d of %s is superseded by %d", r.LeaseEpoch, r.Node, s.report.LeaseEpoch)
+		return RenewalResult{}, failure.New(failure.Conflict, "claim %d of %s is superseded by %d", r.LeaseEpoch, r.Node, s.report.LeaseEpoch)
 	case s != nil && r.LeaseEpoch == s.report.LeaseEpoch && r.Seq < s.report.Seq:
 		return RenewalResult{}, nil // late: says nothing new and renews nothing
 	case r.Report == nil && (s == nil || r.LeaseEpoch != s.report.LeaseEpoch || r.Seq != s.report.Seq):
@@ -163,7 +163,7 @@
 }
 
 // Tick lets leases lapse; it says whether any did.
-func (t *Table) Tick(now moment.Moment) (changed bool) {
+func (t *Table) Tick(now monotime.Time) (changed bool) {
 	if now.Since(t.lastCheck) < checkEvery {
 		return false
 	}
@@ -248,7 +248,7 @@
 }
 
 // Silent picks those of the nodes that were not heard within Quiet, by any way.
-func (t *Table) Silent(now moment.Moment, nodes []ident.Node) []ident.Node {
+func (t *Table) Silent(now monotime.Time, nodes []ident.Node) []ident.Node {
 	var out []ident.Node
 	for _, n := range nodes {
 		s := t.entries[n]
--- a/mesh/line/line.go
+++ b/mesh/line/line.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // Line is the step function. Invariants: neither queue grows over its size; no more than
@@ -38,7 +38,7 @@
 
 // Offer puts a request in line, or turns it away at once: the queue is full, or its time
 // would be over before its turn.
-func (l *Line[T]) Offer(now moment.Moment, item T, urgent bool, until moment.Moment) bool {
+func (l *Line[T]) Offer(now monotime.Time, item T, urgent bool, until monotime.Time) bool {
 	urgent = urgent && !l.Level
 	q, wide := &l.normal, l.open()
 	if urgent {
--- a/mesh/line/line_test.go
+++ b/mesh/line/line_test.go
@@ -5,11 +5,11 @@
 	"testing"
 	"time"
 
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"github.com/shoenig/test/must"
 )
 
-const start = moment.Moment(time.Second)
+const start = monotime.Time(time.Second)
 
 // Every order of eight offers, takes and ends: no queue and no sender is used over its
 // bound, an urgent request never waits while a sender is free, and requests of one kind
--- a/mesh/link/link.go
+++ b/mesh/link/link.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 const (
@@ -30,7 +30,7 @@
 	rate     float64 // bytes a second, 0 is unknown and bounds nothing
 	queued   float64
 	expected float64
-	at       moment.Moment
+	at       monotime.Time
 }
 
 // New makes the link of a machine that carries so many bytes a second, 0 for unknown.
@@ -38,7 +38,7 @@
 
 // Admit decides on a request whose answer is expected to have so many bytes. An admitted one
 // must be ended with Sent; a refused one may come back after retryAfter.
-func (l *Link) Admit(now moment.Moment, bytes int, must bool) (retryAfter time.Duration, ok bool) {
+func (l *Link) Admit(now monotime.Time, bytes int, must bool) (retryAfter time.Duration, ok bool) {
 	if l.rate <= 0 {
 		return 0, true
 	}
@@ -57,7 +57,7 @@
 
 // Sent ends an admitted request: so many bytes were expected, and so many were sent, 0 for
 // none.
-func (l *Link) Sent(now moment.Moment, expected, bytes int) {
+func (l *Link) Sent(now monotime.Time, expected, bytes int) {
 	if l.rate <= 0 {
 		return
 	}
@@ -69,7 +69,7 @@
 }
 
 // Wait is how long what is sent now waits at the link, by the estimate.
-func (l *Link) Wait(now moment.Moment) time.Duration {
+func (l *Link) Wait(now monotime.Time) time.Duration {
 	if l.rate <= 0 {
 		return 0
 	}
@@ -78,7 +78,7 @@
 }
 
 // carry takes out what the link has carried since the last step.
-func (l *Link) carry(now moment.Moment) {
+func (l *Link) carry(now monotime.Time) {
 	if now.After(l.at) {
 		l.queued = max(0, l.queued-l.rate*now.Since(l.at).Seconds())
 		l.at = now
--- a/mesh/link/link_test.go
+++ b/mesh/link/link_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 const (
@@ -15,7 +15,7 @@
 	answer  = 90_000
 )
 
-func at(d time.Duration) moment.Moment { return moment.Moment(time.Second + d) }
+func at(d time.Duration) monotime.Time { return monotime.Time(time.Second + d) }
 
 // The first large answer is admitted whatever its size; while it is expected, no other is
 // that would wait too long, and what was refused is admitted when it was told to come back.
@@ -64,7 +64,7 @@
 		rate := 11 * megabit
 		l := New(rate)
 		queued, longest, carried := 0.0, 0.0, 0.0
-		running := map[moment.Moment][]int{}
+		running := map[monotime.Time][]int{}
 		step := 2 * time.Millisecond
 		for now := at(0); now < at(20*time.Second); now = now.Add(step) {
 			took := min(queued, rate*step.Seconds())
--- a/mesh/path/path.go
+++ b/mesh/path/path.go
@@ -9,9 +9,9 @@
 
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/rollout/drive"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/allowance"
 	"cottonarch.example/cottonarch/mesh/burden"
 	"cottonarch.example/cottonarch/mesh/pick"
@@ -42,7 +42,7 @@
 	Host, Path, Method, Caller string
 	// Session, when given, keeps the calls of one session on one side of a split.
 	Session string
-	Until   moment.Moment
+	Until   monotime.Time
 
 	Way     check.Way
 	Service check.Service
@@ -57,7 +57,7 @@
 	repeat  float64 // the chance that the whole call is one of a run repeated
 	risk    bool
 	shed    bool
-	last    *defect.Defect
+	last    *failure.Error
 	now     index.Entry
 }
 
@@ -75,7 +75,7 @@
 	Repeat  float64
 	Entry   index.Entry
 	Limit   time.Duration
-	Defect  *defect.Defect
+	Failure *failure.Error
 	// Work, Peers and Must are for the bay at the destination; see bay.Ask. Bytes is what a
 	// return of the way has had on the mean, for the link there.
 	Work  time.Duration
@@ -89,7 +89,7 @@
 // the endpoint, which turned it away itself; of the other verdicts it is taken for granted.
 type End struct {
 	Verdict Verdict
-	Defect  *defect.Defect
+	Failure *failure.Error
 	Turned  bool
 	Lost    bool
 	Arrived bool
@@ -122,7 +122,7 @@
 }
 
 // New makes a path without a manifest.
-func New(now moment.Moment, district ident.District, seed uint64, terms allowance.Terms) *Path {
+func New(now monotime.Time, district ident.District, seed uint64, terms allowance.Terms) *Path {
 	return &Path{Index: index.New(), Picker: pick.New(district, seed), Tree: allowance.New(now, terms), ways: way.Build(nil), ends: map[ident.Service]drive.Ends{}}
 }
 
@@ -150,9 +150,9 @@
 }
 
 // Way finds a call's way and sets its limit.
-func (p *Path) Way(now moment.Moment, c *Call, asked time.Duration) *defect.Defect {
+func (p *Path) Way(now monotime.Time, c *Call, asked time.Duration) *failure.Error {
 	if p.manifest == nil {
-		return defect.New(defect.NotReady, "no manifest is in force yet").Later(soon)
+		return failure.New(failure.NotReady, "no manifest is in force yet").Later(soon)
 	}
 	w, d := p.ways.Find(c.Host, c.Path)
 	if d != nil {
@@ -178,7 +178,7 @@
 // side chooses the service of a split way. The new services have the low parts,
 // so as their parts grow a session moves once and not back. A side without any well
 // workload is passed over.
-func (p *Path) side(now moment.Moment, c *Call, w check.Way) ident.Service {
+func (p *Path) side(now monotime.Time, c *Call, w check.Way) ident.Service {
 	if len(w.Split) == 0 {
 		return w.Service
 	}
@@ -201,10 +201,10 @@
 }
 
 // Next chooses the next try, or ends the call. Giving up is said at once.
-func (p *Path) Next(now moment.Moment, c *Call) Choice {
+func (p *Path) Next(now monotime.Time, c *Call) Choice {
 	left := c.Until.Since(now)
 	if left < least {
-		return p.give(c, defect.New(defect.Late, "the time for the request is over"))
+		return p.give(c, failure.New(failure.Late, "the time for the request is over"))
 	}
 	if c.arrived >= c.Way.Tries || c.free > freeMost {
 		return p.give(c, c.last)
@@ -214,7 +214,7 @@
 		if c.last != nil {
 			return p.give(c, c.last)
 		}
-		return p.give(c, defect.New(defect.NoWorkload, "no well endpoint of %q", c.Way.Service).Later(soon))
+		return p.give(c, failure.New(failure.NoWorkload, "no well endpoint of %q", c.Way.Service).Later(soon))
 	}
 	further, repeat := c.arrived > 0, c.repeat
 	if further {
@@ -235,7 +235,7 @@
 }
 
 // Ended takes the end of the try that was out; again says whether another may follow.
-func (p *Path) Ended(now moment.Moment, c *Call, e End) (again bool) {
+func (p *Path) Ended(now monotime.Time, c *Call, e End) (again bool) {
 	if e.Verdict != NotRun || e.Arrived {
 		c.arrived++
 		c.paid = false
@@ -259,14 +259,14 @@
 	}
 	c.shed = c.shed || e.Shed
 	// A repeat that finds no room at a gate says nothing of the endpoint behind it.
-	if e.Turned && !e.Shed && !(c.paid && e.Defect != nil && e.Defect.Kind == defect.Busy) {
+	if e.Turned && !e.Shed && !(c.paid && e.Failure != nil && e.Failure.Kind == failure.Busy) {
 		p.Picker.TurnedAway(now, c.now.UID)
 	}
 	if e.Verdict == Ran {
 		// A failure of the endpoint's own ran; only what may run again goes elsewhere.
 		return e.Bad && c.Safe()
 	}
-	c.last = e.Defect
+	c.last = e.Failure
 	if e.Verdict == Unsure {
 		c.risk = true
 		return c.Safe() || p.Reckless
@@ -274,24 +274,24 @@
 	return true
 }
 
-// Final is the defect to end the call with, its fate as known.
-func (p *Path) Final(c *Call) *defect.Defect { return p.give(c, c.last).Defect }
+// Final is the failure to end the call with, its fate as known.
+func (p *Path) Final(c *Call) *failure.Error { return p.give(c, c.last).Failure }
 
-func (p *Path) give(c *Call, d *defect.Defect) Choice {
+func (p *Path) give(c *Call, d *failure.Error) Choice {
 	p.GaveUp++
 	if d == nil {
-		d = defect.New(defect.NoWorkload, "no try could be made")
+		d = failure.New(failure.NoWorkload, "no try could be made")
 	}
 	end := *d
-	end.Fate = defect.FateNo
+	end.Outcome = failure.NotExecuted
 	if c.risk {
-		end.Fate = defect.FateUnknown
-		if end.Code() == 503 {
-			end.Kind = defect.LostReturn
+		end.Outcome = failure.OutcomeUnknown
+		if end.Status() == 503 {
+			end.Kind = failure.LostResponse
 		}
 	}
-	if end.Retry == 0 && (end.Fate == defect.FateNo || c.Safe()) && end.Kind != defect.NoWay {
-		end.Retry = soon
+	if end.RetryAfter == 0 && (end.Outcome == failure.NotExecuted || c.Safe()) && end.Kind != failure.NoRoute {
+		end.RetryAfter = soon
 	}
-	return Choice{Defect: &end}
+	return Choice{Failure: &end}
 }
--- a/mesh/path/path_test.go
+++ b/mesh/path/path_test.go
@@ -8,14 +8,14 @@
 	"github.com/shoenig/test/must"
 
 	"cottonarch.example/cottonarch/control/manifest/check"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/allowance"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 )
 
-const start = moment.Moment(time.Second)
+const start = monotime.Time(time.Second)
 
 func ready(split ...check.Split) *Path {
 	p := New(start, "d", 1, allowance.Terms{})
@@ -44,8 +44,8 @@
 			unsure, seen := false, map[ident.Server]bool{}
 			for i := 0; ; i++ {
 				ch := p.Next(start.Add(time.Duration(i)*time.Millisecond), c)
-				if ch.Defect != nil {
-					must.Eq(t, unsure, ch.Defect.Fate == defect.FateUnknown, must.Sprintf("%s %d: fate %s", method, n, ch.Defect.Fate))
+				if ch.Failure != nil {
+					must.Eq(t, unsure, ch.Failure.Outcome == failure.OutcomeUnknown, must.Sprintf("%s %d: fate %s", method, n, ch.Failure.Outcome))
 					break
 				}
 				must.False(t, unsure && method == "POST", must.Sprintf("%d: an unknown POST was tried again", n))
@@ -53,14 +53,14 @@
 				seen[ch.Entry.UID] = true
 				v := kinds[n/[]int{1, 3, 9}[i]%3]
 				unsure = unsure || v == Unsure
-				again := p.Ended(start.Add(time.Duration(i)*time.Millisecond), c, End{Verdict: v, Defect: &defect.Defect{Kind: defect.LostReturn, Fate: defect.FateUnknown}})
+				again := p.Ended(start.Add(time.Duration(i)*time.Millisecond), c, End{Verdict: v, Failure: &failure.Error{Kind: failure.LostResponse, Outcome: failure.OutcomeUnknown}})
 				if v == Ran {
 					must.False(t, again)
 					break
 				}
 				must.Eq(t, v == NotRun || method == "GET", again)
 				if !again {
-					must.Eq(t, defect.FateUnknown, p.Final(c).Fate)
+					must.Eq(t, failure.OutcomeUnknown, p.Final(c).Outcome)
 					break
 				}
 			}
@@ -79,8 +79,8 @@
 			p.manifest.Ways[0].Repeat = repeat
 			must.Nil(t, p.Way(start, c, 0))
 			must.Eq(t, want, c.Safe())
-			must.Nil(t, p.Next(start, c).Defect)
-			must.Eq(t, want, p.Ended(start, c, End{Verdict: Unsure, Defect: defect.Unsure(defect.LostReturn, "x")}), must.Sprint(repeat, method))
+			must.Nil(t, p.Next(start, c).Failure)
+			must.Eq(t, want, p.Ended(start, c, End{Verdict: Unsure, Failure: failure.Unsure(failure.LostResponse, "x")}), must.Sprint(repeat, method))
 		}
 	}
 }
@@ -125,12 +125,12 @@
 	p.Index.Merge([]record.Set{{Author: "n", LeaseEpoch: 2}})
 	c := &Call{Host: "h", Path: "/", Method: "POST"}
 	must.Nil(t, p.Way(start, c, 0))
-	d := p.Next(start, c).Defect
+	d := p.Next(start, c).Failure
 	must.NotNil(t, d)
-	must.Eq(t, 503, d.Code())
-	must.Eq(t, defect.FateNo, d.Fate)
-	must.Positive(t, d.Retry)
-	must.Eq(t, 404, p.Way(start, &Call{Host: "other", Path: "/"}, 0).Code())
+	must.Eq(t, 503, d.Status())
+	must.Eq(t, failure.NotExecuted, d.Outcome)
+	must.Positive(t, d.RetryAfter)
+	must.Eq(t, 404, p.Way(start, &Call{Host: "other", Path: "/"}, 0).Status())
 }
 
 // A manifest below what was confirmed at the entry is never put in force, whichever
@@ -162,16 +162,16 @@
 		for i := 0; ; i++ {
 			ch := p.Next(start, c)
 			if arrived == 3 || free > freeMost {
-				must.NotNil(t, ch.Defect)
+				must.NotNil(t, ch.Failure)
 				break
 			}
-			must.Nil(t, ch.Defect)
+			must.Nil(t, ch.Failure)
 			must.Eq(t, arrived > 0, ch.Further)
 			must.Eq(t, arrived > 0, ch.Repeat == 1)
 			paid = arrived // one for each that follows an arrival, and never twice
 			must.Eq(t, uint64(paid), p.Tree.Granted, must.Sprint(n, i))
 			e := ends[[]int{n % 4, n / 4 % 4, n / 16 % 4, n / 64 % 4}[i%4]]
-			e.Defect = &defect.Defect{Kind: defect.LostReturn}
+			e.Failure = &failure.Error{Kind: failure.LostResponse}
 			if e.Verdict == Unsure || e.Arrived {
 				arrived++
 			} else {
@@ -188,9 +188,9 @@
 	p.Tree.Free = false
 	must.Nil(t, p.Way(start, c, 0))
 	n := 0
-	for ; p.Next(start, c).Defect == nil; n++ {
+	for ; p.Next(start, c).Failure == nil; n++ {
 		delete(c.past, c.now.UID)
-		must.True(t, p.Ended(start, c, End{Verdict: NotRun, Turned: true, Defect: &defect.Defect{}}))
+		must.True(t, p.Ended(start, c, End{Verdict: NotRun, Turned: true, Failure: &failure.Error{}}))
 	}
 	must.Eq(t, freeMost+1, n)
 	must.Eq(t, uint64(0), p.Tree.Granted+p.Tree.Denied)
@@ -205,7 +205,7 @@
 			c := &Call{Host: "h", Path: "/", Method: method}
 			must.Nil(t, p.Way(start, c, ask))
 			got := p.Next(start, c)
-			must.Nil(t, got.Defect)
+			must.Nil(t, got.Failure)
 			must.Eq(t, c.Until.Since(start), got.Limit, must.Sprint(method, ask))
 		}
 	}
@@ -214,14 +214,14 @@
 // A repeat that finds no room at a gate says nothing of the endpoint behind it, so first
 // tries still go there; any other refusal of a gate sends them around it.
 func TestBusyRepeatLeavesTheEndpointAlone(t *testing.T) {
-	for kind, there := range map[defect.Kind]bool{defect.Busy: true, defect.Gate: false} {
+	for kind, there := range map[failure.Kind]bool{failure.Busy: true, failure.Gate: false} {
 		p, c := ready(), &Call{Host: "h", Path: "/", Method: "GET", Caller: "c"}
 		must.Nil(t, p.Way(start, c, 0))
-		must.Nil(t, p.Next(start, c).Defect)
-		must.True(t, p.Ended(start, c, End{Verdict: NotRun, Arrived: true, Defect: &defect.Defect{Kind: defect.Busy}}))
+		must.Nil(t, p.Next(start, c).Failure)
+		must.True(t, p.Ended(start, c, End{Verdict: NotRun, Arrived: true, Failure: &failure.Error{Kind: failure.Busy}}))
 		again := p.Next(start, c)
 		must.True(t, again.Further)
-		must.True(t, p.Ended(start, c, End{Verdict: NotRun, Turned: true, Defect: &defect.Defect{Kind: kind}}))
+		must.True(t, p.Ended(start, c, End{Verdict: NotRun, Turned: true, Failure: &failure.Error{Kind: kind}}))
 		seen := false
 		for range 100 {
 			next := &Call{Host: "h", Path: "/", Method: "GET", Caller: "c"}
--- a/mesh/pick/pick.go
+++ b/mesh/pick/pick.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/burden"
 	"cottonarch.example/cottonarch/mesh/registry/index"
 	"cottonarch.example/cottonarch/mesh/registry/record"
@@ -56,10 +56,10 @@
 	service *crowd
 	out     int
 	within  int // out when its gate last spoke
-	heard   moment.Moment
+	heard   monotime.Time
 	told    burden.Burden
-	suspect moment.Moment
-	young   moment.Moment
+	suspect monotime.Time
+	young   monotime.Time
 }
 
 // crowd is what is known of one service's workloads together. Invariant: scores stand as
@@ -71,14 +71,14 @@
 	ill    float64 // mean part of runs that fails
 	heard  bool
 	known  bool // a list was seen before
-	used   moment.Moment
+	used   monotime.Time
 }
 
 // way is what was learnt of the returns of one way.
 type way struct {
 	work  float64 // mean nanoseconds at an endpoint
 	bytes float64 // mean bytes of a return
-	used  moment.Moment
+	used  monotime.Time
 }
 
 // Picker chooses by what gates tell and this sidecar itself has seen. Invariant: only
@@ -90,7 +90,7 @@
 	servers  map[ident.Server]*score
 	crowds   map[ident.Service]*crowd
 	ways     map[string]*way
-	gates    map[ident.Addr]moment.Moment
+	gates    map[ident.Addr]monotime.Time
 	good     []int // used again by each choice
 	fair     []int
 	ill      []int
@@ -99,7 +99,7 @@
 // New makes a picker.
 func New(district ident.District, seed uint64) *Picker {
 	return &Picker{Settings: Usual(), district: district, rng: rand.NewPCG(seed, 0x9e3779b97f4a7c15), servers: map[ident.Server]*score{},
-		crowds: map[ident.Service]*crowd{}, ways: map[string]*way{}, gates: map[ident.Addr]moment.Moment{}}
+		crowds: map[ident.Service]*crowd{}, ways: map[string]*way{}, gates: map[ident.Addr]monotime.Time{}}
 }
 
 func (p *Picker) at(s ident.Server) *score {
@@ -111,7 +111,7 @@
 
 // view gives the scores of a list; it is made anew only when the list is another one. A
 // list is never changed in place: the index makes a new one.
-func (p *Picker) view(now moment.Moment, all []index.Entry) *crowd {
+func (p *Picker) view(now monotime.Time, all []index.Entry) *crowd {
 	c := p.crowds[all[0].Service]
 	if c == nil {
 		c = &crowd{}
@@ -139,7 +139,7 @@
 
 // Choose picks one of the workloads that is not in past, for a way of which nothing is
 // known.
-func (p *Picker) Choose(now moment.Moment, all []index.Entry, past map[ident.Server]bool) (index.Entry, bool) {
+func (p *Picker) Choose(now monotime.Time, all []index.Entry, past map[ident.Server]bool) (index.Entry, bool) {
 	return p.ChooseFor(now, "", all, past)
 }
 
@@ -148,7 +148,7 @@
 // in order: well and unsuspected; then well but suspected here, or lapsed at the core;
 // then those that fail more than their peers. The last class counts as the first when it
 // is more than a part of the service.
-func (p *Picker) ChooseFor(now moment.Moment, name string, all []index.Entry, past map[ident.Server]bool) (index.Entry, bool) {
+func (p *Picker) ChooseFor(now monotime.Time, name string, all []index.Entry, past map[ident.Server]bool) (index.Entry, bool) {
 	if len(all) == 0 {
 		return index.Entry{}, false
 	}
@@ -181,7 +181,7 @@
 
 // Must tells whether a request for a workload is to be run there even if it fails: it was
 // chosen since there is no better one.
-func (p *Picker) Must(now moment.Moment, s ident.Server) bool {
+func (p *Picker) Must(now monotime.Time, s ident.Server) bool {
 	sc := p.servers[s]
 	return sc != nil && p.sick(now, sc)
 }
@@ -193,7 +193,7 @@
 func (p *Picker) chance() float64 { return float64(p.rng.Uint64()>>11) / (1 << 53) }
 
 // best gives the cheapest of some, or of as many of them as are to be compared.
-func (p *Picker) best(now moment.Moment, w *way, c *crowd, list []int) int {
+func (p *Picker) best(now monotime.Time, w *way, c *crowd, list []int) int {
 	work, cross := float64(p.Unknown), float64(p.Far)
 	if w != nil {
 		if w.work > 0 {
@@ -238,7 +238,7 @@
 }
 
 // cost is what a return from a workload is expected to cost, in nanoseconds of waiting.
-func (p *Picker) cost(now moment.Moment, work, cross float64, e *index.Entry, s *score) float64 {
+func (p *Picker) cost(now monotime.Time, work, cross float64, e *index.Entry, s *score) float64 {
 	slots, load, pace, ill := float64(p.Slots), e.Burden, 1.0, 0.0
 	c := s.service
 	if c.heard {
@@ -278,7 +278,7 @@
 const failed = 10
 
 // sick tells whether a workload fails more than its peers do.
-func (p *Picker) sick(now moment.Moment, s *score) bool {
+func (p *Picker) sick(now monotime.Time, s *score) bool {
 	if s.heard == 0 || s.service == nil || s.told.Ill <= p.IllMost {
 		return false
 	}
@@ -286,7 +286,7 @@
 }
 
 // Heard takes what the gate of a server told with a return.
-func (p *Picker) Heard(now moment.Moment, server ident.Server, b burden.Burden) {
+func (p *Picker) Heard(now monotime.Time, server ident.Server, b burden.Burden) {
 	s := p.at(server)
 	s.told, s.heard, s.within = b, now, s.out
 	c := s.service
@@ -306,7 +306,7 @@
 }
 
 // Ran takes how long the endpoint had a request of a way, and how large its return was.
-func (p *Picker) Ran(now moment.Moment, name string, took time.Duration, size int64) {
+func (p *Picker) Ran(now monotime.Time, name string, took time.Duration, size int64) {
 	w := p.ways[name]
 	if w == nil {
 		w = &way{work: float64(took), bytes: float64(size)}
@@ -347,7 +347,7 @@
 
 // Back counts it in again. A doubtful end makes the server suspect for a while, and
 // with lost its whole machine.
-func (p *Picker) Back(now moment.Moment, e index.Entry, doubt, lost bool) {
+func (p *Picker) Back(now monotime.Time, e index.Entry, doubt, lost bool) {
 	sc := p.at(e.UID)
 	sc.out--
 	sc.within = min(sc.within, sc.out)
@@ -360,14 +360,14 @@
 }
 
 // TurnedAway notes that the gate turned a server away.
-func (p *Picker) TurnedAway(now moment.Moment, s ident.Server) { p.at(s).suspect = now.Add(waver) }
+func (p *Picker) TurnedAway(now monotime.Time, s ident.Server) { p.at(s).suspect = now.Add(waver) }
 
 // idle is after how long what is not used is forgotten.
 const idle = 10 * time.Minute
 
 // Tidy drops the scores of servers that are no more, and what was learnt of services and
 // ways that nobody asks for any more.
-func (p *Picker) Tidy(now moment.Moment, alive func(ident.Server) bool) {
+func (p *Picker) Tidy(now monotime.Time, alive func(ident.Server) bool) {
 	for s, sc := range p.servers {
 		if sc.out == 0 && !sc.suspect.After(now) && !alive(s) {
 			delete(p.servers, s)
--- a/mesh/pick/pick_test.go
+++ b/mesh/pick/pick_test.go
@@ -6,13 +6,13 @@
 	"time"
 
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/registry/index"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 	"github.com/shoenig/test/must"
 )
 
-const now = moment.Moment(time.Second)
+const now = monotime.Time(time.Second)
 
 func entry(i int, st record.Status) index.Entry {
 	return index.Entry{Workload: &record.Workload{UID: ident.Server(fmt.Sprint("e", i)), Gate: ident.Addr(fmt.Sprint("g", i)), District: "d", Weight: 1, Status: st}}
@@ -55,7 +55,7 @@
 // no sure return, and a machine that could not be reached, are left alone for a while.
 func TestBurdenAndDoubtTurnTheChoice(t *testing.T) {
 	all := []index.Entry{entry(0, record.Healthy), entry(1, record.Healthy), entry(2, record.Healthy)}
-	count := func(p *Picker, at moment.Moment) map[ident.Server]int {
+	count := func(p *Picker, at monotime.Time) map[ident.Server]int {
 		out := map[ident.Server]int{}
 		for range 600 {
 			e, ok := p.Choose(at, all, nil)
--- a/mesh/way/way.go
+++ b/mesh/way/way.go
@@ -7,7 +7,7 @@
 	"strings"
 
 	"cottonarch.example/cottonarch/control/manifest/check"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 // Table holds the ways in force.
@@ -71,12 +71,12 @@
 }
 
 // Find finds the way; the host "*" serves hosts that have no fitting way.
-func (t *Table) Find(host, path string) (check.Way, *defect.Defect) {
+func (t *Table) Find(host, path string) (check.Way, *failure.Error) {
 	host = check.Host(host)
 	for _, h := range [...]string{host, "*"} {
 		if w := t.hosts[h].find(path); w != nil {
 			return *w, nil
 		}
 	}
-	return check.Way{}, defect.New(defect.NoWay, "no way for host %q path %q", host, path)
+	return check.Way{}, failure.New(failure.NoRoute, "no way for host %q path %q", host, path)
 }
--- a/mesh/witness/witness.go
+++ b/mesh/witness/witness.go
@@ -9,7 +9,7 @@
 
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 const (
@@ -40,15 +40,15 @@
 // shows nothing below what any peer that answered has heard of.
 type Witness struct {
 	heard ident.Epoch   // the newest epoch that some sidecar is known to hold
-	since moment.Moment // when heard last rose
+	since monotime.Time // when heard last rose
 	told  ident.Epoch   // the newest epoch that a core said to be confirmed
-	from  moment.Moment // when told last rose
+	from  monotime.Time // when told last rose
 	next  *check.Manifest
-	began moment.Moment
+	began monotime.Time
 	acks  int
 	out   int
 	// Of a sidecar that no core has let in yet.
-	start  moment.Moment
+	start  monotime.Time
 	in     bool
 	priors int // peers with a memory that have answered
 	// Deaf breaks the rule: nobody is told and everybody believed; only tests of the
@@ -57,13 +57,13 @@
 }
 
 // New makes one for a sidecar that starts now.
-func New(now moment.Moment) *Witness { return &Witness{start: now} }
+func New(now monotime.Time) *Witness { return &Witness{start: now} }
 
 // Heard is the newest epoch that some sidecar holds, as far as this one knows.
 func (w *Witness) Heard() ident.Epoch { return w.heard }
 
 // Hear takes a peer's word that it holds the manifest of an epoch, and may soon show it.
-func (w *Witness) Hear(now moment.Moment, e ident.Epoch) {
+func (w *Witness) Hear(now monotime.Time, e ident.Epoch) {
 	if e > w.heard {
 		w.heard, w.since = e, now
 	}
@@ -71,7 +71,7 @@
 
 // Told takes a core's word that an epoch is confirmed. It binds this sidecar to nothing; if
 // the manifest does not come from that core soon, peers are asked for it.
-func (w *Witness) Told(now moment.Moment, e ident.Epoch) {
+func (w *Witness) Told(now monotime.Time, e ident.Epoch) {
 	if e > w.told {
 		w.told, w.from = e, now
 	}
@@ -83,7 +83,7 @@
 
 // Prior takes a peer's answer to a sidecar that no core has let in; only a peer that was
 // let in itself has a memory.
-func (w *Witness) Prior(now moment.Moment, heard ident.Epoch, in bool) {
+func (w *Witness) Prior(now monotime.Time, heard ident.Epoch, in bool) {
 	w.Hear(now, heard)
 	if in {
 		w.priors++
@@ -91,13 +91,13 @@
 }
 
 // Believes tells whether a manifest may be taken from peers.
-func (w *Witness) Believes(now moment.Moment) bool {
+func (w *Witness) Believes(now monotime.Time) bool {
 	return w.in || w.Deaf || w.priors > 0 && now.Since(w.start) >= settle
 }
 
 // Lonely tells whether peers are to be asked: no core was heard for a while, or a newer
 // epoch than the one in force was heard of, or told of by a core, and does not come.
-func (w *Witness) Lonely(now, core moment.Moment, shown ident.Epoch) bool {
+func (w *Witness) Lonely(now, core monotime.Time, shown ident.Epoch) bool {
 	if w.heard > shown && now.Since(w.since) >= behind {
 		return true
 	}
@@ -123,7 +123,7 @@
 
 // Take takes a confirmed manifest in. It tells whether peers are to be told of it now;
 // n is how many will be.
-func (w *Witness) Take(now moment.Moment, m *check.Manifest, shown ident.Epoch, n int) bool {
+func (w *Witness) Take(now monotime.Time, m *check.Manifest, shown ident.Epoch, n int) bool {
 	if m.Epoch <= shown || w.next != nil && m.Epoch <= w.next.Epoch {
 		return false
 	}
@@ -144,7 +144,7 @@
 }
 
 // Due gives the manifest that may be shown now, nil if there is none.
-func (w *Witness) Due(now moment.Moment) *check.Manifest {
+func (w *Witness) Due(now monotime.Time) *check.Manifest {
 	m := w.next
 	switch {
 	case m == nil:
--- a/mesh/witness/witness_test.go
+++ b/mesh/witness/witness_test.go
@@ -7,11 +7,11 @@
 
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"github.com/shoenig/test/must"
 )
 
-func at(d time.Duration) moment.Moment { return moment.Moment(time.Second + d) }
+func at(d time.Duration) monotime.Time { return monotime.Time(time.Second + d) }
 
 func perms(n int) [][]int {
 	if n == 0 {
@@ -32,13 +32,13 @@
 	shown ident.Epoch
 }
 
-func (s *side) show(now moment.Moment) {
+func (s *side) show(now monotime.Time) {
 	if m := s.Due(now); m != nil && m.Epoch > s.shown {
 		s.shown = m.Epoch
 	}
 }
 
-func (s *side) hold(now moment.Moment, e ident.Epoch, peers int) {
+func (s *side) hold(now monotime.Time, e ident.Epoch, peers int) {
 	s.Take(now, &check.Manifest{Epoch: e}, s.shown, peers)
 	s.show(now)
 }
--- a/sim/check/cells.go
+++ b/sim/check/cells.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // The rules of cells: revisions of a group never come twice or go back, and a conditional
@@ -28,14 +28,14 @@
 }
 
 type cellSpan struct {
-	at         moment.Moment
+	at         monotime.Time
 	group      string
 	after, top ident.Revision
 	told       map[ident.Revision]bool
 }
 
 type cellBase struct {
-	at moment.Moment
+	at monotime.Time
 	cellValue
 	base, rev ident.Revision
 }
@@ -48,7 +48,7 @@
 	first  map[cellValue]ident.Revision
 	acked  map[cellRev]cellValue
 	turned map[cellValue]bool // by all of its calls that have ended
-	shown  map[cellValue]moment.Moment
+	shown  map[cellValue]monotime.Time
 	spans  []cellSpan
 	bases  []cellBase
 	// Floor is each cell's newest acknowledged revision, Top each group's.
@@ -59,11 +59,11 @@
 // NewCells makes the judge of a run's cells.
 func (c *Check) NewCells() *Cells {
 	return &Cells{c: c, held: map[cellRev]cellValue{}, first: map[cellValue]ident.Revision{}, acked: map[cellRev]cellValue{}, turned: map[cellValue]bool{},
-		shown: map[cellValue]moment.Moment{}, Floor: map[string]ident.Revision{}, Top: map[string]ident.Revision{}}
+		shown: map[cellValue]monotime.Time{}, Floor: map[string]ident.Revision{}, Top: map[string]ident.Revision{}}
 }
 
 // show takes a value seen under a revision.
-func (x *Cells) show(at moment.Moment, v cellValue, rev ident.Revision) {
+func (x *Cells) show(at monotime.Time, v cellValue, rev ident.Revision) {
 	x.c.Look(CellOrder)
 	if old, ok := x.held[cellRev{v.group, rev}]; ok && old != v {
 		x.c.Break(at, CellOrder, "revision %d of %s is %s=%s and %s=%s", rev, v.group, old.name, old.value, v.name, v.value)
@@ -79,7 +79,7 @@
 
 // Put takes an acknowledged put; top is the group's newest acknowledged revision when its
 // first call was sent, base what it was conditional on.
-func (x *Cells) Put(at moment.Moment, group, name, value string, base *ident.Revision, top, rev ident.Revision) {
+func (x *Cells) Put(at monotime.Time, group, name, value string, base *ident.Revision, top, rev ident.Revision) {
 	v := cellValue{group, name, value}
 	x.show(at, v, rev)
 	if rev <= top {
@@ -104,7 +104,7 @@
 
 // Read takes a reading; floor is the cell's newest acknowledged revision when it was sent,
 // and revision 0 says that there was none.
-func (x *Cells) Read(at moment.Moment, group, name, value string, floor, rev ident.Revision) {
+func (x *Cells) Read(at monotime.Time, group, name, value string, floor, rev ident.Revision) {
 	x.c.Look(CellStale)
 	if rev < floor {
 		x.c.Break(at, CellStale, "%s%s is read at %d, %d was acknowledged", group, name, rev, floor)
@@ -122,7 +122,7 @@
 
 // Watch takes what a watch was told of the puts after a revision, up to top; floor is the
 // group's newest acknowledged revision when it was sent.
-func (x *Cells) Watch(at moment.Moment, group string, after, top, floor ident.Revision, events []Event) {
+func (x *Cells) Watch(at monotime.Time, group string, after, top, floor ident.Revision, events []Event) {
 	x.c.Look(CellWatch)
 	if top < floor {
 		x.c.Break(at, CellStale, "a watch of %s shows revision %d, %d was acknowledged", group, top, floor)
@@ -141,7 +141,7 @@
 
 // Forgotten takes a watch that was told that its revision is too old, this long after it
 // was given that revision.
-func (x *Cells) Forgotten(at moment.Moment, group string, after ident.Revision, age, history time.Duration) {
+func (x *Cells) Forgotten(at monotime.Time, group string, after ident.Revision, age, history time.Duration) {
 	x.c.Look(CellWatch)
 	if age < history {
 		x.c.Break(at, CellWatch, "a watch of %s after %d is told that it is too old, %v after it was given that", group, after, age)
--- a/sim/check/check.go
+++ b/sim/check/check.go
@@ -10,7 +10,7 @@
 
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 // Fate is what a caller was told.
@@ -34,9 +34,9 @@
 	Urgent       bool
 	Beside       int // urgent calls in hand at its own sidecar when it was put in line, it too
 	Room         int // how many of them that sidecar has room for
-	Began, Ended moment.Moment
-	Last         moment.Moment // when its last try ended, or it came if there was none
-	Until        moment.Moment // when its time is over
+	Began, Ended monotime.Time
+	Last         monotime.Time // when its last try ended, or it came if there was none
+	Until        monotime.Time // when its time is over
 	Fate         Fate
 	Why          string
 	Beyond       bool // its last try was turned away by an endpoint or its bay
@@ -50,17 +50,17 @@
 	ID             string
 	Server         ident.Server
 	Service, Asked ident.Service
-	At             moment.Moment // when the request reached the endpoint
-	RanAt          moment.Moment // when it was run, 0 if at once
-	LeftAt         moment.Moment // when its leaving was confirmed on its machine, 0 if it was not
-	LostAt         moment.Moment // when its loss was
+	At             monotime.Time // when the request reached the endpoint
+	RanAt          monotime.Time // when it was run, 0 if at once
+	LeftAt         monotime.Time // when its leaving was confirmed on its machine, 0 if it was not
+	LostAt         monotime.Time // when its loss was
 	Unsafe         bool
 }
 
 // Breach is one rule broken.
 type Breach struct {
 	Rule string
-	At   moment.Moment
+	At   monotime.Time
 	Note string
 }
 
@@ -104,7 +104,7 @@
 	Breaches []Breach
 	Calls    []*Call
 	Runs     []Run
-	tries    map[ident.Service][]moment.Moment
+	tries    map[ident.Service][]monotime.Time
 	Seen     map[string]int            // how often each rule was looked at
 	Excused  map[string]map[string]int // rule, cause
 	Waited   map[string]map[string]int // rule, cause
@@ -114,13 +114,13 @@
 
 // Loss is a bad loss. Invariant: At is when it struck, whether or not it lasts.
 type Loss struct {
-	At   moment.Moment
+	At   monotime.Time
 	Name string
 }
 
 // New makes one.
 func New() *Check {
-	return &Check{tries: map[ident.Service][]moment.Moment{}, Seen: map[string]int{}, Excused: map[string]map[string]int{}, Waited: map[string]map[string]int{}, marks: map[string]string{}}
+	return &Check{tries: map[ident.Service][]monotime.Time{}, Seen: map[string]int{}, Excused: map[string]map[string]int{}, Waited: map[string]map[string]int{}, marks: map[string]string{}}
 }
 
 // Look counts an observation that is judged.
@@ -176,7 +176,7 @@
 }
 
 // Break notes a breach.
-func (c *Check) Break(at moment.Moment, rule, form string, args ...any) {
+func (c *Check) Break(at monotime.Time, rule, form string, args ...any) {
 	c.Breaches = append(c.Breaches, Breach{rule, at, fmt.Sprintf(form, args...)})
 }
 
@@ -190,7 +190,7 @@
 	if r.Service != r.Asked {
 		c.Break(r.At, "wrong-service", "%s meant for %s was run by %s of %s", r.ID, r.Asked, r.Server, r.Service)
 	}
-	for what, at := range map[string]moment.Moment{"leaving": r.LeftAt, "loss": r.LostAt} {
+	for what, at := range map[string]monotime.Time{"leaving": r.LeftAt, "loss": r.LostAt} {
 		if at == 0 || r.At < at {
 			continue
 		}
@@ -201,10 +201,10 @@
 }
 
 // Try takes a further try.
-func (c *Check) Try(at moment.Moment, s ident.Service) { c.tries[s] = append(c.tries[s], at) }
+func (c *Check) Try(at monotime.Time, s ident.Service) { c.tries[s] = append(c.tries[s], at) }
 
 // Shown takes a manifest that a node has put in force or shows.
-func (c *Check) Shown(at moment.Moment, who string, m *check.Manifest, last *ident.Epoch) {
+func (c *Check) Shown(at monotime.Time, who string, m *check.Manifest, last *ident.Epoch) {
 	c.Seen["manifest-back"]++
 	if m.Epoch < *last {
 		c.Break(at, "manifest-back", "%s showed epoch %d after %d", who, m.Epoch, *last)
@@ -222,9 +222,9 @@
 func (c *Check) TurnedAway(mark, why string) { c.marks[mark] = why }
 
 // Finish looks at what can be judged only at the end.
-func (c *Check) Finish(from, until moment.Moment) {
+func (c *Check) Finish(from, until monotime.Time) {
 	count := map[string]int{}
-	first := map[string]moment.Moment{}
+	first := map[string]monotime.Time{}
 	for _, r := range c.Runs {
 		count[r.ID]++
 		if count[r.ID] == 1 {
@@ -290,7 +290,7 @@
 
 // further checks every window of ten seconds that ends at a further try.
 func (c *Check) further() {
-	calls := map[ident.Service][]moment.Moment{}
+	calls := map[ident.Service][]monotime.Time{}
 	for _, k := range c.Calls {
 		if k.Counted {
 			calls[k.Service] = append(calls[k.Service], k.Began)
@@ -321,15 +321,15 @@
 	return out
 }
 
-func lower(list []moment.Moment, x moment.Moment) int {
+func lower(list []monotime.Time, x monotime.Time) int {
 	i, _ := slices.BinarySearch(list, x)
 	return i
 }
 
 // recovery: a quarter of normal must be served again within recoverMax of each loss.
-func (c *Check) recovery(from, until moment.Moment) {
+func (c *Check) recovery(from, until monotime.Time) {
 	const width = 2 * time.Second
-	rate := func(lo, hi moment.Moment) float64 {
+	rate := func(lo, hi monotime.Time) float64 {
 		n := 0
 		for _, k := range c.Calls {
 			if k.Fate == Served && k.Ended >= lo && k.Ended < hi {
--- a/sim/plan/faults.go
+++ b/sim/plan/faults.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/sim/check"
 	"cottonarch.example/cottonarch/sim/world"
 )
@@ -130,7 +130,7 @@
 }
 
 // faults draws one fault after the other until the end, sometimes two together.
-func (r *Run) faults(end moment.Moment) {
+func (r *Run) faults(end monotime.Time) {
 	names := r.what.Faults
 	if len(names) == 0 {
 		names = r.drawn()
--- a/sim/plan/herd.go
+++ b/sim/plan/herd.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/sim/check"
 	"cottonarch.example/cottonarch/sim/world"
 )
@@ -100,7 +100,7 @@
 type herd struct {
 	sides []*world.Side
 	runs  map[ident.Node]int // which run of each
-	from  moment.Moment      // when a majority of the cores was there
+	from  monotime.Time      // when a majority of the cores was there
 	ready bool               // all were ready once
 }
 
--- a/sim/plan/plan.go
+++ b/sim/plan/plan.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/sim/world"
 )
@@ -97,10 +97,10 @@
 }
 
 // Check names every fault of the input.
-func (q What) Check() *defect.Defect {
-	d := defect.New(defect.BadBoot, "the what-if can't be run")
+func (q What) Check() *failure.Error {
+	d := failure.New(failure.BadSettings, "the what-if can't be run")
 	add := func(path, form string, args ...any) {
-		d.All = append(d.All, defect.Fault{Path: path, Note: fmt.Sprintf(form, args...)})
+		d.Faults = append(d.Faults, failure.Fault{Path: path, Note: fmt.Sprintf(form, args...)})
 	}
 	for _, f := range q.Faults {
 		if _, ok := Faults[f]; !ok && f != "none" {
@@ -133,7 +133,7 @@
 	if q.Cost < 0 || q.Cost > 100*time.Millisecond {
 		add("cost", "must be from 0 to 100ms")
 	}
-	if len(d.All) > 0 {
+	if len(d.Faults) > 0 {
 		return d
 	}
 	return nil
--- a/sim/plan/plan_test.go
+++ b/sim/plan/plan_test.go
@@ -207,5 +207,5 @@
 func TestBadWhatIsNamedWhole(t *testing.T) {
 	d := What{For: time.Second, Burden: -1, Faults: []string{"nope"}, AddCores: 9, Break: "x"}.Check()
 	must.NotNil(t, d)
-	must.Eq(t, 5, len(d.All))
+	must.Eq(t, 5, len(d.Faults))
 }
--- a/sim/plan/rollout_test.go
+++ b/sim/plan/rollout_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/proposer"
@@ -43,7 +43,7 @@
 		return end
 	}
 	body := `{"services":{"old.x":{},"new.x":{}},"ways":{"shop":{"host":"shop.x","service":"old.x"}}}`
-	must.Nil(t, do(proposer.Operation{Key: offer.Key, Kind: "manifest/offer", Args: book.JSON(offer.Args{Body: json.RawMessage(body)})}).Defect)
+	must.Nil(t, do(proposer.Operation{Key: offer.Key, Kind: "manifest/offer", Args: operation.Encode(offer.Args{Body: json.RawMessage(body)})}).Failure)
 	for i, s := range w.Sides {
 		s.NewEndpoint(ident.Server(fmt.Sprint("old", i)), "old.x", ident.Addr(fmt.Sprintf("10.0.2.%d:80", i)), world.Mood{Work: 4 * time.Millisecond})
 		s.NewEndpoint(ident.Server(fmt.Sprint("new", i)), "new.x", ident.Addr(fmt.Sprintf("10.0.3.%d:80", i)), mood)
@@ -59,16 +59,16 @@
 }
 
 func begin(t *testing.T, do func(proposer.Operation) node.End) {
-	args := book.JSON(rollout.Rollout{Way: "shop", From: "old.x", To: "new.x", Steps: []int{10, 50, 100}, StepS: 2, Most: 0.05})
-	must.Nil(t, do(proposer.Operation{Key: rollout.Key("shop"), Kind: "rollout/begin", Args: args}).Defect)
+	args := operation.Encode(rollout.Rollout{Way: "shop", From: "old.x", To: "new.x", Steps: []int{10, 50, 100}, StepS: 2, Most: 0.05})
+	must.Nil(t, do(proposer.Operation{Key: rollout.Key("shop"), Kind: "rollout/begin", Args: args}).Failure)
 }
 
 func read(t *testing.T, do func(proposer.Operation) node.End) (r rollout.Rollout, way map[string]any) {
 	e := do(proposer.Operation{Key: rollout.Key("shop"), Kind: "rollout/read"})
-	must.Nil(t, e.Defect)
+	must.Nil(t, e.Failure)
 	must.NoError(t, json.Unmarshal(e.Body, &r))
 	e = do(proposer.Operation{Key: offer.Key, Kind: "manifest/read"})
-	must.Nil(t, e.Defect)
+	must.Nil(t, e.Failure)
 	var h struct {
 		Manifest struct {
 			Ways map[string]map[string]any `json:"ways"`
@@ -131,10 +131,10 @@
 
 // Every order of two cores' moves that build on one step makes one of them.
 func TestRolloutMovesOnce(t *testing.T) {
-	kinds := rollout.Deeds()
-	args := book.JSON(rollout.Rollout{Way: "w", From: "a", To: "b"})
+	kinds := rollout.Handlers()
+	args := operation.Encode(rollout.Rollout{Way: "w", From: "a", To: "b"})
 	v := kinds.Apply(proposer.Context{}, nil, proposer.Operation{Kind: "rollout/begin", Args: args})
-	must.Nil(t, v.Defect)
+	must.Nil(t, v.Failure)
 	moves := []rollout.Move{
 		{Round: 1, At: 0, Phase: rollout.Running, NextAt: 1, NextPhase: rollout.Running},
 		{Round: 1, At: 0, Phase: rollout.Running, NextAt: 0, NextPhase: rollout.Backing, Why: "bad"},
@@ -142,8 +142,8 @@
 	for _, order := range [][]int{{0, 1}, {1, 0}} {
 		value, won := v.Value, 0
 		for _, i := range order {
-			got := kinds.Apply(proposer.Context{}, value, proposer.Operation{Kind: "rollout/move", Args: book.JSON(moves[i])})
-			if got.Defect == nil {
+			got := kinds.Apply(proposer.Context{}, value, proposer.Operation{Kind: "rollout/move", Args: operation.Encode(moves[i])})
+			if got.Failure == nil {
 				value = got.Value
 				won++
 			}
@@ -151,5 +151,5 @@
 		must.Eq(t, 1, won)
 	}
 	again := kinds.Apply(proposer.Context{}, v.Value, proposer.Operation{Kind: "rollout/begin", Args: args})
-	must.NotNil(t, again.Defect, must.Sprint("two roll-outs of one way"))
+	must.NotNil(t, again.Failure, must.Sprint("two roll-outs of one way"))
 }
--- a/sim/world/berth.go
+++ b/sim/world/berth.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/bay"
 	"cottonarch.example/cottonarch/mesh/gate"
 	"cottonarch.example/cottonarch/mesh/path"
@@ -28,8 +28,8 @@
 	rec         *check.Call
 	ask         bay.Ask // with spans that are reckoned from nought
 	limit       time.Duration
-	at, left    moment.Moment // when it reached the endpoint, and what that endpoint's end was then
-	lost        moment.Moment
+	at, left    monotime.Time // when it reached the endpoint, and what that endpoint's end was then
+	lost        monotime.Time
 	turned, ran bool
 }
 
@@ -41,7 +41,7 @@
 		aim = c.Until.Since(j.began)
 	}
 	a := bay.Ask{Rank: c.Way.Rank, Work: ch.Work, Peers: ch.Peers, Must: ch.Must,
-		Early: moment.Moment(j.began.Add(aim / 4).Since(now)), Aim: moment.Moment(j.began.Add(aim).Since(now))}
+		Early: monotime.Time(j.began.Add(aim / 4).Since(now)), Aim: monotime.Time(j.began.Add(aim).Since(now))}
 	// The gate gives up a little before the caller's side does, so that its word is heard.
 	return &try{ch: ch, call: c, rec: j.rec, ask: a, limit: ch.Limit - min(ch.Limit/10, 20*time.Millisecond)}
 }
@@ -152,7 +152,7 @@
 func (s *Side) admit(t *try, done func(path.End)) {
 	w, gen, server := s.w, s.gen, t.ch.Entry.UID
 	if _, _, d := s.gate.Pass(s.clock(), server, t.ch.Entry.Service); d != nil {
-		done(path.End{Verdict: path.NotRun, Defect: d, Turned: true})
+		done(path.End{Verdict: path.NotRun, Failure: d, Turned: true})
 		return
 	}
 	s.hand++
@@ -177,7 +177,7 @@
 			s.berthIn(t, id, until, end)
 			return
 		}
-		end(path.End{Verdict: path.NotRun, Turned: true, Shed: true, Defect: defect.New(defect.Busy, "server %q: %s", server, a.Why).Later(max(0.01, a.Retry.Seconds()))})
+		end(path.End{Verdict: path.NotRun, Turned: true, Shed: true, Failure: failure.New(failure.Busy, "server %q: %s", server, a.Why).Later(max(0.01, a.Retry.Seconds()))})
 		if w.Break == "bay" {
 			s.berthIn(t, id, until, func(path.End) {})
 		}
@@ -194,14 +194,14 @@
 			if s.berths[id] != nil {
 				delete(s.berths, id)
 				s.acts(s.bay.Quit(s.clock(), server, id))
-				end(path.End{Verdict: path.NotRun, Turned: true, Shed: true, Defect: defect.New(defect.Late, "no room in time")})
+				end(path.End{Verdict: path.NotRun, Turned: true, Shed: true, Failure: failure.New(failure.Late, "no room in time")})
 			}
 		})
 	})
 }
 
 // berthIn goes on with a try that the bay let in.
-func (s *Side) berthIn(t *try, id uint64, until moment.Moment, done func(path.End)) {
+func (s *Side) berthIn(t *try, id uint64, until monotime.Time, done func(path.End)) {
 	w, gen, server, again := s.w, s.gen, t.ch.Entry.UID, t.ch.Repeat
 	over, begun := false, false
 	// end says what became of it, at the endpoint too, and once.
@@ -219,13 +219,13 @@
 			done(e)
 		})
 	}
-	turned := func(d *defect.Defect) {
-		end(path.End{Verdict: path.NotRun, Defect: d, Turned: true}, bay.Over, 0)
+	turned := func(d *failure.Error) {
+		end(path.End{Verdict: path.NotRun, Failure: d, Turned: true}, bay.Over, 0)
 	}
 	addr, _, d := s.gate.Pass(s.clock(), server, t.ch.Entry.Service)
 	if d == nil {
 		if begun = s.path.Tree.Begin(s.clock(), again); !begun {
-			d = defect.New(defect.Busy, "a repeat has no room below")
+			d = failure.New(failure.Busy, "a repeat has no room below")
 		}
 	}
 	if d != nil {
@@ -237,17 +237,17 @@
 			e := w.spots[addr]
 			if e == nil {
 				s.changed(s.gate.Failed(s.clock(), server))
-				turned(defect.New(defect.Unreached, "no connection"))
+				turned(failure.New(failure.Unreached, "no connection"))
 				return
 			}
 			if now, _, d := s.gate.Pass(s.clock(), server, t.ch.Entry.Service); d != nil || now != addr {
-				turned(defect.New(defect.Gate, "server %q is not there any more", server))
+				turned(failure.New(failure.Gate, "server %q is not there any more", server))
 				return
 			}
 			began := s.clock()
 			took := func() time.Duration { return s.clock().Since(began) }
 			w.After(until.Since(began), func() {
-				end(path.End{Verdict: path.Unsure, Defect: defect.Unsure(defect.Late, "the endpoint gave no return")}, bay.Over, took())
+				end(path.End{Verdict: path.Unsure, Failure: failure.Unsure(failure.Late, "the endpoint gave no return")}, bay.Over, took())
 			})
 			w.arrive(t.rec, t.call)
 			t.at, t.left, t.lost = w.now, e.leftAt, e.lostAt
@@ -278,7 +278,7 @@
 		if w.Break == "shed" {
 			e.work(t, func(path.End) {})
 		}
-		done(path.End{Verdict: path.NotRun, Arrived: true, Defect: defect.New(defect.Busy, "%s", why)})
+		done(path.End{Verdict: path.NotRun, Arrived: true, Failure: failure.New(failure.Busy, "%s", why)})
 	}
 	switch {
 	case e.Server != t.ch.Entry.UID && w.Break != "fence":
--- a/sim/world/call.go
+++ b/sim/world/call.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/path"
 	"cottonarch.example/cottonarch/sim/check"
 )
@@ -36,7 +36,7 @@
 type job struct {
 	call  *path.Call
 	rec   *check.Call
-	began moment.Moment
+	began monotime.Time
 	given bool // an endpoint's own word that it failed is at hand, while others are tried
 }
 
@@ -73,7 +73,7 @@
 			rec.Until = w.now.Add(c.Until.Since(s.clock()))
 			rec.Beside, rec.Room = s.urgent, w.Senders
 			if !s.line.Offer(s.clock(), &job{call: c, rec: rec, began: s.clock()}, c.Way.Urgent, c.Until) {
-				w.end(rec, defect.New(defect.Busy, "too many requests are in hand").Later(1))
+				w.end(rec, failure.New(failure.Busy, "too many requests are in hand").Later(1))
 				return
 			}
 			s.senders(gen)
@@ -100,7 +100,7 @@
 	}
 }
 
-func (w *World) end(rec *check.Call, d *defect.Defect) {
+func (w *World) end(rec *check.Call, d *failure.Error) {
 	rec.Ended = w.now
 	if w.Break == "held" && d != nil && rec.Until > w.now {
 		// A no is held back until the time is nearly over.
@@ -110,7 +110,7 @@
 	switch {
 	case d == nil:
 		rec.Fate = check.Served
-	case d.Fate == defect.FateNo:
+	case d.Outcome == failure.NotExecuted:
 		rec.Fate, rec.Why = check.NotRun, string(d.Kind)
 	default:
 		rec.Fate, rec.Why = check.Unknown, string(d.Kind)
@@ -127,14 +127,14 @@
 	}
 	ch := s.path.Next(s.clock(), c)
 	// fail ends it with what an endpoint itself said of its failure, if one did.
-	fail := func(d *defect.Defect) {
+	fail := func(d *failure.Error) {
 		if j.given {
 			d = nil
 		}
 		w.end(rec, d)
 	}
-	if ch.Defect != nil {
-		fail(ch.Defect)
+	if ch.Failure != nil {
+		fail(ch.Failure)
 		return
 	}
 	over := false
@@ -158,12 +158,12 @@
 			}
 		})
 	}
-	unsure := func(kind defect.Kind) path.End {
-		return path.End{Verdict: path.Unsure, Defect: defect.Unsure(kind, "no return"), Lost: kind == defect.LostReturn}
+	unsure := func(kind failure.Kind) path.End {
+		return path.End{Verdict: path.Unsure, Failure: failure.Unsure(kind, "no return"), Lost: kind == failure.LostResponse}
 	}
-	w.After(ch.Limit, func() { done(unsure(defect.Late)) })
+	w.After(ch.Limit, func() { done(unsure(failure.Late)) })
 	if w.Break == "return" {
-		unsure = func(defect.Kind) path.End { return path.End{Verdict: path.Ran} }
+		unsure = func(failure.Kind) path.End { return path.End{Verdict: path.Ran} }
 	}
 	to := w.sideAt(ch.Entry.Gate)
 	pass := func(at *Side, done func(path.End)) { at.pass(ch, c, rec, done) }
@@ -176,17 +176,21 @@
 		return
 	}
 	if to == nil || !to.up {
-		w.After(time.Millisecond, func() { done(path.End{Verdict: path.NotRun, Defect: defect.New(defect.Unreached, "down"), Lost: true}) })
+		w.After(time.Millisecond, func() {
+			done(path.End{Verdict: path.NotRun, Failure: failure.New(failure.Unreached, "down"), Lost: true})
+		})
 		return
 	}
 	if !w.Links.Open(s.Addr, to.Addr) || !w.Links.Open(to.Addr, s.Addr) {
-		w.After(300*time.Millisecond, func() { done(path.End{Verdict: path.NotRun, Defect: defect.New(defect.Unreached, "cut"), Lost: true}) })
+		w.After(300*time.Millisecond, func() {
+			done(path.End{Verdict: path.NotRun, Failure: failure.New(failure.Unreached, "cut"), Lost: true})
+		})
 		return
 	}
 	tg := to.gen
 	w.After(w.delay(), func() {
 		if !to.up || to.gen != tg {
-			done(unsure(defect.LostReturn))
+			done(unsure(failure.LostResponse))
 			return
 		}
 		to.run(tg, func() {
@@ -211,14 +215,14 @@
 // pass is the gate and what lies behind it.
 func (s *Side) pass(ch path.Choice, c *path.Call, rec *check.Call, done func(path.End)) {
 	w, gen := s.w, s.gen
-	turned := func(d *defect.Defect) { done(path.End{Verdict: path.NotRun, Defect: d, Turned: true}) }
+	turned := func(d *failure.Error) { done(path.End{Verdict: path.NotRun, Failure: d, Turned: true}) }
 	addr, _, d := s.gate.Pass(s.clock(), ch.Entry.UID, ch.Entry.Service)
 	if d != nil {
 		turned(d)
 		return
 	}
 	if !s.path.Tree.Begin(s.clock(), ch.Repeat) {
-		turned(defect.New(defect.Busy, "no room for the calls of a repeat"))
+		turned(failure.New(failure.Busy, "no room for the calls of a repeat"))
 		return
 	}
 	s.hand++
@@ -229,13 +233,13 @@
 		}
 		said(e)
 	}
-	turned = func(d *defect.Defect) { done(path.End{Verdict: path.NotRun, Defect: d, Turned: true}) }
+	turned = func(d *failure.Error) { done(path.End{Verdict: path.NotRun, Failure: d, Turned: true}) }
 	w.After(150*time.Microsecond, func() { // the dial
 		s.run(gen, func() {
 			e := w.spots[addr]
 			if e == nil {
 				s.gate.Failed(s.clock(), ch.Entry.UID)
-				turned(defect.New(defect.Unreached, "no connection"))
+				turned(failure.New(failure.Unreached, "no connection"))
 				return
 			}
 			if _, _, d := s.gate.Pass(s.clock(), ch.Entry.UID, ch.Entry.Service); d != nil {
@@ -251,7 +255,7 @@
 				}
 			}
 			w.After(ch.Limit, func() {
-				end(path.End{Verdict: path.Unsure, Defect: defect.Unsure(defect.LostReturn, "the endpoint gave no return"), Lost: true})
+				end(path.End{Verdict: path.Unsure, Failure: failure.Unsure(failure.LostResponse, "the endpoint gave no return"), Lost: true})
 			})
 			if e.hung {
 				// It lies in the socket; who gave up on it may be told so, and it runs all the same.
@@ -288,10 +292,10 @@
 		defer e.room()
 		switch {
 		case !e.up:
-			done(path.End{Verdict: path.Unsure, Defect: defect.Unsure(defect.LostReturn, "the endpoint ended"), Lost: true})
+			done(path.End{Verdict: path.Unsure, Failure: failure.Unsure(failure.LostResponse, "the endpoint ended"), Lost: true})
 		case e.hung, x < e.Mood.Lose: // no return comes
 		case x < e.Mood.Lose+e.Mood.Garbage:
-			end := path.End{Verdict: path.Unsure, Defect: defect.Unsure(defect.BadReturn, "garbage")}
+			end := path.End{Verdict: path.Unsure, Failure: failure.Unsure(failure.BadResponse, "garbage")}
 			if w.Break == "return" {
 				end.Verdict = path.Ran
 			}
--- a/sim/world/cells.go
+++ b/sim/world/cells.go
@@ -5,18 +5,18 @@
 	"fmt"
 	"time"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/group"
 	"cottonarch.example/cottonarch/control/coordination/lock"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/sim/check"
 )
 
-// How long an application's deed is worked at, and after what silence it moves on.
+// How long an application's operation is worked at, and after what silence it moves on.
 const (
 	appBudget  = 900 * time.Millisecond
 	appSilence = time.Second
@@ -58,12 +58,12 @@
 	floor := c.Judge.Floor[g+name]
 	switch w.Rng.IntN(4) {
 	case 0:
-		w.asking(proposer.Operation{Key: group.Key(g), Kind: "group/read", Args: book.JSON(group.Args{Name: name})}, appBudget, appSilence, func(e *node.End) {
+		w.asking(proposer.Operation{Key: group.Key(g), Kind: "group/read", Args: operation.Encode(group.Args{Name: name})}, appBudget, appSilence, func(e *node.End) {
 			var p group.Put
 			switch {
-			case e != nil && e.Defect != nil && e.Defect.Kind == defect.Missing:
+			case e != nil && e.Failure != nil && e.Failure.Kind == failure.Missing:
 				c.Judge.Read(w.now, g, name, "", floor, 0)
-			case e != nil && e.Defect == nil && json.Unmarshal(e.Body, &p) == nil:
+			case e != nil && e.Failure == nil && json.Unmarshal(e.Body, &p) == nil:
 				c.Judge.Read(w.now, g, name, string(p.Value), floor, p.Revision)
 			}
 			c.later(gap)
@@ -78,18 +78,18 @@
 // put puts a new value until its return is clear, tries times at most.
 func (c *Cells) put(g, name string, base *ident.Revision, top ident.Revision, tries int, done func()) {
 	w := c.w
-	val := string(book.JSON(fmt.Sprintf("v%d", c.n)))
+	val := string(operation.Encode(fmt.Sprintf("v%d", c.n)))
 	a := group.Args{Name: name, Value: json.RawMessage(val), If: base}
 	var send func(left int)
 	send = func(left int) {
-		w.asking(proposer.Operation{Key: group.Key(g), Kind: "group/put", Args: book.JSON(a)}, appBudget, appSilence, func(e *node.End) {
+		w.asking(proposer.Operation{Key: group.Key(g), Kind: "group/put", Args: operation.Encode(a)}, appBudget, appSilence, func(e *node.End) {
 			var p group.Put
 			switch {
-			case e != nil && e.Defect == nil && json.Unmarshal(e.Body, &p) == nil:
+			case e != nil && e.Failure == nil && json.Unmarshal(e.Body, &p) == nil:
 				c.Judge.Put(w.now, g, name, val, base, top, p.Revision)
 				done()
 				return
-			case sure(e) && e.Defect.Kind == defect.Conflict:
+			case sure(e) && e.Failure.Kind == failure.Conflict:
 				c.Judge.Turned(g, name, val, true)
 				done()
 				return
@@ -107,7 +107,7 @@
 
 // follow watches a group from the revision that was given at a moment; now and then it
 // looks away for a while.
-func (c *Cells) follow(g string, after ident.Revision, given moment.Moment) {
+func (c *Cells) follow(g string, after ident.Revision, given monotime.Time) {
 	w := c.w
 	gap := time.Duration(100+w.Rng.IntN(400)) * time.Millisecond
 	if w.Rng.IntN(12) == 0 {
@@ -123,13 +123,13 @@
 			a.After = &after
 		}
 		sent := w.now
-		w.asking(proposer.Operation{Key: group.Key(g), Kind: "group/since", Args: book.JSON(a)}, appBudget, appSilence, func(e *node.End) {
+		w.asking(proposer.Operation{Key: group.Key(g), Kind: "group/since", Args: operation.Encode(a)}, appBudget, appSilence, func(e *node.End) {
 			var n group.News
 			switch {
-			case e != nil && e.Defect != nil && e.Defect.Kind == defect.Forgotten:
+			case e != nil && e.Failure != nil && e.Failure.Kind == failure.Forgotten:
 				c.Judge.Forgotten(w.now, g, after, sent.Since(given), w.History)
 				after = 0
-			case e != nil && e.Defect == nil && json.Unmarshal(e.Body, &n) == nil:
+			case e != nil && e.Failure == nil && json.Unmarshal(e.Body, &n) == nil:
 				if after > 0 {
 					var told []check.Event
 					for _, p := range n.Events {
@@ -176,9 +176,9 @@
 func (k *keeper) hold(name string, ttl time.Duration, times int, done func()) {
 	w, key := k.w, ident.Key("lock/"+name)
 	sent := w.now
-	w.asking(proposer.Operation{Key: key, Kind: "lock/claim", Args: book.JSON(lock.Args{Holder: k.who, TTL: ttl.Milliseconds(), Keep: true})}, appBudget, appSilence, func(e *node.End) {
+	w.asking(proposer.Operation{Key: key, Kind: "lock/claim", Args: operation.Encode(lock.Args{Holder: k.who, TTL: ttl.Milliseconds(), Keep: true})}, appBudget, appSilence, func(e *node.End) {
 		var g lock.Grant
-		if e == nil || e.Defect != nil || json.Unmarshal(e.Body, &g) != nil || w.now >= sent.Add(ttl) {
+		if e == nil || e.Failure != nil || json.Unmarshal(e.Body, &g) != nil || w.now >= sent.Add(ttl) {
 			done()
 			return
 		}
@@ -215,12 +215,12 @@
 			over := w.now.Add(appSilence)
 			w.asking(proposer.Operation{Key: key, Kind: "lock/read"}, appBudget, appSilence, func(e *node.End) {
 				var seen lock.Grant
-				if e == nil || e.Defect != nil || json.Unmarshal(e.Body, &seen) != nil || w.now >= over {
+				if e == nil || e.Failure != nil || json.Unmarshal(e.Body, &seen) != nil || w.now >= over {
 					again()
 					return
 				}
 				args := lock.Args{Holder: k.who, Fence: g.Fence, Grant: seen.Grant}
-				w.asking(proposer.Operation{Key: key, Kind: "lock/release", Args: book.JSON(args)}, max(1, over.Since(w.now)), over.Since(w.now), func(*node.End) { again() })
+				w.asking(proposer.Operation{Key: key, Kind: "lock/release", Args: operation.Encode(args)}, max(1, over.Since(w.now)), over.Since(w.now), func(*node.End) { again() })
 			})
 		})
 	})
--- a/sim/world/clients.go
+++ b/sim/world/clients.go
@@ -7,19 +7,19 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/key"
 	"cottonarch.example/cottonarch/control/coordination/lock"
 	"cottonarch.example/cottonarch/control/coordination/number"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/coordination/watch"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
-// ask sends a deed to some core, as an application does; end gets a nil End when no
+// ask sends an operation to some core, as an application does; end gets a nil End when no
 // return came.
 func (w *World) ask(d proposer.Operation, end func(*node.End)) {
 	w.asking(d, 4*time.Second, 6*time.Second, end)
@@ -35,13 +35,13 @@
 			return
 		}
 		over = true
-		if e != nil && e.Defect == nil {
+		if e != nil && e.Failure == nil {
 			w.Took = append(w.Took, w.now.Since(began))
 		}
 		switch {
-		case e == nil || e.Defect != nil && e.Defect.Fate == defect.FateUnknown:
+		case e == nil || e.Failure != nil && e.Failure.Outcome == failure.OutcomeUnknown:
 			w.Served["deed-unknown"]++
-		case e.Defect != nil:
+		case e.Failure != nil:
 			w.Served["deed-no"]++
 		default:
 			w.Served["deed-yes"]++
@@ -49,7 +49,7 @@
 		end(e)
 	}
 	if !c.up {
-		w.After(time.Millisecond, func() { say(&node.End{Defect: defect.New(defect.Unreached, "down")}) })
+		w.After(time.Millisecond, func() { say(&node.End{Failure: failure.New(failure.Unreached, "down")}) })
 		return
 	}
 	gen := c.gen
@@ -68,9 +68,9 @@
 	})
 }
 
-// sure tells whether the deed certainly had no effect.
+// sure tells whether the operation certainly had no effect.
 func sure(e *node.End) bool {
-	return e != nil && e.Defect != nil && e.Defect.Fate == defect.FateNo
+	return e != nil && e.Failure != nil && e.Failure.Outcome == failure.NotExecuted
 }
 
 func (l *Locker) round(gap time.Duration) {
@@ -85,10 +85,10 @@
 	ttl := time.Duration(500+w.Rng.IntN(2000)) * time.Millisecond
 	sent := w.now
 	again := func() { w.After(gap/2+time.Duration(w.Rng.Int64N(int64(gap))), func() { l.round(gap) }) }
-	args := book.JSON(lock.Args{Holder: l.who, TTL: ttl.Milliseconds()})
+	args := operation.Encode(lock.Args{Holder: l.who, TTL: ttl.Milliseconds()})
 	w.ask(proposer.Operation{Key: ident.Key("lock/" + name), Kind: "lock/claim", Args: args}, func(e *node.End) {
 		var g lock.Grant
-		if e == nil || e.Defect != nil || json.Unmarshal(e.Body, &g) != nil || w.now >= sent.Add(ttl) {
+		if e == nil || e.Failure != nil || json.Unmarshal(e.Body, &g) != nil || w.now >= sent.Add(ttl) {
 			again()
 			return
 		}
@@ -110,7 +110,7 @@
 		low := floor[name]
 		w.ask(proposer.Operation{Key: ident.Key("number/" + name), Kind: "number/next"}, func(e *node.End) {
 			var got number.Number
-			if e != nil && e.Defect == nil && json.Unmarshal(e.Body, &got) == nil {
+			if e != nil && e.Failure == nil && json.Unmarshal(e.Body, &got) == nil {
 				w.Check.Seen["number-repeated"]++
 				id := fmt.Sprint(name, "/", got.N)
 				if given[id] || got.N <= low {
@@ -135,28 +135,28 @@
 	name := fmt.Sprintf("k%d", w.Rng.IntN(k.names))
 	k.n++
 	in := keyIn{kind: []string{"read", "read", "write", "cas"}[w.Rng.IntN(4)], val: fmt.Sprintf("v%d", k.n)}
-	d := proposer.Operation{Key: ident.Key("key/" + name), Kind: "key/read", Args: book.JSON(key.Args{})}
+	d := proposer.Operation{Key: ident.Key("key/" + name), Kind: "key/read", Args: operation.Encode(key.Args{})}
 	low, began := k.floor[name], w.now
 	raw, _ := json.Marshal(in.val)
 	switch in.kind {
 	case "write":
-		d.Kind, d.Args = "key/write", book.JSON(key.Args{Value: raw})
+		d.Kind, d.Args = "key/write", operation.Encode(key.Args{Value: raw})
 	case "cas":
 		in.cas = low
-		d.Kind, d.Args = "key/write", book.JSON(key.Args{Value: raw, If: &in.cas})
+		d.Kind, d.Args = "key/write", operation.Encode(key.Args{Value: raw, If: &in.cas})
 	}
 	w.ask(d, func(e *node.End) {
 		var got key.Reading
 		out := keyOut{}
 		end := int64(w.now)
 		switch {
-		case sure(e) && e.Defect.Kind == defect.Conflict:
+		case sure(e) && e.Failure.Kind == failure.Conflict:
 			out.no = true
 		case sure(e):
 			// Certainly nothing happened and nothing was read.
 			w.After(gap/2+time.Duration(w.Rng.Int64N(int64(gap))), func() { k.round(who, gap) })
 			return
-		case e == nil || e.Defect != nil:
+		case e == nil || e.Failure != nil:
 			out.unknown = true
 			end = 1 << 60
 		default:
@@ -214,7 +214,7 @@
 			if over {
 				return
 			}
-			if e.Defect != nil {
+			if e.Failure != nil {
 				over = true
 				later()
 				return
@@ -236,7 +236,7 @@
 	later()
 }
 
-func (w *World) tell(c *Core, gen int, place watch.Place, due []ident.Key, last *moment.Moment, done func()) {
+func (w *World) tell(c *Core, gen int, place watch.Place, due []ident.Key, last *monotime.Time, done func()) {
 	if len(due) == 0 {
 		*last = w.now
 		done()
@@ -248,8 +248,8 @@
 	}
 	k := due[0]
 	at := place[k]
-	c.Deed(proposer.Operation{Key: k, Kind: "key/read", Args: book.JSON(key.Args{Since: &at})}, 3*time.Second, func(e node.End) {
-		if e.Defect != nil {
+	c.Deed(proposer.Operation{Key: k, Kind: "key/read", Args: operation.Encode(key.Args{Since: &at})}, 3*time.Second, func(e node.End) {
+		if e.Failure != nil {
 			done()
 			return
 		}
--- a/sim/world/clock.go
+++ b/sim/world/clock.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 type event struct {
-	at  moment.Moment
+	at  monotime.Time
 	seq uint64
 	do  func()
 }
@@ -42,7 +42,7 @@
 // Clock is virtual time. Invariant: events of the same moment run in the order they
 // were made, so a seed fixes everything.
 type Clock struct {
-	now moment.Moment
+	now monotime.Time
 	seq uint64
 	due events
 	Rng *rand.Rand
@@ -55,7 +55,7 @@
 }
 
 // Run runs all events up to the moment.
-func (c *Clock) Run(until moment.Moment) {
+func (c *Clock) Run(until monotime.Time) {
 	for len(c.due) > 0 && c.due[0].at <= until {
 		e := heap.Pop(&c.due).(event)
 		c.now = e.at
--- a/sim/world/core.go
+++ b/sim/world/core.go
@@ -13,7 +13,7 @@
 	"cottonarch.example/cottonarch/control/manifest/walk"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/sim/broken"
 	"cottonarch.example/cottonarch/storage/ring"
 )
@@ -29,17 +29,17 @@
 	up      bool
 	frozen  bool
 	gen     int
-	born    moment.Moment
+	born    monotime.Time
 	rate    float64
 	jump    time.Duration // by which its clock has jumped
 	still   bool          // its clock stands while it is frozen
 	cost    time.Duration // of its own time for each message and request
-	free    moment.Moment // when it has done what came so far
+	free    monotime.Time // when it has done what came so far
 	backlog []func()
 }
 
-func (p *proc) clock() moment.Moment {
-	return moment.Moment(float64(p.w.now-p.born)*p.rate) + moment.Moment(time.Second+p.jump)
+func (p *proc) clock() monotime.Time {
+	return monotime.Time(float64(p.w.now-p.born)*p.rate) + monotime.Time(time.Second+p.jump)
 }
 
 // Jump makes the process's clock jump forward.
@@ -126,13 +126,13 @@
 	held     *check.Manifest
 	raw      json.RawMessage
 	reading  bool
-	busy     moment.Moment
-	watch    moment.Watch
+	busy     monotime.Time
+	watch    monotime.Watch
 	resets   []func() // of those who wait at this process
 }
 
 // clock is the daemon's: it counts only time that was watched.
-func (c *Core) clock() moment.Moment {
+func (c *Core) clock() monotime.Time {
 	if c.w.Break == "clock" {
 		return c.proc.clock()
 	}
@@ -150,7 +150,7 @@
 func (c *Core) Start() {
 	w := c.w
 	c.start()
-	c.watch = moment.Watch{}
+	c.watch = monotime.Watch{}
 	c.jobs, c.writing, c.ends, c.held, c.raw, c.reading, c.busy = nil, false, map[uint64]func(node.End){}, nil, nil, false, 0
 	c.mem.Fail = nil
 	var err error
@@ -202,7 +202,7 @@
 	return 0
 }
 
-// machine is the book of all deeds, with the one that is broken on purpose.
+// machine is the book of all operations, with the one that is broken on purpose.
 func (w *World) machine() proposer.StateMachine { return broken.Book(string(w.Break), w.History) }
 
 // seeds gives a starting core three addresses of others as they are now.
@@ -402,7 +402,7 @@
 	})
 }
 
-// Deed runs a deed at this core.
+// Deed runs an operation at this core.
 func (c *Core) Deed(d proposer.Operation, budget time.Duration, end func(node.End)) {
 	c.ticket++
 	c.ends[c.ticket] = end
@@ -428,7 +428,7 @@
 // Newest reads the manifest through its proposer.
 func (c *Core) Newest(done func(ok bool)) {
 	c.Deed(proposer.Operation{Key: offer.Key, Kind: "manifest/read"}, time.Second, func(e node.End) {
-		if e.Defect != nil {
+		if e.Failure != nil {
 			done(false)
 			return
 		}
--- a/sim/world/endpoint.go
+++ b/sim/world/endpoint.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/gate"
 )
 
@@ -36,9 +36,9 @@
 	seq     uint64 // of its beats
 	state   gate.State
 	hand    int
-	leftAt  moment.Moment // when its leaving was first confirmed on its machine
-	beatAt  moment.Moment // when its machine last took a beat of it, by the machine's clock
-	lostAt  moment.Moment // when its loss was confirmed on its machine, 0 if it is not
+	leftAt  monotime.Time // when its leaving was first confirmed on its machine
+	beatAt  monotime.Time // when its machine last took a beat of it, by the machine's clock
+	lostAt  monotime.Time // when its loss was confirmed on its machine, 0 if it is not
 }
 
 // losses notes, while the machine runs and by its own clock, whose loss is confirmed on
--- a/sim/world/join.go
+++ b/sim/world/join.go
@@ -5,13 +5,13 @@
 	"fmt"
 	"time"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/number"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/core/admission"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/mesh/claim/joiner"
 )
@@ -46,8 +46,8 @@
 		c.Join(ask, func(e node.End) {
 			var got node.Joined
 			switch {
-			case e.Defect != nil:
-				say(e.Defect)
+			case e.Failure != nil:
+				say(e.Failure)
 			case json.Unmarshal(e.Body, &got) == nil:
 				say(got)
 			}
@@ -57,9 +57,9 @@
 		switch got := v.(type) {
 		case node.Joined:
 			s.joined(got)
-		case *defect.Defect:
-			if got.Kind == defect.Busy && got.Retry > 0 {
-				s.joiner.Refused(s.clock(), c.Addr, time.Duration(got.Retry*float64(time.Second)))
+		case *failure.Error:
+			if got.Kind == failure.Busy && got.RetryAfter > 0 {
+				s.joiner.Refused(s.clock(), c.Addr, time.Duration(got.RetryAfter*float64(time.Second)))
 				return
 			}
 			s.joiner.Failed(s.clock(), c.Addr)
@@ -90,14 +90,14 @@
 	s.ask(&c.proc, singlyLimit, func(say func(any)) {
 		c.Deed(proposer.Operation{Key: ident.Key("claim/" + string(s.Node)), Kind: "number/next"}, 3*time.Second, func(e node.End) {
 			var num number.Number
-			if e.Defect != nil || json.Unmarshal(e.Body, &num) != nil {
+			if e.Failure != nil || json.Unmarshal(e.Body, &num) != nil {
 				say(nil)
 				return
 			}
-			args := book.JSON(share.Args{Node: s.Node, Claim: ident.Epoch(num.N)})
+			args := operation.Encode(share.Args{Node: s.Node, Claim: ident.Epoch(num.N)})
 			c.Deed(proposer.Operation{Key: share.Key, Kind: "share/take", Args: args}, 3*time.Second, func(e node.End) {
 				var g share.Told
-				if e.Defect != nil || json.Unmarshal(e.Body, &g) != nil {
+				if e.Failure != nil || json.Unmarshal(e.Body, &g) != nil {
 					say(nil)
 					return
 				}
--- a/sim/world/lockers.go
+++ b/sim/world/lockers.go
@@ -4,18 +4,18 @@
 	"fmt"
 	"time"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
 	"cottonarch.example/cottonarch/control/coordination/lock"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
 type hold struct {
 	who   string
 	fence uint64
-	until moment.Moment
+	until monotime.Time
 }
 
 // Locker claims, renews and releases locks and checks that nobody else holds one.
@@ -65,7 +65,7 @@
 			again()
 			return
 		}
-		args := book.JSON(lock.Args{Holder: l.who, Fence: h.fence})
+		args := operation.Encode(lock.Args{Holder: l.who, Fence: h.fence})
 		k := ident.Key("lock/" + name)
 		if left == 0 {
 			if w.Rng.IntN(3) > 0 {
@@ -78,7 +78,7 @@
 		}
 		sent := w.now
 		w.ask(proposer.Operation{Key: k, Kind: "lock/renew", Args: args}, func(e *node.End) {
-			if e != nil && e.Defect == nil && w.now < h.until {
+			if e != nil && e.Failure == nil && w.now < h.until {
 				h.until = max(h.until, sent.Add(ttl))
 				l.granted(name, h)
 			}
--- a/sim/world/operators.go
+++ b/sim/world/operators.go
@@ -8,12 +8,12 @@
 	"time"
 
 	"cottonarch.example/cottonarch/control/audit/chunk"
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/sim/check"
 )
 
@@ -83,15 +83,15 @@
 			a.Partial, tree = false, o.base(mark)
 		}
 	}
-	a.Body = book.JSON(tree)
+	a.Body = operation.Encode(tree)
 	began := o.top
-	w.ask(proposer.Operation{Key: offer.Key, Kind: "manifest/offer", Args: book.JSON(a)}, func(e *node.End) {
+	w.ask(proposer.Operation{Key: offer.Key, Kind: "manifest/offer", Args: operation.Encode(a)}, func(e *node.End) {
 		w.Check.Seen["manifest-turned"]++
 		switch {
 		case sure(e):
 			w.Served["manifest-no"]++
-			w.Check.TurnedAway(mark, string(e.Defect.Kind))
-		case e == nil || e.Defect != nil:
+			w.Check.TurnedAway(mark, string(e.Failure.Kind))
+		case e == nil || e.Failure != nil:
 			w.Served["manifest-unknown"]++
 		default:
 			var y offer.Yes
@@ -118,14 +118,14 @@
 
 // inForce follows the epoch to every sidecar. The bound runs from the confirmation, or
 // from the end of what kept everybody from making that sidecar know it.
-func (o *Operators) inForce(e ident.Epoch, at moment.Moment) {
+func (o *Operators) inForce(e ident.Epoch, at monotime.Time) {
 	for _, s := range o.w.Sides {
 		o.open++
 		o.follow(s, e, at, "")
 	}
 }
 
-func (o *Operators) follow(s *Side, e ident.Epoch, from moment.Moment, cause string) {
+func (o *Operators) follow(s *Side, e ident.Epoch, from monotime.Time, cause string) {
 	w := o.w
 	const rule = "manifest-late"
 	have := ident.Epoch(0)
@@ -169,8 +169,8 @@
 		c.ticket++
 		c.ends[c.ticket] = func(e node.End) {
 			leaves, ok := node.Leaves(e.Found)
-			if e.Defect != nil || !ok {
-				w.Breach("audit", "the audit log can't be read at day's end: %v", e.Defect)
+			if e.Failure != nil || !ok {
+				w.Breach("audit", "the audit log can't be read at day's end: %v", e.Failure)
 				return
 			}
 			have := map[ident.Epoch]bool{}
@@ -203,8 +203,8 @@
 		want := o.top
 		c.Deed(proposer.Operation{Key: offer.Key, Kind: "manifest/read"}, 4*time.Second, func(e node.End) {
 			var h offer.Held
-			if e.Defect != nil || json.Unmarshal(e.Body, &h) != nil {
-				w.Breach("slow-recovery", "core %s can't read the manifest at day's end: %v", c.Addr, e.Defect)
+			if e.Failure != nil || json.Unmarshal(e.Body, &h) != nil {
+				w.Breach("slow-recovery", "core %s can't read the manifest at day's end: %v", c.Addr, e.Failure)
 				return
 			}
 			w.Check.Seen["manifest-turned"]++
--- a/sim/world/orders_test.go
+++ b/sim/world/orders_test.go
@@ -8,11 +8,11 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/storage/ring"
 )
@@ -37,19 +37,19 @@
 
 // send gives an order to some core, and loses one acknowledgement in three.
 func (o *orders) send(r *order, then func(clear bool)) {
-	d := proposer.Operation{Key: offer.Key, Kind: "manifest/offer", Args: book.JSON(r.args), Repeatable: true}
+	d := proposer.Operation{Key: offer.Key, Kind: "manifest/offer", Args: operation.Encode(r.args), Repeatable: true}
 	o.w.asking(d, 900*time.Millisecond, time.Second, func(e *node.End) {
 		if o.w.Rng.IntN(3) == 0 {
 			e = nil
 		}
 		switch {
-		case e != nil && e.Defect == nil:
+		case e != nil && e.Failure == nil:
 			var yes offer.Yes
 			_ = json.Unmarshal(e.Body, &yes)
 			o.top = max(o.top, yes.Release)
 			r.acked = true
 			then(true)
-		case e != nil && e.Defect.Fate == defect.FateNo && (e.Defect.Kind == defect.Conflict || e.Defect.Kind == defect.Invalid):
+		case e != nil && e.Failure.Outcome == failure.NotExecuted && (e.Failure.Kind == failure.Conflict || e.Failure.Kind == failure.Invalid):
 			r.refused = true
 			then(true)
 		default:
--- a/sim/world/restart_test.go
+++ b/sim/world/restart_test.go
@@ -11,13 +11,13 @@
 	"github.com/shoenig/test/must"
 
 	"cottonarch.example/cottonarch/control/audit/chunk"
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/manifest/offer"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/storage/ring"
 )
 
@@ -42,7 +42,7 @@
 
 // acked is the newest acknowledged epoch from a moment on.
 type acked struct {
-	at  moment.Moment
+	at  monotime.Time
 	top ident.Epoch
 }
 
@@ -63,7 +63,7 @@
 }
 
 // topAt is the newest epoch that was acknowledged at a moment.
-func (u *longUse) topAt(at moment.Moment) (top ident.Epoch) {
+func (u *longUse) topAt(at monotime.Time) (top ident.Epoch) {
 	for i := len(u.tops) - 1; i >= 0; i-- {
 		if u.tops[i].at <= at {
 			return u.tops[i].top
@@ -84,12 +84,12 @@
 			continue
 		}
 		u.ballots[held.Accepted] = true
-		must.GreaterEq(u, u.topAt(u.w.now-moment.Moment(tenureTime)), ident.Epoch(held.Revision), must.Sprintf("core %s began a tenure on an old state", c.Addr))
+		must.GreaterEq(u, u.topAt(u.w.now-monotime.Time(tenureTime)), ident.Epoch(held.Revision), must.Sprintf("core %s began a tenure on an old state", c.Addr))
 	}
 	u.w.After(coreTick, u.look)
 }
 
-// do runs a deed at a core until it ends or its time is over.
+// do runs an operation at a core until it ends or its time is over.
 func (u *longUse) do(c *Core, d proposer.Operation, budget time.Duration) (end *node.End) {
 	if !c.up {
 		return nil
@@ -112,8 +112,8 @@
 	}
 	for try := range 200 {
 		c := u.w.Cores[(int(u.release)+try)%len(u.w.Cores)]
-		e := u.do(c, proposer.Operation{Key: offer.Key, Kind: "manifest/offer", Args: book.JSON(a), Repeatable: true}, time.Second)
-		if e != nil && e.Defect == nil {
+		e := u.do(c, proposer.Operation{Key: offer.Key, Kind: "manifest/offer", Args: operation.Encode(a), Repeatable: true}, time.Second)
+		if e != nil && e.Failure == nil {
 			var yes offer.Yes
 			must.NoError(u, json.Unmarshal(e.Body, &yes))
 			must.Eq(u, u.release, yes.Release)
@@ -123,7 +123,7 @@
 			return
 		}
 		if e != nil {
-			must.True(u, e.Defect.Fate == defect.FateUnknown || e.Defect.Kind != defect.Conflict && e.Defect.Kind != defect.Invalid, must.Sprint(e.Defect))
+			must.True(u, e.Failure.Outcome == failure.OutcomeUnknown || e.Failure.Kind != failure.Conflict && e.Failure.Kind != failure.Invalid, must.Sprint(e.Failure))
 		}
 		u.w.RunFor(askPause)
 	}
@@ -138,7 +138,7 @@
 		if c.Well() && c.epoch() >= top {
 			var h offer.Held
 			e := u.do(c, proposer.Operation{Key: offer.Key, Kind: "manifest/read"}, time.Second)
-			if e != nil && e.Defect == nil && json.Unmarshal(e.Body, &h) == nil {
+			if e != nil && e.Failure == nil && json.Unmarshal(e.Body, &h) == nil {
 				must.GreaterEq(u, top, h.Epoch)
 				return u.w.now.Since(began)
 			}
--- a/sim/world/side.go
+++ b/sim/world/side.go
@@ -4,14 +4,14 @@
 	"encoding/json"
 	"time"
 
-	"cottonarch.example/cottonarch/control/coordination/book"
+	"cottonarch.example/cottonarch/control/coordination/operation"
 	"cottonarch.example/cottonarch/control/coordination/share"
 	"cottonarch.example/cottonarch/control/core/node"
 	manifest "cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/register/proposer"
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/allowance"
 	"cottonarch.example/cottonarch/mesh/bay"
 	"cottonarch.example/cottonarch/mesh/claim/joiner"
@@ -51,10 +51,10 @@
 	stale       bool // as the polled core last said
 	leaving     bool
 	shown       ident.Epoch
-	heard       moment.Moment // a core, last
+	heard       monotime.Time // a core, last
 	hand        int
 	urgent      int // urgent calls in hand
-	watch       moment.Watch
+	watch       monotime.Watch
 	// The rest is for worlds with bays.
 	bay     *bay.Bay
 	berths  map[uint64]*berth // who waits in the bay
@@ -64,7 +64,7 @@
 }
 
 // slow is the clock that counts only time that was watched.
-func (s *Side) slow() moment.Moment {
+func (s *Side) slow() monotime.Time {
 	if s.w.Break == "clock" {
 		return s.clock()
 	}
@@ -81,7 +81,7 @@
 // Start starts the sidecar.
 func (s *Side) Start() {
 	s.start()
-	s.watch = moment.Watch{}
+	s.watch = monotime.Watch{}
 	s.path = path.New(s.clock(), s.District, s.w.Rng.Uint64(), allowance.Terms{})
 	s.path.Reckless = s.w.Break == "retry"
 	s.path.Tree.Free = s.w.Break == "allowance"
@@ -265,7 +265,7 @@
 		say(got)
 	}, func(v any) {
 		switch got := v.(type) {
-		case *defect.Defect:
+		case *failure.Error:
 			if ask.LeaseEpoch == s.leaseEpoch {
 				s.entered = false
 			}
@@ -325,17 +325,17 @@
 	}
 	c := s.w.Cores[s.w.Rng.IntN(len(s.w.Cores))]
 	s.ask(&c.proc, 3500*time.Millisecond, func(say func(any)) {
-		c.Deed(proposer.Operation{Key: "share", Kind: "share/take", Args: book.JSON(a)}, 3*time.Second, func(e node.End) {
+		c.Deed(proposer.Operation{Key: "share", Kind: "share/take", Args: operation.Encode(a)}, 3*time.Second, func(e node.End) {
 			var t share.Told
 			switch {
-			case e.Defect != nil:
-				say(e.Defect)
+			case e.Failure != nil:
+				say(e.Failure)
 			case json.Unmarshal(e.Body, &t) == nil:
 				say(t)
 			}
 		})
 	}, func(v any) {
-		if d, ok := v.(*defect.Defect); ok && d.Kind == defect.Conflict && a.Claim == s.leaseEpoch {
+		if d, ok := v.(*failure.Error); ok && d.Kind == failure.Conflict && a.Claim == s.leaseEpoch {
 			s.entered = false // superseded: it joins anew, as the daemon does
 		}
 		if t, ok := v.(share.Told); ok && a.Claim == s.leaseEpoch {
--- a/sim/world/world.go
+++ b/sim/world/world.go
@@ -10,7 +10,7 @@
 
 	"cottonarch.example/cottonarch/control/register/quorum"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/kernel/moment"
+	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/sim/check"
 	"cottonarch.example/cottonarch/storage/ring"
 )
@@ -30,7 +30,7 @@
 	disks    int
 	calls    int
 	told     int
-	Took     []time.Duration // of deeds that were told a yes
+	Took     []time.Duration // of operations that were told a yes
 	// Senders is how many requests a sidecar sends at once, and its queues' size.
 	Senders int
 	// History is how long a group keeps its puts, the default if 0.
@@ -120,7 +120,7 @@
 func (w *World) Breach(rule, form string, args ...any) { w.Check.Break(w.now, rule, form, args...) }
 
 // Now is virtual time.
-func (w *World) Now() moment.Moment { return w.now }
+func (w *World) Now() monotime.Time { return w.now }
 
 // RunFor runs the world.
 func (w *World) RunFor(d time.Duration) { w.Run(w.now.Add(d)) }
--- a/stand/caller/caller.go
+++ b/stand/caller/caller.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/stand/endpoint"
 	"cottonarch.example/cottonarch/wire/reply"
@@ -146,9 +146,9 @@
 		return told
 	}
 	switch fate := res.Header.Get(reply.FateHeader); {
-	case fate == string(defect.FateNo):
+	case fate == string(failure.NotExecuted):
 		told.Fate, told.Note = NotRun, string(data)
-	case fate == string(defect.FateUnknown):
+	case fate == string(failure.OutcomeUnknown):
 		told.Fate, told.Note = Unknown, string(data)
 	default:
 		var e endpoint.Echo
--- a/storage/ring/folder.go
+++ b/storage/ring/folder.go
@@ -10,7 +10,7 @@
 	"slices"
 	"syscall"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 // File is what the ring needs of a preallocated file.
@@ -41,42 +41,42 @@
 	}
 	lock, err := os.OpenFile(filepath.Join(path, "lock"), os.O_CREATE|os.O_RDWR, 0o644)
 	if err != nil {
-		return nil, defect.Wrap(err, defect.DiskFailed, "open lock")
+		return nil, failure.Wrap(err, failure.DiskFailed, "open lock")
 	}
 	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		_ = lock.Close()
-		return nil, defect.Wrap(err, defect.DiskFailed, "another process holds the data folder")
+		return nil, failure.Wrap(err, failure.DiskFailed, "another process holds the data folder")
 	}
 	return &Dir{path: path, lock: lock}, nil
 }
 
 // Close lets the folder go.
-func (d *Dir) Close() error { return defect.Wrap(d.lock.Close(), defect.DiskFailed, "close") }
+func (d *Dir) Close() error { return failure.Wrap(d.lock.Close(), failure.DiskFailed, "close") }
 
 // Open opens one file, filling it with zeros up to its size.
 func (d *Dir) Open(name string, size int64) (File, error) {
 	f, err := os.OpenFile(filepath.Join(d.path, name), os.O_CREATE|os.O_RDWR, 0o644)
 	if err != nil {
-		return nil, defect.Wrap(err, defect.DiskFailed, "open "+name)
+		return nil, failure.Wrap(err, failure.DiskFailed, "open "+name)
 	}
 	stat, err := f.Stat()
 	if err != nil {
-		return nil, defect.Wrap(err, defect.DiskFailed, "stat "+name)
+		return nil, failure.Wrap(err, failure.DiskFailed, "stat "+name)
 	}
 	if stat.Size() > size {
-		return nil, defect.New(defect.Damaged, "%s is longer than the ring's file size", name)
+		return nil, failure.New(failure.Damaged, "%s is longer than the ring's file size", name)
 	}
 	zero := make([]byte, 1<<20)
 	for at := stat.Size(); at < size; {
 		n := min(int64(len(zero)), size-at)
 		if _, err := f.WriteAt(zero[:n], at); err != nil {
-			return nil, defect.Wrap(err, defect.DiskFailed, "preallocate "+name)
+			return nil, failure.Wrap(err, failure.DiskFailed, "preallocate "+name)
 		}
 		at += n
 	}
 	if stat.Size() < size {
 		if err := f.Sync(); err != nil {
-			return nil, defect.Wrap(err, defect.DiskFailed, "sync "+name)
+			return nil, failure.Wrap(err, failure.DiskFailed, "sync "+name)
 		}
 	}
 	return f, nil
@@ -88,11 +88,11 @@
 func syncFolder(path string) error {
 	dir, err := os.Open(path)
 	if err != nil {
-		return defect.Wrap(err, defect.DiskFailed, "open folder")
+		return failure.Wrap(err, failure.DiskFailed, "open folder")
 	}
 	err = dir.Sync()
 	_ = dir.Close()
-	return defect.Wrap(err, defect.DiskFailed, "sync folder")
+	return failure.Wrap(err, failure.DiskFailed, "sync folder")
 }
 
 // makeFolder makes a folder with those above it, and has the names of all that it made
@@ -100,7 +100,7 @@
 func makeFolder(path string) error {
 	path, err := filepath.Abs(path)
 	if err != nil {
-		return defect.Wrap(err, defect.DiskFailed, "find data folder")
+		return failure.Wrap(err, failure.DiskFailed, "find data folder")
 	}
 	made := []string{filepath.Dir(path)}
 	for above := made[0]; ; above = filepath.Dir(above) {
@@ -110,7 +110,7 @@
 		made = append(made, filepath.Dir(above))
 	}
 	if err := os.MkdirAll(path, 0o755); err != nil {
-		return defect.Wrap(err, defect.DiskFailed, "make data folder")
+		return failure.Wrap(err, failure.DiskFailed, "make data folder")
 	}
 	for _, above := range made {
 		// Who may not read the folder above did not make it.
--- a/storage/ring/ring.go
+++ b/storage/ring/ring.go
@@ -9,7 +9,7 @@
 	"hash/crc32"
 	"slices"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 const (
@@ -74,7 +74,7 @@
 // counted tells whether a number of a head may be a count: laps and records count from 1.
 func counted(n uint64) bool { return n > 0 && n < countMax }
 
-// Open recovers a ring. It answers a Damaged defect when anything that was synced
+// Open recovers a ring. It answers a Damaged failure when anything that was synced
 // cannot be read whole.
 func Open(box Folder, boot Boot) (*Ring, error) {
 	r := &Ring{boot: boot, dirty: map[int]bool{}, held: map[string]live{}}
@@ -99,7 +99,7 @@
 	for i, f := range r.files {
 		raw := make([]byte, fileHead)
 		if _, err := f.ReadAt(raw, 0); err != nil {
-			return nil, defect.Wrap(err, defect.DiskFailed, "read head")
+			return nil, failure.Wrap(err, failure.DiskFailed, "read head")
 		}
 		h := head{blank: !slices.ContainsFunc(raw, func(b byte) bool { return b != 0 })}
 		if binary.LittleEndian.Uint32(raw) == fileMagic && crc32.Checksum(raw[:28], table) == binary.LittleEndian.Uint32(raw[28:]) {
@@ -114,7 +114,7 @@
 	if top < 0 {
 		for i, h := range heads {
 			if !h.blank && i != 0 {
-				return nil, defect.New(defect.Damaged, "ring-%03d: head is damaged", i)
+				return nil, failure.New(failure.Damaged, "ring-%03d: head is damaged", i)
 			}
 		}
 		// Records follow a head only once it was synced: without a head, one that knew
@@ -141,7 +141,7 @@
 		if uint64(step) >= r.lap {
 			// The first lap had not come this far; only the next file's head may be torn.
 			if !heads[i].blank && i != next {
-				return nil, defect.New(defect.Damaged, "ring-%03d: head is damaged", i)
+				return nil, failure.New(failure.Damaged, "ring-%03d: head is damaged", i)
 			}
 			continue
 		}
@@ -149,25 +149,25 @@
 			if step == boot.Files-1 {
 				continue // judged below, by the moved mark
 			}
-			return nil, defect.New(defect.Damaged, "ring-%03d: head is damaged", i)
+			return nil, failure.New(failure.Damaged, "ring-%03d: head is damaged", i)
 		}
 		limit := ^uint64(0)
 		if step > 0 {
 			limit = heads[(i+1)%boot.Files].first
 		}
 		if r.seq != 0 && heads[i].first != r.seq+1 {
-			return nil, defect.New(defect.Damaged, "ring-%03d: begins at %d, wanted %d", i, heads[i].first, r.seq+1)
+			return nil, failure.New(failure.Damaged, "ring-%03d: begins at %d, wanted %d", i, heads[i].first, r.seq+1)
 		}
 		r.seq = heads[i].first - 1
 		if err := r.scan(i, want, limit); err != nil {
 			return nil, err
 		}
 		if step > 0 && r.seq+1 != limit {
-			return nil, defect.New(defect.Damaged, "ring-%03d: record %d is damaged", i, r.seq+1)
+			return nil, failure.New(failure.Damaged, "ring-%03d: record %d is damaged", i, r.seq+1)
 		}
 	}
 	if r.lap >= uint64(boot.Files) && (!heads[next].ok || heads[next].lap != r.lap-uint64(boot.Files)+1) && !moved {
-		return nil, defect.New(defect.Damaged, "ring-%03d: head is damaged before its records were moved", next)
+		return nil, failure.New(failure.Damaged, "ring-%03d: head is damaged before its records were moved", next)
 	}
 	if err := r.behind(next, r.lap+1, fileHead); err != nil {
 		return nil, err
@@ -213,7 +213,7 @@
 		}
 		v.raw = v.raw[:at+next]
 		if _, err := v.file.ReadAt(v.raw[at:], int64(at)); err != nil {
-			return defect.Wrap(err, defect.DiskFailed, "read records")
+			return failure.Wrap(err, failure.DiskFailed, "read records")
 		}
 	}
 	return nil
@@ -314,7 +314,7 @@
 		}
 		at += int64(n)
 		if _, _, seq, synced, ok := parse(v.raw[at:], lap); ok && seq > r.seq && synced > r.seq {
-			return defect.New(defect.Damaged, "ring-%03d: record %d is damaged", i, r.seq+1)
+			return failure.New(failure.Damaged, "ring-%03d: record %d is damaged", i, r.seq+1)
 		}
 	}
 	return nil
@@ -362,7 +362,7 @@
 	sum = crc32.Update(sum, table, binary.LittleEndian.AppendUint64(nil, r.lap))
 	binary.LittleEndian.PutUint32(raw[4:], sum)
 	if _, err := r.files[r.now].WriteAt(raw, r.off); err != nil {
-		r.broken = defect.Wrap(err, defect.DiskFailed, "write record")
+		r.broken = failure.Wrap(err, failure.DiskFailed, "write record")
 		return r.broken
 	}
 	r.dirty[r.now] = true
@@ -386,7 +386,7 @@
 		}
 	}
 	if r.off+need > r.boot.Size {
-		return defect.New(defect.DiskFailed, "no room to move live records forward")
+		return failure.New(failure.DiskFailed, "no room to move live records forward")
 	}
 	slices.Sort(tags)
 	for _, tag := range tags {
@@ -411,7 +411,7 @@
 	binary.LittleEndian.PutUint64(raw[12:], r.seq+1)
 	binary.LittleEndian.PutUint32(raw[28:], crc32.Checksum(raw[:28], table))
 	if _, err := r.files[r.now].WriteAt(raw, 0); err != nil {
-		r.broken = defect.Wrap(err, defect.DiskFailed, "write head")
+		r.broken = failure.Wrap(err, failure.DiskFailed, "write head")
 		return r.broken
 	}
 	r.dirty[r.now], r.off = true, fileHead
@@ -438,14 +438,14 @@
 	for _, rec := range batch {
 		need := r.size(rec.Tag, rec.Data)
 		if need > r.Most() {
-			return defect.New(defect.Oversize, "record of %d bytes", need)
+			return failure.New(failure.Oversize, "record of %d bytes", need)
 		}
 		if r.bulk+need > r.most() {
-			return defect.New(defect.DiskFailed, "the ring is full of live records")
+			return failure.New(failure.DiskFailed, "the ring is full of live records")
 		}
 		for tries := 0; r.off+need > r.boot.Size; tries++ {
 			if tries > r.boot.Files {
-				return defect.New(defect.DiskFailed, "no room after a whole lap")
+				return failure.New(failure.DiskFailed, "no room after a whole lap")
 			}
 			if err := r.advance(); err != nil {
 				return err
@@ -470,7 +470,7 @@
 			continue
 		}
 		if err := r.files[i].Sync(); err != nil {
-			r.broken = defect.Wrap(err, defect.DiskFailed, "sync")
+			r.broken = failure.Wrap(err, failure.DiskFailed, "sync")
 			return r.broken
 		}
 		delete(r.dirty, i)
--- a/storage/ring/ring_test.go
+++ b/storage/ring/ring_test.go
@@ -7,7 +7,7 @@
 	"path/filepath"
 	"testing"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 )
@@ -116,7 +116,7 @@
 			box.Flip(fmt.Sprintf("ring-%03d", file), off)
 			r, err := Open(box, boot)
 			if err != nil {
-				test.Eq(t, defect.Damaged, defect.Of(err).Kind)
+				test.Eq(t, failure.Damaged, failure.Of(err).Kind)
 				caught++
 				continue
 			}
@@ -164,7 +164,7 @@
 	}
 	must.Error(t, r.Sync())
 	box.Fail = nil
-	test.Eq(t, defect.DiskFailed, defect.Of(r.Sync()).Kind)
+	test.Eq(t, failure.DiskFailed, failure.Of(r.Sync()).Kind)
 	test.Error(t, r.Append([]Record{{"a", []byte("2")}}))
 }
 
@@ -211,9 +211,9 @@
 		box.Flip("ring-000", off)
 		_, err = Open(box, boot)
 		must.NotNil(t, err, must.Sprintf("byte %d of the head", off))
-		var d *defect.Defect
-		must.True(t, defect.Find(err, &d))
-		must.Eq(t, defect.Damaged, d.Kind)
+		var d *failure.Error
+		must.True(t, failure.Find(err, &d))
+		must.Eq(t, failure.Damaged, d.Kind)
 	}
 	for part := range fileHead {
 		box := NewMem()
--- a/wire/client/client.go
+++ b/wire/client/client.go
@@ -15,7 +15,7 @@
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -75,13 +75,13 @@
 	c, err := khttp.NewClient(context.Background(), khttp.WithEndpoint(string(addr)), khttp.WithTimeout(0), khttp.WithTransport(p.trip),
 		khttp.WithErrorDecoder(decode))
 	if err != nil {
-		return nil, defect.Wrap(err, defect.Internal, "client")
+		return nil, failure.Wrap(err, failure.Internal, "client")
 	}
 	p.all[addr] = c
 	return c, nil
 }
 
-// decode turns a return of the mesh back into its defect.
+// decode turns a return of the mesh back into its failure.
 func decode(_ context.Context, res *http.Response) error {
 	if res.StatusCode >= 200 && res.StatusCode < 300 {
 		return nil
@@ -89,11 +89,11 @@
 	defer func() { _ = res.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(res.Body, 1<<20))
 	if err != nil {
-		return defect.Wrap(err, defect.LostReturn, "read return")
+		return failure.Wrap(err, failure.LostResponse, "read return")
 	}
-	d := &defect.Defect{}
+	d := &failure.Error{}
 	if json.Unmarshal(data, d) != nil || d.Kind == "" {
-		return defect.Unsure(defect.BadReturn, "status %d", res.StatusCode)
+		return failure.Unsure(failure.BadResponse, "status %d", res.StatusCode)
 	}
 	return d
 }
@@ -108,10 +108,10 @@
 		into = &struct{}{}
 	}
 	if err := c.Invoke(ctx, method, path, args, into); err != nil {
-		if d := (*defect.Defect)(nil); defect.Find(err, &d) {
+		if d := (*failure.Error)(nil); failure.Find(err, &d) {
 			return d
 		}
-		return defect.Wrap(err, defect.LostReturn, "ask "+path)
+		return failure.Wrap(err, failure.LostResponse, "ask "+path)
 	}
 	return nil
 }
--- a/wire/exchange/conn.go
+++ b/wire/exchange/conn.go
@@ -8,7 +8,7 @@
 	"time"
 	"unsafe"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 const (
@@ -114,7 +114,7 @@
 // does, waits for the return to begin: look, write and wait are one visit to the socket,
 // which spares a read that would find nothing. shut says that the connection is closed or
 // speaks before it is asked; then nothing was sent.
-func (c *conn) send(call *Call, w *writing) (sent int, d *defect.Defect, shut bool) {
+func (c *conn) send(call *Call, w *writing) (sent int, d *failure.Error, shut bool) {
 	c.what = asking{out: w.head}
 	visit := c.ask
 	if len(w.body) > 0 {
@@ -127,7 +127,7 @@
 	case a.sent == len(w.head):
 		return a.sent, nil, false // what became of the wait is told by the read that follows
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return 0, defect.New(defect.Late, "no time was left to send"), false
+		return 0, failure.New(failure.Late, "no time was left to send"), false
 	case err != nil || !a.silent():
 		return 0, nil, true
 	}
@@ -137,22 +137,22 @@
 	if call.Fresh && call.IdHeader == "" && len(body) > heldBack {
 		most := len(body) - 1
 		if sent, d = c.put(head, body[:most]); d != nil {
-			return sent, d, sent == 0 && d.Kind == defect.LostReturn
+			return sent, d, sent == 0 && d.Kind == failure.LostResponse
 		}
 		if !c.silent() {
 			if c.speaks() {
-				return sent, defect.Unsure(defect.BadReturn, "a return came before the request was whole"), false
+				return sent, failure.Unsure(failure.BadResponse, "a return came before the request was whole"), false
 			}
-			return sent, defect.Unsure(defect.LostReturn, "the request was broken off"), false
+			return sent, failure.Unsure(failure.LostResponse, "the request was broken off"), false
 		}
 		head, body = body[most:], nil
 	}
 	n, d := c.put(head, body)
 	sent += n + a.sent
-	return sent, d, sent == 0 && d != nil && d.Kind == defect.LostReturn
+	return sent, d, sent == 0 && d != nil && d.Kind == failure.LostResponse
 }
 
-func (c *conn) put(head, body []byte) (sent int, d *defect.Defect) {
+func (c *conn) put(head, body []byte) (sent int, d *failure.Error) {
 	var err error
 	if len(body) == 0 {
 		sent, err = c.TCPConn.Write(head)
@@ -166,20 +166,20 @@
 	case err == nil:
 		return sent, nil
 	case errors.Is(err, os.ErrDeadlineExceeded) && sent == 0:
-		return 0, defect.New(defect.Late, "no time was left to send")
+		return 0, failure.New(failure.Late, "no time was left to send")
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return sent, defect.Unsure(defect.Late, "the request was not taken in time")
+		return sent, failure.Unsure(failure.Late, "the request was not taken in time")
 	}
-	return sent, defect.Unsure(defect.LostReturn, "the request was broken off")
+	return sent, failure.Unsure(failure.LostResponse, "the request was broken off")
 }
 
 // over looks whether anything follows a return that is to be the last: then it is not
 // sure where the return ended, nor to which request it was. The other end was asked to
 // close after it; one that does not is waited for a moment only.
-func (c *conn) over() *defect.Defect {
+func (c *conn) over() *failure.Error {
 	_ = c.SetReadDeadline(time.Now().Add(wholeMax))
 	if _, err := c.in.Peek(1); err == nil {
-		return defect.Unsure(defect.BadReturn, "more came than the return")
+		return failure.Unsure(failure.BadResponse, "more came than the return")
 	}
 	return nil
 }
--- a/wire/exchange/exchange.go
+++ b/wire/exchange/exchange.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"time"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 )
 
@@ -98,14 +98,14 @@
 	// with Until costs least.
 	Until time.Time
 	// Last is asked just before the first byte, after any dial.
-	Last func() *defect.Defect
+	Last func() *failure.Error
 }
 
 // Do sends the call once. sent is false only when no byte of it left this process;
-// whatever is told after a byte left, other than a return, has an unknown fate.
+// whatever is told after a byte left, other than a return, has an unknown outcome.
 // Defects: Malformed, Unreached, Busy and those of Last are not sent; Late may be
 // either; LostReturn and BadReturn were sent.
-func (p *Pool) Do(ctx context.Context, addr ident.Addr, call Call) (ret *Return, sent bool, d *defect.Defect) {
+func (p *Pool) Do(ctx context.Context, addr ident.Addr, call Call) (ret *Return, sent bool, d *failure.Error) {
 	if until, ok := ctx.Deadline(); ok && (call.Until.IsZero() || until.Before(call.Until)) {
 		call.Until = until
 	}
@@ -133,7 +133,7 @@
 type ending struct {
 	ret              *Return
 	sent, keep, shut bool
-	d                *defect.Defect
+	d                *failure.Error
 }
 
 // carry asks Last, writes the request and reads its return.
@@ -149,7 +149,7 @@
 	}
 	sent, d, shut := c.send(call, w)
 	if shut {
-		return ending{shut: true, d: defect.New(defect.Busy, "%s closes or speaks before it is asked", c.shelf.addr)}
+		return ending{shut: true, d: failure.New(failure.Busy, "%s closes or speaks before it is asked", c.shelf.addr)}
 	}
 	if d != nil && sent == 0 {
 		return ending{d: d}
--- a/wire/exchange/exchange_test.go
+++ b/wire/exchange/exchange_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/wire/exchange"
 	"github.com/shoenig/test/must"
@@ -54,7 +54,7 @@
 	return exchange.Call{Method: method, Target: "/x//y?z=1", Host: "h.x", Header: http.Header{"Idempotency-Key": {"k"}}, Body: []byte(`{}`)}
 }
 
-func do(t *testing.T, p *exchange.Pool, addr ident.Addr, c exchange.Call) (*exchange.Return, bool, *defect.Defect) {
+func do(t *testing.T, p *exchange.Pool, addr ident.Addr, c exchange.Call) (*exchange.Return, bool, *failure.Error) {
 	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
 	defer stop()
 	return p.Do(ctx, addr, c)
@@ -65,21 +65,21 @@
 	const j = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
 	for name, c := range map[string]struct {
 		say  string
-		kind defect.Kind
+		kind failure.Kind
 	}{
 		"whole":              {j + "Content-Length: 7\r\n\r\n{\"a\":1}", ""},
 		"chunked":            {j + "Transfer-Encoding: chunked\r\n\r\n7\r\n{\"a\":1}\r\n0\r\n\r\n", ""},
 		"json marks its end": {j + "Connection: close\r\n\r\n{\"a\":1}", ""},
 		"no content":         {"HTTP/1.1 204 No Content\r\n\r\n", ""},
 		"after a 100":        {"HTTP/1.1 100 Continue\r\n\r\n" + j + "Content-Length: 7\r\n\r\n{\"a\":1}", ""},
-		"cut off":            {j + "Content-Length: 70\r\n\r\n{\"a\":1}", defect.BadReturn},
-		"cut in a chunk":     {j + "Transfer-Encoding: chunked\r\n\r\n7\r\n{\"a\"", defect.BadReturn},
-		"cut json to close":  {j + "Connection: close\r\n\r\n{\"a\":", defect.BadReturn},
-		"text to close":      {"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhalf", defect.BadReturn},
-		"says json, is none": {j + "Content-Length: 5\r\n\r\n\x00\x01\x02\x03\x04", defect.BadReturn},
-		"garbage":            {"\x00\x17 what\r\n\r\n", defect.BadReturn},
-		"two lengths":        {j + "Content-Length: 7\r\nContent-Length: 8\r\n\r\n{\"a\":1}", defect.BadReturn},
-		"nothing":            {"", defect.LostReturn},
+		"cut off":            {j + "Content-Length: 70\r\n\r\n{\"a\":1}", failure.BadResponse},
+		"cut in a chunk":     {j + "Transfer-Encoding: chunked\r\n\r\n7\r\n{\"a\"", failure.BadResponse},
+		"cut json to close":  {j + "Connection: close\r\n\r\n{\"a\":", failure.BadResponse},
+		"text to close":      {"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhalf", failure.BadResponse},
+		"says json, is none": {j + "Content-Length: 5\r\n\r\n\x00\x01\x02\x03\x04", failure.BadResponse},
+		"garbage":            {"\x00\x17 what\r\n\r\n", failure.BadResponse},
+		"two lengths":        {j + "Content-Length: 7\r\nContent-Length: 8\r\n\r\n{\"a\":1}", failure.BadResponse},
+		"nothing":            {"", failure.LostResponse},
 	} {
 		t.Run(name, func(t *testing.T) {
 			addr, _ := raw(t, c.say, 1)
@@ -92,7 +92,7 @@
 			}
 			must.Nil(t, ret)
 			must.Eq(t, c.kind, d.Kind)
-			must.Eq(t, defect.FateUnknown, d.Fate)
+			must.Eq(t, failure.OutcomeUnknown, d.Outcome)
 		})
 	}
 }
@@ -124,13 +124,13 @@
 	must.NoError(t, l.Close())
 	_, sent, d := do(t, exchange.New(""), addr, call("POST"))
 	must.False(t, sent)
-	must.Eq(t, defect.Unreached, d.Kind)
+	must.Eq(t, failure.Unreached, d.Kind)
 	there, seen := raw(t, "", 1)
 	c := call("POST")
-	c.Last = func() *defect.Defect { return defect.New(defect.Gate, "left") }
+	c.Last = func() *failure.Error { return failure.New(failure.Gate, "left") }
 	_, sent, d = do(t, exchange.New(""), there, c)
 	must.False(t, sent)
-	must.Eq(t, defect.Gate, d.Kind)
+	must.Eq(t, failure.Gate, d.Kind)
 	must.Eq(t, 0, seen.Load())
 }
 
@@ -153,11 +153,11 @@
 			}
 		}()
 		c := call("POST")
-		c.Last = func() *defect.Defect { <-over; return nil }
+		c.Last = func() *failure.Error { <-over; return nil }
 		_, sent, d := do(t, exchange.New(""), ident.Addr(l.Addr().String()), c)
 		must.False(t, sent)
-		must.Eq(t, defect.Busy, d.Kind)
-		must.Eq(t, defect.FateNo, d.Fate)
+		must.Eq(t, failure.Busy, d.Kind)
+		must.Eq(t, failure.NotExecuted, d.Outcome)
 	}
 }
 
@@ -172,7 +172,7 @@
 				break
 			}
 			// The close was still on its way when it was taken, or when it was written to.
-			must.Eq(t, map[bool]defect.Kind{false: defect.Unreached, true: defect.LostReturn}[sent], d.Kind)
+			must.Eq(t, map[bool]failure.Kind{false: failure.Unreached, true: failure.LostResponse}[sent], d.Kind)
 		}
 	}
 	must.GreaterEq(t, 4, seen.Load())
--- a/wire/exchange/kept_test.go
+++ b/wire/exchange/kept_test.go
@@ -13,7 +13,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"github.com/shoenig/test/must"
 )
@@ -60,7 +60,7 @@
 	return func(c *net.TCPConn, _ int64) { _, _ = c.Write([]byte(say)) }
 }
 
-func (r *rig) do(change ...func(*Call)) (bool, *defect.Defect) {
+func (r *rig) do(change ...func(*Call)) (bool, *failure.Error) {
 	q := Call{Method: "GET", Target: "/", Host: "h", IdHeader: "X-Id", Id: "i", Until: time.Now().Add(time.Minute)}
 	for _, f := range change {
 		f(&q)
@@ -212,7 +212,7 @@
 	bound := Settings{Conns: 1}
 	wait := func(q *Call) { q.Wait = true }
 	// held gives a rig whose only connection is in hand, until go on is closed.
-	held := func(t *testing.T, say string) (r *rig, goOn chan struct{}, first chan *defect.Defect) {
+	held := func(t *testing.T, say string) (r *rig, goOn chan struct{}, first chan *failure.Error) {
 		goOn, read := make(chan struct{}), make(chan struct{}, 8)
 		r = rigged(t, bound, func(c *net.TCPConn, n int64) {
 			read <- struct{}{}
@@ -221,14 +221,14 @@
 			}
 			_, _ = c.Write([]byte(say))
 		})
-		first = make(chan *defect.Defect, 1)
+		first = make(chan *failure.Error, 1)
 		go func() { _, d := r.do(); first <- d }()
 		<-read
 		return r, goOn, first
 	}
 	// second waits in line beside the first.
-	second := func(r *rig, change ...func(*Call)) chan *defect.Defect {
-		out := make(chan *defect.Defect, 1)
+	second := func(r *rig, change ...func(*Call)) chan *failure.Error {
+		out := make(chan *failure.Error, 1)
 		go func() {
 			sent, d := r.do(append(change, wait)...)
 			must.Eq(r, d == nil, sent)
@@ -245,8 +245,8 @@
 		r, goOn, first := held(t, well)
 		sent, d := r.do()
 		must.False(t, sent)
-		must.Eq(t, defect.Busy, d.Kind)
-		must.Eq(t, defect.FateNo, d.Fate)
+		must.Eq(t, failure.Busy, d.Kind)
+		must.Eq(t, failure.NotExecuted, d.Outcome)
 		close(goOn)
 		must.Nil(t, <-first)
 		must.Eq(t, 1, r.read.Load())
@@ -282,7 +282,7 @@
 		r, goOn, first := held(t, well)
 		sent, d := r.do(wait, func(q *Call) { q.Until = time.Now().Add(time.Millisecond) })
 		must.False(t, sent)
-		must.Eq(t, defect.Late, d.Kind)
+		must.Eq(t, failure.Late, d.Kind)
 		close(goOn)
 		must.Nil(t, <-first)
 		must.Eq(t, 1, r.pool.Open(r.addr))
@@ -296,7 +296,7 @@
 		old := r.pool.shelves[r.addr]
 		r.pool.mu.Unlock()
 		r.pool.Drop(r.addr)
-		must.Eq(t, defect.Unreached, (<-next).Kind)
+		must.Eq(t, failure.Unreached, (<-next).Kind)
 		close(goOn)
 		must.Nil(t, <-first)
 		must.Eq(t, 0, r.pool.Open(r.addr))
@@ -312,7 +312,7 @@
 		for range 3 {
 			sent, d := r.do(wait)
 			must.False(t, sent)
-			must.Eq(t, defect.Unreached, d.Kind)
+			must.Eq(t, failure.Unreached, d.Kind)
 			must.Eq(t, 0, r.pool.Open(r.addr))
 		}
 	})
@@ -322,12 +322,12 @@
 func TestNothingIsSentAfterANo(t *testing.T) {
 	r := rigged(t, Settings{}, always(well))
 	r.well()
-	sent, d := r.do(func(q *Call) { q.Last = func() *defect.Defect { return defect.New(defect.Gate, "left") } })
+	sent, d := r.do(func(q *Call) { q.Last = func() *failure.Error { return failure.New(failure.Gate, "left") } })
 	must.False(t, sent)
-	must.Eq(t, defect.Gate, d.Kind)
+	must.Eq(t, failure.Gate, d.Kind)
 	sent, d = r.do(func(q *Call) { q.Until = time.Now().Add(-time.Second) })
 	must.False(t, sent)
-	must.Eq(t, defect.Late, d.Kind)
+	must.Eq(t, failure.Late, d.Kind)
 	r.well()
 	must.Eq(t, 1, r.pool.Dials())
 	must.Eq(t, 2, r.read.Load())
@@ -343,7 +343,7 @@
 			r := rigged(t, Settings{Most: 3}, always(say))
 			sent, d := r.do()
 			must.True(t, sent)
-			must.Eq(t, defect.BadReturn, d.Kind)
+			must.Eq(t, failure.BadResponse, d.Kind)
 			r = rigged(t, Settings{Most: 4}, always(say))
 			r.well()
 		})
--- a/wire/exchange/orders_test.go
+++ b/wire/exchange/orders_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/wire/exchange"
 	"github.com/shoenig/test/must"
@@ -163,9 +163,9 @@
 		switch {
 		case !sent:
 			must.Eq(t, 0, read, say)
-			must.Eq(t, defect.FateNo, d.Fate, say)
+			must.Eq(t, failure.NotExecuted, d.Outcome, say)
 		case d != nil:
-			must.Eq(t, defect.FateUnknown, d.Fate, say)
+			must.Eq(t, failure.OutcomeUnknown, d.Outcome, say)
 		}
 		if read == 1 {
 			must.Eq(t, m.fate == own, ret != nil, say)
@@ -223,7 +223,7 @@
 						continue
 					}
 					must.Nil(t, ret)
-					must.Eq(t, defect.FateUnknown, d.Fate)
+					must.Eq(t, failure.OutcomeUnknown, d.Outcome)
 				}
 			})
 		}
@@ -279,8 +279,8 @@
 				return
 			}
 			must.Nil(t, ret)
-			must.Eq(t, defect.BadReturn, d.Kind)
-			must.Eq(t, defect.FateUnknown, d.Fate)
+			must.Eq(t, failure.BadResponse, d.Kind)
+			must.Eq(t, failure.OutcomeUnknown, d.Outcome)
 		})
 	}
 }
@@ -326,7 +326,7 @@
 			spoil(&q)
 			_, sent, d := do(t, p, addr, q)
 			must.False(t, sent)
-			must.Eq(t, defect.Malformed, d.Kind)
+			must.Eq(t, failure.Malformed, d.Kind)
 		})
 	}
 }
--- a/wire/exchange/pool.go
+++ b/wire/exchange/pool.go
@@ -8,7 +8,7 @@
 	"syscall"
 	"time"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/wire/silence"
 )
@@ -147,14 +147,14 @@
 
 // take finds a connection for the call, or dials one within the bound. kept says that it
 // was in use before.
-func (p *Pool) take(ctx context.Context, addr ident.Addr, call *Call) (c *conn, kept bool, d *defect.Defect) {
+func (p *Pool) take(ctx context.Context, addr ident.Addr, call *Call) (c *conn, kept bool, d *failure.Error) {
 	most := call.Conns
 	if most <= 0 {
 		most = p.set.Conns
 	}
 	now := time.Now()
 	if ctx.Err() != nil || !call.Until.IsZero() && !now.Before(call.Until) {
-		return nil, false, defect.New(defect.Late, "no time is left")
+		return nil, false, failure.New(failure.Late, "no time is left")
 	}
 	var old []*conn
 	p.mu.Lock()
@@ -182,7 +182,7 @@
 	if !call.Wait {
 		p.mu.Unlock()
 		cut(old)
-		return nil, false, defect.New(defect.Busy, "%s has all the connections it may have", addr)
+		return nil, false, failure.New(failure.Busy, "%s has all the connections it may have", addr)
 	}
 	in := make(chan *conn, 1)
 	s.line = append(s.line, in)
@@ -192,7 +192,7 @@
 }
 
 // wait stands in line for a connection, or for the room to dial one.
-func (p *Pool) wait(ctx context.Context, s *shelf, call *Call, in chan *conn) (*conn, bool, *defect.Defect) {
+func (p *Pool) wait(ctx context.Context, s *shelf, call *Call, in chan *conn) (*conn, bool, *failure.Error) {
 	var end <-chan time.Time
 	if !call.Until.IsZero() {
 		t := time.NewTimer(time.Until(call.Until))
@@ -210,7 +210,7 @@
 		if one == in {
 			s.line = slices.Delete(s.line, n, n+1)
 			p.mu.Unlock()
-			return nil, false, defect.New(defect.Late, "no connection to %s in time", s.addr)
+			return nil, false, failure.New(failure.Late, "no connection to %s in time", s.addr)
 		}
 	}
 	p.mu.Unlock()
@@ -221,12 +221,12 @@
 			p.give(c, true)
 		}
 	}
-	return nil, false, defect.New(defect.Late, "no connection to %s in time", s.addr)
+	return nil, false, failure.New(failure.Late, "no connection to %s in time", s.addr)
 }
 
-func (p *Pool) handed(ctx context.Context, s *shelf, call *Call, c *conn, ok bool) (*conn, bool, *defect.Defect) {
+func (p *Pool) handed(ctx context.Context, s *shelf, call *Call, c *conn, ok bool) (*conn, bool, *failure.Error) {
 	if !ok {
-		return nil, false, defect.New(defect.Unreached, "%s is no longer served", s.addr)
+		return nil, false, failure.New(failure.Unreached, "%s is no longer served", s.addr)
 	}
 	if c != nil {
 		if !call.Fresh {
@@ -239,7 +239,7 @@
 }
 
 // begin dials. Invariant: the new connection is counted already.
-func (p *Pool) begin(ctx context.Context, s *shelf, call *Call) (*conn, bool, *defect.Defect) {
+func (p *Pool) begin(ctx context.Context, s *shelf, call *Call) (*conn, bool, *failure.Error) {
 	p.mu.Lock()
 	p.news++
 	p.mu.Unlock()
@@ -249,15 +249,15 @@
 	if err != nil {
 		p.vacate(s)
 		if ctx.Err() != nil || !call.Until.IsZero() && !time.Now().Before(call.Until) {
-			return nil, false, defect.New(defect.Late, "no connection to %s in time", s.addr)
+			return nil, false, failure.New(failure.Late, "no connection to %s in time", s.addr)
 		}
-		return nil, false, defect.New(defect.Unreached, "%s takes no connection", s.addr)
+		return nil, false, failure.New(failure.Unreached, "%s takes no connection", s.addr)
 	}
 	c, err := opened(raw.(*net.TCPConn), s)
 	if err != nil {
 		p.vacate(s)
 		_ = raw.Close()
-		return nil, false, defect.New(defect.Unreached, "%s takes no connection", s.addr)
+		return nil, false, failure.New(failure.Unreached, "%s takes no connection", s.addr)
 	}
 	_ = c.SetDeadline(call.Until)
 	return c, false, nil
--- a/wire/exchange/read.go
+++ b/wire/exchange/read.go
@@ -16,7 +16,7 @@
 	"syscall"
 	"time"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 const (
@@ -60,7 +60,7 @@
 
 // read takes the call's own return in whole. keep says whether the connection may be used
 // again; rest gets how long the other end said it keeps it.
-func (r *reading) read(call *Call, most int, rest func(time.Duration)) (*Return, bool, *defect.Defect) {
+func (r *reading) read(call *Call, most int, rest func(time.Duration)) (*Return, bool, *failure.Error) {
 	other := false
 	for told, n := 0, 0; ; {
 		h, err := r.head()
@@ -69,29 +69,29 @@
 		}
 		if h.status < 200 {
 			if h.status == http.StatusSwitchingProtocols {
-				return nil, false, defect.Unsure(defect.BadReturn, "the return changes the protocol")
+				return nil, false, failure.Unsure(failure.BadResponse, "the return changes the protocol")
 			}
 			if told++; told > inform {
-				return nil, false, defect.Unsure(defect.BadReturn, "more than %d returns only inform", inform)
+				return nil, false, failure.Unsure(failure.BadResponse, "more than %d returns only inform", inform)
 			}
 			continue
 		}
 		b, ok := h.body(call.Method)
 		if !ok {
-			return nil, false, defect.Unsure(defect.BadReturn, "the return's length is not clear")
+			return nil, false, failure.Unsure(failure.BadResponse, "the return's length is not clear")
 		}
 		own := call.IdHeader == "" || h.says(call.IdHeader, call.Id)
 		if !own && (b.open || !h.other(call.IdHeader) || call.Method == http.MethodHead || n == strays) {
-			return nil, false, defect.Unsure(defect.BadReturn, "the return is not to this request")
+			return nil, false, failure.Unsure(failure.BadResponse, "the return is not to this request")
 		}
 		data, err := r.body(b, most)
 		switch {
 		case err == errBig:
-			return nil, false, defect.Unsure(defect.BadReturn, "the return is over %d bytes", most)
+			return nil, false, failure.Unsure(failure.BadResponse, "the return is over %d bytes", most)
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			return nil, false, defect.Unsure(defect.Late, "the return was not whole in time")
+			return nil, false, failure.Unsure(failure.Late, "the return was not whole in time")
 		case err != nil:
-			return nil, false, defect.Unsure(defect.BadReturn, "the return broke off")
+			return nil, false, failure.Unsure(failure.BadResponse, "the return broke off")
 		}
 		if !own {
 			other = true
@@ -110,17 +110,17 @@
 	}
 }
 
-// ended names the defect of a return that did not come.
-func ended(err error, other bool) *defect.Defect {
+// ended names the failure of a return that did not come.
+func ended(err error, other bool) *failure.Error {
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return defect.Unsure(defect.Late, "no return in time")
+		return failure.Unsure(failure.Late, "no return in time")
 	case other:
-		return defect.Unsure(defect.BadReturn, "the last return is not to this request")
+		return failure.Unsure(failure.BadResponse, "the last return is not to this request")
 	case err == io.EOF || err == io.ErrUnexpectedEOF || errors.Is(err, syscall.ECONNRESET):
-		return defect.Unsure(defect.LostReturn, "the connection ended before the return")
+		return failure.Unsure(failure.LostResponse, "the connection ended before the return")
 	}
-	return defect.Unsure(defect.BadReturn, "the return can't be read")
+	return failure.Unsure(failure.BadResponse, "the return can't be read")
 }
 
 var (
@@ -295,13 +295,13 @@
 // check refuses what cannot be whole or the endpoint's own: JSON that is none, a body
 // whose end nothing marks, unless it is JSON and so marks its own, and a 2xx without its
 // seal.
-func (h *head) check(call *Call, b body, data []byte) *defect.Defect {
+func (h *head) check(call *Call, b body, data []byte) *failure.Error {
 	if call.Seal != "" && h.status < 300 && len(h.Header[textproto.CanonicalMIMEHeaderKey(call.Seal)]) == 0 {
-		return defect.Unsure(defect.BadReturn, "the return has no %s", call.Seal)
+		return failure.Unsure(failure.BadResponse, "the return has no %s", call.Seal)
 	}
 	code := h.Get("Content-Encoding")
 	if call.Plain && code != "" && !strings.EqualFold(code, "identity") {
-		return defect.Unsure(defect.BadReturn, "the return is encoded, which nobody asked for")
+		return failure.Unsure(failure.BadResponse, "the return is encoded, which nobody asked for")
 	}
 	if call.Method == http.MethodHead || len(data) == 0 && !b.open {
 		return nil
@@ -309,10 +309,10 @@
 	plain := code == ""
 	isJSON := isJSON(h.Get("Content-Type"))
 	if isJSON && plain && len(data) > 0 && !json.Valid(data) {
-		return defect.Unsure(defect.BadReturn, "the return says it is JSON and is not")
+		return failure.Unsure(failure.BadResponse, "the return says it is JSON and is not")
 	}
 	if b.open && !(len(data) > 0 && isJSON && plain && (data[0] == '{' || data[0] == '[')) {
-		return defect.Unsure(defect.BadReturn, "nothing marks where the return ends")
+		return failure.Unsure(failure.BadResponse, "nothing marks where the return ends")
 	}
 	return nil
 }
--- a/wire/exchange/unasked_test.go
+++ b/wire/exchange/unasked_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/wire/exchange"
 	"github.com/shoenig/test/must"
@@ -176,7 +176,7 @@
 						continue
 					}
 					must.Nil(t, ret)
-					must.Eq(t, sent, d.Fate == defect.FateUnknown)
+					must.Eq(t, sent, d.Outcome == failure.OutcomeUnknown)
 				}
 				must.True(t, c.good == some || c.good == all && good == 30 || c.good == none && good == 0, must.Sprintf("%d of 30 came through", good))
 			})
@@ -216,7 +216,7 @@
 				ret, sent, d := do(t, p, addr, q)
 				must.Nil(t, ret)
 				must.True(t, sent)
-				must.Eq(t, defect.BadReturn, d.Kind)
+				must.Eq(t, failure.BadResponse, d.Kind)
 			}
 		})
 	}
@@ -264,8 +264,8 @@
 	ret, sent, d := p.Do(ctx, addr, q)
 	must.Nil(t, ret)
 	must.True(t, sent)
-	must.Eq(t, defect.Late, d.Kind)
-	must.Eq(t, defect.FateUnknown, d.Fate)
+	must.Eq(t, failure.Late, d.Kind)
+	must.Eq(t, failure.OutcomeUnknown, d.Outcome)
 	close(wake)
 	for _, id := range []string{"a", "b", "c"} {
 		q.Header = http.Header{"X-Request-Id": {id}}
--- a/wire/exchange/write.go
+++ b/wire/exchange/write.go
@@ -7,7 +7,7 @@
 	"strings"
 	"sync"
 
-	"cottonarch.example/cottonarch/kernel/defect"
+	"cottonarch.example/cottonarch/kernel/failure"
 )
 
 // writing is a request as it goes out. Invariant: body is either empty, then head holds
@@ -37,9 +37,9 @@
 }
 
 // fill puts the target on the wire as it came.
-func (w *writing) fill(call *Call) *defect.Defect {
+func (w *writing) fill(call *Call) *failure.Error {
 	if !token(call.Method) || !visible(call.Target) || !visible(call.Host) {
-		return defect.New(defect.Malformed, "the method, target or host can't be sent")
+		return failure.New(failure.Malformed, "the method, target or host can't be sent")
 	}
 	b := w.head[:0]
 	b = append(b, call.Method...)
@@ -90,7 +90,7 @@
 	}
 	w.head = b
 	if !ok {
-		return defect.New(defect.Malformed, "a header can't be sent")
+		return failure.New(failure.Malformed, "a header can't be sent")
 	}
 	return nil
 }
