The largest files by job: proposer, simulated core, intake, simulated faults

Cause: four files of over 500 lines held several jobs each. Change: whole declarations move between files of one package; none is edited. Measured: the list of all declarations with their text and comments, by folder, is the same before and after.

--- a/sim/world/core.go
+++ b/sim/world/core.go
@@ -10,70 +10,14 @@
 	"cottonarch.example/cottonarch/control/core/node"
 	"cottonarch.example/cottonarch/control/manifest/check"
 	"cottonarch.example/cottonarch/control/manifest/offer"
-	"cottonarch.example/cottonarch/control/manifest/walk"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/monotime"
-	"cottonarch.example/cottonarch/sim/broken"
 	"cottonarch.example/cottonarch/storage/ring"
 )
 
 const coreTick = 20 * time.Millisecond
 
-// proc is what every simulated process has. Invariants: gen rises with each start,
-// and nothing meant for an older one runs; a frozen process runs nothing, what
-// arrives waits and is run at the thaw.
-type proc struct {
-	w       *World
-	Addr    ident.Addr
-	up      bool
-	frozen  bool
-	gen     int
-	born    monotime.Time
-	rate    float64
-	jump    time.Duration // by which its clock has jumped
-	still   bool          // its clock stands while it is frozen
-	cost    time.Duration // of its own time for each message and request
-	free    monotime.Time // when it has done what came so far
-	backlog []func()
-}
-
-func (p *proc) clock() monotime.Time {
-	return monotime.Time(float64(p.w.now-p.born)*p.rate) + monotime.Time(time.Second+p.jump)
-}
-
-// Jump makes the process's clock jump forward.
-func (p *proc) Jump(d time.Duration) { p.jump += d }
-
-// Suspend is a freeze in which the clock stands still too.
-func (p *proc) Suspend(d time.Duration) {
-	if p.up && !p.frozen {
-		p.still = true
-		p.Freeze(d)
-	}
-}
-
-func (p *proc) start() {
-	p.up, p.frozen, p.backlog = true, false, nil
-	p.gen++
-	p.born, p.jump, p.still, p.free = p.w.now, 0, false, 0
-	p.rate = 0.99 + 0.02*p.w.Rng.Float64()
-}
-
-// run runs something in the process if it is still the same run of it.
-func (p *proc) run(gen int, do func()) {
-	if !p.up || p.gen != gen {
-		return
-	}
-	if p.frozen {
-		if len(p.backlog) < 5000 {
-			p.backlog = append(p.backlog, func() { p.run(gen, do) })
-		}
-		return
-	}
-	do()
-}
-
 // handle has the process take a message or a request: one after the other, each for its
 // cost.
 func (p *proc) handle(gen int, cost time.Duration, do func()) {
@@ -85,31 +29,6 @@
 	p.w.After(p.free.Since(p.w.now), func() { p.run(gen, do) })
 }
 
-// Freeze stops the process for a while.
-func (p *proc) Freeze(d time.Duration) {
-	if !p.up || p.frozen {
-		return
-	}
-	p.frozen = true
-	gen := p.gen
-	p.w.After(d, func() {
-		if p.gen != gen || !p.up {
-			return
-		}
-		p.frozen = false
-		if p.still {
-			p.jump, p.still = p.jump-time.Duration(float64(d)*p.rate), false
-		}
-		list := p.backlog
-		p.backlog = nil
-		// What waited runs in no order of its own.
-		p.w.Rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-		for _, do := range list {
-			do()
-		}
-	})
-}
-
 // Core is a simulated core machine.
 type Core struct {
 	proc
@@ -195,16 +114,6 @@
 	}
 }
 
-func (w *World) need() int {
-	if w.Break == "quorum" {
-		return 1
-	}
-	return 0
-}
-
-// machine is the book of all operations, with the one that is broken on purpose.
-func (w *World) machine() proposer.StateMachine { return broken.Book(string(w.Break), w.History) }
-
 // seeds gives a starting core three addresses of others as they are now.
 func (w *World) seeds(c *Core) []ident.Addr {
 	if c.gen == 1 {
@@ -241,40 +150,12 @@
 	})
 }
 
-// disk is the folder of the next run. With the break it syncs only what that run itself
-// wrote, as if opening synced nothing.
-func (c *Core) disk() ring.Folder {
-	switch c.w.Break {
-	case "soft":
-		return broken.Lazy{Folder: c.mem}
-	case "folder":
-		return nameless{c.mem}
-	}
-	return c.mem
-}
-
 // nameless is a folder that is never synced.
 type nameless struct{ ring.Folder }
 
 // Sync does nothing.
 func (nameless) Sync() error { return nil }
 
-// PowerOff loses power of a machine whose process may be down: what no sync covered is
-// lost or torn.
-func (c *Core) PowerOff() {
-	c.Kill(true)
-	c.mem.Crash(func(n int) int { return c.w.Rng.IntN(n + 1) })
-}
-
-// Empty takes the disk away; addr, when given, is where the machine comes back.
-func (c *Core) Empty(addr ident.Addr) {
-	c.mem = ring.NewMem()
-	c.broken = false
-	if addr != "" {
-		c.Addr = addr
-	}
-}
-
 // Stop is a planned stop.
 func (c *Core) Stop(after func()) {
 	gen := c.gen
@@ -315,45 +196,6 @@
 	}
 }
 
-// write is the disk's duty: one batch at a time.
-func (c *Core) write(gen int) {
-	if c.writing || len(c.jobs) == 0 || c.broken {
-		return
-	}
-	c.writing = true
-	batch := c.jobs
-	c.jobs = nil
-	wrote := false
-	var err error
-	for _, fx := range batch {
-		if len(fx.Records) > 0 && err == nil {
-			wrote = true
-			err = c.ring.Append(fx.Records)
-		}
-	}
-	took := time.Duration(0)
-	if wrote {
-		took = 500*time.Microsecond + time.Duration(c.w.Rng.Int64N(int64(1500*time.Microsecond))) + c.Slow
-	}
-	c.busy = c.clock()
-	c.w.After(took, func() {
-		c.run(gen, func() {
-			if wrote && err == nil {
-				err = c.ring.Sync()
-			}
-			c.writing, c.busy = false, 0
-			if err != nil {
-				c.broken = true
-				return
-			}
-			for _, fx := range batch {
-				c.letOut(fx)
-			}
-			c.write(gen)
-		})
-	})
-}
-
 func (c *Core) letOut(fx node.Effects) {
 	for _, s := range fx.Sends {
 		s.Msg.From = c.Addr
@@ -415,56 +257,3 @@
 	c.ends[c.ticket] = end
 	c.out(c.node.Join(c.clock(), c.ticket, r, node.JoinBudget))
 }
-
-// follow keeps the newest confirmed manifest, as the daemon does.
-func (c *Core) follow() {
-	if c.reading || !c.node.Majority(c.clock()) {
-		return
-	}
-	c.reading = true
-	c.Newest(func(bool) { c.reading = false })
-}
-
-// Newest reads the manifest through its proposer.
-func (c *Core) Newest(done func(ok bool)) {
-	c.Deed(proposer.Operation{Key: offer.Key, Kind: "manifest/read"}, time.Second, func(e node.End) {
-		if e.Failure != nil {
-			done(false)
-			return
-		}
-		c.install(e.Body)
-		done(true)
-	})
-}
-
-// epoch is that of the newest manifest known here to be confirmed.
-func (c *Core) epoch() ident.Epoch {
-	if c.held == nil {
-		return 0
-	}
-	return c.held.Epoch
-}
-
-// install takes a confirmed manifest in.
-func (c *Core) install(raw json.RawMessage) {
-	var h offer.Held
-	if json.Unmarshal(raw, &h) != nil {
-		c.w.Breach("damaged", "core %s read a manifest it can't decode", c.Addr)
-	}
-	c.w.Check.Look("damaged")
-	if h.Epoch > 0 && (c.held == nil || h.Epoch > c.held.Epoch) {
-		c.w.Check.Look("invalid")
-		tree, d := walk.Parse(h.Manifest)
-		var m *check.Manifest
-		if d == nil {
-			m, d = check.Loose(tree)
-		}
-		if d != nil {
-			c.w.Breach("invalid", "epoch %d in force is invalid: %v", h.Epoch, d)
-			return
-		}
-		m.Epoch = h.Epoch
-		c.held, c.raw = m, h.Manifest
-		c.node.Leases.Manifest(m)
-	}
-}
