--- a/control/core/membership/cluster_test.go
+++ b/control/core/membership/cluster_test.go
@@ -35,19 +35,19 @@
 
 // member is one machine of a cluster: its process, and its disk as last synced.
 type member struct {
-	addr    ident.Addr
-	node    *node.Node
-	up      bool
-	back    monotime.Time // when the machine was last there again
-	started monotime.Time
-	run     int
-	synced  map[string]ring.Record
-	holds   map[ident.Key]ident.Revision // of what is synced
-	roster  acceptor.State               // as synced
-	queue   []node.Effects               // not synced yet
-	syncing []node.Effects
-	syncAt  monotime.Time
-	slow    time.Duration // a sync's
+	addr       ident.Addr
+	node       *node.Node
+	up         bool
+	back       monotime.Time // when the machine was last there again
+	started    monotime.Time
+	run        int
+	synced     map[string]ring.Record
+	holds      map[ident.Key]ident.Revision // of what is synced
+	membership acceptor.State               // as synced
+	queue      []node.Effects               // not synced yet
+	syncing    []node.Effects
+	syncAt     monotime.Time
+	slow       time.Duration // a sync's
 }
 
 type parcel struct {
@@ -131,8 +131,8 @@
 	for _, r := range recs {
 		m.synced[r.Tag] = r
 		if r.Tag == acceptor.Tag {
-			m.roster = acceptor.State{}
-			must.NoError(c.t, json.Unmarshal(r.Data, &m.roster))
+			m.membership = acceptor.State{}
+			must.NoError(c.t, json.Unmarshal(r.Data, &m.membership))
 		}
 		if k, ok := strings.CutPrefix(r.Tag, "c/"); ok {
 			delete(m.holds, ident.Key(k))
@@ -181,7 +181,7 @@
 // empty takes a disk away.
 func (c *cluster) empty(a ident.Addr) {
 	m := c.members[a]
-	m.synced, m.holds, m.roster = map[string]ring.Record{}, map[ident.Key]ident.Revision{}, acceptor.State{}
+	m.synced, m.holds, m.membership = map[string]ring.Record{}, map[ident.Key]ident.Revision{}, acceptor.State{}
 }
 
 // boot brings a machine back; its process starts a little later.
@@ -331,19 +331,19 @@
 	return out
 }
 
-// chosen is the newest roster that any disk says was chosen, or that a majority took.
+// chosen is the newest membership that any disk says was chosen, or that a majority took.
 func (c *cluster) chosen() quorum.Membership {
 	var now quorum.Membership
 	for _, m := range c.members {
-		if m.roster.Current.Epoch > now.Epoch {
-			now = m.roster.Current
+		if m.membership.Current.Epoch > now.Epoch {
+			now = m.membership.Current
 		}
 	}
 	took := map[ident.Ballot]int{}
 	for _, m := range c.order() {
-		if d := ident.Disk(m.synced["disk"].Data); m.roster.Current.Epoch == now.Epoch && m.roster.Next != nil && now.Counts(d) {
-			if took[m.roster.Accepted]++; took[m.roster.Accepted] >= now.Majority() {
-				return *m.roster.Next
+		if d := ident.Disk(m.synced["disk"].Data); m.membership.Current.Epoch == now.Epoch && m.membership.Next != nil && now.Counts(d) {
+			if took[m.membership.Accepted]++; took[m.membership.Accepted] >= now.Majority() {
+				return *m.membership.Next
 			}
 		}
 	}
@@ -352,7 +352,7 @@
 
 // look is run at every step, on what is synced. Two things must be so:
 //
-//   - Each majority of the newest roster's disks has every confirmed value.
+//   - Each majority of the newest membership's disks has every confirmed value.
 //   - So it is still, and there is such a majority, after any further loss that canLose
 //     allows, disks and all, with every other machine losing power too.
 func (c *cluster) look() {
@@ -367,7 +367,7 @@
 		return
 	}
 	fault := func(format string, args ...any) {
-		c.faults = append(c.faults, fmt.Sprintf("%v: roster %d of %d slots, lost %v: ", time.Duration(c.now), r.Epoch, r.Size(), lost)+fmt.Sprintf(format, args...))
+		c.faults = append(c.faults, fmt.Sprintf("%v: membership %d of %d slots, lost %v: ", time.Duration(c.now), r.Epoch, r.Size(), lost)+fmt.Sprintf(format, args...))
 	}
 	there, left := c.counted(r, nil), c.counted(r, lost)
 	for _, k := range c.all {
--- a/control/core/membership/membership_test.go
+++ b/control/core/membership/membership_test.go
@@ -136,7 +136,7 @@
 	})
 }
 
-// At the first start three cores form the roster and the others join it. Once catchUpS is
+// At the first start three cores form the membership and the others join it. Once catchUpS is
 // over since then, as much may be lost as later.
 func TestFirstStartBearsALossInTime(t *testing.T) {
 	bears(func(members, canLose int) {
--- a/control/core/node/restart_test.go
+++ b/control/core/node/restart_test.go
@@ -17,9 +17,9 @@
 // A page of a quorum read that an earlier run began is none of the next run's quorum read: it may be
 // older than what was acknowledged since.
 func TestSurveysOfTwoRunsHaveNoTurnInCommon(t *testing.T) {
-	roster := acceptor.New("d1")
-	roster.Adopt(quorum.Membership{Epoch: 1, Voters: []quorum.Voter{{Disk: "d1", Addr: "a:1", Counted: true}}})
-	records := []ring.Record{{Tag: "disk", Data: []byte("d1")}, roster.Record()}
+	formed := acceptor.New("d1")
+	formed.Adopt(quorum.Membership{Epoch: 1, Voters: []quorum.Voter{{Disk: "d1", Addr: "a:1", Counted: true}}})
+	records := []ring.Record{{Tag: "disk", Data: []byte("d1")}, formed.Record()}
 	scan := func(mark string) uint64 {
 		n, _, err := node.New(1, node.Boot{Addr: "a:1", Founders: []ident.Addr{"a:1"}, Mark: mark}, records)
 		must.NoError(t, err)
--- a/control/core/node/run_test.go
+++ b/control/core/node/run_test.go
@@ -40,7 +40,7 @@
 	for _, m := range late {
 		x.out("c:1", x.nodes["c:1"].Step(x.now, m))
 	}
-	must.Nil(t, x.end(4), must.Sprint("a survey was answered by what an earlier run had asked"))
+	must.Nil(t, x.end(4), must.Sprint("a quorum read was answered by what an earlier run had asked"))
 }
 
 // Two runs of a core give no two forwards the same number, though both do the same from
