--- a/daemon/sidecar/callers_test.go
+++ b/daemon/sidecar/callers_test.go
@@ -28,23 +28,14 @@
 }
 
 func (l *ledger) serve(c *net.TCPConn) {
-	defer func() { _ = c.Close() }()
-	r := bufio.NewReader(c)
-	for {
-		req, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		body, err := io.ReadAll(req.Body)
-		if err != nil {
-			return
-		}
+	eachRequest(c, func(_ *bufio.Reader, req *http.Request, body []byte) bool {
 		id := req.Header.Get(testId)
 		l.mu.Lock()
 		l.all = append(l.all, seen{req.Method, req.RequestURI, id, string(body)})
 		l.mu.Unlock()
 		_, _ = io.WriteString(c, sealedAnswer(id, nil))
-	}
+		return true
+	})
 }
 
 func (l *ledger) list() []seen {
--- a/daemon/sidecar/fuzz_test.go
+++ b/daemon/sidecar/fuzz_test.go
@@ -29,24 +29,15 @@
 func attentive(f *testing.F) (ident.Addr, chan arrived) {
 	out := make(chan arrived, 8)
 	return listens(f, func(c *net.TCPConn) {
-		defer func() { _ = c.Close() }()
-		r := bufio.NewReader(c)
-		for {
-			req, err := http.ReadRequest(r)
-			if err != nil {
-				return
-			}
-			body, err := io.ReadAll(req.Body)
-			if err != nil {
-				return
-			}
+		eachRequest(c, func(_ *bufio.Reader, req *http.Request, body []byte) bool {
 			out <- arrived{req, body}
 			answer := answerTo(200, req.Header.Get(testId), testSeal+": s\r\n")
 			if req.Method == http.MethodHead {
 				answer = answer[:strings.Index(answer, "\r\n\r\n")+4]
 			}
 			_, _ = io.WriteString(c, answer)
-		}
+			return true
+		})
 	}), out
 }
 
--- a/daemon/sidecar/hops_test.go
+++ b/daemon/sidecar/hops_test.go
@@ -185,23 +185,12 @@
 // endpoint plays the moves of the journals.
 func (st *stage) endpoint(t *testing.T) ident.Addr {
 	return listens(t, func(c *net.TCPConn) {
-		defer func() { _ = c.Close() }()
-		r := bufio.NewReader(c)
-		for {
-			req, err := http.ReadRequest(r)
-			if err != nil {
-				return
-			}
-			if _, err := io.Copy(io.Discard, req.Body); err != nil {
-				return
-			}
+		eachRequest(c, func(r *bufio.Reader, req *http.Request, _ []byte) bool {
 			id := req.Header.Get(testId)
 			move, past := st.journal(id).next(id)
 			_, _ = io.WriteString(c, move.says(id, past))
-			if !ends(c, r, move.end) {
-				return
-			}
-		}
+			return ends(c, r, move.end)
+		})
 	})
 }
 
@@ -248,17 +237,7 @@
 // that was started anew.
 func (st *stage) relay(t *testing.T, behind, reborn ident.Addr) ident.Addr {
 	return listens(t, func(c *net.TCPConn) {
-		defer func() { _ = c.Close() }()
-		r := bufio.NewReader(c)
-		for {
-			req, err := http.ReadRequest(r)
-			if err != nil {
-				return
-			}
-			body, err := io.ReadAll(req.Body)
-			if err != nil {
-				return
-			}
+		eachRequest(c, func(r *bufio.Reader, req *http.Request, body []byte) bool {
 			req.Body = io.NopCloser(bytes.NewReader(body))
 			id := req.Header.Get(testId)
 			move := st.journal(id).nextRelay(id)
@@ -270,10 +249,8 @@
 				answer := forwarded(t, to, req)
 				_, _ = c.Write(answer[:move.part(len(answer))])
 			}
-			if !ends(c, r, move.end) {
-				return
-			}
-		}
+			return ends(c, r, move.end)
+		})
 	})
 }
 
--- a/daemon/sidecar/turn_test.go
+++ b/daemon/sidecar/turn_test.go
@@ -21,18 +21,12 @@
 func TestTimeEndsInLine(t *testing.T) {
 	read, goOn := make(chan string, 8), make(chan struct{})
 	at := listens(t, func(c *net.TCPConn) {
-		defer func() { _ = c.Close() }()
-		r := bufio.NewReader(c)
-		for {
-			req, err := http.ReadRequest(r)
-			if err != nil {
-				return
-			}
-			_, _ = io.Copy(io.Discard, req.Body)
+		eachRequest(c, func(_ *bufio.Reader, req *http.Request, _ []byte) bool {
 			read <- req.Header.Get(testId)
 			<-goOn
 			_, _ = io.WriteString(c, sealedAnswer(req.Header.Get(testId), nil))
-		}
+			return true
+		})
 	})
 	s := node("a", "127.0.0.1:1", at)
 	s.line = line.New[*job](1, 4)
--- a/daemon/sidecar/unnamed_test.go
+++ b/daemon/sidecar/unnamed_test.go
@@ -28,19 +28,14 @@
 			asked := make(chan string, 8)
 			var all atomic.Int64
 			at := listens(t, func(c *net.TCPConn) {
-				defer func() { _ = c.Close() }()
-				r := bufio.NewReader(c)
-				for past := ""; ; {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					body, _ := io.ReadAll(req.Body)
+				past := ""
+				eachRequest(c, func(_ *bufio.Reader, _ *http.Request, body []byte) bool {
 					asked <- string(body)
 					own := answer(int(all.Add(1)))
 					_, _ = io.WriteString(c, past+own)
 					past = own
-				}
+					return true
+				})
 			})
 			s := node("a", "127.0.0.1:1", at)
 			s.knows("a", "127.0.0.1:1", "a0")
