--- a/explore/breaks_test.go
+++ b/explore/breaks_test.go
@@ -12,7 +12,7 @@
 
 // ci is the bound of these tests; it counts states and walks, so it is the same everywhere.
 func ci(b cluster.Break) explore.Options {
-	return explore.Options{Model: explore.Register, Members: 3, Keys: 2, Operators: 2, Depth: 40, States: 1500, Walks: 400, Steps: 80, Seed: 1, Break: b}
+	return explore.Options{Model: explore.Register, Members: 3, Keys: 2, Operators: 2, Depth: 40, States: 1500, Walks: 1600, Steps: 80, Seed: 1, Break: b}
 }
 
 // rules names the invariants that show each break.
