A sidecar behind a full link keeps its connections and asks peers briefly

Whatever timed out was broken off, which closes its connection; the next core is asked over a new one, which does not come up in 0.5 s over a full link. Meanwhile it asked eight peers four times a second, each of which gave its whole registry (some 40 KB for 91 nodes, never equal while configurations come in quick succession): by that more than the link's 6.1 Mbit/s carries.

Change: of the peers one gives its registry, and only while no core is heard; a renewal that is not answered in time fails as before but is not broken off, its answer still has its news, and the core is none that says nothing; a connection of a sidecar has 2 s to come up, and one that comes up late serves the next question.

Ruled out: a longer limit for renewals (a core that is gone would be left later).

--- a/daemon/sidecar/follow.go
+++ b/daemon/sidecar/follow.go
@@ -163,11 +163,53 @@
 	}
 }
 
+// renewal is what a core answered to a renewal.
+type renewal struct {
+	got record.Renewed
+	err error
+}
+
+// renew renews the lease at one core. An answer that comes after the time for it has still
+// its news, and the question is not broken off: that would close its connection, and over a
+// full link a new one takes longer than the answer.
 func (s *Sidecar) renew(core ident.Addr, r record.Renewal) {
-	ctx, stop := context.WithTimeout(context.Background(), holder.RenewTimeout)
-	defer stop()
-	var got record.Renewed
-	err := s.pool.Ask(ctx, core, "POST", "/cottonarch/v1/renew", r, &got)
+	answer := make(chan renewal, 1)
+	go func() {
+		ctx, stop := context.WithTimeout(context.Background(), lateLimit)
+		defer stop()
+		var a renewal
+		a.err = s.pool.Ask(ctx, core, "POST", "/cottonarch/v1/renew", r, &a.got)
+		answer <- a
+	}()
+	limit := time.NewTimer(holder.RenewTimeout)
+	defer limit.Stop()
+	select {
+	case a := <-answer:
+		s.renewed(core, r, a.got, a.err)
+		return
+	case <-limit.C:
+	}
+	s.renewed(core, r, record.Renewed{}, failure.Unsure(failure.LostResponse, "a renewal was not answered in time"))
+	if a := <-answer; a.err == nil {
+		s.renewedLate(core, a.got)
+	}
+}
+
+// renewedLate takes the news of an answer that came too late to count.
+func (s *Sidecar) renewedLate(core ident.Addr, got record.Renewed) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Board.Add("renewals_late", 1)
+	s.lease.Late(core, got)
+	s.join(s.lease.KnownCores())
+	if !got.Stale {
+		s.lastCore = s.clock()
+	}
+	s.wit.Told(s.clock(), got.Manifest)
+}
+
+// renewed takes the end of a renewal.
+func (s *Sidecar) renewed(core ident.Addr, r record.Renewal, got record.Renewed, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer s.kick(s.push) // there may be more to say
--- a/daemon/sidecar/join_test.go
+++ b/daemon/sidecar/join_test.go
@@ -172,7 +172,7 @@
 	s.noPeer = map[ident.Addr]monotime.Time{}
 	must.True(t, s.seedPeer(f.addr))
 	must.False(t, s.seedPeer(f.addr))
-	s.askPeer(f.addr) // says that it has no such path, as a core does
+	s.askPeer(f.addr, true) // says that it has no such path, as a core does
 	must.Between(t, seedEvery, s.noPeer[f.addr].Since(s.clock()), coreEvery)
 	s.seedSaid(f.addr, nil)
 	must.True(t, s.seedPeer(f.addr))
--- a/daemon/sidecar/paths.go
+++ b/daemon/sidecar/paths.go
@@ -78,7 +78,7 @@
 	epoch, _ := s.holds()
 	p := Peer{Manifest: epoch, Heard: s.wit.Heard(), Entered: s.entered.Load(), Sets: s.path.Index.Sets()}
 	s.mu.Unlock()
-	if r.URL.Query().Get("have") == sum(p.Sets) {
+	if query := r.URL.Query(); query.Get("brief") != "" || query.Get("have") == sum(p.Sets) {
 		p.Sets = nil
 	}
 	reply.JSON(w, http.StatusOK, p)
--- a/daemon/sidecar/peers.go
+++ b/daemon/sidecar/peers.go
@@ -47,7 +47,7 @@
 			s.mu.Unlock()
 			continue
 		}
-		gates := s.gates()
+		gates, alone := s.gates(), s.wit.Alone(now, s.lastCore)
 		s.mu.Unlock()
 		for _, a := range s.Boot.Seeds {
 			if !slices.Contains(gates, a) && s.seedPeer(a) {
@@ -56,11 +56,13 @@
 		}
 		rand.Shuffle(len(gates), func(i, j int) { gates[i], gates[j] = gates[j], gates[i] })
 		var out sync.WaitGroup
-		for _, g := range gates[:min(len(gates), peersMost)] {
+		for i, g := range gates[:min(len(gates), peersMost)] {
 			out.Add(1)
 			go func() {
 				defer out.Done()
-				s.askPeer(g)
+				// The registry of one of them will do, and only while no core gives it: that
+				// of all would fill a small link.
+				s.askPeer(g, alone && i == 0)
 			}()
 		}
 		out.Wait()
@@ -95,14 +97,18 @@
 	}
 }
 
-func (s *Sidecar) askPeer(g ident.Addr) {
-	ctx, stop := context.WithTimeout(context.Background(), 400*time.Millisecond)
+// askPeer asks one peer for what it holds, and for its registry if that is wanted.
+func (s *Sidecar) askPeer(g ident.Addr, registry bool) {
+	ctx, stop := context.WithTimeout(context.Background(), peerLimit)
 	defer stop()
 	var p Peer
-	s.mu.Lock()
-	have := sum(s.path.Index.Sets())
-	s.mu.Unlock()
-	err := s.pool.Ask(ctx, g, "GET", "/cottonarch/v1/peer?have="+have, nil, &p)
+	question := "/cottonarch/v1/peer?brief=1"
+	if registry {
+		s.mu.Lock()
+		question = "/cottonarch/v1/peer?have=" + sum(s.path.Index.Sets())
+		s.mu.Unlock()
+	}
+	err := s.pool.Ask(ctx, g, "GET", question, nil, &p)
 	s.seedSaid(g, err)
 	if err != nil {
 		return
@@ -131,7 +137,7 @@
 }
 
 // Peer is what a sidecar tells a peer that is cut from the core. Sets is left out when
-// the asker has the same. Manifest is the newest
+// the asker has the same or does not want them. Manifest is the newest
 // epoch that it holds, Heard the newest that it knows some sidecar to hold.
 type Peer struct {
 	Manifest ident.Epoch  `json:"manifest"`
--- /dev/null
+++ b/daemon/sidecar/renew_test.go
@@ -0,0 +1,75 @@
+package sidecar
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"cottonarch.example/cottonarch/boot"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/mesh/lease/holder"
+	"cottonarch.example/cottonarch/mesh/registry/record"
+)
+
+// An answer to a renewal that comes after its time has its news still, and the connection it
+// came by serves the next renewal: over a full link a new one may not come up in time.
+func TestLateRenewalKeepsItsConnection(t *testing.T) {
+	slow := make(chan struct{})
+	var connections, asked atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if asked.Add(1) == 1 {
+			<-slow
+		}
+		_ = json.NewEncoder(w).Encode(record.Renewed{Manifest: 7})
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	core := ident.Addr(strings.TrimPrefix(server.URL, "http://"))
+	s := New(boot.Sidecar{Seeds: []ident.Addr{core}}, zap.NewNop())
+	s.entered.Store(true)
+	s.wit.Entered()
+
+	began := time.Now()
+	time.AfterFunc(holder.RenewTimeout+50*time.Millisecond, func() { close(slow) })
+	s.renew(core, record.Renewal{})
+	must.Greater(t, holder.RenewTimeout, time.Since(began))
+	must.Eq(t, int64(1), s.Board.At("renewals_failed").Load())
+	must.Eq(t, int64(1), s.Board.At("renewals_late").Load())
+	s.mu.Lock()
+	must.True(t, s.wit.Lonely(s.clock().Add(time.Second), s.clock().Add(time.Second), 6))
+	s.mu.Unlock()
+
+	s.renew(core, record.Renewal{})
+	must.Eq(t, int64(1), s.Board.At("renewals_failed").Load())
+	must.Eq(t, int64(1), connections.Load())
+}
+
+// Of the peers that are asked only one gives its registry, and none while a core does.
+func TestPeersAreAskedBriefly(t *testing.T) {
+	s := New(boot.Sidecar{}, zap.NewNop())
+	s.path.Index.Merge([]record.Set{{Author: "n", LeaseEpoch: 1, Seq: 1, Records: []record.Address{{Workload: &record.Workload{UID: "u"}}}}})
+	for query, sets := range map[string]int{"": 1, "have=other": 1, "brief=1": 0, "have=" + sum(s.path.Index.Sets()): 0} {
+		rec := httptest.NewRecorder()
+		s.onPeer(rec, httptest.NewRequest("GET", "/cottonarch/v1/peer?"+query, nil))
+		var p Peer
+		must.NoError(t, json.Unmarshal(rec.Body.Bytes(), &p))
+		must.Len(t, sets, p.Sets, must.Sprint(query))
+	}
+	s.wit.Entered()
+	now := s.clock()
+	must.False(t, s.wit.Alone(now, now))
+	must.True(t, s.wit.Alone(now.Add(time.Second), now))
+}
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -32,7 +32,15 @@
 const (
 	gateEvery = 80 * time.Millisecond
 	// peersMost is how many peers are asked at once, and peersEvery how often.
-	peersMost  = 8
+	peersMost = 8
+	// peerLimit is how long one question to a peer may take.
+	peerLimit = 400 * time.Millisecond
+	// dialLimit is how long a connection to another process may take to come up: longer than
+	// a question waits, so that over a link that is full for a while the next one finds it.
+	dialLimit = 2 * time.Second
+	// lateLimit is how long an answer to a renewal is still taken that came too late to
+	// count as one.
+	lateLimit  = 2 * time.Second
 	peersEvery = 250 * time.Millisecond
 	// seedEvery bounds how often a seed that is not known to be a sidecar is asked as one,
 	// coreEvery the same for one that is known to be a core; seedFirst is how long after the
@@ -106,7 +114,7 @@
 	h := fnv.New64a()
 	_, _ = fmt.Fprint(h, b.Node, ident.Mark())
 	now := clock()
-	s := &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, slow: monotime.Watched(clock), pool: client.New(b.Addr), peers: exchange.New(b.Addr, exchange.Settings{Silence: silence}), ends: exchange.New(b.Addr, exchange.Settings{Silence: silence}),
+	s := &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, slow: monotime.Watched(clock), pool: client.NewWithin(b.Addr, dialLimit), peers: exchange.New(b.Addr, exchange.Settings{Silence: silence}), ends: exchange.New(b.Addr, exchange.Settings{Silence: silence}),
 		done: make(chan struct{}), line: line.New[*job](b.Senders, b.Queue),
 		path: path.New(now, b.District, h.Sum64(), b.Terms), gate: gate.New(), bay: bay.New(bay.Usual()), berths: map[uint64]chan bay.Act{}, moored: map[ident.Server]bool{}, link: link.New(b.Link), wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]monotime.Time{}, sides: map[ident.Addr]bool{}, noPeer: map[ident.Addr]monotime.Time{}, lease: holder.New(), joiner: joiner.New(b.Node, b.District), budgetShare: holder.BudgetShare{Terms: b.Terms},
 		began: now, lastCore: now, poke: make(chan ident.Addr, 1), push: make(chan struct{}, 1)}
--- a/mesh/lease/holder/holder.go
+++ b/mesh/lease/holder/holder.go
@@ -202,11 +202,7 @@
 func (h *Holder) Renewed(now monotime.Time, from ident.Addr, got record.Renewed) {
 	h.outstanding--
 	h.LearnCores(got.View, got.Cores)
-	for _, b := range h.sent {
-		if b.renewal == got.Took {
-			h.majorityAsOf = max(h.majorityAsOf, b.at)
-		}
-	}
+	h.acknowledged(got.Took)
 	if got.Want {
 		h.reportHeldBy, h.renewNow = "", true
 	}
@@ -233,6 +229,27 @@
 	h.avoid(now, from, true)
 }
 
+// Late takes an answer that came after its renewal had failed. The core is not one that says
+// nothing, so while all cores are avoided it goes before those that are; the majority that
+// it tells of has heard of the renewal all the same.
+func (h *Holder) Late(from ident.Addr, got record.Renewed) {
+	h.LearnCores(got.View, got.Cores)
+	h.acknowledged(got.Took)
+	if a, avoided := h.avoidances[from]; avoided {
+		a.silent = false
+		h.avoidances[from] = a
+	}
+}
+
+// acknowledged notes that a majority has heard of a renewal.
+func (h *Holder) acknowledged(renewal uint64) {
+	for _, b := range h.sent {
+		if b.renewal == renewal {
+			h.majorityAsOf = max(h.majorityAsOf, b.at)
+		}
+	}
+}
+
 // Suspect says that the registrar may be gone: it is asked at once.
 func (h *Holder) Suspect() { h.renewNow = true }
 
--- a/mesh/witness/witness.go
+++ b/mesh/witness/witness.go
@@ -107,7 +107,13 @@
 	if !w.in {
 		return now.Since(w.start) >= strange
 	}
-	return now.Since(core) >= lonely
+	return w.Alone(now, core)
+}
+
+// Alone tells whether no core was heard for a while: peers are then asked for their
+// registry too.
+func (w *Witness) Alone(now, core monotime.Time) bool {
+	return !w.in || now.Since(core) >= lonely
 }
 
 // Holds is the newest epoch whose manifest is here, shown or not yet.
--- a/wire/client/client.go
+++ b/wire/client/client.go
@@ -59,9 +59,13 @@
 
 // New makes a pool that dials from the machine's own IP. The time limit is each
 // call's own, so kratos' is switched off.
-func New(own ident.Addr) *Pool {
+func New(own ident.Addr) *Pool { return NewWithin(own, dialMost) }
+
+// NewWithin is New with a limit of its own for a connection to come up. One that comes up
+// after its call has ended serves the next.
+func NewWithin(own ident.Addr, dial time.Duration) *Pool {
 	return &Pool{all: map[ident.Addr]*khttp.Client{}, trip: lean{&http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialMost, KeepAliveConfig: probes, Control: watch, LocalAddr: own.From()}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: dial, KeepAliveConfig: probes, Control: watch, LocalAddr: own.From()}).DialContext,
 		MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 	}}}
 }
