--- a/daemon/sidecar/join.go
+++ b/daemon/sidecar/join.go
@@ -10,7 +10,7 @@
 	"cottonarch.example/cottonarch/daemon/core"
 	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/mesh/claim/joiner"
+	"cottonarch.example/cottonarch/mesh/lease/joiner"
 )
 
 const (
--- a/daemon/sidecar/join_test.go
+++ b/daemon/sidecar/join_test.go
@@ -177,7 +177,7 @@
 	s.seedSaid(f.addr, nil)
 	must.True(t, s.seedPeer(f.addr))
 	must.True(t, s.seedPeer(f.addr))
-	s.askPeer(f.addr)
+	s.askPeer(f.addr, true)
 	must.False(t, s.seedPeer(f.addr))
 	must.Eq(t, 2, f.parts)
 }
--- a/sim/world/join.go
+++ b/sim/world/join.go
@@ -13,7 +13,7 @@
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/mesh/claim/joiner"
+	"cottonarch.example/cottonarch/mesh/lease/joiner"
 )
 
 const (
