Tests of the sidecar name their own headers and not the users' platform's

Only platform/ knows those names. The tests set a sidecar's header names as settings, so any will do; the seeds of the fuzz target that held the old ones were changed with them. go test of daemon/sidecar and wire: passed.

--- a/daemon/sidecar/fuzz_test.go
+++ b/daemon/sidecar/fuzz_test.go
@@ -50,10 +50,10 @@
 func FuzzIntake(f *testing.F) {
 	for _, seed := range []string{
 		request("POST", "/once/x", "r1", "one"), request("HEAD", "//x//y/../z?q=%2F&a=;b", "r1", ""), "GET http://other.example/x HTTP/1.1\r\nHost: h\r\n\r\n",
-		"OPTIONS * HTTP/1.1\r\nHost: h\r\nX-Try-Id: r\r\n\r\n", "CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n", "GET / HTTP/1.0\r\n\r\n",
+		"OPTIONS * HTTP/1.1\r\nHost: h\r\nX-Call-Id: r\r\n\r\n", "CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n", "GET / HTTP/1.0\r\n\r\n",
 		"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTrailer: X-A\r\n\r\n3\r\none\r\n0\r\nX-A: b\r\n\r\n",
-		"GET /x HTTP/1.1\r\nHost: h\r\nConnection: X-Target-Server, X-A, X-Try-Id\r\nX-A: 1\r\nX-Target-Server: other\r\nX-Calling-Service: forged\r\nX-Cottonarch-Gate: return\r\nX-Cottonarch-Repeat: NaN\r\nX-Cottonarch-Want: 1,2,3,4,5,6\r\n\r\n",
-		"GET /x HTTP/1.1\r\nHost: h\r\nX-Try-Id: a\r\nX-Try-Id: b\r\nExpect: 100-continue\r\nUpgrade: x\r\n\r\n",
+		"GET /x HTTP/1.1\r\nHost: h\r\nConnection: X-Target-Server, X-A, X-Call-Id\r\nX-A: 1\r\nX-Target-Server: other\r\nX-Calling-Service: forged\r\nX-Cottonarch-Gate: return\r\nX-Cottonarch-Repeat: NaN\r\nX-Cottonarch-Want: 1,2,3,4,5,6\r\n\r\n",
+		"GET /x HTTP/1.1\r\nHost: h\r\nX-Call-Id: a\r\nX-Call-Id: b\r\nExpect: 100-continue\r\nUpgrade: x\r\n\r\n",
 		request("POST", "/once/x", "r1", smuggled),
 	} {
 		f.Add([]byte(seed), false)
@@ -72,7 +72,7 @@
 			r.Body = io.NopCloser(bytes.NewReader(sent))
 		}
 		r.RemoteAddr = "10.0.0.1:1"
-		r.Header.Del("X-Time-Left-Ms") // an early end is no answer to what this asks
+		r.Header.Del("X-Limit-Left-Ms") // an early end is no answer to what this asks
 		given := r.Header.Clone()
 		s := node("a", "127.0.0.1:1", at)
 		s.Boot.Own = "own"
--- a/daemon/sidecar/hops_test.go
+++ b/daemon/sidecar/hops_test.go
@@ -57,8 +57,8 @@
 }
 
 const (
-	testId   = "X-Try-Id"
-	testSeal = "X-Server-Seal"
+	testId   = "X-Call-Id"
+	testSeal = "X-Sealed"
 )
 
 func ownBody(id string) string { return `{"ran":"` + id + `"}` }
@@ -275,7 +275,7 @@
 // node is a sidecar without its duties, with the endpoints of its own machine.
 func node(name ident.Node, addr ident.Addr, endpoints ...ident.Addr) *Sidecar {
 	s := New(boot.Sidecar{Node: name, Addr: addr, District: "d", Senders: 16, Queue: 16, Hand: 64, Fenced: true, Beat: time.Hour,
-		Headers: boot.Headers{Id: testId, Limit: "X-Time-Left-Ms", Calling: "X-Calling-Service", Seal: testSeal, NotRun: "X-Not-Run", Fractions: true}}, zap.NewNop())
+		Headers: boot.Headers{Id: testId, Limit: "X-Limit-Left-Ms", Calling: "X-Calling-Service", Seal: testSeal, NotRun: "X-Not-Run", Fractions: true}}, zap.NewNop())
 	s.path.Tree.Free = true
 	s.path.Enforce(testManifest)
 	for n, at := range endpoints {
@@ -308,7 +308,7 @@
 	if id != "" {
 		r.Header.Set(testId, id)
 	}
-	r.Header.Set("X-Time-Left-Ms", fmt.Sprint(limit.Milliseconds()))
+	r.Header.Set("X-Limit-Left-Ms", fmt.Sprint(limit.Milliseconds()))
 	w := httptest.NewRecorder()
 	s.Intake(w, r)
 	return w
--- a/daemon/sidecar/unnamed_test.go
+++ b/daemon/sidecar/unnamed_test.go
@@ -54,7 +54,7 @@
 func TestHowAnEndpointIsCalled(t *testing.T) {
 	for _, name := range []string{"", testId} {
 		for _, id := range []string{"", "r"} {
-			heads := boot.Headers{Id: name, Seal: testSeal, Limit: "X-Time-Left-Ms"}
+			heads := boot.Headers{Id: name, Seal: testSeal, Limit: "X-Limit-Left-Ms"}
 			call := toEndpoint(heads, exchange.Call{Header: http.Header{testId: {id}}}, "e", time.Now().Add(time.Minute))
 			named := name != "" && id != ""
 			must.Eq(t, !named, call.Fresh)
