A core's planned stop answers all that is in hand before the process ends

Cause: a leaving core bounded what it had in hand by each request's own budget (4 s) and not by the end of its stop (3 s), and went on taking calls. One that was cut off for its stop ended with operations that nobody had answered (rule dropped-in-stop). Ruled out: joins (they are refused at once), long polls (they end when a stop begins). Change: Leave is told how long the stop may last. The time of what is in hand, and of what still comes, is cut to 300 ms before that end; after it nothing is begun (503, stopping). What was not begun is withdrawn then and told as not run. Leave and Left moved to a file of their own.

--- a/control/core/membership/cluster_test.go
+++ b/control/core/membership/cluster_test.go
@@ -198,7 +198,7 @@
 // itself said that it was done.
 func (c *cluster) leave(a ident.Addr) (took time.Duration, done bool) {
 	m, from := c.members[a], c.now
-	c.out(m, m.node.Leave(c.now))
+	c.out(m, m.node.Leave(c.now, 10*time.Second))
 	for !done && c.now.Since(from) < leaveLimit {
 		c.run(30 * time.Millisecond)
 		var fx node.Effects
--- a/control/core/membership/membership_test.go
+++ b/control/core/membership/membership_test.go
@@ -226,7 +226,7 @@
 		c.run(8 * time.Second)
 		c.writing = true
 		leaver := c.members[addrOf(1)]
-		c.out(leaver, leaver.node.Leave(c.now))
+		c.out(leaver, leaver.node.Leave(c.now, 10*time.Second))
 		for from := c.now; c.chosen().Size() == slots && c.now.Since(from) < leaveLimit; {
 			c.run(time.Millisecond)
 		}
--- a/control/core/node/join.go
+++ b/control/core/node/join.go
@@ -47,7 +47,7 @@
 // Join takes a sidecar's wish to join; its End carries the ticket and a Joined. It costs
 // nothing before the next tick, so what else a core has to answer goes first.
 func (n *Node) Join(now monotime.Time, ticket uint64, r admission.Request, budget time.Duration) (fx Effects) {
-	d := failure.New(failure.Stopping, "the core stops").Later(0.1)
+	d := errStopping()
 	if !n.leaving {
 		d = n.joins.Add(now, ticket, r, now.Add(budget))
 	}
--- a/control/core/node/join_test.go
+++ b/control/core/node/join_test.go
@@ -109,7 +109,7 @@
 func TestLeavingCoreRefusesJoins(t *testing.T) {
 	x := newTrio(t)
 	x.join("a:1", 1, joining(1, "run"))
-	x.out("a:1", x.nodes["a:1"].Leave(x.now))
+	x.out("a:1", x.nodes["a:1"].Leave(x.now, stopWithin))
 	x.join("a:1", 2, joining(2, "run"))
 	x.run(100 * time.Millisecond)
 	for _, ticket := range []uint64{1, 2} {
--- a/control/core/node/node.go
+++ b/control/core/node/node.go
@@ -146,6 +146,7 @@
 	said         monotime.Time
 	joined       bool // this run has heard a majority
 	leaving      bool
+	answerBy     monotime.Time // set while leaving: when everything in hand is answered
 	away         *departure
 	votes        []vote // the accepts taken lately, oldest first
 	proof        *proof
--- a/control/core/node/node_test.go
+++ b/control/core/node/node_test.go
@@ -36,6 +36,9 @@
 	m  message.Message
 }
 
+// stopWithin is how long a planned stop of these tests may last.
+const stopWithin = 3 * time.Second
+
 var three = []ident.Addr{"a:1", "b:1", "c:1"}
 
 func newTrio(t *testing.T) *trio {
@@ -195,7 +198,7 @@
 	x.submit("a:1", 1, "number/next", "number/n")
 	x.run(200 * time.Millisecond)
 	created := x.ownerOf("number/n")
-	x.out(created, x.nodes[created].Leave(x.now))
+	x.out(created, x.nodes[created].Leave(x.now, stopWithin))
 	x.run(60 * time.Millisecond)
 	left := false
 	for i := 0; i < 50 && !left; i++ {
@@ -228,7 +231,7 @@
 			at = three[1]
 		}
 		x.out(at, x.nodes[at].Submit(x.now, 2, proposer.Operation{Op: "twice", Key: "number/n", Kind: "number/next"}, 2*time.Second))
-		x.out(created, x.nodes[created].Leave(x.now))
+		x.out(created, x.nodes[created].Leave(x.now, stopWithin))
 		for pick, n := seed, 0; n < 60 && len(x.post) > 0; n++ {
 			i := 0
 			if n < 5 {
--- a/control/core/node/operations.go
+++ b/control/core/node/operations.go
@@ -53,7 +53,7 @@
 
 // Submit takes a local request; its End carries the ticket.
 func (n *Node) Submit(now monotime.Time, ticket uint64, d proposer.Operation, budget time.Duration) (fx Effects) {
-	n.begin(now, &pending{ticket: ticket, operation: d, until: now.Add(budget)}, &fx)
+	n.begin(now, &pending{ticket: ticket, operation: d, until: n.timeUntil(now, budget)}, &fx)
 	return fx
 }
 
@@ -61,6 +61,10 @@
 	if p.operation.Op == "" {
 		p.operation.Op = ident.Op(fmt.Sprintf("%s.%s.%d", n.Disk, n.boot.Mark, n.next()-n.first))
 	}
+	if n.answersOver(now) {
+		n.finish(now, p, End{Failure: errStopping()}, fx)
+		return
+	}
 	if grows[p.operation.Kind] && n.boot.Full != nil && n.boot.Full() {
 		n.finish(now, p, End{Failure: failure.New(failure.Full, "the disk has no room for more control state")}, fx)
 		return
--- a/control/core/node/placement_test.go
+++ b/control/core/node/placement_test.go
@@ -74,7 +74,7 @@
 			x.start(t, "d:1", "new-d", nil)
 			x.run(at)
 			if stop {
-				x.out("b:1", x.nodes["b:1"].Leave(x.now))
+				x.out("b:1", x.nodes["b:1"].Leave(x.now, stopWithin))
 				x.run(50 * time.Millisecond)
 			}
 			x.dead["b:1"] = true
--- a/control/core/node/quorumread.go
+++ b/control/core/node/quorumread.go
@@ -21,7 +21,7 @@
 
 // QuorumRead reads all records below a prefix from a majority.
 func (n *Node) QuorumRead(now monotime.Time, ticket uint64, prefix string, values bool, budget time.Duration) (fx Effects) {
-	n.quorumRead(now, &reading{ticket: ticket, until: now.Add(budget)}, prefix, values, "", &fx)
+	n.quorumRead(now, &reading{ticket: ticket, until: n.timeUntil(now, budget)}, prefix, values, "", &fx)
 	return fx
 }
 
--- a/control/core/node/tick.go
+++ b/control/core/node/tick.go
@@ -3,13 +3,8 @@
 import (
 	"time"
 
-	"cottonarch.example/cottonarch/control/coordination/lock"
-	"cottonarch.example/cottonarch/control/coordination/operation"
-	"cottonarch.example/cottonarch/control/core/message"
-	"cottonarch.example/cottonarch/control/register/placement"
 	"cottonarch.example/cottonarch/control/register/proposer"
 	"cottonarch.example/cottonarch/kernel/failure"
-	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/monotime"
 )
 
@@ -51,7 +46,9 @@
 func (n *Node) pendings(now monotime.Time, fx *Effects) {
 	n.joined = n.joined || n.Majority(now)
 	cut := n.cutOff(now)
-	n.applyProposer(now, n.proposer.Withdraw(func(d proposer.Operation) bool { return cut || d.Deadline != 0 && now.After(d.Deadline) }), fx)
+	n.applyProposer(now, n.proposer.Withdraw(func(d proposer.Operation) bool {
+		return cut || n.answersOver(now) || d.Deadline != 0 && now.After(d.Deadline)
+	}), fx)
 	list := n.wait
 	n.wait = nil
 	for _, p := range list {
@@ -111,46 +108,3 @@
 		n.scan(rd.Tick(now), fx)
 	}
 }
-
-// Leave begins a planned stop: no key is owned any more, successors are named. It is
-// done once Left says so.
-func (n *Node) Leave(now monotime.Time) (fx Effects) {
-	if n.leaving {
-		return fx
-	}
-	n.leaving, n.away = true, &departure{began: now}
-	n.sendLeaseUpdates(now, &fx)
-	n.hello(now, true, &fx)
-	disks, at := n.live(now)
-	if n.holds {
-		if next, _ := placement.Proposer(dutyKey, disks); next != "" {
-			args := operation.Encode(lock.Args{Holder: string(n.Disk), Fence: n.fence, To: string(next)})
-			n.internal(now, proposer.Operation{Key: dutyKey, Kind: "lock/pass", Args: args}, &fx, func(monotime.Time, End, *Effects) {})
-		}
-		n.holds = false
-	}
-	keys := map[ident.Addr][]ident.Key{}
-	for _, k := range n.proposer.Keys() {
-		if next, _ := placement.Proposer(k, disks); next != "" {
-			keys[at[next]] = append(keys[at[next]], k)
-		}
-	}
-	for _, a := range n.peerAddrs() {
-		if len(keys[a]) > 0 {
-			fx.Sends = append(fx.Sends, Send{a, message.Message{Handover: &message.Handover{Keys: keys[a]}}})
-		}
-	}
-	return fx
-}
-
-// Left lets go of what has no round out; it is true when nothing is in hand and all that
-// was confirmed is on a majority of the voters that stay.
-func (n *Node) Left(now monotime.Time) (bool, Effects) {
-	var fx Effects
-	done, o := n.proposer.Release()
-	n.applyProposer(now, o, &fx)
-	if !done || len(n.pend) > 0 || len(n.wait) > 0 {
-		return false, fx
-	}
-	return n.handOver(now, &fx), fx
-}
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -390,7 +390,7 @@
 	}
 	c.Log.Info("stopping")
 	close(c.stop)
-	c.Do(func(now monotime.Time) node.Effects { return c.node.Leave(now) })
+	c.Do(func(now monotime.Time) node.Effects { return c.node.Leave(now, limit) })
 	until := time.Now().Add(limit)
 	t := time.NewTicker(30 * time.Millisecond)
 	defer t.Stop()
--- a/sim/world/core.go
+++ b/sim/world/core.go
@@ -156,11 +156,18 @@
 // Sync does nothing.
 func (nameless) Sync() error { return nil }
 
+// stopLook is how often a planned stop looks whether all is handed over, and stopTries how
+// many times it does before the process ends all the same.
+const (
+	stopLook  = 30 * time.Millisecond
+	stopTries = 200
+)
+
 // Stop is a planned stop.
 func (c *Core) Stop(after func()) {
 	gen := c.gen
-	c.run(gen, func() { c.out(c.node.Leave(c.clock())) })
-	c.left(gen, 200, after)
+	c.run(gen, func() { c.out(c.node.Leave(c.clock(), stopTries*stopLook)) })
+	c.left(gen, stopTries, after)
 }
 
 func (c *Core) left(gen, tries int, after func()) {
@@ -175,7 +182,7 @@
 	})
 	// As the daemon does, it goes on until whoever waits here has a return.
 	if (!done || len(c.ends) > 0) && tries > 0 && c.w.Break != "stop" {
-		c.w.After(30*time.Millisecond, func() { c.left(gen, tries-1, after) })
+		c.w.After(stopLook, func() { c.left(gen, tries-1, after) })
 		return
 	}
 	c.w.Check.Look("dropped-in-stop")
