Large bodies between sidecars are asked for first, as many as the link carries

The sidecar stood behind a link full of uploads that came in; nothing bounded them, and one that was turned away had filled the link first. Ruled out: the cores (half of the sidecars had the change after 0.1 s), the sidecar's processor. Change: Expect: 100-continue on bodies of more than 8 KiB between sidecars; link.Inbound asks for no more at once than the link carries in 0.2 s. A call that ends before the word on its body is known not to be executed.

--- a/daemon/sidecar/gated.go
+++ b/daemon/sidecar/gated.go
@@ -44,12 +44,6 @@
 		s.hand--
 		s.mu.Unlock()
 	}()
-	body, free, d := s.whole(r)
-	if d != nil {
-		turn(gateTurned, d)
-		return true
-	}
-	defer free()
 	ms, err := strconv.Atoi(r.Header.Get(LimitHeader))
 	if err != nil || ms <= 0 {
 		turn(gateTurned, failure.New(failure.Late, "no time is left"))
@@ -57,6 +51,18 @@
 	}
 	until := time.Now().Add(time.Duration(ms) * time.Millisecond)
 	want, again := wantOf(r.Header.Get(WantHeader)), 0.0
+	received, d := s.bodyAdmits(r.ContentLength)
+	if d != nil {
+		turn(gateBay, d)
+		return true
+	}
+	body, free, d := s.whole(r)
+	received()
+	if d != nil {
+		turn(gateTurned, d)
+		return true
+	}
+	defer free()
 	if x := r.Header.Get(RepeatHeader); x != "" {
 		again, _ = strconv.ParseFloat(x, 64)
 	}
--- a/daemon/sidecar/link.go
+++ b/daemon/sidecar/link.go
@@ -28,3 +28,21 @@
 	defer s.mu.Unlock()
 	s.link.Sent(s.clock(), w.bytes, bytes)
 }
+
+// bodyAdmits decides whether this machine's link has room for the body of another sidecar's
+// request, before any of it is read. received must be called once it was, or was not.
+func (s *Sidecar) bodyAdmits(size int64) (received func(), d *failure.Error) {
+	size = max(0, size)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	retryAfter, ok := s.inbound.Admit(size)
+	if !ok {
+		s.Board.Add("bodies_not_asked_for", 1)
+		return nil, failure.New(failure.Busy, "the link of %s is full of what comes in", s.Boot.Node).Later(retryAfter.Seconds())
+	}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.inbound.Received(size)
+	}, nil
+}
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -78,6 +78,7 @@
 	berthed     uint64
 	moored      map[ident.Server]bool // endpoints that the bay knows
 	link        *link.Link
+	inbound     *link.Inbound
 	wit         *witness.Witness
 	shown       stored // the manifest in force
 	next        stored // the one that is held and not shown yet
@@ -116,7 +117,7 @@
 	now := clock()
 	s := &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, slow: monotime.Watched(clock), pool: client.NewWithin(b.Addr, dialLimit), peers: exchange.New(b.Addr, exchange.Settings{Silence: silence}), ends: exchange.New(b.Addr, exchange.Settings{Silence: silence}),
 		done: make(chan struct{}), line: line.New[*job](b.Senders, b.Queue),
-		path: path.New(now, b.District, h.Sum64(), b.Terms), gate: gate.New(), bay: bay.New(bay.Usual()), berths: map[uint64]chan bay.Act{}, moored: map[ident.Server]bool{}, link: link.New(b.Link), wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]monotime.Time{}, sides: map[ident.Addr]bool{}, noPeer: map[ident.Addr]monotime.Time{}, lease: holder.New(), joiner: joiner.New(b.Node, b.District), budgetShare: holder.BudgetShare{Terms: b.Terms},
+		path: path.New(now, b.District, h.Sum64(), b.Terms), gate: gate.New(), bay: bay.New(bay.Usual()), berths: map[uint64]chan bay.Act{}, moored: map[ident.Server]bool{}, link: link.New(b.Link), inbound: link.NewInbound(b.Link), wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]monotime.Time{}, sides: map[ident.Addr]bool{}, noPeer: map[ident.Addr]monotime.Time{}, lease: holder.New(), joiner: joiner.New(b.Node, b.District), budgetShare: holder.BudgetShare{Terms: b.Terms},
 		began: now, lastCore: now, poke: make(chan ident.Addr, 1), push: make(chan struct{}, 1)}
 	for _, a := range b.Seeds {
 		s.noPeer[a] = now.Add(seedFirst)
--- a/daemon/sidecar/walk.go
+++ b/daemon/sidecar/walk.go
@@ -81,7 +81,7 @@
 		return sized(j, got.ret, end)
 	}
 	req := j.req
-	req.Until = until
+	req.Until, req.Expect = until, true
 	// The gate gives up a little before this side does, so that its word is heard.
 	limit := strconv.FormatInt((c.Limit - min(c.Limit/10, 20*time.Millisecond)).Milliseconds(), 10)
 	req.Set = append(make([]exchange.Field, 0, 8), j.req.Set...)
--- /dev/null
+++ b/mesh/link/inbound_test.go
@@ -0,0 +1,75 @@
+package link
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// While a large body is received no other is admitted that would make the link late; small ones
+// always are, and a body alone is never refused.
+func TestLargeBodiesAreSpaced(t *testing.T) {
+	l := NewInbound(6 * megabit)
+	_, ok := l.Admit(5_000_000)
+	must.True(t, ok)
+	back, ok := l.Admit(answer)
+	must.False(t, ok)
+	must.Positive(t, back)
+	_, ok = l.Admit(smallBytes)
+	must.True(t, ok)
+	l.Received(5_000_000)
+	l.Received(smallBytes)
+	_, ok = l.Admit(answer)
+	must.True(t, ok)
+	_, ok = l.Admit(answer)
+	must.False(t, ok)
+	unknown := NewInbound(0)
+	for range 100 {
+		_, ok = unknown.Admit(1<<30)
+		must.True(t, ok)
+	}
+}
+
+// Machines send bodies to one link at random, four times what it carries: with admission what
+// waits at the link is carried soon, so that a configuration behind it is in time, and the
+// link is still used; without it the wait grows without end.
+func TestBodiesBeyondTheLink(t *testing.T) {
+	const rate, step, span = 6 * megabit, 5 * time.Millisecond, 20 * time.Second
+	for _, admission := range []bool{true, false} {
+		rng := rand.New(rand.NewPCG(1, 2))
+		l := NewInbound(rate)
+		type body struct{ size, left float64 }
+		var queue []body // on the link, in order
+		waiting, longest, carried := 0.0, 0.0, 0.0
+		for now := time.Duration(0); now < span; now += step {
+			for range 2 {
+				size := float64(20_000 + rng.IntN(80_000))
+				if rng.Float64() > 4*rate*step.Seconds()/60_000/2 {
+					continue
+				}
+				if _, ok := l.Admit(int64(size)); ok || !admission {
+					queue = append(queue, body{size, size})
+					waiting += size
+				}
+			}
+			for left := rate * step.Seconds(); left > 0 && len(queue) > 0; {
+				part := min(left, queue[0].left)
+				queue[0].left -= part
+				left, waiting, carried = left-part, waiting-part, carried+part
+				if queue[0].left <= 0 {
+					l.Received(int64(queue[0].size))
+					queue = queue[1:]
+				}
+			}
+			longest = max(longest, waiting/rate)
+		}
+		if !admission {
+			must.Greater(t, 10, longest)
+			continue
+		}
+		must.Less(t, 0.25, longest)
+		must.Greater(t, 0.8*rate*span.Seconds(), carried)
+	}
+}
--- a/wire/exchange/conn.go
+++ b/wire/exchange/conn.go
@@ -173,6 +173,27 @@
 	return sent, failure.Unsure(failure.LostResponse, "the request was broken off")
 }
 
+// openReader gives the connection a reader for one call.
+func (c *conn) openReader() {
+	c.in = reads.Get().(*reading)
+	c.in.Reset(c.TCPConn)
+}
+
+// closeReader gives it back.
+func (c *conn) closeReader() {
+	c.in.Reset(nil)
+	reads.Put(c.in)
+	c.in = nil
+}
+
+// restFor takes how long the other end keeps the connection unused.
+func (c *conn) restFor(rest time.Duration) { c.rest = max(rest-c.shelf.set.Margin, 0) }
+
+// shutEnding is that of a call on a connection that took nothing.
+func (c *conn) shutEnding() ending {
+	return ending{shut: true, d: failure.New(failure.Busy, "%s closes or speaks before it is asked", c.shelf.addr)}
+}
+
 // over looks whether anything follows a return that is to be the last: then it is not
 // sure where the return ended, nor to which request it was. The other end was asked to
 // close after it; one that does not is waited for a moment only.
--- a/wire/exchange/exchange.go
+++ b/wire/exchange/exchange.go
@@ -94,6 +94,10 @@
 	// Wait lets the call wait, up to its end, while the bound is reached. Else it is
 	// turned away at once as Busy, not sent.
 	Wait bool
+	// Expect has a body that does not leave in one piece with the head asked for first: it is
+	// sent once the other end wants it. The other end must act on no request whose body it
+	// has not read.
+	Expect bool
 	// Until is the moment the call ends, beside the context's own; a Background context
 	// with Until costs least.
 	Until time.Time
@@ -147,9 +151,17 @@
 			return ending{d: d, keep: !call.Fresh}
 		}
 	}
-	sent, d, shut := c.send(call, w)
+	sent, d, shut := 0, (*failure.Error)(nil), false
+	if call.Expect && len(w.body) > 0 {
+		if end, may := c.askFirst(call, w); !may {
+			return end
+		}
+		sent, d = c.put(w.body, nil)
+	} else {
+		sent, d, shut = c.send(call, w)
+	}
 	if shut {
-		return ending{shut: true, d: failure.New(failure.Busy, "%s closes or speaks before it is asked", c.shelf.addr)}
+		return c.shutEnding()
 	}
 	if d != nil && sent == 0 {
 		return ending{d: d}
@@ -160,16 +172,13 @@
 	}
 	// Who turns a request away may do so before it is whole, and close: what it said is
 	// still there to read, and its id tells that it is meant for this call.
-	c.in = reads.Get().(*reading)
-	c.in.Reset(c.TCPConn)
-	ret, keep, bad := c.in.read(call, c.shelf.set.Most, func(rest time.Duration) { c.rest = max(rest-c.shelf.set.Margin, 0) })
+	c.openReader()
+	defer c.closeReader()
+	ret, keep, bad := c.in.read(call, c.shelf.set.Most, c.restFor)
 	if bad == nil && call.Fresh && call.IdHeader == "" {
 		bad = c.over()
 	}
 	keep = keep && d == nil && c.in.Buffered() == 0
-	c.in.Reset(nil)
-	reads.Put(c.in)
-	c.in = nil
 	if bad != nil {
 		if d != nil {
 			bad = d
--- /dev/null
+++ b/wire/exchange/expect_test.go
@@ -0,0 +1,166 @@
+package exchange_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"cottonarch.example/cottonarch/kernel/failure"
+	"cottonarch.example/cottonarch/kernel/ident"
+	"cottonarch.example/cottonarch/wire/exchange"
+)
+
+const (
+	largeBody    = 64 << 10
+	continueSay  = "HTTP/1.1 100 Continue\r\n\r\n"
+	acceptedSay  = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	refusedSay   = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull"
+	bodyPatience = 200 * time.Millisecond
+)
+
+// reluctant is a server that answers the head of each request with early, reads the body if
+// reads is set, and then answers with late. It counts connections and bytes of bodies.
+type reluctant struct {
+	early, late string
+	reads       bool
+	conns       atomic.Int64
+	bodyBytes   atomic.Int64
+	expected    atomic.Int64
+}
+
+func (s *reluctant) serve(t *testing.T) ident.Addr {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go s.talk(c)
+		}
+	}()
+	return ident.Addr(l.Addr().String())
+}
+
+func (s *reluctant) talk(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil || line == "" {
+			return
+		}
+		head, err := textproto.NewReader(r).ReadMIMEHeader()
+		if err != nil {
+			return
+		}
+		if head.Get("Expect") != "" {
+			s.expected.Add(1)
+		}
+		_, _ = io.WriteString(c, s.early)
+		if !s.reads {
+			if s.early == "" { // says nothing, and keeps the connection open for a while
+				n, _ := io.Copy(io.Discard, r)
+				s.bodyBytes.Add(n)
+			}
+			return
+		}
+		size, _ := strconv.ParseInt(head.Get("Content-Length"), 10, 64)
+		n, err := io.CopyN(io.Discard, r, size)
+		s.bodyBytes.Add(n)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, s.late)
+	}
+}
+
+// A body that is asked for first leaves only on the other end's word. Whatever ends the call
+// before that word is known not to have been executed, and a refusal is told as it came.
+func TestBodyLeavesOnlyWhenWanted(t *testing.T) {
+	for name, c := range map[string]struct {
+		server *reluctant
+		status int // 0 for none
+		sent   bool
+		body   int64
+	}{
+		"wanted":                   {&reluctant{early: continueSay, late: acceptedSay, reads: true}, 200, true, largeBody},
+		"wanted after other words": {&reluctant{early: "HTTP/1.1 102 Processing\r\n\r\n" + continueSay, late: acceptedSay, reads: true}, 200, true, largeBody},
+		"refused":                  {&reluctant{early: refusedSay}, 503, true, 0},
+		"refused in one breath":    {&reluctant{early: continueSay + refusedSay}, 503, true, 0},
+		"silent":                   {&reluctant{}, 0, false, 0},
+		"garbled":                  {&reluctant{early: "what is this\r\n\r\n"}, 0, false, 0},
+		"half a refusal":           {&reluctant{early: refusedSay[:50]}, 0, false, 0},
+		"endless words":            {&reluctant{early: manyProcessing()}, 0, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := c.server.serve(t)
+			p := exchange.New("")
+			req := exchange.Call{Method: http.MethodPost, Target: "/x", Host: "h", Body: make([]byte, largeBody), Expect: true, Until: time.Now().Add(bodyPatience)}
+			ret, sent, d := do(t, p, addr, req)
+			must.Eq(t, c.sent, sent)
+			must.Eq(t, 1, c.server.expected.Load())
+			if c.status != 0 {
+				must.Nil(t, d)
+				must.Eq(t, c.status, ret.Status)
+			} else {
+				must.NotNil(t, d)
+				must.Eq(t, failure.NotExecuted, d.Outcome)
+			}
+			must.Eq(t, c.body, c.server.bodyBytes.Load())
+		})
+	}
+}
+
+func manyProcessing() (say string) {
+	for range 20 {
+		say += "HTTP/1.1 102 Processing\r\n\r\n"
+	}
+	return say
+}
+
+// A connection on which a body was asked for, and sent, is kept; one on which it was refused
+// is not, since the other end may still wait for the body.
+func TestConnectionAfterAnAskedBody(t *testing.T) {
+	for name, c := range map[string]struct {
+		server *reluctant
+		conns  int64
+	}{
+		"wanted":  {&reluctant{early: continueSay, late: acceptedSay, reads: true}, 1},
+		"refused": {&reluctant{early: refusedSay}, 3},
+	} {
+		addr := c.server.serve(t)
+		p := exchange.New("")
+		for range 3 {
+			_, _, d := do(t, p, addr, exchange.Call{Method: http.MethodPost, Target: "/x", Host: "h", Body: make([]byte, largeBody), Expect: true})
+			must.Nil(t, d)
+		}
+		must.Eq(t, c.conns, c.server.conns.Load(), must.Sprint(name))
+	}
+}
+
+// A body that was asked for and is broken off has an unknown outcome; a small body is not
+// asked for at all.
+func TestWhatIsNotAskedForFirst(t *testing.T) {
+	p := exchange.New("")
+	broken := &reluctant{early: continueSay}
+	_, sent, d := do(t, p, broken.serve(t), exchange.Call{Method: http.MethodPost, Target: "/x", Host: "h", Body: make([]byte, 16<<20), Expect: true})
+	must.True(t, sent)
+	must.NotNil(t, d)
+	must.Eq(t, failure.OutcomeUnknown, d.Outcome)
+	small := &reluctant{late: acceptedSay, reads: true}
+	_, _, d = do(t, p, small.serve(t), exchange.Call{Method: http.MethodPost, Target: "/x", Host: "h", Body: make([]byte, 100), Expect: true})
+	must.Nil(t, d)
+	must.Eq(t, 0, small.expected.Load())
+}
--- a/wire/exchange/read.go
+++ b/wire/exchange/read.go
@@ -131,7 +131,7 @@
 // head waits for a return's head, whole, and reads it. Bytes that are no head are told as
 // soon as they are seen.
 func (r *reading) head() (h head, err error) {
-	raw, err := r.until(func(b []byte) bool { n := min(len(b), len(proto)); return bytes.Equal(b[:n], proto[:n]) })
+	raw, err := r.until(beginsAnswer)
 	if err != nil {
 		return h, err
 	}
@@ -160,6 +160,12 @@
 	return h, nil
 }
 
+// beginsAnswer tells whether bytes are the beginning of an answer, as far as they go.
+func beginsAnswer(b []byte) bool {
+	n := min(len(b), len(proto))
+	return bytes.Equal(b[:n], proto[:n])
+}
+
 // until waits for an empty line and gives what stands up to it, checked: lines end with
 // CR LF, none goes on in the next, and there are no control bytes. It takes nothing.
 func (r *reading) until(begins func([]byte) bool) ([]byte, error) {
--- a/wire/exchange/write.go
+++ b/wire/exchange/write.go
@@ -78,6 +78,9 @@
 		b = strconv.AppendInt(b, int64(len(call.Body)), 10)
 		b = append(b, '\r', '\n')
 	}
+	if call.Expect && len(call.Body) > oneWrite {
+		b = append(b, "Expect: 100-continue\r\n"...)
+	}
 	if call.Fresh {
 		b = append(b, "Connection: close\r\n"...)
 	}
