--- a/boot/boot.go
+++ b/boot/boot.go
@@ -85,8 +85,8 @@
 	Seal string
 	// NotRun is an endpoint's word that it did not run the request.
 	NotRun string
-	// Burden is an endpoint's word of what it has: running, waiting, slots.
-	Burden string
+	// LoadReport is the header by which an endpoint tells what it has: running, waiting, slots.
+	LoadReport string
 	// Server is where an endpoint that is asked for its health says who it is.
 	Server string
 	// Fractions lets Retry-After be told in fractions of a second.
--- a/daemon/sidecar/bay.go
+++ b/daemon/sidecar/admission.go
@@ -8,14 +8,14 @@
 	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/monotime"
-	"cottonarch.example/cottonarch/mesh/bay"
-	"cottonarch.example/cottonarch/mesh/burden"
+	"cottonarch.example/cottonarch/mesh/admission"
 	"cottonarch.example/cottonarch/mesh/gate"
+	"cottonarch.example/cottonarch/mesh/loadreport"
 	"cottonarch.example/cottonarch/mesh/path"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 )
 
-// want is what a request's origin says of it to the bay beside its endpoint, as spans that
+// want is what a request's origin says of it to the admission queue beside its endpoint, as spans that
 // remain. Invariant: as text it is seven whole numbers: rank, work, early and aim in
 // microseconds, failing peers in thousandths, must, and the bytes of the answer; a release
 // that knows six reads those.
@@ -64,52 +64,52 @@
 	return want{rank: int(min(max(n[0], 0), 1000)), work: max(0, micro(n[1])), early: micro(n[2]), aim: micro(n[3]), peers: float64(min(max(n[4], 0), 1000)) / 1000, must: n[5] == 1, bytes: int(min(max(n[6], 0), 1<<30))}
 }
 
-// ask makes the bay's question of it; a span of nought is never.
-func (w want) ask(now monotime.Time, id uint64, until monotime.Time) bay.Ask {
-	return bay.Ask{ID: id, Rank: w.rank, Work: w.work, Early: now.Add(w.early), Aim: now.Add(w.aim), Until: until, Peers: w.peers, Must: w.must}
+// ask makes the admission queue's question of it; a span of nought is never.
+func (w want) ask(now monotime.Time, id uint64, until monotime.Time) admission.Request {
+	return admission.Request{ID: id, Rank: w.rank, Work: w.work, Early: now.Add(w.early), Aim: now.Add(w.aim), Until: until, PeerFailureRate: w.peers, LastResort: w.must}
 }
 
 // acts tells those who wait what becomes of them; mu is held.
-func (s *Sidecar) acts(list []bay.Act) {
+func (s *Sidecar) tellWaiters(list []admission.Verdict) {
 	for _, a := range list {
-		if ch := s.berths[a.ID]; ch != nil && a.Word != bay.Wait {
-			delete(s.berths, a.ID)
+		if ch := s.waiters[a.ID]; ch != nil && a.Decision != admission.Wait {
+			delete(s.waiters, a.ID)
 			ch <- a
 		}
 	}
 }
 
-// berth waits until the endpoint has room for the request, or the bay turns it away. The
+// waitForSlot waits until the endpoint has room for the request, or the admission queue turns it away. The
 // caller must call leave when it was let in.
-func (s *Sidecar) berth(until time.Time, server ident.Server, w want) (id uint64, d *failure.Error) {
-	ch := make(chan bay.Act, 1)
+func (s *Sidecar) waitForSlot(until time.Time, server ident.Server, w want) (id uint64, d *failure.Error) {
+	ch := make(chan admission.Verdict, 1)
 	s.mu.Lock()
 	now := s.clock()
-	s.berthed++
-	id = s.berthed
-	s.berths[id] = ch
-	s.acts(s.bay.Offer(now, server, w.ask(now, id, now.Add(time.Until(until)))))
+	s.lastWaiter++
+	id = s.lastWaiter
+	s.waiters[id] = ch
+	s.tellWaiters(s.admission.Offer(now, server, w.ask(now, id, now.Add(time.Until(until)))))
 	s.mu.Unlock()
-	a, ok := s.turn(ch, until)
+	a, ok := s.awaitVerdict(ch, until)
 	if !ok {
 		s.mu.Lock()
-		if delete(s.berths, id); len(ch) == 0 {
-			s.acts(s.bay.Quit(s.clock(), server, id))
+		if delete(s.waiters, id); len(ch) == 0 {
+			s.tellWaiters(s.admission.Abandon(s.clock(), server, id))
 			s.mu.Unlock()
 			return 0, failure.New(failure.Late, "no room in time")
 		}
 		s.mu.Unlock()
 		a = <-ch
 	}
-	if a.Word == bay.Go {
+	if a.Decision == admission.Admit {
 		return id, nil
 	}
-	s.Board.Add("bay_turned_away_"+string(a.Why), 1)
-	return 0, failure.New(failure.Busy, "server %q: %s", server, a.Why).Later(max(0.01, a.Retry.Seconds()))
+	s.Board.Add("bay_turned_away_"+string(a.Reason), 1)
+	return 0, failure.New(failure.Busy, "server %q: %s", server, a.Reason).Later(max(0.01, a.RetryAfter.Seconds()))
 }
 
-// turn waits for the bay's word until the request's time is over.
-func (s *Sidecar) turn(ch chan bay.Act, until time.Time) (a bay.Act, ok bool) {
+// awaitVerdict waits for the admission queue's word until the request's time is over.
+func (s *Sidecar) awaitVerdict(ch chan admission.Verdict, until time.Time) (a admission.Verdict, ok bool) {
 	select {
 	case a = <-ch:
 		return a, true
@@ -126,42 +126,42 @@
 }
 
 // leave says that a request that was let in is over.
-func (s *Sidecar) leave(server ident.Server, id uint64, end bay.End, took time.Duration) {
+func (s *Sidecar) releaseSlot(server ident.Server, id uint64, end admission.Outcome, took time.Duration) {
 	s.mu.Lock()
-	s.acts(s.bay.Done(s.clock(), server, id, end, took))
+	s.tellWaiters(s.admission.Done(s.clock(), server, id, end, took))
 	s.mu.Unlock()
 }
 
-// moor keeps the bay to what the gate knows; mu is held.
-func (s *Sidecar) moor() {
+// syncAdmission keeps the admission queue to what the gate knows; mu is held.
+func (s *Sidecar) syncAdmission() {
 	here := map[ident.Server]bool{}
 	for _, w := range s.gate.Workloads() {
 		here[w.UID] = true
 		if w.Status != record.Healthy {
-			s.acts(s.bay.Empty(w.UID))
+			s.tellWaiters(s.admission.RejectAll(w.UID))
 		}
 	}
-	for id := range s.moored {
+	for id := range s.admitting {
 		if !here[id] {
-			s.acts(s.bay.Drop(id))
-			delete(s.moored, id)
+			s.tellWaiters(s.admission.Remove(id))
+			delete(s.admitting, id)
 		}
 	}
 }
 
 // beaten takes what a beat says of an endpoint's room; mu is held.
-func (s *Sidecar) beaten(now monotime.Time, b gate.Beat) {
+func (s *Sidecar) endpointBeat(now monotime.Time, b gate.Beat) {
 	if b.State == gate.Alive && b.Slots > 0 {
-		s.moored[b.Server] = true
-		s.acts(s.bay.Tell(now, b.Server, b.Slots, time.Duration(b.Cold*float64(time.Millisecond))))
+		s.admitting[b.Server] = true
+		s.tellWaiters(s.admission.SetSlots(now, b.Server, b.Slots, time.Duration(b.Cold*float64(time.Millisecond))))
 	}
 }
 
-// burden is what a gate tells of its endpoint with a return.
-func (s *Sidecar) burden(server ident.Server) string {
+// loadReport is what a gate tells of its endpoint with a response.
+func (s *Sidecar) loadReport(server ident.Server) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b, ok := s.bay.Burden(s.clock(), server)
+	b, ok := s.admission.LoadReport(s.clock(), server)
 	if !ok {
 		return ""
 	}
@@ -169,11 +169,11 @@
 }
 
 // heard reads it.
-func heard(text string) *burden.Burden {
+func heard(text string) *loadreport.Report {
 	if text == "" {
 		return nil
 	}
-	b, d := burden.Parse(text)
+	b, d := loadreport.Parse(text)
 	if d != nil {
 		return nil
 	}
--- a/daemon/sidecar/gated.go
+++ b/daemon/sidecar/gated.go
@@ -9,7 +9,7 @@
 	"cottonarch.example/cottonarch/boot"
 	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/mesh/bay"
+	"cottonarch.example/cottonarch/mesh/admission"
 	"cottonarch.example/cottonarch/wire/exchange"
 	"cottonarch.example/cottonarch/wire/reply"
 )
@@ -53,7 +53,7 @@
 	want, again := wantOf(r.Header.Get(WantHeader)), 0.0
 	received, d := s.bodyAdmits(r.ContentLength)
 	if d != nil {
-		turn(gateBay, d)
+		turn(gateNoRoom, d)
 		return true
 	}
 	body, free, d := s.whole(r)
@@ -68,14 +68,14 @@
 	}
 	req := exchange.Call{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: strip(r.Header), Body: body}
 	if d := s.linkAdmits(want); d != nil {
-		w.Header()[BurdenHeader] = []string{s.burden(ident.Server(server))}
-		turn(gateBay, d)
+		w.Header()[LoadReportHeader] = []string{s.loadReport(ident.Server(server))}
+		turn(gateNoRoom, d)
 		return true
 	}
 	got := s.pass(until, ident.Server(server), ident.Service(service), req, min(1, max(0, again)), want)
 	s.linkSent(want, got.ret)
 	if got.told != "" {
-		w.Header()[BurdenHeader] = []string{got.told}
+		w.Header()[LoadReportHeader] = []string{got.told}
 	}
 	if got.d != nil {
 		turn(got.word, got.d)
@@ -93,17 +93,17 @@
 	ret  *exchange.Return
 	word string
 	d    *failure.Error
-	told string        // the endpoint's burden, as text
+	told string        // the endpoint's load report, as text
 	took time.Duration // how long the endpoint had it
 }
 
 // pass is the gate: it asks whether the endpoint is still the one that is meant, waits
-// for its turn in the bay, and asks again before the first byte. The word says what became
-// of the request: gateTurned and gateBay that certainly nothing of it left for the
+// for its turn in the admission queue, and asks again before the first byte. The word says what became
+// of the request: gateTurned and gateNoRoom that certainly nothing of it left for the
 // endpoint, gateShed that the endpoint said itself that it did not run it.
 func (s *Sidecar) pass(until time.Time, server ident.Server, service ident.Service, req exchange.Call, again float64, w want) (out passed) {
 	turn := func(word string, d *failure.Error) passed {
-		return passed{word: word, d: d, told: s.burden(server)}
+		return passed{word: word, d: d, told: s.loadReport(server)}
 	}
 	s.mu.Lock()
 	_, _, d := s.gate.Pass(s.clock(), server, service)
@@ -111,14 +111,14 @@
 	if d != nil {
 		return passed{word: gateTurned, d: d}
 	}
-	id, d := s.berth(until, server, w)
+	id, d := s.waitForSlot(until, server, w)
 	if d != nil {
-		return turn(gateBay, d)
+		return turn(gateNoRoom, d)
 	}
-	end, took := bay.Over, time.Duration(0)
+	end, took := admission.GivenUp, time.Duration(0)
 	defer func() {
-		s.leave(server, id, end, took)
-		out.told, out.took = s.burden(server), took
+		s.releaseSlot(server, id, end, took)
+		out.told, out.took = s.loadReport(server), took
 	}()
 	s.mu.Lock()
 	addr, _, d := s.gate.Pass(s.clock(), server, service)
@@ -161,8 +161,8 @@
 	}
 	switch {
 	case d != nil && sent:
-		if end = bay.Failed; d.Kind == failure.Late {
-			end, took = bay.Over, s.clock().Since(began)
+		if end = admission.Failed; d.Kind == failure.Late {
+			end, took = admission.GivenUp, s.clock().Since(began)
 		}
 		return turn(gateUnsure, d)
 	case d != nil:
@@ -172,11 +172,11 @@
 	switch {
 	case out.word == gateShed:
 	case out.word != gateReturn || ret.Status >= 500 && ret.Status != http.StatusGatewayTimeout:
-		end = bay.Failed
+		end = admission.Failed
 	case ret.Status == http.StatusGatewayTimeout:
 		took = s.clock().Since(began)
 	default:
-		end, took = bay.Served, s.clock().Since(began)
+		end, took = admission.Served, s.clock().Since(began)
 	}
 	return out
 }
--- a/daemon/sidecar/greet.go
+++ b/daemon/sidecar/greet.go
@@ -52,7 +52,7 @@
 				now := s.clock()
 				if c, d := s.gate.Take(now, b); d == nil {
 					s.changed(c)
-					s.beaten(now, b)
+					s.endpointBeat(now, b)
 				}
 			}
 			s.mu.Unlock()
@@ -71,7 +71,7 @@
 		return gate.Beat{}, false
 	}
 	b := gate.Beat{Server: ident.Server(first(ret.Header, s.Boot.Headers.Server)), Service: s.Boot.Own, Addr: s.Boot.App, State: gate.Alive, Slots: greetSlots}
-	if parts := strings.Split(first(ret.Header, s.Boot.Headers.Burden), ","); len(parts) == 3 {
+	if parts := strings.Split(first(ret.Header, s.Boot.Headers.LoadReport), ","); len(parts) == 3 {
 		if n, err := strconv.Atoi(strings.TrimSpace(parts[2])); err == nil && n > 0 {
 			b.Slots = n
 		}
--- a/daemon/sidecar/greet_test.go
+++ b/daemon/sidecar/greet_test.go
@@ -14,7 +14,7 @@
 // Only an endpoint that says it is well, and who it is, is taken for well when a sidecar
 // starts; a beat that came meanwhile goes before.
 func TestWhatAGreetingTells(t *testing.T) {
-	s := New(boot.Sidecar{App: "127.0.0.1:9", Own: "svc", Headers: boot.Headers{Server: "X-Who", Burden: "X-Room"}}, nil)
+	s := New(boot.Sidecar{App: "127.0.0.1:9", Own: "svc", Headers: boot.Headers{Server: "X-Who", LoadReport: "X-Room"}}, nil)
 	for _, status := range []int{200, 204, 404, 503} {
 		for _, who := range []string{"", "i-1"} {
 			for room, slots := range map[string]int{"": greetSlots, "1,0,9": 9, "1,0": greetSlots, "1,0,x": greetSlots, "0,0,-3": greetSlots} {
--- a/daemon/sidecar/head_test.go
+++ b/daemon/sidecar/head_test.go
@@ -18,8 +18,8 @@
 // any other method a word without a body that can be read proves nothing.
 func TestWordWithoutABody(t *testing.T) {
 	for method, words := range map[string]map[string]path.Verdict{
-		http.MethodHead: {gateTurned: path.NotRun, gateBay: path.NotRun, gateShed: path.NotRun, gateUnsure: path.Unsure, "": path.Unsure, "news": path.Unsure},
-		http.MethodPost: {gateTurned: path.Unsure, gateBay: path.Unsure, gateShed: path.Unsure, gateUnsure: path.Unsure},
+		http.MethodHead: {gateTurned: path.NotRun, gateNoRoom: path.NotRun, gateShed: path.NotRun, gateUnsure: path.Unsure, "": path.Unsure, "news": path.Unsure},
+		http.MethodPost: {gateTurned: path.Unsure, gateNoRoom: path.Unsure, gateShed: path.Unsure, gateUnsure: path.Unsure},
 	} {
 		for word, want := range words {
 			j := &job{req: exchange.Call{Method: method}}
--- a/daemon/sidecar/intake.go
+++ b/daemon/sidecar/intake.go
@@ -28,11 +28,11 @@
 	GateHeader = "X-Cottonarch-Gate"
 	// RepeatHeader tells a gate how far a request repeats one that ran, from 0 to 1.
 	RepeatHeader = "X-Cottonarch-Repeat"
-	// WantHeader tells a bay what a request wants; BurdenHeader and TookHeader tell its
+	// WantHeader tells an admission queue what a request wants; LoadReportHeader and TookHeader tell its
 	// origin what the endpoint has in hand, and how many microseconds this one took.
-	WantHeader   = "X-Cottonarch-Want"
-	BurdenHeader = "X-Cottonarch-Burden"
-	TookHeader   = "X-Cottonarch-Took"
+	WantHeader       = "X-Cottonarch-Want"
+	LoadReportHeader = "X-Cottonarch-Burden"
+	TookHeader       = "X-Cottonarch-Took"
 	// CallerHeader names the caller in the tree of allowances.
 	CallerHeader = "X-Caller"
 	// SessionHeader names the session, which stays on one side of a split way.
@@ -43,8 +43,8 @@
 	gateReturn = "return"
 	gateTurned = "turned-away"
 	gateUnsure = "unsure"
-	// gateBay is a gate's word that its endpoint has no room in time.
-	gateBay = "bay"
+	// gateNoRoom is a gate's word that its endpoint has no room in time.
+	gateNoRoom = "bay"
 	// gateShed is a gate's word that the endpoint itself turned the request away.
 	gateShed = "shed"
 
@@ -60,7 +60,7 @@
 )
 
 // own lists the headers that the mesh itself sets; none is taken from outside.
-var own = []string{TargetHeader, ServiceHeader, LimitHeader, GateHeader, UrgentHeader, RepeatHeader, WantHeader, BurdenHeader, TookHeader, reply.FateHeader}
+var own = []string{TargetHeader, ServiceHeader, LimitHeader, GateHeader, UrgentHeader, RepeatHeader, WantHeader, LoadReportHeader, TookHeader, reply.FateHeader}
 
 // strip takes the mesh's own headers out; the exchange leaves out those that belong to one
 // connection.
--- a/daemon/sidecar/judge_test.go
+++ b/daemon/sidecar/judge_test.go
@@ -32,7 +32,7 @@
 // The words of a gate: only those that say so prove that a request did not run; what can't
 // be read proves nothing.
 func TestWordsOfGates(t *testing.T) {
-	for word, want := range map[string]path.Verdict{gateReturn: path.Ran, gateTurned: path.NotRun, gateBay: path.NotRun, gateShed: path.NotRun, gateUnsure: path.Unsure, "": path.Unsure, "news": path.Unsure} {
+	for word, want := range map[string]path.Verdict{gateReturn: path.Ran, gateTurned: path.NotRun, gateNoRoom: path.NotRun, gateShed: path.NotRun, gateUnsure: path.Unsure, "": path.Unsure, "news": path.Unsure} {
 		must.Eq(t, want, verdict(nil, word).Verdict, must.Sprint(word))
 	}
 	for _, w := range []want{{}, {rank: 2, work: 31 * time.Millisecond, early: -time.Second, aim: 200 * time.Millisecond, peers: 0.25, must: true}} {
--- a/daemon/sidecar/link_test.go
+++ b/daemon/sidecar/link_test.go
@@ -32,7 +32,7 @@
 	}
 	s.link.Sent(s.clock(), 0, 1_000_000)
 	word, retryAfter := ask(90_000)
-	must.Eq(t, gateBay, word)
+	must.Eq(t, gateNoRoom, word)
 	must.NotEq(t, "", retryAfter)
 	must.Eq(t, int64(1), s.Board.At("link_turned_away").Load())
 	word, _ = ask(0)
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -17,7 +17,7 @@
 	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/monotime"
-	"cottonarch.example/cottonarch/mesh/bay"
+	"cottonarch.example/cottonarch/mesh/admission"
 	"cottonarch.example/cottonarch/mesh/gate"
 	"cottonarch.example/cottonarch/mesh/lease/holder"
 	"cottonarch.example/cottonarch/mesh/lease/joiner"
@@ -73,10 +73,10 @@
 	line        *line.Line[*job]
 	path        *path.Path
 	gate        *gate.Gate
-	bay         *bay.Bay
-	berths      map[uint64]chan bay.Act // who waits in the bay
-	berthed     uint64
-	moored      map[ident.Server]bool // endpoints that the bay knows
+	admission   *admission.Queue
+	waiters     map[uint64]chan admission.Verdict // who waits in the admission queue
+	lastWaiter  uint64
+	admitting   map[ident.Server]bool // endpoints that the admission queue knows
 	link        *link.Link
 	inbound     *link.Inbound
 	wit         *witness.Witness
@@ -117,7 +117,7 @@
 	now := clock()
 	s := &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, slow: monotime.Watched(clock), pool: client.NewWithin(b.Addr, dialLimit), peers: exchange.New(b.Addr, exchange.Settings{Silence: silence}), ends: exchange.New(b.Addr, exchange.Settings{Silence: silence}),
 		done: make(chan struct{}), line: line.New[*job](b.Senders, b.Queue),
-		path: path.New(now, b.District, h.Sum64(), b.Terms), gate: gate.New(), bay: bay.New(bay.Usual()), berths: map[uint64]chan bay.Act{}, moored: map[ident.Server]bool{}, link: link.New(b.Link), inbound: link.NewInbound(b.Link), wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]monotime.Time{}, sides: map[ident.Addr]bool{}, noPeer: map[ident.Addr]monotime.Time{}, lease: holder.New(), joiner: joiner.New(b.Node, b.District), budgetShare: holder.BudgetShare{Terms: b.Terms},
+		path: path.New(now, b.District, h.Sum64(), b.Terms), gate: gate.New(), admission: admission.New(admission.DefaultSettings()), waiters: map[uint64]chan admission.Verdict{}, admitting: map[ident.Server]bool{}, link: link.New(b.Link), inbound: link.NewInbound(b.Link), wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]monotime.Time{}, sides: map[ident.Addr]bool{}, noPeer: map[ident.Addr]monotime.Time{}, lease: holder.New(), joiner: joiner.New(b.Node, b.District), budgetShare: holder.BudgetShare{Terms: b.Terms},
 		began: now, lastCore: now, poke: make(chan ident.Addr, 1), push: make(chan struct{}, 1)}
 	for _, a := range b.Seeds {
 		s.noPeer[a] = now.Add(seedFirst)
@@ -164,7 +164,7 @@
 		s.path.Tree.Tick(now)
 		s.slow()
 		s.changed(s.gate.Tick(now))
-		s.acts(s.bay.Tick(now))
+		s.tellWaiters(s.admission.Tick(now))
 		if n%100 == 0 {
 			s.ends.Tidy()
 			s.peers.Tidy()
@@ -180,7 +180,7 @@
 		s.ends.Drop(a)
 	}
 	if c.News {
-		s.moor()
+		s.syncAdmission()
 		s.news = true
 		s.kick(s.push)
 	}
@@ -231,7 +231,7 @@
 	c, d := s.gate.Take(now, b)
 	s.changed(c)
 	if d == nil {
-		s.beaten(now, b)
+		s.endpointBeat(now, b)
 	}
 	s.Board.Add("beats", 1)
 	return d
--- a/daemon/sidecar/walk.go
+++ b/daemon/sidecar/walk.go
@@ -117,7 +117,7 @@
 // read tells a gate's own word from an endpoint's return that it passes on.
 func read(j *job, ret *exchange.Return) (*exchange.Return, path.End) {
 	word := ret.Header.Get(GateHeader)
-	told := heard(ret.Header.Get(BurdenHeader))
+	told := heard(ret.Header.Get(LoadReportHeader))
 	if word == gateReturn {
 		micro, _ := strconv.ParseInt(ret.Header.Get(TookHeader), 10, 64)
 		return sized(j, ret, path.End{Verdict: path.Ran, Told: told, Took: time.Duration(max(0, micro)) * time.Microsecond})
@@ -137,7 +137,7 @@
 var verdicts = map[string]path.End{
 	gateReturn: {Verdict: path.Ran},
 	gateTurned: {Verdict: path.NotRun, Turned: true},
-	gateBay:    {Verdict: path.NotRun, Turned: true, Shed: true},
+	gateNoRoom: {Verdict: path.NotRun, Turned: true, Shed: true},
 	gateShed:   {Verdict: path.NotRun, Arrived: true},
 	gateUnsure: {Verdict: path.Unsure},
 }
--- a/mesh/bay/bay_test.go
+++ b/mesh/admission/admission_test.go
@@ -1,4 +1,4 @@
-package bay
+package admission
 
 import (
 	"slices"
@@ -8,7 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"cottonarch.example/cottonarch/kernel/monotime"
-	"cottonarch.example/cottonarch/mesh/burden"
+	"cottonarch.example/cottonarch/mesh/loadreport"
 )
 
 const ms = time.Millisecond
@@ -16,19 +16,19 @@
 func at(n int) monotime.Time { return monotime.Time(time.Second + time.Duration(n)*ms) }
 
 // ask comes at n ms, of 40 ms work, with an aim of 400 and a deadline of 1200 ms.
-func ask(id uint64, rank, n int) Ask {
-	return Ask{ID: id, Rank: rank, Work: 40 * ms, Early: at(n + 95), Aim: at(n + 400), Until: at(n + 1200)}
+func ask(id uint64, rank, n int) Request {
+	return Request{ID: id, Rank: rank, Work: 40 * ms, Early: at(n + 95), Aim: at(n + 400), Until: at(n + 1200)}
 }
 
-func ready(slots int) *Bay {
-	b := New(Usual())
-	b.Tell(at(0), "e", slots, 0)
+func ready(slots int) *Queue {
+	b := New(DefaultSettings())
+	b.SetSlots(at(0), "e", slots, 0)
 	return b
 }
 
-func of(acts []Act, w Word) (ids []uint64) {
+func of(acts []Verdict, w Decision) (ids []uint64) {
 	for _, a := range acts {
-		if a.Word == w {
+		if a.Decision == w {
 			ids = append(ids, a.ID)
 		}
 	}
@@ -41,17 +41,17 @@
 func TestAllOrdersOfComingAndGoing(t *testing.T) {
 	ranks := []int{2, 0, 1, 2, 0}
 	for _, order := range perms(7) {
-		b, word, out, quit := ready(1), map[uint64]Word{}, map[uint64]bool{}, map[uint64]bool{}
+		b, word, out, quit := ready(1), map[uint64]Decision{}, map[uint64]bool{}, map[uint64]bool{}
 		waits := map[uint64]int{}
-		take := func(acts []Act) {
+		take := func(acts []Verdict) {
 			for _, a := range acts {
 				_, had := word[a.ID]
 				must.False(t, had, must.Sprintf("%v: two words for %d", order, a.ID))
 				must.False(t, quit[a.ID], must.Sprintf("%v: a word for %d that quit", order, a.ID))
-				word[a.ID] = a.Word
+				word[a.ID] = a.Decision
 				rank, waited := waits[a.ID]
 				delete(waits, a.ID)
-				if a.Word == Go {
+				if a.Decision == Admit {
 					out[a.ID] = true
 					for _, r := range waits {
 						must.True(t, !waited || rank <= r, must.Sprintf("%v: %d overtook", order, a.ID))
@@ -82,7 +82,7 @@
 				if _, w := waits[4]; w || word[4] == 0 && !out[4] {
 					quit[4] = true
 					delete(waits, 4)
-					take(slices.Clone(b.Quit(at(n), "e", 4)))
+					take(slices.Clone(b.Abandon(at(n), "e", 4)))
 				}
 			default:
 				done(n)
@@ -110,9 +110,9 @@
 
 // Unknown slots are no bound, as they were before there was a bay.
 func TestUnknownSlotsLetAllGo(t *testing.T) {
-	b := New(Usual())
+	b := New(DefaultSettings())
 	for id := range uint64(500) {
-		must.Eq(t, []Act{{ID: id, Word: Go}}, b.Offer(at(0), "e", ask(id, 3, 0)))
+		must.Eq(t, []Verdict{{ID: id, Decision: Admit}}, b.Offer(at(0), "e", ask(id, 3, 0)))
 	}
 }
 
@@ -122,31 +122,31 @@
 	b, turned, retry := ready(2), 0, time.Duration(0)
 	for id := range uint64(60) {
 		acts := b.Offer(at(0), "e", ask(id, 2, 0))
-		if len(of(acts, TurnAway)) > 0 {
+		if len(of(acts, Reject)) > 0 {
 			turned++
-			must.Eq(t, Busy, acts[0].Why)
-			retry = max(retry, acts[0].Retry)
+			must.Eq(t, Busy, acts[0].Reason)
+			retry = max(retry, acts[0].RetryAfter)
 		}
 	}
 	// Two slots do 400 ms of 40 ms work: about twenty may be in time.
 	must.Between(t, 38, turned, 46)
 	must.Between(t, 150*ms, retry, 600*ms)
-	must.SliceNotContains(t, of(b.Offer(at(0), "e", ask(100, 0, 0)), TurnAway), 100)
+	must.SliceNotContains(t, of(b.Offer(at(0), "e", ask(100, 0, 0)), Reject), 100)
 	must.Eq(t, 100, b.Done(at(40), "e", 0, Served, 40*ms)[0].ID)
 }
 
 // A full line gives its last place to a higher rank, and the one that had it is told.
 func TestAFullLineGivesPlaceToAHigherRank(t *testing.T) {
-	set := Usual()
-	set.Queue = 1
+	set := DefaultSettings()
+	set.QueuePerSlot = 1
 	b := New(set)
-	b.Tell(at(0), "e", 1, 0)
+	b.SetSlots(at(0), "e", 1, 0)
 	for id := range uint64(3) { // two go, one waits
-		must.SliceEmpty(t, of(b.Offer(at(0), "e", ask(id, 2, 0)), TurnAway))
+		must.SliceEmpty(t, of(b.Offer(at(0), "e", ask(id, 2, 0)), Reject))
 	}
-	must.Eq(t, []uint64{3}, of(b.Offer(at(1), "e", ask(3, 2, 1)), TurnAway))
-	must.Eq(t, []uint64{2}, of(b.Offer(at(2), "e", ask(4, 1, 2)), TurnAway))
-	must.Eq(t, []uint64{4}, of(b.Done(at(40), "e", 0, Served, 40*ms), Go))
+	must.Eq(t, []uint64{3}, of(b.Offer(at(1), "e", ask(3, 2, 1)), Reject))
+	must.Eq(t, []uint64{2}, of(b.Offer(at(2), "e", ask(4, 1, 2)), Reject))
+	must.Eq(t, []uint64{4}, of(b.Done(at(40), "e", 0, Served, 40*ms), Admit))
 }
 
 // A waiting request whose endpoint stalls is turned away while that costs nothing, and
@@ -156,17 +156,17 @@
 	for id := range uint64(17) {
 		a := ask(id, 2, 0)
 		a.Work = 25 * ms
-		must.SliceEmpty(t, of(b.Offer(at(0), "e", a), TurnAway))
+		must.SliceEmpty(t, of(b.Offer(at(0), "e", a), Reject))
 	}
 	now := at(1)
 	for {
-		due, ok := b.Due(now)
+		due, ok := b.NextTick(now)
 		if !ok {
 			break
 		}
 		must.Between(t, now, due, at(400))
 		now = max(due, now.Add(ms))
-		for _, id := range of(b.Tick(now), TurnAway) {
+		for _, id := range of(b.Tick(now), Reject) {
 			gone[id] = int(now.Since(at(0)) / ms)
 		}
 	}
@@ -187,56 +187,56 @@
 	b, id := ready(6), uint64(0)
 	run := func(n int, took time.Duration) {
 		id++
-		must.Eq(t, []uint64{id}, of(b.Offer(at(n), "e", ask(id, 2, n)), Go))
+		must.Eq(t, []uint64{id}, of(b.Offer(at(n), "e", ask(id, 2, n)), Admit))
 		b.Done(at(n).Add(took), "e", id, Served, took)
 	}
 	for n := range 60 {
 		run(50*n, 40*ms)
 	}
-	must.Between(t, 0.9, tell(b, at(3000)).Pace, 1.1)
+	must.Between(t, 0.9, tell(b, at(3000)).RelativeTime, 1.1)
 	for n := range 60 {
 		run(3000+400*n, 500*ms)
 	}
-	must.Between(t, 9.0, tell(b, at(30000)).Pace, 12.6)
-	must.Eq(t, []uint64{900}, of(b.Offer(at(30000), "e", ask(900, 2, 30000)), Go))
+	must.Between(t, 9.0, tell(b, at(30000)).RelativeTime, 12.6)
+	must.Eq(t, []uint64{900}, of(b.Offer(at(30000), "e", ask(900, 2, 30000)), Admit))
 	acts := b.Offer(at(30000), "e", ask(901, 2, 30000))
-	must.Eq(t, []uint64{901}, of(acts, TurnAway))
-	must.Eq(t, Slow, acts[0].Why)
+	must.Eq(t, []uint64{901}, of(acts, Reject))
+	must.Eq(t, Slow, acts[0].Reason)
 	must1 := ask(902, 2, 30000)
-	must1.Must = true
-	must.Eq(t, []uint64{902}, of(b.Offer(at(30000), "e", must1), Go))
+	must1.LastResort = true
+	must.Eq(t, []uint64{902}, of(b.Offer(at(30000), "e", must1), Admit))
 	b.Done(at(30040), "e", 900, Served, 40*ms)
 	b.Done(at(30040), "e", 902, Served, 40*ms)
 	for n := range 100 {
 		run(31000+50*n, 40*ms)
 	}
-	must.Between(t, 0.9, tell(b, at(40000)).Pace, 1.3)
+	must.Between(t, 0.9, tell(b, at(40000)).RelativeTime, 1.3)
 }
 
 // Its start makes an endpoint slower for a while; that is expected, and not learnt.
 func TestSlowStartIsExpected(t *testing.T) {
-	b := New(Usual())
-	b.Tell(at(0), "e", 6, 3*time.Second)
+	b := New(DefaultSettings())
+	b.SetSlots(at(0), "e", 6, 3*time.Second)
 	for n := range 40 {
 		b.Offer(at(50*n), "e", ask(uint64(n), 2, 50*n))
 		b.Done(at(50*n+80), "e", uint64(n), Served, 80*ms)
 	}
-	must.Between(t, 1.9, tell(b, at(2500)).Pace, 2.1)
-	must.Between(t, 0.9, tell(b, at(3100)).Pace, 1.1)
+	must.Between(t, 1.9, tell(b, at(2500)).RelativeTime, 2.1)
+	must.Between(t, 0.9, tell(b, at(3100)).RelativeTime, 1.1)
 }
 
 // An endpoint that fails half its runs gets one trial in a while and those that must;
 // when its peers fail as much it is as good as they; when it is well it gets all.
 func TestEndpointThatFailsGetsTrialsOnly(t *testing.T) {
 	b, id := ready(6), uint64(0)
-	offer := func(n int, change func(*Ask)) bool {
+	offer := func(n int, change func(*Request)) bool {
 		id++
 		a := ask(id, 2, n)
 		change(&a)
-		return len(of(b.Offer(at(n), "e", a), Go)) == 1
+		return len(of(b.Offer(at(n), "e", a), Admit)) == 1
 	}
-	plain := func(*Ask) {}
-	count := func(from int, end func(i uint64) End, change func(*Ask)) (went int) {
+	plain := func(*Request) {}
+	count := func(from int, end func(i uint64) Outcome, change func(*Request)) (went int) {
 		for n := range 100 {
 			if offer(from+10*n, change) {
 				went++
@@ -245,13 +245,13 @@
 		}
 		return went
 	}
-	half := func(i uint64) End { return End(i % 2) }
-	well := func(uint64) End { return Served }
+	half := func(i uint64) Outcome { return Outcome(i % 2) }
+	well := func(uint64) Outcome { return Served }
 	must.Eq(t, 100, count(0, well, plain))
-	count(1000, half, func(a *Ask) { a.Must = true })
-	must.Between(t, 0.4, tell(b, at(2000)).Ill, 0.6)
+	count(1000, half, func(a *Request) { a.LastResort = true })
+	must.Between(t, 0.4, tell(b, at(2000)).FailureRate, 0.6)
 	must.Between(t, 4, count(2000, half, plain), 30)
-	must.Eq(t, 100, count(3000, half, func(a *Ask) { a.Peers = 0.5 }))
+	must.Eq(t, 100, count(3000, half, func(a *Request) { a.PeerFailureRate = 0.5 }))
 	count(4000, well, plain)
 	count(5000, well, plain)
 	must.Eq(t, 100, count(6000, well, plain))
@@ -263,17 +263,17 @@
 	for id := range uint64(5) {
 		b.Offer(at(0), "e", ask(id, 1, 0))
 	}
-	must.Eq(t, []uint64{2, 3, 4}, of(b.Empty("e"), TurnAway))
-	must.SliceEmpty(t, b.Empty("e"))
-	must.Eq(t, 2, tell(b, at(1)).Hand)
+	must.Eq(t, []uint64{2, 3, 4}, of(b.RejectAll("e"), Reject))
+	must.SliceEmpty(t, b.RejectAll("e"))
+	must.Eq(t, 2, tell(b, at(1)).Running)
 	b.Offer(at(1), "e", ask(5, 1, 1))
-	must.Eq(t, []uint64{5}, of(b.Drop("e"), TurnAway))
+	must.Eq(t, []uint64{5}, of(b.Remove("e"), Reject))
 	must.SliceEmpty(t, b.Done(at(1), "e", 0, Served, ms))
-	_, ok := b.Burden(at(1), "e")
+	_, ok := b.LoadReport(at(1), "e")
 	must.False(t, ok)
 }
 
-func tell(b *Bay, now monotime.Time) burden.Burden {
-	out, _ := b.Burden(now, "e")
+func tell(b *Queue, now monotime.Time) loadreport.Report {
+	out, _ := b.LoadReport(now, "e")
 	return out
 }
--- a/mesh/bay/compare_test.go
+++ b/mesh/admission/compare_test.go
@@ -1,4 +1,4 @@
-package bay_test
+package admission_test
 
 import (
 	"fmt"
@@ -10,7 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/mesh/bay"
+	"cottonarch.example/cottonarch/mesh/admission"
 	"cottonarch.example/cottonarch/mesh/pick"
 )
 
@@ -181,9 +181,9 @@
 	{name: "usual", pick: "told", bay: true},
 	{name: "draws3", pick: "told", bay: true, set: func(s *pick.Settings) { s.Draws = 3 }},
 	{name: "cross1", pick: "told", bay: true, set: func(s *pick.Settings) { s.Cross = time.Millisecond }},
-	{name: "margin1", pick: "told", bay: true, bays: func(s *bay.Settings) { s.Margin = 1 }},
-	{name: "extra0", pick: "told", bay: true, bays: func(s *bay.Settings) { s.Extra = 0 }},
-	{name: "extra2", pick: "told", bay: true, bays: func(s *bay.Settings) { s.Extra = 2 }},
+	{name: "margin1", pick: "told", bay: true, bays: func(s *admission.Settings) { s.Margin = 1 }},
+	{name: "extra0", pick: "told", bay: true, bays: func(s *admission.Settings) { s.Extra = 0 }},
+	{name: "extra2", pick: "told", bay: true, bays: func(s *admission.Settings) { s.Extra = 2 }},
 	{name: "most3", pick: "told", bay: true, most: 3},
-	{name: "retry2", pick: "told", bay: true, bays: func(s *bay.Settings) { s.RetryLeast = 60 * ms }},
+	{name: "retry2", pick: "told", bay: true, bays: func(s *admission.Settings) { s.MinRetryAfter = 60 * ms }},
 }
--- a/mesh/bay/model_test.go
+++ b/mesh/admission/model_test.go
@@ -1,4 +1,4 @@
-package bay_test
+package admission_test
 
 import (
 	"container/heap"
@@ -10,8 +10,8 @@
 
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/monotime"
-	"cottonarch.example/cottonarch/mesh/bay"
-	"cottonarch.example/cottonarch/mesh/burden"
+	"cottonarch.example/cottonarch/mesh/admission"
+	"cottonarch.example/cottonarch/mesh/loadreport"
 	"cottonarch.example/cottonarch/mesh/pick"
 	"cottonarch.example/cottonarch/mesh/registry/index"
 	"cottonarch.example/cottonarch/mesh/registry/record"
@@ -133,7 +133,7 @@
 	bay  bool
 	most int // tries a call; 0 is two
 	set  func(*pick.Settings)
-	bays func(*bay.Settings)
+	bays func(*admission.Settings)
 }
 
 // tally is what came of a day.
@@ -211,7 +211,7 @@
 	speed float64
 	busy  int
 	queue []*call
-	bay   *bay.Bay
+	bay   *admission.Queue
 	wait  map[uint64]*call
 	went  map[uint64]monotime.Time
 	tick  monotime.Time
@@ -250,11 +250,11 @@
 		id := ident.Server(fmt.Sprintf("e%02d", i))
 		s.entry = index.Entry{Workload: &record.Workload{UID: id, Service: "s", Gate: ident.Addr(fmt.Sprint("g", i)), District: m.district(i), Weight: 1, Status: record.Healthy}}
 		if p.bay {
-			set := bay.Usual()
+			set := admission.DefaultSettings()
 			if p.bays != nil {
 				p.bays(&set)
 			}
-			s.bay = bay.New(set)
+			s.bay = admission.New(set)
 		}
 		if d.cold > 0 && i == d.servers-1 {
 			s.start = m.now.Add(5 * time.Second)
@@ -284,7 +284,7 @@
 func (m *model) enter(s *server, cold time.Duration) {
 	m.all = append(slices.Clone(m.all), s.entry)
 	if s.bay != nil {
-		s.bay.Tell(m.now, s.entry.UID, slots, cold)
+		s.bay.SetSlots(m.now, s.entry.UID, slots, cold)
 	}
 }
 
@@ -383,19 +383,19 @@
 	c.past[e.UID] = true
 	m.tally.hops++
 	side.Sent(e.UID)
-	ask := bay.Ask{ID: c.id, Rank: c.kind.rank, Early: c.came.Add(c.kind.aim/4 - 5*ms), Aim: c.came.Add(c.kind.aim), Until: c.until(), Must: c.shed}
+	ask := admission.Request{ID: c.id, Rank: c.kind.rank, Early: c.came.Add(c.kind.aim/4 - 5*ms), Aim: c.came.Add(c.kind.aim), Until: c.until(), LastResort: c.shed}
 	if c.second {
 		ask.Early = c.came.Add(c.kind.aim/4 - 5*ms)
 	}
 	if p, ok := side.(*pick.Picker); ok {
-		ask.Work, ask.Peers = p.Work(c.kind.name), p.Peers("s")
-		ask.Must = ask.Must || p.Must(m.now, e.UID)
+		ask.Work, ask.PeerFailureRate = p.Work(c.kind.name), p.Peers("s")
+		ask.LastResort = ask.LastResort || p.Must(m.now, e.UID)
 	}
 	s := m.byID[e.UID]
 	m.in(m.dist(c)+hop, func() { m.gate(s, c, ask) })
 }
 
-func (m *model) gate(s *server, c *call, a bay.Ask) {
+func (m *model) gate(s *server, c *call, a admission.Request) {
 	if s.bay == nil {
 		m.offer(s, c)
 		return
@@ -404,11 +404,11 @@
 	m.act(s, s.bay.Offer(m.now, s.entry.UID, a))
 }
 
-func (m *model) act(s *server, acts []bay.Act) {
+func (m *model) act(s *server, acts []admission.Verdict) {
 	for _, a := range slices.Clone(acts) {
 		c := s.wait[a.ID]
 		delete(s.wait, a.ID)
-		if a.Word == bay.Go {
+		if a.Decision == admission.Admit {
 			s.went[a.ID] = m.now
 			m.in(200*time.Microsecond, func() { m.offer(s, c) })
 			continue
@@ -416,13 +416,13 @@
 		if m.now.Since(c.came) > c.kind.aim/4 {
 			c.held = true
 		}
-		if c.retry == 0 || a.Retry < c.retry {
-			c.retry = a.Retry
+		if c.retry == 0 || a.RetryAfter < c.retry {
+			c.retry = a.RetryAfter
 		}
 		c.shed = true
 		m.reply(s, c, "shed", 0)
 	}
-	if due, ok := s.bay.Due(m.now); ok && (s.tick <= m.now || due < s.tick) {
+	if due, ok := s.bay.NextTick(m.now); ok && (s.tick <= m.now || due < s.tick) {
 		s.tick = max(due, m.now.Add(ms))
 		m.at(s.tick, func() { m.act(s, s.bay.Tick(m.now)) })
 	}
@@ -481,7 +481,7 @@
 	})
 }
 
-var ends = map[string]bay.End{"ok": bay.Served, "fail": bay.Failed, "lost": bay.Over, "full": bay.Over, "late": bay.Over}
+var ends = map[string]admission.Outcome{"ok": admission.Served, "fail": admission.Failed, "lost": admission.GivenUp, "full": admission.GivenUp, "late": admission.GivenUp}
 
 // over is the end of a request at its endpoint, seen by the gate.
 func (m *model) over(s *server, c *call, end string, took time.Duration) {
@@ -497,10 +497,10 @@
 }
 
 func (m *model) reply(s *server, c *call, end string, took time.Duration) {
-	var told *burden.Burden
+	var told *loadreport.Report
 	if s.bay != nil {
-		b, _ := s.bay.Burden(m.now, s.entry.UID)
-		b, _ = burden.Parse(b.Text())
+		b, _ := s.bay.LoadReport(m.now, s.entry.UID)
+		b, _ = loadreport.Parse(b.Text())
 		told = &b
 	}
 	if end == "ok" {
@@ -512,7 +512,7 @@
 	m.in(m.dist(c)+hop, func() { m.returned(c, end, took, told) })
 }
 
-func (m *model) returned(c *call, end string, took time.Duration, told *burden.Burden) {
+func (m *model) returned(c *call, end string, took time.Duration, told *loadreport.Report) {
 	side := m.sides[c.home]
 	side.Back(m.now, c.now, end == "lost" || end == "late", false)
 	if p, ok := side.(*pick.Picker); ok && told != nil {
--- a/mesh/link/inbound_test.go
+++ b/mesh/link/inbound_test.go
@@ -27,7 +27,7 @@
 	must.False(t, ok)
 	unknown := NewInbound(0)
 	for range 100 {
-		_, ok = unknown.Admit(1<<30)
+		_, ok = unknown.Admit(1 << 30)
 		must.True(t, ok)
 	}
 }
--- a/mesh/path/path.go
+++ b/mesh/path/path.go
@@ -13,7 +13,7 @@
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/monotime"
 	"cottonarch.example/cottonarch/mesh/allowance"
-	"cottonarch.example/cottonarch/mesh/burden"
+	"cottonarch.example/cottonarch/mesh/loadreport"
 	"cottonarch.example/cottonarch/mesh/pick"
 	"cottonarch.example/cottonarch/mesh/registry/index"
 	"cottonarch.example/cottonarch/mesh/way"
@@ -97,7 +97,7 @@
 	// Shed says that the bay turned it away: the endpoint is known, and not suspect.
 	Shed bool
 	// Told is what the gate told of its endpoint with this end, nil if it did not.
-	Told *burden.Burden
+	Told *loadreport.Report
 	// Took is how long the endpoint had it, 0 if that is not known, and Size its return's
 	// bytes.
 	Took time.Duration
--- a/mesh/path/told_test.go
+++ b/mesh/path/told_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"cottonarch.example/cottonarch/mesh/burden"
+	"cottonarch.example/cottonarch/mesh/loadreport"
 )
 
 // What a gate tells reaches the picker with every kind of end; one that its bay turned away
@@ -17,17 +17,17 @@
 	first := p.Next(start, c)
 	must.False(t, first.Must)
 	must.Eq(t, 0, first.Work)
-	must.True(t, p.Ended(start, c, End{Verdict: NotRun, Turned: true, Shed: true, Told: &burden.Burden{Hand: 7, Wait: 20, Slots: 6, Pace: 1}}))
+	must.True(t, p.Ended(start, c, End{Verdict: NotRun, Turned: true, Shed: true, Told: &loadreport.Report{Running: 7, Waiting: 20, Slots: 6, RelativeTime: 1}}))
 	next := p.Next(start, c)
 	must.True(t, next.Must)
 	must.NotEq(t, first.Entry.UID, next.Entry.UID)
-	must.False(t, p.Ended(start, c, End{Verdict: Ran, Took: 80 * time.Millisecond, Size: 100, Told: &burden.Burden{Hand: 1, Slots: 6, Pace: 1}}))
+	must.False(t, p.Ended(start, c, End{Verdict: Ran, Took: 80 * time.Millisecond, Size: 100, Told: &loadreport.Report{Running: 1, Slots: 6, RelativeTime: 1}}))
 	for range 50 {
 		e, _ := p.Picker.ChooseFor(start, "w", p.Index.Workloads("a"), nil)
 		must.NotEq(t, first.Entry.UID, e.UID)
 	}
 	// Were it suspect, it would not be chosen now.
-	p.Picker.Heard(start, first.Entry.UID, burden.Burden{Slots: 6, Pace: 0.1})
+	p.Picker.Heard(start, first.Entry.UID, loadreport.Report{Slots: 6, RelativeTime: 0.1})
 	e, _ := p.Picker.ChooseFor(start, "w", p.Index.Workloads("a"), nil)
 	must.Eq(t, first.Entry.UID, e.UID)
 	must.Eq(t, 80*time.Millisecond, p.Picker.Work("w"))
--- a/mesh/pick/heard_test.go
+++ b/mesh/pick/heard_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/kernel/ident"
-	"cottonarch.example/cottonarch/mesh/burden"
+	"cottonarch.example/cottonarch/mesh/loadreport"
 	"cottonarch.example/cottonarch/mesh/registry/index"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 	"github.com/shoenig/test/must"
@@ -31,11 +31,11 @@
 
 // What a gate tells turns the choice at once, and less and less as it gets old.
 func TestWhatGatesTellTurnsTheChoice(t *testing.T) {
-	calm := burden.Burden{Hand: 2, Slots: 6, Pace: 1}
-	for name, told := range map[string]burden.Burden{
-		"full":    {Hand: 7, Wait: 6, Slots: 6, Pace: 1},
-		"slow":    {Hand: 2, Slots: 6, Pace: 5},
-		"failing": {Hand: 0, Slots: 6, Pace: 1, Ill: 0.5},
+	calm := loadreport.Report{Running: 2, Slots: 6, RelativeTime: 1}
+	for name, told := range map[string]loadreport.Report{
+		"full":    {Running: 7, Waiting: 6, Slots: 6, RelativeTime: 1},
+		"slow":    {Running: 2, Slots: 6, RelativeTime: 5},
+		"failing": {Running: 0, Slots: 6, RelativeTime: 1, FailureRate: 0.5},
 	} {
 		p, all := New("d", 1), many(4)
 		counts(p, 0, all)
@@ -58,8 +58,8 @@
 	for range 3 {
 		p.Sent("e0")
 	}
-	p.Heard(now, "e0", burden.Burden{Hand: 3, Slots: 6, Pace: 1})
-	p.Heard(now, "e1", burden.Burden{Hand: 3, Slots: 6, Pace: 1})
+	p.Heard(now, "e0", loadreport.Report{Running: 3, Slots: 6, RelativeTime: 1})
+	p.Heard(now, "e1", loadreport.Report{Running: 3, Slots: 6, RelativeTime: 1})
 	must.Between(t, 400, counts(p, 0, all)["e0"], 600)
 	for range 3 {
 		p.Sent("e0")
@@ -78,9 +78,9 @@
 		p, all := New("d", 1), many(6)
 		counts(p, 0, all)
 		for i, e := range all {
-			b := burden.Burden{Hand: 2, Slots: 6, Pace: 1}
+			b := loadreport.Report{Running: 2, Slots: 6, RelativeTime: 1}
 			if i < ill {
-				b.Ill = 0.6
+				b.FailureRate = 0.6
 			}
 			p.Heard(now, e.UID, b)
 		}
@@ -103,7 +103,7 @@
 	}
 	p, all := New("d", 1), many(1)
 	counts(p, 0, all)
-	p.Heard(now, "e0", burden.Burden{Hand: 30, Slots: 6, Pace: 50, Ill: 1})
+	p.Heard(now, "e0", loadreport.Report{Running: 30, Slots: 6, RelativeTime: 50, FailureRate: 1})
 	must.Eq(t, 1000, counts(p, 0, all)["e0"])
 }
 
@@ -129,8 +129,8 @@
 	must.Eq(t, 50*time.Millisecond, p.Work("large"))
 	must.Eq(t, 0, count("large"))
 	must.Between(t, 30, count("small"), 600)
-	p.Heard(now, "e1", burden.Burden{Hand: 1, Slots: 6, Pace: 1})
-	p.Heard(now, "e0", burden.Burden{Hand: 7, Wait: 20, Slots: 6, Pace: 1})
+	p.Heard(now, "e1", loadreport.Report{Running: 1, Slots: 6, RelativeTime: 1})
+	p.Heard(now, "e0", loadreport.Report{Running: 7, Waiting: 20, Slots: 6, RelativeTime: 1})
 	must.Eq(t, 1000, count("large"))
 }
 
@@ -145,7 +145,7 @@
 		p.Sent("e2")
 	}
 	must.Positive(t, counts(p, 0, all)["e3"])
-	p.Heard(now, "e3", burden.Burden{Slots: 6, Pace: 1})
+	p.Heard(now, "e3", loadreport.Report{Slots: 6, RelativeTime: 1})
 	must.Eq(t, 1000, counts(p, 0, all)["e3"])
 }
 
@@ -161,7 +161,7 @@
 			p, all := New("d", 1), many(n)
 			p.ChooseFor(now, "w", all, nil)
 			for _, e := range all {
-				p.Heard(now, e.UID, burden.Burden{Hand: 2, Slots: 6, Pace: 1})
+				p.Heard(now, e.UID, loadreport.Report{Running: 2, Slots: 6, RelativeTime: 1})
 			}
 			for b.Loop() {
 				p.ChooseFor(now, "w", all, nil)
--- a/mesh/pick/pick.go
+++ b/mesh/pick/pick.go
@@ -7,7 +7,7 @@
 
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/monotime"
-	"cottonarch.example/cottonarch/mesh/burden"
+	"cottonarch.example/cottonarch/mesh/loadreport"
 	"cottonarch.example/cottonarch/mesh/registry/index"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 )
@@ -57,7 +57,7 @@
 	out     int
 	within  int // out when its gate last spoke
 	heard   monotime.Time
-	told    burden.Burden
+	told    loadreport.Report
 	suspect monotime.Time
 	young   monotime.Time
 }
@@ -251,11 +251,11 @@
 			slots = float64(s.told.Slots)
 		}
 		x, y := part(age, p.Fresh), firm(age, p.Firm)
-		load = x*float64(s.told.Hand+s.told.Wait)/slots + (1-x)*load
-		if s.told.Pace > 0 {
-			pace += y * (s.told.Pace - 1)
+		load = x*float64(s.told.Running+s.told.Waiting)/slots + (1-x)*load
+		if s.told.RelativeTime > 0 {
+			pace += y * (s.told.RelativeTime - 1)
 		}
-		ill = y * max(0, s.told.Ill-c.ill)
+		ill = y * max(0, s.told.FailureRate-c.ill)
 		out = max(0, s.out-s.within)
 	}
 	if s.heard == 0 && s.young.After(now) {
@@ -279,14 +279,14 @@
 
 // sick tells whether a workload fails more than its peers do.
 func (p *Picker) sick(now monotime.Time, s *score) bool {
-	if s.heard == 0 || s.service == nil || s.told.Ill <= p.IllMost {
+	if s.heard == 0 || s.service == nil || s.told.FailureRate <= p.IllMost {
 		return false
 	}
-	return s.told.Ill*firm(now.Since(s.heard), p.Firm) > p.IllMost+1.5*s.service.ill
+	return s.told.FailureRate*firm(now.Since(s.heard), p.Firm) > p.IllMost+1.5*s.service.ill
 }
 
 // Heard takes what the gate of a server told with a return.
-func (p *Picker) Heard(now monotime.Time, server ident.Server, b burden.Burden) {
+func (p *Picker) Heard(now monotime.Time, server ident.Server, b loadreport.Report) {
 	s := p.at(server)
 	s.told, s.heard, s.within = b, now, s.out
 	c := s.service
@@ -297,12 +297,12 @@
 	if slots == 0 {
 		slots = p.Slots
 	}
-	load := min(float64(b.Hand+b.Wait)/float64(max(slots, 1)), 4)
+	load := min(float64(b.Running+b.Waiting)/float64(max(slots, 1)), 4)
 	if !c.heard {
 		c.heard, c.load = true, load
 	}
 	c.load += (load - c.load) / 16
-	c.ill += (b.Ill - c.ill) / 32
+	c.ill += (b.FailureRate - c.ill) / 32
 }
 
 // Ran takes how long the endpoint had a request of a way, and how large its return was.
--- a/sim/world/berth.go
+++ b/sim/world/admission.go
@@ -6,7 +6,7 @@
 	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/monotime"
-	"cottonarch.example/cottonarch/mesh/bay"
+	"cottonarch.example/cottonarch/mesh/admission"
 	"cottonarch.example/cottonarch/mesh/gate"
 	"cottonarch.example/cottonarch/mesh/path"
 	"cottonarch.example/cottonarch/mesh/registry/record"
@@ -14,66 +14,66 @@
 )
 
 const (
-	// ended is how soon after a planned stop began nobody waits in its bay any more.
+	// ended is how soon after a planned stop began nobody waits in its admission queue any more.
 	ended = 100 * time.Millisecond
 	// greetSlots is the daemon's.
 	greetSlots = 4
 )
 
-// try is one try of a call. Invariants: turned is set once the bay turned it away, ran once
+// try is one try of a call. Invariants: turned is set once the admission queue turned it away, ran once
 // an endpoint ran it; never both.
 type try struct {
 	ch          path.Choice
 	call        *path.Call
 	rec         *check.Call
-	ask         bay.Ask // with spans that are reckoned from nought
+	ask         admission.Request // with spans that are reckoned from nought
 	limit       time.Duration
 	at, left    monotime.Time // when it reached the endpoint, and what that endpoint's end was then
 	lost        monotime.Time
 	turned, ran bool
 }
 
-// wants makes the try of a choice, as the caller's sidecar tells it to the bay.
+// wants makes the try of a choice, as the caller's sidecar tells it to the admission queue.
 func (s *Side) wants(ch path.Choice, j *job) *try {
 	now, c := s.clock(), j.call
 	aim := c.Way.Aim
 	if aim <= 0 {
 		aim = c.Until.Since(j.began)
 	}
-	a := bay.Ask{Rank: c.Way.Rank, Work: ch.Work, Peers: ch.Peers, Must: ch.Must,
+	a := admission.Request{Rank: c.Way.Rank, Work: ch.Work, PeerFailureRate: ch.Peers, LastResort: ch.Must,
 		Early: monotime.Time(j.began.Add(aim / 4).Since(now)), Aim: monotime.Time(j.began.Add(aim).Since(now))}
 	// The gate gives up a little before the caller's side does, so that its word is heard.
 	return &try{ch: ch, call: c, rec: j.rec, ask: a, limit: ch.Limit - min(ch.Limit/10, 20*time.Millisecond)}
 }
 
-// berth is one that waits in the bay, and what goes on when it has a word.
-type berth struct {
+// waiter is a try that waits in the admission queue, and what goes on when it has a word.
+type waiter struct {
 	t    *try
-	then func(bay.Act)
+	then func(admission.Verdict)
 }
 
 // acts tells those who wait what becomes of them. What follows runs later, as whoever
 // waited must first be woken.
-func (s *Side) acts(list []bay.Act) {
+func (s *Side) tellWaiters(list []admission.Verdict) {
 	w := s.w
 	if w.Break == "bay-act" && len(list) > 0 {
 		list = append(list, list[0])
 	}
 	for _, a := range list {
-		if a.Word == bay.Wait {
+		if a.Decision == admission.Wait {
 			continue
 		}
 		w.Check.Look(check.BayTold)
-		b := s.berths[a.ID]
+		b := s.waiters[a.ID]
 		if b == nil {
-			w.Breach(check.BayTold, "the bay of %s told %d of %d, who has a word or waits no more", s.Node, a.Word, a.ID)
+			w.Breach(check.BayTold, "the admission queue of %s told %d of %d, who has a word or waits no more", s.Node, a.Decision, a.ID)
 			continue
 		}
-		delete(s.berths, a.ID)
-		if a.Word == bay.TurnAway {
+		delete(s.waiters, a.ID)
+		if a.Decision == admission.Reject {
 			w.Check.Look(check.BayTurned)
 			if b.t.turned = true; b.t.ran {
-				w.Breach(check.BayTurned, "%s was turned away by the bay of %s and had run", b.t.rec.ID, s.Node)
+				w.Breach(check.BayTurned, "%s was turned away by the admission queue of %s and had run", b.t.rec.ID, s.Node)
 			}
 		}
 		gen := s.gen
@@ -81,46 +81,46 @@
 	}
 }
 
-// moor keeps the bay to what the gate knows.
-func (s *Side) moor() {
+// syncAdmission keeps the admission queue to what the gate knows.
+func (s *Side) syncAdmission() {
 	here := map[ident.Server]bool{}
 	for _, x := range s.gate.Workloads() {
 		here[x.UID] = true
 		if x.Status != record.Healthy {
-			s.acts(s.bay.Empty(x.UID))
+			s.tellWaiters(s.admission.RejectAll(x.UID))
 		}
 	}
-	keep := s.moored[:0]
-	for _, id := range s.moored {
+	keep := s.admitting[:0]
+	for _, id := range s.admitting {
 		if here[id] {
 			keep = append(keep, id)
 			continue
 		}
-		s.acts(s.bay.Drop(id))
+		s.tellWaiters(s.admission.Remove(id))
 	}
-	s.moored = keep
+	s.admitting = keep
 }
 
 // changed carries out a change of the gate.
 func (s *Side) changed(c gate.Change) {
 	if s.w.Platform && c.News && !(s.leaving && s.w.Break == "bay-stop") {
-		s.moor()
+		s.syncAdmission()
 	}
 }
 
 // beaten takes what a beat says of an endpoint's room.
-func (s *Side) beaten(b gate.Beat) {
+func (s *Side) endpointBeat(b gate.Beat) {
 	if !s.w.Platform || b.State != gate.Alive || b.Slots == 0 {
 		return
 	}
-	for _, id := range s.moored {
+	for _, id := range s.admitting {
 		if id == b.Server {
-			s.acts(s.bay.Tell(s.clock(), b.Server, b.Slots, 0))
+			s.tellWaiters(s.admission.SetSlots(s.clock(), b.Server, b.Slots, 0))
 			return
 		}
 	}
-	s.moored = append(s.moored, b.Server)
-	s.acts(s.bay.Tell(s.clock(), b.Server, b.Slots, 0))
+	s.admitting = append(s.admitting, b.Server)
+	s.tellWaiters(s.admission.SetSlots(s.clock(), b.Server, b.Slots, 0))
 }
 
 // greet asks the endpoint beside a sidecar that has just started, as the daemon does.
@@ -142,13 +142,13 @@
 			if c, d := s.gate.Take(s.clock(), b); d == nil {
 				e.beatAt, e.lostAt = s.clock(), 0
 				s.changed(c)
-				s.beaten(b)
+				s.endpointBeat(b)
 			}
 		})
 	})
 }
 
-// admit is the gate with its bay and what lies behind them, as the daemon's pass is.
+// admit is the gate with its admission queue and what lies behind them, as the daemon's pass is.
 func (s *Side) admit(t *try, done func(path.End)) {
 	w, gen, server := s.w, s.gen, t.ch.Entry.UID
 	if _, _, d := s.gate.Pass(s.clock(), server, t.ch.Entry.Service); d != nil {
@@ -163,49 +163,49 @@
 		}
 		over = true
 		s.lay(gen)
-		if b, ok := s.bay.Burden(s.clock(), server); ok {
+		if b, ok := s.admission.LoadReport(s.clock(), server); ok {
 			e.Told = &b
 		}
 		done(e)
 	}
 	now := s.clock()
 	until := now.Add(t.limit)
-	s.berthed++
-	id := s.berthed
-	b := &berth{t: t, then: func(a bay.Act) {
-		if a.Word == bay.Go {
-			s.berthIn(t, id, until, end)
+	s.lastWaiter++
+	id := s.lastWaiter
+	b := &waiter{t: t, then: func(a admission.Verdict) {
+		if a.Decision == admission.Admit {
+			s.runAdmitted(t, id, until, end)
 			return
 		}
-		end(path.End{Verdict: path.NotRun, Turned: true, Shed: true, Failure: failure.New(failure.Busy, "server %q: %s", server, a.Why).Later(max(0.01, a.Retry.Seconds()))})
+		end(path.End{Verdict: path.NotRun, Turned: true, Shed: true, Failure: failure.New(failure.Busy, "server %q: %s", server, a.Reason).Later(max(0.01, a.RetryAfter.Seconds()))})
 		if w.Break == "bay" {
-			s.berthIn(t, id, until, func(path.End) {})
+			s.runAdmitted(t, id, until, func(path.End) {})
 		}
 	}}
-	s.berths[id] = b
+	s.waiters[id] = b
 	a := t.ask
 	a.ID, a.Early, a.Aim, a.Until = id, now.Add(time.Duration(a.Early)), now.Add(time.Duration(a.Aim)), until
-	s.acts(s.bay.Offer(now, server, a))
-	if s.berths[id] == nil {
+	s.tellWaiters(s.admission.Offer(now, server, a))
+	if s.waiters[id] == nil {
 		return
 	}
 	w.After(t.limit, func() {
 		s.run(gen, func() {
-			if s.berths[id] != nil {
-				delete(s.berths, id)
-				s.acts(s.bay.Quit(s.clock(), server, id))
+			if s.waiters[id] != nil {
+				delete(s.waiters, id)
+				s.tellWaiters(s.admission.Abandon(s.clock(), server, id))
 				end(path.End{Verdict: path.NotRun, Turned: true, Shed: true, Failure: failure.New(failure.Late, "no room in time")})
 			}
 		})
 	})
 }
 
-// berthIn goes on with a try that the bay let in.
-func (s *Side) berthIn(t *try, id uint64, until monotime.Time, done func(path.End)) {
+// runAdmitted goes on with a try that the admission queue let in.
+func (s *Side) runAdmitted(t *try, id uint64, until monotime.Time, done func(path.End)) {
 	w, gen, server, again := s.w, s.gen, t.ch.Entry.UID, t.ch.Repeat
 	over, begun := false, false
 	// end says what became of it, at the endpoint too, and once.
-	end := func(e path.End, at bay.End, took time.Duration) {
+	end := func(e path.End, at admission.Outcome, took time.Duration) {
 		s.run(gen, func() {
 			if over {
 				return
@@ -214,13 +214,13 @@
 			if begun {
 				s.path.Tree.End(again)
 			}
-			s.acts(s.bay.Done(s.clock(), server, id, at, took))
+			s.tellWaiters(s.admission.Done(s.clock(), server, id, at, took))
 			e.Took = took
 			done(e)
 		})
 	}
 	turned := func(d *failure.Error) {
-		end(path.End{Verdict: path.NotRun, Failure: d, Turned: true}, bay.Over, 0)
+		end(path.End{Verdict: path.NotRun, Failure: d, Turned: true}, admission.GivenUp, 0)
 	}
 	addr, _, d := s.gate.Pass(s.clock(), server, t.ch.Entry.Service)
 	if d == nil {
@@ -247,18 +247,18 @@
 			began := s.clock()
 			took := func() time.Duration { return s.clock().Since(began) }
 			w.After(until.Since(began), func() {
-				end(path.End{Verdict: path.Unsure, Failure: failure.Unsure(failure.Late, "the endpoint gave no return")}, bay.Over, took())
+				end(path.End{Verdict: path.Unsure, Failure: failure.Unsure(failure.Late, "the endpoint gave no return")}, admission.GivenUp, took())
 			})
 			w.arrive(t.rec, t.call)
 			t.at, t.left, t.lost = w.now, e.leftAt, e.lostAt
 			e.take(t, until.Since(began), func(v path.End) {
 				switch {
 				case v.Verdict == path.NotRun:
-					end(v, bay.Over, 0)
+					end(v, admission.GivenUp, 0)
 				case v.Verdict == path.Unsure || v.Bad:
-					end(v, bay.Failed, 0)
+					end(v, admission.Failed, 0)
 				default:
-					end(v, bay.Served, took())
+					end(v, admission.Served, took())
 				}
 			})
 		})
@@ -304,7 +304,7 @@
 func (e *Endpoint) work(t *try, done func(path.End)) {
 	w := e.w
 	if t.ran = true; t.turned {
-		w.Breach(check.BayTurned, "%s was turned away by the bay beside %s and ran", t.rec.ID, e.Server)
+		w.Breach(check.BayTurned, "%s was turned away by the admission queue beside %s and ran", t.rec.ID, e.Server)
 	}
 	run := check.Run{ID: t.rec.ID, Server: e.Server, Service: e.Service, Asked: t.call.Way.Service, At: t.at, LeftAt: t.left, LostAt: t.lost, Unsafe: t.rec.Unsafe}
 	e.serve(run, t.rec, func(v path.End) {
--- a/sim/world/endpoint.go
+++ b/sim/world/endpoint.go
@@ -13,7 +13,7 @@
 	Work          time.Duration
 	Lose, Garbage float64
 	Long          float64 // the part that take longWork
-	// The rest is for worlds with bays.
+	// The rest is for worlds with admission queues.
 	Slots, Queue int     // requests it works on at once, and queues beyond them
 	Fail         float64 // the part of its returns that say that it failed
 }
@@ -131,7 +131,7 @@
 				return
 			}
 			s.changed(c)
-			s.beaten(b)
+			s.endpointBeat(b)
 			e.beatAt, e.lostAt = s.clock(), 0
 			if st != gate.Alive && e.leftAt == 0 {
 				e.leftAt = e.w.now
--- a/sim/world/side.go
+++ b/sim/world/side.go
@@ -12,8 +12,8 @@
 	"cottonarch.example/cottonarch/kernel/failure"
 	"cottonarch.example/cottonarch/kernel/ident"
 	"cottonarch.example/cottonarch/kernel/monotime"
+	"cottonarch.example/cottonarch/mesh/admission"
 	"cottonarch.example/cottonarch/mesh/allowance"
-	"cottonarch.example/cottonarch/mesh/bay"
 	"cottonarch.example/cottonarch/mesh/gate"
 	"cottonarch.example/cottonarch/mesh/lease/holder"
 	"cottonarch.example/cottonarch/mesh/lease/joiner"
@@ -55,12 +55,12 @@
 	hand        int
 	urgent      int // urgent calls in hand
 	watch       monotime.Watch
-	// The rest is for worlds with bays.
-	bay     *bay.Bay
-	berths  map[uint64]*berth // who waits in the bay
-	berthed uint64
-	moored  []ident.Server // whom the bay knows
-	greeted bool
+	// The rest is for worlds with admission queues.
+	admission  *admission.Queue
+	waiters    map[uint64]*waiter // who waits in the admission queue
+	lastWaiter uint64
+	admitting  []ident.Server // whom the admission queue knows
+	greeted    bool
 }
 
 // slow is the clock that counts only time that was watched.
@@ -89,7 +89,7 @@
 	s.gate, s.lease, s.wit = gate.New(), holder.New(), witness.New(s.clock())
 	if s.w.Platform {
 		s.gate.Every(pace).Fenced = true
-		s.bay, s.berths, s.berthed, s.moored, s.greeted = bay.New(bay.Usual()), map[uint64]*berth{}, 0, nil, false
+		s.admission, s.waiters, s.lastWaiter, s.admitting, s.greeted = admission.New(admission.DefaultSettings()), map[uint64]*waiter{}, 0, nil, false
 	}
 	s.line = line.New[*job](s.w.Senders, s.w.Senders)
 	s.line.Level = s.w.Break == "urgent"
@@ -122,7 +122,7 @@
 	gen := s.gen
 	s.leaving = true
 	s.run(gen, func() {
-		waits := len(s.berths)
+		waits := len(s.waiters)
 		s.changed(s.gate.Leave(s.clock()))
 		if waits == 0 {
 			return
@@ -130,8 +130,8 @@
 		s.w.After(ended, func() {
 			s.run(gen, func() {
 				s.w.Check.Look(check.BayStop)
-				if n := len(s.berths); n > 0 {
-					s.w.Breach(check.BayStop, "%s stops and %d still wait in its bay", s.Node, n)
+				if n := len(s.waiters); n > 0 {
+					s.w.Breach(check.BayStop, "%s stops and %d still wait in its admission queue", s.Node, n)
 				}
 			})
 		})
@@ -166,7 +166,7 @@
 		s.path.Tree.Tick(now)
 		s.changed(s.gate.Tick(now))
 		if s.w.Platform {
-			s.acts(s.bay.Tick(now))
+			s.tellWaiters(s.admission.Tick(now))
 			s.greet()
 		}
 		switch {
--- a/sim/world/world.go
+++ b/sim/world/world.go
@@ -37,7 +37,7 @@
 	History time.Duration
 	// Platform says that the world is as the users' platform has it: endpoints have slots,
 	// a queue and words of their own, beat at a slower pace and turn away what names
-	// another; bays stand beside the gates; and what a killed core has not synced stays in
+	// another; admission queues stand beside the gates; and what a killed core has not synced stays in
 	// the page cache until power is lost.
 	Platform bool
 	// Cost is how long a core's process takes for each message and request that reaches it,
@@ -86,7 +86,7 @@
 	"cell-history": {"cell-watch"},
 	"cell-fate":    {"cell-turned"},
 	"cell-keep":    {"lock-shared"},
-	// Those of worlds with bays.
+	// Those of worlds with admission queues.
 	"bay":      {check.BayTurned},
 	"bay-act":  {check.BayTold},
 	"bay-stop": {check.BayStop},
