A sidecar polls on where it polled until another core answers a renewal in time

A renewal of over 0.6 s counted as failed, the registrar changed, and the poll for news was broken off and asked anew with the whole registry; over a full link that was so each time. Ruled out: the witness (0.3 s at most), deltas (they were there). Change: holder.Followed, in the step function that daemon and simulator share: a new registrar is followed once it has answered. A core that is gone is left after one answered renewal, as before.

--- a/daemon/sidecar/follow.go
+++ b/daemon/sidecar/follow.go
@@ -224,7 +224,7 @@
 			return
 		}
 		s.lease.Failed(s.clock(), core)
-		s.turnTo()
+		s.chooseRegistrar() // the poll that is out goes on until another core answers
 		return
 	}
 	s.lease.Renewed(s.clock(), core, got)
@@ -236,27 +236,26 @@
 		s.path.Tree.Renewed(at)
 	}
 	s.wit.Told(s.clock(), got.Manifest)
-	was := s.lease.Registrar()
-	s.turnTo()
-	switch is := s.lease.Registrar(); {
+	s.chooseRegistrar()
+	followed := s.lease.Followed()
+	switch {
+	case followed != s.polled:
+		s.point(followed)
 	case got.Manifest <= s.wit.Holds(s.path.Epoch()):
-	case core != is:
+	case core != followed:
 		go func() {
 			if err := s.fetch(core); err != nil {
 				s.Board.Add("manifest_fetches_failed", 1)
 			}
 		}()
-	case was == is:
+	default:
 		s.point(core)
 	}
 }
 
-// turnTo tells the following duty when the keeper is another one; mu is held.
-func (s *Sidecar) turnTo() {
-	was := s.lease.Registrar()
-	if is := s.lease.ChooseRegistrar(s.clock(), s.Boot.Node, s.Boot.District, s.real()); is != was && is != "" {
-		s.point(is)
-	}
+// chooseRegistrar chooses the core to renew at; mu is held.
+func (s *Sidecar) chooseRegistrar() {
+	s.lease.ChooseRegistrar(s.clock(), s.Boot.Node, s.Boot.District, s.real())
 }
 
 // follow keeps the copy of the registry and the manifest by long polls at the keeper.
@@ -270,7 +269,8 @@
 		default:
 		}
 		s.mu.Lock()
-		core, have := s.lease.Registrar(), s.wit.Holds(s.path.Epoch())
+		core, have := s.lease.Followed(), s.wit.Holds(s.path.Epoch())
+		s.polled = core
 		s.mu.Unlock()
 		if !s.entered.Load() || core == "" {
 			s.pause(10 * time.Millisecond)
--- a/daemon/sidecar/join.go
+++ b/daemon/sidecar/join.go
@@ -105,6 +105,7 @@
 	s.leaseEpoch, s.seq = got.Claim, 1
 	s.path.Floor = max(s.path.Floor, got.Manifest)
 	s.wit.Entered()
+	s.lease.Joined()
 	s.budgetShare.Begin(s.slow(), got.Share)
 	s.path.Tree.Grant(s.budgetShare.Usable())
 	s.lease.LearnCores(got.View, got.Cores)
--- a/daemon/sidecar/peers.go
+++ b/daemon/sidecar/peers.go
@@ -116,7 +116,7 @@
 	s.mu.Lock()
 	if s.path.Index.Merge(p.Sets) {
 		s.refeed.Store(true)
-		s.point(s.lease.Registrar())
+		s.point(s.lease.Followed())
 	}
 	now := s.clock()
 	s.wit.Prior(now, p.Heard, p.Entered)
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -90,6 +90,7 @@
 	sides       map[ident.Addr]bool          // seeds that are sidecars
 	noPeer      map[ident.Addr]monotime.Time // until when a seed is not asked as a peer
 	lease       *holder.Holder
+	polled      ident.Addr     // the core that the poll for news is at
 	joiner      *joiner.Joiner // only the duty that renews touches it
 	learned     monotime.Time  // when a core last listed the cores to it
 	run         string         // marks the join that is tried, "" while none is
--- a/mesh/lease/holder/holder.go
+++ b/mesh/lease/holder/holder.go
@@ -50,9 +50,11 @@
 // earlier had been heard of by a majority of the voters.
 type Holder struct {
 	registrar    ident.Addr
-	avoided      bool // the registrar is avoided, like every other core
-	renewNow     bool // the last renewal was not enough
-	lastFailed   bool // the last renewal came to nothing
+	answers      map[ident.Addr]bool // cores that answered since one last did not
+	followed     ident.Addr          // see Followed
+	avoided      bool                // the registrar is avoided, like every other core
+	renewNow     bool                // the last renewal was not enough
+	lastFailed   bool                // the last renewal came to nothing
 	places       []record.Place
 	view         string
 	avoidances   map[ident.Addr]avoidance
@@ -73,7 +75,7 @@
 
 // New makes one that was never renewed.
 func New() *Holder {
-	return &Holder{avoidances: map[ident.Addr]avoidance{}, tried: map[ident.Addr]monotime.Time{}}
+	return &Holder{answers: map[ident.Addr]bool{}, avoidances: map[ident.Addr]avoidance{}, tried: map[ident.Addr]monotime.Time{}}
 }
 
 // ChooseRegistrar chooses the core to renew at and to follow, of those known; "" when there is
@@ -131,6 +133,23 @@
 	return h.registrar
 }
 
+// Followed is the core to poll for news, "" when there is none. Invariant: it is a registrar that
+// answered in time, or the first that was chosen. A registrar chosen because the last one was
+// late is not followed before it answers: over a full link all are late, and a poll that is
+// broken off with each choice would never end.
+func (h *Holder) Followed() ident.Addr {
+	if h.followed == "" || h.answers[h.registrar] {
+		h.followed = h.registrar
+	}
+	return h.followed
+}
+
+// Joined says that a lease was granted: no core is followed yet.
+func (h *Holder) Joined() {
+	clear(h.answers)
+	h.followed = ""
+}
+
 // Targets lists the cores that the renewal which begins now goes to: the registrar, and others
 // while it is in doubt.
 func (h *Holder) Targets() []ident.Addr { return append([]ident.Addr{h.registrar}, h.others...) }
@@ -212,7 +231,7 @@
 		return
 	}
 	delete(h.avoidances, from)
-	h.lastFailed = false
+	h.lastFailed, h.answers[from] = false, true
 }
 
 // LearnCores takes the cores as one of them tells, if it does.
@@ -260,6 +279,7 @@
 }
 
 func (h *Holder) avoid(now monotime.Time, a ident.Addr, mute bool) {
+	clear(h.answers)
 	f := h.avoidances[a]
 	f.silent = mute
 	f.span = min(max(2*f.span, minAvoidance), maxAvoidance)
--- a/mesh/lease/holder/holder_test.go
+++ b/mesh/lease/holder/holder_test.go
@@ -49,6 +49,7 @@
 			e.do()
 		}
 		r.holder.ChooseRegistrar(r.now, "n", "y", r.cores)
+		r.holder.Followed()
 		if !r.holder.Due(r.now, false) {
 			continue
 		}
@@ -89,6 +90,7 @@
 		must.Less(t, table.LeaseTTL, r.gap, must.Sprint(how))
 		must.NotEq(t, home, r.sent[len(r.sent)-1])
 		must.SliceContains(t, []ident.Addr{"c:1", "d:1"}, r.holder.Registrar(), must.Sprint("the other of the district"))
+		must.Eq(t, r.holder.Registrar(), r.holder.Followed(), must.Sprint(how))
 		r.behaviour[home] = ""
 		r.run(20 * time.Second)
 		must.Eq(t, home, r.holder.Registrar(), must.Sprint(how))
@@ -96,6 +98,33 @@
 	}
 }
 
+// The core that is followed stays the same while no core answers in time, whatever registrar is
+// chosen meanwhile, and is another one at once when that answers.
+func TestFollowedCoreStaysUntilAnotherAnswers(t *testing.T) {
+	r := newRig()
+	r.run(5 * time.Second)
+	home := r.holder.Followed()
+	must.Eq(t, home, r.holder.Registrar())
+	for _, core := range r.cores {
+		r.behaviour[core] = "silent"
+	}
+	changed := false
+	for range 100 {
+		r.run(100 * time.Millisecond)
+		changed = changed || r.holder.Registrar() != home
+		must.Eq(t, home, r.holder.Followed())
+	}
+	must.True(t, changed)
+	for _, core := range r.cores {
+		if core != home {
+			r.behaviour[core] = ""
+		}
+	}
+	r.run(3 * time.Second)
+	must.NotEq(t, home, r.holder.Followed())
+	must.Eq(t, r.holder.Registrar(), r.holder.Followed())
+}
+
 // When nobody is healthy, renewals do not come faster than the usual, to three cores each, and
 // the first core that is healthy again is found within a second and a half.
 func TestNobodyIsHealthy(t *testing.T) {
--- a/sim/world/join.go
+++ b/sim/world/join.go
@@ -77,6 +77,7 @@
 	s.path.Floor = max(s.path.Floor, got.Manifest)
 	s.wit.Entered()
 	s.heard = s.clock()
+	s.lease.Joined()
 	s.budgetShare.Begin(s.slow(), got.Share)
 	s.path.Tree.Grant(s.budgetShare.Usable())
 }
--- a/sim/world/side.go
+++ b/sim/world/side.go
@@ -282,7 +282,7 @@
 			s.renew()
 			switch {
 			case got.Manifest <= s.path.Epoch():
-			case at != s.lease.Registrar():
+			case at != s.lease.Followed():
 				s.ask(&c.proc, time.Second, func(say func(any)) { say(c.held) }, func(v any) {
 					if m, ok := v.(*manifest.Manifest); ok {
 						s.enforce(m)
@@ -356,7 +356,7 @@
 // poll follows the registry and the manifest at the keeper; the daemon's long poll is a
 // poll each tick here.
 func (s *Side) poll() {
-	if at := s.lease.Registrar(); at != s.follow {
+	if at := s.lease.Followed(); at != s.follow {
 		s.follow, s.mark, s.polling, s.stale = at, 0, false, false
 	}
 	if s.polling || s.w.Break == "deaf" && s.w.Rng.IntN(100) > 0 {
