--- a/daemon/core/manifest.go
+++ b/daemon/core/manifest.go
@@ -74,7 +74,12 @@
 	if yes.Epoch == 0 {
 		return &Manifest{Parsed: &check.Manifest{}}, nil
 	}
-	e = c.Deed(ctx, proposer.Operation{Key: offer.Key, Kind: "manifest/read"}, budget)
+	return c.readManifest(ctx, budget)
+}
+
+// readManifest reads the newest manifest whole, through its proposer, and takes it in.
+func (c *Core) readManifest(ctx context.Context, budget time.Duration) (*Manifest, *failure.Error) {
+	e := c.Deed(ctx, proposer.Operation{Key: offer.Key, Kind: "manifest/read"}, budget)
 	if e.Failure != nil {
 		return nil, e.Failure
 	}
@@ -142,7 +147,8 @@
 		if v := c.View(); v == nil || !v.Majority {
 			continue
 		}
-		if _, d := c.Newest(context.Background(), time.Second); d != nil {
+		// That there is a newer one is known: its number need not be asked for first.
+		if _, d := c.readManifest(context.Background(), time.Second); d != nil {
 			c.Board.Add("manifest_reads_failed", 1)
 		}
 	}
