Tests of links and deltas are seen to fail on broken builds

Each guard was taken out by itself: link: bound of what waits, last resort, what is queued: caught; answers that are small pass a full link: not caught (the link of the test was not full enough: 0.34 s of 0.35), caught now. delta: digest, comparison with the wanted tree, deltas kept for an older newest, history's bound: caught; names of what goes, and a delta that is larger than the whole: not caught, caught now by TestDeltaOfWhatGoes. That the revision named by a delta is the one held is guarded twice (the digest refuses as well), so leaving out that look alone fails no test.

--- a/control/manifest/delta/delta_test.go
+++ b/control/manifest/delta/delta_test.go
@@ -90,6 +90,21 @@
 	must.Less(t, 250, sizes[1000])
 }
 
+// A route that goes is told by its name alone, and a configuration of which nothing stays is not
+// told by difference at all.
+func TestDeltaOfWhatGoes(t *testing.T) {
+	const routes = 100
+	before, after := many(t, 1, routes, 500), many(t, 2, routes-1, 500)
+	d, ok := Between(before, after)
+	must.True(t, ok)
+	must.Less(t, 250, len(operation.Encode(d)))
+	got, fault := d.Apply(before.Raw)
+	must.Nil(t, fault)
+	must.Eq(t, string(after.Raw), string(got.Raw))
+	_, ok = Between(before, version(t, 2, `{"other":1}`))
+	must.False(t, ok)
+}
+
 // The history gives a delta from every version that it keeps to the newest, from no other,
 // and keeps no more than its bounds; the version before the newest is always kept.
 func TestHistoryIsBounded(t *testing.T) {
--- a/mesh/link/link_test.go
+++ b/mesh/link/link_test.go
@@ -39,7 +39,7 @@
 // unknown speed bounds nothing.
 func TestWhatAFullLinkAdmits(t *testing.T) {
 	l := New(11 * megabit)
-	l.Sent(at(0), 0, 400_000)
+	l.Sent(at(0), 0, 600_000)
 	must.Positive(t, l.Wait(at(0)))
 	_, ok := l.Admit(at(0), smallBytes, false)
 	must.True(t, ok)
