--- /dev/null
+++ b/control/core/membership/twoleave_test.go
@@ -0,0 +1,69 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"cottonarch.example/cottonarch/kernel/ident"
+)
+
+// Two voters leave as planned at the same moment, or one shortly after the other, while writes
+// go on. Both have handed over when they go, before their time is over; a majority of those that
+// stay holds every confirmed value at each step, and once both are back all copies are whole in
+// time.
+func TestTwoLeaveAtOnce(t *testing.T) {
+	for _, size := range []struct{ members, slots, canLose int }{{4, 4, 1}, {5, 5, 2}, {12, 5, 2}} {
+		for _, gap := range []time.Duration{0, 20 * time.Millisecond, 150 * time.Millisecond, 600 * time.Millisecond} {
+			t.Run(fmt.Sprint(size, gap), func(t *testing.T) {
+				c := newCluster(t, size.members, size.slots, size.canLose, 12)
+				c.run(8 * time.Second)
+				c.writing = true
+				c.run(200 * time.Millisecond)
+				must.Eq(t, 2, c.leaveBoth(addrOf(1), addrOf(2), gap), must.Sprint("done in time"))
+				must.SliceEmpty(t, c.faults)
+				c.writing = false
+				c.boot(addrOf(1))
+				c.boot(addrOf(2))
+				// An even number of slots is one fewer when a voter has left it.
+				atLeast := (size.slots-1)/2*2 + 1
+				whole := func() bool { return c.whole(c.chosen().Size()) && c.chosen().Size() >= atLeast }
+				for back := c.now; !whole() && c.now.Since(back) < catchUp; {
+					c.run(20 * time.Millisecond)
+				}
+				must.True(t, whole())
+				must.SliceEmpty(t, c.faults)
+			})
+		}
+	}
+}
+
+// leaveBoth stops two processes as planned, the second a while after the first, each until it
+// is done or its time is over, and tells how many were done.
+func (c *cluster) leaveBoth(first, second ident.Addr, gap time.Duration) (inTime int) {
+	const look = 30 * time.Millisecond
+	begins := map[ident.Addr]time.Duration{first: 0, second: gap}
+	began, left := c.now, map[ident.Addr]bool{}
+	for len(left) < len(begins) {
+		for _, a := range []ident.Addr{first, second} {
+			m, since := c.members[a], c.now.Since(began)-begins[a]
+			if since < 0 || left[a] {
+				continue
+			}
+			c.out(m, m.node.Leave(c.now, leaveLimit)) // does nothing but the first time
+			done, fx := m.node.Left(c.now)
+			c.out(m, fx)
+			if done {
+				inTime++
+			}
+			if done || since >= leaveLimit {
+				c.kill(a)
+				left[a] = true
+			}
+		}
+		c.run(look)
+	}
+	return inTime
+}
