--- a/sim/plan/plan_test.go
+++ b/sim/plan/plan_test.go
@@ -54,18 +54,21 @@
 		"splits 7: a restarted sidecar fell back":            {"prairie", splits(7)},
 		"splits 8: a restarted sidecar fell back":            {"prairie", splits(8)},
 		"splits 52: a restarted sidecar fell back":           {"prairie", splits(52)},
-		"overload":          {"prairie", day(1, 1, "overload", "crowd")},
-		"isolated 1":        {"prairie", isolated(1)},
-		"isolated 2":        {"volta", isolated(2)},
-		"no majority 1":     {"prairie", killed(1)},
-		"no majority 2":     {"prairie", killed(2)},
-		"clocks":            {"prairie", day(4, 0.5, "clock-jump", "machine-suspend", "core-kill", "release-bad")},
-		"endpoints":         {"volta", day(5, 0.5, "endpoint-hang", "endpoint-gone", "service-empty", "machine-suspend")},
-		"isolated restarts": {"volta", day(6, 0.5, "isolated-restart", "manifest-large", "burst")},
-		"cells 1":           {"prairie", cells(1)},
-		"cells 2":           {"volta", cells(2)},
-		"cells 3":           {"prairie", cells(3, "core-kill", "core-power", "core-freeze", "core-cut", "core-split")},
-		"cells 4":           {"volta", cells(4, "core-roll", "clock-jump", "core-freeze")},
+		"overlapping cuts 101: polls broken off":             {"prairie", overlapping(101)},
+		"overlapping cuts 151: polls broken off":             {"prairie", overlapping(151)},
+		"overlapping cuts 167: polls broken off":             {"prairie", overlapping(167)},
+		"overload":                                           {"prairie", day(1, 1, "overload", "crowd")},
+		"isolated 1":                                         {"prairie", isolated(1)},
+		"isolated 2":                                         {"volta", isolated(2)},
+		"no majority 1":                                      {"prairie", killed(1)},
+		"no majority 2":                                      {"prairie", killed(2)},
+		"clocks":                                             {"prairie", day(4, 0.5, "clock-jump", "machine-suspend", "core-kill", "release-bad")},
+		"endpoints":                                          {"volta", day(5, 0.5, "endpoint-hang", "endpoint-gone", "service-empty", "machine-suspend")},
+		"isolated restarts":                                  {"volta", day(6, 0.5, "isolated-restart", "manifest-large", "burst")},
+		"cells 1":                                            {"prairie", cells(1)},
+		"cells 2":                                            {"volta", cells(2)},
+		"cells 3":                                            {"prairie", cells(3, "core-kill", "core-power", "core-freeze", "core-cut", "core-split")},
+		"cells 4":                                            {"volta", cells(4, "core-roll", "clock-jump", "core-freeze")},
 		"volta 216: a release of an earlier grant": {"volta", What{Seed: 216, For: 30 * time.Second, Burden: 0.05, LastHeavy: true, Links: true, Cells: true, FaultEvery: time.Second,
 			Faults: []string{"core-freeze", "core-split", "core-cut", "core-isolated", "machine-suspend"}}},
 		"platform 1":                 {"prairie", bays(1)},
@@ -87,6 +90,12 @@
 	}
 }
 
+// overlapping is a day on which cores are cut off in every way, one cut upon the other.
+func overlapping(seed uint64) What {
+	return What{Seed: seed, For: 40 * time.Second, FaultEvery: time.Second, Burden: 1, LastHeavy: true, Links: true, Cells: true, Platform: true,
+		Faults: []string{"core-apart", "core-apart-refused", "core-apart-restart", "core-apart-alone", "seeds-apart", "core-cut", "core-split", "burst"}}
+}
+
 // bays is a day of the platform's kind.
 func bays(seed uint64, faults ...string) What {
 	q := day(seed, 0.6, faults...)
