--- a/daemon/sidecar/fuzz_test.go
+++ b/daemon/sidecar/fuzz_test.go
@@ -91,7 +91,7 @@
 		}
 		must.Eq(t, 0, s.hand)
 		must.Eq(t, 0, s.bulk.Load())
-		must.Eq(t, 0, s.line.Len())
+		must.Eq(t, 0, s.queue.Len())
 		must.NotEq(t, http.StatusBadGateway, w.Code, must.Sprintf("%s", w.Body))
 		select {
 		case got := <-read:
--- a/daemon/sidecar/intake.go
+++ b/daemon/sidecar/intake.go
@@ -117,7 +117,7 @@
 const ownHeads = 2 << 10
 
 // Intake is the first stage: it takes a caller's request whole, finds its way and
-// puts it in line, or turns it away at once.
+// queues it, or turns it away at once.
 func (s *Sidecar) Intake(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.hand++
@@ -163,7 +163,7 @@
 		return
 	}
 	s.mu.Lock()
-	taken := s.line.Offer(s.clock(), j, call.Way.Urgent, call.Until)
+	taken := s.queue.Offer(s.clock(), j, call.Way.Urgent, call.Until)
 	s.turns()
 	s.mu.Unlock()
 	if !taken {
@@ -179,7 +179,7 @@
 	sent := s.clock()
 	end := s.walk(j)
 	s.mu.Lock()
-	s.line.Done(j.urgent, s.clock().Since(sent))
+	s.queue.Done(j.urgent, s.clock().Since(sent))
 	s.turns() // what waited only for this one's end
 	s.mu.Unlock()
 	if end.ret == nil {
@@ -224,7 +224,7 @@
 }
 
 // comesUp waits for a job's turn, and tells whether it came within the job's time. A job
-// that is late has left the line: its turn never comes.
+// that is late has left the queue: its turn never comes.
 func (s *Sidecar) comesUp(j *job) bool {
 	select {
 	case <-j.turn:
@@ -240,7 +240,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.line.Quit(func(waiting *job) bool { return waiting == j })
+	return !s.queue.Remove(func(waiting *job) bool { return waiting == j })
 }
 
 // bodiless is the failure behind a gate's word that came without one.
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -21,9 +21,9 @@
 	"cottonarch.example/cottonarch/mesh/gate"
 	"cottonarch.example/cottonarch/mesh/lease/holder"
 	"cottonarch.example/cottonarch/mesh/lease/joiner"
-	"cottonarch.example/cottonarch/mesh/line"
 	"cottonarch.example/cottonarch/mesh/link"
 	"cottonarch.example/cottonarch/mesh/path"
+	"cottonarch.example/cottonarch/mesh/priorityqueue"
 	"cottonarch.example/cottonarch/mesh/witness"
 	"cottonarch.example/cottonarch/wire/client"
 	"cottonarch.example/cottonarch/wire/exchange"
@@ -70,7 +70,7 @@
 	done  chan struct{}
 
 	mu          sync.Mutex
-	line        *line.Line[*job]
+	queue       *priorityqueue.Queue[*job]
 	path        *path.Path
 	gate        *gate.Gate
 	admission   *admission.Queue
@@ -117,7 +117,7 @@
 	_, _ = fmt.Fprint(h, b.Node, ident.Mark())
 	now := clock()
 	s := &Sidecar{Boot: b, Log: log, Board: count.New(), clock: clock, slow: monotime.Watched(clock), pool: client.NewWithin(b.Addr, dialLimit), peers: exchange.New(b.Addr, exchange.Settings{Silence: silence}), ends: exchange.New(b.Addr, exchange.Settings{Silence: silence}),
-		done: make(chan struct{}), line: line.New[*job](b.Senders, b.Queue),
+		done: make(chan struct{}), queue: priorityqueue.New[*job](b.Senders, b.Queue),
 		path: path.New(now, b.District, h.Sum64(), b.Terms), gate: gate.New(), admission: admission.New(admission.DefaultSettings()), waiters: map[uint64]chan admission.Verdict{}, admitting: map[ident.Server]bool{}, link: link.New(b.Link), inbound: link.NewInbound(b.Link), wit: witness.New(now), cores: slices.Clone(b.Seeds), told: map[ident.Addr]monotime.Time{}, sides: map[ident.Addr]bool{}, noPeer: map[ident.Addr]monotime.Time{}, lease: holder.New(), joiner: joiner.New(b.Node, b.District), budgetShare: holder.BudgetShare{Terms: b.Terms},
 		began: now, lastCore: now, poke: make(chan ident.Addr, 1), push: make(chan struct{}, 1)}
 	for _, a := range b.Seeds {
@@ -199,7 +199,7 @@
 		s.Board.Set("further_tries."+string(svc), n[1])
 	}
 	s.Board.Set("in_hand", int64(s.hand))
-	s.Board.Set("queued", int64(s.line.Len()))
+	s.Board.Set("queued", int64(s.queue.Len()))
 }
 
 func (s *Sidecar) pause(d time.Duration) {
--- a/daemon/sidecar/turn_test.go
+++ b/daemon/sidecar/turn_test.go
@@ -12,11 +12,11 @@
 	"github.com/shoenig/test/must"
 
 	"cottonarch.example/cottonarch/kernel/failure"
-	"cottonarch.example/cottonarch/mesh/line"
+	"cottonarch.example/cottonarch/mesh/priorityqueue"
 	"cottonarch.example/cottonarch/wire/reply"
 )
 
-// A request whose time ends while it waits in line is turned away then, not run, and not
+// A request whose time ends while it is queued is turned away then, not run, and not
 // held until one of those before it is over; who stands behind it moves up.
 func TestTimeEndsInLine(t *testing.T) {
 	read, goOn := make(chan string, 8), make(chan struct{})
@@ -29,7 +29,7 @@
 		})
 	})
 	s := node("a", "127.0.0.1:1", at)
-	s.line = line.New[*job](1, 4)
+	s.queue = priorityqueue.New[*job](1, 4)
 	s.knows("a", "127.0.0.1:1", "a0")
 	first, third := make(chan *httptest.ResponseRecorder, 1), make(chan *httptest.ResponseRecorder, 1)
 	go func() { first <- s.asks("/once/x", "r0", patientLimit) }()
@@ -43,7 +43,7 @@
 	case <-time.After(10 * time.Second):
 		t.Fatal("it was held past its time")
 	}
-	must.Eq(t, 0, s.line.Len())
+	must.Eq(t, 0, s.queue.Len())
 	go func() { third <- s.asks("/once/x", "r2", patientLimit) }()
 	close(goOn)
 	must.Eq(t, http.StatusOK, (<-first).Code)
--- a/daemon/sidecar/walk.go
+++ b/daemon/sidecar/walk.go
@@ -29,12 +29,12 @@
 	d   *failure.Error
 }
 
-// turns is the sending stage: whoever comes next in line is sent while there is room. mu
-// is held. What is in line when the duties end is sent as well: a planned stop waits for
+// turns is the sending stage: the next one queued is sent while there is room. mu
+// is held. What is queued when the duties end is sent as well: a planned stop waits for
 // it.
 func (s *Sidecar) turns() {
 	for {
-		j, urgent, ok := s.line.Next()
+		j, urgent, ok := s.queue.Take()
 		if !ok {
 			return
 		}
--- /dev/null
+++ b/mesh/priorityqueue/priorityqueue.go
@@ -0,0 +1,99 @@
+// Package priorityqueue is where requests wait between intake and the senders: two bounded
+// queues, one of them for urgent routes, and the rule of which request is sent next.
+package priorityqueue
+
+import (
+	"slices"
+	"time"
+
+	"cottonarch.example/cottonarch/kernel/monotime"
+)
+
+// Queue is the step function. Invariants: neither queue grows over its size; no more than
+// senders requests are out at once, and no more than three quarters of them for routes that
+// are not urgent; what would be late before its turn is rejected when it comes, and never
+// later on.
+type Queue[T any] struct {
+	senders, size    int
+	urgent, ordinary []entry[T]
+	out, outOrdinary int // requests out, and those of them that are not urgent
+	runTime          time.Duration
+	// IgnoreUrgency breaks the rule: nothing is kept for urgent routes; only tests of the checkers
+	// set it.
+	IgnoreUrgency bool
+	// Rejected counts.
+	Rejected uint64
+}
+
+type entry[T any] struct {
+	item   T
+	urgent bool
+}
+
+// New makes an empty queue.
+func New[T any](senders, size int) *Queue[T] { return &Queue[T]{senders: senders, size: size} }
+
+// ordinaryLimit is how many may be out for routes that are not urgent.
+func (q *Queue[T]) ordinaryLimit() int { return max(1, q.senders-q.senders/4) }
+
+// Offer queues a request, or rejects it at once: the queue is full, or its time
+// would be over before its turn.
+func (q *Queue[T]) Offer(now monotime.Time, item T, urgent bool, until monotime.Time) bool {
+	urgent = urgent && !q.IgnoreUrgency
+	list, limit := &q.ordinary, q.ordinaryLimit()
+	if urgent {
+		list, limit = &q.urgent, q.senders
+	}
+	wait := time.Duration(len(*list)) * q.runTime / time.Duration(limit)
+	if len(*list) >= q.size || until.Since(now) < wait {
+		q.Rejected++
+		return false
+	}
+	*list = append(*list, entry[T]{item, urgent})
+	return true
+}
+
+// Take gives the request that a free sender is to take, if there is one; Done must be
+// called with the same word of its urgency when it is over.
+func (q *Queue[T]) Take() (item T, urgent, ok bool) {
+	switch {
+	case q.out >= q.senders:
+		return item, false, false
+	case len(q.urgent) > 0:
+		item, q.urgent = q.urgent[0].item, q.urgent[1:]
+		urgent = true
+	case len(q.ordinary) > 0 && q.outOrdinary < q.ordinaryLimit():
+		item, q.ordinary = q.ordinary[0].item, q.ordinary[1:]
+		q.outOrdinary++
+	default:
+		return item, false, false
+	}
+	q.out++
+	return item, urgent, true
+}
+
+// Remove takes the first waiting request that fits out of its queue, and tells whether there
+// was one.
+func (q *Queue[T]) Remove(fits func(T) bool) bool {
+	for _, list := range []*[]entry[T]{&q.urgent, &q.ordinary} {
+		if n := slices.IndexFunc(*list, func(e entry[T]) bool { return fits(e.item) }); n >= 0 {
+			*list = slices.Delete(*list, n, n+1)
+			return true
+		}
+	}
+	return false
+}
+
+// Done counts a request in again that was out for a while.
+func (q *Queue[T]) Done(urgent bool, took time.Duration) {
+	q.out--
+	if !urgent {
+		q.outOrdinary--
+	}
+	// One sample tells little: a process that was held up must not take all that it then
+	// has in hand for slow.
+	q.runTime += (min(took, 2*q.runTime+20*time.Millisecond) - q.runTime) / 16
+}
+
+// Len is how many wait.
+func (q *Queue[T]) Len() int { return len(q.urgent) + len(q.ordinary) }
--- a/mesh/line/line_test.go
+++ b/mesh/priorityqueue/priorityqueue_test.go
@@ -1,4 +1,4 @@
-package line
+package priorityqueue
 
 import (
 	"slices"
@@ -27,7 +27,7 @@
 				l.Offer(start, step, true, start.Add(time.Second))
 			case 2:
 				before := len(l.urgent)
-				i, urgent, ok := l.Next()
+				i, urgent, ok := l.Take()
 				must.True(t, ok || before == 0 || len(out) == 4, must.Sprintf("%x: an urgent one waits beside a free sender", n))
 				if ok {
 					must.True(t, urgent || before == 0, must.Sprintf("%x: an urgent one is passed over", n))
@@ -49,19 +49,19 @@
 			}
 			must.LessEq(t, 4, len(out))
 			must.LessEq(t, 3, plain)
-			must.LessEq(t, 2, len(l.normal))
+			must.LessEq(t, 2, len(l.ordinary))
 			must.LessEq(t, 2, len(l.urgent))
 		}
 	}
 }
 
 // What would be late before its turn is turned away when it comes; an urgent one is not,
-// for it has a line of its own.
+// for it has a queue of its own.
 func TestLateIsTurnedAwayEarly(t *testing.T) {
 	l := New[int](4, 100)
 	for range 400 {
 		l.Offer(start, 0, false, start.Add(time.Hour))
-		_, urgent, ok := l.Next()
+		_, urgent, ok := l.Take()
 		must.True(t, ok)
 		l.Done(urgent, time.Second)
 	}
@@ -70,7 +70,7 @@
 	}
 	must.False(t, l.Offer(start, 0, false, start.Add(5*time.Second)))
 	must.True(t, l.Offer(start, 0, true, start.Add(5*time.Second)))
-	must.Eq(t, 1, l.TurnedAway)
+	must.Eq(t, 1, l.Rejected)
 }
 
 // Who leaves is taken out of its queue, once; the others keep their order and their places.
@@ -81,11 +81,11 @@
 			must.True(t, l.Offer(start, i, i%2 == 0, start.Add(time.Second)))
 		}
 		is := func(i int) bool { return i == gone }
-		must.True(t, l.Quit(is))
-		must.False(t, l.Quit(is))
+		must.True(t, l.Remove(is))
+		must.False(t, l.Remove(is))
 		must.Eq(t, 5, l.Len())
 		var got []int
-		for i, _, ok := l.Next(); ok; i, _, ok = l.Next() {
+		for i, _, ok := l.Take(); ok; i, _, ok = l.Take() {
 			got = append(got, i)
 		}
 		want := slices.DeleteFunc([]int{0, 2, 4, 1, 3, 5}, is)
--- a/sim/world/call.go
+++ b/sim/world/call.go
@@ -32,7 +32,7 @@
 	return true
 }
 
-// job is a call in line at its own sidecar.
+// job is a call queued at its own sidecar.
 type job struct {
 	call  *path.Call
 	rec   *check.Call
@@ -72,7 +72,7 @@
 			rec.Counted = true
 			rec.Until = w.now.Add(c.Until.Since(s.clock()))
 			rec.Beside, rec.Room = s.urgent, w.Senders
-			if !s.line.Offer(s.clock(), &job{call: c, rec: rec, began: s.clock()}, c.Way.Urgent, c.Until) {
+			if !s.queue.Offer(s.clock(), &job{call: c, rec: rec, began: s.clock()}, c.Way.Urgent, c.Until) {
 				w.end(rec, failure.New(failure.Busy, "too many requests are in hand").Later(1))
 				return
 			}
@@ -81,10 +81,10 @@
 	})
 }
 
-// senders are the sending stage: whoever is free takes who comes next in line.
+// senders are the sending stage: whoever is free takes the next one queued.
 func (s *Side) senders(gen int) {
 	for {
-		j, urgent, ok := s.line.Next()
+		j, urgent, ok := s.queue.Take()
 		if !ok {
 			return
 		}
@@ -92,7 +92,7 @@
 		j.rec.Done = func() {
 			laid()
 			s.run(gen, func() {
-				s.line.Done(urgent, s.clock().Since(began))
+				s.queue.Done(urgent, s.clock().Since(began))
 				s.senders(gen)
 			})
 		}
--- a/sim/world/side.go
+++ b/sim/world/side.go
@@ -17,8 +17,8 @@
 	"cottonarch.example/cottonarch/mesh/gate"
 	"cottonarch.example/cottonarch/mesh/lease/holder"
 	"cottonarch.example/cottonarch/mesh/lease/joiner"
-	"cottonarch.example/cottonarch/mesh/line"
 	"cottonarch.example/cottonarch/mesh/path"
+	"cottonarch.example/cottonarch/mesh/priorityqueue"
 	"cottonarch.example/cottonarch/mesh/registry/record"
 	"cottonarch.example/cottonarch/mesh/witness"
 	"cottonarch.example/cottonarch/sim/check"
@@ -33,7 +33,7 @@
 	path        *path.Path
 	gate        *gate.Gate
 	wit         *witness.Witness
-	line        *line.Line[*job]
+	queue       *priorityqueue.Queue[*job]
 	lease       *holder.Holder
 	budgetShare holder.BudgetShare
 	entered     bool
@@ -91,8 +91,8 @@
 		s.gate.Every(pace).Fenced = true
 		s.admission, s.waiters, s.lastWaiter, s.admitting, s.greeted = admission.New(admission.DefaultSettings()), map[uint64]*waiter{}, 0, nil, false
 	}
-	s.line = line.New[*job](s.w.Senders, s.w.Senders)
-	s.line.Level = s.w.Break == "urgent"
+	s.queue = priorityqueue.New[*job](s.w.Senders, s.w.Senders)
+	s.queue.IgnoreUrgency = s.w.Break == "urgent"
 	s.wit.Deaf = s.w.Break == "witness"
 	s.gate.Open = s.w.Break == "gate" || s.w.Break == "silence"
 	s.entered, s.asking, s.leaseEpoch, s.seq, s.polling, s.leaving = false, false, 0, 0, false, false
