--- a/daemon/sidecar/admission.go
+++ b/daemon/sidecar/admission.go
@@ -69,7 +69,7 @@
 	return admission.Request{ID: id, Rank: w.rank, Work: w.work, Early: now.Add(w.early), Aim: now.Add(w.aim), Until: until, PeerFailureRate: w.peers, LastResort: w.must}
 }
 
-// acts tells those who wait what becomes of them; mu is held.
+// tellWaiters tells those who wait what becomes of them; mu is held.
 func (s *Sidecar) tellWaiters(list []admission.Verdict) {
 	for _, a := range list {
 		if ch := s.waiters[a.ID]; ch != nil && a.Decision != admission.Wait {
@@ -79,8 +79,8 @@
 	}
 }
 
-// waitForSlot waits until the endpoint has room for the request, or the admission queue turns it away. The
-// caller must call leave when it was let in.
+// waitForSlot waits until the endpoint has room for the request, or the admission queue rejects
+// it. The caller must call releaseSlot when it was admitted.
 func (s *Sidecar) waitForSlot(until time.Time, server ident.Server, w want) (id uint64, d *failure.Error) {
 	ch := make(chan admission.Verdict, 1)
 	s.mu.Lock()
@@ -125,7 +125,7 @@
 	}
 }
 
-// leave says that a request that was let in is over.
+// releaseSlot says that a request that was admitted is over.
 func (s *Sidecar) releaseSlot(server ident.Server, id uint64, end admission.Outcome, took time.Duration) {
 	s.mu.Lock()
 	s.tellWaiters(s.admission.Done(s.clock(), server, id, end, took))
@@ -149,7 +149,7 @@
 	}
 }
 
-// beaten takes what a beat says of an endpoint's room; mu is held.
+// endpointBeat takes what a heartbeat says of an endpoint's room; mu is held.
 func (s *Sidecar) endpointBeat(now monotime.Time, b gate.Beat) {
 	if b.State == gate.Alive && b.Slots > 0 {
 		s.admitting[b.Server] = true
--- a/mesh/admission/admission_test.go
+++ b/mesh/admission/admission_test.go
@@ -37,7 +37,7 @@
 
 // Five requests of three ranks come, one leaves, runs end, in every order: no more than
 // slots and one are out, each gets one word at most, none goes that quit or was turned away,
-// and a higher rank in line always goes before a lower one.
+// and a higher rank in the queue always goes before a lower one.
 func TestAllOrdersOfComingAndGoing(t *testing.T) {
 	ranks := []int{2, 0, 1, 2, 0}
 	for _, order := range perms(7) {
--- a/mesh/admission/endpointqueue.go
+++ b/mesh/admission/endpointqueue.go
@@ -21,8 +21,9 @@
 	slop = 3 * time.Millisecond
 )
 
-// endpointQueue is one endpoint. Invariants: no more than slots and Extra are at it while slots are
-// known; line is in order of rank, then aim; who is in line is not at the endpoint.
+// endpointQueue is the queue of one endpoint. Invariants: no more than slots and Extra are at the
+// endpoint while slots are known; waiting is in order of rank, then aim; a waiting request is not
+// at the endpoint.
 type endpointQueue struct {
 	set        *Settings
 	slots      int
@@ -30,8 +31,7 @@
 	waiting    []Request
 	atEndpoint []running
 	// spentTime over expectedTime is the relative time; both fade by one in memory with each run.
-	// meanTime is the
-	// mean time of a run of unknown expectedTime.
+	// meanTime is the mean time of a run of unknown work.
 	spentTime, expectedTime float64
 	meanTime                float64
 	failureRate             float64
@@ -108,7 +108,7 @@
 	return time.Duration(float64(e.workOf(work)) * e.relativeTime(now) * e.startFactor(now))
 }
 
-// expectedWait is how long one waits that has ahead of work before it in line. Invariant: 0 while
+// expectedWait is how long one waits that has ahead of work before it in the queue. Invariant: 0 while
 // a slot is free.
 func (e *endpointQueue) expectedWait(now monotime.Time, ahead time.Duration) time.Duration {
 	if e.slots == 0 || len(e.atEndpoint) < e.slots {
@@ -147,7 +147,7 @@
 	return a.Aim
 }
 
-// position is where a request stands in line: behind its like.
+// position is where a request stands in the queue: behind its like.
 func (e *endpointQueue) position(a Request) int {
 	i, _ := slices.BinarySearchFunc(e.waiting, a, func(x, y Request) int {
 		if before(y, x) {
@@ -239,7 +239,7 @@
 
 // next takes who goes now. While few wait it is, of those who can still be in time, the one
 // with the least time to spare, unless somebody of a higher rank would miss an aim for it.
-// Otherwise it is the first in line who can be in time, and if nobody can, the first.
+// Otherwise it is the first in the queue who can be in time, and if nobody can, the first.
 func (e *endpointQueue) next(now monotime.Time) Request {
 	p := e.relativeTime(now) * e.startFactor(now)
 	need := func(a *Request) time.Duration { return time.Duration(float64(e.workOf(a.Work)) * p) }
@@ -265,7 +265,7 @@
 	return a
 }
 
-// canGoFirst tells whether all of a higher rank than one in line can let it go first.
+// canGoFirst tells whether all of a higher rank than a waiting one can let it go first.
 func (e *endpointQueue) canGoFirst(now monotime.Time, at int, need func(*Request) time.Duration) bool {
 	ahead := need(&e.waiting[at])
 	for i := range e.waiting[:at] {
--- a/sim/world/admission.go
+++ b/sim/world/admission.go
@@ -52,7 +52,7 @@
 	then func(admission.Verdict)
 }
 
-// acts tells those who wait what becomes of them. What follows runs later, as whoever
+// tellWaiters tells those who wait what becomes of them. What follows runs later, as whoever
 // waited must first be woken.
 func (s *Side) tellWaiters(list []admission.Verdict) {
 	w := s.w
@@ -108,7 +108,7 @@
 	}
 }
 
-// beaten takes what a beat says of an endpoint's room.
+// endpointBeat takes what a heartbeat says of an endpoint's room.
 func (s *Side) endpointBeat(b gate.Beat) {
 	if !s.w.Platform || b.State != gate.Alive || b.Slots == 0 {
 		return
