wire/server: the context of a request ends when its client leaves, also where reads are held

The sidecars' listeners held net/http's close detection back to spare a goroutine, a timer and a read for each request, and had nothing in its place. Now one poll(2) every 50 ms covers all connections that are being served, and a peek tells an end from data. Two counters, callers_left and peers_left. Nothing acts on it yet. Tests: both ways of detection see closes and resets; clients that stay, or have sent their next request, are not taken for gone; 20 of 40 leave and just those are seen.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -61,10 +61,10 @@
 func Sidecar(options settings.Sidecar, log *zap.Logger) (s *sidecar.Sidecar, meshServer, clientServer *server.Server) {
 	warnDeprecated(log, options.DeprecatedKeys)
 	s = sidecar.New(options, log)
-	meshServer = server.New(options.Listen, s.ServePeer, server.DeadPeerTimeout(deadPeerTimeout), server.WithoutCloseDetection())
+	meshServer = server.New(options.Listen, s.ServePeer, server.DeadPeerTimeout(deadPeerTimeout), server.PolledCloseDetection())
 	s.Paths().Register(meshServer)
 	health.Paths(s.Ready, s.Metrics, s.Status).Register(meshServer)
-	clientServer = server.New(options.ClientAddr, s.HandleCaller, server.DeadPeerTimeout(deadPeerTimeout), server.WithoutCloseDetection())
+	clientServer = server.New(options.ClientAddr, s.HandleCaller, server.DeadPeerTimeout(deadPeerTimeout), server.PolledCloseDetection())
 	return s, meshServer, clientServer
 }
 
--- a/daemon/sidecar/caller.go
+++ b/daemon/sidecar/caller.go
@@ -34,6 +34,7 @@
 func (s *Sidecar) ServeCaller(w http.ResponseWriter, r *http.Request) {
 	s.beginRequest()
 	defer s.endRequest()
+	defer s.countIfLeft(r, counterCallersLeft)
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -63,6 +64,13 @@
 	writeResponse(w, resp)
 }
 
+// countIfLeft counts a request that ends after its client has left.
+func (s *Sidecar) countIfLeft(r *http.Request, counter string) {
+	if r.Context().Err() != nil {
+		s.count(counter)
+	}
+}
+
 func (s *Sidecar) beginRequest() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/daemon/sidecar/callerconnection_test.go
+++ b/daemon/sidecar/callerconnection_test.go
@@ -49,7 +49,7 @@
 	log := &requestLog{}
 	s := newTestSidecar("a", "127.0.0.1:1", listen(t, log.serve))
 	s.addWorkloads("a", "127.0.0.1:1", "a0")
-	front := server.New("127.0.0.1:0", s.HandleCaller, server.DeadPeerTimeout(3*time.Second), server.WithoutCloseDetection())
+	front := server.New("127.0.0.1:0", s.HandleCaller, server.DeadPeerTimeout(3*time.Second), server.PolledCloseDetection())
 	endpointURL, err := front.Endpoint()
 	must.NoError(t, err)
 	done := make(chan struct{})
--- a/daemon/sidecar/metrics.go
+++ b/daemon/sidecar/metrics.go
@@ -5,10 +5,13 @@
 // The counters and gauges of a sidecar. Those whose name ends with a separator are followed by a
 // reason, a kind of failure or a service.
 const (
-	counterHeartbeats              = "heartbeats"
-	counterProbes                  = "endpoint_probes"
-	counterResponses               = "responses"
-	counterRequestsFailedPrefix    = "requests_failed_"
+	counterHeartbeats           = "heartbeats"
+	counterProbes               = "endpoint_probes"
+	counterResponses            = "responses"
+	counterRequestsFailedPrefix = "requests_failed_"
+	// Requests of callers, and of other sidecars, that ended after their client had left.
+	counterCallersLeft             = "callers_left"
+	counterPeersLeft               = "peers_left"
 	counterQueueFull               = "rejected_queue_full"
 	counterLateInQueue             = "late_in_queue"
 	counterBodiesRejected          = "bodies_rejected"
--- a/daemon/sidecar/peerserver.go
+++ b/daemon/sidecar/peerserver.go
@@ -32,6 +32,7 @@
 		return true
 	}
 	defer s.endRequest()
+	defer s.countIfLeft(r, counterPeersLeft)
 	request, release, rejection := s.readPeerRequest(r)
 	if rejection != nil {
 		writePeerFailure(w, rejection.result, rejection.failure)
--- a/wire/server/bench_test.go
+++ b/wire/server/bench_test.go
@@ -24,11 +24,11 @@
 		"get":  "GET /lepu270/2f HTTP/1.1\r\nHost: jepu9.example\r\nX-Id: 9c41d07be2a35f68\r\nX-Left: 500\r\nAccept: */*\r\n\r\n",
 		"post": "POST /lepu270/2f HTTP/1.1\r\nHost: jepu9.example\r\nX-Id: 9c41d07be2a35f68\r\nX-Left: 500\r\nContent-Length: 1024\r\n\r\n" + strings.Repeat("x", 1024),
 	} {
-		for _, withoutCloseDetection := range []bool{false, true} {
-			b.Run(fmt.Sprint(name, "/without close detection ", withoutCloseDetection), func(b *testing.B) {
+		for _, polledCloseDetection := range []bool{false, true} {
+			b.Run(fmt.Sprint(name, "/polled close detection ", polledCloseDetection), func(b *testing.B) {
 				var options []server.Option
-				if withoutCloseDetection {
-					options = []server.Option{server.WithoutCloseDetection(), server.DeadPeerTimeout(3 * time.Second)}
+				if polledCloseDetection {
+					options = []server.Option{server.PolledCloseDetection(), server.DeadPeerTimeout(3 * time.Second)}
 				}
 				text := []byte(strings.Repeat("y", 1017) + "the end")
 				addr := startServer(b, func(w http.ResponseWriter, r *http.Request) bool {
--- a/wire/server/conn.go
+++ b/wire/server/conn.go
@@ -8,6 +8,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -29,6 +30,9 @@
 	accepted time.Time
 	// requestBegun tells that a part of a request was read since the connection was last idle.
 	requestBegun atomic.Bool
+	// rawConn and descriptor are for the close watch; rawConn is nil when there is none.
+	rawConn    syscall.RawConn
+	descriptor int32
 
 	mu    sync.Mutex
 	state http.ConnState
--- a/wire/server/listener.go
+++ b/wire/server/listener.go
@@ -22,7 +22,7 @@
 type listener struct {
 	addr                  ident.Addr
 	deadPeerTimeout       time.Duration
-	withoutCloseDetection bool
+	polledCloseDetection  bool
 	once                  sync.Once
 	*net.TCPListener
 	err error
@@ -76,8 +76,9 @@
 		return nil, err
 	}
 	c := &conn{TCPConn: tcp, source: tcp, accepted: time.Now()}
-	if l.withoutCloseDetection {
+	if l.polledCloseDetection {
 		c.source = &noCloseDetection{TCPConn: tcp}
+		c.watch()
 	}
 	return c, nil
 }
--- a/wire/server/listener_test.go
+++ b/wire/server/listener_test.go
@@ -21,12 +21,12 @@
 // A server without close detection reads every request as it came, however the reads split it:
 // heads of all lengths around net/http's buffer and its double, small bodies, the last byte of
 // a buffer on its own, several requests at once.
-func TestServerWithoutCloseDetectionReadsAll(t *testing.T) {
+func TestServerPolledCloseDetectionReadsAll(t *testing.T) {
 	addr := startServer(t, func(w http.ResponseWriter, r *http.Request) bool {
 		body, err := io.ReadAll(r.Body)
 		_, _ = fmt.Fprint(w, len(r.Header.Get("X-Pad")), " ", len(body), " ", err)
 		return true
-	}, server.WithoutCloseDetection())
+	}, server.PolledCloseDetection())
 	c, err := net.Dial("tcp", addr)
 	must.NoError(t, err)
 	defer func() { _ = c.Close() }()
@@ -103,6 +103,6 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	defer func() { _ = l.Close() }()
-	s := server.New(ident.Addr(l.Addr().String()), nil, server.WithoutCloseDetection())
+	s := server.New(ident.Addr(l.Addr().String()), nil, server.PolledCloseDetection())
 	must.ErrorContains(t, s.Start(context.Background()), "address already in use")
 }
--- a/wire/server/options.go
+++ b/wire/server/options.go
@@ -11,7 +11,7 @@
 	return func(l *listener) { l.deadPeerTimeout = timeout }
 }
 
-// WithoutCloseDetection switches off net/http's watch for the close of a connection while its
-// request is served, which takes a goroutine, a timer and a read for each request. The context
-// of such a request does not end when its client goes away.
-func WithoutCloseDetection() Option { return func(l *listener) { l.withoutCloseDetection = true } }
+// PolledCloseDetection finds out that a client has closed its connection while its request is
+// served by polling all such connections at once, every 50 ms. net/http's own detection takes a
+// goroutine, a timer and a read for each request. Either way the context of the request ends.
+func PolledCloseDetection() Option { return func(l *listener) { l.polledCloseDetection = true } }
--- a/wire/server/server.go
+++ b/wire/server/server.go
@@ -63,11 +63,15 @@
 		khttp.MethodNotAllowedHandler(http.HandlerFunc(writeMethodNotAllowed)),
 	}
 	filters := []khttp.FilterFunc{s.closeWhileStopping}
+	if s.listener.polledCloseDetection {
+		filters = append(filters, newCloseWatch().filter)
+	}
 	if intercept != nil {
 		filters = append(filters, interceptor(intercept))
 	}
 	kratosOptions = append(kratosOptions, khttp.Filter(filters...))
 	s.kratosServer = khttp.NewServer(kratosOptions...)
+	s.ConnContext = connContext
 	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = readHeaderTimeout, idleTimeout, maxHeaderBytes
 	return s
 }
--- a/wire/server/stop_test.go
+++ b/wire/server/stop_test.go
@@ -85,7 +85,7 @@
 func TestStopEndsEachConnectionInOrder(t *testing.T) {
 	for name, with := range map[string][]server.Option{
 		"plain":                   nil,
-		"without close detection": {server.WithoutCloseDetection(), server.DeadPeerTimeout(3 * time.Second)},
+		"polled close detection": {server.PolledCloseDetection(), server.DeadPeerTimeout(3 * time.Second)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, addr := startNoContentServer(t, with...)
