--- /dev/null
+++ b/daemon/sidecar/clientleaves_test.go
@@ -0,0 +1,355 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"cottonarch.example/cottonarch/base/ident"
+	"cottonarch.example/cottonarch/mesh/admission"
+	"cottonarch.example/cottonarch/mesh/endpoint"
+	"cottonarch.example/cottonarch/mesh/priorityqueue"
+	"cottonarch.example/cottonarch/wire/server"
+)
+
+// leaveTimeout bounds what must come about after a client has left. The requests' own time is
+// patientLimit, and nothing but the client's leaving ends them before.
+const leaveTimeout = 15 * time.Second
+
+// heldEndpoint holds every request until it is released, or until its connection is closed.
+type heldEndpoint struct {
+	addr     ident.Addr
+	mu       sync.Mutex
+	arrivals []string          // ids, in order of arrival
+	running  map[string]func() // by id; each releases its request
+	broken   map[string]bool   // ids of requests whose connection was closed as they ran
+}
+
+func startHeldEndpoint(t *testing.T) *heldEndpoint {
+	e := &heldEndpoint{running: map[string]func(){}, broken: map[string]bool{}}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	e.addr = ident.Addr(listener.Addr().String())
+	httpServer := &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
+	go func() { _ = httpServer.Serve(listener) }()
+	t.Cleanup(func() { _ = httpServer.Close() })
+	return e
+}
+
+func (e *heldEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(testIDHeader)
+	_, _ = io.Copy(io.Discard, r.Body)
+	released := make(chan struct{})
+	e.mu.Lock()
+	e.arrivals = append(e.arrivals, id)
+	e.running[id] = sync.OnceFunc(func() { close(released) })
+	e.mu.Unlock()
+	select {
+	case <-released:
+	case <-r.Context().Done():
+	}
+	e.mu.Lock()
+	delete(e.running, id)
+	e.broken[id] = r.Context().Err() != nil
+	e.mu.Unlock()
+	w.Header().Set(testIDHeader, id)
+	w.Header().Set(testSealHeader, "s")
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, ownBody(id))
+}
+
+// state returns copies of what arrived, what runs and what was broken off.
+func (e *heldEndpoint) state() (arrivals []string, running, broken map[string]bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	running, broken = map[string]bool{}, map[string]bool{}
+	for id := range e.running {
+		running[id] = true
+	}
+	for id, was := range e.broken {
+		broken[id] = was
+	}
+	return slices.Clone(e.arrivals), running, broken
+}
+
+func (e *heldEndpoint) release(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if release := e.running[id]; release != nil {
+		release()
+	}
+}
+
+// leavingMesh is a sidecar of callers and a held endpoint, beside it or behind another sidecar.
+type leavingMesh struct {
+	t        *testing.T
+	caller   *Sidecar
+	beside   *Sidecar // the sidecar beside the endpoint
+	endpoint *heldEndpoint
+	addr     string // for callers
+}
+
+// startLeavingMesh starts a mesh whose endpoint has some slots, and whose caller's sidecar has some
+// senders.
+func startLeavingMesh(t *testing.T, remote bool, slots, senders int) *leavingMesh {
+	m := &leavingMesh{t: t, endpoint: startHeldEndpoint(t)}
+	m.caller = newTestSidecar("a", "127.0.0.1:1")
+	m.beside = m.caller
+	besideAddr := ident.Addr("127.0.0.1:1")
+	if remote {
+		m.beside = newTestSidecar("b", "127.0.0.1:2")
+		besideAddr = ident.Addr(m.listen(m.beside.ServePeer))
+	}
+	onlySlots := admission.DefaultSettings()
+	onlySlots.Extra = 0
+	m.beside.slots.queue = admission.New(onlySlots)
+	_ = m.beside.Heartbeat(endpoint.Heartbeat{
+		Server:  "e0",
+		Service: "s",
+		Addr:    m.endpoint.addr,
+		State:   endpoint.Alive,
+		Slots:   slots,
+		Seq:     1,
+	})
+	m.caller.sendQueue = priorityqueue.New[*queuedRequest](senders, 2*senders+slots)
+	m.caller.addWorkloads("b", besideAddr, "e0")
+	m.addr = m.listen(m.caller.HandleCaller)
+	return m
+}
+
+// listen serves on a server of the kind that the daemon has.
+func (m *leavingMesh) listen(serve func(http.ResponseWriter, *http.Request) bool) string {
+	front := server.New("127.0.0.1:0", serve, server.DeadPeerTimeout(3*time.Second), server.PolledCloseDetection())
+	endpointURL, err := front.Endpoint()
+	must.NoError(m.t, err)
+	done := make(chan struct{})
+	go func() { defer close(done); _ = front.Start(context.Background()) }()
+	m.t.Cleanup(func() { _ = front.Close(); <-done })
+	return endpointURL.Host
+}
+
+// send sends a request on a connection of its own.
+func (m *leavingMesh) send(path, id string) net.Conn {
+	c, err := net.Dial("tcp", m.addr)
+	must.NoError(m.t, err)
+	m.t.Cleanup(func() { _ = c.Close() })
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\nX-Limit-Left-Ms: %d\r\nContent-Length: 2\r\n\r\n{}",
+		path, testIDHeader, id, patientLimit.Milliseconds())
+	must.NoError(m.t, err)
+	return c
+}
+
+// await waits until a condition holds.
+func (m *leavingMesh) await(what string, condition func() bool) {
+	m.t.Helper()
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	for deadline := time.Now().Add(leaveTimeout); !condition(); <-ticker.C {
+		if time.Now().After(deadline) {
+			arrivals, running, broken := m.endpoint.state()
+			m.t.Fatalf("%s did not come about: arrived %v, running %v, broken off %v", what, arrivals, running, broken)
+		}
+	}
+}
+
+func (m *leavingMesh) runs(id string) bool {
+	_, running, _ := m.endpoint.state()
+	return running[id]
+}
+
+// inFlight is how many requests a sidecar holds.
+func inFlight(s *Sidecar) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inFlight
+}
+
+// awaitInFlight waits until both sidecars hold no more requests than they should.
+func (m *leavingMesh) awaitInFlight(atCaller, beside int) {
+	m.t.Helper()
+	m.await(fmt.Sprint("requests in flight: ", atCaller, " and ", beside), func() bool {
+		return inFlight(m.caller) == atCaller && (m.beside == m.caller || inFlight(m.beside) == beside)
+	})
+}
+
+// What becomes of a request whose client leaves, at each stage that it may have reached, with the
+// endpoint beside the caller's sidecar and behind another.
+func TestClientLeaves(t *testing.T) {
+	for stage, test := range map[string]func(t *testing.T, remote bool){
+		"repeatable request at its endpoint":  clientLeavesRepeatableRun,
+		"one-shot request at its endpoint":    clientLeavesOneShotRun,
+		"repeatable request waits for a slot": clientLeavesAdmissionQueue("/again/x"),
+		"one-shot request waits for a slot":   clientLeavesAdmissionQueue("/once/x"),
+		"request waits to be sent":            clientLeavesSendQueue,
+	} {
+		for place, remote := range map[string]bool{"endpoint beside the caller": false, "endpoint behind a peer": true} {
+			t.Run(stage+", "+place, func(t *testing.T) {
+				t.Parallel()
+				test(t, remote)
+			})
+		}
+	}
+}
+
+// A repeatable request at work is broken off at its endpoint when its client leaves.
+func clientLeavesRepeatableRun(t *testing.T, remote bool) {
+	m := startLeavingMesh(t, remote, 4, 8)
+	c := m.send("/again/x", "r0")
+	m.await("the run", func() bool { return m.runs("r0") })
+	must.NoError(t, c.Close())
+	m.await("the end of the run", func() bool { _, _, broken := m.endpoint.state(); return broken["r0"] })
+	m.awaitInFlight(0, 0)
+	arrivals, _, _ := m.endpoint.state()
+	must.Eq(t, []string{"r0"}, arrivals)
+}
+
+// A request that can't be repeated and has begun goes on to its end, so that it is done once and
+// whole; nobody waits for its response.
+func clientLeavesOneShotRun(t *testing.T, remote bool) {
+	m := startLeavingMesh(t, remote, 1, 8)
+	c := m.send("/once/x", "r0")
+	m.await("the run", func() bool { return m.runs("r0") })
+	other := m.send("/again/x", "other") // it waits for the slot of r0
+	must.NoError(t, c.Close())
+	must.NoError(t, other.Close())
+	m.awaitInFlight(remoteOr(remote, 0, 1), 1)
+	must.True(t, m.runs("r0"))
+	m.endpoint.release("r0")
+	m.awaitInFlight(0, 0)
+	arrivals, _, broken := m.endpoint.state()
+	must.Eq(t, []string{"r0"}, arrivals)
+	must.False(t, broken["r0"])
+}
+
+// remoteOr gives one value for an endpoint behind a peer and another for one beside the caller.
+func remoteOr(remote bool, there, here int) int {
+	if remote {
+		return there
+	}
+	return here
+}
+
+// A request that waits for a slot of its endpoint never reaches it once its client has left, of
+// whatever kind it is, and those behind it move up.
+func clientLeavesAdmissionQueue(path string) func(t *testing.T, remote bool) {
+	return func(t *testing.T, remote bool) {
+		m := startLeavingMesh(t, remote, 1, 8)
+		m.send("/again/x", "first")
+		m.await("the run", func() bool { return m.runs("first") })
+		leaving := m.send(path, "leaving")
+		m.awaitInFlight(2, 2)
+		m.send("/again/x", "last")
+		m.awaitInFlight(3, 3)
+		must.NoError(t, leaving.Close())
+		m.awaitInFlight(2, 2)
+		m.endpoint.release("first")
+		m.await("the next run", func() bool { return m.runs("last") })
+		m.endpoint.release("last")
+		m.awaitInFlight(0, 0)
+		arrivals, _, _ := m.endpoint.state()
+		must.Eq(t, []string{"first", "last"}, arrivals)
+	}
+}
+
+// A request that waits to be sent leaves the queue of its client's sidecar with its client.
+func clientLeavesSendQueue(t *testing.T, remote bool) {
+	m := startLeavingMesh(t, remote, 4, 1)
+	m.send("/again/x", "first")
+	m.await("the run", func() bool { return m.runs("first") })
+	leaving := m.send("/once/x", "leaving")
+	m.awaitInFlight(2, 1)
+	must.NoError(t, leaving.Close())
+	m.awaitInFlight(1, 1)
+	m.send("/again/x", "last")
+	m.endpoint.release("first")
+	m.await("the next run", func() bool { return m.runs("last") })
+	m.endpoint.release("last")
+	m.awaitInFlight(0, 0)
+	arrivals, _, _ := m.endpoint.state()
+	must.Eq(t, []string{"first", "last"}, arrivals)
+}
+
+// leavingSeeds is how many seeds TestManyClientsLeave plays.
+const leavingSeeds = 8
+
+// Many clients, some of which leave at any moment: what remains is just the requests of those that
+// stay and the runs that can't be repeated. All others have ended without a release, and were not
+// sent again.
+func TestManyClientsLeave(t *testing.T) {
+	for seed := range uint64(leavingSeeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			rng := rand.New(rand.NewPCG(seed, 26))
+			m := startLeavingMesh(t, seed%2 == 0, 1+rng.IntN(6), 4+rng.IntN(12))
+			m.playLeavers(rng)
+		})
+	}
+}
+
+// playLeavers sends requests, closes the connections of some of them, and then releases what runs.
+func (m *leavingMesh) playLeavers(rng *rand.Rand) {
+	const clients = 16
+	conns, left, paths := make([]net.Conn, clients), map[string]bool{}, map[string]string{}
+	for i := range conns {
+		id := fmt.Sprint("r", i)
+		paths[id] = []string{"/again/x", "/once/x"}[rng.IntN(2)]
+		conns[i] = m.send(paths[id], id)
+		if j := rng.IntN(i + 1); rng.IntN(3) > 0 {
+			left[fmt.Sprint("r", j)] = true
+			_ = conns[j].Close()
+		}
+		time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
+	}
+	m.await("the end of what has no client", func() bool {
+		_, running, _ := m.endpoint.state()
+		for id := range running {
+			if left[id] && paths[id] == "/again/x" {
+				return false
+			}
+		}
+		waiting := inFlight(m.caller)
+		return waiting <= clients-len(left)+m.orphanRuns(running, left)
+	})
+	released := map[string]bool{}
+	m.await("the end of all", func() bool {
+		_, running, _ := m.endpoint.state()
+		for id := range running {
+			must.False(m.t, left[id] && paths[id] == "/again/x" && !released[id], must.Sprint(id, " began after its client had left"))
+			released[id] = true
+			m.endpoint.release(id)
+		}
+		return inFlight(m.caller) == 0 && inFlight(m.beside) == 0
+	})
+	m.checkArrivals(paths)
+}
+
+// orphanRuns counts the runs that the caller's sidecar still waits for though their clients left.
+func (m *leavingMesh) orphanRuns(running, left map[string]bool) (count int) {
+	for id := range running {
+		if left[id] && m.beside == m.caller {
+			count++
+		}
+	}
+	return count
+}
+
+// checkArrivals checks that no request reached the endpoint twice and that none that can't be
+// repeated was broken off.
+func (m *leavingMesh) checkArrivals(paths map[string]string) {
+	arrivals, running, broken := m.endpoint.state()
+	must.MapEmpty(m.t, running)
+	slices.Sort(arrivals)
+	must.Eq(m.t, slices.Compact(slices.Clone(arrivals)), arrivals)
+	for id, was := range broken {
+		must.False(m.t, was && paths[id] == "/once/x", must.Sprint(id, " was broken off"))
+	}
+}
