daemon/sidecar: a request ends with its client, in both queues and, if repeatable, at its endpoint

Cause: cancellation was never propagated. The sidecars' listeners did not detect a close (a choice for its cost, written down in docs/design), both hops called with a context of their own that ends at no event, and both queues waited for a verdict or the deadline alone. Change: the context of the request goes from the listener through the send queue, the attempts, the admission queue and the exchanges. What waits leaves its queue and those behind move up; a peer is told by the close of its connection; a run is broken off if its route may be repeated, else it goes on to its end, so that nothing is half done. The hints between sidecars have one field more, whether that may be; without it (earlier releases) it may not. No attempt follows, and neither the balancer nor the counts of a rollout take it for a failure of the endpoint. Ruled out: breaking off one-shot runs; leaving the peer to notice at its deadline. Elsewhere: cores pass the contexts of requests on already, with net/http's detection; the duties of a sidecar, which have contexts of their own, serve no client. TestClientLeftTellsNothingOfTheEndpoint fails without its part.

--- a/base/failure/failure.go
+++ b/base/failure/failure.go
@@ -46,6 +46,7 @@
 	Unreachable      Kind = "unreached"   // no connection could be made
 	BadResponse      Kind = "bad-return"  // malformed, or not one to the request
 	LostResponse     Kind = "lost-return" // the connection broke before the response was complete
+	ClientLeft       Kind = "client-left" // the client closed its connection; nobody waits for a response
 
 	// Time and load.
 	Busy             Kind = "busy"
@@ -82,6 +83,7 @@
 	Unreachable:      http.StatusServiceUnavailable,
 	BadResponse:      http.StatusBadGateway,
 	LostResponse:     http.StatusBadGateway,
+	ClientLeft:       http.StatusServiceUnavailable,
 
 	Busy:             http.StatusServiceUnavailable,
 	DeadlineExceeded: http.StatusGatewayTimeout,
--- a/daemon/sidecar/attempts.go
+++ b/daemon/sidecar/attempts.go
@@ -22,15 +22,19 @@
 
 // sendWithRetries sends a request to one endpoint after the other until there is a response, or
 // no further attempt is allowed. A response that says that the endpoint failed is given if the
-// attempts after it bring nothing better. Without a response there is a failure.
-func (s *Sidecar) sendWithRetries(request *queuedRequest) (*exchange.Response, *failure.Error) {
+// attempts after it bring nothing better. Without a response there is a failure. No attempt begins
+// after ctx has ended, as the client has left.
+func (s *Sidecar) sendWithRetries(ctx context.Context, request *queuedRequest) (*exchange.Response, *failure.Error) {
 	var failedResponse *exchange.Response
 	for {
+		if ctx.Err() != nil {
+			return failedResponse, clientLeft()
+		}
 		decision := s.nextAttempt(request.call)
 		if decision.Failure != nil {
 			return failedResponse, decision.Failure
 		}
-		resp, result := s.sendOnce(request, decision)
+		resp, result := s.sendOnce(ctx, request, decision)
 		retry, fail := s.finishAttempt(request.call, result)
 		switch {
 		case result.Outcome != attempt.Executed && !retry:
@@ -64,7 +68,7 @@
 
 // sendOnce makes one attempt: at an endpoint of this machine, or through the sidecar of the
 // endpoint's machine.
-func (s *Sidecar) sendOnce(queued *queuedRequest, decision attempt.Decision) (*exchange.Response, attempt.Result) {
+func (s *Sidecar) sendOnce(ctx context.Context, queued *queuedRequest, decision attempt.Decision) (*exchange.Response, attempt.Result) {
 	request := endpointRequest{
 		server:        decision.Entry.UID,
 		service:       decision.Entry.Service,
@@ -74,24 +78,28 @@
 		hints:         hintsFor(s.clock(), queued.receivedAt, queued.call, decision),
 	}
 	if decision.Entry.SidecarAddr == s.Settings.Addr {
-		return s.sendLocally(request)
+		return s.sendLocally(ctx, request)
 	}
-	return s.sendToPeer(decision, request, queued.call.Route.Urgent)
+	return s.sendToPeer(ctx, decision, request, queued.call.Route.Urgent)
 }
 
 // sendLocally makes an attempt at an endpoint of this machine.
-func (s *Sidecar) sendLocally(request endpointRequest) (*exchange.Response, attempt.Result) {
-	local := s.sendToEndpoint(request)
+func (s *Sidecar) sendLocally(ctx context.Context, request endpointRequest) (*exchange.Response, attempt.Result) {
+	local := s.sendToEndpoint(ctx, request)
 	result := attemptResultFor(local.failure, local.result)
+	result.ClientLeft = local.failure != nil && local.failure.Kind == failure.ClientLeft
 	result.LoadReport, result.Elapsed = parseLoadReport(local.loadReport), local.duration
 	return withSize(request.call, local.response, result)
 }
 
-// sendToPeer makes an attempt through the sidecar of the endpoint's machine.
-func (s *Sidecar) sendToPeer(decision attempt.Decision, request endpointRequest, urgent bool) (*exchange.Response, attempt.Result) {
+// sendToPeer makes an attempt through the sidecar of the endpoint's machine. When ctx ends it closes
+// the connection, by which that sidecar knows that the client has left.
+func (s *Sidecar) sendToPeer(ctx context.Context, decision attempt.Decision, request endpointRequest, urgent bool) (*exchange.Response, attempt.Result) {
 	call := peerCall(request, decision.Timeout, urgent)
-	resp, sent, fail := s.peerExchange.Do(context.Background(), decision.Entry.SidecarAddr, call)
+	resp, sent, fail := s.peerExchange.Do(ctx, decision.Entry.SidecarAddr, call)
 	switch {
+	case fail != nil && ctx.Err() != nil:
+		return nil, clientLeftResult(sent)
 	case fail != nil && !sent:
 		return nil, attempt.Result{Outcome: attempt.NotExecuted, Failure: fail, Unreachable: true}
 	case fail != nil:
@@ -100,6 +108,15 @@
 	return parsePeerResponse(request.call, resp)
 }
 
+// clientLeftResult is the result of an attempt that was given up as its client left.
+func clientLeftResult(sent bool) attempt.Result {
+	if !sent {
+		return attempt.Result{Outcome: attempt.NotExecuted, Failure: clientLeft(), ClientLeft: true}
+	}
+	fail := failure.NewUnknown(failure.ClientLeft, "the client closed its connection")
+	return attempt.Result{Outcome: attempt.Unknown, Failure: fail, ClientLeft: true}
+}
+
 // peerCall makes the call to the sidecar of the endpoint's machine.
 func peerCall(request endpointRequest, limit time.Duration, urgent bool) exchange.Call {
 	call := request.call
--- a/daemon/sidecar/caller.go
+++ b/daemon/sidecar/caller.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"strconv"
@@ -34,7 +35,8 @@
 func (s *Sidecar) ServeCaller(w http.ResponseWriter, r *http.Request) {
 	s.beginRequest()
 	defer s.endRequest()
-	defer s.countIfLeft(r, counterCallersLeft)
+	ctx := r.Context()
+	defer s.countIfLeft(ctx, counterCallersLeft)
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -50,11 +52,11 @@
 		s.writeFailure(w, fail)
 		return
 	}
-	if fail := s.awaitDispatch(request); fail != nil {
+	if fail := s.awaitDispatch(ctx, request); fail != nil {
 		s.writeFailure(w, fail)
 		return
 	}
-	resp, fail := s.sendDispatched(request)
+	resp, fail := s.sendDispatched(ctx, request)
 	if resp == nil {
 		s.count(counterRequestsFailedPrefix + string(fail.Kind))
 		s.writeFailure(w, fail)
@@ -65,8 +67,8 @@
 }
 
 // countIfLeft counts a request that ends after its client has left.
-func (s *Sidecar) countIfLeft(r *http.Request, counter string) {
-	if r.Context().Err() != nil {
+func (s *Sidecar) countIfLeft(ctx context.Context, counter string) {
+	if ctx.Err() != nil {
 		s.count(counter)
 	}
 }
@@ -117,8 +119,8 @@
 	return s.planner.Route(request.receivedAt, request.call, time.Duration(requested)*time.Millisecond)
 }
 
-// awaitDispatch queues a request and waits until it may be sent.
-func (s *Sidecar) awaitDispatch(request *queuedRequest) *failure.Error {
+// awaitDispatch queues a request and waits until it may be sent, or ctx ends as its client leaves.
+func (s *Sidecar) awaitDispatch(ctx context.Context, request *queuedRequest) *failure.Error {
 	s.mu.Lock()
 	queued := s.sendQueue.Enqueue(s.clock(), request, request.call.Route.Urgent, request.call.Deadline)
 	s.dispatchQueued()
@@ -127,11 +129,19 @@
 		s.count(counterQueueFull)
 		return failure.New(failure.Busy, "too many requests are queued").WithRetryAfter(retryAfterSeconds)
 	}
-	if !s.dispatchedInTime(request) {
-		s.count(counterLateInQueue)
-		return failure.New(failure.DeadlineExceeded, "the deadline passed while the request was queued").WithRetryAfter(retryAfterSeconds)
+	if s.dispatchedInTime(ctx, request) {
+		return nil
 	}
-	return nil
+	if ctx.Err() != nil {
+		return clientLeft()
+	}
+	s.count(counterLateInQueue)
+	return failure.New(failure.DeadlineExceeded, "the deadline passed while the request was queued").WithRetryAfter(retryAfterSeconds)
+}
+
+// clientLeft is the failure of a request that no endpoint has begun when its client leaves.
+func clientLeft() *failure.Error {
+	return failure.New(failure.ClientLeft, "the client closed its connection")
 }
 
 // dispatchQueued dispatches the queued requests for which there is room; mu is held. It goes on
@@ -147,9 +157,9 @@
 	}
 }
 
-// dispatchedInTime waits until a request is dispatched; it is false when its time was over
-// before, and then it has left the queue and will not be dispatched.
-func (s *Sidecar) dispatchedInTime(request *queuedRequest) bool {
+// dispatchedInTime waits until a request is dispatched; it is false when its time was over or its
+// client left before, and then it has left the queue and will not be dispatched.
+func (s *Sidecar) dispatchedInTime(ctx context.Context, request *queuedRequest) bool {
 	select {
 	case <-request.dispatched:
 		return true
@@ -161,6 +171,7 @@
 	case <-request.dispatched:
 		return true
 	case <-deadline.C:
+	case <-ctx.Done():
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -170,9 +181,9 @@
 
 // sendDispatched sends a request that was dispatched, and dispatches those that waited for its
 // end.
-func (s *Sidecar) sendDispatched(request *queuedRequest) (*exchange.Response, *failure.Error) {
+func (s *Sidecar) sendDispatched(ctx context.Context, request *queuedRequest) (*exchange.Response, *failure.Error) {
 	sentAt := s.clock()
-	resp, fail := s.sendWithRetries(request)
+	resp, fail := s.sendWithRetries(ctx, request)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sendQueue.Done(request.urgentSlot, s.clock().Since(sentAt))
--- a/daemon/sidecar/classify_test.go
+++ b/daemon/sidecar/classify_test.go
@@ -52,10 +52,14 @@
 			latencyTarget:   200 * time.Millisecond,
 			peerFailureRate: 0.25,
 			lastResort:      true,
+			responseBytes:   1 << 10,
 		},
+		{repeatable: true},
 	} {
 		must.Eq(t, hints, parseHints(hints.encode()))
 	}
+	// Earlier releases do not say whether a request may be broken off: then it may not.
+	must.False(t, parseHints("2,1000,2000,3000,250,1,900").repeatable)
 	for _, text := range []string{"", ",,,", "x,y", "-1,-1,-1,-1,-1,-1", "99999999999999999999,1,1,1,1,1"} {
 		hints := parseHints(text)
 		must.True(t, hints.priority >= 0 && hints.expectedTime >= 0 && hints.peerFailureRate >= 0 && hints.peerFailureRate <= 1,
--- a/daemon/sidecar/clientleaves_test.go
+++ b/daemon/sidecar/clientleaves_test.go
@@ -25,6 +25,9 @@
 // patientLimit, and nothing but the client's leaving ends them before.
 const leaveTimeout = 15 * time.Second
 
+// maxQueued is more than any of these tests queues.
+const maxQueued = 64
+
 // heldEndpoint holds every request until it is released, or until its connection is closed.
 type heldEndpoint struct {
 	addr     ident.Addr
@@ -120,7 +123,7 @@
 		Slots:   slots,
 		Seq:     1,
 	})
-	m.caller.sendQueue = priorityqueue.New[*queuedRequest](senders, 2*senders+slots)
+	m.caller.sendQueue = priorityqueue.New[*queuedRequest](senders, maxQueued)
 	m.caller.addWorkloads("b", besideAddr, "e0")
 	m.addr = m.listen(m.caller.HandleCaller)
 	return m
@@ -219,6 +222,7 @@
 	c := m.send("/once/x", "r0")
 	m.await("the run", func() bool { return m.runs("r0") })
 	other := m.send("/again/x", "other") // it waits for the slot of r0
+	m.awaitInFlight(2, 2)
 	must.NoError(t, c.Close())
 	must.NoError(t, other.Close())
 	m.awaitInFlight(remoteOr(remote, 0, 1), 1)
@@ -278,8 +282,14 @@
 	must.Eq(t, []string{"first", "last"}, arrivals)
 }
 
-// leavingSeeds is how many seeds TestManyClientsLeave plays.
-const leavingSeeds = 8
+const (
+	// leavingSeeds is how many seeds TestManyClientsLeave plays.
+	leavingSeeds = 8
+	// leavingClients send one request each in playLeavers.
+	leavingClients = 16
+	// minSlots is so many that all the requests may wait: none is rejected.
+	minSlots = 3
+)
 
 // Many clients, some of which leave at any moment: what remains is just the requests of those that
 // stay and the runs that can't be repeated. All others have ended without a release, and were not
@@ -289,7 +299,7 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			rng := rand.New(rand.NewPCG(seed, 26))
-			m := startLeavingMesh(t, seed%2 == 0, 1+rng.IntN(6), 4+rng.IntN(12))
+			m := startLeavingMesh(t, seed%2 == 0, minSlots+rng.IntN(6), 4+rng.IntN(12))
 			m.playLeavers(rng)
 		})
 	}
@@ -297,8 +307,7 @@
 
 // playLeavers sends requests, closes the connections of some of them, and then releases what runs.
 func (m *leavingMesh) playLeavers(rng *rand.Rand) {
-	const clients = 16
-	conns, left, paths := make([]net.Conn, clients), map[string]bool{}, map[string]string{}
+	conns, left, paths := make([]net.Conn, leavingClients), map[string]bool{}, map[string]string{}
 	for i := range conns {
 		id := fmt.Sprint("r", i)
 		paths[id] = []string{"/again/x", "/once/x"}[rng.IntN(2)]
@@ -309,15 +318,10 @@
 		}
 		time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
 	}
+	m.await("the arrival of all", func() bool { return m.routed() == leavingClients })
 	m.await("the end of what has no client", func() bool {
 		_, running, _ := m.endpoint.state()
-		for id := range running {
-			if left[id] && paths[id] == "/again/x" {
-				return false
-			}
-		}
-		waiting := inFlight(m.caller)
-		return waiting <= clients-len(left)+m.orphanRuns(running, left)
+		return m.holdsOnly(leavingClients-len(left), orphanRuns(running, left)) && !needlessRuns(running, left, paths)
 	})
 	released := map[string]bool{}
 	m.await("the end of all", func() bool {
@@ -332,16 +336,45 @@
 	m.checkArrivals(paths)
 }
 
-// orphanRuns counts the runs that the caller's sidecar still waits for though their clients left.
-func (m *leavingMesh) orphanRuns(running, left map[string]bool) (count int) {
+// routed is how many requests the caller's sidecar has taken.
+func (m *leavingMesh) routed() uint64 {
+	m.caller.mu.Lock()
+	defer m.caller.mu.Unlock()
+	return m.caller.planner.Calls
+}
+
+// needlessRuns reports whether a repeatable request runs whose client has left.
+func needlessRuns(running, left map[string]bool, paths map[string]string) bool {
+	for id := range running {
+		if left[id] && paths[id] == "/again/x" {
+			return true
+		}
+	}
+	return false
+}
+
+// orphanRuns counts the runs whose clients left.
+func orphanRuns(running, left map[string]bool) (count int) {
 	for id := range running {
-		if left[id] && m.beside == m.caller {
+		if left[id] {
 			count++
 		}
 	}
 	return count
 }
 
+// holdsOnly reports whether the sidecars hold just the requests of the clients that stay, and
+// some runs beside the endpoint whose clients left.
+func (m *leavingMesh) holdsOnly(staying, orphans int) bool {
+	if m.beside == m.caller {
+		return inFlight(m.caller) == staying+orphans
+	}
+	m.caller.mu.Lock()
+	atCaller, queued := m.caller.inFlight, m.caller.sendQueue.Len()
+	m.caller.mu.Unlock()
+	return atCaller == staying && inFlight(m.beside) == staying-queued+orphans
+}
+
 // checkArrivals checks that no request reached the endpoint twice and that none that can't be
 // repeated was broken off.
 func (m *leavingMesh) checkArrivals(paths map[string]string) {
--- a/daemon/sidecar/endpointcall.go
+++ b/daemon/sidecar/endpointcall.go
@@ -45,12 +45,14 @@
 }
 
 // sendToEndpoint sends a request to an endpoint of this machine. It checks that the endpoint is
-// still the one that is meant, waits for a slot, and checks again right before the first byte.
-func (s *Sidecar) sendToEndpoint(request endpointRequest) (result endpointResult) {
+// still the one that is meant, waits for a slot, and checks again right before the first byte. ctx
+// ends when the client leaves: what waits is then dropped, and a run is broken off if it is
+// repeatable.
+func (s *Sidecar) sendToEndpoint(ctx context.Context, request endpointRequest) (result endpointResult) {
 	if _, fail := s.checkEndpoint(request); fail != nil {
 		return endpointResult{result: resultRejected, failure: fail}
 	}
-	slot, fail := s.waitForSlot(request)
+	slot, fail := s.waitForSlot(ctx, request)
 	if fail != nil {
 		return endpointResult{result: resultNoCapacity, failure: fail, loadReport: s.loadReport(request.server)}
 	}
@@ -59,7 +61,7 @@
 		s.releaseSlot(request.server, slot, outcome, result.duration)
 		result.loadReport = s.loadReport(request.server)
 	}()
-	result, outcome = s.sendWithSlot(request)
+	result, outcome = s.sendWithSlot(ctx, request)
 	return result
 }
 
@@ -72,7 +74,7 @@
 }
 
 // sendWithSlot sends a request that has a slot, and tells the admission queue how it ended.
-func (s *Sidecar) sendWithSlot(request endpointRequest) (endpointResult, admission.Outcome) {
+func (s *Sidecar) sendWithSlot(ctx context.Context, request endpointRequest) (endpointResult, admission.Outcome) {
 	addr, connections, fail := s.beginEndpointCall(request)
 	if fail != nil {
 		return endpointResult{result: resultRejected, failure: fail}, admission.GivenUp
@@ -80,15 +82,45 @@
 	defer s.endEndpointCall(request)
 	call := endpointCall(s.Settings.Headers, request.call, request.server, request.deadline)
 	call.MaxConns = connections
-	call.BeforeSend = func() *failure.Error { return s.checkNotMoved(request, addr) }
+	call.BeforeSend = func() *failure.Error {
+		if ctx.Err() != nil {
+			return clientLeft()
+		}
+		return s.checkNotMoved(request, addr)
+	}
 	sentAt := s.clock()
-	resp, sent, fail := s.endpointExchange.Do(context.Background(), addr, call)
+	resp, sent, fail := s.endpointExchange.Do(runContext(ctx, request), addr, call)
+	if fail != nil && ctx.Err() != nil && request.hints.repeatable {
+		return s.endpointGivenUp(sent, sentAt)
+	}
 	if fail != nil {
 		return s.endpointFailed(request.server, fail, sent, sentAt)
 	}
 	return s.endpointAnswered(resp, sentAt)
 }
 
+// runContext is the context of a request's run. One that can't be repeated goes on to its end when
+// its client leaves: broken off, it may be half done, and nobody could tell.
+func runContext(ctx context.Context, request endpointRequest) context.Context {
+	if request.hints.repeatable {
+		return ctx
+	}
+	return context.WithoutCancel(ctx)
+}
+
+// endpointGivenUp is the result of a call that was broken off as its client left.
+func (s *Sidecar) endpointGivenUp(sent bool, sentAt monotime.Time) (endpointResult, admission.Outcome) {
+	if !sent {
+		return endpointResult{result: resultRejected, failure: clientLeft()}, admission.GivenUp
+	}
+	result := endpointResult{
+		result:   resultUnknown,
+		failure:  failure.NewUnknown(failure.ClientLeft, "the client closed its connection"),
+		duration: s.clock().Since(sentAt),
+	}
+	return result, admission.GivenUp
+}
+
 // beginEndpointCall checks the endpoint a second time and charges the request to the retry
 // budget. It gives the endpoint's address, and the bound of its connections that the
 // configuration sets, 0 if none.
--- a/daemon/sidecar/hints.go
+++ b/daemon/sidecar/hints.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// hintFields is the number of fields of the hints as text; earlier releases wrote one less.
-	hintFields = 7
+	// hintFields is the number of fields of the hints as text; earlier releases wrote fewer.
+	hintFields = 8
 	// The bounds of what is read: other sidecars are not trusted with a larger value.
 	maxHintPriority     = 1000
 	maxHintMicroseconds = 1 << 40
@@ -24,7 +24,7 @@
 )
 
 // admissionHints is what the caller's sidecar tells the admission queue beside the endpoint of a
-// request. All times are what is left, as the clocks of two machines differ. The text is seven
+// request. All times are what is left, as the clocks of two machines differ. The text is eight
 // whole numbers, in the order of the fields: times in microseconds, the rate in thousandths.
 type admissionHints struct {
 	priority        int
@@ -34,6 +34,7 @@
 	peerFailureRate float64       // how often the other endpoints of the service fail, 0 to 1
 	lastResort      bool          // there is no other endpoint to send it to
 	responseBytes   int           // the mean size of such responses
+	repeatable      bool          // a run of it may be broken off when its client leaves
 }
 
 // hintsFor returns the hints of a call for the endpoint that was chosen.
@@ -50,25 +51,23 @@
 		peerFailureRate: decision.PeerFailureRate,
 		lastResort:      decision.LastResort,
 		responseBytes:   decision.MeanResponseBytes,
+		repeatable:      call.Repeatable(),
 	}
 }
 
 // encode writes the hints as the text of a header.
 func (h admissionHints) encode() string {
-	lastResort := int64(0)
-	if h.lastResort {
-		lastResort = 1
-	}
 	fields := [hintFields]int64{
 		int64(h.priority),
 		h.expectedTime.Microseconds(),
 		h.earlyRejection.Microseconds(),
 		h.latencyTarget.Microseconds(),
 		int64(h.peerFailureRate * hintRateScale),
-		lastResort,
+		flag(h.lastResort),
 		int64(h.responseBytes),
+		flag(h.repeatable),
 	}
-	buf := make([]byte, 0, 48)
+	buf := make([]byte, 0, 50)
 	for i, field := range fields {
 		if i > 0 {
 			buf = append(buf, ',')
@@ -95,7 +94,16 @@
 		peerFailureRate: float64(clamp(fields[4], 0, hintRateScale)) / hintRateScale,
 		lastResort:      fields[5] == 1,
 		responseBytes:   int(clamp(fields[6], 0, maxHintBytes)),
+		repeatable:      fields[7] == 1,
+	}
+}
+
+// flag is a truth value as a field.
+func flag(value bool) int64 {
+	if value {
+		return 1
 	}
+	return 0
 }
 
 func clamp(value, least, most int64) int64 { return min(max(value, least), most) }
--- a/daemon/sidecar/peerserver.go
+++ b/daemon/sidecar/peerserver.go
@@ -32,7 +32,8 @@
 		return true
 	}
 	defer s.endRequest()
-	defer s.countIfLeft(r, counterPeersLeft)
+	ctx := r.Context()
+	defer s.countIfLeft(ctx, counterPeersLeft)
 	request, release, rejection := s.readPeerRequest(r)
 	if rejection != nil {
 		writePeerFailure(w, rejection.result, rejection.failure)
@@ -44,7 +45,7 @@
 		writePeerFailure(w, resultNoCapacity, fail)
 		return true
 	}
-	result := s.sendToEndpoint(request)
+	result := s.sendToEndpoint(ctx, request)
 	s.releaseOutbound(request.hints, result.response)
 	writePeerResult(w, result)
 	return true
--- a/daemon/sidecar/slots.go
+++ b/daemon/sidecar/slots.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"time"
 
 	"cottonarch.example/cottonarch/base/failure"
@@ -84,16 +85,21 @@
 }
 
 // waitForSlot waits until the endpoint has a free slot for the request, or the admission queue
-// rejects it. A request that was admitted must be ended with releaseSlot.
-func (s *Sidecar) waitForSlot(request endpointRequest) (id uint64, fail *failure.Error) {
+// rejects it, or ctx ends as its client leaves. A request that was admitted must be ended with
+// releaseSlot.
+func (s *Sidecar) waitForSlot(ctx context.Context, request endpointRequest) (id uint64, fail *failure.Error) {
 	s.mu.Lock()
 	now := s.clock()
 	deadline := now.Add(time.Until(request.deadline))
 	id, verdicts := s.slots.enqueue(now, request.server, request.hints, deadline)
 	s.mu.Unlock()
-	verdict, ok := awaitVerdict(verdicts, request.deadline)
+	verdict, ok := awaitVerdict(ctx, verdicts, request.deadline)
 	if !ok {
-		if verdict, ok = s.abandonSlot(request.server, id, verdicts); !ok {
+		verdict, ok = s.abandonSlot(request.server, id, verdicts)
+		if !ok && ctx.Err() != nil {
+			return 0, clientLeft()
+		}
+		if !ok {
 			return 0, failure.New(failure.DeadlineExceeded, "the deadline passed in the admission queue")
 		}
 	}
@@ -105,8 +111,9 @@
 	return 0, failure.New(failure.Busy, "server %q: %s", request.server, verdict.Reason).WithRetryAfter(retryAfter)
 }
 
-// awaitVerdict waits for the verdict of the admission queue until the request's deadline.
-func awaitVerdict(verdicts chan admission.Verdict, deadline time.Time) (verdict admission.Verdict, ok bool) {
+// awaitVerdict waits for the verdict of the admission queue until the request's deadline, or until
+// ctx ends.
+func awaitVerdict(ctx context.Context, verdicts chan admission.Verdict, deadline time.Time) (verdict admission.Verdict, ok bool) {
 	select {
 	case verdict = <-verdicts:
 		return verdict, true
@@ -118,11 +125,12 @@
 	case verdict = <-verdicts:
 		return verdict, true
 	case <-timer.C:
-		return verdict, false
+	case <-ctx.Done():
 	}
+	return verdict, false
 }
 
-// abandonSlot takes a request whose time is over out of the queue. If its verdict came
+// abandonSlot takes a request whose time is over, or whose client has left, out of the queue. If its verdict came
 // meanwhile, that is given instead.
 func (s *Sidecar) abandonSlot(server ident.Server, id uint64, verdicts chan admission.Verdict) (verdict admission.Verdict, ok bool) {
 	s.mu.Lock()
--- a/mesh/attempt/call.go
+++ b/mesh/attempt/call.go
@@ -87,6 +87,9 @@
 	ReachedEndpoint bool
 	// EndpointFailed says that the response tells of a failure of the endpoint.
 	EndpointFailed bool
+	// ClientLeft says that the attempt was given up as its client had left: it tells nothing of
+	// its endpoint, and no other follows.
+	ClientLeft bool
 	// Shed says that the admission queue rejected it: the endpoint is busy, and not suspect.
 	Shed bool
 	// LoadReport is the endpoint's load as the destination reported it, nil if it did not.
--- a/mesh/attempt/planner.go
+++ b/mesh/attempt/planner.go
@@ -193,6 +193,11 @@
 func (p *Planner) Finished(now monotime.Time, call *Call, result Result) (again bool) {
 	p.countResult(call, result)
 	p.updateBalancer(now, call, result)
+	if result.ClientLeft {
+		call.lastFailure = result.Failure
+		call.maybeExecuted = call.maybeExecuted || result.Outcome != NotExecuted
+		return false
+	}
 	switch result.Outcome {
 	case Executed:
 		// Where the endpoint itself failed, only a repeatable call is tried elsewhere.
@@ -214,7 +219,7 @@
 	} else {
 		call.uncharged++
 	}
-	if result.Outcome == NotExecuted {
+	if result.Outcome == NotExecuted || result.ClientLeft {
 		return
 	}
 	counts := p.outcomes[call.Route.Service]
@@ -227,7 +232,8 @@
 
 // updateBalancer passes on what an attempt tells of its endpoint.
 func (p *Planner) updateBalancer(now monotime.Time, call *Call, result Result) {
-	p.Balancer.Finished(now, call.current, result.Outcome == Unknown, result.Unreachable)
+	uncertain := result.Outcome == Unknown && !result.ClientLeft
+	p.Balancer.Finished(now, call.current, uncertain, result.Unreachable && !result.ClientLeft)
 	if result.LoadReport != nil {
 		p.Balancer.HandleReport(now, call.current.UID, *result.LoadReport)
 	}
--- a/mesh/attempt/planner_test.go
+++ b/mesh/attempt/planner_test.go
@@ -275,3 +275,30 @@
 		must.Eq(t, chosen, seen, must.Sprint(kind))
 	}
 }
+
+// An attempt that was given up as its client left is the last one, says nothing of its endpoint or
+// its machine, and is no failure in the counts of a rollout.
+func TestClientLeftTellsNothingOfTheEndpoint(t *testing.T) {
+	for _, outcome := range []Outcome{NotExecuted, Unknown} {
+		planner, call := newPlanner(), &Call{Host: "h", Path: "/x", Method: "GET", Caller: "c"}
+		must.Nil(t, planner.Route(start, call, 0))
+		decision := planner.Next(start, call)
+		must.Nil(t, decision.Failure)
+		fail := &failure.Error{Kind: failure.ClientLeft, Outcome: failure.OutcomeUnknown}
+		must.False(t, planner.Finished(start, call, Result{Outcome: outcome, Failure: fail, ClientLeft: true, Unreachable: true}))
+		must.Zero(t, planner.Outcomes()["a"].Failed)
+		must.Eq(t, outcome == Unknown, planner.FinalFailure(call).Outcome == failure.OutcomeUnknown)
+		for _, workload := range planner.Index.Workloads("a") {
+			must.False(t, planner.Balancer.LastResort(start, workload.UID), must.Sprint(outcome, workload.UID))
+		}
+		chosen := map[ident.Server]bool{}
+		for range 100 {
+			next := &Call{Host: "h", Path: "/x", Method: "GET", Caller: "c"}
+			must.Nil(t, planner.Route(start, next, 0))
+			again := planner.Next(start, next)
+			chosen[again.Entry.UID] = true
+			planner.Finished(start, next, Result{Outcome: Executed})
+		}
+		must.True(t, chosen[decision.Entry.UID], must.Sprint(outcome, " the endpoint is avoided"))
+	}
+}
--- a/wire/server/closewatch.go
+++ b/wire/server/closewatch.go
@@ -170,4 +170,3 @@
 		c.rawConn = raw
 	}
 }
-
--- a/wire/server/listener.go
+++ b/wire/server/listener.go
@@ -20,10 +20,10 @@
 
 // listener listens from its first use on, as kratos' own does.
 type listener struct {
-	addr                  ident.Addr
-	deadPeerTimeout       time.Duration
-	polledCloseDetection  bool
-	once                  sync.Once
+	addr                 ident.Addr
+	deadPeerTimeout      time.Duration
+	polledCloseDetection bool
+	once                 sync.Once
 	*net.TCPListener
 	err error
 
--- a/wire/server/stop_test.go
+++ b/wire/server/stop_test.go
@@ -84,7 +84,7 @@
 // and its connection ends with the response; an unused one ends without a wait.
 func TestStopEndsEachConnectionInOrder(t *testing.T) {
 	for name, with := range map[string][]server.Option{
-		"plain":                   nil,
+		"plain":                  nil,
 		"polled close detection": {server.PolledCloseDetection(), server.DeadPeerTimeout(3 * time.Second)},
 	} {
 		t.Run(name, func(t *testing.T) {
