daemon/sidecar: how the calls end that an endpoint makes as it runs a request

A call is known by an id that extends the id of a run in progress on this machine, as hierarchical ids do; two counters, nested_calls and nested_calls_failed_KIND. Nothing acts on it yet. Ruled out: the address that a call comes from (the same for clients and the endpoint); the route (nothing says which routes are only called).

--- a/daemon/sidecar/caller.go
+++ b/daemon/sidecar/caller.go
@@ -48,6 +48,7 @@
 	}
 	defer release()
 	request := s.newQueuedRequest(r, body, receivedAt)
+	nested := s.isNested(request)
 	if fail := s.route(request, r.Header.Get(s.Settings.Headers.Deadline)); fail != nil {
 		s.writeFailure(w, fail)
 		return
@@ -58,6 +59,9 @@
 	}
 	resp, fail := s.sendDispatched(ctx, request)
 	if resp == nil {
+		if nested {
+			s.count(counterNestedFailedPrefix + string(fail.Kind))
+		}
 		s.count(counterRequestsFailedPrefix + string(fail.Kind))
 		s.writeFailure(w, fail)
 		return
@@ -110,6 +114,21 @@
 	return request
 }
 
+// isNested reports, and counts, whether this machine's endpoint made the request as it ran another.
+func (s *Sidecar) isNested(request *queuedRequest) bool {
+	header := s.Settings.Headers.RequestID
+	if header == "" {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	nested := s.runs.made(firstValue(request.outgoing.Header, header))
+	if nested {
+		s.count(counterNested)
+	}
+	return nested
+}
+
 // route finds the request's route and deadline; limitMs is the time that the caller allows, "" if
 // it names none.
 func (s *Sidecar) route(request *queuedRequest, limitMs string) *failure.Error {
--- a/daemon/sidecar/endpointcall.go
+++ b/daemon/sidecar/endpointcall.go
@@ -137,6 +137,7 @@
 	if config := s.planner.Config(); config != nil {
 		connections = config.Services[request.service].MaxConnections
 	}
+	s.runs.begin(s.requestID(request))
 	return addr, connections, nil
 }
 
@@ -145,6 +146,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.planner.RetryBudget.EndRun(request.retryFraction)
+	s.runs.end(s.requestID(request))
+}
+
+// requestID is the id by which the endpoint knows a request, "" if it has none.
+func (s *Sidecar) requestID(request endpointRequest) string {
+	if s.Settings.Headers.RequestID == "" {
+		return ""
+	}
+	return firstValue(request.call.Header, s.Settings.Headers.RequestID)
 }
 
 // checkNotMoved is the last check before the first byte: while the connection came up, the
--- a/daemon/sidecar/metrics.go
+++ b/daemon/sidecar/metrics.go
@@ -10,8 +10,12 @@
 	counterResponses            = "responses"
 	counterRequestsFailedPrefix = "requests_failed_"
 	// Requests of callers, and of other sidecars, that ended after their client had left.
-	counterCallersLeft             = "callers_left"
-	counterPeersLeft               = "peers_left"
+	counterCallersLeft = "callers_left"
+	counterPeersLeft   = "peers_left"
+	// Calls that this machine's endpoint made as it ran a request, and how those without a response
+	// ended, by kind of failure. Each of these may have wasted the run.
+	counterNested                  = "nested_calls"
+	counterNestedFailedPrefix      = "nested_calls_failed_"
 	counterQueueFull               = "rejected_queue_full"
 	counterLateInQueue             = "late_in_queue"
 	counterBodiesRejected          = "bodies_rejected"
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -74,6 +74,7 @@
 	planner      *attempt.Planner
 	endpoints    *endpoint.Tracker
 	slots        slotQueue
+	runs         activeRuns
 	outboundLink *bandwidth.Outbound
 	inboundLink  *bandwidth.Inbound
 	inFlight     int // requests of callers and of other sidecars
@@ -107,6 +108,7 @@
 		planner:      newPlanner(cfg, now),
 		endpoints:    endpoint.New(),
 		slots:        newSlotQueue(),
+		runs:         activeRuns{},
 		outboundLink: bandwidth.NewOutbound(cfg.LinkBytesPerSecond),
 		inboundLink:  bandwidth.NewInbound(cfg.LinkBytesPerSecond),
 
