--- a/daemon/sidecar/runs_test.go
+++ b/daemon/sidecar/runs_test.go
@@ -2,8 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
+
+	"cottonarch.example/cottonarch/base/monotime"
+	"cottonarch.example/cottonarch/control/config/validation"
+	"cottonarch.example/cottonarch/mesh/attempt"
 )
 
 // A call belongs to a run if its id is that of the run, a separator, and more.
@@ -26,3 +31,47 @@
 	runs.end("never")
 	must.Eq(t, 0, len(runs), must.Sprint(runs))
 }
+
+// A call that the endpoint makes as it runs a request goes before the requests of clients that came
+// earlier, beside its own sidecar and behind a peer.
+func TestNestedCallGoesFirst(t *testing.T) {
+	for name, remote := range map[string]bool{"endpoint beside the caller": false, "endpoint behind a peer": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			m := startLeavingMesh(t, remote, 1, 8)
+			m.send("/again/x", "run")
+			m.await("the run", func() bool { return m.runs("run") })
+			if remote { // the endpoint that makes the call stands beside the caller's sidecar
+				m.caller.mu.Lock()
+				m.caller.runs.begin("run")
+				m.caller.mu.Unlock()
+			}
+			m.send("/again/x", "earlier")
+			m.awaitInFlight(2, 2)
+			m.send("/once/x", "run.call")
+			m.awaitInFlight(3, 3)
+			m.endpoint.release("run")
+			m.await("the next run", func() bool { _, running, _ := m.endpoint.state(); return len(running) == 1 && !running["run"] })
+			must.True(t, m.runs("run.call"))
+			m.endpoint.release("run.call")
+			m.await("the last run", func() bool { return m.runs("earlier") })
+			m.endpoint.release("earlier")
+			m.awaitInFlight(0, 0)
+		})
+	}
+}
+
+// A nested call may wait until its deadline: its route's latency target is not that of the run that
+// waits for it.
+func TestTargetOfANestedCallIsItsDeadline(t *testing.T) {
+	const now = monotime.Time(time.Hour)
+	call := &attempt.Call{
+		Deadline: now.Add(300 * time.Millisecond),
+		Route:    validation.Route{TargetLatency: 100 * time.Millisecond},
+	}
+	must.Eq(t, 100*time.Millisecond, hintsFor(now, now, call, attempt.Decision{}).latencyTarget)
+	call.Nested = true
+	hints := hintsFor(now, now, call, attempt.Decision{})
+	must.Eq(t, 300*time.Millisecond, hints.latencyTarget)
+	must.Eq(t, hints, parseHints(hints.encode()))
+}
