daemon/sidecar, mesh/admission: calls that a run waits for go first and have until their deadline

Cause: an admission queue at its limit refused calls of runs as it refuses requests of clients, by their route's latency target, as if they could come back at no cost. But a refused call fails the run that waits for it, with all that it has done, its other calls and the client's further try: an overload of one service was multiplied at those that call it. Change: a call of a run (attempt.Call.Nested, which nothing set) goes before requests of clients of its rank in the admission queue, is sent as urgent, and is refused only when it can't be answered by its deadline. The hints between sidecars have one field more. Ruled out: a lower rank number for such calls (they would pass urgent requests of clients).

--- a/daemon/sidecar/attempts.go
+++ b/daemon/sidecar/attempts.go
@@ -80,7 +80,7 @@
 	if decision.Entry.SidecarAddr == s.Settings.Addr {
 		return s.sendLocally(ctx, request)
 	}
-	return s.sendToPeer(ctx, decision, request, queued.call.Route.Urgent)
+	return s.sendToPeer(ctx, decision, request, queued.urgent())
 }
 
 // sendLocally makes an attempt at an endpoint of this machine.
--- a/daemon/sidecar/caller.go
+++ b/daemon/sidecar/caller.go
@@ -24,6 +24,9 @@
 	dispatched chan struct{}
 }
 
+// urgent says that the request goes before others: its route says so, or a run waits for it.
+func (r *queuedRequest) urgent() bool { return r.call.Route.Urgent || r.call.Nested }
+
 // HandleCaller serves the address for callers: every request there is one for the mesh.
 func (s *Sidecar) HandleCaller(w http.ResponseWriter, r *http.Request) bool {
 	s.ServeCaller(w, r)
@@ -48,7 +51,6 @@
 	}
 	defer release()
 	request := s.newQueuedRequest(r, body, receivedAt)
-	nested := s.isNested(request)
 	if fail := s.route(request, r.Header.Get(s.Settings.Headers.Deadline)); fail != nil {
 		s.writeFailure(w, fail)
 		return
@@ -59,7 +61,7 @@
 	}
 	resp, fail := s.sendDispatched(ctx, request)
 	if resp == nil {
-		if nested {
+		if request.call.Nested {
 			s.count(counterNestedFailedPrefix + string(fail.Kind))
 		}
 		s.count(counterRequestsFailedPrefix + string(fail.Kind))
@@ -114,19 +116,15 @@
 	return request
 }
 
-// isNested reports, and counts, whether this machine's endpoint made the request as it ran another.
+// isNested reports, and counts, whether this machine's endpoint made the request as it ran another;
+// mu is held.
 func (s *Sidecar) isNested(request *queuedRequest) bool {
 	header := s.Settings.Headers.RequestID
-	if header == "" {
+	if header == "" || !s.runs.made(firstValue(request.outgoing.Header, header)) {
 		return false
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	nested := s.runs.made(firstValue(request.outgoing.Header, header))
-	if nested {
-		s.count(counterNested)
-	}
-	return nested
+	s.count(counterNested)
+	return true
 }
 
 // route finds the request's route and deadline; limitMs is the time that the caller allows, "" if
@@ -135,13 +133,14 @@
 	requested, _ := strconv.Atoi(limitMs)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	request.call.Nested = s.isNested(request)
 	return s.planner.Route(request.receivedAt, request.call, time.Duration(requested)*time.Millisecond)
 }
 
 // awaitDispatch queues a request and waits until it may be sent, or ctx ends as its client leaves.
 func (s *Sidecar) awaitDispatch(ctx context.Context, request *queuedRequest) *failure.Error {
 	s.mu.Lock()
-	queued := s.sendQueue.Enqueue(s.clock(), request, request.call.Route.Urgent, request.call.Deadline)
+	queued := s.sendQueue.Enqueue(s.clock(), request, request.urgent(), request.call.Deadline)
 	s.dispatchQueued()
 	s.mu.Unlock()
 	if !queued {
--- a/daemon/sidecar/hints.go
+++ b/daemon/sidecar/hints.go
@@ -12,7 +12,7 @@
 
 const (
 	// hintFields is the number of fields of the hints as text; earlier releases wrote fewer.
-	hintFields = 8
+	hintFields = 9
 	// The bounds of what is read: other sidecars are not trusted with a larger value.
 	maxHintPriority     = 1000
 	maxHintMicroseconds = 1 << 40
@@ -24,7 +24,7 @@
 )
 
 // admissionHints is what the caller's sidecar tells the admission queue beside the endpoint of a
-// request. All times are what is left, as the clocks of two machines differ. The text is eight
+// request. All times are what is left, as the clocks of two machines differ. The text is nine
 // whole numbers, in the order of the fields: times in microseconds, the rate in thousandths.
 type admissionHints struct {
 	priority        int
@@ -35,12 +35,14 @@
 	lastResort      bool          // there is no other endpoint to send it to
 	responseBytes   int           // the mean size of such responses
 	repeatable      bool          // a run of it may be broken off when its client leaves
+	nested          bool          // the run of another request waits for it
 }
 
-// hintsFor returns the hints of a call for the endpoint that was chosen.
+// hintsFor returns the hints of a call for the endpoint that was chosen. The target of a nested call
+// is its deadline: until then its response lets the run that waits for it end well.
 func hintsFor(now, receivedAt monotime.Time, call *attempt.Call, decision attempt.Decision) admissionHints {
 	target := call.Route.TargetLatency
-	if target <= 0 {
+	if target <= 0 || call.Nested {
 		target = call.Deadline.Since(receivedAt)
 	}
 	return admissionHints{
@@ -52,6 +54,7 @@
 		lastResort:      decision.LastResort,
 		responseBytes:   decision.MeanResponseBytes,
 		repeatable:      call.Repeatable(),
+		nested:          call.Nested,
 	}
 }
 
@@ -66,8 +69,9 @@
 		flag(h.lastResort),
 		int64(h.responseBytes),
 		flag(h.repeatable),
+		flag(h.nested),
 	}
-	buf := make([]byte, 0, 50)
+	buf := make([]byte, 0, 52)
 	for i, field := range fields {
 		if i > 0 {
 			buf = append(buf, ',')
@@ -95,6 +99,7 @@
 		lastResort:      fields[5] == 1,
 		responseBytes:   int(clamp(fields[6], 0, maxHintBytes)),
 		repeatable:      fields[7] == 1,
+		nested:          fields[8] == 1,
 	}
 }
 
@@ -117,6 +122,7 @@
 	return admission.Request{
 		ID:              id,
 		Rank:            h.priority,
+		Nested:          h.nested,
 		Work:            h.expectedTime,
 		FreeRejectUntil: now.Add(h.earlyRejection),
 		Target:          now.Add(h.latencyTarget),
--- a/daemon/sidecar/runs.go
+++ b/daemon/sidecar/runs.go
@@ -5,8 +5,8 @@
 //
 // Calls that the endpoint makes come in at the address for callers like the requests of clients. A
 // call is known as nested if its id extends that of a run, as hierarchical ids do: the run's id, a
-// separator, and more. This is a hint only: an endpoint that names its calls otherwise has them
-// treated as requests of clients.
+// separator, and more. This is a hint for the order in queues and for the retry budget only: an
+// endpoint that names its calls otherwise has them treated as requests of clients.
 type activeRuns map[string]int
 
 func (runs activeRuns) begin(id string) {
--- a/daemon/sidecar/runs_test.go
+++ b/daemon/sidecar/runs_test.go
@@ -73,5 +73,6 @@
 	call.Nested = true
 	hints := hintsFor(now, now, call, attempt.Decision{})
 	must.Eq(t, 300*time.Millisecond, hints.latencyTarget)
+	must.True(t, hints.nested)
 	must.Eq(t, hints, parseHints(hints.encode()))
 }
--- a/mesh/admission/request.go
+++ b/mesh/admission/request.go
@@ -12,6 +12,9 @@
 	ID uint64
 	// Rank is its priority: 0 goes first.
 	Rank int
+	// Nested says that the run of another request waits for it: it goes before the requests of
+	// clients of its rank, as a rejection wastes what that run has done.
+	Nested bool
 	// Work is what its route takes at the service's mean endpoint, as its origin has measured it; 0
 	// for unknown.
 	Work time.Duration
@@ -40,6 +43,9 @@
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
+	if a.Nested != b.Nested {
+		return a.Nested
+	}
 	return a.target() < b.target()
 }
 
