--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -23,6 +24,9 @@
 	For        time.Duration `default:"120s" help:"How long the traffic runs."`
 	Faults     []string      `help:"Faults to inject in turn; all for every one; none if not given."`
 	Every      time.Duration `default:"3s" help:"Pause between faults."`
+	Overlap    []string      `help:"Faults to inject in turn beside the others; they must not act on the same processes."`
+	Leave      float64       `help:"Share of the requests whose clients close the connection before a response, 0 to 1."`
+	Long       float64       `help:"Share of the requests that take 1.8 s, 0 to 1."`
 	Seed       uint64        `default:"1" help:"Seed of the random choices."`
 	Scale      float64       `default:"1" help:"Factor of the deployment's rates."`
 	Keep       bool          `help:"Keep settings files, logs and data."`
@@ -37,7 +41,7 @@
 	if _, ok := scenario.Deployments[app.Deployment]; !ok {
 		add("deployment", "there is no deployment %q; known: prairie, volta", app.Deployment)
 	}
-	for _, name := range faults {
+	for _, name := range append(slices.Clone(faults), app.Overlap...) {
 		if run.Faults[name] == nil {
 			add("faults", "there is no fault %q; known: all, %s", name, strings.Join(run.FaultNames(), ", "))
 		}
@@ -45,6 +49,12 @@
 	if app.For < 20*time.Second || app.For > time.Hour {
 		add("for", "must be from 20s to 1h")
 	}
+	if app.Leave < 0 || app.Leave > 1 {
+		add("leave", "must be from 0 to 1")
+	}
+	if app.Long < 0 || app.Long > 1 {
+		add("long", "must be from 0 to 1")
+	}
 	if app.Every < 0 || app.Every > app.For {
 		add("every", "must be from 0s to the length of the run")
 	}
@@ -108,9 +118,14 @@
 		Duration:      app.For,
 		Faults:        faults,
 		FaultInterval: app.Every,
-		Seed:          app.Seed,
-		Scale:         app.Scale,
-		Logf:          func(format string, args ...any) { fmt.Printf(format+"\n", args...) },
+
+		OverlappingFaults: app.Overlap,
+		LeaveShare:        app.Leave,
+		LongShare:         app.Long,
+
+		Seed:  app.Seed,
+		Scale: app.Scale,
+		Logf:  func(format string, args ...any) { fmt.Printf(format+"\n", args...) },
 	})
 	if fleet != nil {
 		defer fleet.Stop()
--- a/fleet/run/endpoints.go
+++ b/fleet/run/endpoints.go
@@ -59,6 +59,8 @@
 			return nil, err
 		}
 	}
+	behavior := normalBehavior
+	behavior.LongShare = max(behavior.LongShare, f.LongShare)
 	forwarded := f.Deployment.RequestKinds[0]
 	started, err := endpoint.Start(endpoint.Options{
 		Server:      ident.Server(fmt.Sprintf("srv%d", f.nextSerial())),
@@ -66,7 +68,7 @@
 		Addr:        ident.Addr(addr),
 		SidecarAddr: ident.Addr(sidecar.ListenAddr),
 		Executions:  f.endpointLog,
-		Behavior:    normalBehavior,
+		Behavior:    behavior,
 		ForwardAddr: ident.Addr(sidecar.ClientAddr),
 		ForwardHost: forwarded.Host,
 		ForwardPath: forwarded.Path,
--- a/fleet/run/faults.go
+++ b/fleet/run/faults.go
@@ -50,14 +50,14 @@
 // FaultNames lists the names of all faults.
 func FaultNames() []string { return slices.Sorted(maps.Keys(Faults)) }
 
-// runFaults injects the run's faults in turn until the run is nearly over.
-func (f *Fleet) runFaults(ctx context.Context) {
+// runFaults injects a series of faults in turn until the run is nearly over.
+func (f *Fleet) runFaults(ctx context.Context, series []string) {
 	f.sleep(ctx, firstFaultAfter)
-	for i := 0; len(f.Options.Faults) > 0 && ctx.Err() == nil; i++ {
+	for i := 0; len(series) > 0 && ctx.Err() == nil; i++ {
 		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < lastFaultBefore {
 			return
 		}
-		name := f.Options.Faults[i%len(f.Options.Faults)]
+		name := series[i%len(series)]
 		f.Logf("%6.1fs %s", time.Duration(f.now()).Seconds(), name)
 		f.increment("fault " + name)
 		Faults[name](f, ctx)
--- a/fleet/run/fleet.go
+++ b/fleet/run/fleet.go
@@ -31,9 +31,14 @@
 	Duration      time.Duration // of the traffic
 	Faults        []string      // names of Faults, injected in turn
 	FaultInterval time.Duration // pause after each fault
-	Seed          uint64        // of the random choices
-	Scale         float64       // factor on the deployment's request rates
-	Logf          func(format string, args ...any)
+	// OverlappingFaults are injected in turn beside Faults. The two series must not act on the same
+	// processes.
+	OverlappingFaults []string
+	LeaveShare        float64 // share of the clients' requests that are given up, 0 to 1
+	LongShare         float64 // share of the requests that take endpoint.LongWorkTime, at least the usual
+	Seed              uint64  // of the random choices
+	Scale             float64 // factor on the deployment's request rates
+	Logf              func(format string, args ...any)
 }
 
 // Fleet is a running deployment. Invariant: mu guards the fields that follow it, Cores and
@@ -48,7 +53,7 @@
 	clientLog   *client.Log            // results of the clients' requests
 	endpointLog *endpoint.ExecutionLog // requests that the endpoints executed
 	began       time.Time
-	rng         *rand.Rand // of the faults; only the goroutine that injects them uses it
+	rng         *rand.Rand // of the faults; its source is locked
 
 	revisionWaits sync.WaitGroup // goroutines that poll a sidecar for a confirmed revision
 
@@ -99,7 +104,7 @@
 		clientLog:       &client.Log{},
 		endpointLog:     &endpoint.ExecutionLog{},
 		began:           time.Now(),
-		rng:             rand.New(rand.NewPCG(options.Seed, 5)),
+		rng:             rand.New(&lockedSource{source: rand.NewPCG(options.Seed, 5)}),
 		leftAt:          map[ident.Server]time.Time{},
 		endpointOutages: map[ident.Server][]*outage{},
 		processOutages:  map[string][]*outage{},
@@ -177,7 +182,8 @@
 	f.clients.start(ctx, &running)
 	running.Go(func() { f.proposeConfigs(ctx) })
 	running.Go(func() { f.sampleCounters(ctx) })
-	f.runFaults(ctx)
+	running.Go(func() { f.runFaults(ctx, f.OverlappingFaults) })
+	f.runFaults(ctx, f.Options.Faults)
 	<-ctx.Done()
 	endedAt := f.now()
 	if deadline, ok := ctx.Deadline(); ok {
@@ -189,8 +195,12 @@
 	f.judge(startedAt, endedAt)
 }
 
-// requestTimeout is how long a client waits for a response.
-const requestTimeout = 8 * time.Second
+const (
+	// requestTimeout is how long a client waits for a response.
+	requestTimeout = 8 * time.Second
+	// maxStay is how long a client that gives up waits at most.
+	maxStay = 600 * time.Millisecond
+)
 
 // trafficOptions says how one wave of traffic differs from another.
 type trafficOptions struct {
@@ -212,6 +222,8 @@
 				Log:         f.clientLog,
 				Seed:        options.seed + uint64(i),
 				Timeout:     requestTimeout,
+				LeaveShare:  f.LeaveShare,
+				MaxStay:     maxStay,
 			})
 		})
 	}
--- a/fleet/run/judge.go
+++ b/fleet/run/judge.go
@@ -24,6 +24,7 @@
 	client.Unknown:     invariant.Unknown,
 	client.Dropped:     invariant.Unknown,
 	client.Wrong:       invariant.Unknown,
+	client.Left:        invariant.Unknown,
 }
 
 // judge fills the checker from the logs of the clients and the endpoints, and finishes it.
@@ -38,6 +39,7 @@
 	for _, execution := range f.endpointLog.All() {
 		f.judgeExecution(execution, kinds)
 	}
+	f.judgeLeft()
 	f.Checker.Finish(startedAt.Add(judgedFrom), endedAt)
 }
 
@@ -131,6 +133,9 @@
 // is excused only while that sidecar was killed, frozen or, for one that came after a planned
 // stop, had no listener to take it. The caller holds mu.
 func (f *Fleet) judgeDropped(call client.Result) {
+	if call.Outcome == client.Left {
+		return
+	}
 	if call.Outcome != client.Dropped {
 		f.Checker.Observe(ruleDropped)
 		return
--- a/fleet/run/judge_test.go
+++ b/fleet/run/judge_test.go
@@ -299,3 +299,42 @@
 		must.Eq(t, 1, f.Checker.Excused["slow-recovery"]["the day ended"])
 	}
 }
+
+// Work for clients that left: a few requests sent on late and a few runs that go on are borne; more are
+// not, unless a sidecar on their way was out.
+func TestJudgeCatchesWorkForClientsThatLeft(t *testing.T) {
+	const clients, leftAt = 20, 1.0
+	for _, c := range []struct {
+		name      string
+		kind      *client.Kind
+		arrivesAt func(n int) float64 // of request n
+		endsAt    func(n int) float64
+		out       bool // the caller's sidecar is killed meanwhile
+		violated  bool
+	}{
+		{"all end at once", readKind, func(int) float64 { return 0.5 }, func(int) float64 { return 1.1 }, false, false},
+		{"a quarter goes on", readKind, func(int) float64 { return 0.5 }, func(n int) float64 { return 1.1 + float64(n%4/3) }, false, false},
+		{"half go on", readKind, func(int) float64 { return 0.5 }, func(n int) float64 { return 1.1 + float64(n%2) }, false, true},
+		{"half go on, their sidecar is killed", readKind, func(int) float64 { return 0.5 }, func(n int) float64 { return 1.1 + float64(n%2) }, true, false},
+		{"runs that can't be repeated go on", writeKind, func(int) float64 { return 0.5 }, func(int) float64 { return 3 }, false, false},
+		{"three are sent on", readKind, func(n int) float64 { return 0.5 + 1.5*float64(n/17) }, func(int) float64 { return 1.1 }, false, false},
+		{"four are sent on", writeKind, func(n int) float64 { return 0.5 + 1.5*float64(n/16) }, func(int) float64 { return 1.1 }, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(Options{Deployment: scenario.Deployments["prairie"]})
+			for n := range clients {
+				id := fmt.Sprint("sidecar1-", n)
+				f.clientLog.Add(client.Result{ID: id, Kind: c.kind, Outcome: client.Left, Start: instant(f, 0), Duration: time.Second})
+				execution := endpoint.Execution{ID: id, Server: "e", Service: c.kind.Service, Work: 3 * time.Second}
+				execution.ReceivedAt, execution.EndedAt = instant(f, c.arrivesAt(n)), instant(f, c.endsAt(n))
+				f.endpointLog.Add(execution)
+			}
+			if c.out {
+				f.processOutages["sidecar1"] = []*outage{{from: instant(f, leftAt-0.2), to: instant(f, leftAt+0.2), cause: causeKilled}}
+			}
+			f.judge(0, f.now())
+			must.Eq(t, c.violated, violationsByRule(f)[ruleWorkForLeft] > 0, must.Sprint(f.Counts))
+			must.Eq(t, c.out, f.Checker.Observed[ruleWorkForLeft] == 0)
+		})
+	}
+}
--- a/fleet/run/rules.go
+++ b/fleet/run/rules.go
@@ -12,6 +12,7 @@
 	ruleRetries        = "further-tries"
 	ruleSlowRecovery   = "slow-recovery"
 	ruleStaleRead      = "stale-read"
+	ruleWorkForLeft    = "work-for-left"
 	ruleWatchCompacted = "watch-forgotten"
 	ruleWrongResponse  = "wrong-return"
 )
--- a/fleet/run/run_test.go
+++ b/fleet/run/run_test.go
@@ -66,6 +66,28 @@
 	must.MapNotEmpty(t, f.Checker.Delayed["manifest-late"])
 }
 
+// soakSeed chooses the run of TestSoak; other seeds are played by hand (docs/simulate.md).
+const soakSeed = 11
+
+// A short soak: clients on kept connections, some of which leave before their response, while planned
+// stops and kills of sidecars overlap with endpoints that are replaced and configurations in series.
+func TestSoak(t *testing.T) {
+	d := scenario.Deployments["prairie"]
+	d.Sidecars, d.Rate, d.CoordinationRate = 5, 100, 10
+	f := runReal(t, Options{
+		Deployment:        d,
+		Duration:          30 * time.Second,
+		FaultInterval:     200 * time.Millisecond,
+		Seed:              soakSeed,
+		Faults:            []string{"side-stop", "side-kill"},
+		OverlappingFaults: []string{"endpoint-replace", "burst", "endpoint-reuse"},
+		LeaveShare:        0.2,
+		LongShare:         0.06,
+	})
+	must.Greater(t, 50, f.Checker.Observed[ruleWorkForLeft])
+	must.GreaterEq(t, minLongRuns, f.Counts["long runs of clients that left"])
+}
+
 // Bad settings end the program with 2 and every fault named; a simulation that violates a
 // rule ends with 1.
 func TestExitCodes(t *testing.T) {
--- a/mesh/admission/queue_test.go
+++ b/mesh/admission/queue_test.go
@@ -175,6 +175,28 @@
 	must.Eq(t, []uint64{4}, withDecision(queue.Done(at(40), "e", 0, Served, 40*ms), Admit))
 }
 
+// A nested request goes before the requests of clients of its rank that came earlier, and after all of
+// a higher rank.
+func TestNestedGoesBeforeItsRank(t *testing.T) {
+	nested := func(id uint64, rank, n int) Request {
+		request := newRequest(id, rank, n)
+		request.Nested, request.Target = true, request.Deadline
+		return request
+	}
+	queue := newQueue(1)
+	for id := range uint64(1 + queue.settings.Extra) { // they take the slot and what is beyond it
+		must.Eq(t, []uint64{100 + id}, withDecision(queue.Submit(at(0), "e", newRequest(100+id, 0, 0)), Admit))
+	}
+	for _, request := range []Request{newRequest(1, 1, 1), newRequest(2, 0, 2), nested(3, 1, 3), nested(4, 0, 4), newRequest(5, 1, 5)} {
+		must.SliceEmpty(t, queue.Submit(at(5), "e", request), must.Sprint(request.ID))
+	}
+	var order []uint64
+	for _, waiting := range queue.endpoints["e"].waiting {
+		order = append(order, waiting.ID)
+	}
+	must.Eq(t, []uint64{4, 2, 3, 1, 5}, order)
+}
+
 // A waiting request whose endpoint stalls is rejected while that costs nothing, and none waits beyond
 // its target. NextTick says when to check.
 func TestStalledEndpointRejectsEarly(t *testing.T) {
--- a/standin/client/client.go
+++ b/standin/client/client.go
@@ -46,6 +46,10 @@
 	Log         *Log
 	Seed        uint64
 	Timeout     time.Duration
+	// LeaveShare of the requests, from 0 to 1, are given up after a random time below MaxStay: the
+	// client closes the connection.
+	LeaveShare float64
+	MaxStay    time.Duration
 }
 
 // Run sends requests at the rate until ctx ends, then waits for those in flight.
@@ -72,6 +76,11 @@
 		}
 		kind := drawKind(rng, options.Kinds)
 		id := fmt.Sprintf("%s-%d", options.Name, n)
+		if options.LeaveShare > 0 && rng.Float64() < options.LeaveShare {
+			stay := time.Duration(rng.Int64N(int64(options.MaxStay)))
+			pending.Go(func() { options.Log.Add(SendAndLeave(client, options, kind, id, stay)) })
+			continue
+		}
 		pending.Go(func() { options.Log.Add(Send(client, options, kind, id)) })
 	}
 }
@@ -123,6 +132,16 @@
 	return result
 }
 
+// SendAndLeave sends one request and closes its connection if there is no response after a while.
+func SendAndLeave(client *http.Client, options Options, kind *Kind, id string, stay time.Duration) Result {
+	options.Timeout = stay
+	result := Send(client, options, kind, id)
+	if result.Outcome == Dropped && result.Duration >= stay {
+		result.Outcome = Left
+	}
+	return result
+}
+
 // newRequest makes a request of a kind, whose id is in its header and, if it has one, its body.
 func newRequest(ctx context.Context, options Options, kind *Kind, id string) (*http.Request, error) {
 	var body io.Reader
--- a/standin/client/result.go
+++ b/standin/client/result.go
@@ -17,6 +17,8 @@
 	Dropped Outcome = "dropped"
 	// Wrong is a request whose response belongs to another one.
 	Wrong Outcome = "wrong"
+	// Left is a request whose client closed its connection before a response came.
+	Left Outcome = "left"
 )
 
 // Result is what a client knows of one request.
--- a/standin/endpoint/execution.go
+++ b/standin/endpoint/execution.go
@@ -7,12 +7,16 @@
 	"cottonarch.example/cottonarch/base/ident"
 )
 
-// Execution is one request that an endpoint executed; ReceivedAt is when it reached the endpoint.
+// Execution is one request that an endpoint executed; ReceivedAt is when it reached the endpoint. Work
+// is how long it was to take, and EndedAt when it ended, zero for one that did not: an endpoint stops
+// at the close of the connection.
 type Execution struct {
 	ID         string
 	Server     ident.Server
 	Service    ident.Service
 	ReceivedAt time.Time
+	Work       time.Duration
+	EndedAt    time.Time
 }
 
 // ExecutionLog keeps the executions of all endpoints.
@@ -21,11 +25,19 @@
 	executions []Execution
 }
 
-// Add appends an execution.
-func (l *ExecutionLog) Add(execution Execution) {
+// Add appends an execution and returns its index, for End.
+func (l *ExecutionLog) Add(execution Execution) (index int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.executions = append(l.executions, execution)
+	return len(l.executions) - 1
+}
+
+// End notes when an execution ended.
+func (l *ExecutionLog) End(index int, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.executions[index].EndedAt = at
 }
 
 // All returns a copy of the executions.
--- a/standin/endpoint/serve.go
+++ b/standin/endpoint/serve.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -49,12 +50,16 @@
 		return
 	}
 	id := r.Header.Get(requestIDHeader)
-	if e.Executions != nil {
-		e.Executions.Add(Execution{ID: id, Server: e.Server, Service: e.Service, ReceivedAt: receivedAt(r)})
-	}
 	number := e.requests.Add(1)
 	behavior := e.behavior.Load()
-	behavior.work()
+	work := behavior.drawWorkTime()
+	if e.Executions != nil {
+		index := e.Executions.Add(Execution{ID: id, Server: e.Server, Service: e.Service, ReceivedAt: receivedAt(r), Work: work})
+		defer func() { e.Executions.End(index, time.Now()) }()
+	}
+	if !behavior.work(r.Context(), work) {
+		panic(http.ErrAbortHandler)
+	}
 	if e.ForwardAddr != "" && number%forwardEvery == 0 && r.Header.Get(forwardedHeader) == "" {
 		e.forward(id)
 	}
@@ -103,15 +108,31 @@
 	return time.Now()
 }
 
-// work takes the time of a request.
-func (b *Behavior) work() {
-	work := b.WorkTime
+// drawWorkTime draws how long a request takes.
+func (b *Behavior) drawWorkTime() time.Duration {
 	if rand.Float64() < b.LongShare {
-		work = LongWorkTime
+		return LongWorkTime
+	}
+	return b.WorkTime
+}
+
+// work takes the time of a request. It is false if the connection was closed before.
+func (b *Behavior) work(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	if b.Release == nil {
+		return true
 	}
-	time.Sleep(work)
-	if b.Release != nil {
-		<-b.Release
+	select {
+	case <-b.Release:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
