fleet/run: TestSoak looks at more clients that leave

Cause: the sample was small (a fifth left, a sixteenth was long). The bound stays; half of the clients leave now and a tenth of the requests are long.

--- a/fleet/run/run_test.go
+++ b/fleet/run/run_test.go
@@ -81,8 +81,8 @@
 		Seed:              soakSeed,
 		Faults:            []string{"side-stop", "side-kill"},
 		OverlappingFaults: []string{"endpoint-replace", "burst", "endpoint-reuse"},
-		LeaveShare:        0.2,
-		LongShare:         0.06,
+		LeaveShare:        0.5,
+		LongShare:         0.1,
 	})
 	must.Greater(t, 50, f.Checker.Observed[ruleWorkForLeft])
 	must.GreaterEq(t, minLongRuns, f.Counts["long runs of clients that left"])
