--- a/daemon/sidecar/clientleaves_test.go
+++ b/daemon/sidecar/clientleaves_test.go
@@ -234,6 +234,18 @@
 	must.False(t, broken["r0"])
 }
 
+// checkOnlyTheseRun releases runs that come one after the other, and checks that there are no others.
+func (m *leavingMesh) checkOnlyTheseRun(ids ...string) {
+	m.t.Helper()
+	for _, id := range ids {
+		m.await("the run of "+id, func() bool { return m.runs(id) })
+		m.endpoint.release(id)
+	}
+	m.awaitInFlight(0, 0)
+	arrivals, _, _ := m.endpoint.state()
+	must.Eq(m.t, ids, arrivals)
+}
+
 // remoteOr gives one value for an endpoint behind a peer and another for one beside the caller.
 func remoteOr(remote bool, there, here int) int {
 	if remote {
@@ -255,12 +267,7 @@
 		m.awaitInFlight(3, 3)
 		must.NoError(t, leaving.Close())
 		m.awaitInFlight(2, 2)
-		m.endpoint.release("first")
-		m.await("the next run", func() bool { return m.runs("last") })
-		m.endpoint.release("last")
-		m.awaitInFlight(0, 0)
-		arrivals, _, _ := m.endpoint.state()
-		must.Eq(t, []string{"first", "last"}, arrivals)
+		m.checkOnlyTheseRun("first", "last")
 	}
 }
 
@@ -274,12 +281,7 @@
 	must.NoError(t, leaving.Close())
 	m.awaitInFlight(1, 1)
 	m.send("/again/x", "last")
-	m.endpoint.release("first")
-	m.await("the next run", func() bool { return m.runs("last") })
-	m.endpoint.release("last")
-	m.awaitInFlight(0, 0)
-	arrivals, _, _ := m.endpoint.state()
-	must.Eq(t, []string{"first", "last"}, arrivals)
+	m.checkOnlyTheseRun("first", "last")
 }
 
 const (
--- a/wire/server/listener_test.go
+++ b/wire/server/listener_test.go
@@ -18,7 +18,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// A server without close detection reads every request as it came, however the reads split it:
+// A server with polled close detection reads every request as it came, however the reads split it:
 // heads of all lengths around net/http's buffer and its double, small bodies, the last byte of
 // a buffer on its own, several requests at once.
 func TestServerPolledCloseDetectionReadsAll(t *testing.T) {
