--- a/daemon/sidecar/clientleaves_test.go
+++ b/daemon/sidecar/clientleaves_test.go
@@ -34,11 +34,11 @@
 	mu       sync.Mutex
 	arrivals []string          // ids, in order of arrival
 	running  map[string]func() // by id; each releases its request
-	broken   map[string]bool   // ids of requests whose connection was closed as they ran
+	aborted  map[string]bool   // ids of requests whose connection was closed as they ran
 }
 
 func startHeldEndpoint(t *testing.T) *heldEndpoint {
-	e := &heldEndpoint{running: map[string]func(){}, broken: map[string]bool{}}
+	e := &heldEndpoint{running: map[string]func(){}, aborted: map[string]bool{}}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	e.addr = ident.Addr(listener.Addr().String())
@@ -62,7 +62,7 @@
 	}
 	e.mu.Lock()
 	delete(e.running, id)
-	e.broken[id] = r.Context().Err() != nil
+	e.aborted[id] = r.Context().Err() != nil
 	e.mu.Unlock()
 	w.Header().Set(testIDHeader, id)
 	w.Header().Set(testSealHeader, "s")
@@ -71,17 +71,17 @@
 }
 
 // state returns copies of what arrived, what runs and what was broken off.
-func (e *heldEndpoint) state() (arrivals []string, running, broken map[string]bool) {
+func (e *heldEndpoint) state() (arrivals []string, running, aborted map[string]bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	running, broken = map[string]bool{}, map[string]bool{}
+	running, aborted = map[string]bool{}, map[string]bool{}
 	for id := range e.running {
 		running[id] = true
 	}
-	for id, was := range e.broken {
-		broken[id] = was
+	for id, was := range e.aborted {
+		aborted[id] = was
 	}
-	return slices.Clone(e.arrivals), running, broken
+	return slices.Clone(e.arrivals), running, aborted
 }
 
 func (e *heldEndpoint) release(id string) {
@@ -158,8 +158,8 @@
 	defer ticker.Stop()
 	for deadline := time.Now().Add(leaveTimeout); !condition(); <-ticker.C {
 		if time.Now().After(deadline) {
-			arrivals, running, broken := m.endpoint.state()
-			m.t.Fatalf("%s did not come about: arrived %v, running %v, broken off %v", what, arrivals, running, broken)
+			arrivals, running, aborted := m.endpoint.state()
+			m.t.Fatalf("%s did not come about: arrived %v, running %v, broken off %v", what, arrivals, running, aborted)
 		}
 	}
 }
@@ -209,7 +209,7 @@
 	c := m.send("/again/x", "r0")
 	m.await("the run", func() bool { return m.runs("r0") })
 	must.NoError(t, c.Close())
-	m.await("the end of the run", func() bool { _, _, broken := m.endpoint.state(); return broken["r0"] })
+	m.await("the end of the run", func() bool { _, _, aborted := m.endpoint.state(); return aborted["r0"] })
 	m.awaitInFlight(0, 0)
 	arrivals, _, _ := m.endpoint.state()
 	must.Eq(t, []string{"r0"}, arrivals)
@@ -229,9 +229,9 @@
 	must.True(t, m.runs("r0"))
 	m.endpoint.release("r0")
 	m.awaitInFlight(0, 0)
-	arrivals, _, broken := m.endpoint.state()
+	arrivals, _, aborted := m.endpoint.state()
 	must.Eq(t, []string{"r0"}, arrivals)
-	must.False(t, broken["r0"])
+	must.False(t, aborted["r0"])
 }
 
 // checkOnlyTheseRun releases runs that come one after the other, and checks that there are no others.
@@ -380,11 +380,11 @@
 // checkArrivals checks that no request reached the endpoint twice and that none that can't be
 // repeated was broken off.
 func (m *leavingMesh) checkArrivals(paths map[string]string) {
-	arrivals, running, broken := m.endpoint.state()
+	arrivals, running, aborted := m.endpoint.state()
 	must.MapEmpty(m.t, running)
 	slices.Sort(arrivals)
 	must.Eq(m.t, slices.Compact(slices.Clone(arrivals)), arrivals)
-	for id, was := range broken {
+	for id, was := range aborted {
 		must.False(m.t, was && paths[id] == "/once/x", must.Sprint(id, " was broken off"))
 	}
 }
