Review case 3: bodies in chunks drive a sidecar over its memory; cases in their last order

Shows that the memory for bodies counts one in chunks only once it is read, so that eight of 40 MiB take a sidecar to 669 MiB of 284; killed for it, it loses what is in hand.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -46,13 +46,22 @@
 
 // send sends one request over a new connection to the address for clients of a machine.
 func (f *fleet) send(m *machine, method, host, path string, body []byte, deadline time.Duration) try {
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	return f.sendOver(transport, m, method, host, path, bytes.NewReader(body), deadline)
+}
+
+// sendOver sends one request over the connections of a transport. A body that is no *bytes.Reader
+// goes in chunks.
+func (f *fleet) sendOver(
+	transport *http.Transport, m *machine, method, host, path string, body io.Reader, deadline time.Duration,
+) try {
 	t := try{id: fmt.Sprintf("%s-%06d", m.name, tryCount.Add(1)), from: m, deadline: deadline}
 	client := &http.Client{
-		Transport:     &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+		Transport:     transport,
 		Timeout:       deadline,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	request, _ := http.NewRequest(method, "http://"+f.outgoing(m)+path, bytes.NewReader(body))
+	request, _ := http.NewRequest(method, "http://"+f.outgoing(m)+path, body)
 	request.Host = host
 	request.GetBody = nil
 	request.Header.Set("X-Try-Id", t.id)
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -76,9 +76,10 @@
 var (
 	startedMu sync.Mutex
 	started   []*exec.Cmd
+	folders   []string // temporary ones
 )
 
-// killAll ends every process that was started.
+// killAll ends every process that was started, and removes the temporary folders unless KEEP is set.
 func killAll() {
 	startedMu.Lock()
 	defer startedMu.Unlock()
@@ -88,6 +89,12 @@
 		_ = cmd.Wait()
 	}
 	started = nil
+	if os.Getenv("KEEP") != "" {
+		return
+	}
+	for _, folder := range folders {
+		_ = os.RemoveAll(folder)
+	}
 }
 
 // newFleet chooses addresses and ports that are free.
@@ -96,6 +103,7 @@
 	if err != nil {
 		cannotRun("%v", err)
 	}
+	folders = append(folders, dir)
 	for range 50 {
 		f := &fleet{
 			dir: dir, rec: rec, port: 20000 + rand.IntN(10000),
@@ -201,13 +209,8 @@
 	}
 }
 
-// stop ends the fleet and removes its folder.
-func (f *fleet) stop() {
-	killAll()
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(f.dir)
-	}
-}
+// stop ends the fleet.
+func (f *fleet) stop() { killAll() }
 
 // ready asks a sidecar's readiness address.
 func (f *fleet) ready(m *machine) bool {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,6 +14,7 @@
 var cases = map[string]func(rec *record, trouble bool) (broken int){
 	"stop":        stopCase,
 	"late-beat":   lateBeatCase,
+	"memory":      memoryCase,
 	"path":        pathCase,
 	"storm":       stormCase,
 	"first-start": firstStartCase,
