--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -170,7 +170,7 @@
 		settings["bind"] = map[string]string{"admin": f.admin(m)}
 		settings["dataFolder"] = filepath.Join(f.dir, m.name+"-data")
 	} else {
-		limits["diskMb"] = 0
+		limits["cpuPart"], limits["memoryMb"], limits["fileHandles"], limits["diskMb"] = 0.32, memoryMb, 4100, 0
 		settings["role"], settings["machineClass"], settings["serves"] = "companion", "sidecar", []string{"sidecar"}
 		settings["bind"] = map[string]string{
 			"incoming": f.incoming(m), "outgoing": f.outgoing(m), "readiness": f.readiness(m), "admin": f.admin(m),
--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -73,7 +73,7 @@
 	}
 	ways := []way{
 		{name: "r-move", host: "bank.example", prefix: "/move/", repeat: "one_shot", service: "desk", timeoutMs: 1000},
-		{name: "r-scan", host: "bank.example", prefix: "/scan/", repeat: "upload", service: "desk", timeoutMs: 2500},
+		{name: "r-scan", host: "bank.example", prefix: "/scan/", repeat: "upload", service: "desk", timeoutMs: 1000},
 	}
 	if f.putConfig(1, 0, configuration(1, ways, "front", "desk"), 20*time.Second) != http.StatusOK {
 		cannotRun("the configuration is not taken")
@@ -120,7 +120,7 @@
 			if trouble {
 				body = struct{ io.Reader }{body} // in chunks
 			}
-			f.sendOver(&http.Transport{DisableKeepAlives: true}, front, http.MethodPost, "bank.example", "/scan/1", body, 2500*time.Millisecond)
+			f.sendOver(&http.Transport{DisableKeepAlives: true}, front, http.MethodPost, "bank.example", "/scan/1", body, time.Second)
 		}()
 	}
 	scans.Wait()
--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -22,7 +22,7 @@
 	for i, m := range desks {
 		f.startEndpoint(m, []string{"i-desk1", "i-desk2"}[i], 700*time.Millisecond, runs)
 	}
-	ways := []way{{name: "r-history", host: "plan.example", prefix: "/history/", repeat: "repeatable", service: "desk", timeoutMs: 1500}}
+	ways := []way{{name: "r-move", host: "bank.example", prefix: "/move/", repeat: "one_shot", service: "desk", timeoutMs: 1000}}
 	if f.putConfig(1, 0, configuration(1, ways, "front", "desk"), 20*time.Second) != http.StatusOK {
 		cannotRun("the configuration is not taken")
 	}
@@ -30,7 +30,7 @@
 	time.Sleep(4 * time.Second)
 	tries, stop := &tryLog{}, make(chan struct{})
 	go f.askReadiness(front, stop)
-	wait := f.load(front, http.MethodGet, "plan.example", "/history/1", 10, 1500*time.Millisecond, tries, stop)
+	wait := f.load(front, http.MethodPost, "bank.example", "/move/1", 10, time.Second, tries, stop)
 	time.Sleep(4 * time.Second)
 	sigterm := time.Now()
 	if trouble {
--- a/review/standin/storm.go
+++ b/review/standin/storm.go
@@ -11,21 +11,36 @@
 const (
 	// applyS is within which an acknowledged configuration is to be in force.
 	applyS = 2 * time.Second
-	// darkFor is how long one machine is dark, and changeGap the time between two changes.
-	darkFor   = 2500 * time.Millisecond
-	changeGap = 80 * time.Millisecond
+	// darkFor is how long a machine is dark, secondDark when the second one becomes so, and changeGap
+	// the time between two changes.
+	darkFor    = 2000 * time.Millisecond
+	secondDark = 1900 * time.Millisecond
+	changesFor = secondDark + darkFor
+	changeGap  = 80 * time.Millisecond
 )
 
-// stormCase makes one of three sidecar machines dark while configurations come in quick succession,
-// each with one more route, and asks the others for the routes that were acknowledged over applyS
-// before.
+// goDark takes the power of a machine: it says nothing for darkFor, and its process is lost and
+// started again after that.
+func (f *fleet) goDark(m *machine) {
+	f.rec.line("%s is dark", m.name)
+	_ = m.cmd.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(darkFor)
+	_ = m.cmd.Process.Kill()
+	_ = m.cmd.Wait()
+	f.start(m, false)
+}
+
+// stormCase makes two of four sidecar machines dark, one after the other, while configurations come
+// in quick succession, each with one more route, and asks the two others for the routes that were
+// acknowledged over applyS before.
 func stormCase(rec *record, trouble bool) (broken int) {
 	f := newFleet(rec)
 	defer f.stop()
 	for _, zone := range []string{"zone-a", "zone-b", "zone-c"} {
 		f.addCore(zone)
 	}
-	machines := []*machine{f.addSidecar("zone-a", "desk"), f.addSidecar("zone-b", "desk"), f.addSidecar("zone-c", "desk")}
+	machines := []*machine{f.addSidecar("zone-a", "desk"), f.addSidecar("zone-b", "desk"),
+		f.addSidecar("zone-c", "desk"), f.addSidecar("zone-c", "desk")}
 	f.startAll()
 	runs := &runLog{}
 	for i, m := range machines {
@@ -38,10 +53,10 @@
 	f.awaitReady(20 * time.Second)
 	time.Sleep(4 * time.Second)
 
-	dark := machines[2]
+	var losses sync.WaitGroup
 	if trouble {
-		rec.line("%s is dark", dark.name)
-		_ = dark.cmd.Process.Signal(syscall.SIGSTOP)
+		losses.Go(func() { f.goDark(machines[2]) })
+		losses.Go(func() { time.Sleep(secondDark); f.goDark(machines[3]) })
 	}
 	began := time.Now()
 	var mu sync.Mutex
@@ -49,7 +64,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for version := 2; time.Since(began) < darkFor; version++ {
+		for version := 2; time.Since(began) < changesFor; version++ {
 			ways = append(ways, way{
 				name: fmt.Sprintf("r-%d", version), host: "plan.example", prefix: fmt.Sprintf("/way%d/", version),
 				repeat: "repeatable", service: "desk", timeoutMs: 1000,
@@ -99,10 +114,7 @@
 		}
 	}
 	probes.Wait()
-	if trouble {
-		_ = dark.cmd.Process.Signal(syscall.SIGCONT)
-		_ = dark.cmd.Process.Kill()
-	}
-	rec.line("%d versions were acknowledged in %.1f s", len(acknowledged)-1, darkFor.Seconds())
+	losses.Wait()
+	rec.line("%d versions were acknowledged in %.1f s", len(acknowledged)-2, changesFor.Seconds())
 	return broken
 }
