A newer configuration no longer starts the wait of the one before it anew

Cause: mesh/configcache held one configuration that waits for its peers' acknowledgements. A newer one took its place and began the wait of up to 0.3 s anew. The time after which peers are asked for a revision that does not come was begun anew in the same way.

Change: the oldest waits to its end whatever comes, and the newest may pass it once enough peers hold it; the time since which a revision is missing is counted from the first one. A configuration that has come, or a newer one, is in force within twice 0.3 s. The log says how long it waited.

--- a/daemon/sidecar/config.go
+++ b/daemon/sidecar/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 
 	"cottonarch.example/cottonarch/base/failure"
 	"cottonarch.example/cottonarch/base/ident"
+	"cottonarch.example/cottonarch/base/monotime"
 	"cottonarch.example/cottonarch/control/config/decode"
 	"cottonarch.example/cottonarch/control/config/delta"
 	"cottonarch.example/cottonarch/control/config/validation"
@@ -24,16 +26,27 @@
 
 // configState is the configuration that this sidecar holds. Sidecar.mu guards it, but for
 // fetching. A configuration is held as pending first, and becomes active when the cache says so.
+// Invariant: pending has the revisions that are pending in the cache, and no others.
 type configState struct {
 	cache    *configcache.Cache
 	active   storedConfig
-	pending  storedConfig
+	pending  map[ident.ConfigRevision]storedConfig
 	fetching atomic.Int64 // fetches under way
 }
 
-// storedConfig is a configuration as it was stored, its compressed form for peers, and the delta
-// that it came by, nil if it came whole.
+func newConfigState(now monotime.Time) configState {
+	return configState{cache: configcache.New(now), pending: map[ident.ConfigRevision]storedConfig{}}
+}
+
+// dropReplaced drops what is no longer pending in the cache.
+func (c *configState) dropReplaced() {
+	maps.DeleteFunc(c.pending, func(revision ident.ConfigRevision, _ storedConfig) bool { return !c.cache.IsPending(revision) })
+}
+
+// storedConfig is a configuration as it was stored, its compressed form for peers, the delta that
+// it came by, nil if it came whole, and when it came.
 type storedConfig struct {
+	heldSince  monotime.Time
 	raw        json.RawMessage
 	compressed *delta.Compressed
 	delta      *delta.Delta
@@ -149,8 +162,12 @@
 	defer s.mu.Unlock()
 	peers := s.peerAddrs()
 	shuffle(peers)
-	if s.config.cache.Add(s.clock(), config, s.planner.Revision(), len(peers)) {
-		s.config.pending = storedConfig{raw: version.Raw, compressed: delta.NewCompressed(version.Raw), delta: update}
+	now := s.clock()
+	if s.config.cache.Add(now, config, s.planner.Revision(), len(peers)) {
+		s.config.pending[version.Revision] = storedConfig{
+			heldSince: now, raw: version.Raw, compressed: delta.NewCompressed(version.Raw), delta: update,
+		}
+		s.config.dropReplaced()
 		for _, peer := range peers[:min(len(peers), configcache.MaxNotified)] {
 			go s.notifyPeer(peer, version.Revision)
 		}
@@ -159,24 +176,28 @@
 	return nil
 }
 
-// activatePending makes the pending configuration active once enough peers hold it too; mu is
+// activatePending makes the newest pending configuration active that enough peers hold too; mu is
 // held.
 func (s *Sidecar) activatePending() {
-	config := s.config.cache.TakeReady(s.clock())
+	now := s.clock()
+	config := s.config.cache.TakeReady(now)
 	if config == nil {
 		return
 	}
-	pending := s.config.pending
-	s.config.pending = storedConfig{}
+	taken := s.config.pending[config.Revision]
+	s.config.dropReplaced()
 	if !s.planner.Enforce(config) {
 		return
 	}
-	s.config.active = pending
+	s.config.active = taken
 	if config.Limits != (validation.Limits{}) {
 		s.bodies.limits.Store(&config.Limits)
 	}
 	s.configActive.Store(true)
-	s.Log.Info("configuration active", zap.Uint64("revision", uint64(config.Revision)), zap.Int("routes", len(config.Routes)))
+	s.Log.Info("configuration active",
+		zap.Uint64("revision", uint64(config.Revision)),
+		zap.Int("routes", len(config.Routes)),
+		zap.Duration("waited", now.Since(taken.heldSince)))
 	s.renewer.wake()
 }
 
@@ -190,8 +211,8 @@
 
 // newestConfig is the newest configuration that is held here, active or pending; mu is held.
 func (s *Sidecar) newestConfig() (ident.ConfigRevision, storedConfig) {
-	if config := s.config.cache.Pending(); config != nil && s.config.pending.raw != nil {
-		return config.Revision, s.config.pending
+	if config := s.config.cache.Pending(); config != nil {
+		return config.Revision, s.config.pending[config.Revision]
 	}
 	return s.planner.Revision(), s.config.active
 }
--- a/daemon/sidecar/peerqueries.go
+++ b/daemon/sidecar/peerqueries.go
@@ -64,7 +64,7 @@
 	now := s.clock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.config.cache.ShouldAskPeers(now, s.lastCoreContact, s.planner.Revision()) {
+	if !s.config.cache.ShouldAskPeers(now, s.lastCoreContact) {
 		return nil, false, false
 	}
 	return s.peerAddrs(), s.config.cache.CoresSilent(now, s.lastCoreContact), true
--- a/daemon/sidecar/renewal_test.go
+++ b/daemon/sidecar/renewal_test.go
@@ -49,7 +49,7 @@
 	must.Eq(t, int64(1), s.Metrics.Counter(counterRenewalsFailed).Load())
 	must.Eq(t, int64(1), s.Metrics.Counter(counterRenewalsLate).Load())
 	s.mu.Lock()
-	must.True(t, s.config.cache.ShouldAskPeers(s.clock().Add(time.Second), s.clock().Add(time.Second), 6))
+	must.True(t, s.config.cache.ShouldAskPeers(s.clock().Add(time.Second), s.clock().Add(time.Second)))
 	s.mu.Unlock()
 
 	s.renew(core, record.Renewal{})
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -22,7 +22,6 @@
 	"cottonarch.example/cottonarch/base/monotime"
 	"cottonarch.example/cottonarch/mesh/attempt"
 	"cottonarch.example/cottonarch/mesh/bandwidth"
-	"cottonarch.example/cottonarch/mesh/configcache"
 	"cottonarch.example/cottonarch/mesh/endpoint"
 	"cottonarch.example/cottonarch/mesh/lease/holder"
 	"cottonarch.example/cottonarch/mesh/priorityqueue"
@@ -112,7 +111,7 @@
 		outboundLink: bandwidth.NewOutbound(cfg.LinkBytesPerSecond),
 		inboundLink:  bandwidth.NewInbound(cfg.LinkBytesPerSecond),
 
-		config:          configState{cache: configcache.New(now)},
+		config:          newConfigState(now),
 		cores:           newCoreList(cfg.Seeds, now),
 		lease:           holder.New(),
 		budgetShare:     holder.BudgetShare{Terms: cfg.RetryBudget},
--- a/mesh/configcache/cache.go
+++ b/mesh/configcache/cache.go
@@ -35,20 +35,40 @@
 	fetchDelay = 250 * time.Millisecond
 )
 
+// heldConfig is a configuration that is held here and not enforced yet.
+type heldConfig struct {
+	config      *validation.Config
+	heldSince   monotime.Time
+	acks        int // peers that acknowledged it
+	outstanding int // peers that were notified of it and have not answered
+}
+
+// waitIsOver reports whether enough peers hold the configuration, all have answered or failed, or
+// the time for their answers is over.
+func (h *heldConfig) waitIsOver(now monotime.Time) bool {
+	return h.acks >= RequiredAcks || h.outstanding <= 0 || now.Since(h.heldSince) >= ackTimeout
+}
+
 // Cache decides which configuration a sidecar may enforce. It reads no clock and does no I/O.
 // Invariants: newestKnown never falls and is at least every revision enforced here; a revision is
 // enforced only once RequiredAcks peers hold its configuration, or all that were notified have
 // answered or failed, or ackTimeout is over; while this sidecar has not joined, it enforces
 // nothing older than what any peer that answered knows of.
+//
+// Nothing that a newer revision brings extends a wait, so that changes which follow quickly hold up
+// nothing: once this sidecar has joined, a revision or a newer one may be enforced at most twice
+// ackTimeout after it was added. The oldest configuration that is held waits to its end, and one
+// that came meanwhile is replaced only by a newer one.
 type Cache struct {
-	newestKnown       ident.ConfigRevision // the newest revision that some sidecar is known to hold
-	newestKnownAt     monotime.Time
-	newestConfirmed   ident.ConfigRevision // the newest revision that a core reported as confirmed
-	newestConfirmedAt monotime.Time
-	pending           *validation.Config // held and not enforced yet
-	pendingSince      monotime.Time
-	acks              int // peers that acknowledged pending
-	outstanding       int // peers that were notified of pending and have not answered
+	newestKnown     ident.ConfigRevision // the newest revision that some sidecar is known to hold
+	newestConfirmed ident.ConfigRevision // the newest revision that a core reported as confirmed
+	newestAdded     ident.ConfigRevision // the newest revision whose configuration has come
+	// missingSince is since when a revision above newestAdded is known without any newer
+	// configuration having come, 0 if there is none.
+	missingSince monotime.Time
+	// oldest and newest are the configurations that are held and not enforced yet; newest is nil
+	// unless there is a second one.
+	oldest, newest *heldConfig
 	// startedAt and joinedPeers are of use until this sidecar has joined.
 	startedAt   monotime.Time
 	joined      bool // a core has let this sidecar in
@@ -56,6 +76,9 @@
 	// Disabled breaks the rule: no peer is notified and all are trusted; only tests of the
 	// checkers set it.
 	Disabled bool
+	// ExtendWait breaks the rule that a newer revision extends no wait; only tests of the checkers
+	// set it.
+	ExtendWait bool
 }
 
 // New makes the cache of a sidecar that starts now.
@@ -66,17 +89,26 @@
 
 // ObservePeer notes that a peer holds the configuration of a revision, and may enforce it soon.
 func (c *Cache) ObservePeer(now monotime.Time, revision ident.ConfigRevision) {
-	if revision > c.newestKnown {
-		c.newestKnown, c.newestKnownAt = revision, now
-	}
+	c.newestKnown = max(c.newestKnown, revision)
+	c.noteMissing(now)
 }
 
 // ObserveCore notes that a core reported a revision as confirmed. This does not keep older ones from
 // being enforced; if the configuration does not come from that core in time, peers are asked for
 // it.
 func (c *Cache) ObserveCore(now monotime.Time, revision ident.ConfigRevision) {
-	if revision > c.newestConfirmed {
-		c.newestConfirmed, c.newestConfirmedAt = revision, now
+	c.newestConfirmed = max(c.newestConfirmed, revision)
+	c.noteMissing(now)
+}
+
+// noteMissing notes since when a newer revision is known than any that has come. A still newer one
+// does not change that time.
+func (c *Cache) noteMissing(now monotime.Time) {
+	switch missing := max(c.newestKnown, c.newestConfirmed) > c.newestAdded; {
+	case !missing:
+		c.missingSince = 0
+	case c.missingSince == 0:
+		c.missingSince = now
 	}
 }
 
@@ -99,19 +131,13 @@
 }
 
 // ShouldAskPeers reports whether peers are to be asked for a configuration: no core could be
-// reached for a while, or a newer revision than the active one is known and its configuration does
-// not come.
-func (c *Cache) ShouldAskPeers(now, lastCoreContact monotime.Time, active ident.ConfigRevision) bool {
-	if c.newestKnown > active && now.Since(c.newestKnownAt) >= fetchDelay {
-		return true
-	}
-	if c.joined && c.newestConfirmed > c.NewestHeld(active) && now.Since(c.newestConfirmedAt) >= fetchDelay {
-		return true
-	}
+// reached for a while, or a newer revision is known than any that has come, and none has come for
+// fetchDelay.
+func (c *Cache) ShouldAskPeers(now, lastCoreContact monotime.Time) bool {
 	if !c.joined {
 		return now.Since(c.startedAt) >= joinTimeout
 	}
-	return c.CoresSilent(now, lastCoreContact)
+	return c.missingSince != 0 && now.Since(c.missingSince) >= fetchDelay || c.CoresSilent(now, lastCoreContact)
 }
 
 // CoresSilent reports whether no core could be reached for a while, or this sidecar has not joined:
@@ -122,62 +148,109 @@
 
 // NewestHeld is the newest revision whose configuration is here, active or pending.
 func (c *Cache) NewestHeld(active ident.ConfigRevision) ident.ConfigRevision {
-	if c.pending != nil {
-		return max(active, c.pending.Revision)
+	if pending := c.Pending(); pending != nil {
+		return max(active, pending.Revision)
 	}
 	return active
 }
 
-// Pending is the configuration that is held and not enforced yet, nil if there is none.
-func (c *Cache) Pending() *validation.Config { return c.pending }
+// Pending is the newest configuration that is held and not enforced yet, nil if there is none.
+func (c *Cache) Pending() *validation.Config {
+	switch {
+	case c.newest != nil:
+		return c.newest.config
+	case c.oldest != nil:
+		return c.oldest.config
+	}
+	return nil
+}
+
+// IsPending reports whether the configuration of a revision is held and not enforced yet.
+func (c *Cache) IsPending(revision ident.ConfigRevision) bool { return c.find(revision) != nil }
+
+// find returns what is held of a revision, nil if it is not held or was enforced.
+func (c *Cache) find(revision ident.ConfigRevision) *heldConfig {
+	for _, held := range []*heldConfig{c.oldest, c.newest} {
+		if held != nil && held.config.Revision == revision {
+			return held
+		}
+	}
+	return nil
+}
 
 // Add takes a confirmed configuration. It reports whether peers are to be notified of it now; peers
 // is how many there are, of whom at most MaxNotified will be.
 func (c *Cache) Add(now monotime.Time, config *validation.Config, active ident.ConfigRevision, peers int) bool {
-	if config.Revision <= active || c.pending != nil && config.Revision <= c.pending.Revision {
+	if config.Revision <= c.NewestHeld(active) {
 		return false
 	}
+	c.newestAdded, c.missingSince = config.Revision, 0
 	c.ObservePeer(now, config.Revision)
-	c.pending, c.pendingSince, c.acks, c.outstanding = config, now, 0, min(peers, MaxNotified)
+	held := &heldConfig{config: config, heldSince: now, outstanding: min(peers, MaxNotified)}
+	if c.oldest == nil || c.ExtendWait {
+		c.oldest = held
+	} else {
+		c.newest = held
+	}
 	return !c.Disabled
 }
 
 // HandleAck takes the result of notifying one peer of a revision; ok says that the peer holds the
 // configuration.
 func (c *Cache) HandleAck(revision ident.ConfigRevision, ok bool) {
-	if c.pending == nil || c.pending.Revision != revision {
+	held := c.find(revision)
+	if held == nil {
 		return
 	}
-	c.outstanding--
+	held.outstanding--
 	if ok {
-		c.acks++
+		held.acks++
 	}
 }
 
-// TakeReady returns the configuration that may be enforced now, nil if there is none. It is no
-// longer pending then.
+// TakeReady returns the newest configuration that may be enforced now, nil if there is none. It and
+// any older one are no longer pending then.
 func (c *Cache) TakeReady(now monotime.Time) *validation.Config {
-	config := c.pending
 	switch {
-	case config == nil:
+	case c.oldest == nil:
 		return nil
 	case c.Disabled:
-	case !c.joined: // it came from a peer, which holds it: no acknowledgements are needed
-		if config.Revision < c.newestKnown || !c.TrustsPeers(now) {
-			return nil
-		}
-	case c.acks < RequiredAcks && c.outstanding > 0 && now.Since(c.pendingSince) < ackTimeout:
+		return c.take(c.Pending())
+	case !c.joined:
+		return c.takeTrusted(now)
+	case c.newest != nil && c.newest.waitIsOver(now):
+		return c.take(c.newest.config)
+	case c.oldest.waitIsOver(now):
+		return c.take(c.oldest.config)
+	}
+	return nil
+}
+
+// takeTrusted is TakeReady while this sidecar has not joined: what it holds came from a peer, which
+// holds it too, so no acknowledgements are needed.
+func (c *Cache) takeTrusted(now monotime.Time) *validation.Config {
+	config := c.Pending()
+	if config.Revision < c.newestKnown || !c.TrustsPeers(now) {
 		return nil
 	}
-	c.pending = nil
+	return c.take(config)
+}
+
+// take ends the wait of a configuration and of older ones.
+func (c *Cache) take(config *validation.Config) *validation.Config {
+	if config != c.oldest.config || c.newest == nil {
+		c.oldest, c.newest = nil, nil
+		return config
+	}
+	c.oldest, c.newest = c.newest, nil
 	return config
 }
 
 // Describe returns the state as text, for traces.
 func (c *Cache) Describe() string {
 	pending := ident.ConfigRevision(0)
-	if c.pending != nil {
-		pending = c.pending.Revision
+	if config := c.Pending(); config != nil {
+		pending = config.Revision
 	}
 	return fmt.Sprintf("newest known %d, pending %d, joined %v, joined peers %d", c.newestKnown, pending, c.joined, c.joinedPeers)
 }
--- a/mesh/configcache/cache_test.go
+++ b/mesh/configcache/cache_test.go
@@ -163,11 +163,83 @@
 	cache.MarkJoined()
 	coreContact := at(10 * time.Second)
 	cache.ObserveCore(coreContact, 4)
-	must.False(t, cache.ShouldAskPeers(coreContact.Add(fetchDelay-1), coreContact, 3))
-	must.True(t, cache.ShouldAskPeers(coreContact.Add(fetchDelay), coreContact, 3))
+	must.False(t, cache.ShouldAskPeers(coreContact.Add(fetchDelay-1), coreContact))
+	must.True(t, cache.ShouldAskPeers(coreContact.Add(fetchDelay), coreContact))
 	must.Eq(t, ident.ConfigRevision(0), cache.NewestKnown())
 	cache.ObserveCore(coreContact.Add(fetchDelay), 4) // repeated: the time of the first counts
-	must.True(t, cache.ShouldAskPeers(coreContact.Add(fetchDelay), coreContact, 3))
+	must.True(t, cache.ShouldAskPeers(coreContact.Add(fetchDelay), coreContact))
 	cache.Add(coreContact.Add(fetchDelay), &validation.Config{Revision: 4}, 3, 5)
-	must.False(t, cache.ShouldAskPeers(coreContact.Add(fetchDelay), coreContact.Add(fetchDelay), 3))
+	must.False(t, cache.ShouldAskPeers(coreContact.Add(fetchDelay), coreContact.Add(fetchDelay)))
+}
+
+// Changes that follow quickly while peers are silent (they left, or are dark): a revision is in force
+// at most two waits after it came, however soon the next one comes. Guards against a wait that each
+// newer revision starts anew, so that nothing comes into force as long as changes keep coming.
+func TestQuickChangesDoNotHoldUpActivation(t *testing.T) {
+	const changesFor, step = 8 * time.Second, 10 * time.Millisecond
+	for _, gap := range []time.Duration{step, 80 * time.Millisecond, ackTimeout - step, ackTimeout, ackTimeout + step} {
+		for answering := range RequiredAcks {
+			s := joinedSidecar(at(0), false)
+			added := map[ident.ConfigRevision]time.Duration{1: 0}
+			newest := ident.ConfigRevision(1)
+			for elapsed := step; elapsed <= changesFor; elapsed += step {
+				if elapsed%gap == 0 {
+					newest++
+					added[newest] = elapsed
+					s.receive(at(elapsed), newest, MaxNotified)
+					for range answering {
+						s.HandleAck(newest, true)
+					}
+				}
+				s.activate(at(elapsed))
+				must.Less(t, 2*ackTimeout+step, elapsed-added[min(s.active+1, newest)], must.Sprintf(
+					"a change every %v, %d peers answer: at %v revision %d is in force, %d is not", gap, answering, elapsed, s.active, s.active+1))
+			}
+		}
+	}
+}
+
+// Peers that answer let the newest configuration come into force at once, past an older one that
+// still waits for a silent peer; what they say of the older one then changes nothing.
+func TestNewestConfigurationPassesAnOlderOneThatWaits(t *testing.T) {
+	s := joinedSidecar(at(0), false)
+	s.receive(at(0), 2, MaxNotified)
+	s.receive(at(10*time.Millisecond), 3, MaxNotified)
+	for range RequiredAcks {
+		s.HandleAck(3, true)
+	}
+	s.activate(at(20 * time.Millisecond))
+	must.Eq(t, ident.ConfigRevision(3), s.active)
+	must.Nil(t, s.Pending())
+	for range MaxNotified {
+		s.HandleAck(2, true)
+	}
+	s.activate(at(30 * time.Millisecond))
+	must.Eq(t, ident.ConfigRevision(3), s.active)
+}
+
+// No configuration comes while cores and peers tell of ever newer revisions: after fetchDelay peers are
+// asked. Guards against a time that each newer revision starts anew, so that a sidecar whose fetch
+// from a core hangs asks nobody else as long as changes keep coming.
+func TestPeersAreAskedWhileNewerRevisionsKeepComing(t *testing.T) {
+	const gap = 80 * time.Millisecond
+	for name, observe := range map[string]func(*Cache, monotime.Time, ident.ConfigRevision){
+		"from a core":    (*Cache).ObserveCore,
+		"from the peers": (*Cache).ObservePeer,
+	} {
+		cache := New(at(0))
+		cache.MarkJoined()
+		revision := ident.ConfigRevision(1)
+		cache.Add(at(0), &validation.Config{Revision: revision}, 0, 0)
+		missingFor := func(elapsed time.Duration) bool { return cache.ShouldAskPeers(at(elapsed), at(elapsed)) }
+		for elapsed := gap; elapsed < gap+fetchDelay; elapsed += gap {
+			revision++
+			observe(cache, at(elapsed), revision)
+			must.False(t, missingFor(elapsed), must.Sprint(name, " after ", elapsed))
+		}
+		must.True(t, missingFor(gap+fetchDelay), must.Sprint(name))
+		cache.Add(at(gap+fetchDelay), &validation.Config{Revision: revision - 1}, 1, 0)
+		must.False(t, missingFor(gap+fetchDelay), must.Sprint(name, ": one that is newer has come"))
+		must.True(t, missingFor(gap+2*fetchDelay), must.Sprint(name, ": the newest has not"))
+	}
 }
--- a/sim/scenario/faults.go
+++ b/sim/scenario/faults.go
@@ -58,6 +58,13 @@
 	maps.Copy(Faults, platformFaults)
 	maps.Copy(Faults, herdFaults)
 	maps.Copy(Faults, partitionFaults)
+	maps.Copy(Faults, namedFaults)
+}
+
+// namedFaults are further faults that run only if they are named, so that known seeds draw what they
+// always drew.
+var namedFaults = map[string]Fault{
+	"manifest-storm": (*Run).configStorm,
 }
 
 // platformFaults are faults that only worlds of the platform's kind draw: with more names, known
@@ -70,7 +77,7 @@
 
 // drawableFaults lists the faults that this run draws from if none are named.
 func (r *Run) drawableFaults() []string {
-	names := slices.DeleteFunc(FaultNames(), func(n string) bool { return herdFaults[n] != nil || partitionFaults[n] != nil })
+	names := slices.DeleteFunc(FaultNames(), func(n string) bool { return herdFaults[n] != nil || partitionFaults[n] != nil || namedFaults[n] != nil })
 	if !r.Platform {
 		names = slices.DeleteFunc(names, func(n string) bool { return platformFaults[n] != nil })
 	}
--- a/sim/scenario/loadfaults.go
+++ b/sim/scenario/loadfaults.go
@@ -66,6 +66,17 @@
 	return time.Second
 }
 
+// configStorm proposes configurations in quick succession, for longer than one may take to be in
+// force.
+func (r *Run) configStorm() time.Duration {
+	const interval, proposals = 50 * time.Millisecond, 80
+	r.Tracef("%d proposals, %v apart", proposals, interval)
+	for i := range time.Duration(proposals) {
+		r.After(i*interval, r.operators.Propose)
+	}
+	return proposals * interval
+}
+
 // configLarge proposes a very large configuration.
 func (r *Run) configLarge() time.Duration {
 	r.Tracef("a very large configuration")
--- a/sim/scenario/scenario_test.go
+++ b/sim/scenario/scenario_test.go
@@ -61,17 +61,20 @@
 		"overlapping cuts 151: polls broken off":                  {"prairie", overlappingCutsDay(151)},
 		"overlapping cuts 167: polls broken off":                  {"prairie", overlappingCutsDay(167)},
 		"overload":                                                {"prairie", faultDay(1, 1, "overload", "crowd")},
-		"isolated 1":                                              {"prairie", isolatedCoreDay(1)},
-		"isolated 2":                                              {"volta", isolatedCoreDay(2)},
-		"no majority 1":                                           {"prairie", lostMajorityDay(1)},
-		"no majority 2":                                           {"prairie", lostMajorityDay(2)},
-		"clocks":                                                  {"prairie", faultDay(4, 0.5, "clock-jump", "machine-suspend", "core-kill", "release-bad")},
-		"endpoints":                                               {"volta", faultDay(5, 0.5, "endpoint-hang", "endpoint-gone", "service-empty", "machine-suspend")},
-		"isolated restarts":                                       {"volta", faultDay(6, 0.5, "isolated-restart", "manifest-large", "burst")},
-		"cells 1":                                                 {"prairie", keyspaceDay(1)},
-		"cells 2":                                                 {"volta", keyspaceDay(2)},
-		"cells 3":                                                 {"prairie", keyspaceDay(3, "core-kill", "core-power", "core-freeze", "core-cut", "core-split")},
-		"cells 4":                                                 {"volta", keyspaceDay(4, "core-roll", "clock-jump", "core-freeze")},
+		"storms 1: each change started the wait anew":             {"small", configStormDay(1)},
+		"storms 2: each change started the wait anew":             {"small", configStormDay(2)},
+		"storms 3: each change started the wait anew":             {"small", configStormDay(3)},
+		"isolated 1":        {"prairie", isolatedCoreDay(1)},
+		"isolated 2":        {"volta", isolatedCoreDay(2)},
+		"no majority 1":     {"prairie", lostMajorityDay(1)},
+		"no majority 2":     {"prairie", lostMajorityDay(2)},
+		"clocks":            {"prairie", faultDay(4, 0.5, "clock-jump", "machine-suspend", "core-kill", "release-bad")},
+		"endpoints":         {"volta", faultDay(5, 0.5, "endpoint-hang", "endpoint-gone", "service-empty", "machine-suspend")},
+		"isolated restarts": {"volta", faultDay(6, 0.5, "isolated-restart", "manifest-large", "burst")},
+		"cells 1":           {"prairie", keyspaceDay(1)},
+		"cells 2":           {"volta", keyspaceDay(2)},
+		"cells 3":           {"prairie", keyspaceDay(3, "core-kill", "core-power", "core-freeze", "core-cut", "core-split")},
+		"cells 4":           {"volta", keyspaceDay(4, "core-roll", "clock-jump", "core-freeze")},
 		"volta 216: a release of an earlier grant": {"volta", Options{Seed: 216, Duration: 30 * time.Second, LoadFactor: 0.05, FinalOutage: true, LossyLinks: true, Keyspaces: true, FaultInterval: time.Second,
 			Faults: []string{"core-freeze", "core-split", "core-cut", "core-isolated", "machine-suspend"}}},
 		"platform 1":                 {"prairie", platformDay(1)},
@@ -86,7 +89,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			w := Simulate(Deployments[day.deployment], day.options)
+			w := Simulate(deploymentNamed(day.deployment), day.options)
 			must.SliceEmpty(t, w.Checker.Violations, must.Sprint(w.Text()))
 			must.Greater(t, int(500*min(1, 4*day.options.LoadFactor)), len(w.Checker.Executions))
 		})
@@ -153,6 +156,30 @@
 	return options
 }
 
+// deploymentNamed is a deployment by its name; "small" is prairie with four machines.
+func deploymentNamed(name string) Deployment {
+	if name != "small" {
+		return Deployments[name]
+	}
+	small := Deployments["prairie"]
+	small.Name, small.Sidecars, small.Rate = name, 4, 150
+	return small
+}
+
+// configStormDay is a day on which configurations come in quick succession while machines of a small
+// mesh are silent one after the other: fewer peers answer than are asked to hold each one.
+func configStormDay(seed uint64) Options {
+	options := faultDay(seed, 0.5)
+	options.Duration, options.FinalOutage = 40*time.Second, false
+	for s := 2 * time.Second; s < 35*time.Second; s += 8 * time.Second {
+		for ms, name := range map[time.Duration]string{0: "side-freeze", 1: "manifest-storm", 1500: "side-cut", 3000: "side-freeze"} {
+			options.Schedule = append(options.Schedule, ScheduledFault{name, s + ms*time.Millisecond})
+		}
+	}
+	slices.SortFunc(options.Schedule, func(a, b ScheduledFault) int { return int(a.After - b.After) })
+	return options
+}
+
 // mutantFaults are the faults that show a mutant, where not all faults do.
 var mutantFaults = map[world.Mutant][]string{
 	world.MutantSkipChecks:       {"endpoint-freeze", "endpoint-reuse"},
@@ -177,6 +204,10 @@
 	switch mutant {
 	case world.MutantNoPeerCache:
 		options = isolatedCoreDay(seed)
+	case world.MutantExtendWait:
+		options = configStormDay(seed)
+		options.Mutant = mutant
+		return deploymentNamed("small"), options
 	case world.MutantStay:
 		options = partitionDay(seed, "core-apart-alone", 0)
 	case world.MutantQueueInStop:
--- a/sim/world/mutants.go
+++ b/sim/world/mutants.go
@@ -23,6 +23,7 @@
 	MutantDeaf             Mutant = "deaf"      // sidecars rarely poll and ignore their peers
 	MutantStay             Mutant = "stay"      // sidecars stay with a core that is behind
 	MutantNoPeerCache      Mutant = "witness"   // a configuration is shown before peers have it
+	MutantExtendWait       Mutant = "wait"      // a newer configuration starts the wait for peers anew
 	MutantAmnesia          Mutant = "replica"   // acceptors forget what they accepted
 	MutantQuorumOfOne      Mutant = "quorum"    // one response passes for a majority
 	MutantNoReadRepair     Mutant = "mend"      // copies are not repaired
@@ -72,6 +73,7 @@
 	MutantDeaf:             {invariant.ConfigLate},
 	MutantStay:             {invariant.ConfigLate},
 	MutantNoPeerCache:      {invariant.ConfigBack},
+	MutantExtendWait:       {invariant.ConfigLate},
 	MutantAmnesia:          {invariant.ConfigBack, invariant.StaleRead},
 	MutantQuorumOfOne:      {invariant.SequenceRepeated, invariant.StaleRead},
 	MutantNoReadRepair:     {invariant.NotRepaired},
--- a/sim/world/sidecar.go
+++ b/sim/world/sidecar.go
@@ -111,6 +111,7 @@
 	s.joiner, s.lease = joiner.New(s.Node, s.Zone), holder.New()
 	s.configCache = configcache.New(s.localTime())
 	s.configCache.Disabled = w.Mutant == MutantNoPeerCache
+	s.configCache.ExtendWait = w.Mutant == MutantExtendWait
 	s.tracker = endpoint.New()
 	s.tracker.SkipChecks = w.Mutant == MutantSkipChecks || w.Mutant == MutantIgnoreSilence
 	s.queue = priorityqueue.New[*queuedCall](w.MaxSenders, w.MaxSenders)
@@ -206,7 +207,7 @@
 		s.poll()
 		s.updateBudgetShare()
 	}
-	if count%peerCheckTicks == 0 && s.configCache.ShouldAskPeers(now, s.coreHeardAt, s.router.Revision()) {
+	if count%peerCheckTicks == 0 && s.configCache.ShouldAskPeers(now, s.coreHeardAt) {
 		s.askPeers()
 	}
 	s.showConfig()
