A fetch of a configuration in parts ends while changes follow quickly

If changes come faster than the parts of one configuration (256 KiB each; more than one from about that size compressed), it never ends, and the loop that polls the core stands still meanwhile. What callers would see: a sidecar that was just started, or too far behind for a delta, enforces nothing while changes last.

Change: each new beginning asks for parts twice as large (query "bytes"; a process of an earlier release serves its own size, as before), so at the latest one part holds all.

Test: TestFetchInPartsEndsWhileChangesFollowQuickly, with a newer revision at every request; before the change the fetch had not ended after 20 requests, where the test gave up.

--- a/daemon/api/mesh/configpart.go
+++ b/daemon/api/mesh/configpart.go
@@ -8,11 +8,16 @@
 	"cottonarch.example/cottonarch/base/failure"
 	"cottonarch.example/cottonarch/base/ident"
 	"cottonarch.example/cottonarch/control/config/delta"
+	"cottonarch.example/cottonarch/control/config/validation"
 	"cottonarch.example/cottonarch/wire/response"
 )
 
-// PartBytes is the size of a part of a configuration.
-const PartBytes = 256 << 10
+const (
+	// PartBytes is the size of a part of a configuration, and MaxPartBytes that of the largest part
+	// that may be asked for.
+	PartBytes    = 256 << 10
+	MaxPartBytes = 2 * validation.MaxBytes
+)
 
 // ConfigPart is a bounded part of a configuration, or a delta to it in place of all its parts.
 // Size, Offset and Data are of the compressed form if Compressed is set.
@@ -69,10 +74,19 @@
 		response.WriteError(w, badOffset())
 		return
 	}
-	part.Size, part.Data = len(data), data[offset:min(len(data), offset+PartBytes)]
+	part.Size, part.Data = len(data), data[offset:min(len(data), offset+partBytes(query.Get("bytes")))]
 	response.WriteJSON(w, http.StatusOK, part)
 }
 
+// partBytes is the size of the part to serve to one who asks for a size, which may be "".
+func partBytes(wanted string) int {
+	size, err := strconv.Atoi(wanted)
+	if err != nil {
+		return PartBytes
+	}
+	return min(max(size, PartBytes), MaxPartBytes)
+}
+
 // delta returns the delta from a revision to the one that is served, nil if there is none.
 func (s ConfigSource) delta(from string) *delta.Delta {
 	revision, err := strconv.ParseUint(from, 10, 64)
--- a/daemon/sidecar/config.go
+++ b/daemon/sidecar/config.go
@@ -72,14 +72,16 @@
 }
 
 // fetchConfig fetches the configuration from another process: as a delta to what is held here if
-// the process has one, else whole, in bounded parts. A part of another revision begins it anew.
+// the process has one, else whole, in bounded parts. A part of another revision begins it anew, in
+// larger parts: at the latest when one part holds all, changes that follow quickly no longer keep it
+// from coming.
 func (s *Sidecar) fetchConfig(from ident.Addr) error {
 	s.config.fetching.Add(1)
 	defer s.config.fetching.Add(-1)
 	haveRevision := s.newestRevision()
-	var assembly configAssembly
+	assembly := configAssembly{partBytes: mesh.PartBytes}
 	for !assembly.complete() {
-		part, err := s.fetchPart(from, len(assembly.data), haveRevision)
+		part, err := s.fetchPart(from, assembly, haveRevision)
 		if err != nil {
 			return err
 		}
@@ -105,12 +107,13 @@
 	return s.acceptWhole(assembly.revision, raw)
 }
 
-// fetchPart fetches one part. haveRevision names the configuration that a delta may start from, 0
+// fetchPart fetches the next part of an assembly. haveRevision names the configuration that a delta
+// may start from, 0
 // if no delta is wanted.
-func (s *Sidecar) fetchPart(from ident.Addr, offset int, haveRevision ident.ConfigRevision) (part mesh.ConfigPart, err error) {
+func (s *Sidecar) fetchPart(from ident.Addr, assembly configAssembly, haveRevision ident.ConfigRevision) (part mesh.ConfigPart, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), partTimeout)
 	defer cancel()
-	path := fmt.Sprintf("%s?at=%d&packed=1", mesh.ConfigPartPath, offset)
+	path := fmt.Sprintf("%s?at=%d&bytes=%d&packed=1", mesh.ConfigPartPath, len(assembly.data), assembly.partBytes)
 	if haveRevision > 0 {
 		path += fmt.Sprintf("&have=%d", uint64(haveRevision))
 	}
--- a/daemon/sidecar/config_test.go
+++ b/daemon/sidecar/config_test.go
@@ -140,3 +140,28 @@
 		must.Eq(t, ident.ConfigRevision(6), p.Revision)
 	}
 }
+
+// A configuration of several parts is fetched while a newer one is confirmed between any two requests:
+// the fetch ends. Guards against a fetch that each newer revision begins anew for ever.
+func TestFetchInPartsEndsWhileChangesFollowQuickly(t *testing.T) {
+	const routes, maxRequests = 12000, 20
+	source := &configSource{old: true}
+	revision := ident.ConfigRevision(0)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if len(source.queries) == maxRequests {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		revision++
+		source.setConfig(t, revision, routes, int(500+revision))
+		source.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	s := New(settings.Sidecar{}, zap.NewNop())
+	s.config.cache.MarkJoined()
+	must.NoError(t, s.fetchConfig(ident.Addr(strings.TrimPrefix(server.URL, "http://"))), must.Sprint(len(source.queries), " requests"))
+	must.Greater(t, 2*mesh.PartBytes, len(source.source.Raw), must.Sprint("it takes several parts"))
+	active, raw := activeConfigOf(s)
+	must.Eq(t, revision, active)
+	must.Eq(t, string(source.source.Raw), string(raw))
+}
