Peers whose lease holds are told of a configuration before those that left

Cause: the peers that must hold a configuration before it is enforced were five at random of all that the registry lists, and it lists a machine for 60 s after its lease has lapsed.

Change: those whose lease holds are chosen first, others only as far as three acknowledgements can't come without them, since a core's view that a lease has lapsed may be wrong. One whose lease holds under one author and has lapsed under another counts as live.

Test: TestPeersThatLeftAreNotWaitedFor (before, five of all were told whatever their lease). Not measured on a mesh with many that left.

--- a/daemon/sidecar/config.go
+++ b/daemon/sidecar/config.go
@@ -108,8 +108,7 @@
 }
 
 // fetchPart fetches the next part of an assembly. haveRevision names the configuration that a delta
-// may start from, 0
-// if no delta is wanted.
+// may start from, 0 if no delta is wanted.
 func (s *Sidecar) fetchPart(from ident.Addr, assembly configAssembly, haveRevision ident.ConfigRevision) (part mesh.ConfigPart, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), partTimeout)
 	defer cancel()
@@ -163,15 +162,14 @@
 	config.Revision = version.Revision
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	peers := s.peerAddrs()
-	shuffle(peers)
+	peers := s.peersToNotify()
 	now := s.clock()
 	if s.config.cache.Add(now, config, s.planner.Revision(), len(peers)) {
 		s.config.pending[version.Revision] = storedConfig{
 			heldSince: now, raw: version.Raw, compressed: delta.NewCompressed(version.Raw), delta: update,
 		}
 		s.config.dropReplaced()
-		for _, peer := range peers[:min(len(peers), configcache.MaxNotified)] {
+		for _, peer := range peers {
 			go s.notifyPeer(peer, version.Revision)
 		}
 	}
--- a/daemon/sidecar/configactivation_test.go
+++ b/daemon/sidecar/configactivation_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -70,3 +71,30 @@
 	}
 	must.MapLen(t, 2, s.config.pending, must.Sprint("of those that wait, all but the oldest and the newest are dropped"))
 }
+
+// Of many peers most have left: those that are still there are told of a configuration first, and others
+// only where there are too few of them. Guards against waits for machines that left, for as long as
+// the registry still lists them.
+func TestPeersThatLeftAreNotWaitedFor(t *testing.T) {
+	left := []ident.Addr{"l1:1", "l2:1", "l3:1", "l4:1", "l5:1", "l6:1"}
+	for name, x := range map[string]struct {
+		live                []ident.Addr
+		toldLive, toldOther int // how many are told, of those whose lease holds and of the others
+	}{
+		"none is there":   {nil, 0, 3},
+		"one is there":    {[]ident.Addr{"a:1"}, 1, 2},
+		"three are there": {[]ident.Addr{"a:1", "b:1", "c:1"}, 3, 0},
+		"six are there":   {[]ident.Addr{"a:1", "b:1", "c:1", "d:1", "e:1", "f:1"}, 5, 0},
+	} {
+		s := New(settings.Sidecar{Addr: "self:1"}, zap.NewNop())
+		listPeers(s, false, append(x.live, s.Settings.Addr)...)
+		listPeers(s, true, left...)
+		told := map[bool]int{}
+		for _, peer := range s.peersToNotify() {
+			told[slices.Contains(x.live, peer)]++
+		}
+		must.Eq(t, x.toldLive, told[true], must.Sprint(name))
+		must.Eq(t, x.toldOther, told[false], must.Sprint(name))
+		must.Len(t, len(x.live)+len(left), s.peerAddrs(), must.Sprint(name, ": all may be asked"))
+	}
+}
--- a/daemon/sidecar/peerqueries.go
+++ b/daemon/sidecar/peerqueries.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -13,6 +14,7 @@
 
 	"cottonarch.example/cottonarch/base/ident"
 	"cottonarch.example/cottonarch/control/registry/record"
+	"cottonarch.example/cottonarch/mesh/configcache"
 )
 
 const (
@@ -72,19 +74,43 @@
 
 // peerAddrs lists the other sidecars that the registry names; mu is held.
 func (s *Sidecar) peerAddrs() []ident.Addr {
-	var peers []ident.Addr
+	live, lapsed := s.peersByLease()
+	return append(live, lapsed...)
+}
+
+// peersByLease lists the other sidecars that the registry names: those whose lease holds, and those
+// whose lease has lapsed, which may have left for good. mu is held.
+func (s *Sidecar) peersByLease() (live, lapsed []ident.Addr) {
+	lapsedByAddr := map[ident.Addr]bool{}
 	for _, set := range s.planner.Index.Sets() {
 		for _, address := range set.Records {
-			if address.Workload == nil {
+			if address.Workload == nil || address.Workload.SidecarAddr == s.Settings.Addr {
 				continue
 			}
 			addr := address.Workload.SidecarAddr
-			if addr != s.Settings.Addr && !slices.Contains(peers, addr) {
-				peers = append(peers, addr)
-			}
+			onlyLapsed, known := lapsedByAddr[addr]
+			lapsedByAddr[addr] = set.Lapsed && (onlyLapsed || !known)
 		}
 	}
-	return peers
+	for _, addr := range slices.Sorted(maps.Keys(lapsedByAddr)) {
+		if lapsedByAddr[addr] {
+			lapsed = append(lapsed, addr)
+		} else {
+			live = append(live, addr)
+		}
+	}
+	return live, lapsed
+}
+
+// peersToNotify chooses, at random, the peers that are told of a new configuration: those whose lease
+// holds, and others only as far as enough acknowledgements can't come without them; mu is held.
+func (s *Sidecar) peersToNotify() []ident.Addr {
+	live, lapsed := s.peersByLease()
+	shuffle(live)
+	shuffle(lapsed)
+	peers := live[:min(len(live), configcache.MaxNotified)]
+	missing := max(0, configcache.RequiredAcks-len(peers))
+	return append(peers, lapsed[:min(len(lapsed), missing)]...)
 }
 
 // withSeeds adds the seeds that may be asked as peers now.
