A late heartbeat no longer brings back an endpoint that has left, also over a restart

Cause: a sign-off was remembered for 3 s, in a process without a disk, and "leaving" only as long as the endpoint was listed. After that a heartbeat alone made a server healthy.

Where endpoints can be asked, one that this run knows by heartbeats alone is UNKNOWN until it has answered a health check by its id, and only then takes its address from another. The stand-in endpoint sends a rising seq, so that its id may be used again. New counter late_heartbeats.

--- a/daemon/sidecar/maintenance.go
+++ b/daemon/sidecar/maintenance.go
@@ -73,6 +73,7 @@
 		return fail
 	}
 	s.slots.update(now, heartbeat)
+	s.verifyNewcomers()
 	return nil
 }
 
--- a/daemon/sidecar/metrics.go
+++ b/daemon/sidecar/metrics.go
@@ -42,6 +42,7 @@
 	gaugeEndpointChecksPassed   = "endpoint_checks_passed"
 	gaugeEndpointChecksRejected = "endpoint_checks_rejected"
 	gaugeEndpointsForgotten     = "endpoints_forgotten"
+	gaugeLateHeartbeats         = "late_heartbeats"
 	gaugeRetryBudgetGranted     = "retry_budget_granted"
 	gaugeRetryBudgetDenied      = "retry_budget_denied"
 	gaugeRetryBudgetRefused     = "retry_budget_refused"
@@ -126,6 +127,7 @@
 		gaugeEndpointChecksPassed:   s.endpoints.Accepted,
 		gaugeEndpointChecksRejected: s.endpoints.Rejected,
 		gaugeEndpointsForgotten:     s.endpoints.Expired,
+		gaugeLateHeartbeats:         s.endpoints.LateHeartbeats,
 		gaugeRetryBudgetGranted:     budget.Granted,
 		gaugeRetryBudgetDenied:      budget.Denied,
 		gaugeRetryBudgetRefused:     budget.RejectedRepeats,
--- a/daemon/sidecar/probe.go
+++ b/daemon/sidecar/probe.go
@@ -32,13 +32,11 @@
 // good answer counts as a heartbeat. It needs settings that tell the endpoint's address and
 // service, and a configuration that names the path to ask.
 func (s *Sidecar) probeEndpoint() {
-	if s.Settings.EndpointAddr == "" || s.Settings.EndpointService == "" || s.Settings.Headers.ServerID == "" {
+	if s.Settings.EndpointAddr == "" || s.Settings.EndpointService == "" || !s.canAskEndpoints() {
 		return
 	}
-	for !s.configActive.Load() {
-		if s.sleep(configWaitInterval); s.closing() {
-			return
-		}
+	if !s.awaitConfig() {
+		return
 	}
 	for range maxProbes {
 		path, wanted := s.probePath()
@@ -54,6 +52,19 @@
 	}
 }
 
+// canAskEndpoints reports whether an endpoint's answer to a probe tells which one it is.
+func (s *Sidecar) canAskEndpoints() bool { return s.Settings.Headers.ServerID != "" }
+
+// awaitConfig waits until a configuration is active; it is false if the duties end before.
+func (s *Sidecar) awaitConfig() bool {
+	for !s.configActive.Load() {
+		if s.sleep(configWaitInterval); s.closing() {
+			return false
+		}
+	}
+	return true
+}
+
 // probePath is the path to ask; a probe is not wanted when there is none, when a heartbeat came
 // meanwhile, or when this sidecar is leaving.
 func (s *Sidecar) probePath() (path string, wanted bool) {
@@ -66,39 +77,54 @@
 
 // probe asks the endpoint once, and reports whether its answer was taken as a heartbeat.
 func (s *Sidecar) probe(path string) bool {
+	heartbeat, ok := s.heartbeatFromProbe(s.askHealth(s.Settings.EndpointAddr, path))
+	if !ok {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.endpoints.Workloads()) == 0 {
+		_ = s.takeHeartbeat(heartbeat) // a heartbeat that is rejected is made good by the next one
+		s.applyEndpointChange(s.endpoints.Verified(s.clock(), heartbeat.Server))
+	}
+	return true
+}
+
+// askHealth asks an endpoint for its health once; the response is nil if there is none.
+func (s *Sidecar) askHealth(addr ident.Addr, path string) *exchange.Response {
 	call := exchange.Call{
 		Method:    http.MethodGet,
 		Target:    path,
-		Host:      string(s.Settings.EndpointAddr),
+		Host:      string(addr),
 		SingleUse: true,
 		Deadline:  time.Now().Add(probeTimeout),
 	}
-	resp, _, fail := s.endpointExchange.Do(context.Background(), s.Settings.EndpointAddr, call)
+	resp, _, fail := s.endpointExchange.Do(context.Background(), addr, call)
 	s.count(counterProbes)
-	heartbeat, ok := s.heartbeatFromProbe(resp)
-	if fail != nil || !ok {
-		return false
+	if fail != nil {
+		return nil
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.endpoints.Workloads()) == 0 {
-		_ = s.takeHeartbeat(heartbeat) // a heartbeat that is rejected is made good by the next one
+	return resp
+}
+
+// healthyServer returns the server that a response to a probe comes from, "" unless it says that it
+// is healthy.
+func (s *Sidecar) healthyServer(resp *exchange.Response) ident.Server {
+	if resp == nil || resp.Status != http.StatusOK {
+		return ""
 	}
-	return true
+	return ident.Server(firstValue(resp.Header, s.Settings.Headers.ServerID))
 }
 
 // heartbeatFromProbe makes a heartbeat of the endpoint's answer; there is none unless the answer
 // says that the endpoint is healthy, and which one it is.
 func (s *Sidecar) heartbeatFromProbe(resp *exchange.Response) (endpoint.Heartbeat, bool) {
-	if resp == nil || resp.Status != http.StatusOK {
-		return endpoint.Heartbeat{}, false
-	}
-	server := firstValue(resp.Header, s.Settings.Headers.ServerID)
+	server := s.healthyServer(resp)
 	if server == "" {
 		return endpoint.Heartbeat{}, false
 	}
 	return endpoint.Heartbeat{
-		Server:  ident.Server(server),
+		Server:  server,
 		Service: s.Settings.EndpointService,
 		Addr:    s.Settings.EndpointAddr,
 		State:   endpoint.Alive,
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -72,6 +72,7 @@
 	sendQueue    *priorityqueue.Queue[*queuedRequest]
 	planner      *attempt.Planner
 	endpoints    *endpoint.Tracker
+	verifying    map[ident.Server]bool // endpoints that are being asked whether they are healthy
 	slots        slotQueue
 	runs         activeRuns
 	outboundLink *bandwidth.Outbound
@@ -106,6 +107,7 @@
 		sendQueue:    priorityqueue.New[*queuedRequest](cfg.Senders, cfg.QueueCapacity),
 		planner:      newPlanner(cfg, now),
 		endpoints:    endpoint.New(),
+		verifying:    map[ident.Server]bool{},
 		slots:        newSlotQueue(),
 		runs:         activeRuns{},
 		outboundLink: bandwidth.NewOutbound(cfg.LinkBytesPerSecond),
@@ -122,6 +124,7 @@
 	s.configWatch = newConfigWatch(s)
 	s.peerQuerier = &peerQuerier{sidecar: s}
 	s.endpoints.WithHeartbeatInterval(cfg.HeartbeatInterval).Fenced = cfg.EndpointsVerifyTarget
+	s.endpoints.VerifyNewcomers = s.canAskEndpoints()
 	s.Metrics.BeforeRead = s.refreshGauges
 	return s
 }
--- a/mesh/endpoint/heartbeat.go
+++ b/mesh/endpoint/heartbeat.go
@@ -25,7 +25,8 @@
 	Load float64 `json:"burden"`
 	// Weight is its part of the service's requests beside its peers; 0 counts as 1.
 	Weight uint32 `json:"weight"`
-	// Seq, when given, orders the heartbeats of one server.
+	// Seq, when given, orders the heartbeats of one server. A server id names one run of an endpoint;
+	// one that is used again after a sign-off is taken only if Seq goes on rising.
 	Seq uint64 `json:"seq"`
 	// Slots is how many requests it works on at once, 0 for unknown.
 	Slots int `json:"slots,omitempty"`
--- a/mesh/endpoint/tracked.go
+++ b/mesh/endpoint/tracked.go
@@ -16,6 +16,7 @@
 	unhealthyUntil monotime.Time
 	status         record.Status
 	leaving        bool
+	unverified     bool // heartbeats have come, and nothing that could not be older than they seem
 	skipChecks     bool
 	// requestedInterval is the heartbeat interval that it was asked to keep, 0 for HeartbeatInterval.
 	requestedInterval time.Duration
@@ -38,13 +39,15 @@
 }
 
 // statusAt derives the status: unhealthy without heartbeats or after a refused connection, else
-// draining once it leaves.
+// draining once it leaves, else unknown until it was verified.
 func (e *trackedEndpoint) statusAt(now monotime.Time) record.Status {
 	switch {
 	case !e.skipChecks && (now.Since(e.lastHeartbeat) > e.heartbeatTimeout() || e.unhealthyUntil.After(now)):
 		return record.Unhealthy
 	case e.leaving:
 		return record.Draining
+	case e.unverified:
+		return record.Unknown
 	}
 	return record.Healthy
 }
--- a/mesh/endpoint/tracker.go
+++ b/mesh/endpoint/tracker.go
@@ -31,9 +31,9 @@
 	distrustAfterStall = 500 * time.Millisecond
 	// forgetAfter is how long an endpoint without heartbeats is kept as unhealthy.
 	forgetAfter = 4 * time.Second
-	// signOffRetention is for how long a late heartbeat can't bring back a server that has
-	// signed off, or whose address belongs to another.
-	signOffRetention = 3 * time.Second
+	// evictionRetention is for how long a server can't come back whose address another one has taken
+	// by a heartbeat that was not verified.
+	evictionRetention = 3 * time.Second
 	// unhealthyAfterFailure is for how long an endpoint is unhealthy that refused a connection.
 	unhealthyAfterFailure = 700 * time.Millisecond
 )
@@ -41,24 +41,32 @@
 // Tracker knows the endpoints of one machine. It reads no clock and does no I/O. Invariants: an
 // address belongs to one server at a time, the one with the newest heartbeat; leaving is never
 // taken back; a server that signed off, or whose address has passed on, is not let in again by a
-// late heartbeat.
+// late heartbeat, however late; with VerifyNewcomers no server becomes healthy that this run of the
+// sidecar knows by heartbeats alone, which may be older than a sign-off at an earlier run.
 type Tracker struct {
 	endpoints     map[ident.Server]*trackedEndpoint
 	serverByAddr  map[ident.Addr]ident.Server
-	signedOffAt   map[ident.Server]monotime.Time
+	departed      departedServers
+	evictedAt     map[ident.Server]monotime.Time // by a heartbeat that was not verified
 	lastTick      monotime.Time
 	distrustUntil monotime.Time
 	stopping      bool // the machine stops: an endpoint that comes now leaves with the rest
 	// Fenced says that endpoints reject requests that name another server, so a stale heartbeat
 	// does no harm and a process that was suspended may go on at once.
 	Fenced bool
+	// VerifyNewcomers says that endpoints can be asked: one that is not known yet stays unknown until
+	// Verified is called.
+	VerifyNewcomers bool
 	// requestedInterval is the heartbeat interval that endpoints are asked for, 0 for
 	// HeartbeatInterval.
 	requestedInterval time.Duration
 	// SkipChecks, when set, switches the checks off; only tests of the checkers do that.
 	SkipChecks bool
+	// ForgetDepartures, when set, lets late heartbeats bring endpoints back; only tests of the
+	// checkers do that.
+	ForgetDepartures bool
 	// Counters.
-	Accepted, Rejected, Expired, StaleHeartbeats uint64
+	Accepted, Rejected, Expired, StaleHeartbeats, LateHeartbeats uint64
 }
 
 // Change is the effect of a step.
@@ -74,7 +82,8 @@
 	return &Tracker{
 		endpoints:    map[ident.Server]*trackedEndpoint{},
 		serverByAddr: map[ident.Addr]ident.Server{},
-		signedOffAt:  map[ident.Server]monotime.Time{},
+		departed:     newDepartedServers(),
+		evictedAt:    map[ident.Server]monotime.Time{},
 	}
 }
 
@@ -103,32 +112,39 @@
 	if e := t.endpoints[heartbeat.Server]; e != nil && heartbeat.Seq != 0 && heartbeat.Seq <= e.Seq {
 		return Change{}, nil
 	}
-	switch heartbeat.State {
-	case Leaving:
+	if heartbeat.State == Gone {
+		return t.depart(heartbeat.Server, heartbeat.Seq), nil
+	}
+	if t.departed.sentBefore(heartbeat) {
+		t.LateHeartbeats++
+		return Change{}, nil
+	}
+	if heartbeat.State == Leaving {
 		return t.handleLeaving(now, heartbeat), nil
-	case Gone:
-		return t.handleGone(now, heartbeat), nil
 	}
 	return t.handleAlive(now, heartbeat), nil
 }
 
 func (t *Tracker) handleAlive(now monotime.Time, heartbeat Heartbeat) Change {
-	if signedOffAt, signedOff := t.signedOffAt[heartbeat.Server]; signedOff && now.Since(signedOffAt) < signOffRetention {
+	if evictedAt, evicted := t.evictedAt[heartbeat.Server]; evicted && now.Since(evictedAt) < evictionRetention {
 		return Change{}
 	}
 	if heartbeat.Weight == 0 {
 		heartbeat.Weight = 1
 	}
-	change := t.evictPreviousServer(now, heartbeat)
 	e := t.endpoints[heartbeat.Server]
 	if e == nil {
-		e = &trackedEndpoint{status: record.Unknown, skipChecks: t.SkipChecks, requestedInterval: t.requestedInterval}
+		e = t.newEndpoint()
 		t.endpoints[heartbeat.Server] = e
-	} else if e.Addr != heartbeat.Addr {
+	}
+	var change Change
+	if !e.unverified {
+		change = t.takeAddr(now, heartbeat.Server, heartbeat.Addr)
+	}
+	if e.Addr != "" && e.Addr != heartbeat.Addr {
 		change.CloseAddrs = append(change.CloseAddrs, e.Addr)
 		t.releaseAddr(heartbeat.Server, e.Addr)
 	}
-	t.serverByAddr[heartbeat.Addr] = heartbeat.Server
 	before := *e
 	e.accept(now, heartbeat)
 	e.leaving = e.leaving || t.stopping
@@ -137,18 +153,37 @@
 	return change
 }
 
-// evictPreviousServer removes the server that had a heartbeat's address before. It counts as signed
-// off, so that a late heartbeat of its own does not take the address back.
-func (t *Tracker) evictPreviousServer(now monotime.Time, heartbeat Heartbeat) Change {
-	previous, ok := t.serverByAddr[heartbeat.Addr]
-	if !ok || previous == heartbeat.Server || t.SkipChecks {
+func (t *Tracker) newEndpoint() *trackedEndpoint {
+	return &trackedEndpoint{
+		status:            record.Unknown,
+		unverified:        t.VerifyNewcomers && !t.ForgetDepartures,
+		skipChecks:        t.SkipChecks,
+		requestedInterval: t.requestedInterval,
+	}
+}
+
+// takeAddr gives an address to a server, and removes the one that had it before. That one has departed
+// if it was leaving, or if the address itself has answered as the server; if there is only a
+// heartbeat, which may be late, it can't take the address back at once.
+func (t *Tracker) takeAddr(now monotime.Time, server ident.Server, addr ident.Addr) Change {
+	previous, taken := t.serverByAddr[addr]
+	if !taken || previous == server || t.SkipChecks {
+		t.serverByAddr[addr] = server
 		return Change{}
 	}
-	t.signedOffAt[previous] = now
-	return t.remove(previous)
+	var change Change
+	if t.VerifyNewcomers {
+		change = t.depart(previous, 0)
+	} else {
+		t.evictedAt[previous] = now
+		change = t.forget(previous)
+	}
+	t.serverByAddr[addr] = server
+	return change
 }
 
-// handleLeaving marks an endpoint as leaving, also while heartbeats are not trusted.
+// handleLeaving marks an endpoint as leaving, also while heartbeats are not trusted. One that is not
+// known then has left: it must not become healthy by what it sent before.
 func (t *Tracker) handleLeaving(now monotime.Time, heartbeat Heartbeat) Change {
 	var change Change
 	if !t.stalled(now) {
@@ -156,7 +191,7 @@
 	}
 	e := t.endpoints[heartbeat.Server]
 	if e == nil {
-		return change
+		return t.depart(heartbeat.Server, 0)
 	}
 	if !e.leaving {
 		e.leaving, change.Updated = true, true
@@ -165,9 +200,13 @@
 	return change
 }
 
-func (t *Tracker) handleGone(now monotime.Time, heartbeat Heartbeat) Change {
-	t.signedOffAt[heartbeat.Server] = now
-	return t.remove(heartbeat.Server)
+// depart remembers that a server has left, and forgets its endpoint if that is known; seq is that of
+// its sign-off, 0 if there is none.
+func (t *Tracker) depart(server ident.Server, seq uint64) Change {
+	if !t.ForgetDepartures {
+		t.departed.add(server, seq)
+	}
+	return t.remove(server)
 }
 
 // remove forgets an endpoint, if it is known, and has its connections closed.
@@ -176,9 +215,19 @@
 	if e == nil {
 		return Change{}
 	}
+	change := Change{Updated: true, CloseAddrs: t.ownAddrs(server, e)}
 	delete(t.endpoints, server)
 	t.releaseAddr(server, e.Addr)
-	return Change{Updated: true, CloseAddrs: []ident.Addr{e.Addr}}
+	return change
+}
+
+// ownAddrs lists the address of an endpoint, unless it is another server's: the connections to it are
+// that one's.
+func (t *Tracker) ownAddrs(server ident.Server, e *trackedEndpoint) []ident.Addr {
+	if owner, taken := t.serverByAddr[e.Addr]; taken && owner != server {
+		return nil
+	}
+	return []ident.Addr{e.Addr}
 }
 
 // releaseAddr frees an address if it still is the server's.
@@ -195,37 +244,33 @@
 		t.recoverFromStall(now)
 	}
 	t.lastTick = now
-	change := t.refreshStatuses(now)
-	for server, signedOffAt := range t.signedOffAt {
-		if now.Since(signedOffAt) > signOffRetention {
-			delete(t.signedOffAt, server)
-		}
-	}
-	return change
+	maps.DeleteFunc(t.evictedAt, func(_ ident.Server, evictedAt monotime.Time) bool { return now.Since(evictedAt) > evictionRetention })
+	return t.refreshStatuses(now)
 }
 
 // recoverFromStall begins the time in which heartbeats are not trusted. The time of the stall does
-// not count as retention of sign-offs, for nothing was received in it.
+// not count as retention of evictions, for nothing was received in it.
 func (t *Tracker) recoverFromStall(now monotime.Time) {
 	t.distrustUntil = now.Add(distrustAfterStall)
-	for server, signedOffAt := range t.signedOffAt {
-		t.signedOffAt[server] = signedOffAt.Add(now.Since(t.lastTick))
+	for server, evictedAt := range t.evictedAt {
+		t.evictedAt[server] = evictedAt.Add(now.Since(t.lastTick))
 	}
 }
 
-// refreshStatuses updates the status of every endpoint and forgets those that are long silent.
+// refreshStatuses updates the status of every endpoint and forgets those that are long silent. One
+// that was leaving has left, and does not come back by a heartbeat that it sent before.
 func (t *Tracker) refreshStatuses(now monotime.Time) (change Change) {
 	for _, server := range t.sortedServers() {
 		e := t.endpoints[server]
 		if now.Since(e.lastHeartbeat) > max(forgetAfter, 2*e.heartbeatTimeout()) && !t.SkipChecks {
-			removed := t.remove(server)
+			removed := t.forget(server)
 			change.CloseAddrs, change.Updated = append(change.CloseAddrs, removed.CloseAddrs...), true
 			t.Expired++
 			continue
 		}
 		if status := e.statusAt(now); status != e.status {
 			if status == record.Unhealthy {
-				change.CloseAddrs = append(change.CloseAddrs, e.Addr)
+				change.CloseAddrs = append(change.CloseAddrs, t.ownAddrs(server, e)...)
 			}
 			e.status, change.Updated = status, true
 		}
@@ -233,6 +278,40 @@
 	return change
 }
 
+// forget removes an endpoint that is silent or whose address is another's. One that was leaving has
+// departed.
+func (t *Tracker) forget(server ident.Server) Change {
+	if e := t.endpoints[server]; e != nil && e.leaving {
+		return t.depart(server, 0)
+	}
+	return t.remove(server)
+}
+
+// Unverified lists the newest heartbeats of the endpoints that are to be asked whether they are
+// healthy.
+func (t *Tracker) Unverified() []Heartbeat {
+	var heartbeats []Heartbeat
+	for _, server := range t.sortedServers() {
+		if e := t.endpoints[server]; e.unverified && !e.leaving {
+			heartbeats = append(heartbeats, e.Heartbeat)
+		}
+	}
+	return heartbeats
+}
+
+// Verified notes that a server has answered, after its first heartbeat came, that it is healthy.
+func (t *Tracker) Verified(now monotime.Time, server ident.Server) Change {
+	e := t.endpoints[server]
+	if e == nil || !e.unverified {
+		return Change{}
+	}
+	e.unverified = false
+	change := t.takeAddr(now, server, e.Addr)
+	e.status = e.statusAt(now)
+	change.Updated = true
+	return change
+}
+
 // sortedServers lists the servers in a fixed order, so that runs can be repeated.
 func (t *Tracker) sortedServers() []ident.Server { return slices.Sorted(maps.Keys(t.endpoints)) }
 
--- a/mesh/endpoint/tracker_test.go
+++ b/mesh/endpoint/tracker_test.go
@@ -19,7 +19,7 @@
 }
 
 // Leaving, signing off, late heartbeats and reuse of the address by another service, in every
-// order: once a server has left or signed off, or another server's heartbeat has come from its
+// order, in milliseconds and with seconds or a minute between: once a server has left or signed off, or another server's heartbeat has come from its
 // address, no request is let through to it.
 func TestAllOrdersOfLeavingAndReuse(t *testing.T) {
 	heartbeats := []Heartbeat{
@@ -30,31 +30,40 @@
 		newHeartbeat("a", "one", "ip:1", Alive),
 	}
 	for _, order := range meshtest.Permutations(len(heartbeats)) {
-		tracker := New()
-		now := at(0)
-		left := false
-		var lastAtAddr ident.Server
-		for step, i := range order {
-			now = now.Add(20 * time.Millisecond)
-			tracker.Tick(now)
-			heartbeat := heartbeats[i]
-			_, err := tracker.HandleHeartbeat(now, heartbeat)
-			must.Nil(t, err)
-			left = left || heartbeat.Server == "a" && heartbeat.State != Alive
-			if heartbeat.State != Gone {
-				lastAtAddr = heartbeat.Server
-			}
-			addr, _, rejection := tracker.Check(now, "a", "one")
-			if left {
-				must.NotNil(t, rejection, must.Sprintf("order %v step %d: passed to a server that left", order, step))
-			}
-			if rejection == nil {
-				must.Eq(t, "a", lastAtAddr, must.Sprintf("order %v step %d: address is another's", order, step))
-				must.Eq(t, ident.Addr("ip:1"), addr)
-			}
-			_, _, rejection = tracker.Check(now, "b", "one")
-			must.NotNil(t, rejection, must.Sprint("passed as a service it does not serve"))
+		for _, gap := range []time.Duration{20 * time.Millisecond, 4 * time.Second, time.Minute} {
+			checkOrderOfLeavingAndReuse(t, heartbeats, order, gap)
+		}
+	}
+}
+
+// checkOrderOfLeavingAndReuse is TestAllOrdersOfLeavingAndReuse in one order, with a gap between two
+// heartbeats.
+func checkOrderOfLeavingAndReuse(t *testing.T, heartbeats []Heartbeat, order []int, gap time.Duration) {
+	tracker := New()
+	elapsed := time.Duration(0)
+	left := false
+	var lastAtAddr ident.Server
+	for step, i := range order {
+		elapsed = pass(tracker, elapsed, gap)
+		now := at(elapsed)
+		tracker.Tick(now)
+		heartbeat := heartbeats[i]
+		_, err := tracker.HandleHeartbeat(now, heartbeat)
+		must.Nil(t, err)
+		left = left || heartbeat.Server == "a" && heartbeat.State != Alive
+		if heartbeat.State != Gone {
+			lastAtAddr = heartbeat.Server
+		}
+		addr, _, rejection := tracker.Check(now, "a", "one")
+		if left {
+			must.NotNil(t, rejection, must.Sprintf("order %v step %d, %v apart: passed to a server that left", order, step, gap))
+		}
+		if rejection == nil {
+			must.Eq(t, "a", lastAtAddr, must.Sprintf("order %v step %d: address is another's", order, step))
+			must.Eq(t, ident.Addr("ip:1"), addr)
 		}
+		_, _, rejection = tracker.Check(now, "b", "one")
+		must.NotNil(t, rejection, must.Sprint("passed as a service it does not serve"))
 	}
 }
 
--- a/sim/scenario/endpointfaults.go
+++ b/sim/scenario/endpointfaults.go
@@ -72,6 +72,26 @@
 	return 3 * time.Second
 }
 
+// endpointLateHeartbeat has an endpoint sign off and serve on; a heartbeat that it sent before comes
+// seconds later. Where endpoints can be asked whether they are healthy, the sidecar may be restarted
+// in between.
+func (r *Run) endpointLateHeartbeat() time.Duration {
+	e := r.randomReplicatedEndpoint()
+	if e == nil {
+		return 0
+	}
+	lateness := r.randomDuration(time.Second, 12*time.Second)
+	s, service := e.Sidecar, e.Service
+	restarted := r.Platform && r.Rng.IntN(2) == 0
+	r.Tracef("endpoint %s signs off; a heartbeat of before comes %v later; its sidecar is restarted: %v", e.Server, lateness, restarted)
+	e.SignOffFirst(lateness, lateness+4*time.Second, func() { r.startEndpoint(s, service, "") })
+	if restarted {
+		r.After(lateness/3, s.Kill)
+		r.After(lateness*2/3, s.Start)
+	}
+	return lateness + 5*time.Second
+}
+
 // endpointReuse kills an endpoint and gives its address to an endpoint of any service.
 func (r *Run) endpointReuse() time.Duration {
 	e := r.randomReplicatedEndpoint()
--- a/sim/scenario/faults.go
+++ b/sim/scenario/faults.go
@@ -64,7 +64,8 @@
 // namedFaults are further faults that run only if they are named, so that known seeds draw what they
 // always drew.
 var namedFaults = map[string]Fault{
-	"manifest-storm": (*Run).configStorm,
+	"manifest-storm":     (*Run).configStorm,
+	"endpoint-late-beat": (*Run).endpointLateHeartbeat,
 }
 
 // platformFaults are faults that only worlds of the platform's kind draw: with more names, known
--- a/sim/scenario/scenario_test.go
+++ b/sim/scenario/scenario_test.go
@@ -83,6 +83,9 @@
 		"platform reuse":             {"volta", platformDay(4, "endpoint-reuse", "endpoint-freeze", "endpoint-hang", "endpoint-replace", "side-kill")},
 		"platform stops":             {"prairie", plannedStopsDay(1)},
 		"platform kill, power":       {"prairie", platformDay(5, "core-kill-power", "core-kill", "core-power")},
+		"late heartbeats 1":          {"prairie", platformDay(1, "endpoint-late-beat", "endpoint-replace")},
+		"late heartbeats 2":          {"volta", platformDay(2, "endpoint-late-beat", "side-roll", "endpoint-reuse")},
+		"late heartbeats 3":          {"prairie", faultDay(3, 0.5, "endpoint-late-beat", "endpoint-replace")},
 		"volta 1":                    {"volta", faultDay(1, 0.3)},
 		"volta 2":                    {"volta", faultDay(2, 1)},
 		"volta 3: rolled throughout": {"volta", faultDay(3, 0.5, "core-roll", "side-roll", "endpoint-replace")},
@@ -184,6 +187,7 @@
 var mutantFaults = map[world.Mutant][]string{
 	world.MutantSkipChecks:       {"endpoint-freeze", "endpoint-reuse"},
 	world.MutantIgnoreLeave:      {"endpoint-replace"},
+	world.MutantForgetSignOff:    {"endpoint-late-beat"},
 	world.MutantUnlimitedRetries: {"release-bad"},
 	world.MutantAbruptStop:       {"side-roll"},
 	world.MutantIgnoreSilence:    {"endpoint-hang"},
--- a/sim/world/endpoint.go
+++ b/sim/world/endpoint.go
@@ -47,12 +47,13 @@
 	Addr     ident.Addr
 	Behavior Behavior
 
-	running  bool
-	hung     bool
-	state    endpoint.State
-	inFlight int
-	deferred []func() // what arrived while it hung, run when it goes on
-	waiting  []func() // the requests that it queues
+	running   bool
+	signedOff bool // it sends no more heartbeats
+	hung      bool
+	state     endpoint.State
+	inFlight  int
+	deferred  []func() // what arrived while it hung, run when it goes on
+	waiting   []func() // the requests that it queues
 
 	heartbeatSequence uint64
 	lastHeartbeat     monotime.Time // when its machine last took one, by the machine's clock
@@ -105,7 +106,7 @@
 
 // heartbeatLoop sends heartbeats as long as the endpoint runs.
 func (e *Endpoint) heartbeatLoop() {
-	if !e.running {
+	if !e.running || e.signedOff {
 		return
 	}
 	if !e.hung {
@@ -118,8 +119,10 @@
 	e.world.After(interval-heartbeatSpread/2+e.world.randomUpTo(heartbeatSpread), e.heartbeatLoop)
 }
 
-func (e *Endpoint) sendHeartbeat(state endpoint.State) {
-	s, generation := e.Sidecar, e.Sidecar.generation
+func (e *Endpoint) sendHeartbeat(state endpoint.State) { e.deliverHeartbeat(e.newHeartbeat(state), state) }
+
+// newHeartbeat makes the next heartbeat.
+func (e *Endpoint) newHeartbeat(state endpoint.State) endpoint.Heartbeat {
 	heartbeat := endpoint.Heartbeat{Server: e.Server, Service: e.Service, Addr: e.Addr, State: state, Load: float64(e.inFlight) / fullLoad}
 	if e.world.Platform {
 		e.heartbeatSequence++
@@ -128,12 +131,19 @@
 	if e.world.Mutant == MutantIgnoreLeave {
 		heartbeat.State = endpoint.Alive
 	}
+	return heartbeat
+}
+
+// deliverHeartbeat has a heartbeat come to the sidecar as it runs now. If the endpoint said by it that
+// it leaves, that is confirmed then.
+func (e *Endpoint) deliverHeartbeat(heartbeat endpoint.Heartbeat, said endpoint.State) {
+	s, generation := e.Sidecar, e.Sidecar.generation
 	e.world.After(heartbeatLatency, func() {
 		s.runInGeneration(generation, func() {
 			if !s.handleHeartbeat(e, heartbeat) {
 				return
 			}
-			if state != endpoint.Alive && e.leaveConfirmedAt == 0 {
+			if said != endpoint.Alive && e.leaveConfirmedAt == 0 {
 				e.leaveConfirmedAt = e.world.now
 				e.world.Checker.Observe(invariant.LateToLeaver)
 			}
@@ -161,6 +171,24 @@
 	})
 }
 
+// SignOffFirst has the endpoint sign off before anything else and serve on for a while; then it ends,
+// and then is called. Its last heartbeat before the sign-off is held up, and comes only after lateness.
+func (e *Endpoint) SignOffFirst(lateness, serveOn time.Duration, then func()) {
+	if !e.running || e.signedOff {
+		return
+	}
+	late := e.newHeartbeat(endpoint.Alive)
+	e.world.After(lateness, func() { e.deliverHeartbeat(late, endpoint.Alive) })
+	e.state, e.signedOff = endpoint.Gone, true
+	e.sendHeartbeat(endpoint.Gone)
+	e.world.After(serveOn, func() {
+		if e.running {
+			e.Kill()
+			then()
+		}
+	})
+}
+
 // Kill ends the endpoint at once.
 func (e *Endpoint) Kill() {
 	e.running = false
--- a/sim/world/mutants.go
+++ b/sim/world/mutants.go
@@ -13,6 +13,7 @@
 const (
 	MutantSkipChecks       Mutant = "gate"      // endpoints are handed requests without a last check
 	MutantIgnoreLeave      Mutant = "leaver"    // an endpoint that leaves goes on being served
+	MutantForgetSignOff    Mutant = "forget"    // a late heartbeat brings back what has signed off
 	MutantIgnoreSilence    Mutant = "silence"   // an endpoint without heartbeats does too
 	MutantRetryUnsafe      Mutant = "retry"     // requests that may run once are retried
 	MutantWrongOutcome     Mutant = "fate"      // unknown outcomes are reported as not executed
@@ -63,6 +64,7 @@
 var Mutants = map[Mutant][]string{
 	MutantSkipChecks:       {invariant.WrongService},
 	MutantIgnoreLeave:      {invariant.LateToLeaver},
+	MutantForgetSignOff:    {invariant.LateToLeaver},
 	MutantIgnoreSilence:    {invariant.LateToLeaver},
 	MutantRetryUnsafe:      {invariant.DoubleExecution},
 	MutantWrongOutcome:     {invariant.FalseNotExecuted},
--- a/sim/world/sidecar.go
+++ b/sim/world/sidecar.go
@@ -71,6 +71,7 @@
 	lastWaiterID      uint64
 	admittedEndpoints []ident.Server // the endpoints that the admission queue knows
 	probed            bool
+	verifying         map[ident.Server]bool // endpoints that are asked whether they are healthy
 }
 
 // NewSidecar makes an application machine.
@@ -114,10 +115,12 @@
 	s.configCache.ExtendWait = w.Mutant == MutantExtendWait
 	s.tracker = endpoint.New()
 	s.tracker.SkipChecks = w.Mutant == MutantSkipChecks || w.Mutant == MutantIgnoreSilence
+	s.tracker.ForgetDepartures = w.Mutant == MutantForgetSignOff
 	s.queue = priorityqueue.New[*queuedCall](w.MaxSenders, w.MaxSenders)
 	s.queue.IgnoreUrgency = w.Mutant == MutantIgnoreUrgency
 	if w.Platform {
 		s.tracker.WithHeartbeatInterval(heartbeatInterval).Fenced = true
+		s.tracker.VerifyNewcomers, s.verifying = true, map[ident.Server]bool{}
 		s.admission = admission.New(admission.DefaultSettings())
 		s.waiters, s.lastWaiterID, s.admittedEndpoints, s.probed = map[uint64]*waiter{}, 0, nil, false
 	}
--- a/sim/world/sidecarendpoints.go
+++ b/sim/world/sidecarendpoints.go
@@ -15,6 +15,8 @@
 	probeSlots = 4
 	// probeLatency is how long the daemon takes to find it.
 	probeLatency = time.Millisecond
+	// verifyPause is the pause before an endpoint is asked again whether it is healthy.
+	verifyPause = 300 * time.Millisecond
 )
 
 // recordLosses notes whose loss is confirmed on this machine, by its own clock and by the
@@ -38,9 +40,54 @@
 	s.endpointsChanged(change)
 	s.setSlots(heartbeat)
 	e.lastHeartbeat, e.lossConfirmedAt = s.localTime(), 0
+	for _, newcomer := range s.tracker.Unverified() {
+		s.verify(newcomer.Server)
+	}
 	return true
 }
 
+// verify asks a server that is known by heartbeats alone, as the daemon does, until it answers that it
+// is healthy or is no longer to be asked.
+func (s *Sidecar) verify(server ident.Server) {
+	if s.verifying[server] {
+		return
+	}
+	s.verifying[server] = true
+	generation := s.generation
+	var ask func()
+	ask = func() {
+		s.runInGeneration(generation, func() {
+			newcomer, wanted := s.newcomer(server)
+			if !wanted {
+				delete(s.verifying, server)
+				return
+			}
+			if s.router.Revision() > 0 && s.world.answersAsHealthy(newcomer) {
+				s.endpointsChanged(s.tracker.Verified(s.localTime(), server))
+			}
+			s.world.After(verifyPause, ask)
+		})
+	}
+	s.world.After(probeLatency, ask)
+}
+
+// newcomer is the newest heartbeat of a server that is to be asked; it is false if it is not.
+func (s *Sidecar) newcomer(server ident.Server) (endpoint.Heartbeat, bool) {
+	for _, newcomer := range s.tracker.Unverified() {
+		if newcomer.Server == server {
+			return newcomer, true
+		}
+	}
+	return endpoint.Heartbeat{}, false
+}
+
+// answersAsHealthy reports whether what is at a heartbeat's address answers that it is that server and
+// healthy.
+func (w *World) answersAsHealthy(heartbeat endpoint.Heartbeat) bool {
+	e := w.endpoints[heartbeat.Addr]
+	return e != nil && e.running && !e.hung && e.Server == heartbeat.Server && e.state == endpoint.Alive
+}
+
 // endpointsChanged carries a change of the tracker over to the admission queue.
 func (s *Sidecar) endpointsChanged(change endpoint.Change) {
 	if s.world.Platform && change.Updated && !(s.leaving && s.world.Mutant == MutantQueueInStop) {
@@ -95,6 +142,7 @@
 		s.runInGeneration(generation, func() {
 			if len(s.tracker.Workloads()) == 0 && !s.leaving {
 				s.handleHeartbeat(e, heartbeat)
+				s.endpointsChanged(s.tracker.Verified(s.localTime(), e.Server))
 			}
 		})
 	})
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -48,13 +48,16 @@
 	inFlight atomic.Int64
 	requests atomic.Int64
 	state    atomic.Value // endpoint.State
-	stop     chan struct{}
-	stopped  sync.Once
-	client   *http.Client
-	behavior atomic.Pointer[Behavior]
-	muted    atomic.Bool
-	hangMu   sync.Mutex
-	awake    chan struct{} // closed when the endpoint wakes; nil while it does not hang
+	// heartbeatSeq is the Seq of the last heartbeat. It begins at the time of the start, so that it
+	// rises over the runs of one server id.
+	heartbeatSeq atomic.Uint64
+	stop         chan struct{}
+	stopped      sync.Once
+	client       *http.Client
+	behavior     atomic.Pointer[Behavior]
+	muted        atomic.Bool
+	hangMu       sync.Mutex
+	awake        chan struct{} // closed when the endpoint wakes; nil while it does not hang
 }
 
 // Start listens and sends heartbeats, until Stop or Kill.
@@ -65,6 +68,7 @@
 		client:  &http.Client{Timeout: clientTimeout, Transport: &http.Transport{}},
 	}
 	e.state.Store(endpoint.Alive)
+	e.heartbeatSeq.Store(uint64(time.Now().UnixMicro()))
 	e.behavior.Store(&options.Behavior)
 	listener, err := net.Listen("tcp", string(options.Addr))
 	if err != nil {
--- a/standin/endpoint/heartbeat.go
+++ b/standin/endpoint/heartbeat.go
@@ -26,6 +26,7 @@
 		Addr:    e.Addr,
 		State:   state,
 		Load:    float64(e.inFlight.Load()) / fullLoad,
+		Seq:     e.heartbeatSeq.Add(1),
 	})
 	if err != nil {
 		return false
