--- a/daemon/api/mesh/configpart.go
+++ b/daemon/api/mesh/configpart.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// PartBytes is the size of a part of a configuration, and MaxPartBytes that of the largest part
-	// that may be asked for.
-	PartBytes    = 256 << 10
+	// PartBytes is the size of a part of a configuration.
+	PartBytes = 256 << 10
+	// MaxPartBytes is the size of the largest part that may be asked for.
 	MaxPartBytes = 2 * validation.MaxBytes
 )
 
--- a/sim/world/endpoint.go
+++ b/sim/world/endpoint.go
@@ -119,7 +119,9 @@
 	e.world.After(interval-heartbeatSpread/2+e.world.randomUpTo(heartbeatSpread), e.heartbeatLoop)
 }
 
-func (e *Endpoint) sendHeartbeat(state endpoint.State) { e.deliverHeartbeat(e.newHeartbeat(state), state) }
+func (e *Endpoint) sendHeartbeat(state endpoint.State) {
+	e.deliverHeartbeat(e.newHeartbeat(state), state)
+}
 
 // newHeartbeat makes the next heartbeat.
 func (e *Endpoint) newHeartbeat(state endpoint.State) endpoint.Heartbeat {
