Fleet and soak: late heartbeats and configurations in quick succession, on real processes

Change: the setting serverIdHeader; the stand-in endpoint answers at /health with its id; the fleet's faults endpoint-late-beat (signs off, serves on, a heartbeat of before comes 2.5 to 5.5 s later) and manifest-storm (80 ms apart for 4 s), both in TestSoak.

--- a/fleet/process/settings.go
+++ b/fleet/process/settings.go
@@ -24,4 +24,6 @@
 	Zone        string   `json:"district"`
 	Seeds       []string `json:"seeds"`
 	StopSeconds int      `json:"stopS,omitempty"`
+	// ServerIDHeader is the header by which endpoints tell their id when they are asked for their health.
+	ServerIDHeader string `json:"serverIdHeader,omitempty"`
 }
--- a/fleet/run/config.go
+++ b/fleet/run/config.go
@@ -12,6 +12,7 @@
 
 	"cottonarch.example/cottonarch/base/failure"
 	"cottonarch.example/cottonarch/base/ident"
+	"cottonarch.example/cottonarch/standin/endpoint"
 )
 
 const (
@@ -31,7 +32,8 @@
 }
 
 type serviceConfig struct {
-	Namespace string `json:"namespace"`
+	Namespace       string `json:"namespace"`
+	HealthCheckPath string `json:"checkPath,omitempty"`
 }
 
 type routeConfig struct {
@@ -61,7 +63,7 @@
 		if i == 0 {
 			namespace = marker
 		}
-		config.Services[string(service.Name)] = serviceConfig{Namespace: namespace}
+		config.Services[string(service.Name)] = serviceConfig{Namespace: namespace, HealthCheckPath: endpoint.HealthPath}
 		config.Routes["w-"+string(service.Name)] = routeConfig{
 			Host:      service.Host,
 			PathStart: "/",
--- a/fleet/run/faults_endpoint.go
+++ b/fleet/run/faults_endpoint.go
@@ -28,6 +28,14 @@
 	}
 )
 
+// A late heartbeat comes minLateness to minLateness + latenessSpread after the sign-off, and its endpoint
+// serves on for servedAfterLateHeartbeat.
+const (
+	minLateness              = 2500 * time.Millisecond
+	latenessSpread           = 3 * time.Second
+	servedAfterLateHeartbeat = 2 * time.Second
+)
+
 func (f *Fleet) randomService() scenario.Service {
 	return f.Deployment.Services[f.rng.IntN(len(f.Deployment.Services))]
 }
@@ -47,6 +55,27 @@
 	}
 }
 
+// endpointLateHeartbeat has an endpoint sign off and serve on. A heartbeat that it sent before comes
+// seconds later; if nothing else ends it meanwhile, the endpoint is replaced after some more.
+func (f *Fleet) endpointLateHeartbeat(ctx context.Context) {
+	e := f.takeEndpoint(2)
+	if e == nil {
+		return
+	}
+	confirmed, deliverLate := e.SignOff()
+	if confirmed {
+		f.mu.Lock()
+		f.leftAt[e.Server] = time.Now()
+		f.Checker.Observe(ruleLateToLeaver)
+		f.mu.Unlock()
+	}
+	f.sleep(ctx, minLateness+time.Duration(f.rng.Int64N(int64(latenessSpread))))
+	deliverLate()
+	f.sleep(ctx, servedAfterLateHeartbeat)
+	e.Stop(endpointStopTimeout)
+	f.replaceEndpoint(e)
+}
+
 // addressReuse kills an endpoint; two seconds later its address serves another service.
 func (f *Fleet) addressReuse(ctx context.Context) {
 	e := f.takeEndpoint(2)
--- a/fleet/run/faults_fleet.go
+++ b/fleet/run/faults_fleet.go
@@ -46,6 +46,21 @@
 	running.Wait()
 }
 
+// configStorm proposes configurations one after the other in quick succession, for longer than one may
+// take to be in force.
+func (f *Fleet) configStorm(ctx context.Context) {
+	const interval, duration = 80 * time.Millisecond, 4 * time.Second
+	var running sync.WaitGroup
+	for i := range int(duration / interval) {
+		running.Go(func() {
+			marker := fmt.Sprintf("storm-%d-%d", f.now(), i)
+			f.proposeAndJudge(ctx, proposal{config: f.newConfig(marker), method: http.MethodPut, marker: marker})
+		})
+		f.sleep(ctx, interval)
+	}
+	running.Wait()
+}
+
 // configLarge proposes a very large configuration.
 func (f *Fleet) configLarge(ctx context.Context) {
 	marker := fmt.Sprintf("large-%d", f.now())
--- a/fleet/run/processes.go
+++ b/fleet/run/processes.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cottonarch.example/cottonarch/fleet/process"
+	"cottonarch.example/cottonarch/standin/endpoint"
 )
 
 // Subnets of the fleet's machines: 127.0.SUBNET.N.
@@ -96,6 +97,9 @@
 			Seeds:       slices.Compact(seeds),
 			StopSeconds: sidecarStopSeconds,
 		}
+		if f.OldBinary == "" { // the release before does not know the setting
+			settings.ServerIDHeader = endpoint.ServerIDHeader
+		}
 		if err := startWith(sidecar, settings); err != nil {
 			return err
 		}
--- a/fleet/run/run_test.go
+++ b/fleet/run/run_test.go
@@ -70,7 +70,8 @@
 const soakSeed = 11
 
 // A short soak: clients on kept connections, some of which leave before their response, while planned
-// stops and kills of sidecars overlap with endpoints that are replaced and configurations in series.
+// stops and kills of sidecars overlap with endpoints that are replaced, endpoints whose heartbeats come
+// after they have signed off, and configurations in quick succession.
 func TestSoak(t *testing.T) {
 	d := scenario.Deployments["prairie"]
 	d.Sidecars, d.Rate, d.CoordinationRate = 5, 100, 10
@@ -80,7 +81,7 @@
 		FaultInterval:     200 * time.Millisecond,
 		Seed:              soakSeed,
 		Faults:            []string{"side-stop", "side-kill"},
-		OverlappingFaults: []string{"endpoint-replace", "burst", "endpoint-reuse"},
+		OverlappingFaults: []string{"endpoint-replace", "manifest-storm", "endpoint-late-beat", "burst", "endpoint-reuse"},
 		LeaveShare:        0.5,
 		LongShare:         0.1,
 	})
--- a/settings/read.go
+++ b/settings/read.go
@@ -56,7 +56,7 @@
 	faults := &decode.Faults{}
 	s := newSource(values, faults, keyNode, keyAddress, keyListen, keyClientAddress, keyZone, keySeeds,
 		keySenders, keyQueue, keyMaxInFlight, keyStopS, keyRetryExtra, keyRetryWindowS, keyRetryRatio,
-		keyRetryNested, keyCrossZoneMsPerKB, keyBodyMiB, keyLinkMbps)
+		keyRetryNested, keyCrossZoneMsPerKB, keyBodyMiB, keyLinkMbps, keyServerIDHeader)
 	sidecar := Sidecar{
 		Node:               ident.Node(s.text(keyNode)),
 		Addr:               s.requiredAddr(keyAddress),
@@ -75,6 +75,7 @@
 		CrossZoneCostPerKB: time.Duration(s.number(keyCrossZoneMsPerKB, DefaultCrossZoneMsPerKB, 0, 1e6) * float64(time.Millisecond)),
 		DeprecatedKeys:     s.deprecated,
 	}
+	sidecar.Headers.ServerID = s.text(keyServerIDHeader)
 	if sidecar.Node == "" {
 		sidecar.Node = ident.Node(sidecar.Addr)
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -101,7 +101,8 @@
 	NotExecuted string
 	// LoadReport is an endpoint's load: running, waiting, concurrency slots.
 	LoadReport string
-	// ServerID is an endpoint's id in its response to a health check.
+	// ServerID is an endpoint's id in its response to a health check. Without it no endpoint is asked
+	// for its health.
 	ServerID string
 	// FractionalRetryAfter allows a Retry-After in fractions of a second.
 	FractionalRetryAfter bool
--- a/settings/source.go
+++ b/settings/source.go
@@ -26,6 +26,7 @@
 	keyRingFiles        = "ringFiles"
 	keySeeds            = "seeds"
 	keySenders          = "senders"
+	keyServerIDHeader   = "serverIdHeader"
 	keyStopS            = "stopS"
 	keyVoters           = "voters"
 	keyZone             = "zone"
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -74,8 +74,11 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Internal, "listen")
 	}
+	paths := http.NewServeMux()
+	paths.HandleFunc("GET "+HealthPath, e.serveHealth)
+	paths.HandleFunc("/", e.serve)
 	e.server = &http.Server{
-		Handler: http.HandlerFunc(e.serve),
+		Handler: paths,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
@@ -100,10 +103,22 @@
 	return e.sendHeartbeat(endpoint.Leaving)
 }
 
-// Stop leaves, finishes the requests in flight within the timeout, reports that the endpoint is
-// gone and closes it.
+// SignOff reports that the endpoint is gone while it serves on, and tells whether the sidecar
+// confirmed it. No heartbeat follows but the one that deliverLate sends, which was made before: it comes
+// as one that was held up on its way.
+func (e *Endpoint) SignOff() (confirmed bool, deliverLate func()) {
+	late := e.newHeartbeat(endpoint.Alive)
+	e.Mute(true)
+	e.state.Store(endpoint.Gone)
+	return e.sendHeartbeat(endpoint.Gone), func() { e.deliver(late) }
+}
+
+// Stop leaves unless the endpoint has signed off, finishes the requests in flight within the timeout,
+// reports that the endpoint is gone and closes it.
 func (e *Endpoint) Stop(timeout time.Duration) {
-	e.Leave()
+	if e.state.Load() != endpoint.Gone {
+		e.Leave()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	e.drain(ctx)
--- a/standin/endpoint/heartbeat.go
+++ b/standin/endpoint/heartbeat.go
@@ -20,14 +20,24 @@
 
 // sendHeartbeat reports a state to the sidecar, and tells whether the sidecar confirmed it.
 func (e *Endpoint) sendHeartbeat(state endpoint.State) bool {
-	body, err := json.Marshal(endpoint.Heartbeat{
+	return e.deliver(e.newHeartbeat(state))
+}
+
+// newHeartbeat makes the next heartbeat.
+func (e *Endpoint) newHeartbeat(state endpoint.State) endpoint.Heartbeat {
+	return endpoint.Heartbeat{
 		Server:  e.Server,
 		Service: e.Service,
 		Addr:    e.Addr,
 		State:   state,
 		Load:    float64(e.inFlight.Load()) / fullLoad,
 		Seq:     e.heartbeatSeq.Add(1),
-	})
+	}
+}
+
+// deliver sends a heartbeat to the sidecar, and tells whether the sidecar confirmed it.
+func (e *Endpoint) deliver(heartbeat endpoint.Heartbeat) bool {
+	body, err := json.Marshal(heartbeat)
 	if err != nil {
 		return false
 	}
