An endpoint is verified as soon as its service is configured

Cause, seen on reading the change once more: an endpoint whose service comes with a later configuration waited for its next question, up to 1.6 s, where it had been healthy at once before; and one that turned a question away for lack of room could wait as long.

Change: a configuration that comes into force begins the verification of all that wait; the pause between questions ends at 0.4 s instead of 1.6 s. Heartbeats cost nothing more where endpoints are not asked at all.

Test: TestNewcomerIsVerifiedWhenItsServiceIsConfigured.

--- a/daemon/sidecar/config.go
+++ b/daemon/sidecar/config.go
@@ -195,6 +195,7 @@
 		s.bodies.limits.Store(&config.Limits)
 	}
 	s.configActive.Store(true)
+	s.verifyNewcomers() // their services may be configured now
 	s.Log.Info("configuration active",
 		zap.Uint64("revision", uint64(config.Revision)),
 		zap.Int("routes", len(config.Routes)),
--- a/daemon/sidecar/verification.go
+++ b/daemon/sidecar/verification.go
@@ -12,25 +12,33 @@
 // The pause after an endpoint was asked in vain whether it is healthy begins with minVerifyPause and
 // doubles up to maxVerifyPause.
 const (
-	minVerifyPause = 100 * time.Millisecond
-	maxVerifyPause = 1600 * time.Millisecond
+	minVerifyPause = 50 * time.Millisecond
+	maxVerifyPause = 400 * time.Millisecond
 )
 
 // verifyNewcomers has every endpoint asked that is known by heartbeats alone. A heartbeat may come
 // seconds late, and the sign-off that followed it may have been taken by an earlier run of this
-// sidecar, which has no disk: only the endpoint itself knows. mu is held.
+// sidecar, which has no disk: only the endpoint itself knows. One whose service names no path to ask
+// counts as verified, and one whose service is not configured waits. mu is held.
 func (s *Sidecar) verifyNewcomers() {
-	for _, heartbeat := range s.endpoints.Unverified() {
-		if !s.verifying[heartbeat.Server] {
-			s.verifying[heartbeat.Server] = true
-			go s.verify(heartbeat.Server)
+	config := s.planner.Config()
+	for _, newcomer := range s.endpoints.Unverified() {
+		if config != nil {
+			service, configured := config.Services[newcomer.Service]
+			if configured && service.HealthCheckPath == "" {
+				s.applyEndpointChange(s.endpoints.Verified(s.clock(), newcomer.Server))
+				continue
+			}
+		}
+		if !s.verifying[newcomer.Server] {
+			s.verifying[newcomer.Server] = true
+			go s.verify(newcomer.Server)
 		}
 	}
 }
 
 // verify asks an endpoint until it answers that it is healthy, or is no longer to be asked.
 func (s *Sidecar) verify(server ident.Server) {
-	defer s.endVerification(server)
 	if !s.awaitConfig() {
 		return
 	}
@@ -39,31 +47,29 @@
 		if !wanted {
 			return
 		}
-		if path != "" && s.healthyServer(s.askHealth(newcomer.Addr, path)) == server {
+		if s.healthyServer(s.askHealth(newcomer.Addr, path)) == server {
 			s.markVerified(server)
-			return
+			continue // there is nothing more to ask
 		}
 		s.sleep(pause)
 	}
 }
 
-// newcomerToVerify returns the newest heartbeat of a server that is to be asked, and the path to ask;
-// it is "" while the service is not configured. A server of a service without such a path counts as
-// verified.
+// newcomerToVerify returns the newest heartbeat of a server that is to be asked, and the path to ask. If
+// it is not to be asked now, its verification has ended; the next configuration or heartbeat may begin
+// it again.
 func (s *Sidecar) newcomerToVerify(server ident.Server) (newcomer endpoint.Heartbeat, path string, wanted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, heartbeat := range s.endpoints.Unverified() {
-		if heartbeat.Server != server || s.leaving.Load() {
+	for _, newcomer = range s.endpoints.Unverified() {
+		if newcomer.Server != server || s.leaving.Load() {
 			continue
 		}
-		service, configured := s.planner.Config().Services[heartbeat.Service]
-		if configured && service.HealthCheckPath == "" {
-			s.applyEndpointChange(s.endpoints.Verified(s.clock(), server))
-			return heartbeat, "", false
+		if path = s.planner.Config().Services[newcomer.Service].HealthCheckPath; path != "" {
+			return newcomer, path, true
 		}
-		return heartbeat, service.HealthCheckPath, true
 	}
+	delete(s.verifying, server)
 	return newcomer, "", false
 }
 
@@ -74,9 +80,3 @@
 	s.applyEndpointChange(s.endpoints.Verified(s.clock(), server))
 	s.Log.Info("endpoint verified", zap.String("server", string(server)))
 }
-
-func (s *Sidecar) endVerification(server ident.Server) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.verifying, server)
-}
--- a/daemon/sidecar/verification_test.go
+++ b/daemon/sidecar/verification_test.go
@@ -125,3 +125,23 @@
 	must.Nil(t, s.Heartbeat(aliveHeartbeat("e4", "unconfigured", "127.0.0.1:2", 1)))
 	must.Eq(t, record.Unknown, s.statusOf("e4"))
 }
+
+// The service of an endpoint is configured after its first heartbeat has come: it is asked at once, not
+// at its next heartbeat.
+func TestNewcomerIsVerifiedWhenItsServiceIsConfigured(t *testing.T) {
+	living := newAskedEndpoint(t, healthAnswer{http.StatusOK, "e1"})
+	s := newRestartedSidecar(t)
+	s.config.cache.MarkJoined()
+	must.Nil(t, s.Heartbeat(aliveHeartbeat("e1", "later.prairie", living.addr, 1)))
+	awaitThat(t, "its verification ends", func() bool { return !s.isVerifying("e1") })
+	must.Eq(t, record.Unknown, s.statusOf("e1"))
+	must.Eq(t, 0, living.asked.Load())
+	must.NoError(t, s.acceptWhole(2, []byte(`{"services":{"later.prairie":{"checkPath":"/health"}}}`)))
+	awaitThat(t, "it is verified", func() bool { return s.statusOf("e1") == record.Healthy })
+}
+
+func (s *Sidecar) isVerifying(server ident.Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.verifying[server]
+}
--- a/mesh/endpoint/tracker.go
+++ b/mesh/endpoint/tracker.go
@@ -290,6 +290,9 @@
 // Unverified lists the newest heartbeats of the endpoints that are to be asked whether they are
 // healthy.
 func (t *Tracker) Unverified() []Heartbeat {
+	if !t.VerifyNewcomers {
+		return nil
+	}
 	var heartbeats []Heartbeat
 	for _, server := range t.sortedServers() {
 		if e := t.endpoints[server]; e.unverified && !e.leaving {
