--- a/cmd/cottonarch/simulate.go
+++ b/cmd/cottonarch/simulate.go
@@ -57,12 +57,12 @@
 		fmt.Println(results.total.Summary())
 		return nil
 	}
-	var broken []string
+	var violated []string
 	for rule, n := range results.violations {
-		broken = append(broken, fmt.Sprintf("%s %d", rule, n))
+		violated = append(violated, fmt.Sprintf("%s %d", rule, n))
 	}
-	slices.Sort(broken)
-	return failure.New(failure.Conflict, "rules were broken: %s", strings.Join(broken, ", "))
+	slices.Sort(violated)
+	return failure.New(failure.Conflict, "rules were broken: %s", strings.Join(violated, ", "))
 }
 
 // read checks the command line; the failure names every fault.
--- a/daemon/sidecar/configactivation_test.go
+++ b/daemon/sidecar/configactivation_test.go
@@ -78,8 +78,8 @@
 func TestPeersThatLeftAreNotWaitedFor(t *testing.T) {
 	left := []ident.Addr{"l1:1", "l2:1", "l3:1", "l4:1", "l5:1", "l6:1"}
 	for name, x := range map[string]struct {
-		live                []ident.Addr
-		toldLive, toldOther int // how many are told, of those whose lease holds and of the others
+		live                        []ident.Addr
+		notifiedLive, notifiedOther int // how many are notified, of those whose lease holds and of the others
 	}{
 		"none is there":   {nil, 0, 3},
 		"one is there":    {[]ident.Addr{"a:1"}, 1, 2},
@@ -89,12 +89,12 @@
 		s := New(settings.Sidecar{Addr: "self:1"}, zap.NewNop())
 		listPeers(s, false, append(x.live, s.Settings.Addr)...)
 		listPeers(s, true, left...)
-		told := map[bool]int{}
+		notified := map[bool]int{}
 		for _, peer := range s.peersToNotify() {
-			told[slices.Contains(x.live, peer)]++
+			notified[slices.Contains(x.live, peer)]++
 		}
-		must.Eq(t, x.toldLive, told[true], must.Sprint(name))
-		must.Eq(t, x.toldOther, told[false], must.Sprint(name))
+		must.Eq(t, x.notifiedLive, notified[true], must.Sprint(name))
+		must.Eq(t, x.notifiedOther, notified[false], must.Sprint(name))
 		must.Len(t, len(x.live)+len(left), s.peerAddrs(), must.Sprint(name, ": all may be asked"))
 	}
 }
--- a/mesh/endpoint/tracker.go
+++ b/mesh/endpoint/tracker.go
@@ -162,26 +162,6 @@
 	}
 }
 
-// takeAddr gives an address to a server, and removes the one that had it before. That one has departed
-// if it was leaving, or if the address itself has answered as the server; if there is only a
-// heartbeat, which may be late, it can't take the address back at once.
-func (t *Tracker) takeAddr(now monotime.Time, server ident.Server, addr ident.Addr) Change {
-	previous, taken := t.serverByAddr[addr]
-	if !taken || previous == server || t.SkipChecks {
-		t.serverByAddr[addr] = server
-		return Change{}
-	}
-	var change Change
-	if t.VerifyNewcomers {
-		change = t.depart(previous, 0)
-	} else {
-		t.evictedAt[previous] = now
-		change = t.forget(previous)
-	}
-	t.serverByAddr[addr] = server
-	return change
-}
-
 // handleLeaving marks an endpoint as leaving, also while heartbeats are not trusted. One that is not
 // known then has left: it must not become healthy by what it sent before.
 func (t *Tracker) handleLeaving(now monotime.Time, heartbeat Heartbeat) Change {
@@ -221,22 +201,6 @@
 	return change
 }
 
-// ownAddrs lists the address of an endpoint, unless it is another server's: the connections to it are
-// that one's.
-func (t *Tracker) ownAddrs(server ident.Server, e *trackedEndpoint) []ident.Addr {
-	if owner, taken := t.serverByAddr[e.Addr]; taken && owner != server {
-		return nil
-	}
-	return []ident.Addr{e.Addr}
-}
-
-// releaseAddr frees an address if it still is the server's.
-func (t *Tracker) releaseAddr(server ident.Server, addr ident.Addr) {
-	if t.serverByAddr[addr] == server {
-		delete(t.serverByAddr, addr)
-	}
-}
-
 // Tick notices stalls of this process and endpoints without heartbeats. It is to be called more
 // often than every stallThreshold.
 func (t *Tracker) Tick(now monotime.Time) Change {
@@ -287,34 +251,6 @@
 	return t.remove(server)
 }
 
-// Unverified lists the newest heartbeats of the endpoints that are to be asked whether they are
-// healthy.
-func (t *Tracker) Unverified() []Heartbeat {
-	if !t.VerifyNewcomers {
-		return nil
-	}
-	var heartbeats []Heartbeat
-	for _, server := range t.sortedServers() {
-		if e := t.endpoints[server]; e.unverified && !e.leaving {
-			heartbeats = append(heartbeats, e.Heartbeat)
-		}
-	}
-	return heartbeats
-}
-
-// Verified notes that a server has answered, after its first heartbeat came, that it is healthy.
-func (t *Tracker) Verified(now monotime.Time, server ident.Server) Change {
-	e := t.endpoints[server]
-	if e == nil || !e.unverified {
-		return Change{}
-	}
-	e.unverified = false
-	change := t.takeAddr(now, server, e.Addr)
-	e.status = e.statusAt(now)
-	change.Updated = true
-	return change
-}
-
 // sortedServers lists the servers in a fixed order, so that runs can be repeated.
 func (t *Tracker) sortedServers() []ident.Server { return slices.Sorted(maps.Keys(t.endpoints)) }
 
--- /dev/null
+++ b/mesh/endpoint/verification.go
@@ -0,0 +1,34 @@
+package endpoint
+
+import (
+	"cottonarch.example/cottonarch/base/ident"
+	"cottonarch.example/cottonarch/base/monotime"
+)
+
+// Unverified lists the newest heartbeats of the endpoints that are to be asked whether they are
+// healthy.
+func (t *Tracker) Unverified() []Heartbeat {
+	if !t.VerifyNewcomers {
+		return nil
+	}
+	var heartbeats []Heartbeat
+	for _, server := range t.sortedServers() {
+		if e := t.endpoints[server]; e.unverified && !e.leaving {
+			heartbeats = append(heartbeats, e.Heartbeat)
+		}
+	}
+	return heartbeats
+}
+
+// Verified notes that a server has answered, after its first heartbeat came, that it is healthy.
+func (t *Tracker) Verified(now monotime.Time, server ident.Server) Change {
+	e := t.endpoints[server]
+	if e == nil || !e.unverified {
+		return Change{}
+	}
+	e.unverified = false
+	change := t.takeAddr(now, server, e.Addr)
+	e.status = e.statusAt(now)
+	change.Updated = true
+	return change
+}
--- a/sim/scenario/rollout_test.go
+++ b/sim/scenario/rollout_test.go
@@ -71,12 +71,12 @@
 	e = submit(proposer.Operation{Key: proposal.Key, Kind: "manifest/read"})
 	must.Nil(t, e.Failure)
 	var h struct {
-		Manifest struct {
-			Ways map[string]map[string]any `json:"ways"`
+		Config struct {
+			Routes map[string]map[string]any `json:"ways"`
 		} `json:"manifest"`
 	}
 	must.NoError(t, json.Unmarshal(e.Body, &h))
-	return r, h.Manifest.Ways["shop"]
+	return r, h.Config.Routes["shop"]
 }
 
 func countExecutions(w *world.World, service ident.Service) (n int) {
