--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -21,6 +21,7 @@
 	Bin        string        `default:"bin/cottonarch" help:"The cottonarch program."`
 	Old        string        `help:"An older release of it that every process starts as; the fault release upgrades them to the new one."`
 	Deployment string        `default:"prairie" help:"prairie or volta."`
+	Sidecars   int           `help:"So many sidecars instead of the deployment's own number, with endpoints in proportion; the rates stay."`
 	For        time.Duration `default:"120s" help:"How long the traffic runs."`
 	Faults     []string      `help:"Faults to inject in turn; all for every one; none if not given."`
 	Every      time.Duration `default:"3s" help:"Pause between faults."`
@@ -32,6 +33,9 @@
 	Keep       bool          `help:"Keep settings files, logs and data."`
 }
 
+// maxSidecars bounds --sidecars: their addresses are of one subnet.
+const maxSidecars = 200
+
 // validate checks the command line; the failure names every fault.
 func validate(faults []string) *failure.Error {
 	invalid := failure.New(failure.BadSettings, "the fleet can't be run")
@@ -46,6 +50,9 @@
 			add("faults", "there is no fault %q; known: all, %s", name, strings.Join(run.FaultNames(), ", "))
 		}
 	}
+	if app.Sidecars < 0 || app.Sidecars > maxSidecars {
+		add("sidecars", "must be from 0 to %d", maxSidecars)
+	}
 	if app.For < 20*time.Second || app.For > time.Hour {
 		add("for", "must be from 20s to 1h")
 	}
@@ -114,7 +121,7 @@
 		Binary:        app.Bin,
 		OldBinary:     app.Old,
 		Dir:           dir,
-		Deployment:    scenario.Deployments[app.Deployment],
+		Deployment:    scenario.Deployments[app.Deployment].WithSidecars(app.Sidecars),
 		Duration:      app.For,
 		Faults:        faults,
 		FaultInterval: app.Every,
--- a/sim/scenario/deployment.go
+++ b/sim/scenario/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"cottonarch.example/cottonarch/base/ident"
@@ -56,6 +57,20 @@
 	},
 }
 
+// WithSidecars is the deployment with another number of sidecars, and endpoints in proportion; 0 leaves it
+// as it is.
+func (d Deployment) WithSidecars(n int) Deployment {
+	if n == 0 {
+		return d
+	}
+	services := slices.Clone(d.Services)
+	for i := range services {
+		services[i].Endpoints = max(2, services[i].Endpoints*n/d.Sidecars)
+	}
+	d.Sidecars, d.Services = n, services
+	return d
+}
+
 // zoneOf is the zone of the machine with an index: machines are spread evenly.
 func (d Deployment) zoneOf(index int) ident.Zone {
 	return ident.Zone(fmt.Sprintf("d%d", index%d.Zones))
--- a/sim/scenario/scenario_test.go
+++ b/sim/scenario/scenario_test.go
@@ -260,3 +260,14 @@
 	must.NotNil(t, invalid)
 	must.Eq(t, 5, len(invalid.Faults))
 }
+
+// Another number of sidecars keeps the endpoints of each service in proportion, two at least, and leaves
+// the deployment that it came from as it is.
+func TestDeploymentWithAnotherNumberOfSidecars(t *testing.T) {
+	before := Deployments["prairie"]
+	for n, want := range map[int][]int{0: {5, 4}, 1: {2, 2}, 9: {5, 4}, 90: {50, 40}} {
+		d := before.WithSidecars(n)
+		must.Eq(t, want, []int{d.Services[0].Endpoints, d.Services[1].Endpoints}, must.Sprint(n))
+	}
+	must.Eq(t, 5, Deployments["prairie"].Services[0].Endpoints)
+}
